--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# SPDX-License-Identifier: Apache-2.0
+
+# Versions of the tools that check the code. They stay out of go.mod, which names
+# what the product itself needs.
+GOFUMPT  = mvdan.cc/gofumpt@v0.12.0
+REVIVE   = github.com/mgechev/revive@v1.17.0
+GENGO    = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+GENDRPC  = storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
+
+.PHONY: run test check generate build
+
+run:
+	./examples/quickstart/run
+
+test:
+	go test ./...
+
+build:
+	go build ./...
+
+check:
+	@out=$$(go run $(GOFUMPT) -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	go run $(REVIVE) -set_exit_status ./...
+	go vet ./...
+
+# Needs protoc, which Debian's package protobuf-compiler brings.
+generate:
+	GOBIN=$(CURDIR)/.bin go install $(GENGO)
+	GOBIN=$(CURDIR)/.bin go install $(GENDRPC)
+	PATH=$(CURDIR)/.bin:$$PATH go generate ./internal/wire
--- /dev/null
+++ b/cmd/ploverctl/status.go
@@ -0,0 +1,178 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/operator"
+)
+
+type statusCommand struct {
+	Node []string `required:"" placeholder:"IP:PORT" help:"Operators' address of a node; may be given more than once."`
+}
+
+// notReadyError is a node that should get no callers.
+type notReadyError struct {
+	node   string
+	reason string
+}
+
+// Error names the node and the reason.
+func (e *notReadyError) Error() string {
+	return fmt.Sprintf("ploverctl: node %s is not ready: %s", e.node, e.reason)
+}
+
+// Run prints the state of each node. The last node that isn't ready gives the
+// error.
+func (c *statusCommand) Run(out *output) error {
+	var last error
+	var all []*operator.Status
+	var text strings.Builder
+	for _, n := range c.Node {
+		s := &operator.Status{}
+		if err := ask(n, http.MethodGet, "/status", nil, s); err != nil {
+			return err
+		}
+		if !s.Ready {
+			last = &notReadyError{
+				node:   n,
+				reason: s.Reason,
+			}
+		}
+		all = append(all, s)
+		writeStatus(&text, s)
+	}
+	if err := out.print(all, "%s", text.String()); err != nil {
+		return err
+	}
+	return last
+}
+
+func writeStatus(b *strings.Builder, s *operator.Status) {
+	ready := "ready"
+	if !s.Ready {
+		ready = "not ready: " + s.Reason
+	}
+	fmt.Fprintf(b, "node %s in %s: %s, up for %s, %d in flight\n", s.Node, s.DataHall, ready, s.UpFor, s.InFlight)
+	fmt.Fprintf(b, "  configuration: revision %d, %d services, %d routes, %d workspaces, platform heard %s ago\n",
+		s.Config.Revision, s.Config.Services, s.Config.Routes, s.Config.Workspaces, age(s.Config.PlatformAgeMS))
+	for _, r := range s.Config.Refused {
+		fmt.Fprintf(b, "  refused: %s at revision %d: %s\n", r.Key, r.Revision, r.Reason)
+	}
+	live := 0
+	for _, m := range s.Members {
+		if m.Live {
+			live++
+		}
+	}
+	fmt.Fprintf(b, "  members: %d, %d live\n", len(s.Members), live)
+	for i := range s.Services {
+		writeService(b, &s.Services[i])
+	}
+}
+
+func writeService(b *strings.Builder, s *operator.ServiceStatus) {
+	fmt.Fprintf(b, "  service %s: %.1f of %.1f slots serve, floor %.1f, %d kept by the floor, %d targets used here\n",
+		s.Name, s.Serving, s.Capacity, s.Floor, s.Kept, s.Used)
+	for _, t := range s.Targets {
+		if t.Phase == "healthy" && !t.Leaving {
+			continue
+		}
+		state := t.Phase
+		if t.Leaving {
+			state += ", leaving"
+		}
+		fmt.Fprintf(b, "    target %s: %s, score %.1f, warmth %.2f\n", t.Address, state, t.Score, t.Warmth)
+	}
+}
+
+func age(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).Round(time.Millisecond).String()
+}
+
+type explainCommand struct {
+	Node   string `required:"" placeholder:"IP:PORT" help:"Operators' address of a node."`
+	Path   string `arg:"" help:"Path of the request."`
+	Method string `default:"GET" help:"Method of the request."`
+	Host   string `help:"Host of the request."`
+}
+
+// Run prints where the request would go.
+func (c *explainCommand) Run(out *output) error {
+	x := &operator.Explanation{}
+	err := ask(c.Node, http.MethodGet, "/explain", url.Values{
+		"path":   {c.Path},
+		"method": {c.Method},
+		"host":   {c.Host},
+	}, x)
+	if err != nil {
+		return err
+	}
+	var b strings.Builder
+	if x.Match != "route" {
+		fmt.Fprintf(&b, "no route: match %s\n", x.Match)
+		return out.print(x, "%s", b.String())
+	}
+	fmt.Fprintf(&b, "route %s, class %s, repeatable %t, deadline %s\n", x.Route, x.Class, x.Repeatable, x.Deadline)
+	if x.Service != nil {
+		writeService(&b, x.Service)
+	}
+	return out.print(x, "%s", b.String())
+}
+
+type configCommand struct {
+	Show configShowCommand `cmd:"" help:"Show the revisions in force and the refused values."`
+}
+
+type configShowCommand struct {
+	Node string `required:"" placeholder:"IP:PORT" help:"Operators' address of a node."`
+}
+
+// configView is what "config show" prints as JSON.
+type configView struct {
+	Config    operator.ConfigStatus `json:"config"`
+	Revisions map[string]uint64     `json:"revisions"`
+}
+
+// Run prints the configuration in force on a node.
+func (c *configShowCommand) Run(out *output) error {
+	s := &operator.Status{}
+	if err := ask(c.Node, http.MethodGet, "/status", nil, s); err != nil {
+		return err
+	}
+	var b strings.Builder
+	for key, rev := range s.Revision {
+		fmt.Fprintf(&b, "%s at revision %d\n", key, rev)
+	}
+	for _, r := range s.Config.Refused {
+		fmt.Fprintf(&b, "refused: %s at revision %d: %s\n", r.Key, r.Revision, r.Reason)
+	}
+	return out.print(configView{
+		Config:    s.Config,
+		Revisions: s.Revision,
+	}, "%s", b.String())
+}
+
+type drainCommand struct {
+	Node string `required:"" placeholder:"IP:PORT" help:"Operators' address of a node."`
+}
+
+// Run begins the planned stop of a node.
+func (c *drainCommand) Run(out *output) error {
+	if err := ask(c.Node, http.MethodPost, "/drain", nil, nil); err != nil {
+		return err
+	}
+	return out.print(struct {
+		Draining string `json:"draining"`
+	}{
+		Draining: c.Node,
+	}, "node %s is draining\n", c.Node)
+}
--- /dev/null
+++ b/cmd/ploverd/main.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command ploverd is the daemon of ploverjunction. Every instance of the fleet
+// runs the same one.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/node"
+	"ploverjunction.example/ploverjunction/internal/settings"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/version"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type arguments struct {
+	Settings string           `arg:"" help:"Settings file (INI)." placeholder:"FILE"`
+	Check    bool             `help:"Check the settings and exit: 0 if they are good, 2 if not."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var args arguments
+	kong.Parse(&args,
+		kong.Name("ploverd"),
+		kong.Description("The daemon of ploverjunction. SIGTERM or SIGINT begins a planned stop; a second one stops at once."),
+		kong.Vars{"version": version.String()},
+	)
+	os.Exit(run(args))
+}
+
+func run(args arguments) int {
+	set, err := settings.Load(args.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if args.Check {
+		return 0
+	}
+	log := logging.New(os.Stderr, set.LogLevel(), set.LogFormat())
+	n, err := node.New(set, log)
+	if err != nil {
+		logging.Part(log, "node").WithError(err).Error("not started")
+		return exitFailed
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := task.Go(ctx, "signals", func(ctx context.Context) error {
+		return follow(ctx, n.Drain, cancel)
+	})
+	err = n.Run(ctx)
+	if serr := signals.Stop(); err == nil {
+		err = serr
+	}
+	if err != nil {
+		logging.Part(log, "node").WithError(err).Error("failed")
+		return exitFailed
+	}
+	return 0
+}
+
+// follow turns the first signal into a planned stop and the second into an end
+// at once.
+func follow(ctx context.Context, drain, stop func()) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	for _, act := range []func(){drain, stop} {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+			act()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/admission/limit.go
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package admission
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// maxBuckets bounds the table of active workspaces. At the bound the workspaces
+// whose bucket is full are forgotten: a full bucket is what a new one starts as.
+const maxBuckets = 8192
+
+// bucket is the token bucket of one workspace on this node.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// Limiter bounds the requests of workspaces. It may be used concurrently.
+type Limiter struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+}
+
+// NewLimiter returns a limiter without active workspaces.
+func NewLimiter() *Limiter {
+	return &Limiter{
+		buckets: map[string]*bucket{},
+	}
+}
+
+// Admit takes one request of workspace id, whose limits for the whole fleet are
+// rate in requests a second and burst in requests, on one of nodes nodes. A rate
+// of 0 admits all. It returns 0 if the request may enter, else after how long
+// the next one may.
+func (l *Limiter) Admit(now time.Time, id string, rate, burst float64, nodes int) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	share := rate / float64(max(nodes, 1))
+	room := math.Max(burst/float64(max(nodes, 1)), 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.find(now, id, share, room)
+	b.refill(now, share, room)
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0
+	}
+	return time.Duration((1 - b.tokens) / share * float64(time.Second))
+}
+
+func (b *bucket) refill(now time.Time, share, room float64) {
+	if past := now.Sub(b.at).Seconds(); past > 0 {
+		b.tokens += past * share
+		b.at = now
+	}
+	b.tokens = math.Min(b.tokens, room)
+}
+
+func (l *Limiter) find(now time.Time, id string, share, room float64) *bucket {
+	if b := l.buckets[id]; b != nil {
+		return b
+	}
+	if len(l.buckets) >= maxBuckets {
+		l.evict(now, share, room)
+	}
+	b := &bucket{
+		tokens: room,
+		at:     now,
+	}
+	l.buckets[id] = b
+	return b
+}
+
+// evict forgets a few idle workspaces: those whose bucket would be full by now
+// at the asking workspace's rate, else any that it meets first.
+func (l *Limiter) evict(now time.Time, share, room float64) {
+	const most = 64
+	seen := 0
+	var oldest string
+	var at time.Time
+	for id, b := range l.buckets {
+		if oldest == "" || b.at.Before(at) {
+			oldest, at = id, b.at
+		}
+		if now.Sub(b.at).Seconds()*share >= room {
+			delete(l.buckets, id)
+		}
+		if seen++; seen >= most {
+			break
+		}
+	}
+	if len(l.buckets) >= maxBuckets {
+		delete(l.buckets, oldest)
+	}
+}
+
+// Active returns the number of workspaces in the table.
+func (l *Limiter) Active() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.buckets)
+}
--- /dev/null
+++ b/internal/dissemination/replica.go
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package dissemination spreads published values between the nodes: each new
+// revision is pushed or announced to a few random peers at once, and each node
+// compares digests with one random peer at a steady beat to find what it missed.
+// See "Epidemic algorithms for replicated database maintenance" (Demers et al.,
+// PODC 1987).
+package dissemination
+
+import (
+	"sync"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Bounds of messages.
+const (
+	// maxReply bounds the values in one message, in bytes.
+	maxReply = 2 << 20
+	// pushWhole is the greatest value in bytes that is pushed unasked; larger
+	// ones are announced and fetched by those that lack them.
+	pushWhole = 512
+)
+
+// Replica is this node's copy of the published values. It may be used
+// concurrently.
+type Replica struct {
+	mu       sync.Mutex
+	store    *fleetconfig.Store
+	digest   uint64
+	accepted func(*fleetconfig.Config, []fleetconfig.Refusal)
+}
+
+// NewReplica returns an empty replica. accepted is called with each new state,
+// one call after another; it must not call the replica.
+func NewReplica(accepted func(*fleetconfig.Config, []fleetconfig.Refusal)) *Replica {
+	s := fleetconfig.NewStore()
+	return &Replica{
+		store:    s,
+		digest:   s.Digest(),
+		accepted: accepted,
+	}
+}
+
+// Offer takes values from any source and returns those that were new.
+func (r *Replica) Offer(entries []*wire.Entry) []*wire.Entry {
+	if len(entries) == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fresh := r.store.Offer(entries)
+	if len(fresh) > 0 {
+		r.digest = r.store.Digest()
+		r.accepted(r.store.Config(), r.store.Refusals())
+	}
+	return fresh
+}
+
+// Digest returns the digest of all newest revisions.
+func (r *Replica) Digest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digest
+}
+
+// Revisions returns all newest revisions.
+func (r *Replica) Revisions() []*wire.KeyRevision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Revisions()
+}
+
+// InForce returns the revisions in force by key.
+func (r *Replica) InForce() map[string]uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.InForce()
+}
+
+// Entries returns the values of keys, as many as fit into one message.
+func (r *Replica) Entries(keys []string) []*wire.Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries(keys)
+}
+
+func (r *Replica) entries(keys []string) []*wire.Entry {
+	var out []*wire.Entry
+	size := 0
+	for _, k := range keys {
+		for _, e := range r.store.Entries(k) {
+			size += len(e.GetValue())
+			if size > maxReply && len(out) > 0 {
+				return out
+			}
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Compare tells what a peer with the given revisions lacks and what it has
+// beyond this replica. Keys that the peer doesn't name count as lacking only if
+// the list is complete.
+func (r *Replica) Compare(revisions []*wire.KeyRevision, complete bool) (lacks []*wire.Entry, wanted []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	theirs := map[string]uint64{}
+	for _, kr := range revisions {
+		theirs[kr.GetKey()] = kr.GetRevision()
+	}
+	ours := map[string]uint64{}
+	var keys []string
+	for _, kr := range r.store.Revisions() {
+		ours[kr.GetKey()] = kr.GetRevision()
+		rev, named := theirs[kr.GetKey()]
+		if (named || complete) && rev < kr.GetRevision() {
+			keys = append(keys, kr.GetKey())
+		}
+	}
+	for _, kr := range revisions {
+		if ours[kr.GetKey()] < kr.GetRevision() {
+			wanted = append(wanted, kr.GetKey())
+		}
+	}
+	return r.entries(keys), wanted
+}
--- /dev/null
+++ b/internal/entry/error.go
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+)
+
+// Code names a refusal or failure in answers to callers. Codes are stable.
+type Code string
+
+// Codes of refusals and failures.
+const (
+	CodeBadRequest    Code = "bad-request"
+	CodeBadPath       Code = "bad-path"
+	CodeNoRoute       Code = "no-route"
+	CodeMethod        Code = "method-not-allowed"
+	CodeWorkspace     Code = "unknown-workspace"
+	CodeRate          Code = "rate-limit"
+	CodeBodySize      Code = "body-too-large"
+	CodeBody          Code = "body-broken"
+	CodeNotReady      Code = "not-ready"
+	CodeNoTarget      Code = "no-target"
+	CodeDeadline      Code = "deadline"
+	CodeFailed        Code = "target-failed"
+	CodeOutcomeUnsure Code = "outcome-unknown"
+)
+
+// Error is the final answer to a request that gets no answer of a target.
+type Error struct {
+	code       Code
+	status     int
+	outcome    attempt.Outcome
+	retryAfter time.Duration
+	cause      error
+}
+
+// Error names the code, the outcome and the cause.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("entry: %s (%s)", e.code, e.outcome)
+	if e.cause != nil {
+		s += ": " + e.cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the error beneath, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Code returns the code of the failure.
+func (e *Error) Code() Code { return e.code }
+
+// Status returns the HTTP status.
+func (e *Error) Status() int { return e.status }
+
+// refuse returns an error of a request that was not run.
+func refuse(code Code, status int) *Error {
+	return &Error{
+		code:    code,
+		status:  status,
+		outcome: attempt.OutcomeNotRun,
+	}
+}
+
+// comeBack is when a caller should come back after a failure that passes soon.
+const comeBack = time.Second
+
+// gaveUp returns the final answer of a life that ended without an answer.
+func gaveUp(l *attempt.Life, reason attempt.Reason, cause error) *Error {
+	e := &Error{
+		code:       CodeFailed,
+		status:     http.StatusBadGateway,
+		outcome:    l.Outcome(),
+		retryAfter: comeBack,
+		cause:      cause,
+	}
+	switch {
+	case reason == attempt.ReasonDeadline:
+		e.code = CodeDeadline
+		e.status = http.StatusGatewayTimeout
+	case e.outcome == attempt.OutcomeNotRun:
+		e.code = CodeNoTarget
+		e.status = http.StatusServiceUnavailable
+	case !l.Repeatable():
+		e.code = CodeOutcomeUnsure
+	}
+	return e
+}
--- /dev/null
+++ b/internal/entry/header.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strings"
+
+	"ploverjunction.example/ploverjunction/internal/forward"
+)
+
+// hopByHop are the fields that concern one connection only (RFC 9110, section
+// 7.6.1), besides those that Connection names.
+var hopByHop = []string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// reserved are the fields of the contract that only the fleet sets.
+var reserved = []string{
+	forward.HeaderRequestID,
+	forward.HeaderOutcome,
+	forward.HeaderDeadline,
+	forward.HeaderState,
+}
+
+// via is the pseudonym of the fleet in Via (RFC 9110, section 7.6.3).
+const via = "1.1 ploverjunction"
+
+// endToEnd returns a copy of h without hop-by-hop and reserved fields.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	for _, name := range reserved {
+		out.Del(name)
+	}
+	return out
+}
+
+// towardsTarget returns the header that a target gets.
+func towardsTarget(r *http.Request) http.Header {
+	h := endToEnd(r.Header)
+	h.Del("Expect")
+	h.Add("Via", via)
+	if ip, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		chain := append(h.Values("X-Forwarded-For"), ip)
+		h.Set("X-Forwarded-For", strings.Join(chain, ", "))
+	}
+	if h.Get("X-Forwarded-Host") == "" {
+		h.Set("X-Forwarded-Host", r.Host)
+	}
+	if h.Get("X-Forwarded-Proto") == "" {
+		h.Set("X-Forwarded-Proto", "http")
+	}
+	return h
+}
--- /dev/null
+++ b/internal/entry/resume.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/forward"
+)
+
+// resumable tells whether the rest of an answer can be had from another target:
+// the route is repeatable and the target offers ranges and a strong validator
+// (RFC 9110, sections 8.8.1 and 14.2).
+func (x *relay) resumable(a *forward.Answer) bool {
+	h := a.Header()
+	etag := h.Get("Etag")
+	return x.in.route.Repeatable() &&
+		x.req.Method == http.MethodGet &&
+		x.req.Header.Get("Range") == "" &&
+		a.Status() == http.StatusOK &&
+		a.Length() > 0 &&
+		h.Get("Accept-Ranges") == "bytes" &&
+		strings.HasPrefix(etag, `"`)
+}
+
+// resume asks for the bytes of a from offset on. It gives nil if no target
+// continues the very same representation.
+func (x *relay) resume(etag string, offset, total int64) (*forward.Answer, func()) {
+	x.header.Set("Range", fmt.Sprintf("bytes=%d-", offset))
+	x.header.Set("If-Range", etag)
+	a, pick, reason := x.attempt()
+	if a == nil || reason != attempt.ReasonNone {
+		return nil, nil
+	}
+	want := fmt.Sprintf("bytes %d-%d/%d", offset, total-1, total)
+	same := a.Status() == http.StatusPartialContent &&
+		a.Header().Get("Content-Range") == want &&
+		a.Header().Get("Etag") == etag
+	if !same {
+		a.Close()
+		pick.Release()
+		return nil, nil
+	}
+	return a, pick.Release
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,345 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package entry serves callers: it checks their requests, has them answered by
+// targets and gives the answers back whole.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	kratos "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/admission"
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/balance"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/forward"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/task"
+)
+
+// Config holds the values and seams of a Server. All functions may be called
+// concurrently.
+type Config struct {
+	Listen          netip.AddrPort
+	MaxBody         int64
+	MaxHeader       int64
+	HoldBody        int64
+	Deadline        time.Duration
+	WorkspaceHeader string
+	// Config returns the configuration in force, or nil before the first one.
+	Config func() *fleetconfig.Config
+	// Pool returns the targets of a service, or nil.
+	Pool func(service string) *balance.Pool
+	// Nodes returns the number of live nodes of the fleet, at least 1.
+	Nodes func() int
+	// Collector counts what attempts show of the targets.
+	Collector *outlier.Collector
+	// Served notes the final answer to a request.
+	Served func(class, workspace string, status int, outcome string, took time.Duration)
+	Log    *logrus.Entry
+}
+
+// Bounds of callers' connections.
+const (
+	headerTimeout   = 10 * time.Second
+	callerIdle      = 2 * time.Minute
+	copyBuffer      = 32 << 10
+	maxResumes      = 3
+	requestIDLength = 16
+)
+
+// Server serves callers over kratos' HTTP transport.
+type Server struct {
+	cfg      Config
+	http     *kratos.Server
+	listener net.Listener
+	client   *forward.Client
+	limiter  *admission.Limiter
+	budgets  sync.Map
+	log      *logrus.Entry
+	inFlight atomic.Int64
+	closing  atomic.Bool
+	trials   atomic.Int32
+	tasks    chan *task.Task
+	buffers  sync.Pool
+}
+
+// New returns a server that listens already but does not serve yet.
+func New(cfg Config) (*Server, error) {
+	lis, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("entry: listen: %w", err)
+	}
+	s := &Server{
+		cfg:      cfg,
+		listener: lis,
+		client:   forward.NewClient(cfg.HoldBody),
+		limiter:  admission.NewLimiter(),
+		log:      cfg.Log,
+		tasks:    make(chan *task.Task, maxTrials),
+	}
+	s.buffers.New = func() any {
+		b := make([]byte, copyBuffer)
+		return &b
+	}
+	// The filter stands before kratos' router, which would clean paths and
+	// redirect; the timeout is off, for kratos gives each request one second.
+	s.http = kratos.NewServer(
+		kratos.Listener(lis),
+		kratos.Timeout(0),
+		kratos.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
+	)
+	s.http.ReadHeaderTimeout = headerTimeout
+	s.http.IdleTimeout = callerIdle
+	s.http.MaxHeaderBytes = int(cfg.MaxHeader)
+	return s, nil
+}
+
+// Addr returns the address on which the server listens.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Serve serves until the context ends or Drain was called.
+func (s *Server) Serve(ctx context.Context) error {
+	defer s.client.Close()
+	reaper := task.Go(ctx, "entry reaper", s.reap)
+	err := s.http.Start(context.WithoutCancel(ctx))
+	return errors.Join(err, reaper.Stop())
+}
+
+// InFlight returns the number of requests that are being served.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Closing makes each answer close its connection, so that callers and the
+// balancer open their next one elsewhere.
+func (s *Server) Closing() { s.closing.Store(true) }
+
+// Drain stops accepting and waits until all requests in flight have ended,
+// however long they take, or the context ends. Then all is closed.
+func (s *Server) Drain(ctx context.Context) error {
+	err := s.http.Stop(ctx)
+	if cerr := s.http.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// own takes a goroutine started for a request. Its end matters to nobody but
+// the log.
+func (s *Server) own(t *task.Task) {
+	select {
+	case s.tasks <- t:
+	default:
+		// The owner is behind: the end is buffered in the task itself.
+	}
+}
+
+// reap reads the ends of the goroutines started for requests.
+func (s *Server) reap(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case t := <-s.tasks:
+			if err := <-t.Done(); err != nil {
+				s.log.WithField("task", t.Name()).WithError(err).Debug("task failed")
+			}
+		}
+	}
+}
+
+func (s *Server) budget(service string) *admission.Budget {
+	if b, ok := s.budgets.Load(service); ok {
+		return b.(*admission.Budget)
+	}
+	b, _ := s.budgets.LoadOrStore(service, admission.NewBudget())
+	return b.(*admission.Budget)
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	begun := time.Now()
+	id := newRequestID()
+	w.Header().Set(forward.HeaderRequestID, id)
+	if s.closing.Load() || len(r.TransferEncoding) > 0 {
+		// A chunked request may also have stated a length, which net/http drops;
+		// its connection must not be used again then (RFC 9112, section 6.1).
+		w.Header().Set("Connection", "close")
+	}
+	in, fail := s.admit(r, begun)
+	if fail != nil {
+		s.refuse(w, id, fail)
+		s.cfg.Served("refused", "", fail.status, fail.outcome.String(), time.Since(begun))
+		return
+	}
+	status, outcome := s.forward(w, r, id, in)
+	s.cfg.Served(in.route.Class(), in.workspace, status, outcome.String(), time.Since(begun))
+}
+
+// forward has an admitted request answered.
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, in *admitted) (int, attempt.Outcome) {
+	b, fail := readBody(w, r, in.maxBody, s.cfg.HoldBody)
+	if fail != nil {
+		s.refuse(w, id, fail)
+		return fail.status, fail.outcome
+	}
+	x := &relay{
+		server: s,
+		id:     id,
+		req:    r,
+		in:     in,
+		body:   b,
+		life:   attempt.NewLife(in.route.Repeatable(), in.deadline),
+		header: towardsTarget(r),
+	}
+	a, release, fail := x.answer()
+	if fail != nil {
+		s.refuse(w, id, fail)
+		return fail.status, fail.outcome
+	}
+	x.deliver(w, a, release)
+	return a.Status(), attempt.OutcomeDone
+}
+
+// deliver gives an answer to the caller. An answer that breaks and can't be
+// resumed ends the caller's connection, so that it can't pass for a whole one.
+func (x *relay) deliver(w http.ResponseWriter, a *forward.Answer, release func()) {
+	h := w.Header()
+	for name, values := range endToEnd(a.Header()) {
+		h[name] = values
+	}
+	h.Add("Via", via)
+	h.Set(forward.HeaderRequestID, x.id)
+	h.Set(forward.HeaderOutcome, attempt.OutcomeDone.String())
+	if n := a.Length(); n >= 0 && hasBody(x.req.Method, a.Status()) {
+		h.Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	w.WriteHeader(a.Status())
+	if !hasBody(x.req.Method, a.Status()) {
+		a.Close()
+		release()
+		return
+	}
+	if err := x.copy(w, a, release); err != nil {
+		x.server.log.WithField("request", x.id).WithError(err).Warn("answer broken off")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// copy streams the body and resumes it where that is possible.
+func (x *relay) copy(w http.ResponseWriter, a *forward.Answer, release func()) error {
+	total := a.Length()
+	etag := a.Header().Get("Etag")
+	resumable := x.resumable(a)
+	offset := int64(0)
+	for range maxResumes {
+		n, err := x.stream(w, a)
+		offset += n
+		a.Close()
+		release()
+		if err == nil {
+			return nil
+		}
+		var fe *forward.Error
+		if !errors.As(err, &fe) {
+			return err
+		}
+		x.broke(a.Target())
+		x.life.Ended(attempt.OutcomeUnknown)
+		if !resumable {
+			return err
+		}
+		if a, release = x.resume(etag, offset, total); a == nil {
+			return err
+		}
+		x.server.log.WithField("request", x.id).WithField("offset", offset).Info("answer resumed")
+	}
+	a.Close()
+	release()
+	return &Error{
+		code:    CodeFailed,
+		status:  http.StatusBadGateway,
+		outcome: attempt.OutcomeUnknown,
+	}
+}
+
+// stream copies until the end of one target's answer.
+func (x *relay) stream(w http.ResponseWriter, a *forward.Answer) (int64, error) {
+	buf := x.server.buffers.Get().(*[]byte)
+	defer x.server.buffers.Put(buf)
+	flush := http.NewResponseController(w).Flush
+	var sent int64
+	for {
+		n, err := a.Read(*buf)
+		if n > 0 {
+			if _, werr := w.Write((*buf)[:n]); werr != nil {
+				return sent, fmt.Errorf("entry: write to the caller: %w", werr)
+			}
+			sent += int64(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return sent, nil
+		}
+		if err != nil {
+			return sent, err
+		}
+		if !a.Whole() {
+			if err := flush(); err != nil {
+				return sent, fmt.Errorf("entry: flush to the caller: %w", err)
+			}
+		}
+	}
+}
+
+// refusal is the body of a final answer that no target gave.
+type refusal struct {
+	Code    Code   `json:"code"`
+	Outcome string `json:"outcome"`
+	Request string `json:"request"`
+}
+
+func (s *Server) refuse(w http.ResponseWriter, id string, e *Error) {
+	s.log.WithField("request", id).WithError(e).Info("request refused")
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(forward.HeaderOutcome, e.outcome.String())
+	if e.retryAfter > 0 {
+		seconds := int64(math.Ceil(e.retryAfter.Seconds()))
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	body, err := json.Marshal(refusal{
+		Code:    e.code,
+		Outcome: e.outcome.String(),
+		Request: id,
+	})
+	if err != nil {
+		panic("entry: a refusal is always JSON: " + err.Error())
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(e.status)
+	// A caller that is gone needs no answer.
+	_, _ = w.Write(body)
+}
+
+// Close ends all connections at once, and Serve.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
--- /dev/null
+++ b/internal/entry/trial.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/forward"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/task"
+)
+
+// maxTrials bounds the trial copies in flight on a node.
+const maxTrials = 8
+
+// trial sends a copy of a repeatable request to a target on trial, if there is
+// one. Nobody waits for its answer: an ejected target proves itself without any
+// caller paying for it.
+func (x *relay) trial() {
+	if !x.in.route.Repeatable() || x.body.stream != nil {
+		return
+	}
+	pool := x.server.cfg.Pool(x.in.route.Service().Name())
+	if pool == nil || pool.Trials() == 0 || x.server.trials.Load() >= maxTrials {
+		return
+	}
+	pick, ok := pool.PickTrial(rand.Uint64)
+	if !ok {
+		return
+	}
+	x.server.trials.Add(1)
+	reader, _ := x.body.next()
+	r := x.request(pick.Address(), reader)
+	r.ID = newRequestID()
+	// The request itself may go on to resume an answer and add to its header.
+	r.Header = x.header.Clone()
+	// The copy lives on when the caller has its answer; its own deadline ends it.
+	ctx := context.WithoutCancel(x.req.Context())
+	x.server.own(task.Go(ctx, "trial", func(ctx context.Context) error {
+		defer x.server.trials.Add(-1)
+		defer pick.Release()
+		return x.tryOut(ctx, r)
+	}))
+}
+
+// tryOut makes the attempt of a trial and reads its answer to the end.
+func (x *relay) tryOut(ctx context.Context, r *forward.Request) error {
+	flight := x.begin(r.Target)
+	a, err := x.server.client.Do(ctx, r)
+	flight.End(time.Now(), x.end(a, err))
+	if err != nil {
+		return err
+	}
+	defer a.Close()
+	if _, err := io.Copy(io.Discard, a); err != nil {
+		x.broke(r.Target)
+		return fmt.Errorf("entry: trial: %w", err)
+	}
+	return nil
+}
+
+// broke notes an answer whose body broke off.
+func (x *relay) broke(target string) {
+	x.begin(target).End(time.Now(), outlier.End{
+		Failed: true,
+	})
+}
--- /dev/null
+++ b/internal/fleetconfig/error.go
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import "fmt"
+
+// Kind says what is wrong with a published value.
+type Kind string
+
+// Kinds of faults in published configuration.
+const (
+	KindSize      Kind = "too large"
+	KindSyntax    Kind = "syntax error"
+	KindMissing   Kind = "missing field"
+	KindRange     Kind = "out of range"
+	KindDuplicate Kind = "given twice"
+	KindReference Kind = "refers to nothing"
+	KindPolicy    Kind = "bad policy"
+	KindConflict  Kind = "two values with one revision"
+)
+
+// Error is one fault in published configuration.
+type Error struct {
+	kind   Kind
+	object string
+	detail string
+	cause  error
+}
+
+// Error names the object at fault and the fault.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("fleetconfig: %s: %s", e.object, e.kind)
+	if e.detail != "" {
+		s += ": " + e.detail
+	}
+	if e.cause != nil {
+		s += ": " + e.cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause, such as a *policy.Error, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Kind returns what is wrong.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Object names what is at fault, such as "route quotes".
+func (e *Error) Object() string { return e.object }
+
+func fault(kind Kind, detail, format string, args ...any) *Error {
+	return &Error{
+		kind:   kind,
+		object: fmt.Sprintf(format, args...),
+		detail: detail,
+	}
+}
--- /dev/null
+++ b/internal/fleetconfig/route.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"slices"
+	"strings"
+)
+
+// routeTable finds routes by host and path prefix. A lookup costs one map access
+// for each segment of the path, however many routes there are.
+type routeTable struct {
+	hosts map[string]map[string][]*Route
+	count int
+}
+
+func newRouteTable() *routeTable {
+	return &routeTable{
+		hosts: map[string]map[string][]*Route{},
+	}
+}
+
+// add reports false where a route for the same host, prefix and method exists.
+func (t *routeTable) add(r *Route) bool {
+	prefixes := t.hosts[r.host]
+	if prefixes == nil {
+		prefixes = map[string][]*Route{}
+		t.hosts[r.host] = prefixes
+	}
+	for _, other := range prefixes[r.prefix] {
+		if sharesMethod(r.methods, other.methods) {
+			return false
+		}
+	}
+	prefixes[r.prefix] = append(prefixes[r.prefix], r)
+	t.count++
+	return true
+}
+
+func sharesMethod(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return len(a) == len(b)
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
+
+// Match is the result of a lookup.
+type Match int
+
+// Results of a lookup.
+const (
+	MatchNone Match = iota
+	// MatchPath means that the path is known but not for this method.
+	MatchPath
+	MatchRoute
+)
+
+// Route finds the route with the longest prefix that ends at a segment of path
+// and allows the method; a route for the host goes before one for any host, and
+// one that names the method before one for any method. It does not allocate.
+func (c *Config) Route(host, path, method string) (*Route, Match) {
+	best := MatchNone
+	if host != "" {
+		r, m := c.routes.lookup(host, path, method)
+		if m == MatchRoute {
+			return r, m
+		}
+		best = m
+	}
+	r, m := c.routes.lookup("", path, method)
+	return r, max(m, best)
+}
+
+func (t *routeTable) lookup(host, path, method string) (*Route, Match) {
+	prefixes := t.hosts[host]
+	if prefixes == nil {
+		return nil, MatchNone
+	}
+	best := MatchNone
+	for p := strings.TrimRight(path, "/"); ; p = p[:strings.LastIndexByte(p, '/')] {
+		if routes := prefixes[p]; len(routes) > 0 {
+			best = MatchPath
+			if r := pickMethod(routes, method); r != nil {
+				return r, MatchRoute
+			}
+		}
+		if p == "" {
+			return nil, best
+		}
+	}
+}
+
+func pickMethod(routes []*Route, method string) *Route {
+	var open *Route
+	for _, r := range routes {
+		if len(r.methods) == 0 {
+			open = r
+		} else if slices.Contains(r.methods, method) {
+			return r
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/internal/forward/error.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"fmt"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+)
+
+// Kind says how an attempt failed.
+type Kind string
+
+// Kinds of failed attempts.
+const (
+	// KindConnect means that no connection could be opened.
+	KindConnect Kind = "no connection"
+	// KindLate means that the deadline passed before the first byte was sent.
+	KindLate Kind = "deadline before sending"
+	// KindSealed means that a connection was used after its attempt ended.
+	KindSealed Kind = "attempt has ended"
+	// KindTimeout means that no answer came before the deadline.
+	KindTimeout Kind = "deadline"
+	// KindReset means that the connection broke before the answer's end.
+	KindReset Kind = "connection broken"
+	// KindShed means that the target refused the request before running it.
+	KindShed Kind = "refused by the target"
+	// KindForeign means that the answer belongs to another request.
+	KindForeign Kind = "answer to another request"
+	// KindUnframed means that the end of the answer can't be told from a cut.
+	KindUnframed Kind = "answer without length"
+	// KindStall means that the answer's body stopped coming.
+	KindStall Kind = "answer stalled"
+	// KindCaller means that the caller is gone or its body broke.
+	KindCaller Kind = "caller gone"
+)
+
+// Error is a failed attempt.
+type Error struct {
+	kind    Kind
+	target  string
+	outcome attempt.Outcome
+	leaving bool
+	cause   error
+}
+
+// Error names the target and the failure.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("forward: %s: %s", e.target, e.kind)
+	if e.cause != nil {
+		s += ": " + e.cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the error beneath, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Kind returns how the attempt failed.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Outcome returns what is known about the request's run.
+func (e *Error) Outcome() attempt.Outcome { return e.outcome }
+
+// Leaving tells whether the target said that it is leaving.
+func (e *Error) Leaving() bool { return e.leaving }
+
+// Against tells whether the failure speaks against the target. Shedding is
+// health; a late start or a caller that left is not the target's doing.
+func (e *Error) Against() bool {
+	switch e.kind {
+	case KindShed, KindLate, KindSealed, KindCaller:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/forward/guard.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// claim is the right of one attempt to write to a target. It knows whether any
+// byte was handed to the kernel, which is what "not run" rests on.
+type claim struct {
+	mu      sync.Mutex
+	limit   time.Time
+	bound   int
+	written bool
+	sealed  bool
+}
+
+func newClaim(limit time.Time) *claim {
+	return &claim{
+		limit: limit,
+	}
+}
+
+// bind is called when the attempt gets a connection. net/http silently sends a
+// request again on another connection when it deems that safe (it does for any
+// request with an Idempotency-Key header); only this package may decide that,
+// so a claim that has written anything ends with its first connection.
+func (c *claim) bind() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bound++
+	if c.bound > 1 && c.written {
+		c.sealed = true
+	}
+}
+
+// enter is called immediately before bytes go to the kernel. The time limit is
+// checked there and not earlier: the process may have been frozen between the
+// choice of a target and the write.
+func (c *claim) enter(now time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return &Error{
+			kind: KindSealed,
+		}
+	}
+	if !c.written && !now.Before(c.limit) {
+		c.sealed = true
+		return &Error{
+			kind: KindLate,
+		}
+	}
+	c.written = true
+	return nil
+}
+
+// seal ends the claim and reports whether any byte was written. After it no
+// byte can follow, so that the report stays true.
+func (c *claim) seal() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
+
+// guard is a connection to a target that writes only for a valid claim.
+type guard struct {
+	net.Conn
+	claim atomic.Pointer[claim]
+}
+
+// Write hands b to the kernel if the claim in force allows it.
+func (g *guard) Write(b []byte) (int, error) {
+	c := g.claim.Load()
+	if c == nil {
+		return 0, &Error{
+			kind: KindSealed,
+		}
+	}
+	if err := c.enter(time.Now()); err != nil {
+		return 0, err
+	}
+	return g.Conn.Write(b)
+}
+
+func (g *guard) use(c *claim) {
+	c.bind()
+	g.claim.Store(c)
+}
--- /dev/null
+++ b/internal/forward/watchdog.go
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// watchdog cancels an attempt when nothing happens for too long.
+type watchdog struct {
+	timer  *time.Timer
+	expiry atomic.Bool
+}
+
+func newWatchdog(after time.Duration, cancel context.CancelFunc) *watchdog {
+	w := &watchdog{}
+	w.timer = time.AfterFunc(after, func() {
+		w.expiry.Store(true)
+		cancel()
+	})
+	return w
+}
+
+// reset gives the attempt another stretch of time.
+func (w *watchdog) reset(after time.Duration) { w.timer.Reset(after) }
+
+func (w *watchdog) stop() { w.timer.Stop() }
+
+// fired reports whether the time ran out.
+func (w *watchdog) fired() bool { return w.expiry.Load() }
--- /dev/null
+++ b/internal/integration/harness_test.go
@@ -0,0 +1,399 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/operator"
+	"ploverjunction.example/ploverjunction/internal/standin/faultproxy"
+	"ploverjunction.example/ploverjunction/internal/standin/platform"
+	"ploverjunction.example/ploverjunction/internal/standin/target"
+)
+
+// patience bounds every wait for something that must happen.
+const patience = 30 * time.Second
+
+var daemon string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "integration")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	daemon = filepath.Join(dir, "ploverd")
+	build := exec.Command("go", "build", "-o", daemon, "ploverjunction.example/ploverjunction/cmd/ploverd")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// site is a platform, targets and nodes of one test.
+type site struct {
+	t        *testing.T
+	platform *platform.Platform
+	toPlat   *faultproxy.Proxy
+	nodes    []*node
+	targets  []*backend
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{
+		t:        t,
+		platform: platform.New(),
+	}
+	srv := httptest.NewServer(s.platform.Handler())
+	s.toPlat = newProxy(t, addr(srv.URL))
+	t.Cleanup(func() {
+		s.platform.SetMode(platform.ModeDown)
+		s.toPlat.Close()
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return s
+}
+
+func addr(url string) string { return strings.TrimPrefix(url, "http://") }
+
+func newProxy(t *testing.T, upstream string) *faultproxy.Proxy {
+	t.Helper()
+	p, err := faultproxy.New(upstream)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// backend is one target behind a proxy.
+type backend struct {
+	*target.Target
+	service string
+	hall    string
+	proxy   *faultproxy.Proxy
+	server  *httptest.Server
+}
+
+func (s *site) target(service, hall string, slots int) *backend {
+	s.t.Helper()
+	b := &backend{
+		Target:  target.New(fmt.Sprintf("%s-%d", service, len(s.targets)), slots),
+		service: service,
+		hall:    hall,
+	}
+	b.server = httptest.NewServer(b.Handler())
+	b.proxy = newProxy(s.t, addr(b.server.URL))
+	s.t.Cleanup(func() {
+		b.server.CloseClientConnections()
+		b.server.Close()
+	})
+	s.targets = append(s.targets, b)
+	return b
+}
+
+// publishTargets publishes all targets, each service with the given fields.
+func (s *site) publishTargets(fields map[string]string) {
+	var services, targets []string
+	seen := map[string]bool{}
+	for _, b := range s.targets {
+		if !seen[b.service] {
+			seen[b.service] = true
+			services = append(services, fmt.Sprintf(`{"name":%q%s}`, b.service, fields[b.service]))
+		}
+		targets = append(targets, fmt.Sprintf(`{"service":%q,"address":%q,"dataHall":%q,"slots":%d,"connections":200}`,
+			b.service, b.proxy.Addr(), b.hall, 3))
+	}
+	s.platform.Publish("services", fmt.Sprintf(`{"services":[%s],"targets":[%s]}`,
+		strings.Join(services, ","), strings.Join(targets, ",")))
+}
+
+// standardRoutes publishes a repeatable and a non-repeatable route.
+func (s *site) standardRoutes(service string) {
+	s.platform.Publish("routes", fmt.Sprintf(`{"routes":[
+		{"name":"read","pathPrefix":"/%[1]s","methods":["GET"],"service":%[1]q,"class":"read","repeatable":true,"deadline":"5s"},
+		{"name":"write","pathPrefix":"/%[1]s","methods":["POST"],"service":%[1]q,"class":"write","deadline":"2s"}]}`, service))
+}
+
+// node is one ploverd process.
+type node struct {
+	t       *testing.T
+	site    *site
+	hall    string
+	front   *faultproxy.Proxy
+	toPlat  string
+	extra   string
+	seeds   []string
+	cmd     *exec.Cmd
+	entry   string
+	ops     string
+	mu      sync.Mutex
+	log     []string
+	exited  chan struct{}
+	exitErr error
+}
+
+// option changes a node before it starts.
+type option func(*node)
+
+func withExtra(ini string) option { return func(n *node) { n.extra = ini } }
+
+func withPlatform(address string) option { return func(n *node) { n.toPlat = address } }
+
+// node starts a process. The nodes before it are its seeds.
+func (s *site) node(hall string, opts ...option) *node {
+	s.t.Helper()
+	n := &node{
+		t:      s.t,
+		site:   s,
+		hall:   hall,
+		front:  newProxy(s.t, "127.0.0.1:1"),
+		toPlat: s.toPlat.Addr(),
+	}
+	for i, other := range s.nodes {
+		if i < 3 {
+			n.seeds = append(n.seeds, other.front.Addr())
+		}
+	}
+	for _, o := range opts {
+		o(n)
+	}
+	s.nodes = append(s.nodes, n)
+	n.start()
+	s.t.Cleanup(n.kill)
+	return n
+}
+
+func (n *node) settings() string {
+	seeds := ""
+	if len(n.seeds) > 0 {
+		seeds = "seeds = " + strings.Join(n.seeds, ", ")
+	}
+	return fmt.Sprintf(`
+[node]
+data_hall = %s
+[operator]
+listen = 127.0.0.1:0
+[peers]
+listen = 127.0.0.1:0
+advertise = %s
+%s
+[source]
+kind = platform
+platform = http://%s
+[log]
+format = json
+level = debug
+[entry]
+listen = 127.0.0.1:0
+%s
+`, n.hall, n.front.Addr(), seeds, n.toPlat, n.extra)
+}
+
+func (n *node) start() {
+	n.t.Helper()
+	file := filepath.Join(n.t.TempDir(), "ploverd.ini")
+	if err := os.WriteFile(file, []byte(n.settings()), 0o600); err != nil {
+		n.t.Fatal(err)
+	}
+	n.cmd = exec.Command(daemon, file)
+	out, err := n.cmd.StderrPipe()
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	if err := n.cmd.Start(); err != nil {
+		n.t.Fatal(err)
+	}
+	serving := make(chan servingLine, 1)
+	n.exited = make(chan struct{})
+	go n.read(out, serving)
+	select {
+	case line := <-serving:
+		n.entry, n.ops = line.Entry, line.Operator
+		n.front.SetUpstream(line.Peers)
+	case <-n.exited:
+		n.t.Fatalf("ploverd ended at start: %v\n%s", n.exitErr, n.logs())
+	case <-time.After(patience):
+		n.t.Fatal("ploverd did not start")
+	}
+}
+
+type servingLine struct {
+	Msg      string `json:"msg"`
+	Entry    string `json:"entry"`
+	Operator string `json:"operator"`
+	Peers    string `json:"peers"`
+}
+
+// read follows the log and then the end of the process.
+func (n *node) read(out io.Reader, serving chan<- servingLine) {
+	lines := bufio.NewScanner(out)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		n.mu.Lock()
+		n.log = append(n.log, lines.Text())
+		n.mu.Unlock()
+		var line servingLine
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
+			serving <- line
+		}
+	}
+	n.exitErr = n.cmd.Wait()
+	close(n.exited)
+}
+
+func (n *node) logs() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return strings.Join(n.log, "\n")
+}
+
+func (n *node) signal(s syscall.Signal) {
+	_ = n.cmd.Process.Signal(s)
+}
+
+func (n *node) kill() {
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+	<-n.exited
+}
+
+// restart replaces the process; it keeps its address for peers.
+func (n *node) restart() {
+	n.t.Helper()
+	n.kill()
+	n.front.Reset()
+	n.start()
+}
+
+func (n *node) status() *operator.Status {
+	res, err := http.Get("http://" + n.ops + "/status")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	s := &operator.Status{}
+	if json.NewDecoder(res.Body).Decode(s) != nil {
+		return nil
+	}
+	return s
+}
+
+func (n *node) ready() bool {
+	s := n.status()
+	return s != nil && s.Ready
+}
+
+// eventually waits until cond holds.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	look := time.NewTicker(10 * time.Millisecond)
+	defer look.Stop()
+	for !cond() {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		<-look.C
+	}
+}
+
+func (s *site) allReady() {
+	s.t.Helper()
+	for _, n := range s.nodes {
+		eventually(s.t, "node "+n.entry+" ready", n.ready)
+	}
+}
+
+// reply is an answer that was read to its end.
+type reply struct {
+	status  int
+	outcome string
+	header  http.Header
+	body    []byte
+	// err is set if there was no answer or it broke off.
+	err  error
+	took time.Duration
+}
+
+func newCaller() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 256,
+		},
+		Timeout: patience,
+	}
+}
+
+var callers = newCaller()
+
+// do sends a request with a key to a node.
+func (n *node) do(method, path, key string, body string, header ...string) reply {
+	return send(callers, method, "http://"+n.entry+path, key, body, header...)
+}
+
+func send(c *http.Client, method, url, key, body string, header ...string) reply {
+	begun := time.Now()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return reply{
+			err: err,
+		}
+	}
+	req.Header.Set(target.HeaderKey, key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return reply{
+			err:  err,
+			took: time.Since(begun),
+		}
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return reply{
+		status:  res.StatusCode,
+		outcome: res.Header.Get("Plover-Outcome"),
+		header:  res.Header,
+		body:    b,
+		err:     err,
+		took:    time.Since(begun),
+	}
+}
+
+// runsOf counts how often targets ran a key.
+func (s *site) runsOf(key string) int {
+	count := 0
+	for _, b := range s.targets {
+		for _, r := range b.Runs() {
+			if r.Key == key {
+				count++
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package membership knows the nodes of the fleet: those that the platform
+// lists, corrected by what this node hears itself. It is pure: the time is an
+// argument. The list lags and nodes may disagree on it, so membership gives
+// duties and never exclusive rights.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times of the table.
+const (
+	// SuspectTime is how long a node that didn't answer gets no duty.
+	SuspectTime = 10 * time.Second
+	// ForgetTime is after how long an unlisted node that nobody hears is dropped.
+	ForgetTime = time.Minute
+	// suspectAfter is how many calls must fail one after another.
+	suspectAfter = 2
+)
+
+// Node is one process of the fleet.
+type Node struct {
+	address  string
+	dataHall string
+}
+
+// NewNode returns a node by the address that it offers to peers.
+func NewNode(address, dataHall string) Node {
+	return Node{
+		address:  address,
+		dataHall: dataHall,
+	}
+}
+
+// Address returns the address for peers; it names the node.
+func (n Node) Address() string { return n.address }
+
+// DataHall returns the data hall of the node.
+func (n Node) DataHall() string { return n.dataHall }
+
+// state is what the table holds of one node.
+type state struct {
+	node        Node
+	listed      bool
+	leaving     bool
+	incarnation uint64
+	heard       time.Time
+	failures    int
+	suspectTill time.Time
+}
+
+// Table is the list of nodes as one node knows it. It isn't safe for concurrent
+// use.
+type Table struct {
+	self  Node
+	nodes map[string]*state
+}
+
+// NewTable returns a table that knows only self.
+func NewTable(self Node) *Table {
+	return &Table{
+		self:  self,
+		nodes: map[string]*state{},
+	}
+}
+
+// List takes the platform's list of nodes: live ones, and leaving ones. A node
+// that said itself that it leaves stays leaving, however old the list is.
+func (t *Table) List(live, leaving []Node) {
+	for _, s := range t.nodes {
+		s.listed = false
+	}
+	for _, n := range live {
+		t.find(n).listed = true
+	}
+	for _, n := range leaving {
+		s := t.find(n)
+		s.listed = true
+		s.leaving = true
+	}
+}
+
+func (t *Table) find(n Node) *state {
+	s := t.nodes[n.address]
+	if s == nil {
+		s = &state{
+			node: n,
+		}
+		t.nodes[n.address] = s
+	}
+	if n.dataHall != "" {
+		s.node.dataHall = n.dataHall
+	}
+	return s
+}
+
+// Heard notes a message of a node. incarnation tells the lives of a process at
+// one address apart: a greater one is a new process, which isn't leaving because
+// the one before it was.
+func (t *Table) Heard(now time.Time, n Node, incarnation uint64, leaving bool) {
+	if n.address == t.self.address || n.address == "" {
+		return
+	}
+	s := t.find(n)
+	if incarnation < s.incarnation {
+		return
+	}
+	if incarnation > s.incarnation {
+		s.leaving = false
+	}
+	s.incarnation = incarnation
+	s.leaving = s.leaving || leaving
+	s.heard = now
+	s.failures = 0
+	s.suspectTill = time.Time{}
+}
+
+// Mentioned notes a node that a peer knows.
+func (t *Table) Mentioned(now time.Time, n Node) {
+	if n.address == t.self.address || n.address == "" || t.nodes[n.address] != nil {
+		return
+	}
+	t.find(n).heard = now
+}
+
+// Failed notes a call to a node that got no answer.
+func (t *Table) Failed(now time.Time, address string) {
+	s := t.nodes[address]
+	if s == nil {
+		return
+	}
+	s.failures++
+	if s.failures >= suspectAfter {
+		s.suspectTill = now.Add(SuspectTime)
+	}
+	if !s.listed && now.Sub(s.heard) > ForgetTime {
+		delete(t.nodes, address)
+	}
+}
+
+// View is an immutable copy of a table. It may be read concurrently.
+type View struct {
+	self  Node
+	peers []Node
+	live  []Node
+}
+
+// View returns the table as it stands at now.
+func (t *Table) View(now time.Time) *View {
+	v := &View{
+		self: t.self,
+		live: []Node{t.self},
+	}
+	for _, s := range t.nodes {
+		if s.leaving || s.node.address == t.self.address {
+			continue
+		}
+		v.peers = append(v.peers, s.node)
+		if !now.Before(s.suspectTill) {
+			v.live = append(v.live, s.node)
+		}
+	}
+	byAddress := func(a, b Node) int { return strings.Compare(a.address, b.address) }
+	slices.SortFunc(v.peers, byAddress)
+	slices.SortFunc(v.live, byAddress)
+	return v
+}
+
+// Self returns the node whose view this is.
+func (v *View) Self() Node { return v.self }
+
+// Peers returns the other nodes that aren't leaving, suspected ones too. The
+// slice must not be changed.
+func (v *View) Peers() []Node { return v.peers }
+
+// Live returns the nodes that can have a duty, this one too. The slice must not
+// be changed.
+func (v *View) Live() []Node { return v.live }
+
+// Nodes returns how many nodes share the work: all that aren't leaving.
+func (v *View) Nodes() int { return len(v.peers) + 1 }
+
+// Duty returns the n live nodes of a data hall that rank first for a duty by
+// rendezvous hashing, or of all data halls if dataHall is empty.
+func (v *View) Duty(duty, dataHall string, n int) []Node {
+	type ranked struct {
+		node Node
+		rank uint64
+	}
+	var all []ranked
+	for _, node := range v.live {
+		if dataHall == "" || node.dataHall == dataHall {
+			all = append(all, ranked{
+				node: node,
+				rank: xxhash.Sum64String(duty + "|" + node.address),
+			})
+		}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), strings.Compare(a.node.address, b.node.address))
+	})
+	out := make([]Node, 0, n)
+	for _, r := range all[:min(n, len(all))] {
+		out = append(out, r.node)
+	}
+	return out
+}
+
+// DataHalls returns the data halls with live nodes, sorted.
+func (v *View) DataHalls() []string {
+	var out []string
+	for _, n := range v.live {
+		out = append(out, n.dataHall)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package metrics counts requests with tally and serves them to Prometheus.
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportBeat is how often tally hands its values to the reporter.
+const reportBeat = time.Second
+
+// otherWorkspaces is the name under which the workspaces beyond the bound are
+// counted together.
+const otherWorkspaces = "other"
+
+// latencyBuckets are the bounds of the histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 2, 17)
+
+// Metrics holds the series of one process. It may be used concurrently.
+type Metrics struct {
+	scope      tally.Scope
+	closer     io.Closer
+	handler    http.Handler
+	classes    sync.Map
+	mu         sync.RWMutex
+	workspaces map[string]tally.Histogram
+	bound      int
+}
+
+type classKey struct {
+	class   string
+	status  int
+	outcome string
+}
+
+type classSeries struct {
+	count   tally.Counter
+	latency tally.Histogram
+}
+
+// New returns metrics in which at most workspaces workspaces get a histogram of
+// their own: those first seen. The others share one.
+func New(workspaces int) *Metrics {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "plover",
+		CachedReporter: reporter,
+		Separator:      promreporter.DefaultSeparator,
+	}, reportBeat)
+	return &Metrics{
+		scope:      scope,
+		closer:     closer,
+		handler:    reporter.HTTPHandler(),
+		workspaces: map[string]tally.Histogram{},
+		bound:      workspaces,
+	}
+}
+
+// Handler serves the series in Prometheus' text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close hands over the last values.
+func (m *Metrics) Close() error {
+	if err := m.closer.Close(); err != nil {
+		return fmt.Errorf("metrics: close: %w", err)
+	}
+	return nil
+}
+
+// Served counts the final answer to a request.
+func (m *Metrics) Served(class, workspace string, status int, outcome string, took time.Duration) {
+	s := m.class(classKey{
+		class:   class,
+		status:  status,
+		outcome: outcome,
+	})
+	s.count.Inc(1)
+	s.latency.RecordDuration(took)
+	if workspace != "" {
+		m.workspace(workspace).RecordDuration(took)
+	}
+}
+
+func (m *Metrics) class(k classKey) *classSeries {
+	if s, ok := m.classes.Load(k); ok {
+		return s.(*classSeries)
+	}
+	scope := m.scope.Tagged(map[string]string{
+		"class":   k.class,
+		"status":  strconv.Itoa(k.status),
+		"outcome": k.outcome,
+	})
+	s, _ := m.classes.LoadOrStore(k, &classSeries{
+		count:   scope.Counter("requests"),
+		latency: m.scope.Tagged(map[string]string{"class": k.class}).Histogram("latency", latencyBuckets),
+	})
+	return s.(*classSeries)
+}
+
+func (m *Metrics) workspace(id string) tally.Histogram {
+	m.mu.RLock()
+	h := m.workspaces[id]
+	full := len(m.workspaces) >= m.bound
+	m.mu.RUnlock()
+	if h != nil {
+		return h
+	}
+	if full {
+		id = otherWorkspaces
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h = m.workspaces[id]; h == nil {
+		h = m.scope.Tagged(map[string]string{"workspace": id}).Histogram("workspace_latency", latencyBuckets)
+		m.workspaces[id] = h
+	}
+	return h
+}
+
+// Count adds n to a counter without tags.
+func (m *Metrics) Count(name string, n int64) { m.scope.Counter(name).Inc(n) }
+
+// Gauge sets a gauge without tags.
+func (m *Metrics) Gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
--- /dev/null
+++ b/internal/node/board.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/balance"
+	"ploverjunction.example/ploverjunction/internal/blackboard"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+)
+
+// configuration is the section written by the replica.
+type configuration struct {
+	config   *fleetconfig.Config
+	refusals []fleetconfig.Refusal
+	at       time.Time
+}
+
+// targetState is one target as the judging controller holds it.
+type targetState struct {
+	address string
+	state   outlier.State
+	// listedLeaving is set when the platform's list says that it leaves.
+	listedLeaving bool
+	inFlight      int
+}
+
+// poolState is one service as the judging controller holds it.
+type poolState struct {
+	pool    *balance.Pool
+	targets []targetState
+}
+
+// pools is the section written by the judging controller.
+type pools struct {
+	services map[string]*poolState
+}
+
+// readiness is the section written by the lifecycle controller.
+type readiness struct {
+	ready bool
+	// reason says why the node isn't ready.
+	reason string
+}
+
+// Board is the blackboard of a node: its controllers meet here.
+type Board struct {
+	config blackboard.Section[configuration]
+	view   blackboard.Section[membership.View]
+	pools  blackboard.Section[pools]
+	ready  blackboard.Section[readiness]
+}
+
+func (b *Board) currentConfig() *fleetconfig.Config {
+	if c := b.config.Load(); c != nil {
+		return c.config
+	}
+	return nil
+}
+
+func (b *Board) pool(service string) *balance.Pool {
+	p := b.pools.Load()
+	if p == nil || p.services[service] == nil {
+		return nil
+	}
+	return p.services[service].pool
+}
+
+func (b *Board) nodes() int {
+	return b.view.Load().Nodes()
+}
--- /dev/null
+++ b/internal/node/judging.go
@@ -0,0 +1,283 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/balance"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/policy"
+)
+
+// judgeBeat is how often a node judges its targets.
+const judgeBeat = 250 * time.Millisecond
+
+// service is what the judging controller holds of one service.
+type service struct {
+	config   *fleetconfig.Service
+	detector *outlier.Detector
+	judge    *outlier.Judge
+	gauges   map[string]*balance.Gauge
+	byKey    map[uint32]string
+}
+
+// judging turns evidence and verdicts into pools. One goroutine runs it; verdict
+// may be called concurrently.
+type judging struct {
+	board     *Board
+	collector *outlier.Collector
+	// report takes the evidence of each beat.
+	report   func(now time.Time, evidence []outlier.Evidence)
+	log      *logrus.Entry
+	mu       sync.Mutex
+	services map[string]*service
+	config   *fleetconfig.Config
+	view     *membership.View
+	dirty    bool
+}
+
+func newJudging(board *Board, collector *outlier.Collector, log *logrus.Entry) *judging {
+	return &judging{
+		board:     board,
+		collector: collector,
+		log:       log,
+		services:  map[string]*service{},
+	}
+}
+
+// run judges at each beat and at each change of the configuration.
+func (j *judging) run(ctx context.Context) error {
+	beat := time.NewTicker(judgeBeat)
+	defer beat.Stop()
+	for {
+		changed := j.board.config.Watch()
+		j.refresh(time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-beat.C:
+			j.beat(time.Now())
+		}
+	}
+}
+
+// refresh takes a new configuration or view and rebuilds the pools if anything
+// changed.
+func (j *judging) refresh(now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c := j.board.currentConfig(); c != nil && c != j.config {
+		j.configure(now, c)
+	}
+	if v := j.board.view.Load(); j.view == nil || v.Nodes() != j.view.Nodes() {
+		j.view = v
+		j.dirty = true
+	}
+	if j.dirty {
+		j.publish(now)
+	}
+}
+
+func (j *judging) configure(now time.Time, c *fleetconfig.Config) {
+	j.config = c
+	j.dirty = true
+	for name, sc := range c.Services() {
+		s := j.services[name]
+		if s == nil || s.detector.Threshold() != sc.Threshold() {
+			s = newService(s, sc)
+			j.services[name] = s
+		}
+		s.configure(now, sc)
+	}
+	for name := range j.services {
+		if c.Service(name) == nil {
+			delete(j.services, name)
+		}
+	}
+}
+
+// newService returns the state of a service. Of an old state all but the
+// detector is kept.
+func newService(old *service, sc *fleetconfig.Service) *service {
+	s := &service{
+		detector: outlier.NewDetector(sc.Threshold()),
+		judge:    outlier.NewJudge(),
+		gauges:   map[string]*balance.Gauge{},
+	}
+	if old != nil {
+		s.judge = old.judge
+		s.gauges = old.gauges
+	}
+	return s
+}
+
+func (s *service) configure(now time.Time, sc *fleetconfig.Service) {
+	s.config = sc
+	s.byKey = map[uint32]string{}
+	known := map[string]bool{}
+	addresses := make([]string, len(sc.Targets()))
+	for i, t := range sc.Targets() {
+		addresses[i] = t.Address()
+		known[t.Address()] = true
+		s.byKey[outlier.Key(t.Address())] = t.Address()
+		if s.gauges[t.Address()] == nil {
+			s.gauges[t.Address()] = &balance.Gauge{}
+		}
+	}
+	s.judge.SetTargets(now, addresses)
+	s.detector.Keep(known)
+	for a, g := range s.gauges {
+		if !known[a] && g.InFlight() == 0 {
+			delete(s.gauges, a)
+		}
+	}
+}
+
+// beat takes in the evidence of the last beat.
+func (j *judging) beat(now time.Time) {
+	evidence := j.collector.Drain(now)
+	j.mu.Lock()
+	j.evidence(now, evidence)
+	for _, s := range j.services {
+		if s.judge.Advance(now) || s.warming(now) {
+			j.dirty = true
+		}
+	}
+	j.mu.Unlock()
+	j.report(now, evidence)
+}
+
+func (j *judging) evidence(now time.Time, evidence []outlier.Evidence) {
+	beats := map[string][]outlier.Counts{}
+	for _, e := range evidence {
+		s := j.services[e.Service]
+		if s == nil {
+			continue
+		}
+		if e.Counts.Leaving {
+			s.judge.Leaving(now, e.Counts.Target)
+			j.dirty = true
+		}
+		s.judge.Evidence(now, e.Counts)
+		beats[e.Service] = append(beats[e.Service], e.Counts)
+	}
+	for name, counts := range beats {
+		s := j.services[name]
+		s.detector.Update(now, counts)
+		for _, c := range counts {
+			j.judge(now, s, c.Target)
+		}
+	}
+}
+
+// judge ejects a target on this node's own evidence. A node alone can only say
+// so for itself.
+func (j *judging) judge(now time.Time, s *service, target string) {
+	r := s.detector.Read(target)
+	if r.Score == 0 {
+		return
+	}
+	sick := s.config.Policy().Sick(policy.Health{
+		Score:     r.Score,
+		Threshold: s.config.Threshold(),
+		Good:      r.Good,
+		Bad:       r.Bad,
+		Stalled:   r.Stalled,
+		Reporters: 1,
+		DataHalls: 1,
+	})
+	if !sick {
+		return
+	}
+	s.judge.Sick(now, target, r.Score)
+	s.detector.Reset(target)
+	j.dirty = true
+	j.log.WithField("service", s.config.Name()).WithField("target", target).
+		WithField("score", r.Score).Info("target sick here")
+}
+
+func (s *service) warming(now time.Time) bool {
+	for _, t := range s.config.Targets() {
+		if s.judge.State(now, t.Address()).Phase == outlier.PhaseWarming {
+			return true
+		}
+	}
+	return false
+}
+
+// verdict takes an observer's word.
+func (j *judging) verdict(now time.Time, v outlier.Verdict, key uint32) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s := j.services[v.Service]
+	if s == nil {
+		return
+	}
+	target, ok := s.byKey[key]
+	if !ok {
+		return
+	}
+	j.dirty = true
+	if v.Leaving {
+		s.judge.Leaving(now, target)
+		return
+	}
+	s.judge.Verdict(now, target, v.Score, v.Lease)
+	j.log.WithField("service", v.Service).WithField("target", target).
+		WithField("score", v.Score).Info("target sick by verdict")
+}
+
+// publish writes the pools. The floor is checked here, at the last step of each
+// node, whatever the verdicts say.
+func (j *judging) publish(now time.Time) {
+	j.dirty = false
+	out := &pools{
+		services: map[string]*poolState{},
+	}
+	for name, s := range j.services {
+		out.services[name] = j.poolOf(now, s)
+	}
+	j.board.pools.Store(out)
+}
+
+func (j *judging) poolOf(now time.Time, s *service) *poolState {
+	p := &poolState{}
+	var members []balance.Member
+	capacity := 0
+	for _, t := range s.config.Targets() {
+		st := s.judge.State(now, t.Address())
+		inst := j.config.Instances()[t.Address()]
+		listed := inst != nil && inst.Leaving()
+		members = append(members, balance.Member{
+			Address:     t.Address(),
+			Slots:       t.Slots(),
+			Connections: t.Connections(),
+			Warmth:      st.Warmth,
+			Leaving:     st.Leaving || listed,
+			Sick:        st.Phase == outlier.PhaseEjected || st.Phase == outlier.PhaseTrial,
+			Score:       st.Score,
+			Trial:       st.Phase == outlier.PhaseTrial,
+			Gauge:       s.gauges[t.Address()],
+		})
+		p.targets = append(p.targets, targetState{
+			address:       t.Address(),
+			state:         st,
+			listedLeaving: listed,
+			inFlight:      s.gauges[t.Address()].InFlight(),
+		})
+		if !st.Leaving && !listed {
+			capacity += t.Slots()
+		}
+	}
+	floor := s.config.Policy().Floor(float64(capacity), len(members))
+	p.pool = balance.NewPool(members, floor, j.view.Self().Address(), j.view.Nodes())
+	return p
+}
--- /dev/null
+++ b/internal/node/lifecycle.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// Times of readiness.
+const (
+	readyBeat = 100 * time.Millisecond
+	// enoughPeers is how many peers a starting node compares its configuration
+	// with before it serves: a stale platform alone could give it an old one.
+	enoughPeers = 3
+	// startPatience is after how long a starting node that hears the platform
+	// but too few peers serves all the same. Until then it waits: most of its
+	// peers may be alive and ahead of the platform's replica.
+	startPatience = 30 * time.Second
+	// platformFresh is how old the fleet's last word of the platform may be for
+	// a node that hears too few peers.
+	platformFresh = time.Minute
+)
+
+// Reasons for not being ready.
+const (
+	reasonStarting = "starting"
+	reasonConfig   = "no configuration"
+	reasonPeers    = "too few peers heard"
+	reasonCutOff   = "neither platform nor most peers heard"
+	reasonLeaving  = "leaving"
+)
+
+// lifecycle decides whether the balancer should send callers here, and writes
+// that section of the blackboard.
+type lifecycle struct {
+	board       *Board
+	begun       time.Time
+	heardPeers  func() int
+	cutOff      func() bool
+	platformAge func(now time.Time) time.Duration
+	seeds       int
+	leaving     atomic.Bool
+	settled     bool
+}
+
+// run renews readiness at each beat until the context ends.
+func (l *lifecycle) run(ctx context.Context) error {
+	beat := time.NewTicker(readyBeat)
+	defer beat.Stop()
+	for {
+		l.renew(time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-beat.C:
+		}
+	}
+}
+
+func (l *lifecycle) renew(now time.Time) {
+	reason := l.reason(now)
+	old := l.board.ready.Load()
+	if old != nil && old.reason == reason {
+		return
+	}
+	l.board.ready.Store(&readiness{
+		ready:  reason == "",
+		reason: reason,
+	})
+}
+
+// reason says why the node is not ready, or "".
+func (l *lifecycle) reason(now time.Time) string {
+	if l.leaving.Load() {
+		return reasonLeaving
+	}
+	cfg := l.board.currentConfig()
+	if cfg == nil || len(cfg.Services()) == 0 {
+		return reasonConfig
+	}
+	if l.board.pools.Load() == nil {
+		return reasonStarting
+	}
+	if !l.settled && !l.settle(now) {
+		return reasonPeers
+	}
+	if l.cutOff() && l.platformAge(now) > platformFresh {
+		return reasonCutOff
+	}
+	return ""
+}
+
+// settle reports whether a starting node has compared its configuration with
+// enough peers.
+func (l *lifecycle) settle(now time.Time) bool {
+	known := max(len(l.board.view.Load().Peers()), l.seeds)
+	if l.heardPeers() >= min(enoughPeers, known) || now.Sub(l.begun) > startPatience {
+		l.settled = true
+	}
+	return l.settled
+}
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// memberBeat is how often the view is renewed for times that have passed.
+const memberBeat = time.Second
+
+// members owns the table of nodes and writes its section of the blackboard. It
+// may be used concurrently.
+type members struct {
+	board *Board
+	mu    sync.Mutex
+	table *membership.Table
+}
+
+func newMembers(board *Board, self membership.Node) *members {
+	m := &members{
+		board: board,
+		table: membership.NewTable(self),
+	}
+	m.board.view.Store(m.table.View(time.Now()))
+	return m
+}
+
+// change applies fn to the table and publishes the result.
+func (m *members) change(fn func(t *membership.Table, now time.Time)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	fn(m.table, now)
+	m.board.view.Store(m.table.View(now))
+}
+
+func (m *members) heard(n *wire.Node) {
+	m.change(func(t *membership.Table, now time.Time) {
+		t.Heard(now, membership.NewNode(n.GetAddress(), n.GetDataHall()), n.GetIncarnation(), n.GetLeaving())
+	})
+}
+
+func (m *members) mentioned(n *wire.Node) {
+	m.change(func(t *membership.Table, now time.Time) {
+		t.Mentioned(now, membership.NewNode(n.GetAddress(), n.GetDataHall()))
+	})
+}
+
+func (m *members) failed(peer string) {
+	m.change(func(t *membership.Table, now time.Time) { t.Failed(now, peer) })
+}
+
+// list takes the nodes of a configuration's list of instances.
+func (m *members) list(c *fleetconfig.Config) {
+	var live, leaving []membership.Node
+	for _, i := range c.Instances() {
+		if !i.Entry() {
+			continue
+		}
+		n := membership.NewNode(i.Address(), i.DataHall())
+		if i.Leaving() {
+			leaving = append(leaving, n)
+		} else {
+			live = append(live, n)
+		}
+	}
+	m.change(func(t *membership.Table, _ time.Time) { t.List(live, leaving) })
+}
+
+// run follows the configuration until the context ends.
+func (m *members) run(ctx context.Context) error {
+	beat := time.NewTicker(memberBeat)
+	defer beat.Stop()
+	for {
+		changed := m.board.config.Watch()
+		if c := m.board.currentConfig(); c != nil {
+			m.list(c)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-beat.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,430 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package node is one process of the fleet: it wires the controllers around the
+// blackboard and runs them.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/dissemination"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/link"
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/metrics"
+	"ploverjunction.example/ploverjunction/internal/operator"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/settings"
+	"ploverjunction.example/ploverjunction/internal/source"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Times and counts of duties.
+const (
+	// readersPerHall is how many nodes of each data hall watch the platform.
+	readersPerHall = 1
+	// platformSilent is after how long without word of the platform from anyone
+	// any node may read it. A watch without changes answers every 25 s.
+	platformSilent = 35 * time.Second
+	// startSilent is the same for a node that has just started.
+	startSilent = 2 * time.Second
+	// leaveTimes is how often a leaving node says so.
+	leaveTimes = 3
+	idleBeat   = 10 * time.Second
+)
+
+// Node is one process of the fleet. Make it with New and run it once.
+type Node struct {
+	set       *settings.Settings
+	log       *logrus.Logger
+	board     *Board
+	begun     time.Time
+	members   *members
+	replica   *dissemination.Replica
+	gossip    *dissemination.Gossip
+	traffic   *link.Traffic
+	dialer    *link.Dialer
+	peers     *link.Server
+	platform  *source.Platform
+	directory *source.Directory
+	judging   *judging
+	observing *observing
+	probing   *probing
+	lifecycle *lifecycle
+	metrics   *metrics.Metrics
+	entry     *entry.Server
+	operator  *operator.Server
+	drain     chan struct{}
+}
+
+// New checks what settings alone can't and opens all ports. Nothing is served
+// before Run.
+func New(set *settings.Settings, log *logrus.Logger) (*Node, error) {
+	klog.SetLogger(klog.NewFilter(klog.DefaultLogger, klog.FilterLevel(klog.LevelError)))
+	n := &Node{
+		set:     set,
+		log:     log,
+		board:   &Board{},
+		begun:   time.Now(),
+		traffic: &link.Traffic{},
+		metrics: metrics.New(set.MetricWorkspaces()),
+		drain:   make(chan struct{}, 1),
+	}
+	keys, err := loadKeys(set)
+	if err != nil {
+		return nil, err
+	}
+	n.dialer = link.NewDialer(keys, n.traffic)
+	n.members = newMembers(n.board, membership.NewNode(n.address(), set.DataHall()))
+	n.replica = dissemination.NewReplica(n.accepted)
+	n.gossip = dissemination.New(n.gossipConfig(), n.replica)
+	n.control()
+	if err := n.open(keys); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func loadKeys(set *settings.Settings) (*link.Keys, error) {
+	cert, key, authority := set.PeerTLS()
+	if cert == "" {
+		return nil, nil
+	}
+	keys, err := link.LoadKeys(cert, key, authority)
+	if err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	return keys, nil
+}
+
+// address names this node in the fleet.
+func (n *Node) address() string {
+	if !n.set.PeerListen().IsValid() {
+		return n.set.EntryListen().String()
+	}
+	return n.set.Advertise().String()
+}
+
+func (n *Node) self() *wire.Node {
+	return &wire.Node{
+		Address:     n.address(),
+		DataHall:    n.set.DataHall(),
+		Incarnation: uint64(n.begun.UnixNano()),
+		Leaving:     n.lifecycle.leaving.Load(),
+	}
+}
+
+func (n *Node) gossipConfig() dissemination.Config {
+	var seeds []string
+	for _, s := range n.set.Seeds() {
+		seeds = append(seeds, s.String())
+	}
+	return dissemination.Config{
+		Self:      n.self,
+		View:      n.board.view.Load,
+		Seeds:     seeds,
+		Call:      n.dialer.Sync,
+		Heard:     n.members.heard,
+		Mentioned: n.members.mentioned,
+		Failed:    n.members.failed,
+	}
+}
+
+// control makes the controllers.
+func (n *Node) control() {
+	collector := outlier.NewCollector(judgeBeat)
+	n.judging = newJudging(n.board, collector, logging.Part(n.log, "judging"))
+	n.observing = newObserving(n.board, peerLink{
+		observe: n.dialer.Observe,
+		judge:   n.dialer.Judge,
+		failed:  n.members.failed,
+		self:    n.self,
+	}, n.judging.verdict, logging.Part(n.log, "observing"))
+	n.judging.report = n.observing.collect
+	n.probing = newProbing(n.board, n.observing.collect)
+	n.lifecycle = &lifecycle{
+		board:       n.board,
+		begun:       n.begun,
+		heardPeers:  n.gossip.HeardPeers,
+		cutOff:      n.gossip.CutOff,
+		platformAge: n.gossip.PlatformAge,
+		seeds:       len(n.set.Seeds()),
+	}
+	if n.set.Source() == settings.SourcePlatform {
+		n.platform = source.NewPlatform(n.set.Platform())
+	} else {
+		n.directory = source.NewDirectory(n.set.Directory())
+	}
+}
+
+// open opens the three listeners.
+func (n *Node) open(keys *link.Keys) error {
+	var err error
+	n.entry, err = entry.New(entry.Config{
+		Listen:          n.set.EntryListen(),
+		MaxBody:         n.set.MaxBody(),
+		MaxHeader:       n.set.MaxHeader(),
+		HoldBody:        n.set.HoldBody(),
+		Deadline:        n.set.Deadline(),
+		WorkspaceHeader: n.set.WorkspaceHeader(),
+		Config:          n.board.currentConfig,
+		Pool:            n.board.pool,
+		Nodes:           n.board.nodes,
+		Collector:       n.judging.collector,
+		Served:          n.metrics.Served,
+		Log:             logging.Part(n.log, "entry"),
+	})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	n.operator, err = operator.New(operator.Config{
+		Listen:  n.set.OperatorListen(),
+		Ready:   n.ready,
+		Status:  n.status,
+		Explain: n.explain,
+		Drain:   n.Drain,
+		Metrics: n.metrics.Handler(),
+	})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	if !n.set.PeerListen().IsValid() {
+		return nil
+	}
+	log := logging.Part(n.log, "link")
+	n.peers, err = link.Listen(n.set.PeerListen().String(), keys, n.traffic, n, func(err error) {
+		n.metrics.Count("peer_errors", 1)
+		log.WithError(err).Debug("peer connection ended")
+	})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	return nil
+}
+
+// accepted takes each new state of the replica.
+func (n *Node) accepted(c *fleetconfig.Config, refusals []fleetconfig.Refusal) {
+	log := logging.Part(n.log, "config")
+	n.metrics.Gauge("config_revision", float64(c.Revision()))
+	n.metrics.Gauge("config_refused", float64(len(refusals)))
+	for _, r := range refusals {
+		log.WithField("key", r.Key()).WithField("revision", r.Revision()).WithError(r.Err()).Warn("value refused")
+	}
+	log.WithField("revision", c.Revision()).Debug("configuration in force")
+	n.board.config.Store(&configuration{
+		config:   c,
+		refusals: refusals,
+		at:       time.Now(),
+	})
+}
+
+// Sync serves dissemination to peers.
+func (n *Node) Sync(ctx context.Context, in *wire.SyncRequest) (*wire.SyncReply, error) {
+	return n.gossip.Sync(ctx, in)
+}
+
+// Observe serves evidence of peers.
+func (n *Node) Observe(_ context.Context, in *wire.ReportBatch) (*wire.Receipt, error) {
+	n.members.heard(in.GetFrom())
+	n.observing.observe(time.Now(), in)
+	return &wire.Receipt{}, nil
+}
+
+// Judge serves verdicts of observers.
+func (n *Node) Judge(_ context.Context, in *wire.VerdictBatch) (*wire.Receipt, error) {
+	n.members.heard(in.GetFrom())
+	n.observing.judged(time.Now(), in)
+	return &wire.Receipt{}, nil
+}
+
+// Drain begins a planned stop. It may be called concurrently and more than once.
+func (n *Node) Drain() {
+	select {
+	case n.drain <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until a planned stop has finished or the context ends. The end of
+// the context stops at once; Drain stops after all requests in flight.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tasks := n.start(ctx)
+	failed := make(chan error, len(tasks))
+	var watchers []*task.Task
+	for _, t := range tasks {
+		watchers = append(watchers, task.Go(context.WithoutCancel(ctx), "watch "+t.Name(), func(context.Context) error {
+			failed <- <-t.Done()
+			return nil
+		}))
+	}
+	err := n.wait(ctx, failed)
+	cancel()
+	err = errors.Join(err, n.entry.Close(), n.operator.Close())
+	for _, w := range watchers {
+		err = errors.Join(err, <-w.Done())
+	}
+	n.dialer.Close()
+	return errors.Join(err, n.metrics.Close())
+}
+
+// start starts all controllers and servers.
+func (n *Node) start(ctx context.Context) []*task.Task {
+	run := map[string]func(context.Context) error{
+		"members":   n.members.run,
+		"judging":   n.judging.run,
+		"observing": n.observing.run,
+		"probing":   n.probing.run,
+		"lifecycle": n.lifecycle.run,
+		"entry":     n.entry.Serve,
+		"operator":  n.operator.Serve,
+		"source":    n.runSource,
+	}
+	if n.peers != nil {
+		run["link"] = n.peers.Serve
+		run["gossip"] = n.gossip.Run
+		run["idle links"] = n.closeIdle
+	}
+	var tasks []*task.Task
+	for name, fn := range run {
+		tasks = append(tasks, task.Go(ctx, name, fn))
+	}
+	logging.Part(n.log, "node").WithFields(logrus.Fields{
+		"entry":    n.entry.Addr(),
+		"operator": n.operator.Addr(),
+		"peers":    n.peerAddr(),
+	}).Info("serving")
+	return tasks
+}
+
+func (n *Node) peerAddr() string {
+	if n.peers == nil {
+		return ""
+	}
+	return n.peers.Addr()
+}
+
+func (n *Node) closeIdle(ctx context.Context) error {
+	beat := time.NewTicker(idleBeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-beat.C:
+			n.dialer.CloseIdle(now)
+		}
+	}
+}
+
+// wait returns after the end of the context, a failed task or a planned stop.
+func (n *Node) wait(ctx context.Context, failed <-chan error) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		if err == nil {
+			err = &StoppedError{}
+		}
+		return err
+	case <-n.drain:
+		return n.stop(ctx)
+	}
+}
+
+// StoppedError is a part of a node that ended though nobody asked it to.
+type StoppedError struct{}
+
+// Error says that a part ended.
+func (*StoppedError) Error() string { return "node: a part ended unasked" }
+
+// stop is the planned stop: the balancer is told first and callers are accepted
+// until it has had time to notice; then what is in flight ends in its own time.
+func (n *Node) stop(ctx context.Context) error {
+	log := logging.Part(n.log, "node")
+	log.Info("leaving")
+	n.lifecycle.leaving.Store(true)
+	n.entry.Closing()
+	n.sayLeaving(ctx)
+	wait := time.NewTimer(n.set.DrainWait())
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-wait.C:
+	}
+	log.WithField("in_flight", n.entry.InFlight()).Info("draining")
+	if err := n.entry.Drain(ctx); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("node: drain: %w", err)
+	}
+	log.Info("drained")
+	return nil
+}
+
+// sayLeaving tells all peers: they must give this node's duties to others.
+func (n *Node) sayLeaving(ctx context.Context) {
+	if n.peers == nil {
+		return
+	}
+	var all sync.WaitGroup
+	for _, p := range n.board.view.Load().Peers() {
+		all.Go(func() { n.sayLeavingTo(ctx, p.Address()) })
+	}
+	all.Wait()
+}
+
+func (n *Node) sayLeavingTo(ctx context.Context, peer string) {
+	for range leaveTimes {
+		_, err := n.dialer.Sync(ctx, peer, &wire.SyncRequest{
+			From:   n.self(),
+			Digest: n.replica.Digest(),
+		})
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (n *Node) runSource(ctx context.Context) error {
+	log := logging.Part(n.log, "source")
+	failed := func(err error) { log.WithError(err).Warn("source not read") }
+	deliver := func(entries []*wire.Entry) { n.gossip.Publish(entries) }
+	if n.directory != nil {
+		return n.directory.Run(ctx, deliver, failed)
+	}
+	return n.platform.Run(ctx, source.Config{
+		Reader:  n.reader,
+		Deliver: deliver,
+		Heard:   func() { n.gossip.PlatformHeard(time.Now()) },
+		Failed:  failed,
+	})
+}
+
+// reader tells whether this node should read the platform: it has the duty, or
+// nobody seems to do it.
+func (n *Node) reader() bool {
+	now := time.Now()
+	view := n.board.view.Load()
+	for _, d := range view.Duty("reader", n.set.DataHall(), readersPerHall) {
+		if d == view.Self() {
+			return true
+		}
+	}
+	if len(view.Peers()) == 0 && len(n.set.Seeds()) == 0 {
+		return true
+	}
+	age := n.gossip.PlatformAge(now)
+	silent := now.Sub(n.begun)
+	return age > platformSilent && silent > startSilent
+}
--- /dev/null
+++ b/internal/node/observing.go
@@ -0,0 +1,367 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Beats of reports.
+const (
+	// observeBeat is how often an observer judges.
+	observeBeat = 500 * time.Millisecond
+	// A node reports good requests at a slower beat that grows with the fleet,
+	// so that the cost for each node stays flat; bad ones it reports at once.
+	slowLeast   = 2 * time.Second
+	slowMost    = 30 * time.Second
+	slowPerNode = 30 * time.Millisecond
+	// observersPerService is how many observers each data hall has for a service.
+	observersPerService = 1
+	// observerForget is after how long without reports an observer's state ends.
+	observerForget = 2 * time.Minute
+)
+
+// peerLink is how an observer reaches other nodes.
+type peerLink struct {
+	observe func(ctx context.Context, peer string, in *wire.ReportBatch) error
+	judge   func(ctx context.Context, peer string, in *wire.VerdictBatch) error
+	failed  func(peer string)
+	self    func() *wire.Node
+}
+
+// pending is the evidence about one service that hasn't been reported yet.
+type pending struct {
+	targets map[string]*wire.TargetEvidence
+	urgent  bool
+	sent    time.Time
+}
+
+// observed is one service that this node observes for its data hall.
+type observed struct {
+	observer *outlier.Observer
+	config   *fleetconfig.Service
+	byKey    map[uint32]string
+	heard    time.Time
+}
+
+// observing sends this node's evidence to the observers and does this node's own
+// duty as one. It may be used concurrently.
+type observing struct {
+	board   *Board
+	link    peerLink
+	deliver func(now time.Time, v outlier.Verdict, key uint32)
+	log     *logrus.Entry
+	mu      sync.Mutex
+	pending map[string]*pending
+	served  map[string]*observed
+}
+
+func newObserving(board *Board, link peerLink, deliver func(time.Time, outlier.Verdict, uint32), log *logrus.Entry) *observing {
+	return &observing{
+		board:   board,
+		link:    link,
+		deliver: deliver,
+		log:     log,
+		pending: map[string]*pending{},
+		served:  map[string]*observed{},
+	}
+}
+
+// collect takes the evidence of one beat of this node.
+func (o *observing) collect(_ time.Time, evidence []outlier.Evidence) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range evidence {
+		p := o.pending[e.Service]
+		if p == nil {
+			p = &pending{
+				targets: map[string]*wire.TargetEvidence{},
+			}
+			o.pending[e.Service] = p
+		}
+		t := p.targets[e.Counts.Target]
+		if t == nil {
+			t = &wire.TargetEvidence{
+				Target: outlier.Key(e.Counts.Target),
+			}
+			p.targets[e.Counts.Target] = t
+		}
+		t.Good += uint32(e.Counts.Good)
+		t.Bad += uint32(e.Counts.Bad)
+		t.Stalled += uint32(e.Counts.Stalled)
+		t.Leaving = t.Leaving || e.Counts.Leaving
+		p.urgent = p.urgent || e.Counts.Bad > 0 || e.Counts.Leaving
+	}
+}
+
+// run reports and judges at each beat until the context ends.
+func (o *observing) run(ctx context.Context) error {
+	beat := time.NewTicker(observeBeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-beat.C:
+		}
+		now := time.Now()
+		o.send(ctx, o.due(now), false)
+		summaries, verdicts := o.advance(now)
+		o.send(ctx, summaries, true)
+		o.announce(ctx, now, verdicts)
+	}
+}
+
+// due returns the reports that should go out now, by observer.
+func (o *observing) due(now time.Time) map[string][]*wire.Report {
+	view := o.board.view.Load()
+	slow := min(max(slowPerNode*time.Duration(view.Nodes()), slowLeast), slowMost)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := map[string][]*wire.Report{}
+	for name, p := range o.pending {
+		if len(p.targets) == 0 || !p.urgent && now.Sub(p.sent) < slow {
+			continue
+		}
+		r := &wire.Report{
+			Service: name,
+		}
+		for _, t := range p.targets {
+			r.Targets = append(r.Targets, t)
+		}
+		for _, n := range view.Duty(duty(name), view.Self().DataHall(), observersPerService) {
+			out[n.Address()] = append(out[n.Address()], r)
+		}
+		o.pending[name] = &pending{
+			targets: map[string]*wire.TargetEvidence{},
+			sent:    now,
+		}
+	}
+	return out
+}
+
+func duty(service string) string { return "observer/" + service }
+
+// send takes reports to their observers, all at the same time. What is for this
+// node itself takes the short way.
+func (o *observing) send(ctx context.Context, reports map[string][]*wire.Report, summary bool) {
+	self := o.link.self()
+	var all sync.WaitGroup
+	for peer, list := range reports {
+		batch := &wire.ReportBatch{
+			From:    self,
+			Reports: list,
+			Summary: summary,
+		}
+		if peer == self.GetAddress() {
+			o.observe(time.Now(), batch)
+			continue
+		}
+		all.Go(func() {
+			if err := o.link.observe(ctx, peer, batch); err != nil {
+				o.link.failed(peer)
+				o.log.WithError(err).Debug("observer not reached")
+			}
+		})
+	}
+	all.Wait()
+}
+
+// observe takes the reports of one node as an observer. Any node that reports
+// come to serves as one: the sender may know the fleet better.
+func (o *observing) observe(now time.Time, in *wire.ReportBatch) {
+	cfg := o.board.currentConfig()
+	if cfg == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range in.GetReports() {
+		sc := cfg.Service(r.GetService())
+		if sc == nil {
+			continue
+		}
+		s := o.observed(sc)
+		s.heard = now
+		for _, t := range r.GetTargets() {
+			target, ok := s.byKey[t.GetTarget()]
+			if !ok {
+				continue
+			}
+			s.take(now, in, outlier.Counts{
+				Target:  target,
+				Good:    float64(t.GetGood()),
+				Bad:     float64(t.GetBad()),
+				Stalled: float64(t.GetStalled()),
+				Leaving: t.GetLeaving(),
+			})
+		}
+	}
+}
+
+func (s *observed) take(now time.Time, in *wire.ReportBatch, c outlier.Counts) {
+	from := in.GetFrom()
+	if in.GetSummary() {
+		s.observer.Summary(now, from.GetAddress(), from.GetDataHall(), c)
+		return
+	}
+	s.observer.Report(now, from.GetAddress(), from.GetDataHall(), c)
+}
+
+// observed returns the state for a service, in its newest configuration.
+func (o *observing) observed(sc *fleetconfig.Service) *observed {
+	s := o.served[sc.Name()]
+	if s != nil && s.config == sc {
+		return s
+	}
+	info := outlier.Service{
+		Name:      sc.Name(),
+		Policy:    sc.Policy(),
+		Threshold: sc.Threshold(),
+	}
+	byKey := map[uint32]string{}
+	for _, t := range sc.Targets() {
+		info.Targets = append(info.Targets, t.Address())
+		byKey[outlier.Key(t.Address())] = t.Address()
+	}
+	if s == nil {
+		s = &observed{
+			observer: outlier.NewObserver(info),
+		}
+		o.served[sc.Name()] = s
+	} else {
+		s.observer.Configure(info)
+	}
+	s.config = sc
+	s.byKey = byKey
+	return s
+}
+
+// advance judges all observed services. It returns the summaries for the
+// observers of the other data halls and the new verdicts.
+func (o *observing) advance(now time.Time) (map[string][]*wire.Report, []outlier.Verdict) {
+	view := o.board.view.Load()
+	halls := view.DataHalls()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	summaries := map[string][]*wire.Report{}
+	var verdicts []outlier.Verdict
+	for name, s := range o.served {
+		if now.Sub(s.heard) > observerForget {
+			delete(o.served, name)
+			continue
+		}
+		if r := s.summary(now); r != nil {
+			for _, h := range halls {
+				if h == view.Self().DataHall() {
+					continue
+				}
+				for _, n := range view.Duty(duty(name), h, observersPerService) {
+					summaries[n.Address()] = append(summaries[n.Address()], r)
+				}
+			}
+		}
+		verdicts = append(verdicts, s.observer.Advance(now)...)
+	}
+	return summaries, verdicts
+}
+
+// summary returns what the other data halls should know, or nil.
+func (s *observed) summary(now time.Time) *wire.Report {
+	counts := s.observer.TakeSummary()
+	if len(counts) == 0 {
+		return nil
+	}
+	r := &wire.Report{
+		Service:   s.config.Name(),
+		Reporters: uint32(s.observer.Reporters(now)),
+	}
+	for _, c := range counts {
+		r.Targets = append(r.Targets, &wire.TargetEvidence{
+			Target:  outlier.Key(c.Target),
+			Good:    uint32(c.Good),
+			Bad:     uint32(c.Bad),
+			Stalled: uint32(c.Stalled),
+			Leaving: c.Leaving,
+		})
+	}
+	return r
+}
+
+// announce takes new verdicts to all nodes of the data hall. Verdicts are rare;
+// a lost one is found by the node's own evidence.
+func (o *observing) announce(ctx context.Context, now time.Time, verdicts []outlier.Verdict) {
+	if len(verdicts) == 0 {
+		return
+	}
+	batch := &wire.VerdictBatch{
+		From: o.link.self(),
+	}
+	for _, v := range verdicts {
+		o.deliver(now, v, outlier.Key(v.Target))
+		batch.Verdicts = append(batch.Verdicts, &wire.Verdict{
+			Service: v.Service,
+			Target:  outlier.Key(v.Target),
+			Score:   float32(v.Score),
+			LeaseMs: uint32(v.Lease.Milliseconds()),
+			Leaving: v.Leaving,
+		})
+	}
+	o.spread(ctx, batch)
+}
+
+func (o *observing) spread(ctx context.Context, batch *wire.VerdictBatch) {
+	view := o.board.view.Load()
+	var all sync.WaitGroup
+	for _, n := range view.Peers() {
+		if n.DataHall() != view.Self().DataHall() {
+			continue
+		}
+		all.Go(func() {
+			if err := o.link.judge(ctx, n.Address(), batch); err != nil {
+				o.link.failed(n.Address())
+				o.log.WithError(err).Debug("verdict not taken")
+			}
+		})
+	}
+	all.Wait()
+}
+
+// judged takes the verdicts of an observer. Only an observer of this node's data
+// hall, by this node's own view of the fleet, is believed.
+func (o *observing) judged(now time.Time, in *wire.VerdictBatch) {
+	for _, v := range in.GetVerdicts() {
+		if !o.hasDuty(in.GetFrom(), v.GetService()) {
+			continue
+		}
+		o.deliver(now, outlier.Verdict{
+			Service: v.GetService(),
+			Score:   float64(v.GetScore()),
+			Lease:   time.Duration(v.GetLeaseMs()) * time.Millisecond,
+			Leaving: v.GetLeaving(),
+		}, v.GetTarget())
+	}
+}
+
+// trustedRanks is how far down the order of observers a sender may stand: views
+// differ by the nodes that just one of them suspects.
+const trustedRanks = 3
+
+func (o *observing) hasDuty(from *wire.Node, service string) bool {
+	view := o.board.view.Load()
+	for _, n := range view.Duty(duty(service), view.Self().DataHall(), trustedRanks) {
+		if n == membership.NewNode(from.GetAddress(), from.GetDataHall()) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/operator"
+)
+
+func (n *Node) ready() (bool, string) {
+	r := n.board.ready.Load()
+	if r == nil {
+		return false, reasonStarting
+	}
+	return r.ready, r.reason
+}
+
+// status describes the node for operators.
+func (n *Node) status() *operator.Status {
+	ready, reason := n.ready()
+	s := &operator.Status{
+		Node:     n.address(),
+		DataHall: n.set.DataHall(),
+		Ready:    ready,
+		Reason:   reason,
+		UpFor:    time.Since(n.begun).Round(time.Millisecond).String(),
+		InFlight: n.entry.InFlight(),
+		Config:   n.configStatus(),
+		Members:  n.memberStatus(),
+		Revision: n.replica.InForce(),
+		Control: operator.ControlStatus{
+			BytesSent:     n.traffic.Sent(),
+			BytesReceived: n.traffic.Received(),
+			Calls:         n.traffic.Calls(),
+		},
+	}
+	if n.platform != nil {
+		s.Control.PlatformCalls = n.platform.Calls()
+	}
+	if p := n.board.pools.Load(); p != nil {
+		for name := range p.services {
+			s.Services = append(s.Services, *n.serviceStatus(name))
+		}
+	}
+	slices.SortFunc(s.Services, func(a, b operator.ServiceStatus) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
+
+func (n *Node) configStatus() operator.ConfigStatus {
+	c := operator.ConfigStatus{
+		PlatformAgeMS: -1,
+	}
+	const never = 1 << 60
+	if age := n.gossip.PlatformAge(time.Now()); age < never {
+		c.PlatformAgeMS = age.Milliseconds()
+	}
+	cur := n.board.config.Load()
+	if cur == nil {
+		return c
+	}
+	c.Revision = cur.config.Revision()
+	c.Services = len(cur.config.Services())
+	c.Routes = cur.config.Routes()
+	c.Workspaces = cur.config.Workspaces()
+	for _, r := range cur.refusals {
+		c.Refused = append(c.Refused, operator.RefusedStatus{
+			Key:      r.Key(),
+			Revision: r.Revision(),
+			Reason:   r.Err().Error(),
+		})
+	}
+	return c
+}
+
+func (n *Node) memberStatus() []operator.MemberStatus {
+	view := n.board.view.Load()
+	var out []operator.MemberStatus
+	for _, m := range append([]membership.Node{view.Self()}, view.Peers()...) {
+		out = append(out, operator.MemberStatus{
+			Address:  m.Address(),
+			DataHall: m.DataHall(),
+			Live:     slices.Contains(view.Live(), m),
+		})
+	}
+	return out
+}
+
+// serviceStatus describes a service, or gives nil for an unknown one.
+func (n *Node) serviceStatus(name string) *operator.ServiceStatus {
+	all := n.board.pools.Load()
+	if all == nil || all.services[name] == nil {
+		return nil
+	}
+	p := all.services[name]
+	s := &operator.ServiceStatus{
+		Name:     name,
+		Capacity: p.pool.Capacity(),
+		Serving:  p.pool.Serving(),
+		Floor:    p.pool.Floor(),
+		Kept:     p.pool.Kept(),
+		Used:     p.pool.Len(),
+	}
+	used := p.pool.Addresses()
+	for _, t := range p.targets {
+		s.Targets = append(s.Targets, operator.TargetStatus{
+			Address:  t.address,
+			Phase:    t.state.Phase.String(),
+			Leaving:  t.state.Leaving || t.listedLeaving,
+			Score:    t.state.Score,
+			Warmth:   t.state.Warmth,
+			InFlight: t.inFlight,
+			Used:     slices.Contains(used, t.address),
+		})
+	}
+	return s
+}
+
+// explain says where a request would go.
+func (n *Node) explain(q operator.Question) *operator.Explanation {
+	c := n.board.currentConfig()
+	if c == nil {
+		return &operator.Explanation{
+			Match: "none",
+		}
+	}
+	r, match := c.Route(strings.ToLower(q.Host), q.Path, q.Method)
+	switch match {
+	case fleetconfig.MatchRoute:
+		return &operator.Explanation{
+			Match:      "route",
+			Route:      r.Name(),
+			Class:      r.Class(),
+			Repeatable: r.Repeatable(),
+			Deadline:   r.Deadline().String(),
+			Service:    n.serviceStatus(r.Service().Name()),
+		}
+	case fleetconfig.MatchPath:
+		return &operator.Explanation{
+			Match: "method",
+		}
+	default:
+		return &operator.Explanation{
+			Match: "none",
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package operator serves the operators of a node: health, readiness, metrics,
+// status and explanations.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	kratos "github.com/go-kratos/kratos/v2/transport/http"
+)
+
+// headerTimeout bounds how long a request's header may take.
+const headerTimeout = 5 * time.Second
+
+// Config holds the values and seams of a Server. All functions may be called
+// concurrently.
+type Config struct {
+	Listen netip.AddrPort
+	// Ready returns whether callers should be sent here and, if not, why.
+	Ready   func() (bool, string)
+	Status  func() *Status
+	Explain func(Question) *Explanation
+	// Drain begins a planned stop.
+	Drain   func()
+	Metrics http.Handler
+}
+
+// Server serves operators over kratos' HTTP transport.
+type Server struct {
+	cfg      Config
+	http     *kratos.Server
+	listener net.Listener
+}
+
+// New returns a server that listens already but does not serve yet.
+func New(cfg Config) (*Server, error) {
+	lis, err := net.Listen("tcp", cfg.Listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("operator: listen: %w", err)
+	}
+	s := &Server{
+		cfg:      cfg,
+		listener: lis,
+	}
+	s.http = kratos.NewServer(
+		kratos.Listener(lis),
+		kratos.Timeout(0),
+	)
+	s.http.ReadHeaderTimeout = headerTimeout
+	s.http.HandleFunc("/healthz", s.health)
+	s.http.HandleFunc("/readyz", s.ready)
+	s.http.HandleFunc("/status", s.status)
+	s.http.HandleFunc("/explain", s.explain)
+	s.http.HandleFunc("/drain", s.drain)
+	s.http.Handle("/metrics", cfg.Metrics)
+	return s, nil
+}
+
+// Addr returns the address on which the server listens.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Serve serves until Close is called.
+func (s *Server) Serve(ctx context.Context) error {
+	return s.http.Start(context.WithoutCancel(ctx))
+}
+
+// Close ends all connections and Serve.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	ok, reason := s.cfg.Ready()
+	if ok {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.cfg.Status())
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	writeJSON(w, s.cfg.Explain(Question{
+		Host:   q.Get("host"),
+		Path:   q.Get("path"),
+		Method: q.Get("method"),
+	}))
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		http.Error(w, "POST only", http.StatusMethodNotAllowed)
+		return
+	}
+	s.cfg.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// An operator that is gone needs no answer.
+	_, _ = w.Write(append(b, '\n'))
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package operator
+
+// Status is what a node says of itself. Field names are stable.
+type Status struct {
+	Node     string            `json:"node"`
+	DataHall string            `json:"data_hall"`
+	Ready    bool              `json:"ready"`
+	Reason   string            `json:"reason,omitempty"`
+	UpFor    string            `json:"up_for"`
+	InFlight int64             `json:"in_flight"`
+	Config   ConfigStatus      `json:"config"`
+	Members  []MemberStatus    `json:"members"`
+	Services []ServiceStatus   `json:"services"`
+	Control  ControlStatus     `json:"control"`
+	Revision map[string]uint64 `json:"revisions"`
+}
+
+// ConfigStatus describes the configuration in force.
+type ConfigStatus struct {
+	Revision   uint64          `json:"revision"`
+	Services   int             `json:"services"`
+	Routes     int             `json:"routes"`
+	Workspaces int             `json:"workspaces"`
+	Refused    []RefusedStatus `json:"refused,omitempty"`
+	// PlatformAgeMS is how long ago any known node heard the platform, in
+	// milliseconds; -1 means never.
+	PlatformAgeMS int64 `json:"platform_age_ms"`
+}
+
+// RefusedStatus is a published value that is not in force.
+type RefusedStatus struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+	Reason   string `json:"reason"`
+}
+
+// MemberStatus is one known node.
+type MemberStatus struct {
+	Address  string `json:"address"`
+	DataHall string `json:"data_hall"`
+	Live     bool   `json:"live"`
+}
+
+// ServiceStatus is one service as this node sees it.
+type ServiceStatus struct {
+	Name     string         `json:"name"`
+	Capacity float64        `json:"capacity"`
+	Serving  float64        `json:"serving"`
+	Floor    float64        `json:"floor"`
+	Kept     int            `json:"kept_by_floor"`
+	Used     int            `json:"used_targets"`
+	Targets  []TargetStatus `json:"targets"`
+}
+
+// TargetStatus is one target as this node sees it.
+type TargetStatus struct {
+	Address  string  `json:"address"`
+	Phase    string  `json:"phase"`
+	Leaving  bool    `json:"leaving"`
+	Score    float64 `json:"score"`
+	Warmth   float64 `json:"warmth"`
+	InFlight int     `json:"in_flight"`
+	Used     bool    `json:"used"`
+}
+
+// ControlStatus counts the work between nodes and towards the platform since
+// the start.
+type ControlStatus struct {
+	BytesSent     int64 `json:"bytes_sent"`
+	BytesReceived int64 `json:"bytes_received"`
+	Calls         int64 `json:"calls"`
+	PlatformCalls int64 `json:"platform_calls"`
+}
+
+// Question asks where a request would go.
+type Question struct {
+	Host   string
+	Path   string
+	Method string
+}
+
+// Explanation says where a request would go and why.
+type Explanation struct {
+	// Match is "route", "method" if the path is known but not for the method,
+	// or "none".
+	Match      string         `json:"match"`
+	Route      string         `json:"route,omitempty"`
+	Class      string         `json:"class,omitempty"`
+	Repeatable bool           `json:"repeatable"`
+	Deadline   string         `json:"deadline,omitempty"`
+	Service    *ServiceStatus `json:"service,omitempty"`
+}
--- /dev/null
+++ b/internal/outlier/collector.go
@@ -0,0 +1,231 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package outlier
+
+import (
+	"sync"
+	"time"
+)
+
+// Parameters of what counts as slow.
+const (
+	// slowFactor is how many times the usual latency counts as slow.
+	slowFactor = 5
+	// slowLeast is the least time that counts as slow.
+	slowLeast = 50 * time.Millisecond
+	// slowUnknown counts as slow while the usual latency is unknown.
+	slowUnknown = time.Second
+	// usualStep is the part by which one request moves the usual latency.
+	usualStep = 0.05
+	// usualNeeds is how many requests make the usual latency known.
+	usualNeeds = 8
+	// pauseFactor is how many beats late a drain shows that the process stood
+	// still.
+	pauseFactor = 4
+)
+
+// usual estimates the median latency of one class of requests by stochastic
+// approximation: each request moves it a step towards itself.
+type usual struct {
+	median time.Duration
+	seen   int
+}
+
+func (u *usual) add(d time.Duration) {
+	u.seen++
+	if u.seen == 1 {
+		u.median = max(d, time.Microsecond)
+		return
+	}
+	step := time.Duration(float64(u.median) * usualStep)
+	if d > u.median {
+		u.median += step
+	} else {
+		u.median = max(u.median-step, time.Microsecond)
+	}
+}
+
+func (u *usual) slow() time.Duration {
+	if u.seen < usualNeeds {
+		return slowUnknown
+	}
+	return max(u.median*slowFactor, slowLeast)
+}
+
+// Flight is one attempt in flight. End must be called once.
+type Flight struct {
+	collector *Collector
+	cell      *cell
+	usual     *usual
+	begun     time.Time
+	// counted is set once the flight was counted as bad for its age.
+	counted bool
+	// dropped is set when the process stood still: its age proves nothing.
+	dropped bool
+}
+
+// cell holds the counts of one target since the last drain.
+type cell struct {
+	service string
+	target  string
+	counts  Counts
+	flights map[*Flight]struct{}
+}
+
+type cellKey struct{ service, target string }
+
+type usualKey struct{ service, class string }
+
+// Collector counts the attempts of one node. It may be used concurrently.
+type Collector struct {
+	beat  time.Duration
+	mu    sync.Mutex
+	cells map[cellKey]*cell
+	usual map[usualKey]*usual
+	at    time.Time
+}
+
+// NewCollector returns a collector that is drained every beat.
+func NewCollector(beat time.Duration) *Collector {
+	return &Collector{
+		beat:  beat,
+		cells: map[cellKey]*cell{},
+		usual: map[usualKey]*usual{},
+	}
+}
+
+// Begin notes the start of an attempt. Requests of one class take similar time.
+func (c *Collector) Begin(now time.Time, service, class, target string) *Flight {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := &Flight{
+		collector: c,
+		cell:      c.cell(service, target),
+		usual:     c.usualOf(service, class),
+		begun:     now,
+	}
+	f.cell.flights[f] = struct{}{}
+	return f
+}
+
+func (c *Collector) cell(service, target string) *cell {
+	k := cellKey{
+		service: service,
+		target:  target,
+	}
+	if v := c.cells[k]; v != nil {
+		return v
+	}
+	v := &cell{
+		service: service,
+		target:  target,
+		flights: map[*Flight]struct{}{},
+	}
+	c.cells[k] = v
+	return v
+}
+
+func (c *Collector) usualOf(service, class string) *usual {
+	k := usualKey{
+		service: service,
+		class:   class,
+	}
+	if v := c.usual[k]; v != nil {
+		return v
+	}
+	v := &usual{}
+	c.usual[k] = v
+	return v
+}
+
+// End is what an attempt showed.
+type End struct {
+	// Failed speaks against the target.
+	Failed bool
+	// Ignored says nothing about the target: it shed the request, or the caller
+	// left.
+	Ignored bool
+	// Leaving is set when the target said that it leaves.
+	Leaving bool
+}
+
+// End notes the end of the attempt.
+func (f *Flight) End(now time.Time, e End) {
+	c := f.collector
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(f.cell.flights, f)
+	f.cell.counts.Leaving = f.cell.counts.Leaving || e.Leaving
+	if f.dropped || e.Ignored {
+		return
+	}
+	took := now.Sub(f.begun)
+	slow := took > f.usual.slow()
+	if !e.Failed {
+		f.usual.add(took)
+	}
+	switch {
+	case f.counted:
+	case e.Failed || slow:
+		f.cell.counts.Bad++
+	default:
+		f.cell.counts.Good++
+	}
+}
+
+// Evidence is what a drain gives of one target.
+type Evidence struct {
+	Service string
+	Counts  Counts
+}
+
+// Drain returns the counts since the last drain. Attempts that have been in
+// flight for too long count as bad before they end. If the process stood still
+// meanwhile all counts and all attempts in flight are dropped: they show the
+// pause, not the targets.
+func (c *Collector) Drain(now time.Time) []Evidence {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	paused := !c.at.IsZero() && now.Sub(c.at) > pauseFactor*c.beat
+	c.at = now
+	var out []Evidence
+	for k, v := range c.cells {
+		if paused {
+			v.drop()
+		}
+		v.age(now)
+		if e, ok := v.drain(); ok {
+			out = append(out, e)
+		} else if len(v.flights) == 0 {
+			delete(c.cells, k)
+		}
+	}
+	return out
+}
+
+func (v *cell) drop() {
+	v.counts = Counts{}
+	for f := range v.flights {
+		f.dropped = true
+	}
+}
+
+func (v *cell) age(now time.Time) {
+	for f := range v.flights {
+		if !f.counted && !f.dropped && now.Sub(f.begun) > f.usual.slow() {
+			f.counted = true
+			v.counts.Bad++
+			v.counts.Stalled++
+		}
+	}
+}
+
+func (v *cell) drain() (Evidence, bool) {
+	e := Evidence{
+		Service: v.service,
+		Counts:  v.counts,
+	}
+	e.Counts.Target = v.target
+	v.counts = Counts{}
+	return e, e.Counts.Good+e.Counts.Bad > 0 || e.Counts.Leaving
+}
--- /dev/null
+++ b/internal/outlier/hold.go
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package outlier
+
+import "time"
+
+// Times of ejections.
+const (
+	// FirstHold is how long a target is out after its first ejection.
+	FirstHold = 5 * time.Second
+	// MaxHold bounds the doubling after relapses.
+	MaxHold = 2 * time.Minute
+	// forgive is after how many holds without a relapse one relapse is forgotten.
+	forgive = 4
+)
+
+// hold is the ejection of one target; it lasts twice as long after each relapse.
+type hold struct {
+	relapses int
+	until    time.Time
+	length   time.Duration
+}
+
+// begin ejects at now.
+func (h *hold) begin(now time.Time) {
+	h.calm(now)
+	h.length = min(FirstHold<<min(h.relapses, 16), MaxHold)
+	h.until = now.Add(h.length)
+	h.relapses++
+}
+
+// calm forgets relapses that lie far back.
+func (h *hold) calm(now time.Time) {
+	for h.relapses > 0 && now.Sub(h.until) > forgive*h.length {
+		h.relapses--
+		h.length /= 2
+		h.until = h.until.Add(forgive * h.length)
+	}
+}
+
+func (h *hold) active(now time.Time) bool { return now.Before(h.until) }
--- /dev/null
+++ b/internal/outlier/judge.go
@@ -0,0 +1,209 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package outlier
+
+import "time"
+
+// Phase is the state of a target on one node.
+type Phase uint8
+
+// Phases, in the order in which an ejected target passes them.
+const (
+	PhaseHealthy Phase = iota
+	// PhaseEjected targets get no work above the floor.
+	PhaseEjected
+	// PhaseTrial targets get copies of repeatable requests, whose answers nobody
+	// waits for.
+	PhaseTrial
+	// PhaseWarming targets get a growing share of work.
+	PhaseWarming
+)
+
+// String returns the phase in words.
+func (p Phase) String() string {
+	return [...]string{"healthy", "ejected", "trial", "warming"}[p]
+}
+
+// Times and counts of reinstatement.
+const (
+	// trialGood is how many good trial requests end a trial.
+	trialGood = 3
+	// TrialWait is how long a trial without requests lasts, for services that
+	// have no repeatable ones.
+	TrialWait = 30 * time.Second
+	// WarmTime is how long a target's share grows.
+	WarmTime = 10 * time.Second
+	// coldest is the share of its slots with which a target starts.
+	coldest = 0.1
+	// LeavingTime is how long a target's own word that it leaves holds. The
+	// platform's list, which lags by up to 30 s, has caught up by then.
+	LeavingTime = time.Minute
+)
+
+// judged is the state of one target.
+type judged struct {
+	phase   Phase
+	since   time.Time
+	hold    hold
+	lease   time.Time
+	score   float64
+	good    float64
+	leaving time.Time
+}
+
+// Judge holds a node's state of the targets of one service. It isn't safe for
+// concurrent use.
+type Judge struct {
+	targets map[string]*judged
+	begun   bool
+}
+
+// NewJudge returns a judge without targets.
+func NewJudge() *Judge {
+	return &Judge{
+		targets: map[string]*judged{},
+	}
+}
+
+// SetTargets takes the published targets. Targets of the first call are warm,
+// later ones start cold.
+func (j *Judge) SetTargets(now time.Time, addresses []string) {
+	known := map[string]bool{}
+	for _, a := range addresses {
+		known[a] = true
+		if j.targets[a] != nil {
+			continue
+		}
+		t := &judged{
+			since: now,
+		}
+		if j.begun {
+			t.phase = PhaseWarming
+		}
+		j.targets[a] = t
+	}
+	for a := range j.targets {
+		if !known[a] {
+			delete(j.targets, a)
+		}
+	}
+	j.begun = j.begun || len(addresses) > 0
+}
+
+// Sick ejects a target on this node's own evidence.
+func (j *Judge) Sick(now time.Time, target string, score float64) {
+	t := j.targets[target]
+	if t == nil || t.phase == PhaseEjected {
+		return
+	}
+	t.hold.begin(now)
+	t.eject(now, score)
+}
+
+// Verdict ejects a target on an observer's word, until lease has passed. An
+// observer that is frozen or cut off thus loses its say by itself.
+func (j *Judge) Verdict(now time.Time, target string, score float64, lease time.Duration) {
+	t := j.targets[target]
+	if t == nil {
+		return
+	}
+	if until := now.Add(min(lease, MaxHold)); until.After(t.lease) {
+		t.lease = until
+	}
+	t.eject(now, score)
+}
+
+func (t *judged) eject(now time.Time, score float64) {
+	if t.phase != PhaseEjected {
+		t.since = now
+	}
+	t.phase = PhaseEjected
+	t.score = score
+	t.good = 0
+}
+
+// Leaving notes that a target said that it is leaving.
+func (j *Judge) Leaving(now time.Time, target string) {
+	if t := j.targets[target]; t != nil {
+		t.leaving = now.Add(LeavingTime)
+	}
+}
+
+// Evidence takes the requests of one beat to a target; those of a trial decide
+// it.
+func (j *Judge) Evidence(now time.Time, c Counts) {
+	t := j.targets[c.Target]
+	if t == nil || t.phase != PhaseTrial {
+		return
+	}
+	if c.Bad > 0 {
+		t.hold.begin(now)
+		t.eject(now, t.score)
+		return
+	}
+	t.good += c.Good
+}
+
+// Advance moves targets whose time has come to their next phase. It reports
+// whether any state changed.
+func (j *Judge) Advance(now time.Time) bool {
+	changed := false
+	for _, t := range j.targets {
+		if next := t.next(now); next != t.phase {
+			t.phase = next
+			t.since = now
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (t *judged) next(now time.Time) Phase {
+	switch t.phase {
+	case PhaseEjected:
+		if !t.hold.active(now) && !now.Before(t.lease) {
+			return PhaseTrial
+		}
+	case PhaseTrial:
+		if t.good >= trialGood || t.good == 0 && now.Sub(t.since) >= TrialWait {
+			return PhaseWarming
+		}
+	case PhaseWarming:
+		if now.Sub(t.since) >= WarmTime {
+			return PhaseHealthy
+		}
+	}
+	return t.phase
+}
+
+// State is what a judge says of one target.
+type State struct {
+	Phase   Phase
+	Since   time.Time
+	Score   float64
+	Leaving bool
+	// Warmth is the share of its slots that the target can use, from 0 to 1.
+	Warmth float64
+}
+
+// State returns the state of a target; the zero value with full warmth for an
+// unknown one.
+func (j *Judge) State(now time.Time, target string) State {
+	t := j.targets[target]
+	if t == nil {
+		return State{
+			Warmth: 1,
+		}
+	}
+	s := State{
+		Phase:   t.phase,
+		Since:   t.since,
+		Score:   t.score,
+		Leaving: now.Before(t.leaving),
+		Warmth:  1,
+	}
+	if t.phase == PhaseWarming {
+		s.Warmth = min(coldest+(1-coldest)*now.Sub(t.since).Seconds()/WarmTime.Seconds(), 1)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/outlier/observer.go
@@ -0,0 +1,233 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package outlier
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/policy"
+)
+
+// Service is what an observer needs to know of a service.
+type Service struct {
+	Name      string
+	Policy    *policy.Program
+	Threshold float64
+	Targets   []string
+}
+
+// Verdict is an observer's word on a target.
+type Verdict struct {
+	Service string
+	Target  string
+	Score   float64
+	Lease   time.Duration
+	Leaving bool
+}
+
+// Observer merges the evidence of many nodes about one service. It keeps two
+// scores of each target: one from the nodes of its own data hall, which sees
+// what only this data hall sees, such as a cut; and one from all nodes, which is
+// faster. It isn't safe for concurrent use.
+type Observer struct {
+	service   Service
+	own       *Detector
+	all       *Detector
+	ownBeat   map[string]*Counts
+	allBeat   map[string]*Counts
+	summary   map[string]*Counts
+	leaving   map[string]time.Time
+	told      map[string]time.Time
+	holds     map[string]*hold
+	reporters map[string]time.Time
+	halls     map[string]time.Time
+}
+
+// sourceTime is how long a source of evidence counts as present.
+const sourceTime = 30 * time.Second
+
+// leavingRepeat is how often the word that a target leaves is passed on.
+const leavingRepeat = 10 * time.Second
+
+// NewObserver returns an observer without evidence.
+func NewObserver(s Service) *Observer {
+	return &Observer{
+		service:   s,
+		own:       NewDetector(s.Threshold),
+		all:       NewDetector(s.Threshold),
+		ownBeat:   map[string]*Counts{},
+		allBeat:   map[string]*Counts{},
+		summary:   map[string]*Counts{},
+		leaving:   map[string]time.Time{},
+		told:      map[string]time.Time{},
+		holds:     map[string]*hold{},
+		reporters: map[string]time.Time{},
+		halls:     map[string]time.Time{},
+	}
+}
+
+// Configure takes a new configuration of the service and keeps the evidence.
+func (o *Observer) Configure(s Service) {
+	o.service = s
+	o.own.threshold = s.Threshold
+	o.all.threshold = s.Threshold
+	known := map[string]bool{}
+	for _, t := range s.Targets {
+		known[t] = true
+	}
+	o.own.Keep(known)
+	o.all.Keep(known)
+	for t := range o.holds {
+		if !known[t] {
+			delete(o.holds, t)
+		}
+	}
+	for t := range o.told {
+		if !known[t] {
+			delete(o.told, t)
+		}
+	}
+}
+
+// Report takes the evidence of a node of the own data hall.
+func (o *Observer) Report(now time.Time, node, dataHall string, c Counts) {
+	add(o.ownBeat, c)
+	add(o.summary, c)
+	o.Summary(now, node, dataHall, c)
+}
+
+// Summary takes the evidence of another data hall.
+func (o *Observer) Summary(now time.Time, node, dataHall string, c Counts) {
+	add(o.allBeat, c)
+	if c.Leaving {
+		o.leave(now, c.Target)
+	}
+	o.reporters[node] = now
+	o.halls[dataHall] = now
+}
+
+func add(to map[string]*Counts, c Counts) {
+	t := to[c.Target]
+	if t == nil {
+		t = &Counts{
+			Target: c.Target,
+		}
+		to[c.Target] = t
+	}
+	t.Good += c.Good
+	t.Bad += c.Bad
+	t.Stalled += c.Stalled
+	t.Leaving = t.Leaving || c.Leaving
+}
+
+// leave notes that a target is leaving. Its word is passed on when it is new and
+// then now and again.
+func (o *Observer) leave(now time.Time, target string) {
+	if now.Sub(o.told[target]) >= leavingRepeat {
+		o.leaving[target] = now.Add(LeavingTime)
+		o.told[target] = now
+	}
+}
+
+func take(from map[string]*Counts) []Counts {
+	out := make([]Counts, 0, len(from))
+	for _, c := range from {
+		out = append(out, *c)
+	}
+	clear(from)
+	return out
+}
+
+// TakeSummary returns what the own data hall's nodes reported since the last
+// call, for the observers of the other data halls.
+func (o *Observer) TakeSummary() []Counts { return take(o.summary) }
+
+// Reporters returns how many nodes reported lately.
+func (o *Observer) Reporters(now time.Time) int { return recent(o.reporters, now) }
+
+func recent(m map[string]time.Time, now time.Time) int {
+	for k, at := range m {
+		if now.Sub(at) > sourceTime {
+			delete(m, k)
+		}
+	}
+	return len(m)
+}
+
+// Advance judges the evidence since the last call and returns the new verdicts.
+func (o *Observer) Advance(now time.Time) []Verdict {
+	o.own.Update(now, take(o.ownBeat))
+	o.all.Update(now, take(o.allBeat))
+	var out []Verdict
+	for _, t := range o.service.Targets {
+		if v, ok := o.judge(now, t); ok {
+			out = append(out, v)
+		}
+	}
+	for t, until := range o.leaving {
+		out = append(out, Verdict{
+			Service: o.service.Name,
+			Target:  t,
+			Lease:   until.Sub(now),
+			Leaving: true,
+		})
+		delete(o.leaving, t)
+	}
+	return out
+}
+
+func (o *Observer) judge(now time.Time, target string) (Verdict, bool) {
+	r := o.own.Read(target)
+	if all := o.all.Read(target); all.Score > r.Score {
+		r = all
+	}
+	if r.Score == 0 || !o.sick(now, r) {
+		return Verdict{}, false
+	}
+	h := o.holds[target]
+	if h == nil {
+		h = &hold{}
+		o.holds[target] = h
+	}
+	if h.active(now) {
+		return Verdict{}, false
+	}
+	h.begin(now)
+	o.own.Reset(target)
+	o.all.Reset(target)
+	return Verdict{
+		Service: o.service.Name,
+		Target:  target,
+		Score:   r.Score,
+		Lease:   h.length,
+	}, true
+}
+
+func (o *Observer) sick(now time.Time, r Reading) bool {
+	return o.service.Policy.Sick(policy.Health{
+		Score:     r.Score,
+		Threshold: o.service.Threshold,
+		Good:      r.Good,
+		Bad:       r.Bad,
+		Stalled:   r.Stalled,
+		Reporters: recent(o.reporters, now),
+		DataHalls: recent(o.halls, now),
+	})
+}
+
+// Standing returns the verdicts whose hold has not ended, with what is left of
+// their leases: what a node that starts needs to know.
+func (o *Observer) Standing(now time.Time) []Verdict {
+	var out []Verdict
+	for t, h := range o.holds {
+		if h.active(now) {
+			out = append(out, Verdict{
+				Service: o.service.Name,
+				Target:  t,
+				Score:   o.service.Threshold,
+				Lease:   h.until.Sub(now),
+			})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/source/error.go
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package source reads published values: from the platform over HTTP, or from a
+// directory of files for a small site.
+package source
+
+import "fmt"
+
+// Kind says what failed when a source was read.
+type Kind string
+
+// Kinds of failures.
+const (
+	KindDirectory Kind = "directory cannot be read"
+	KindFile      Kind = "file cannot be read"
+	KindConnect   Kind = "platform does not answer"
+	KindStatus    Kind = "platform refuses"
+	KindAnswer    Kind = "platform's answer cannot be read"
+)
+
+// Error is a failure of a source.
+type Error struct {
+	kind  Kind
+	place string
+	cause error
+	code  int
+}
+
+// Error names the place and the failure.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("source: %s: %s", e.place, e.kind)
+	if e.code != 0 {
+		s += fmt.Sprintf(": status %d", e.code)
+	}
+	if e.cause != nil {
+		s += ": " + e.cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the error beneath, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Kind returns what failed.
+func (e *Error) Kind() Kind { return e.kind }
--- /dev/null
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -0,0 +1,217 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package faultproxy is a TCP proxy that injects network faults, each direction
+// alone: cuts that neither side notices, delays and resets.
+package faultproxy
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Fault is what happens to the bytes of one direction.
+type Fault struct {
+	// Cut holds all bytes back; they arrive when the cut ends.
+	Cut bool
+	// Delay holds each piece back for a time.
+	Delay time.Duration
+}
+
+// Proxy forwards connections to one address. It may be used concurrently.
+type Proxy struct {
+	listener net.Listener
+	upstream atomic.Pointer[string]
+	forward  direction
+	backward direction
+	refuse   atomic.Bool
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	done     sync.WaitGroup
+}
+
+// direction is the way from the callers to the upstream, or back.
+type direction struct {
+	mu      sync.Mutex
+	fault   Fault
+	changed chan struct{}
+	bytes   atomic.Int64
+}
+
+func (d *direction) set(f Fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = f
+	if d.changed != nil {
+		close(d.changed)
+	}
+	d.changed = make(chan struct{})
+}
+
+func (d *direction) get() (Fault, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	return d.fault, d.changed
+}
+
+// New returns a proxy that listens on loopback and forwards to upstream.
+func New(upstream string) (*Proxy, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{
+		listener: lis,
+		conns:    map[net.Conn]struct{}{},
+	}
+	p.SetUpstream(upstream)
+	p.done.Go(p.accept)
+	return p, nil
+}
+
+// Addr returns the address on which the proxy listens.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// SetUpstream changes where new connections go.
+func (p *Proxy) SetUpstream(address string) { p.upstream.Store(&address) }
+
+// Forward sets the fault of the way to the upstream, Backward of the way back.
+func (p *Proxy) Forward(f Fault) { p.forward.set(f) }
+
+// Backward sets the fault of the way from the upstream.
+func (p *Proxy) Backward(f Fault) { p.backward.set(f) }
+
+// Refuse makes the proxy close new connections at once.
+func (p *Proxy) Refuse(on bool) { p.refuse.Store(on) }
+
+// Sent returns the bytes that came through towards the upstream.
+func (p *Proxy) Sent() int64 { return p.forward.bytes.Load() }
+
+// Reset breaks all connections with a TCP reset.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Close ends the proxy and all its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.Forward(Fault{})
+	p.Backward(Fault{})
+	p.Reset()
+	p.done.Wait()
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.refuse.Load() {
+			_ = conn.Close()
+			continue
+		}
+		p.done.Go(func() { p.serve(conn) })
+	}
+}
+
+func (p *Proxy) serve(caller net.Conn) {
+	upstream, err := net.Dial("tcp", *p.upstream.Load())
+	if err != nil {
+		_ = caller.Close()
+		return
+	}
+	p.keep(caller, upstream)
+	defer p.drop(caller, upstream)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var both sync.WaitGroup
+	both.Go(func() { pump(ctx, cancel, caller, upstream, &p.forward) })
+	both.Go(func() { pump(ctx, cancel, upstream, caller, &p.backward) })
+	both.Wait()
+}
+
+func (p *Proxy) keep(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = struct{}{}
+	}
+}
+
+func (p *Proxy) drop(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+		delete(p.conns, c)
+	}
+}
+
+// pump moves bytes from one side to the other. The end of one side ends both.
+func pump(ctx context.Context, cancel context.CancelFunc, from, to net.Conn, d *direction) {
+	defer cancel()
+	defer func() {
+		_ = from.Close()
+		_ = to.Close()
+	}()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if !d.pass(ctx) {
+				return
+			}
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				return
+			}
+			d.bytes.Add(int64(n))
+		}
+		if err != nil {
+			// A cut hides the end of a connection, too.
+			d.pass(ctx)
+			return
+		}
+	}
+}
+
+// pass waits until the direction lets bytes through.
+func (d *direction) pass(ctx context.Context) bool {
+	for {
+		f, changed := d.get()
+		if !f.Cut {
+			return d.delay(ctx, f.Delay)
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
+func (d *direction) delay(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,266 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package platform is a stand-in for the platform's configuration service, for
+// tests and the quick start. Nodes can only read it. It can lag, answer from a
+// stale replica, hang or go away.
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Mode is how the stand-in answers readers.
+type Mode string
+
+// Modes.
+const (
+	ModeGood Mode = "good"
+	// ModeStale answers as of the moment when the mode was set.
+	ModeStale Mode = "stale"
+	// ModeHang takes calls and never answers.
+	ModeHang Mode = "hang"
+	// ModeDown closes connections without an answer.
+	ModeDown Mode = "down"
+)
+
+const defaultWait = 25 * time.Second
+
+// change is one value at the time when it was published.
+type change struct {
+	value *wire.Value
+	at    time.Time
+}
+
+// Platform is the stand-in. It may be used concurrently.
+type Platform struct {
+	mu       sync.Mutex
+	revision uint64
+	changes  []change
+	changed  chan struct{}
+	mode     Mode
+	frozen   uint64
+	lag      time.Duration
+	calls    atomic.Int64
+}
+
+// New returns a platform without values.
+func New() *Platform {
+	return &Platform{
+		mode:    ModeGood,
+		changed: make(chan struct{}),
+	}
+}
+
+// Publish sets the value of a key, as operators do, and returns its revision.
+func (p *Platform) Publish(key, value string) uint64 {
+	return p.add(&wire.Value{
+		Key:   key,
+		Value: value,
+	})
+}
+
+// Delete removes a key.
+func (p *Platform) Delete(key string) uint64 {
+	return p.add(&wire.Value{
+		Key:     key,
+		Deleted: true,
+	})
+}
+
+func (p *Platform) add(v *wire.Value) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	v.Revision = p.revision
+	p.changes = append(p.changes, change{
+		value: v,
+		at:    time.Now(),
+	})
+	p.wake()
+	return p.revision
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetMode changes how readers are answered.
+func (p *Platform) SetMode(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	p.frozen = p.revision
+	p.wake()
+}
+
+// SetLag delays the sight of each change by d.
+func (p *Platform) SetLag(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = d
+}
+
+// Calls returns how many calls of readers were counted; a waiting watch is one.
+func (p *Platform) Calls() int64 { return p.calls.Load() }
+
+// visible returns the newest values after a revision that readers may see, and a
+// channel that is closed when there may be more.
+func (p *Platform) visible(after uint64) (*wire.ValueList, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := &wire.ValueList{}
+	newest := map[string]*wire.Value{}
+	for _, c := range p.changes {
+		if p.mode == ModeStale && c.value.GetRevision() > p.frozen || time.Since(c.at) < p.lag {
+			break
+		}
+		list.Revision = c.value.GetRevision()
+		newest[c.value.GetKey()] = c.value
+	}
+	for _, v := range newest {
+		if v.GetRevision() > after {
+			list.Values = append(list.Values, v)
+		}
+	}
+	slices.SortFunc(list.Values, func(a, b *wire.Value) int { return strings.Compare(a.GetKey(), b.GetKey()) })
+	return list, p.changed
+}
+
+// Handler serves readers below /v1/ and the test below /admin/.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values", p.values)
+	mux.HandleFunc("GET /v1/watch", p.watch)
+	mux.HandleFunc("PUT /admin/values/{key}", p.adminPut)
+	mux.HandleFunc("DELETE /admin/values/{key}", p.adminDelete)
+	mux.HandleFunc("POST /admin/mode/{mode}", p.adminMode)
+	return mux
+}
+
+// fails answers a reader in the modes in which it gets no values.
+func (p *Platform) fails(r *http.Request) bool {
+	p.calls.Add(1)
+	p.mu.Lock()
+	mode := p.mode
+	p.mu.Unlock()
+	switch mode {
+	case ModeHang:
+		<-r.Context().Done()
+		return true
+	case ModeDown:
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+}
+
+func (p *Platform) values(w http.ResponseWriter, r *http.Request) {
+	if p.fails(r) {
+		return
+	}
+	list, _ := p.visible(0)
+	answer(w, list)
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	if p.fails(r) {
+		return
+	}
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: want a revision", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		wait = defaultWait
+	}
+	const look = 20 * time.Millisecond
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		list, changed := p.visible(after)
+		if len(list.GetValues()) > 0 {
+			answer(w, list)
+			return
+		}
+		// A lagging change becomes visible without notice.
+		var lagged <-chan time.Time
+		if p.lagging() {
+			lagged = time.After(look)
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-end.C:
+			answer(w, list)
+			return
+		case <-changed:
+			if p.isDown() {
+				panic(http.ErrAbortHandler)
+			}
+		case <-lagged:
+		}
+	}
+}
+
+func (p *Platform) lagging() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lag > 0
+}
+
+func (p *Platform) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode == ModeDown
+}
+
+func answer(w http.ResponseWriter, list *wire.ValueList) {
+	b, err := protojson.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(b)
+}
+
+func (p *Platform) adminPut(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	adminAnswer(w, p.Publish(r.PathValue("key"), string(b)))
+}
+
+func (p *Platform) adminDelete(w http.ResponseWriter, r *http.Request) {
+	adminAnswer(w, p.Delete(r.PathValue("key")))
+}
+
+func (p *Platform) adminMode(w http.ResponseWriter, r *http.Request) {
+	p.SetMode(Mode(r.PathValue("mode")))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func adminAnswer(w http.ResponseWriter, revision uint64) {
+	_ = json.NewEncoder(w).Encode(struct {
+		Revision uint64 `json:"revision"`
+	}{
+		Revision: revision,
+	})
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,325 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package target is a stand-in for a target, for tests and the quick start. It
+// keeps a record of what it ran and can fail in the gray ways that targets do.
+package target
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Headers of the contract with the fleet, as targets know them.
+const (
+	headerRequestID = "Plover-Request-Id"
+	headerOutcome   = "Plover-Outcome"
+	headerDeadline  = "Plover-Deadline"
+	headerState     = "Plover-State"
+	// HeaderKey names a request in the record of runs; tests set it.
+	HeaderKey = "Test-Key"
+)
+
+// Mode is how a target works. Its zero value is a healthy one.
+type Mode struct {
+	// Latency is the time that a request takes in a slot.
+	Latency time.Duration `json:"latency"`
+	// Stall runs requests and never answers them.
+	Stall bool `json:"stall"`
+	// ErrorShare is the share of requests that end in status 500 after they ran.
+	ErrorShare float64 `json:"error_share"`
+	// Shed refuses requests before running them.
+	Shed bool `json:"shed"`
+	// Leaving says so in all answers; the target still works.
+	Leaving bool `json:"leaving"`
+	// ResetBefore closes connections before requests run, ResetAfter after.
+	ResetBefore bool `json:"reset_before"`
+	ResetAfter  bool `json:"reset_after"`
+	// CutAfter breaks bodies off after so many bytes; 0 means never.
+	CutAfter int64 `json:"cut_after"`
+	// StallAfter stops bodies after so many bytes; 0 means never.
+	StallAfter int64 `json:"stall_after"`
+	// Swap echoes the id of another request.
+	Swap bool `json:"swap"`
+	// Unframed sends bodies whose end is the end of the connection.
+	Unframed bool `json:"unframed"`
+	// ProbeDelay is the time that the health endpoint takes.
+	ProbeDelay time.Duration `json:"probe_delay"`
+	// ChunkDelay is the time between two pieces of a document.
+	ChunkDelay time.Duration `json:"chunk_delay"`
+}
+
+// Run is one request that a target ran.
+type Run struct {
+	Key  string    `json:"key"`
+	ID   string    `json:"id"`
+	Path string    `json:"path"`
+	At   time.Time `json:"at"`
+}
+
+// Target is the stand-in. It may be used concurrently.
+type Target struct {
+	name     string
+	slots    chan struct{}
+	mode     atomic.Pointer[Mode]
+	inFlight atomic.Int64
+	requests atomic.Int64
+	mu       sync.Mutex
+	runs     []Run
+}
+
+// New returns a healthy target with a number of slots.
+func New(name string, slots int) *Target {
+	t := &Target{
+		name:  name,
+		slots: make(chan struct{}, slots),
+	}
+	t.mode.Store(&Mode{})
+	return t
+}
+
+// Name returns the name given to New.
+func (t *Target) Name() string { return t.name }
+
+// SetMode changes how the target works from the next request on.
+func (t *Target) SetMode(m Mode) { t.mode.Store(&m) }
+
+// Requests returns how many requests came in, run or not.
+func (t *Target) Requests() int64 { return t.requests.Load() }
+
+// Runs returns the record of what ran.
+func (t *Target) Runs() []Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Run(nil), t.runs...)
+}
+
+// Handler serves requests, /health, /load and the test below /admin/.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", t.health)
+	mux.HandleFunc("GET /load", t.load)
+	mux.HandleFunc("POST /admin/mode", t.adminMode)
+	mux.HandleFunc("GET /admin/runs", t.adminRuns)
+	mux.HandleFunc("/", t.serve)
+	return mux
+}
+
+func (t *Target) health(w http.ResponseWriter, _ *http.Request) {
+	m := t.mode.Load()
+	time.Sleep(m.ProbeDelay)
+	t.state(w, m)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (t *Target) state(w http.ResponseWriter, m *Mode) {
+	if m.Leaving {
+		w.Header().Set(headerState, "leaving")
+	}
+}
+
+func (t *Target) load(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(struct {
+		InFlight int64 `json:"in_flight"`
+		Slots    int   `json:"slots"`
+	}{
+		InFlight: t.inFlight.Load(),
+		Slots:    cap(t.slots),
+	})
+}
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	m := t.mode.Load()
+	t.requests.Add(1)
+	t.inFlight.Add(1)
+	defer t.inFlight.Add(-1)
+	t.state(w, m)
+	if m.ResetBefore {
+		panic(http.ErrAbortHandler)
+	}
+	if m.Shed || late(r) {
+		refuse(w)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+	case <-r.Context().Done():
+		return
+	}
+	t.record(r)
+	if m.Stall {
+		<-r.Context().Done()
+		return
+	}
+	work(r, m.Latency)
+	t.answer(w, r, m, body)
+}
+
+// late tells whether the request's own deadline has passed.
+func late(r *http.Request) bool {
+	ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	return err == nil && time.Now().UnixMilli() >= ms
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(headerOutcome, "not-run")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (t *Target) record(r *http.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs = append(t.runs, Run{
+		Key:  r.Header.Get(HeaderKey),
+		ID:   r.Header.Get(headerRequestID),
+		Path: r.URL.Path,
+		At:   time.Now(),
+	})
+}
+
+func work(r *http.Request, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+}
+
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, m *Mode, body []byte) {
+	if m.ResetAfter {
+		panic(http.ErrAbortHandler)
+	}
+	if rand.Float64() < m.ErrorShare {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return
+	}
+	id := r.Header.Get(headerRequestID)
+	if m.Swap {
+		id = "another-request"
+	}
+	w.Header().Set(headerRequestID, id)
+	content := Echo(r.Method, r.URL.Path, r.Header.Get(HeaderKey), body)
+	if size, err := strconv.ParseInt(r.URL.Query().Get("size"), 10, 64); err == nil {
+		content = Document(r.URL.Path, size)
+		w.Header().Set("Etag", fmt.Sprintf(`"%s-%d"`, r.URL.Path, size))
+		w.Header().Set("Content-Type", "application/pdf")
+	}
+	if m.Unframed {
+		sendUnframed(w, content)
+		return
+	}
+	if m.CutAfter > 0 || m.StallAfter > 0 || m.ChunkDelay > 0 {
+		w = &faulty{
+			ResponseWriter: w,
+			request:        r,
+			mode:           m,
+		}
+	}
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(content))
+}
+
+// Echo returns the body of the answer to a request.
+func Echo(method, path, key string, body []byte) []byte {
+	return fmt.Appendf(nil, "%s %s key=%s body=%s\n", method, path, key, body)
+}
+
+// Document returns size bytes that depend on the path alone.
+func Document(path string, size int64) []byte {
+	b := make([]byte, size)
+	seed := uint64(len(path))
+	for _, c := range []byte(path) {
+		seed = seed*131 + uint64(c)
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for i := 0; i < len(b); i += 8 {
+		v := rng.Uint64()
+		for j := i; j < min(i+8, len(b)); j++ {
+			b[j] = byte(v >> (8 * (j - i)))
+		}
+	}
+	return b
+}
+
+func sendUnframed(w http.ResponseWriter, content []byte) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+	_, _ = buf.Write(content)
+	_ = buf.Flush()
+	_ = conn.Close()
+}
+
+// faulty is a body that breaks off, stops or comes slowly.
+type faulty struct {
+	http.ResponseWriter
+	request *http.Request
+	mode    *Mode
+	sent    int64
+}
+
+// Write sends b in pieces, up to the fault.
+func (f *faulty) Write(b []byte) (int, error) {
+	const piece = 16 << 10
+	done := 0
+	for done < len(b) {
+		n := min(piece, len(b)-done)
+		limit := f.mode.CutAfter
+		if limit == 0 {
+			limit = f.mode.StallAfter
+		}
+		if limit > 0 {
+			n = min(n, int(limit-f.sent))
+		}
+		if n <= 0 {
+			f.fail()
+		}
+		wrote, err := f.ResponseWriter.Write(b[done : done+n])
+		done += wrote
+		f.sent += int64(wrote)
+		if err != nil {
+			return done, err
+		}
+		_ = http.NewResponseController(f.ResponseWriter).Flush()
+		work(f.request, f.mode.ChunkDelay)
+	}
+	return done, nil
+}
+
+func (f *faulty) fail() {
+	if f.mode.StallAfter > 0 {
+		<-f.request.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (t *Target) adminMode(w http.ResponseWriter, r *http.Request) {
+	var m Mode
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	t.SetMode(m)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (t *Target) adminRuns(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(t.Runs())
+}
