--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,6 +39,7 @@
 	MaxHeader       int64
 	HoldBody        int64
 	Deadline        time.Duration
+	Stall           time.Duration
 	WorkspaceHeader string
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *fleetconfig.Config
@@ -87,7 +88,7 @@
 	s := &Server{
 		cfg:      cfg,
 		listener: lis,
-		client:   forward.NewClient(cfg.HoldBody),
+		client:   forward.NewClient(cfg.HoldBody, cfg.Stall),
 		limiter:  admission.NewLimiter(),
 		log:      cfg.Log,
 		tasks:    make(chan *task.Task, maxTrials),
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 )
@@ -23,6 +24,7 @@
 	leaving  bool
 	read     int64
 	watch    *watchdog
+	stall    time.Duration
 	cancel   context.CancelFunc
 }
 
@@ -129,7 +131,7 @@
 	if a.whole {
 		return 0, io.EOF
 	}
-	a.watch.reset(StallTimeout)
+	a.watch.reset(a.stall)
 	n, err := a.response.Body.Read(p)
 	a.watch.stop()
 	a.read += int64(n)
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -39,9 +39,6 @@
 	idlePerTarget   = 32
 	bufferSize      = 16 << 10
 	maxAnswerHeader = 256 << 10
-	// StallTimeout is how long the body of an answer may stop before it counts
-	// as broken.
-	StallTimeout = 15 * time.Second
 )
 
 // Client sends attempts to targets. It may be used concurrently.
@@ -49,16 +46,19 @@
 	transport *http.Transport
 	dial      func(ctx context.Context, network, address string) (net.Conn, error)
 	hold      int64
+	stall     time.Duration
 }
 
 // NewClient returns a client that holds answers up to hold bytes whole before
-// it gives them out. A hold of 0 streams all answers.
-func NewClient(hold int64) *Client {
+// it gives them out; 0 streams all answers. The body of an answer that stops for
+// stall counts as broken.
+func NewClient(hold int64, stall time.Duration) *Client {
 	c := &Client{
 		dial: (&net.Dialer{
 			Timeout: connectTimeout,
 		}).DialContext,
-		hold: hold,
+		hold:  hold,
+		stall: stall,
 	}
 	c.transport = &http.Transport{
 		Proxy:                  nil,
@@ -119,6 +119,7 @@
 		target:   r.Target,
 		response: res,
 		watch:    watch,
+		stall:    c.stall,
 		cancel:   cancel,
 		leaving:  Leaving(res.Header),
 	}
--- /dev/null
+++ b/internal/forward/client_test.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/forward"
+)
+
+// pipe returns a dial function whose connections are served by answer.
+func pipe(answer func(net.Conn)) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go answer(far)
+		return near, nil
+	}
+}
+
+// reply reads one request and writes text.
+func reply(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	}
+}
+
+func request(deadline time.Time) *forward.Request {
+	return &forward.Request{
+		ID:       "the-id",
+		Target:   "192.0.2.1:80",
+		Method:   http.MethodPost,
+		Host:     "host",
+		URI:      "/x",
+		Header:   http.Header{},
+		Body:     strings.NewReader("body"),
+		Length:   4,
+		Deadline: deadline,
+	}
+}
+
+func failed(t *testing.T, err error) *forward.Error {
+	t.Helper()
+	var fe *forward.Error
+	if !errors.As(err, &fe) {
+		t.Fatalf("got %v, want a *forward.Error", err)
+	}
+	return fe
+}
+
+// A process that was frozen between the choice of a target and the write wakes
+// with a connection and an old decision: nothing may be written then.
+func TestNothingIsWrittenAfterTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var wrote atomic.Int64
+		c := forward.NewClient(1<<10, time.Second)
+		c.SetDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := pipe(func(far net.Conn) {
+				n, _ := io.Copy(io.Discard, far)
+				wrote.Add(n)
+			})(ctx, network, address)
+			// The context doesn't end a dial here, as it doesn't in a frozen
+			// process.
+			time.Sleep(2 * time.Second)
+			return conn, err
+		})
+		_, err := c.Do(t.Context(), request(time.Now().Add(time.Second)))
+		if fe := failed(t, err); fe.Outcome() != attempt.OutcomeNotRun {
+			t.Errorf("outcome %v, want not run: %v", fe.Outcome(), err)
+		}
+		time.Sleep(time.Minute)
+		c.Close()
+		synctest.Wait()
+		if wrote.Load() != 0 {
+			t.Errorf("%d bytes were written", wrote.Load())
+		}
+	})
+}
+
+func TestAnswersAreJudged(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nPlover-Request-Id: the-id\r\n"
+	cases := []struct {
+		name    string
+		text    string
+		kind    forward.Kind
+		outcome attempt.Outcome
+		body    string
+	}{
+		{"whole", head + "Content-Length: 4\r\n\r\nbody", "", 0, "body"},
+		{"chunked", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "", 0, "body"},
+		{"short", head + "Content-Length: 9\r\n\r\nbody", forward.KindReset, attempt.OutcomeUnknown, ""},
+		{"chunk end missing", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", forward.KindReset, attempt.OutcomeUnknown, ""},
+		{"bad chunk size", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n", forward.KindReset, attempt.OutcomeUnknown, ""},
+		{"no length", head + "\r\nbody", forward.KindUnframed, attempt.OutcomeUnknown, ""},
+		{"two lengths", head + "Content-Length: 4\r\nContent-Length: 3\r\n\r\nbody", forward.KindReset, attempt.OutcomeUnknown, ""},
+		{"too long", head + "Content-Length: 4\r\n\r\nbody and more", "", 0, "body"},
+		{"foreign", "HTTP/1.1 200 OK\r\nPlover-Request-Id: other\r\nContent-Length: 4\r\n\r\nbody", forward.KindForeign, attempt.OutcomeUnknown, ""},
+		{"nothing", "", forward.KindReset, attempt.OutcomeUnknown, ""},
+		{"no http", "hello\r\n\r\n", forward.KindReset, attempt.OutcomeUnknown, ""},
+		{"shed", "HTTP/1.1 503 Busy\r\nPlover-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", forward.KindShed, attempt.OutcomeNotRun, ""},
+		{"plain 503", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "", 0, ""},
+		{"not run with 200", head + "Plover-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", "", 0, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := forward.NewClient(1<<10, time.Second)
+			defer c.Close()
+			c.SetDial(pipe(reply(tc.text)))
+			a, err := c.Do(t.Context(), request(time.Now().Add(time.Minute)))
+			if tc.kind != "" {
+				if fe := failed(t, err); fe.Kind() != tc.kind || fe.Outcome() != tc.outcome {
+					t.Fatalf("kind %q outcome %v, want %q %v: %v", fe.Kind(), fe.Outcome(), tc.kind, tc.outcome, err)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			body, err := io.ReadAll(a)
+			if err != nil || string(body) != tc.body {
+				t.Fatalf("body %q err %v, want %q", body, err, tc.body)
+			}
+		})
+	}
+}
+
+func TestSilenceEndsAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := forward.NewClient(1<<10, time.Second)
+		defer c.Close()
+		c.SetDial(pipe(func(far net.Conn) { _, _ = io.Copy(io.Discard, far) }))
+		begun := time.Now()
+		_, err := c.Do(t.Context(), request(begun.Add(3*time.Second)))
+		fe := failed(t, err)
+		if fe.Kind() != forward.KindTimeout || fe.Outcome() != attempt.OutcomeUnknown {
+			t.Errorf("kind %q outcome %v", fe.Kind(), fe.Outcome())
+		}
+		if took := time.Since(begun); took != 3*time.Second {
+			t.Errorf("took %v", took)
+		}
+	})
+}
+
+func TestStalledBodyIsBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := forward.NewClient(2, 4*time.Second)
+		defer c.Close()
+		c.SetDial(pipe(func(far net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(far))
+			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody")
+			_, _ = io.Copy(io.Discard, far)
+		}))
+		a, err := c.Do(t.Context(), request(time.Now().Add(time.Hour)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Close()
+		begun := time.Now()
+		body, err := io.ReadAll(a)
+		if fe := failed(t, err); fe.Kind() != forward.KindStall || string(body) != "body" {
+			t.Errorf("kind %q after %q", fe.Kind(), body)
+		}
+		if took := time.Since(begun); took != 4*time.Second {
+			t.Errorf("took %v", took)
+		}
+	})
+}
--- /dev/null
+++ b/internal/forward/export_test.go
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// SetDial replaces how a client opens connections.
+func (c *Client) SetDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	c.dial = dial
+}
+
+// NewGuard returns a connection that writes for an attempt with a time limit,
+// and a function that ends the attempt and tells whether anything was written.
+func NewGuard(conn net.Conn, limit time.Time) (guarded net.Conn, seal func() bool) {
+	g := &guard{
+		Conn: conn,
+	}
+	c := newClaim(limit)
+	g.use(c)
+	return g, c.seal
+}
--- /dev/null
+++ b/internal/forward/guard_test.go
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/forward"
+)
+
+func TestGuardWritesOnlyForAValidClaim(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps func(c net.Conn, seal func() bool)
+		want  string
+		wrote bool
+	}{
+		{"in time", func(c net.Conn, _ func() bool) { _, _ = io.WriteString(c, "a") }, "a", true},
+		{"woken late", func(c net.Conn, _ func() bool) {
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(c, "a")
+		}, "", false},
+		{"goes on after the limit once begun", func(c net.Conn, _ func() bool) {
+			_, _ = io.WriteString(c, "a")
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(c, "b")
+		}, "ab", true},
+		{"given up before the write", func(c net.Conn, seal func() bool) {
+			seal()
+			_, _ = io.WriteString(c, "a")
+		}, "", false},
+		{"given up within the request", func(c net.Conn, seal func() bool) {
+			_, _ = io.WriteString(c, "a")
+			seal()
+			_, _ = io.WriteString(c, "b")
+		}, "a", true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				got := make(chan string, 1)
+				go func() {
+					b, _ := io.ReadAll(far)
+					got <- string(b)
+				}()
+				c, seal := forward.NewGuard(near, time.Now().Add(time.Second))
+				tc.steps(c, seal)
+				if wrote := seal(); wrote != tc.wrote {
+					t.Errorf("seal says written %t, want %t", wrote, tc.wrote)
+				}
+				_ = near.Close()
+				if b := <-got; b != tc.want {
+					t.Errorf("the target got %q, want %q", b, tc.want)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/integration/whole_test.go
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"ploverjunction.example/ploverjunction/internal/standin/target"
+)
+
+const documentSize = 4 << 20
+
+func TestBrokenDocumentIsResumedElsewhere(t *testing.T) {
+	cases := []struct {
+		name string
+		mode target.Mode
+	}{
+		{"cut", target.Mode{CutAfter: 1 << 20}},
+		{"stalled", target.Mode{StallAfter: 1 << 20}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			bad := s.target("quotes", "a", 10)
+			s.target("quotes", "a", 10)
+			s.publishTargets(map[string]string{"quotes": `,"policy":{"floor":"capacity"}`})
+			s.standardRoutes("quotes")
+			n := s.node("a", withExtra("stall = 200ms"))
+			s.allReady()
+			bad.SetMode(c.mode)
+			want := target.Document("/quotes/pack", documentSize)
+			for i := range 8 {
+				r := n.do(http.MethodGet, fmt.Sprintf("/quotes/pack?size=%d", documentSize), "pack", "")
+				if r.err != nil || !bytes.Equal(r.body, want) {
+					t.Fatalf("document %d: %d of %d bytes, right %t, err %v",
+						i, len(r.body), len(want), bytes.Equal(r.body, want), r.err)
+				}
+			}
+			if len(bad.Runs()) == 0 {
+				t.Fatal("the bad target was never asked: the test shows nothing")
+			}
+		})
+	}
+}
+
+func TestBrokenDocumentWithoutResumeIsVisiblyBroken(t *testing.T) {
+	s := newSite(t)
+	bad := s.target("quotes", "a", 10)
+	s.publishTargets(nil)
+	s.standardRoutes("quotes")
+	n := s.node("a", withExtra("stall = 200ms"))
+	s.allReady()
+	for _, m := range []target.Mode{{CutAfter: 1 << 20}, {StallAfter: 1 << 20}} {
+		for _, framing := range []string{"", "&chunked"} {
+			bad.SetMode(m)
+			r := n.do(http.MethodGet, fmt.Sprintf("/quotes/pack?size=%d%s", documentSize, framing), "pack", "")
+			if r.err == nil {
+				t.Fatalf("mode %+v%s: %d of %d bytes came as a whole answer", m, framing, len(r.body), documentSize)
+			}
+		}
+	}
+}
+
+// A small answer is held until it is whole: a broken one is never begun.
+func TestBrokenSmallAnswerIsTriedElsewhere(t *testing.T) {
+	s := newSite(t)
+	bad := s.target("quotes", "a", 10)
+	s.target("quotes", "a", 10)
+	s.publishTargets(map[string]string{"quotes": `,"policy":{"floor":"capacity"}`})
+	s.standardRoutes("quotes")
+	n := s.node("a")
+	s.allReady()
+	for _, m := range []target.Mode{{CutAfter: 9}, {Swap: true}, {Unframed: true}, {ResetAfter: true}, {ResetBefore: true}} {
+		bad.SetMode(m)
+		for range 4 {
+			r := n.do(http.MethodGet, "/quotes/1", "small", "")
+			want := target.Echo(http.MethodGet, "/quotes/1", "small", nil)
+			if r.err != nil || !bytes.Equal(r.body, want) {
+				t.Fatalf("mode %+v: status %d body %q err %v", m, r.status, r.body, r.err)
+			}
+		}
+	}
+	if len(bad.Runs()) == 0 {
+		t.Fatal("the bad target was never asked: the test shows nothing")
+	}
+}
+
+func TestThousandsOfCallersGetTheirOwnAnswers(t *testing.T) {
+	s := newSite(t)
+	for range 6 {
+		s.target("quotes", "a", 100)
+	}
+	s.publishTargets(nil)
+	s.standardRoutes("quotes")
+	n := s.node("a")
+	s.allReady()
+	const count, atOnce = 4000, 200
+	var wrong, failed atomic.Int64
+	var all sync.WaitGroup
+	for w := range atOnce {
+		all.Go(func() {
+			for i := range count / atOnce {
+				key := fmt.Sprintf("own-%d-%d", w, i)
+				r := n.do(http.MethodGet, "/quotes/"+key, key, "")
+				if r.err != nil || r.status != http.StatusOK {
+					failed.Add(1)
+				} else if !bytes.Equal(r.body, target.Echo(http.MethodGet, "/quotes/"+key, key, nil)) {
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if wrong.Load() != 0 || failed.Load() != 0 {
+		t.Fatalf("%d wrong and %d failed of %d", wrong.Load(), failed.Load(), count)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,6 +176,7 @@
 		MaxHeader:       n.set.MaxHeader(),
 		HoldBody:        n.set.HoldBody(),
 		Deadline:        n.set.Deadline(),
+		Stall:           n.set.Stall(),
 		WorkspaceHeader: n.set.WorkspaceHeader(),
 		Config:          n.board.currentConfig,
 		Pool:            n.board.pool,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,7 @@
 	maxHeader       int64
 	holdBody        int64
 	deadline        time.Duration
+	stall           time.Duration
 	workspaceHeader string
 	drainWait       time.Duration
 
@@ -85,6 +86,10 @@
 // Deadline returns the deadline of routes that state none.
 func (s *Settings) Deadline() time.Duration { return s.deadline }
 
+// Stall returns how long the body of an answer may stop before it counts as
+// broken.
+func (s *Settings) Stall() time.Duration { return s.stall }
+
 // WorkspaceHeader returns the header that names the workspace of a request.
 func (s *Settings) WorkspaceHeader() string { return s.workspaceHeader }
 
@@ -164,6 +169,7 @@
 		optional("entry", "max_header", size(&s.maxHeader, minHeader, maxHeader)),
 		optional("entry", "hold_body", size(&s.holdBody, 0, maxBody)),
 		optional("entry", "deadline", duration(&s.deadline, time.Millisecond, maxDeadline)),
+		optional("entry", "stall", duration(&s.stall, 10*time.Millisecond, maxDeadline)),
 		optional("entry", "workspace_header", text(&s.workspaceHeader)),
 		optional("entry", "drain_wait", duration(&s.drainWait, 0, maxDrainWait)),
 		required("operator", "listen", address(&s.operatorListen)),
@@ -188,6 +194,7 @@
 		maxHeader:        64 << 10,
 		holdBody:         64 << 10,
 		deadline:         10 * time.Second,
+		stall:            15 * time.Second,
 		workspaceHeader:  "Plover-Workspace",
 		drainWait:        5 * time.Second,
 		logLevel:         "info",
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -62,6 +62,8 @@
 	ID   string    `json:"id"`
 	Path string    `json:"path"`
 	At   time.Time `json:"at"`
+	// Deadline is the time limit that came with the request; zero means none.
+	Deadline time.Time `json:"deadline"`
 }
 
 // Target is the stand-in. It may be used concurrently.
@@ -158,6 +160,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if late(r) {
+		refuse(w)
+		return
+	}
 	t.record(r)
 	if m.Stall {
 		<-r.Context().Done()
@@ -167,10 +173,18 @@
 	t.answer(w, r, m, body)
 }
 
-// late tells whether the request's own deadline has passed.
-func late(r *http.Request) bool {
+// deadline returns the request's own time limit, or zero.
+func deadline(r *http.Request) time.Time {
 	ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
-	return err == nil && time.Now().UnixMilli() >= ms
+	if err != nil {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+func late(r *http.Request) bool {
+	d := deadline(r)
+	return !d.IsZero() && !time.Now().Before(d)
 }
 
 func refuse(w http.ResponseWriter) {
@@ -182,10 +196,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs = append(t.runs, Run{
-		Key:  r.Header.Get(HeaderKey),
-		ID:   r.Header.Get(headerRequestID),
-		Path: r.URL.Path,
-		At:   time.Now(),
+		Key:      r.Header.Get(HeaderKey),
+		ID:       r.Header.Get(headerRequestID),
+		Path:     r.URL.Path,
+		At:       time.Now(),
+		Deadline: deadline(r),
 	})
 }
 
@@ -231,6 +246,11 @@
 			mode:           m,
 		}
 	}
+	if r.URL.Query().Has("chunked") {
+		// Without a length net/http sends chunks.
+		_, _ = w.Write(content)
+		return
+	}
 	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(content))
 }
 
@@ -323,3 +343,6 @@
 func (t *Target) adminRuns(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(t.Runs())
 }
+
+// InFlight returns how many requests are being worked on or wait for a slot.
+func (t *Target) InFlight() int64 { return t.inFlight.Load() }
