internal/dissemination: let no conversation wait for another

Cause: pushes and comparisons ran one after another, so a peer that hangs (cut one way) held up all others for its timeout of 2 s; with a third of 40 nodes unreachable a node met several of them in a row. Ruled out: the reader of the data hall (it heard the platform at once) and the pushes (a median of 142 ms shows that they worked). Change: conversations run side by side, a comparison asks another peer after 300 ms.

internal/fleetconfig: keep the version between the refused and the one in force

Cause: a process that started anew got, in one message, a valid value, a newer one that is refused, and a value that the valid one needs, in this order; the valid one was replaced before it could be judged, and the key had nothing in force. Test: a new node had revision 0 of the routes, want 2; now 2.

--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -28,6 +29,12 @@
 	maxRounds = 16
 	// recentCalls is how many calls show whether this node is cut off.
 	recentCalls = 8
+	// compareTries is how many peers one comparison asks at most, each after
+	// comparePatience without an answer of the one before.
+	compareTries    = 3
+	comparePatience = 300 * time.Millisecond
+	// maxTalks bounds the conversations under way.
+	maxTalks = 32
 )
 
 // Config holds the seams of a Gossip. All functions may be called concurrently.
@@ -156,26 +163,30 @@
 	}
 }
 
-// Run pushes new values and compares at each beat until the context ends.
+// Run pushes new values and compares at each beat until the context ends. No
+// conversation waits for another: a peer that hangs must not delay the rest.
 func (g *Gossip) Run(ctx context.Context) error {
+	var talks task.Group
 	next := time.NewTimer(0)
 	defer next.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return talks.Wait()
 		case entries := <-g.fresh:
-			g.push(ctx, entries)
+			g.push(ctx, &talks, entries)
 		case <-next.C:
-			g.compare(ctx)
+			g.compare(ctx, &talks)
 			next.Reset(Beat/2 + rand.N(Beat))
 		}
+		if err := talks.Reap(); err != nil {
+			return err
+		}
 	}
 }
 
-// push tells a few random peers of new values, all at the same time: one that
-// hangs must not delay the others.
-func (g *Gossip) push(ctx context.Context, entries []*wire.Entry) {
+// push tells a few random peers of new values.
+func (g *Gossip) push(ctx context.Context, talks *task.Group, entries []*wire.Entry) {
 	req := g.request()
 	for _, e := range entries {
 		if len(e.GetValue()) <= pushWhole {
@@ -187,37 +198,61 @@
 			Revision: e.GetRevision(),
 		})
 	}
-	var all sync.WaitGroup
 	for _, peer := range g.choose(fanout) {
-		all.Go(func() { g.converse(ctx, peer, req) })
+		talks.Go(ctx, "push", func(ctx context.Context) error {
+			g.converse(ctx, peer, req)
+			return nil
+		})
 	}
-	all.Wait()
 }
 
-// compare exchanges digests with one random peer.
-func (g *Gossip) compare(ctx context.Context) {
-	for _, peer := range g.choose(1) {
-		g.converse(ctx, peer, g.request())
+// compare exchanges digests with one random peer, and with another one when the
+// first doesn't answer soon.
+func (g *Gossip) compare(ctx context.Context, talks *task.Group) {
+	if talks.Len() > maxTalks {
+		return
 	}
+	peers := g.choose(compareTries)
+	talks.Go(ctx, "compare", func(ctx context.Context) error {
+		var tries task.Group
+		patience := time.NewTicker(comparePatience)
+		defer patience.Stop()
+		for _, peer := range peers {
+			answered := make(chan struct{})
+			tries.Go(ctx, "compare with one", func(ctx context.Context) error {
+				if g.converse(ctx, peer, g.request()) {
+					close(answered)
+				}
+				return nil
+			})
+			select {
+			case <-answered:
+				return tries.Wait()
+			case <-patience.C:
+			}
+		}
+		return tries.Wait()
+	})
 }
 
 // converse sends req to a peer and goes on until neither side lacks anything
-// that the other has.
-func (g *Gossip) converse(ctx context.Context, peer string, req *wire.SyncRequest) {
+// that the other has. It reports whether the peer answered to the end.
+func (g *Gossip) converse(ctx context.Context, peer string, req *wire.SyncRequest) bool {
 	for range maxRounds {
 		reply, err := g.cfg.Call(ctx, peer, req)
 		g.called(peer, err == nil)
 		if err != nil {
 			g.cfg.Failed(peer)
-			return
+			return false
 		}
 		g.learn(reply)
 		g.spread(g.replica.Offer(reply.GetEntries()))
 		req = g.follow(req, reply)
 		if req == nil {
-			return
+			return true
 		}
 	}
+	return true
 }
 
 // follow returns the next message to a peer, or nil if all is said.
--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -21,11 +21,45 @@
 	err   error
 }
 
+func (v *version) revision() uint64 { return v.entry.GetRevision() }
+
 // record is all that the store holds of one key. The newest version may be
-// refused; the one in force is then older.
+// refused; the one in force is then older. fallback is the greatest version
+// between the two: a process that starts anew learns from its peers, in any
+// order, the one that they have in force and the one that they refuse.
 type record struct {
-	newest  *version
-	inForce *version
+	newest   *version
+	inForce  *version
+	fallback *version
+}
+
+// keep notes a version that isn't the newest.
+func (r *record) keep(v *version) bool {
+	if v.err != nil || v.revision() <= r.inForceRevision() {
+		return false
+	}
+	if r.fallback != nil && v.revision() <= r.fallback.revision() {
+		return false
+	}
+	r.fallback = v
+	return true
+}
+
+func (r *record) inForceRevision() uint64 {
+	if r.inForce == nil {
+		return 0
+	}
+	return r.inForce.revision()
+}
+
+// candidates returns the versions that could replace the one in force, the best
+// first.
+func (r *record) candidates() []*version {
+	out := []*version{r.newest}
+	if r.fallback != nil && r.fallback.revision() > r.inForceRevision() {
+		out = append(out, r.fallback)
+	}
+	return out
 }
 
 // Refusal says why the newest value of a key is not in force.
@@ -78,19 +112,12 @@
 // key changes nothing. After the call Config is the newest valid configuration.
 func (s *Store) Offer(entries []*wire.Entry) []*wire.Entry {
 	var fresh []*wire.Entry
-	unsettled := map[string]bool{}
 	for _, e := range entries {
-		if unsettled[e.GetKey()] {
-			// The value before it may be the one in force: judge it first.
-			s.settle()
-			clear(unsettled)
-		}
 		if s.take(e) {
 			fresh = append(fresh, e)
-			unsettled[e.GetKey()] = true
 		}
 	}
-	if len(unsettled) > 0 {
+	if len(fresh) > 0 {
 		s.settle()
 	}
 	return fresh
@@ -105,35 +132,14 @@
 		r = &record{}
 		s.records[e.GetKey()] = r
 	}
-	if r.newest == nil || e.GetRevision() > r.newest.entry.GetRevision() {
-		r.newest = parseVersion(e)
-		return true
+	if r.newest != nil && e.GetRevision() <= r.newest.revision() {
+		return e.GetRevision() < r.newest.revision() && e.GetRevision() > r.inForceRevision() && r.keep(parseVersion(e))
 	}
-	return s.takeInForce(r, e)
-}
-
-// takeInForce takes a value that is older than a refused newest one. A process
-// that starts anew learns it from its peers, which have it in force.
-func (s *Store) takeInForce(r *record, e *wire.Entry) bool {
-	known := uint64(0)
-	if r.inForce != nil {
-		known = r.inForce.entry.GetRevision()
-	}
-	if r.newest == r.inForce || e.GetRevision() <= known || e.GetRevision() == r.newest.entry.GetRevision() {
-		return false
+	if r.newest != nil && r.newest != r.inForce {
+		r.keep(r.newest)
 	}
-	v := parseVersion(e)
-	if v.err != nil {
-		return false
-	}
-	old := r.inForce
-	r.inForce = v
-	if c, err := build(s.inForceDocs(), s.policies); err == nil {
-		s.config = c
-		return true
-	}
-	r.inForce = old
-	return false
+	r.newest = parseVersion(e)
+	return true
 }
 
 func parseVersion(e *wire.Entry) *version {
@@ -158,23 +164,37 @@
 	}
 	for progress := true; progress; {
 		progress = false
-		pending = slices.DeleteFunc(pending, func(r *record) bool {
-			ok := s.tryOne(r) == nil
-			progress = progress || ok
-			return ok
-		})
+		for _, r := range pending {
+			progress = s.advance(r) || progress
+		}
 	}
 	s.refusals = nil
 	for _, r := range pending {
+		if r.newest == r.inForce {
+			continue
+		}
 		s.refusals = append(s.refusals, Refusal{
 			key:      r.newest.entry.GetKey(),
-			revision: r.newest.entry.GetRevision(),
-			err:      s.tryOne(r),
+			revision: r.newest.revision(),
+			err:      s.try(r, r.newest),
 		})
 	}
 	s.finish()
 }
 
+// advance puts the best candidate of a key in force that is valid now.
+func (s *Store) advance(r *record) bool {
+	if r.newest == r.inForce {
+		return false
+	}
+	for _, v := range r.candidates() {
+		if s.try(r, v) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Store) pending() []*record {
 	var out []*record
 	for _, r := range s.records {
@@ -184,13 +204,14 @@
 	}
 	slices.SortFunc(out, func(a, b *record) int {
 		return cmp.Or(
-			cmp.Compare(a.newest.entry.GetRevision(), b.newest.entry.GetRevision()),
+			cmp.Compare(a.newest.revision(), b.newest.revision()),
 			strings.Compare(a.newest.entry.GetKey(), b.newest.entry.GetKey()),
 		)
 	})
 	return out
 }
 
+// tryAll puts the newest values of all keys in force if they are valid together.
 func (s *Store) tryAll(pending []*record) bool {
 	old := make([]*version, len(pending))
 	for i, r := range pending {
@@ -212,12 +233,13 @@
 	return false
 }
 
-func (s *Store) tryOne(r *record) error {
-	if r.newest.err != nil {
-		return r.newest.err
+// try puts one version in force if it is valid with all else that is.
+func (s *Store) try(r *record, v *version) error {
+	if v.err != nil {
+		return v.err
 	}
 	old := r.inForce
-	r.inForce = r.newest
+	r.inForce = v
 	c, err := build(s.inForceDocs(), s.policies)
 	if err != nil {
 		r.inForce = old
@@ -230,8 +252,9 @@
 // finish gives the configuration its revision and drops policies out of use.
 func (s *Store) finish() {
 	for _, r := range s.records {
-		if r.inForce != nil {
-			s.config.revision = max(s.config.revision, r.inForce.entry.GetRevision())
+		s.config.revision = max(s.config.revision, r.inForceRevision())
+		if r.fallback != nil && r.fallback.revision() <= r.inForceRevision() {
+			r.fallback = nil
 		}
 	}
 	used := policyCache{}
--- /dev/null
+++ b/internal/integration/config_test.go
@@ -0,0 +1,310 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/operator"
+	"ploverjunction.example/ploverjunction/internal/standin/faultproxy"
+	"ploverjunction.example/ploverjunction/internal/standin/platform"
+)
+
+// unreachable is an address at which no platform answers.
+const unreachable = "127.0.0.1:1"
+
+func (n *node) revision(key string) uint64 {
+	s := n.status()
+	if s == nil {
+		return 0
+	}
+	return s.Revision[key]
+}
+
+func routesDoc(version int) string {
+	return fmt.Sprintf(`{"routes":[{"name":"v%d","pathPrefix":"/quotes","methods":["GET"],"service":"quotes","repeatable":true}]}`, version)
+}
+
+func TestOneReaderServesThreeNodes(t *testing.T) {
+	s := newSite(t)
+	s.target("quotes", "a", 3)
+	s.publishTargets(nil)
+	s.standardRoutes("quotes")
+	s.node("a")
+	s.node("b", withPlatform(unreachable))
+	s.node("c", withPlatform(unreachable))
+	s.allReady()
+	for i := range 5 {
+		rev := s.platform.Publish("routes", routesDoc(i))
+		for _, n := range s.nodes {
+			eventually(t, "the newest revision", func() bool { return n.revision("routes") == rev })
+		}
+	}
+	for _, n := range s.nodes {
+		if r := n.do(http.MethodGet, "/quotes/1", "k", ""); r.status != http.StatusOK {
+			t.Fatalf("status %d", r.status)
+		}
+	}
+}
+
+func TestBadValueIsRefusedAndShown(t *testing.T) {
+	s := newSite(t)
+	s.target("quotes", "a", 3)
+	s.publishTargets(nil)
+	good := s.platform.Publish("routes", routesDoc(1))
+	n := s.node("a")
+	s.allReady()
+	cases := []struct {
+		name  string
+		key   string
+		value string
+		want  string
+	}{
+		{"no json", "routes", `{`, "syntax error"},
+		{"unknown field", "routes", `{"rutes":[]}`, "syntax error"},
+		{"unknown service", "routes", `{"routes":[{"name":"x","pathPrefix":"/","service":"nothing"}]}`, "refers to nothing"},
+		{"policy type", "policy", `{"services":[{"name":"other","policy":{"sick":"score"}}]}`, "policy: sick:1:1"},
+		{"policy place", "policy", `{"services":[{"name":"other","policy":{"sick":"score >\n nothing"}}]}`, "policy: sick:2:2"},
+		{"policy loop", "policy", `{"services":[{"name":"other","policy":{"sick":"[1,2].all(x, x > 0)"}}]}`, "policy: sick"},
+		{"too large", "routes", strings.Repeat(" ", 1<<20) + "{}", "too large"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			rev := s.platform.Publish(c.key, c.value)
+			eventually(t, "the refusal in the status", func() bool {
+				st := n.status()
+				return st != nil && slices.ContainsFunc(st.Config.Refused, func(r operator.RefusedStatus) bool {
+					return r.Key == c.key && r.Revision == rev && strings.Contains(r.Reason, c.want)
+				})
+			})
+			if got := n.revision("routes"); got != good {
+				t.Fatalf("revision %d in force, want %d", got, good)
+			}
+			if !strings.Contains(n.logs(), "value refused") {
+				t.Fatal("no line in the log")
+			}
+		})
+	}
+	// A process that starts anew learns from a peer what is in force before the
+	// refused value.
+	fresh := s.node("a", withPlatform(unreachable))
+	eventually(t, "a new node ready", fresh.ready)
+	if got := fresh.revision("routes"); got != good {
+		t.Fatalf("revision %d in force on a new node, want %d", got, good)
+	}
+}
+
+// fleet starts nodes in three data halls.
+func (s *site) fleet(count int) {
+	s.t.Helper()
+	for i := range count {
+		s.node(string(rune('a' + i%3)))
+	}
+	s.listNodes()
+	s.allReady()
+}
+
+func (s *site) listNodes() {
+	var list []string
+	for _, n := range s.nodes {
+		list = append(list, fmt.Sprintf(`{"address":%q,"dataHall":%q,"state":"LIVE","role":"ENTRY"}`, n.front.Addr(), n.hall))
+	}
+	s.platform.Publish("instances", fmt.Sprintf(`{"instances":[%s]}`, strings.Join(list, ",")))
+}
+
+// spreadTime returns after how long each node had a revision of the routes.
+func (s *site) spreadTime(rev uint64, nodes []*node) []time.Duration {
+	begun := time.Now()
+	took := make([]time.Duration, len(nodes))
+	var all sync.WaitGroup
+	for i, n := range nodes {
+		all.Go(func() {
+			for took[i] == 0 && time.Since(begun) < patience {
+				if n.revision("routes") >= rev {
+					took[i] = time.Since(begun)
+				} else {
+					time.Sleep(2 * time.Millisecond)
+				}
+			}
+		})
+	}
+	all.Wait()
+	slices.Sort(took)
+	return took
+}
+
+const inForceWithin = 5 * time.Second
+
+// TestConfigurationIsInForceEverywhere publishes to 40 processes under faults.
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	if testing.Short() {
+		t.Skip("40 processes")
+	}
+	s := newSite(t)
+	s.target("quotes", "a", 3)
+	s.publishTargets(nil)
+	s.platform.Publish("routes", routesDoc(0))
+	s.fleet(40)
+	version := 0
+	publish := func() uint64 {
+		version++
+		return s.platform.Publish("routes", routesDoc(version))
+	}
+	cases := []struct {
+		name  string
+		fault func()
+		heal  func()
+	}{
+		{"no fault", func() {}, func() {}},
+		{"a third cannot be reached", func() {
+			for i := 0; i < len(s.nodes); i += 3 {
+				s.nodes[i].front.Forward(faultproxy.Fault{Cut: true})
+			}
+		}, func() {
+			for _, n := range s.nodes {
+				n.front.Forward(faultproxy.Fault{})
+			}
+		}},
+		{"a third is not heard back", func() {
+			for i := 0; i < len(s.nodes); i += 3 {
+				s.nodes[i].front.Backward(faultproxy.Fault{Cut: true})
+			}
+		}, func() {
+			for _, n := range s.nodes {
+				n.front.Backward(faultproxy.Fault{})
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.fault()
+			defer c.heal()
+			var all []time.Duration
+			for range 3 {
+				all = append(all, s.spreadTime(publish(), s.nodes)...)
+			}
+			slices.Sort(all)
+			t.Logf("median %v, 99 in 100 %v, last %v", all[len(all)/2], all[len(all)*99/100], all[len(all)-1])
+			if all[0] == 0 || all[len(all)-1] > inForceWithin {
+				t.Fatalf("last node after %v (0 means never)", all[len(all)-1])
+			}
+		})
+	}
+	t.Run("platform gone after one reader heard", func(t *testing.T) {
+		rev := publish()
+		eventually(t, "one node with the revision", func() bool {
+			return slices.ContainsFunc(s.nodes, func(n *node) bool { return n.revision("routes") >= rev })
+		})
+		s.platform.SetMode(platform.ModeDown)
+		defer s.platform.SetMode(platform.ModeGood)
+		took := s.spreadTime(rev, s.nodes)
+		t.Logf("last %v", took[len(took)-1])
+		if took[0] == 0 || took[len(took)-1] > inForceWithin {
+			t.Fatalf("last node after %v (0 means never)", took[len(took)-1])
+		}
+	})
+}
+
+// TestRevisionsNeverFall restarts nodes while the platform's replica is stale and
+// watches what every node has in force.
+func TestRevisionsNeverFall(t *testing.T) {
+	s := newSite(t)
+	s.target("quotes", "a", 3)
+	s.publishTargets(nil)
+	s.platform.Publish("routes", routesDoc(0))
+	s.fleet(6)
+	old := s.platform.Publish("routes", routesDoc(1))
+	for _, n := range s.nodes {
+		eventually(t, "the old revision", func() bool { return n.revision("routes") == old })
+	}
+	newest := s.platform.Publish("routes", routesDoc(3))
+	for _, n := range s.nodes {
+		eventually(t, "the newest revision", func() bool { return n.revision("routes") == newest })
+	}
+	seen := map[*node]uint64{}
+	rng := rand.New(rand.NewPCG(3, 4))
+	for step := range 8 {
+		s.platform.SetModeAt([]platform.Mode{platform.ModeStale, platform.ModeHang, platform.ModeDown}[step%3], old)
+		n := s.nodes[rng.IntN(len(s.nodes))]
+		n.restart()
+		eventually(t, "the restarted node ready", n.ready)
+		for _, n := range s.nodes {
+			got := n.revision("routes")
+			if n.ready() && got < max(seen[n], newest) {
+				t.Fatalf("step %d: revision %d in force after %d", step, got, max(seen[n], newest))
+			}
+			seen[n] = got
+		}
+	}
+	if len(seen) != len(s.nodes) {
+		t.Fatalf("watched %d nodes", len(slices.Collect(maps.Keys(seen))))
+	}
+}
+
+// TestPlatformCallsGrowSlowerThanTheFleet counts the calls of a quiet fleet.
+func TestPlatformCallsGrowSlowerThanTheFleet(t *testing.T) {
+	s := newSite(t)
+	s.target("quotes", "a", 3)
+	s.publishTargets(nil)
+	s.platform.Publish("routes", routesDoc(0))
+	calls := map[int]int64{}
+	version := 0
+	for _, size := range []int{6, 12, 24} {
+		for len(s.nodes) < size {
+			s.node(string(rune('a' + len(s.nodes)%3)))
+		}
+		s.listNodes()
+		s.allReady()
+		for _, n := range s.nodes {
+			eventually(t, "all members known", func() bool {
+				st := n.status()
+				return st != nil && len(st.Members) == size
+			})
+		}
+		version++
+		s.spreadTime(s.platform.Publish("routes", routesDoc(version)), s.nodes)
+		before := s.platform.Calls()
+		for range 10 {
+			version++
+			s.spreadTime(s.platform.Publish("routes", routesDoc(version)), s.nodes)
+		}
+		calls[size] = s.platform.Calls() - before
+	}
+	t.Logf("calls for 10 changes: %v", calls)
+	if calls[24] > 2*calls[6] {
+		t.Fatalf("calls grow with the fleet: %v", calls)
+	}
+}
+
+// TestStartingNodeComparesBeforeItServes gives a starting node a platform that is
+// quick and behind, and peers that are slow and ahead.
+func TestStartingNodeComparesBeforeItServes(t *testing.T) {
+	s := newSite(t)
+	s.target("quotes", "a", 3)
+	s.publishTargets(nil)
+	s.platform.Publish("routes", routesDoc(0))
+	s.fleet(4)
+	old := s.platform.Publish("routes", routesDoc(1))
+	newest := s.platform.Publish("routes", routesDoc(2))
+	for _, n := range s.nodes {
+		eventually(t, "the newest revision", func() bool { return n.revision("routes") == newest })
+	}
+	s.platform.SetModeAt(platform.ModeStale, old)
+	last := s.nodes[3]
+	for _, n := range s.nodes[:3] {
+		n.front.Forward(faultproxy.Fault{Delay: 300 * time.Millisecond})
+	}
+	last.restart()
+	eventually(t, "the restarted node ready", last.ready)
+	if got := last.revision("routes"); got < newest {
+		t.Fatalf("ready with revision %d, the fleet has %d", got, newest)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
@@ -151,7 +150,7 @@
 		self:    n.self,
 	}, n.judging.verdict, logging.Part(n.log, "observing"))
 	n.judging.report = n.observing.collect
-	n.probing = newProbing(n.board, n.observing.collect)
+	n.probing = newProbing(n.board, n.observing.collect, logging.Part(n.log, "probing"))
 	n.lifecycle = &lifecycle{
 		board:       n.board,
 		begun:       n.begun,
@@ -378,23 +377,27 @@
 	if n.peers == nil {
 		return
 	}
-	var all sync.WaitGroup
+	var all task.Group
 	for _, p := range n.board.view.Load().Peers() {
-		all.Go(func() { n.sayLeavingTo(ctx, p.Address()) })
+		all.Go(ctx, "leave", func(ctx context.Context) error { return n.sayLeavingTo(ctx, p.Address()) })
+	}
+	if err := all.Wait(); err != nil {
+		logging.Part(n.log, "node").WithError(err).Debug("not all peers told")
 	}
-	all.Wait()
 }
 
-func (n *Node) sayLeavingTo(ctx context.Context, peer string) {
+func (n *Node) sayLeavingTo(ctx context.Context, peer string) error {
+	var err error
 	for range leaveTimes {
-		_, err := n.dialer.Sync(ctx, peer, &wire.SyncRequest{
+		_, err = n.dialer.Sync(ctx, peer, &wire.SyncRequest{
 			From:   n.self(),
 			Digest: n.replica.Digest(),
 		})
 		if err == nil || ctx.Err() != nil {
-			return
+			break
 		}
 	}
+	return err
 }
 
 func (n *Node) runSource(ctx context.Context) error {
--- a/internal/node/observing.go
+++ b/internal/node/observing.go
@@ -12,6 +12,7 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -155,7 +156,7 @@
 // node itself takes the short way.
 func (o *observing) send(ctx context.Context, reports map[string][]*wire.Report, summary bool) {
 	self := o.link.self()
-	var all sync.WaitGroup
+	var all task.Group
 	for peer, list := range reports {
 		batch := &wire.ReportBatch{
 			From:    self,
@@ -166,14 +167,17 @@
 			o.observe(time.Now(), batch)
 			continue
 		}
-		all.Go(func() {
-			if err := o.link.observe(ctx, peer, batch); err != nil {
+		all.Go(ctx, "report", func(ctx context.Context) error {
+			err := o.link.observe(ctx, peer, batch)
+			if err != nil {
 				o.link.failed(peer)
-				o.log.WithError(err).Debug("observer not reached")
 			}
+			return err
 		})
 	}
-	all.Wait()
+	if err := all.Wait(); err != nil {
+		o.log.WithError(err).Debug("observers not reached")
+	}
 }
 
 // observe takes the reports of one node as an observer. Any node that reports
@@ -321,19 +325,22 @@
 
 func (o *observing) spread(ctx context.Context, batch *wire.VerdictBatch) {
 	view := o.board.view.Load()
-	var all sync.WaitGroup
+	var all task.Group
 	for _, n := range view.Peers() {
 		if n.DataHall() != view.Self().DataHall() {
 			continue
 		}
-		all.Go(func() {
-			if err := o.link.judge(ctx, n.Address(), batch); err != nil {
+		all.Go(ctx, "verdict", func(ctx context.Context) error {
+			err := o.link.judge(ctx, n.Address(), batch)
+			if err != nil {
 				o.link.failed(n.Address())
-				o.log.WithError(err).Debug("verdict not taken")
 			}
+			return err
 		})
 	}
-	all.Wait()
+	if err := all.Wait(); err != nil {
+		o.log.WithError(err).Debug("verdicts not taken")
+	}
 }
 
 // judged takes the verdicts of an observer. Only an observer of this node's data
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -4,13 +4,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
-	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/task"
 )
 
 // Times and bounds of probes.
@@ -29,12 +32,14 @@
 	board  *Board
 	report func(now time.Time, evidence []outlier.Evidence)
 	client *http.Client
+	log    *logrus.Entry
 }
 
-func newProbing(board *Board, report func(time.Time, []outlier.Evidence)) *probing {
+func newProbing(board *Board, report func(time.Time, []outlier.Evidence), log *logrus.Entry) *probing {
 	return &probing{
 		board:  board,
 		report: report,
+		log:    log,
 		client: &http.Client{
 			Timeout: probeTimeout,
 			Transport: &http.Transport{
@@ -67,7 +72,7 @@
 	}
 	view := p.board.view.Load()
 	slots := make(chan struct{}, probesAtOnce)
-	var all sync.WaitGroup
+	var all task.Group
 	for _, s := range cfg.Services() {
 		first := view.Duty(duty(s.Name()), "", 1)
 		if s.HealthPath() == "" || len(first) == 0 || first[0] != view.Self() {
@@ -75,27 +80,29 @@
 		}
 		for _, t := range s.Targets() {
 			slots <- struct{}{}
-			all.Go(func() {
+			all.Go(ctx, "probe", func(ctx context.Context) error {
 				defer func() { <-slots }()
-				p.probe(ctx, s, t)
+				return p.probe(ctx, s, t)
 			})
 		}
 	}
-	all.Wait()
+	if err := all.Wait(); err != nil {
+		p.log.WithError(err).Debug("probes without answer")
+	}
 }
 
-func (p *probing) probe(ctx context.Context, s *fleetconfig.Service, t *fleetconfig.Target) {
+func (p *probing) probe(ctx context.Context, s *fleetconfig.Service, t *fleetconfig.Target) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address()+s.HealthPath(), nil)
 	if err != nil {
-		return
+		return fmt.Errorf("node: probe: %w", err)
 	}
 	res, err := p.client.Do(req)
 	if err != nil {
-		return
+		return fmt.Errorf("node: probe: %w", err)
 	}
 	_ = res.Body.Close()
 	if !forward.Leaving(res.Header) {
-		return
+		return nil
 	}
 	p.report(time.Now(), []outlier.Evidence{
 		{
@@ -106,4 +113,5 @@
 			},
 		},
 	})
+	return nil
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -106,6 +106,14 @@
 	p.wake()
 }
 
+// SetModeAt is like SetMode, but ModeStale answers as of a given revision.
+func (p *Platform) SetModeAt(m Mode, revision uint64) {
+	p.SetMode(m)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = revision
+}
+
 // SetLag delays the sight of each change by d.
 func (p *Platform) SetLag(d time.Duration) {
 	p.mu.Lock()
