internal/node: count a peer as compared only at the end of the conversation

Cause: a starting node took the first reply, which only says that the digests differ, for a comparison and turned ready with the stale revision 4 of the platform while the fleet had 5. Ruled out: the order of values within a message (one key is concerned). Change: a peer counts once the conversation has ended with nothing left to say.

--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -61,7 +61,7 @@
 	fresh    chan []*wire.Entry
 	platform atomic.Int64
 	mu       sync.Mutex
-	heard    map[string]bool
+	compares map[string]bool
 	recent   [recentCalls]bool
 	calls    int
 }
@@ -69,10 +69,10 @@
 // New returns a gossip about a replica.
 func New(cfg Config, replica *Replica) *Gossip {
 	return &Gossip{
-		cfg:     cfg,
-		replica: replica,
-		fresh:   make(chan []*wire.Entry, 64),
-		heard:   map[string]bool{},
+		cfg:      cfg,
+		replica:  replica,
+		fresh:    make(chan []*wire.Entry, 64),
+		compares: map[string]bool{},
 	}
 }
 
@@ -105,11 +105,12 @@
 	}
 }
 
-// HeardPeers returns how many different peers have answered this node.
-func (g *Gossip) HeardPeers() int {
+// Compared returns with how many different peers this node has compared all its
+// values to the end.
+func (g *Gossip) Compared() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.heard)
+	return len(g.compares)
 }
 
 // CutOff tells whether most of the recent calls to peers failed. It is false
@@ -136,14 +137,19 @@
 	return g.calls
 }
 
-func (g *Gossip) called(peer string, ok bool) {
+func (g *Gossip) called(ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.recent[g.calls%recentCalls] = ok
 	g.calls++
-	if ok {
-		g.heard[peer] = true
-	}
+}
+
+// compared notes a conversation that came to its end: only then is this node as
+// new as the peer.
+func (g *Gossip) compared(peer string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.compares[peer] = true
 }
 
 // Publish offers values that this node has learned by itself.
@@ -240,7 +246,7 @@
 func (g *Gossip) converse(ctx context.Context, peer string, req *wire.SyncRequest) bool {
 	for range maxRounds {
 		reply, err := g.cfg.Call(ctx, peer, req)
-		g.called(peer, err == nil)
+		g.called(err == nil)
 		if err != nil {
 			g.cfg.Failed(peer)
 			return false
@@ -249,6 +255,7 @@
 		g.spread(g.replica.Offer(reply.GetEntries()))
 		req = g.follow(req, reply)
 		if req == nil {
+			g.compared(peer)
 			return true
 		}
 	}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -27,7 +27,7 @@
 const (
 	reasonStarting = "starting"
 	reasonConfig   = "no configuration"
-	reasonPeers    = "too few peers heard"
+	reasonPeers    = "compared with too few peers"
 	reasonCutOff   = "neither platform nor most peers heard"
 	reasonLeaving  = "leaving"
 )
@@ -37,7 +37,7 @@
 type lifecycle struct {
 	board       *Board
 	begun       time.Time
-	heardPeers  func() int
+	compared    func() int
 	cutOff      func() bool
 	platformAge func(now time.Time) time.Duration
 	seeds       int
@@ -96,7 +96,7 @@
 // enough peers.
 func (l *lifecycle) settle(now time.Time) bool {
 	known := max(len(l.board.view.Load().Peers()), l.seeds)
-	if l.heardPeers() >= min(enoughPeers, known) || now.Sub(l.begun) > startPatience {
+	if l.compared() >= min(enoughPeers, known) || now.Sub(l.begun) > startPatience {
 		l.settled = true
 	}
 	return l.settled
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,7 +154,7 @@
 	n.lifecycle = &lifecycle{
 		board:       n.board,
 		begun:       n.begun,
-		heardPeers:  n.gossip.HeardPeers,
+		compared:    n.gossip.Compared,
 		cutOff:      n.gossip.CutOff,
 		platformAge: n.gossip.PlatformAge,
 		seeds:       len(n.set.Seeds()),
