internal/outlier: leave the worst source out, keep evidence of silent stalls

Cause 1: the evidence that one beat may not add was dropped. With callers that wait for their answers a stall shows in one beat and is silent after it, so a node never got past 45% of the threshold alone. It is carried into later beats now unless the target does good work. Cause 2: an observer added all nodes up, so that one node of three in a data hall, cut from a target, had it ejected in the whole data hall. The source with the most bad requests is left out of each sum now. Cause 3: requests of callers to a stalled target ended at the deadline. A repeatable request that takes five times the usual time is sent to a second target as well, within the retry budget. Cause 4: ejected targets went on counting as part of the pool, so that the second sick target of a pool stood out less. Ruled out: reports lost on the way (the observer had them within 0.5 s).

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 )
@@ -17,8 +18,16 @@
 	held    []byte
 	stream  io.Reader
 	length  int64
-	touched bool
-	failed  error
+	touched atomic.Bool
+	failed  atomic.Pointer[error]
+}
+
+// broken returns the error with which the caller's body broke, or nil.
+func (b *body) broken() error {
+	if err := b.failed.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // readBody takes the body of a request, up to hold bytes of it at once.
@@ -64,7 +73,7 @@
 	switch {
 	case b.stream == nil:
 		return bytes.NewReader(b.held), true
-	case b.touched:
+	case b.touched.Load():
 		return nil, false
 	default:
 		return b, true
@@ -73,10 +82,10 @@
 
 // Read reads a body that is not held.
 func (b *body) Read(p []byte) (int, error) {
-	b.touched = true
+	b.touched.Store(true)
 	n, err := b.stream.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
-		b.failed = err
+		b.failed.Store(&err)
 	}
 	return n, err
 }
@@ -84,10 +93,11 @@
 // fault returns the error of a caller's body that broke while it was sent, or
 // nil. outcome is what the attempts proved.
 func (b *body) fault(outcome attempt.Outcome) *Error {
-	if b.failed == nil {
+	err := b.broken()
+	if err == nil {
 		return nil
 	}
-	e := bodyError(b.failed)
+	e := bodyError(err)
 	e.outcome = outcome
 	return e
 }
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -31,18 +31,23 @@
 func (x *relay) resume(etag string, offset, total int64) (*forward.Answer, func()) {
 	x.header.Set("Range", fmt.Sprintf("bytes=%d-", offset))
 	x.header.Set("If-Range", etag)
-	a, pick, reason := x.attempt()
-	if a == nil || reason != attempt.ReasonNone {
+	if x.launch() != attempt.ReasonNone {
 		return nil, nil
 	}
+	r := x.await()
+	if r == nil {
+		return nil, nil
+	}
+	x.abandon(r)
+	a, release := r.answer, r.try.pick.Release
 	want := fmt.Sprintf("bytes %d-%d/%d", offset, total-1, total)
 	same := a.Status() == http.StatusPartialContent &&
 		a.Header().Get("Content-Range") == want &&
 		a.Header().Get("Etag") == etag
 	if !same {
 		a.Close()
-		pick.Release()
+		release()
 		return nil, nil
 	}
-	return a, pick.Release
+	return a, release
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -40,6 +40,7 @@
 	HoldBody        int64
 	Deadline        time.Duration
 	Stall           time.Duration
+	Outgoing        netip.Addr
 	WorkspaceHeader string
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *fleetconfig.Config
@@ -88,7 +89,7 @@
 	s := &Server{
 		cfg:      cfg,
 		listener: lis,
-		client:   forward.NewClient(cfg.HoldBody, cfg.Stall),
+		client:   forward.NewClient(cfg.HoldBody, cfg.Stall, cfg.Outgoing),
 		limiter:  admission.NewLimiter(),
 		log:      cfg.Log,
 		tasks:    make(chan *task.Task, maxTrials),
@@ -206,6 +207,8 @@
 		body:   b,
 		life:   attempt.NewLife(in.route.Repeatable(), in.deadline),
 		header: towardsTarget(r),
+
+		results: make(chan result, maxTries),
 	}
 	a, release, fail := x.answer()
 	if fail != nil {
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -51,7 +51,7 @@
 func (x *relay) tryOut(ctx context.Context, r *forward.Request) error {
 	flight := x.begin(r.Target)
 	a, err := x.server.client.Do(ctx, r)
-	flight.End(time.Now(), x.end(a, err))
+	flight.End(time.Now(), endOf(a, err))
 	if err != nil {
 		return err
 	}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -51,12 +52,19 @@
 
 // NewClient returns a client that holds answers up to hold bytes whole before
 // it gives them out; 0 streams all answers. The body of an answer that stops for
-// stall counts as broken.
-func NewClient(hold int64, stall time.Duration) *Client {
+// stall counts as broken. Connections come from the IP number outgoing, or from
+// any if it is the zero value.
+func NewClient(hold int64, stall time.Duration, outgoing netip.Addr) *Client {
+	dialer := &net.Dialer{
+		Timeout: connectTimeout,
+	}
+	if outgoing.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{
+			IP: outgoing.AsSlice(),
+		}
+	}
 	c := &Client{
-		dial: (&net.Dialer{
-			Timeout: connectTimeout,
-		}).DialContext,
+		dial:  dialer.DialContext,
 		hold:  hold,
 		stall: stall,
 	}
--- /dev/null
+++ b/internal/integration/outlier_test.go
@@ -0,0 +1,217 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/operator"
+	"ploverjunction.example/ploverjunction/internal/standin/faultproxy"
+	"ploverjunction.example/ploverjunction/internal/standin/target"
+)
+
+// load sends repeatable requests through nodes until stop is called. It counts
+// failures.
+type load struct {
+	mu     sync.Mutex
+	sent   int
+	failed int
+	done   chan struct{}
+	all    sync.WaitGroup
+}
+
+func startLoad(nodes []*node, workers int, gap time.Duration) *load {
+	l := &load{
+		done: make(chan struct{}),
+	}
+	for w := range workers {
+		l.all.Go(func() { l.work(nodes[w%len(nodes)], w, gap) })
+	}
+	return l
+}
+
+func (l *load) work(n *node, w int, gap time.Duration) {
+	client := newCaller()
+	defer client.CloseIdleConnections()
+	next := time.NewTicker(gap)
+	defer next.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-l.done:
+			return
+		case <-next.C:
+		}
+		key := fmt.Sprintf("load-%d-%d", w, i)
+		r := send(client, http.MethodGet, "http://"+n.entry+"/quotes/1", key, "")
+		l.mu.Lock()
+		l.sent++
+		if r.err != nil || r.status != http.StatusOK {
+			l.failed++
+		}
+		l.mu.Unlock()
+	}
+}
+
+func (l *load) stop() (sent, failed int) {
+	close(l.done)
+	l.all.Wait()
+	return l.sent, l.failed
+}
+
+// phase returns the state of a target on a node.
+func (n *node) phase(b *backend) operator.TargetStatus {
+	if s := n.status(); s != nil {
+		for _, svc := range s.Services {
+			for _, t := range svc.Targets {
+				if t.Address == b.proxy.Addr() {
+					return t
+				}
+			}
+		}
+	}
+	return operator.TargetStatus{}
+}
+
+// pool makes a site with six targets and nodes in two data halls.
+func pool(t *testing.T, nodes int, policy string) *site {
+	s := newSite(t)
+	for range 6 {
+		s.target("quotes", "a", 30).SetMode(target.Mode{Latency: 5 * time.Millisecond})
+	}
+	s.publishTargets(map[string]string{"quotes": policy})
+	s.standardRoutes("quotes")
+	for i := range nodes {
+		s.node(string(rune('a' + i%2)))
+	}
+	s.listNodes()
+	s.allReady()
+	return s
+}
+
+func TestStalledTargetLosesWorkEverywhereAndReturns(t *testing.T) {
+	s := pool(t, 6, "")
+	bad := s.targets[2]
+	// Only four of the six nodes have callers: the others learn by verdict.
+	l := startLoad(s.nodes[:4], 16, 10*time.Millisecond)
+	eventually(t, "work on the target", func() bool { return len(bad.Runs()) > 50 })
+	begun := time.Now()
+	bad.SetMode(target.Mode{Stall: true})
+	for _, n := range s.nodes {
+		eventually(t, "ejection on "+n.hall, func() bool {
+			p := n.phase(bad).Phase
+			return p == "ejected" || p == "trial"
+		})
+	}
+	t.Logf("out of service on all nodes after %v", time.Since(begun))
+	if took := time.Since(begun); took > 5*time.Second {
+		t.Errorf("out of service after %v", took)
+	}
+	for _, b := range s.targets {
+		if b == bad {
+			continue
+		}
+		for _, n := range s.nodes {
+			if p := n.phase(b).Phase; p != "healthy" {
+				t.Errorf("healthy target is %s", p)
+			}
+		}
+	}
+	bad.SetMode(target.Mode{Latency: 5 * time.Millisecond})
+	eventually(t, "the target healthy again on the nodes with callers", func() bool {
+		for _, n := range s.nodes[:4] {
+			if n.phase(bad).Phase != "healthy" {
+				return false
+			}
+		}
+		return true
+	})
+	sent, failed := l.stop()
+	t.Logf("%d sent, %d failed", sent, failed)
+	if failed > 0 {
+		t.Errorf("%d of %d repeatable requests failed", failed, sent)
+	}
+}
+
+func TestFloorHoldsWhenMostTargetsFail(t *testing.T) {
+	s := pool(t, 2, `,"policy":{"floor":"0.5 * capacity"}`)
+	l := startLoad(s.nodes, 8, 10*time.Millisecond)
+	defer l.stop()
+	// The targets fail one after another, so that each stands out from its pool.
+	// Without the floor four of six would go.
+	for _, b := range s.targets[:4] {
+		b.SetMode(target.Mode{ErrorShare: 1})
+		for _, n := range s.nodes {
+			eventually(t, "the target judged sick", func() bool {
+				s.checkFloor(n)
+				return n.phase(b).Phase == "ejected"
+			})
+		}
+	}
+	for _, n := range s.nodes {
+		eventually(t, "a sick target kept by the floor", func() bool {
+			return s.checkFloor(n) > 0
+		})
+	}
+}
+
+// checkFloor fails the test if fewer slots serve than the floor says. It returns
+// how many sick targets the floor keeps.
+func (s *site) checkFloor(n *node) int {
+	s.t.Helper()
+	st := n.status()
+	if st == nil {
+		return 0
+	}
+	svc := st.Services[0]
+	if svc.Serving < svc.Floor {
+		s.t.Fatalf("%v slots serve, the floor is %v", svc.Serving, svc.Floor)
+	}
+	return svc.Kept
+}
+
+// A cut between one node, or one data hall, and one target is a matter of that
+// node or data hall: the others keep the target.
+func TestCutOfOnePartEjectsNothingElsewhere(t *testing.T) {
+	cases := []struct {
+		name string
+		// cut are the nodes that can't be heard by the target, or don't hear it.
+		cut      []int
+		forward  faultproxy.Fault
+		backward faultproxy.Fault
+	}{
+		{"one node is not heard", []int{0}, faultproxy.Fault{Cut: true}, faultproxy.Fault{}},
+		{"one node does not hear", []int{0}, faultproxy.Fault{}, faultproxy.Fault{Cut: true}},
+		{"one data hall is not heard", []int{0, 2, 4}, faultproxy.Fault{Cut: true}, faultproxy.Fault{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := pool(t, 6, "")
+			bad := s.targets[1]
+			l := startLoad(s.nodes, 24, 10*time.Millisecond)
+			eventually(t, "work on the target", func() bool { return len(bad.Runs()) > 200 })
+			for _, i := range c.cut {
+				bad.proxy.From(s.nodes[i].outgoing, c.forward, c.backward)
+			}
+			for _, i := range c.cut {
+				eventually(t, "the cut nodes avoid the target", func() bool { return s.nodes[i].phase(bad).Phase != "healthy" })
+			}
+			ran := len(bad.Runs())
+			eventually(t, "more work on the target", func() bool { return len(bad.Runs()) > ran+1000 })
+			for i, n := range s.nodes {
+				if p := n.phase(bad).Phase; !slices.Contains(c.cut, i) && p != "healthy" {
+					t.Errorf("node %d, which hears the target, has it as %s", i, p)
+				}
+			}
+			sent, failed := l.stop()
+			t.Logf("%d sent, %d failed", sent, failed)
+			if failed > 0 {
+				t.Errorf("%d of %d repeatable requests failed", failed, sent)
+			}
+		})
+	}
+}
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -169,11 +169,10 @@
 		s.judge.Evidence(now, e.Counts)
 		beats[e.Service] = append(beats[e.Service], e.Counts)
 	}
-	for name, counts := range beats {
-		s := j.services[name]
-		s.detector.Update(now, counts)
-		for _, c := range counts {
-			j.judge(now, s, c.Target)
+	for name, s := range j.services {
+		s.detector.Update(now, beats[name])
+		for _, t := range s.config.Targets() {
+			j.judge(now, s, t.Address())
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,6 +176,7 @@
 		HoldBody:        n.set.HoldBody(),
 		Deadline:        n.set.Deadline(),
 		Stall:           n.set.Stall(),
+		Outgoing:        n.set.Outgoing(),
 		WorkspaceHeader: n.set.WorkspaceHeader(),
 		Config:          n.board.currentConfig,
 		Pool:            n.board.pool,
--- a/internal/node/observing.go
+++ b/internal/node/observing.go
@@ -215,7 +215,7 @@
 func (s *observed) take(now time.Time, in *wire.ReportBatch, c outlier.Counts) {
 	from := in.GetFrom()
 	if in.GetSummary() {
-		s.observer.Summary(now, from.GetAddress(), from.GetDataHall(), c)
+		s.observer.Summary(now, from.GetDataHall(), c)
 		return
 	}
 	s.observer.Report(now, from.GetAddress(), from.GetDataHall(), c)
--- a/internal/outlier/collector.go
+++ b/internal/outlier/collector.go
@@ -22,6 +22,11 @@
 	// pauseFactor is how many beats late a drain shows that the process stood
 	// still.
 	pauseFactor = 4
+	// countAge is how often an attempt in flight may count as bad, ageStep the
+	// time from the first to the second count. One attempt alone, which may just
+	// be a long one, thus never ejects a target.
+	countAge = 2
+	ageStep  = 500 * time.Millisecond
 )
 
 // usual estimates the median latency of one class of requests by stochastic
@@ -58,8 +63,8 @@
 	cell      *cell
 	usual     *usual
 	begun     time.Time
-	// counted is set once the flight was counted as bad for its age.
-	counted bool
+	// counted is how often the flight was counted as bad for its age.
+	counted int
 	// dropped is set when the process stood still: its age proves nothing.
 	dropped bool
 }
@@ -142,8 +147,8 @@
 type End struct {
 	// Failed speaks against the target.
 	Failed bool
-	// Ignored says nothing about the target: it shed the request, or the caller
-	// left.
+	// Ignored is an end that says nothing about the target: it shed the request,
+	// or the caller left. What took too long until then counts all the same.
 	Ignored bool
 	// Leaving is set when the target said that it leaves.
 	Leaving bool
@@ -156,23 +161,30 @@
 	defer c.mu.Unlock()
 	delete(f.cell.flights, f)
 	f.cell.counts.Leaving = f.cell.counts.Leaving || e.Leaving
-	if f.dropped || e.Ignored {
+	if f.dropped {
 		return
 	}
 	took := now.Sub(f.begun)
 	slow := took > f.usual.slow()
-	if !e.Failed {
+	if !e.Failed && !e.Ignored {
 		f.usual.add(took)
 	}
 	switch {
-	case f.counted:
-	case e.Failed || slow:
+	case f.counted > 0:
+	case slow || e.Failed && !e.Ignored:
 		f.cell.counts.Bad++
-	default:
+	case !e.Ignored:
 		f.cell.counts.Good++
 	}
 }
 
+// Slow returns the time after which a request of a class counts as slow.
+func (c *Collector) Slow(service, class string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usualOf(service, class).slow()
+}
+
 // Evidence is what a drain gives of one target.
 type Evidence struct {
 	Service string
@@ -212,8 +224,11 @@
 
 func (v *cell) age(now time.Time) {
 	for f := range v.flights {
-		if !f.counted && !f.dropped && now.Sub(f.begun) > f.usual.slow() {
-			f.counted = true
+		if f.dropped || f.counted >= countAge {
+			continue
+		}
+		if now.Sub(f.begun) > f.usual.slow()+time.Duration(f.counted)*ageStep {
+			f.counted++
 			v.counts.Bad++
 			v.counts.Stalled++
 		}
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -47,6 +47,9 @@
 	good    float64
 	bad     float64
 	stalled float64
+	// carry is evidence beyond what one beat may add. It counts in later beats
+	// unless the target does good work.
+	carry float64
 }
 
 // Detector scores the targets of one service. It isn't safe for concurrent use.
@@ -71,9 +74,16 @@
 // Update takes the counts of one beat.
 func (d *Detector) Update(now time.Time, beat []Counts) {
 	d.forget(now)
+	silent := d.carrying()
 	for i := range beat {
+		delete(silent, beat[i].Target)
 		d.add(&beat[i])
 	}
+	for target := range silent {
+		d.add(&Counts{
+			Target: target,
+		})
+	}
 	for i := range beat {
 		d.pool(&beat[i])
 	}
@@ -94,6 +104,17 @@
 	d.at = now
 }
 
+// carrying returns the targets with evidence left for later beats.
+func (d *Detector) carrying() map[string]bool {
+	out := map[string]bool{}
+	for name, t := range d.tracks {
+		if t.carry > 0 {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 func (d *Detector) add(c *Counts) {
 	t := d.track(c.Target)
 	healthy := d.othersShare(t)
@@ -103,7 +124,13 @@
 	}
 	sick := min(max(leastSick, sickFactor*healthy), mostSick)
 	gain := c.Bad*math.Log(sick/healthy) + c.Good*math.Log((1-sick)/(1-healthy))
-	gain = min(gain, beatShare*d.threshold)
+	if c.Good > 0 {
+		t.carry = 0
+	}
+	gain += t.carry
+	most := beatShare * d.threshold
+	t.carry = min(max(gain-most, 0), d.threshold)
+	gain = min(gain, most)
 	t.score = min(max(t.score+gain, 0), ceiling*d.threshold)
 }
 
@@ -155,11 +182,16 @@
 	}
 }
 
-// Reset forgets the score of a target, as after an ejection.
+// Reset forgets a target, as after an ejection: what it did no longer says what
+// is usual in its pool.
 func (d *Detector) Reset(target string) {
-	if t := d.tracks[target]; t != nil {
-		t.score = 0
+	t := d.tracks[target]
+	if t == nil {
+		return
 	}
+	d.good = max(d.good-t.good, 0)
+	d.bad = max(d.bad-t.bad, 0)
+	delete(d.tracks, target)
 }
 
 // Keep drops all targets that are not in the set.
--- /dev/null
+++ b/internal/outlier/merge.go
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package outlier
+
+import (
+	"math"
+	"time"
+)
+
+// mergeMemory is the time constant with which a source's bad requests fade.
+const mergeMemory = 20 * time.Second
+
+// merge adds up the counts of several sources. For each target it leaves out the
+// source that has seen the most bad requests lately: what only one source sees,
+// such as a cut of its own link, is a matter of that source, and a source that
+// lies alone achieves nothing.
+type merge struct {
+	targets map[string]*merged
+	at      time.Time
+}
+
+// merged holds the counts of one target by source.
+type merged struct {
+	beat map[string]Counts
+	bad  map[string]float64
+}
+
+func newMerge() *merge {
+	return &merge{
+		targets: map[string]*merged{},
+	}
+}
+
+// add takes the counts of one source.
+func (m *merge) add(source string, c Counts) {
+	t := m.targets[c.Target]
+	if t == nil {
+		t = &merged{
+			beat: map[string]Counts{},
+			bad:  map[string]float64{},
+		}
+		m.targets[c.Target] = t
+	}
+	sum := t.beat[source]
+	sum.Target = c.Target
+	sum.Good += c.Good
+	sum.Bad += c.Bad
+	sum.Stalled += c.Stalled
+	t.beat[source] = sum
+	t.bad[source] += c.Bad
+}
+
+// take returns the sums since the last call.
+func (m *merge) take(now time.Time) []Counts {
+	keep := 1.0
+	if !m.at.IsZero() {
+		keep = math.Exp(-now.Sub(m.at).Seconds() / mergeMemory.Seconds())
+	}
+	m.at = now
+	var out []Counts
+	for _, t := range m.targets {
+		if c := t.sum(); c.Good+c.Bad > 0 {
+			out = append(out, c)
+		}
+		clear(t.beat)
+		t.fade(keep)
+	}
+	return out
+}
+
+// sum adds up all sources but the worst.
+func (t *merged) sum() Counts {
+	worst := t.worst()
+	var out Counts
+	for source, c := range t.beat {
+		out.Target = c.Target
+		if source == worst {
+			continue
+		}
+		out.Good += c.Good
+		out.Bad += c.Bad
+		out.Stalled += c.Stalled
+	}
+	return out
+}
+
+// worst returns the source with the most bad requests, or "" if there are none.
+func (t *merged) worst() string {
+	name, most := "", 0.0
+	for source, bad := range t.bad {
+		if bad > most || bad == most && bad > 0 && source < name {
+			name, most = source, bad
+		}
+	}
+	return name
+}
+
+// faded is the number of bad requests below which a source is forgotten.
+const faded = 0.05
+
+func (t *merged) fade(keep float64) {
+	for source := range t.bad {
+		t.bad[source] *= keep
+		if t.bad[source] < faded {
+			delete(t.bad, source)
+		}
+	}
+}
+
+// keep drops all targets that are not in the set.
+func (m *merge) keep(targets map[string]bool) {
+	for name := range m.targets {
+		if !targets[name] {
+			delete(m.targets, name)
+		}
+	}
+}
--- a/internal/outlier/observer.go
+++ b/internal/outlier/observer.go
@@ -33,8 +33,8 @@
 	service   Service
 	own       *Detector
 	all       *Detector
-	ownBeat   map[string]*Counts
-	allBeat   map[string]*Counts
+	ownBeat   *merge
+	allBeat   *merge
 	summary   map[string]*Counts
 	leaving   map[string]time.Time
 	told      map[string]time.Time
@@ -55,8 +55,8 @@
 		service:   s,
 		own:       NewDetector(s.Threshold),
 		all:       NewDetector(s.Threshold),
-		ownBeat:   map[string]*Counts{},
-		allBeat:   map[string]*Counts{},
+		ownBeat:   newMerge(),
+		allBeat:   newMerge(),
 		summary:   map[string]*Counts{},
 		leaving:   map[string]time.Time{},
 		told:      map[string]time.Time{},
@@ -75,6 +75,8 @@
 	for _, t := range s.Targets {
 		known[t] = true
 	}
+	o.ownBeat.keep(known)
+	o.allBeat.keep(known)
 	o.own.Keep(known)
 	o.all.Keep(known)
 	for t := range o.holds {
@@ -91,18 +93,22 @@
 
 // Report takes the evidence of a node of the own data hall.
 func (o *Observer) Report(now time.Time, node, dataHall string, c Counts) {
-	add(o.ownBeat, c)
+	o.ownBeat.add(node, c)
 	add(o.summary, c)
-	o.Summary(now, node, dataHall, c)
+	o.take(now, node, dataHall, c)
 }
 
-// Summary takes the evidence of another data hall.
-func (o *Observer) Summary(now time.Time, node, dataHall string, c Counts) {
-	add(o.allBeat, c)
+// Summary takes the evidence of another data hall, which counts as one source.
+func (o *Observer) Summary(now time.Time, dataHall string, c Counts) {
+	o.take(now, "data hall "+dataHall, dataHall, c)
+}
+
+func (o *Observer) take(now time.Time, source, dataHall string, c Counts) {
+	o.allBeat.add(source, c)
 	if c.Leaving {
 		o.leave(now, c.Target)
 	}
-	o.reporters[node] = now
+	o.reporters[source] = now
 	o.halls[dataHall] = now
 }
 
@@ -156,8 +162,8 @@
 
 // Advance judges the evidence since the last call and returns the new verdicts.
 func (o *Observer) Advance(now time.Time) []Verdict {
-	o.own.Update(now, take(o.ownBeat))
-	o.all.Update(now, take(o.allBeat))
+	o.own.Update(now, o.ownBeat.take(now))
+	o.all.Update(now, o.allBeat.take(now))
 	var out []Verdict
 	for _, t := range o.service.Targets {
 		if v, ok := o.judge(now, t); ok {
--- /dev/null
+++ b/internal/outlier/outlier_test.go
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package outlier_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/policy"
+)
+
+const threshold = 7
+
+var start = time.Unix(1_000_000, 0)
+
+// feed gives a detector the same counts for some beats of a second and returns
+// after how many of them the first target's score reached the threshold, or 0.
+func feed(d *outlier.Detector, beats int, first, others outlier.Counts) int {
+	for i := range beats {
+		counts := []outlier.Counts{first}
+		counts[0].Target = "first"
+		for j := range 5 {
+			c := others
+			c.Target = fmt.Sprint("other", j)
+			counts = append(counts, c)
+		}
+		d.Update(start.Add(time.Duration(i)*time.Second), counts)
+		if d.Read("first").Score >= threshold {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func TestDetector(t *testing.T) {
+	good := outlier.Counts{Good: 20}
+	cases := []struct {
+		name   string
+		first  outlier.Counts
+		others outlier.Counts
+		// least and most bound the beats until detection; 0 means never.
+		least, most int
+	}{
+		{"healthy", good, good, 0, 0},
+		{"as bad as the usual pool", outlier.Counts{Good: 98, Bad: 2}, outlier.Counts{Good: 98, Bad: 2}, 0, 0},
+		{"all bad", outlier.Counts{Bad: 20}, good, 2, 4},
+		{"a third bad", outlier.Counts{Good: 14, Bad: 6}, good, 2, 6},
+		{"one bad request", outlier.Counts{Bad: 0.01}, good, 0, 0},
+		{"no traffic", outlier.Counts{}, good, 0, 0},
+		{"Common cause", outlier.Counts{Bad: 20}, outlier.Counts{Good: 10, Bad: 10}, 0, 4},
+		{"the whole pool bad", outlier.Counts{Bad: 20}, outlier.Counts{Bad: 20}, 0, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			beats := feed(outlier.NewDetector(threshold), 20, c.first, c.others)
+			if beats < c.least || beats > c.most {
+				t.Fatalf("detected after %d beats, want %d to %d", beats, c.least, c.most)
+			}
+		})
+	}
+}
+
+// Once the pool is known to suffer, one more bad target says nothing.
+func TestCommonCauseStopsEjections(t *testing.T) {
+	d := outlier.NewDetector(threshold)
+	bad := outlier.Counts{Good: 10, Bad: 10}
+	feed(d, 3, bad, bad)
+	d.Reset("first")
+	if beats := feed(d, 20, bad, bad); beats != 0 {
+		t.Fatalf("ejected after %d beats though the whole pool suffers", beats)
+	}
+}
+
+func TestShortPauseOfATargetIsNotDetected(t *testing.T) {
+	d := outlier.NewDetector(threshold)
+	good := outlier.Counts{Good: 5}
+	feed(d, 10, good, good)
+	if n := feed(d, 1, outlier.Counts{Bad: 20}, good); n != 0 {
+		t.Fatal("one beat was enough")
+	}
+	if n := feed(d, 10, good, good); n != 0 {
+		t.Fatalf("detected %d beats after the pause ended", n)
+	}
+}
+
+func TestSilentStallIsDetected(t *testing.T) {
+	d := outlier.NewDetector(threshold)
+	good := outlier.Counts{Good: 5}
+	feed(d, 1, outlier.Counts{Bad: 4, Stalled: 4}, good)
+	// All callers wait for their answers: no request ends any more.
+	if n := feed(d, 10, outlier.Counts{}, good); n == 0 {
+		t.Fatal("evidence beyond the first beat is lost")
+	}
+}
+
+func TestCollector(t *testing.T) {
+	const beat = 250 * time.Millisecond
+	cases := []struct {
+		name string
+		// run gets a collector that knows requests of 10 ms.
+		run  func(c *outlier.Collector, now time.Time) time.Time
+		want outlier.Counts
+	}{
+		{"good", func(c *outlier.Collector, now time.Time) time.Time {
+			c.Begin(now, "s", "c", "t").End(now.Add(10*time.Millisecond), outlier.End{})
+			return now.Add(beat)
+		}, outlier.Counts{Good: 1}},
+		{"failed", func(c *outlier.Collector, now time.Time) time.Time {
+			c.Begin(now, "s", "c", "t").End(now, outlier.End{Failed: true})
+			return now.Add(beat)
+		}, outlier.Counts{Bad: 1}},
+		{"slow", func(c *outlier.Collector, now time.Time) time.Time {
+			c.Begin(now, "s", "c", "t").End(now.Add(100*time.Millisecond), outlier.End{})
+			return now.Add(beat)
+		}, outlier.Counts{Bad: 1}},
+		{"shed", func(c *outlier.Collector, now time.Time) time.Time {
+			c.Begin(now, "s", "c", "t").End(now, outlier.End{Failed: true, Ignored: true})
+			return now.Add(beat)
+		}, outlier.Counts{}},
+		{"cancelled when slow", func(c *outlier.Collector, now time.Time) time.Time {
+			c.Begin(now, "s", "c", "t").End(now.Add(time.Second), outlier.End{Ignored: true})
+			return now.Add(beat)
+		}, outlier.Counts{Bad: 1}},
+		{"still in flight", func(c *outlier.Collector, now time.Time) time.Time {
+			c.Begin(now, "s", "c", "t")
+			return now.Add(beat)
+		}, outlier.Counts{Bad: 1, Stalled: 1}},
+		{"across a pause of this process", func(c *outlier.Collector, now time.Time) time.Time {
+			c.Begin(now, "s", "c", "t")
+			return now.Add(time.Minute)
+		}, outlier.Counts{}},
+		{"leaving", func(c *outlier.Collector, now time.Time) time.Time {
+			c.Begin(now, "s", "c", "t").End(now, outlier.End{Leaving: true})
+			return now.Add(beat)
+		}, outlier.Counts{Good: 1, Leaving: true}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := outlier.NewCollector(beat)
+			for range 20 {
+				c.Begin(start, "s", "c", "u").End(start.Add(10*time.Millisecond), outlier.End{})
+			}
+			c.Drain(start)
+			var got outlier.Counts
+			for _, e := range c.Drain(tc.run(c, start)) {
+				got = e.Counts
+			}
+			got.Target = ""
+			if got != tc.want {
+				t.Fatalf("got %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
+
+// phases lets time pass in steps of a second and returns the phases of target t.
+func phases(j *outlier.Judge, from time.Time, seconds int, evidence outlier.Counts) []outlier.Phase {
+	var out []outlier.Phase
+	evidence.Target = "t"
+	for i := range seconds {
+		now := from.Add(time.Duration(i) * time.Second)
+		j.Evidence(now, evidence)
+		j.Advance(now)
+		if p := j.State(now, "t").Phase; len(out) == 0 || out[len(out)-1] != p {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func TestJudgeReinstatesStepByStep(t *testing.T) {
+	j := outlier.NewJudge()
+	j.SetTargets(start, []string{"t", "u"})
+	j.Sick(start, "t", threshold)
+	got := phases(j, start, 40, outlier.Counts{Good: 1})
+	want := []outlier.Phase{outlier.PhaseEjected, outlier.PhaseTrial, outlier.PhaseWarming, outlier.PhaseHealthy}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Fatalf("phases %v, want %v", got, want)
+	}
+}
+
+func TestRelapseHoldsLonger(t *testing.T) {
+	j := outlier.NewJudge()
+	j.SetTargets(start, []string{"t"})
+	now := start
+	var last time.Duration
+	for i := range 8 {
+		j.Sick(now, "t", threshold)
+		begun := now
+		for j.State(now, "t").Phase == outlier.PhaseEjected {
+			now = now.Add(100 * time.Millisecond)
+			j.Advance(now)
+		}
+		held := now.Sub(begun)
+		if held < last || held > outlier.MaxHold+time.Second {
+			t.Fatalf("relapse %d held for %v after %v", i, held, last)
+		}
+		last = held
+		// A bad trial request is a relapse.
+		j.Evidence(now, outlier.Counts{Target: "t", Bad: 1})
+		if p := j.State(now, "t").Phase; p != outlier.PhaseEjected {
+			t.Fatalf("after a bad trial: %v", p)
+		}
+	}
+	if last < outlier.MaxHold/2 {
+		t.Fatalf("the last hold was only %v", last)
+	}
+}
+
+func TestVerdictDiesWithItsLease(t *testing.T) {
+	j := outlier.NewJudge()
+	j.SetTargets(start, []string{"t"})
+	j.Verdict(start, "t", threshold, 3*time.Second)
+	j.Advance(start.Add(2 * time.Second))
+	if p := j.State(start.Add(2*time.Second), "t").Phase; p != outlier.PhaseEjected {
+		t.Fatalf("within the lease: %v", p)
+	}
+	j.Advance(start.Add(3 * time.Second))
+	if p := j.State(start.Add(3*time.Second), "t").Phase; p != outlier.PhaseTrial {
+		t.Fatalf("after the lease: %v", p)
+	}
+	// A lease of hours, as a lying observer might give, is cut.
+	j.Verdict(start, "t", threshold, 24*time.Hour)
+	j.Advance(start.Add(outlier.MaxHold))
+	if p := j.State(start.Add(outlier.MaxHold), "t").Phase; p == outlier.PhaseEjected {
+		t.Fatal("a long lease is believed")
+	}
+}
+
+func TestLeavingIsNotTakenBackByAnOldList(t *testing.T) {
+	j := outlier.NewJudge()
+	j.SetTargets(start, []string{"t"})
+	j.Leaving(start, "t")
+	j.SetTargets(start.Add(time.Second), []string{"t"})
+	if !j.State(start.Add(30*time.Second), "t").Leaving {
+		t.Fatal("no longer leaving while the list still lags")
+	}
+	if j.State(start.Add(2*outlier.LeavingTime), "t").Leaving {
+		t.Fatal("leaving for ever")
+	}
+}
+
+func observerOf(t *testing.T) *outlier.Observer {
+	t.Helper()
+	p, err := policy.Compile(policy.Text{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return outlier.NewObserver(outlier.Service{
+		Name:      "s",
+		Policy:    p,
+		Threshold: threshold,
+		Targets:   []string{"t", "u", "v"},
+	})
+}
+
+// report lets nodes report for some beats; bad nodes see target t as bad.
+func report(o *outlier.Observer, nodes, bad, beats int) []outlier.Verdict {
+	var out []outlier.Verdict
+	for i := range beats {
+		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
+		for n := range nodes {
+			for _, target := range []string{"t", "u", "v"} {
+				c := outlier.Counts{Target: target, Good: 2}
+				if target == "t" && n < bad {
+					c = outlier.Counts{Target: target, Bad: 2}
+				}
+				o.Report(now, fmt.Sprint("node", n), "a", c)
+			}
+		}
+		out = append(out, o.Advance(now)...)
+	}
+	return out
+}
+
+func TestObserver(t *testing.T) {
+	cases := []struct {
+		name string
+		bad  int
+		want int
+	}{
+		{"nobody", 0, 0},
+		{"one node alone", 1, 0},
+		{"all nodes", 10, 1},
+		{"most nodes", 7, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := report(observerOf(t), 10, c.bad, 8)
+			if len(got) != c.want {
+				t.Fatalf("%d verdicts, want %d: %+v", len(got), c.want, got)
+			}
+			if c.want > 0 && (got[0].Target != "t" || got[0].Lease != outlier.FirstHold) {
+				t.Fatalf("verdict %+v", got[0])
+			}
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 // Load and may be read concurrently.
 type Settings struct {
 	dataHall string
+	outgoing netip.Addr
 
 	entryListen     netip.AddrPort
 	maxBody         int64
@@ -71,6 +72,10 @@
 // DataHall returns the data hall of this process.
 func (s *Settings) DataHall() string { return s.dataHall }
 
+// Outgoing returns the IP number that connections to targets come from; the zero
+// value leaves the choice to the system.
+func (s *Settings) Outgoing() netip.Addr { return s.outgoing }
+
 // EntryListen returns the address on which callers are served.
 func (s *Settings) EntryListen() netip.AddrPort { return s.entryListen }
 
@@ -164,6 +169,7 @@
 func (s *Settings) fields() []field {
 	return []field{
 		required("node", "data_hall", text(&s.dataHall)),
+		optional("node", "outgoing", ip(&s.outgoing)),
 		required("entry", "listen", address(&s.entryListen)),
 		optional("entry", "max_body", size(&s.maxBody, minBody, maxBody)),
 		optional("entry", "max_header", size(&s.maxHeader, minHeader, maxHeader)),
@@ -351,6 +357,17 @@
 	}
 }
 
+func ip(dst *netip.Addr) func(string) string {
+	return func(v string) string {
+		a, err := netip.ParseAddr(v)
+		if err != nil {
+			return "want an IP number, got " + strconv.Quote(v)
+		}
+		*dst = a
+		return ""
+	}
+}
+
 func addresses(dst *[]netip.AddrPort) func(string) string {
 	return func(v string) string {
 		for part := range strings.SplitSeq(v, ",") {
