--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -236,7 +236,9 @@
 	go n.read(out, serving)
 	select {
 	case line := <-serving:
+		n.mu.Lock()
 		n.entry, n.ops = line.Entry, line.Operator
+		n.mu.Unlock()
 		n.front.SetUpstream(line.Peers)
 	case <-n.exited:
 		n.t.Fatalf("ploverd ended at start: %v\n%s", n.exitErr, n.logs())
@@ -338,6 +340,8 @@
 	outcome string
 	header  http.Header
 	body    []byte
+	// closes is set if the node closes the connection after the answer.
+	closes bool
 	// err is set if there was no answer or it broke off.
 	err  error
 	took time.Duration
@@ -384,6 +388,7 @@
 		status:  res.StatusCode,
 		outcome: res.Header.Get("Plover-Outcome"),
 		header:  res.Header,
+		closes:  res.Close,
 		body:    b,
 		err:     err,
 		took:    time.Since(begun),
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -18,8 +18,10 @@
 	// mostSick bounds the sick share, so that good requests stay finite evidence.
 	mostSick = 0.9
 	// commonCause is the share of the rest of the pool above which a cause
-	// outside the targets is likelier than one more sick target.
-	commonCause = 0.25
+	// outside the targets is likelier than one more sick target. It lies above a
+	// half: a data hall that is lost takes a third of a pool or more with it, and
+	// those targets must go.
+	commonCause = 0.6
 	// poolMemory is the time constant of the pool's share.
 	poolMemory = 20 * time.Second
 	// priorWeight is how many requests the expectation leastHealthy stands for.
