internal/capacity: measure the cost of control on real processes

The process runner moved from the tests to internal/standin/process, for both use it. Cause of a flaky check in the storm: it asked that chance bring each outcome; now one call of each is made at its end.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GENGO    = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 GENDRPC  = storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
 
-.PHONY: run test check generate build
+.PHONY: run test check generate build capacity
 
 run:
 	./examples/quickstart/run
@@ -28,3 +28,7 @@
 	GOBIN=$(CURDIR)/.bin go install $(GENGO)
 	GOBIN=$(CURDIR)/.bin go install $(GENDRPC)
 	PATH=$(CURDIR)/.bin:$$PATH go generate ./internal/wire
+
+# Measures the cost of control and writes docs/CAPACITY.md; about 20 minutes.
+capacity:
+	go run ./internal/capacity
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -208,6 +208,17 @@
 // Len returns the number of targets that this node uses.
 func (p *Pool) Len() int { return len(p.choices) }
 
+// Limit returns how many requests this node may have in flight at a target, which
+// is also how many connections it may hold; 0 for a target that it doesn't use.
+func (p *Pool) Limit(address string) int {
+	for i := range p.choices {
+		if p.choices[i].address == address {
+			return int(p.choices[i].limit)
+		}
+	}
+	return 0
+}
+
 // Addresses returns the targets that this node uses.
 func (p *Pool) Addresses() []string {
 	out := make([]string, len(p.choices))
--- /dev/null
+++ b/internal/capacity/latency.go
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/balance"
+)
+
+// latencyRates are the requests a second at which added latency is measured.
+var latencyRates = []float64{210, 1000, 3000}
+
+// latencyTime is how long each rate lasts.
+const latencyTime = 5 * time.Second
+
+// latencyRow is one rate, in microseconds.
+type latencyRow struct {
+	Rate                       float64
+	DirectP50, DirectP99       int64
+	ThroughP50, ThroughP99     int64
+	AddedP50, AddedP99, Failed int64
+}
+
+// latencyResult holds the rows of a measurement.
+type latencyResult struct {
+	Rows []latencyRow
+}
+
+// measureLatency sends requests at steady rates to a target directly and through
+// one node, in turn.
+func measureLatency(b *bench) (*latencyResult, error) {
+	p := small()
+	p.nodes = 1
+	f, err := b.startFleet(p)
+	if f == nil {
+		return nil, err
+	}
+	defer func() { _ = f.stop() }()
+	if err != nil {
+		return nil, err
+	}
+	direct := f.target.URL + "/s0/r0/x"
+	through := "http://" + f.procs[0].Entry() + "/s0/r0/x"
+	out := &latencyResult{}
+	for _, rate := range latencyRates {
+		d, df := paced(direct, rate)
+		t, tf := paced(through, rate)
+		row := latencyRow{
+			Rate:       rate,
+			DirectP50:  quantile(d, 50),
+			DirectP99:  quantile(d, 99),
+			ThroughP50: quantile(t, 50),
+			ThroughP99: quantile(t, 99),
+			Failed:     df + tf,
+		}
+		row.AddedP50 = row.ThroughP50 - row.DirectP50
+		row.AddedP99 = row.ThroughP99 - row.DirectP99
+		fmt.Printf("latency %+v\n", row)
+		out.Rows = append(out.Rows, row)
+	}
+	return out, nil
+}
+
+// paced sends requests at a rate, each at its own time whether or not earlier
+// ones have ended, and returns their latencies.
+func paced(url string, rate float64) (took []time.Duration, failed int64) {
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 512,
+		},
+		Timeout: 5 * time.Second,
+	}
+	defer client.CloseIdleConnections()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	count := int(rate * latencyTime.Seconds())
+	begun := time.Now()
+	for i := range count {
+		due := begun.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+		time.Sleep(time.Until(due))
+		all.Go(func() {
+			sent := time.Now()
+			res, err := client.Get(url)
+			if err == nil {
+				_ = res.Body.Close()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || res.StatusCode != http.StatusOK {
+				failed++
+				return
+			}
+			took = append(took, time.Since(sent))
+		})
+	}
+	all.Wait()
+	slices.Sort(took)
+	return took, failed
+}
+
+func quantile(sorted []time.Duration, percent int) int64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[(len(sorted)-1)*percent/100].Microseconds()
+}
+
+// connections works out the subset of a node at the target size with the
+// balancer itself.
+func (p *page) connections() {
+	var members []balance.Member
+	const perService = goalTargets / goalServices
+	for i := range perService {
+		members = append(members, balance.Member{
+			Address:     fmt.Sprintf("192.0.2.%d:80", i),
+			Slots:       3,
+			Connections: 200,
+			Gauge:       &balance.Gauge{},
+		})
+	}
+	uses := map[string]int{}
+	for n := range goalNodes {
+		pool := balance.NewPool(members, 0, fmt.Sprintf("node-%d", n), goalNodes)
+		p.Subset = pool.Len()
+		for _, a := range pool.Addresses() {
+			uses[a] += pool.Limit(a)
+		}
+	}
+	for _, n := range uses {
+		p.PerTarget = max(p.PerTarget, n)
+	}
+}
--- /dev/null
+++ b/internal/capacity/main.go
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command capacity measures what the control of a node costs, with real ploverd
+// processes on this machine, and writes docs/CAPACITY.md from the slopes. It is
+// test scaffolding and not part of the product.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+type arguments struct {
+	Raw    string        `default:"docs/capacity" help:"Folder of the raw figures and the plots."`
+	Page   string        `default:"docs/CAPACITY.md" help:"Page to write."`
+	Runs   int           `default:"3" help:"Repeated runs of each point."`
+	Window time.Duration `default:"4s" help:"Time over which one point is measured."`
+	Only   string        `help:"Measure just this series and write no page."`
+}
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Name("capacity"), kong.Description("Measure the cost of control and write the capacity page."))
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(args arguments) error {
+	if err := os.MkdirAll(args.Raw, 0o755); err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	bench, err := newBench(args.Window)
+	if err != nil {
+		return err
+	}
+	defer bench.close()
+	results := map[string]*result{}
+	for _, s := range allSeries() {
+		if args.Only != "" && args.Only != s.name {
+			continue
+		}
+		r, err := measure(bench, s, args.Runs)
+		if err != nil {
+			return fmt.Errorf("capacity: series %s: %w", s.name, err)
+		}
+		results[s.name] = r
+		if err := r.writeCSV(filepath.Join(args.Raw, s.name+".csv")); err != nil {
+			return err
+		}
+		if err := r.plot(args.Raw); err != nil {
+			return err
+		}
+	}
+	if args.Only != "" {
+		return nil
+	}
+	lat, err := measureLatency(bench)
+	if err != nil {
+		return err
+	}
+	return writePage(args, results, lat)
+}
--- /dev/null
+++ b/internal/capacity/page.go
@@ -0,0 +1,192 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	_ "embed"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"text/template"
+)
+
+//go:embed page.tmpl
+var pageText string
+
+// Limits of a node at the target size.
+const (
+	limitCPU    = 4.4  // % of a core
+	limitMemory = 128  // MB
+	limitBytes  = 6000 // bytes a second, sent and received together
+)
+
+// slopeRow is one line of the table of slopes.
+type slopeRow struct {
+	Series, Quantity, Unit, Plot string
+	Base, Slope                  string
+	Residual, Spread             string
+	From, To, Goal               string
+	AtGoal                       string
+	// Far is set where the goal lies beyond ten times the measured range.
+	Far bool
+}
+
+// sumRow is one line of the sum of a node at the target size.
+type sumRow struct {
+	What, From       string
+	Bytes, CPU, MBs  float64
+	BytesT, CPUT, MT string
+}
+
+// page is what the template shows.
+type page struct {
+	Machine   string
+	Runs      int
+	Window    string
+	Slopes    []slopeRow
+	Sum       []sumRow
+	Total     sumRow
+	Verdicts  []string
+	Platform  string
+	Latency   *latencyResult
+	Subset    int
+	PerTarget int
+}
+
+func writePage(args arguments, results map[string]*result, lat *latencyResult) error {
+	p := page{
+		Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), totalMemory()),
+		Runs:    args.Runs,
+		Window:  args.Window.String(),
+		Latency: lat,
+	}
+	for _, s := range allSeries() {
+		p.Slopes = append(p.Slopes, slopeRows(results[s.name], args.Raw)...)
+	}
+	p.sum(results)
+	p.connections()
+	t, err := template.New("page").Parse(pageText)
+	if err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	f, err := os.Create(args.Page)
+	if err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	if err := t.Execute(f, p); err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	return f.Close()
+}
+
+func totalMemory() string {
+	b, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return "memory unknown"
+	}
+	return strings.Join(strings.Fields(strings.SplitN(string(b), "\n", 2)[0])[1:], " ") + " of memory"
+}
+
+func slopeRows(r *result, raw string) []slopeRow {
+	var out []slopeRow
+	first, last := r.series.sizes[0], r.series.sizes[len(r.series.sizes)-1]
+	for _, q := range r.series.quantities {
+		f := r.fit(q)
+		out = append(out, slopeRow{
+			Series:   r.series.label,
+			Quantity: q.name,
+			Unit:     q.unit,
+			Plot:     filepath.Join(filepath.Base(raw), r.plotName(q)),
+			Base:     short(f.base),
+			Slope:    short(f.slope),
+			Residual: short(f.residual),
+			Spread:   fmt.Sprintf("%.0f%%", 100*f.spread),
+			From:     short(first),
+			To:       short(last),
+			Goal:     short(r.series.goal),
+			AtGoal:   short(f.at(r.series.goal)),
+			Far:      r.series.goal > 10*last,
+		})
+	}
+	return out
+}
+
+func short(v float64) string {
+	if v == math.Trunc(v) && math.Abs(v) < 1e6 {
+		return fmt.Sprintf("%.0f", v)
+	}
+	return fmt.Sprintf("%.3g", v)
+}
+
+// grow returns what a quantity grows by from nothing to the goal of a series; a
+// falling line counts as none.
+func grow(r *result, q quantity) float64 {
+	return max(r.fit(q).slope, 0) * r.series.goal
+}
+
+// sum adds the parts of a node's cost at the target size.
+func (p *page) sum(rs map[string]*result) {
+	nodes := rs["nodes"]
+	bytes := func(r *result) float64 { return grow(r, sentBytes) + grow(r, receivedBytes) }
+	p.Sum = []sumRow{
+		{
+			What: "a member alone", From: "base of the nodes series",
+			Bytes: nodes.fit(sentBytes).base + nodes.fit(receivedBytes).base,
+			CPU:   nodes.fit(cpuShare).base, MBs: nodes.fit(memorySize).base,
+		},
+		{What: "1,000 members", From: "nodes", Bytes: bytes(nodes), CPU: grow(nodes, cpuShare), MBs: grow(nodes, memorySize)},
+		{What: "290 services, 8,700 targets", From: "services", Bytes: bytes(rs["services"]), CPU: grow(rs["services"], cpuShare), MBs: grow(rs["services"], memorySize)},
+		{What: "7,100 routes", From: "routes", CPU: grow(rs["routes"], cpuShare), MBs: grow(rs["routes"], memorySize)},
+		{What: "48,000 workspaces", From: "workspaces", CPU: grow(rs["workspaces"], cpuShare), MBs: grow(rs["workspaces"], memorySize)},
+		{What: "5,800 changes a day of 10 kB", From: "changes; changes-full for the processor", Bytes: bytes(rs["changes"]), CPU: grow(rs["changes-full"], cpuShare)},
+		{What: "memory in use while values change", From: "changes-full, beyond its size 0", MBs: garbage(rs["changes-full"])},
+		{What: "evidence of 210 requests a second", From: "requests", Bytes: bytes(rs["requests"])},
+	}
+	p.Total = sumRow{
+		What: "sum",
+	}
+	for i := range p.Sum {
+		s := &p.Sum[i]
+		p.Total.Bytes += s.Bytes
+		p.Total.CPU += s.CPU
+		p.Total.MBs += s.MBs
+		s.text()
+	}
+	p.Total.text()
+	p.Platform = short(nodes.fit(platformCalls).at(goalNodes))
+	p.judge("bytes a second between nodes", p.Total.Bytes, limitBytes)
+	p.judge("processor, % of a core", p.Total.CPU, limitCPU)
+	p.judge("memory, MB", p.Total.MBs, limitMemory)
+}
+
+// garbage returns how much more memory a node takes while its configuration
+// changes than when it is quiet, in MB.
+func garbage(r *result) float64 {
+	mean := func(runs []sample) float64 {
+		total := 0.0
+		for _, s := range runs {
+			total += s.memory / float64(len(runs))
+		}
+		return total
+	}
+	most := 0.0
+	for _, runs := range r.samples[1:] {
+		most = max(most, mean(runs))
+	}
+	return max(most-mean(r.samples[0]), 0)
+}
+
+func (s *sumRow) text() {
+	s.BytesT, s.CPUT, s.MT = short(s.Bytes), short(s.CPU), short(s.MBs)
+}
+
+func (p *page) judge(what string, have, limit float64) {
+	if have <= limit {
+		p.Verdicts = append(p.Verdicts, fmt.Sprintf("%s: %s of %s: fits", what, short(have), short(limit)))
+		return
+	}
+	p.Verdicts = append(p.Verdicts, fmt.Sprintf("**%s: %s of %s: does not fit**", what, short(have), short(limit)))
+}
--- a/internal/integration/config_test.go
+++ b/internal/integration/config_test.go
@@ -88,7 +88,7 @@
 			if got := n.revision("routes"); got != good {
 				t.Fatalf("revision %d in force, want %d", got, good)
 			}
-			if !strings.Contains(n.logs(), "value refused") {
+			if !strings.Contains(n.proc.Load().Log(), "value refused") {
 				t.Fatal("no line in the log")
 			}
 		})
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -3,17 +3,13 @@
 package integration_test
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +17,7 @@
 	"ploverjunction.example/ploverjunction/internal/operator"
 	"ploverjunction.example/ploverjunction/internal/standin/faultproxy"
 	"ploverjunction.example/ploverjunction/internal/standin/platform"
+	"ploverjunction.example/ploverjunction/internal/standin/process"
 	"ploverjunction.example/ploverjunction/internal/standin/target"
 )
 
@@ -40,10 +37,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	daemon = filepath.Join(dir, "ploverd")
-	build := exec.Command("go", "build", "-o", daemon, "ploverjunction.example/ploverjunction/cmd/ploverd")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
+	if daemon, err = process.Build(dir); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
@@ -148,13 +142,9 @@
 	outgoing string
 	extra    string
 	seeds    []string
-	cmd      *exec.Cmd
-	entry    string
-	ops      string
-	mu       sync.Mutex
-	log      []string
-	exited   chan struct{}
-	exitErr  error
+	// proc is the running process, entry its address for callers.
+	proc  atomic.Pointer[process.Process]
+	entry string
 }
 
 // option changes a node before it starts.
@@ -219,73 +209,18 @@
 
 func (n *node) start() {
 	n.t.Helper()
-	file := filepath.Join(n.t.TempDir(), "ploverd.ini")
-	if err := os.WriteFile(file, []byte(n.settings()), 0o600); err != nil {
-		n.t.Fatal(err)
-	}
-	n.cmd = exec.Command(daemon, file)
-	out, err := n.cmd.StderrPipe()
+	p, err := process.Start(daemon, n.t.TempDir(), n.settings())
 	if err != nil {
 		n.t.Fatal(err)
 	}
-	if err := n.cmd.Start(); err != nil {
-		n.t.Fatal(err)
-	}
-	serving := make(chan servingLine, 1)
-	n.exited = make(chan struct{})
-	go n.read(out, serving)
-	select {
-	case line := <-serving:
-		n.mu.Lock()
-		n.entry, n.ops = line.Entry, line.Operator
-		n.mu.Unlock()
-		n.front.SetUpstream(line.Peers)
-	case <-n.exited:
-		n.t.Fatalf("ploverd ended at start: %v\n%s", n.exitErr, n.logs())
-	case <-time.After(patience):
-		n.t.Fatal("ploverd did not start")
-	}
-}
-
-type servingLine struct {
-	Msg      string `json:"msg"`
-	Entry    string `json:"entry"`
-	Operator string `json:"operator"`
-	Peers    string `json:"peers"`
-}
-
-// read follows the log and then the end of the process.
-func (n *node) read(out io.Reader, serving chan<- servingLine) {
-	lines := bufio.NewScanner(out)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
-		n.mu.Lock()
-		n.log = append(n.log, lines.Text())
-		n.mu.Unlock()
-		var line servingLine
-		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
-			serving <- line
-		}
-	}
-	n.exitErr = n.cmd.Wait()
-	close(n.exited)
+	n.proc.Store(p)
+	n.entry = p.Entry()
+	n.front.SetUpstream(p.Peers())
 }
 
-func (n *node) logs() string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return strings.Join(n.log, "\n")
-}
-
-func (n *node) signal(s syscall.Signal) {
-	_ = n.cmd.Process.Signal(s)
-}
+func (n *node) signal(s syscall.Signal) { n.proc.Load().Signal(s) }
 
-func (n *node) kill() {
-	n.signal(syscall.SIGCONT)
-	n.signal(syscall.SIGKILL)
-	<-n.exited
-}
+func (n *node) kill() { n.proc.Load().Kill() }
 
 // restart replaces the process; it keeps its address for peers.
 func (n *node) restart() {
@@ -295,23 +230,9 @@
 	n.start()
 }
 
-func (n *node) status() *operator.Status {
-	res, err := http.Get("http://" + n.ops + "/status")
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = res.Body.Close() }()
-	s := &operator.Status{}
-	if json.NewDecoder(res.Body).Decode(s) != nil {
-		return nil
-	}
-	return s
-}
+func (n *node) status() *operator.Status { return n.proc.Load().Status() }
 
-func (n *node) ready() bool {
-	s := n.status()
-	return s != nil && s.Ready
-}
+func (n *node) ready() bool { return n.proc.Load().Ready() }
 
 // eventually waits until cond holds.
 func eventually(t *testing.T, what string, cond func() bool) {
--- a/internal/integration/once_test.go
+++ b/internal/integration/once_test.go
@@ -208,6 +208,7 @@
 	all.Wait()
 	close(stop)
 	<-stormed
+	h.Calls = append(h.Calls, everyOutcome(s, nodes[1])...)
 	h.Runs = s.runs()
 	for _, v := range history.Check(h, 50*time.Millisecond) {
 		t.Error(v)
@@ -222,6 +223,21 @@
 	}
 }
 
+// everyOutcome makes one call of each outcome, so that the check has seen them
+// all whatever the storm brought.
+func everyOutcome(s *site, n *node) []history.Call {
+	var calls []history.Call
+	for i, m := range []target.Mode{{}, {Shed: true}, {Stall: true}} {
+		for _, b := range s.targets {
+			b.SetMode(m)
+			b.proxy.Forward(faultproxy.Fault{})
+			b.proxy.Backward(faultproxy.Fault{})
+		}
+		calls = append(calls, caller(n, fmt.Sprintf("calm-%d", i), 1)...)
+	}
+	return calls
+}
+
 // storm injects one fault after another until stop is closed; then all is well.
 func storm(s *site, frozen *node, stop <-chan struct{}) {
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -53,10 +53,7 @@
 
 func (b *balancer) look() {
 	for i, n := range b.nodes {
-		n.mu.Lock()
-		ops := n.ops
-		n.mu.Unlock()
-		res, err := http.Get("http://" + ops + "/readyz")
+		res, err := http.Get("http://" + n.proc.Load().Operator() + "/readyz")
 		b.ready[i].Store(err == nil && res.StatusCode == http.StatusOK)
 		if err == nil {
 			_ = res.Body.Close()
@@ -74,10 +71,7 @@
 	for range 2 * len(b.nodes) {
 		i := int(b.next.Add(1)) % len(b.nodes)
 		if b.ready[i].Load() {
-			n := b.nodes[i]
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			return n.entry
+			return b.nodes[i].proc.Load().Entry()
 		}
 	}
 	return ""
@@ -110,9 +104,16 @@
 		t.Fatalf("download: %d of %d bytes, err %v", len(d.body), size, d.err)
 	}
 	t.Logf("a download of %v was finished", d.took)
-	<-n.exited
-	if n.exitErr != nil {
-		t.Fatalf("exit: %v", n.exitErr)
+	n.exits()
+}
+
+// exits waits for the end of the process, which must be a good one.
+func (n *node) exits() {
+	n.t.Helper()
+	p := n.proc.Load()
+	<-p.Exited()
+	if err := p.ExitError(); err != nil {
+		n.t.Errorf("exit: %v", err)
 	}
 }
 
@@ -157,10 +158,7 @@
 	}
 	for _, n := range s.nodes {
 		n.signal(syscall.SIGTERM)
-		<-n.exited
-		if n.exitErr != nil {
-			t.Errorf("exit: %v", n.exitErr)
-		}
+		n.exits()
 		n.start()
 		eventually(t, "the new process ready", n.ready)
 		// The balancer must have seen it before the next one goes.
--- /dev/null
+++ b/internal/standin/process/process.go
@@ -0,0 +1,188 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package process runs ploverd as a process of its own, for tests and
+// measurements.
+package process
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/operator"
+)
+
+// startTime bounds how long a process takes until it serves.
+const startTime = 30 * time.Second
+
+// Error is a process that could not be run.
+type Error struct {
+	what  string
+	cause error
+	log   string
+}
+
+// Error names what failed and shows the log.
+func (e *Error) Error() string {
+	return fmt.Sprintf("process: %s: %v\n%s", e.what, e.cause, e.log)
+}
+
+// Unwrap returns the error beneath, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Build compiles ploverd into a folder and returns its path.
+func Build(dir string) (string, error) {
+	path := filepath.Join(dir, "ploverd")
+	build := exec.Command("go", "build", "-o", path, "ploverjunction.example/ploverjunction/cmd/ploverd")
+	out, err := build.CombinedOutput()
+	if err != nil {
+		return "", &Error{
+			what:  "build",
+			cause: err,
+			log:   string(out),
+		}
+	}
+	return path, nil
+}
+
+// Process is one running ploverd. It may be used concurrently.
+type Process struct {
+	cmd     *exec.Cmd
+	entry   string
+	ops     string
+	peers   string
+	exited  chan struct{}
+	exitErr error
+	mu      sync.Mutex
+	log     []string
+}
+
+// serving is the log line in which ploverd tells its addresses.
+type serving struct {
+	Msg      string `json:"msg"`
+	Entry    string `json:"entry"`
+	Operator string `json:"operator"`
+	Peers    string `json:"peers"`
+}
+
+// Start writes the settings into a folder and runs the daemon with them. The
+// settings must ask for a JSON log. It returns once all ports are open.
+func Start(daemon, dir, settings string) (*Process, error) {
+	file := filepath.Join(dir, "ploverd.ini")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return nil, fmt.Errorf("process: %w", err)
+	}
+	p := &Process{
+		cmd:    exec.Command(daemon, file),
+		exited: make(chan struct{}),
+	}
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		return nil, fmt.Errorf("process: %w", err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("process: %w", err)
+	}
+	told := make(chan serving, 1)
+	go p.read(out, told)
+	select {
+	case line := <-told:
+		p.entry, p.ops, p.peers = line.Entry, line.Operator, line.Peers
+		return p, nil
+	case <-p.exited:
+		return nil, &Error{
+			what:  "ended at its start",
+			cause: p.exitErr,
+			log:   p.Log(),
+		}
+	case <-time.After(startTime):
+		p.Kill()
+		return nil, &Error{
+			what: "did not serve in time",
+			log:  p.Log(),
+		}
+	}
+}
+
+// read follows the log and then the end of the process.
+func (p *Process) read(out io.Reader, told chan<- serving) {
+	lines := bufio.NewScanner(out)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		p.mu.Lock()
+		p.log = append(p.log, lines.Text())
+		p.mu.Unlock()
+		var line serving
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
+			told <- line
+		}
+	}
+	p.exitErr = p.cmd.Wait()
+	close(p.exited)
+}
+
+// Entry returns the address for callers.
+func (p *Process) Entry() string { return p.entry }
+
+// Operator returns the address for operators.
+func (p *Process) Operator() string { return p.ops }
+
+// Peers returns the address for other processes of the fleet.
+func (p *Process) Peers() string { return p.peers }
+
+// PID returns the number of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Exited returns a channel that is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// ExitError returns how the process ended; call it after Exited.
+func (p *Process) ExitError() error { return p.exitErr }
+
+// Log returns what the process has logged.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.log, "\n")
+}
+
+// Signal sends a signal; a process that has ended ignores it.
+func (p *Process) Signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// Status asks the process for its state; nil if it doesn't answer.
+func (p *Process) Status() *operator.Status {
+	res, err := http.Get("http://" + p.ops + "/status")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	s := &operator.Status{}
+	if json.NewDecoder(res.Body).Decode(s) != nil {
+		return nil
+	}
+	return s
+}
+
+// Ready tells whether the process is ready for callers.
+func (p *Process) Ready() bool {
+	s := p.Status()
+	return s != nil && s.Ready
+}
