internal/node: judge only what has evidence, send summaries when they matter

Cause 1: each beat of 250 ms went over every target of every service. Change: services without evidence are passed over. Cause 2: observers sent their sums to each other data hall at each beat of 0.5 s, though good requests can wait. Change: at once only when evidence mounts up or a target leaves. Detection tests unchanged.

--- a/internal/capacity/bench.go
+++ b/internal/capacity/bench.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -86,7 +87,15 @@
 	t.SetMode(target.Mode{
 		Latency: time.Millisecond,
 	})
-	f.target = httptest.NewServer(t.Handler())
+	f.target = httptest.NewUnstartedServer(t.Handler())
+	// Every address of the loopback network leads to the one stand-in.
+	lis, err := net.Listen("tcp4", "0.0.0.0:0")
+	if err != nil {
+		return nil, fmt.Errorf("capacity: %w", err)
+	}
+	_ = f.target.Listener.Close()
+	f.target.Listener = lis
+	f.target.Start()
 	for range p.nodes {
 		front, err := faultproxy.New("127.0.0.1:1")
 		if err != nil {
@@ -241,8 +250,8 @@
 // by one stand-in.
 func (f *fleet) targetAddress(service, i int) string {
 	n := service*f.point.perService + i
-	_, port, _ := strings.Cut(strings.TrimPrefix(f.target.URL, "http://"), ":")
-	return fmt.Sprintf("127.%d.%d.%d:%s", 1+n/62500, n/250%250, 1+n%250, port)
+	port := f.target.Listener.Addr().(*net.TCPAddr).Port
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+n/62500, n/250%250, 1+n%250, port)
 }
 
 // change publishes one more version of a value of about size bytes.
--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	direct := f.target.URL + "/s0/r0/x"
+	direct := "http://" + f.targetAddress(0, 0) + "/s0/r0/x"
 	through := "http://" + f.procs[0].Entry() + "/s0/r0/x"
 	out := &latencyResult{}
 	for _, rate := range latencyRates {
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -131,7 +131,7 @@
 		c.cpu += cpu
 	}
 	for _, p := range f.procs {
-		s := p.Status()
+		s := p.Brief()
 		if s == nil {
 			return c, &settleError{
 				want: len(f.procs),
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -141,6 +141,8 @@
 				p.nodes = 18
 				p.services = 10
 				p.perService = 30
+				// Without workspaces there are no limits on them.
+				p.workspaces = 0
 				p.requests = size * float64(p.nodes)
 				return p
 			},
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -147,7 +147,7 @@
 	j.mu.Lock()
 	j.evidence(now, evidence)
 	for _, s := range j.services {
-		if s.judge.Advance(now) || s.warming(now) {
+		if s.judge.Advance(now) {
 			j.dirty = true
 		}
 	}
@@ -170,6 +170,9 @@
 		beats[e.Service] = append(beats[e.Service], e.Counts)
 	}
 	for name, s := range j.services {
+		if len(beats[name]) == 0 && s.detector.Idle() {
+			continue
+		}
 		s.detector.Update(now, beats[name])
 		for _, t := range s.config.Targets() {
 			j.judge(now, s, t.Address())
@@ -203,15 +206,6 @@
 		WithField("score", r.Score).Info("target sick here")
 }
 
-func (s *service) warming(now time.Time) bool {
-	for _, t := range s.config.Targets() {
-		if s.judge.State(now, t.Address()).Phase == outlier.PhaseWarming {
-			return true
-		}
-	}
-	return false
-}
-
 // verdict takes an observer's word.
 func (j *judging) verdict(now time.Time, v outlier.Verdict, key uint32) {
 	j.mu.Lock()
--- a/internal/node/observing.go
+++ b/internal/node/observing.go
@@ -52,6 +52,8 @@
 	config   *fleetconfig.Service
 	byKey    map[uint32]string
 	heard    time.Time
+	// summed is when the last summary went out.
+	summed time.Time
 }
 
 // observing sends this node's evidence to the observers and does this node's own
@@ -125,7 +127,7 @@
 // due returns the reports that should go out now, by observer.
 func (o *observing) due(now time.Time) map[string][]*wire.Report {
 	view := o.board.view.Load()
-	slow := min(max(slowPerNode*time.Duration(view.Nodes()), slowLeast), slowMost)
+	slow := slowBeat(view.Nodes())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	out := map[string][]*wire.Report{}
@@ -150,6 +152,11 @@
 	return out
 }
 
+// slowBeat is how often evidence goes out that is not urgent.
+func slowBeat(nodes int) time.Duration {
+	return min(max(slowPerNode*time.Duration(nodes), slowLeast), slowMost)
+}
+
 func duty(service string) string { return "observer/" + service }
 
 // send takes reports to their observers, all at the same time. What is for this
@@ -264,7 +271,7 @@
 			delete(o.served, name)
 			continue
 		}
-		if r := s.summary(now); r != nil {
+		if r := s.summary(now, slowBeat(view.Nodes())); r != nil {
 			for _, h := range halls {
 				if h == view.Self().DataHall() {
 					continue
@@ -279,8 +286,13 @@
 	return summaries, verdicts
 }
 
-// summary returns what the other data halls should know, or nil.
-func (s *observed) summary(now time.Time) *wire.Report {
+// summary returns what the other data halls should know, or nil if that can wait
+// for the slow beat.
+func (s *observed) summary(now time.Time, slow time.Duration) *wire.Report {
+	if !s.observer.Urgent() && now.Sub(s.summed) < slow {
+		return nil
+	}
+	s.summed = now
 	counts := s.observer.TakeSummary()
 	if len(counts) == 0 {
 		return nil
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -20,8 +20,9 @@
 	return r.ready, r.reason
 }
 
-// status describes the node for operators.
-func (n *Node) status() *operator.Status {
+// status describes the node for operators; brief leaves out what grows with the
+// fleet and its configuration.
+func (n *Node) status(brief bool) *operator.Status {
 	ready, reason := n.ready()
 	s := &operator.Status{
 		Node:     n.address(),
@@ -31,8 +32,6 @@
 		UpFor:    time.Since(n.begun).Round(time.Millisecond).String(),
 		InFlight: n.entry.InFlight(),
 		Config:   n.configStatus(),
-		Members:  n.memberStatus(),
-		Revision: n.replica.InForce(),
 		Control: operator.ControlStatus{
 			BytesSent:     n.traffic.Sent(),
 			BytesReceived: n.traffic.Received(),
@@ -42,6 +41,11 @@
 	if n.platform != nil {
 		s.Control.PlatformCalls = n.platform.Calls()
 	}
+	if brief {
+		return s
+	}
+	s.Members = n.memberStatus()
+	s.Revision = n.replica.InForce()
 	if p := n.board.pools.Load(); p != nil {
 		for name := range p.services {
 			s.Services = append(s.Services, *n.serviceStatus(name))
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -24,8 +24,10 @@
 type Config struct {
 	Listen netip.AddrPort
 	// Ready returns whether callers should be sent here and, if not, why.
-	Ready   func() (bool, string)
-	Status  func() *Status
+	Ready func() (bool, string)
+	// Status describes the node; brief leaves members, services and revisions
+	// out.
+	Status  func(brief bool) *Status
 	Explain func(Question) *Explanation
 	// Drain begins a planned stop.
 	Drain   func()
@@ -89,8 +91,8 @@
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
-func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.cfg.Status())
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, s.cfg.Status(r.URL.Query().Has("brief")))
 }
 
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -3,6 +3,7 @@
 package outlier
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -58,9 +59,11 @@
 type Detector struct {
 	threshold float64
 	tracks    map[string]*track
-	good      float64
-	bad       float64
-	at        time.Time
+	// carriers are the targets with evidence left for later beats.
+	carriers map[string]bool
+	good     float64
+	bad      float64
+	at       time.Time
 }
 
 // NewDetector returns a detector for a service. threshold is the score at which
@@ -70,13 +73,19 @@
 	return &Detector{
 		threshold: threshold,
 		tracks:    map[string]*track{},
+		carriers:  map[string]bool{},
 	}
 }
 
+// Idle tells whether a beat without counts would change nothing.
+func (d *Detector) Idle() bool {
+	return len(d.carriers) == 0
+}
+
 // Update takes the counts of one beat.
 func (d *Detector) Update(now time.Time, beat []Counts) {
 	d.forget(now)
-	silent := d.carrying()
+	silent := maps.Clone(d.carriers)
 	for i := range beat {
 		delete(silent, beat[i].Target)
 		d.add(&beat[i])
@@ -106,32 +115,27 @@
 	d.at = now
 }
 
-// carrying returns the targets with evidence left for later beats.
-func (d *Detector) carrying() map[string]bool {
-	out := map[string]bool{}
-	for name, t := range d.tracks {
-		if t.carry > 0 {
-			out[name] = true
-		}
-	}
-	return out
-}
-
 func (d *Detector) add(c *Counts) {
 	t := d.track(c.Target)
 	healthy := d.othersShare(t)
 	if healthy >= commonCause {
 		// Nothing tells this target from the others now.
+		t.carry = 0
+		delete(d.carriers, c.Target)
 		return
 	}
 	sick := min(max(leastSick, sickFactor*healthy), mostSick)
 	gain := c.Bad*math.Log(sick/healthy) + c.Good*math.Log((1-sick)/(1-healthy))
+	delete(d.carriers, c.Target)
 	if c.Good > 0 {
 		t.carry = 0
 	}
 	gain += t.carry
 	most := beatShare * d.threshold
 	t.carry = min(max(gain-most, 0), d.threshold)
+	if t.carry > 0 {
+		d.carriers[c.Target] = true
+	}
 	gain = min(gain, most)
 	t.score = min(max(t.score+gain, 0), ceiling*d.threshold)
 }
@@ -194,6 +198,7 @@
 	d.good = max(d.good-t.good, 0)
 	d.bad = max(d.bad-t.bad, 0)
 	delete(d.tracks, target)
+	delete(d.carriers, target)
 }
 
 // Keep drops all targets that are not in the set.
@@ -201,6 +206,7 @@
 	for name := range d.tracks {
 		if !targets[name] {
 			delete(d.tracks, name)
+			delete(d.carriers, name)
 		}
 	}
 }
--- a/internal/outlier/judge.go
+++ b/internal/outlier/judge.go
@@ -55,13 +55,16 @@
 // concurrent use.
 type Judge struct {
 	targets map[string]*judged
-	begun   bool
+	// restless are the targets that aren't healthy.
+	restless map[string]*judged
+	begun    bool
 }
 
 // NewJudge returns a judge without targets.
 func NewJudge() *Judge {
 	return &Judge{
-		targets: map[string]*judged{},
+		targets:  map[string]*judged{},
+		restless: map[string]*judged{},
 	}
 }
 
@@ -79,12 +82,14 @@
 		}
 		if j.begun {
 			t.phase = PhaseWarming
+			j.restless[a] = t
 		}
 		j.targets[a] = t
 	}
 	for a := range j.targets {
 		if !known[a] {
 			delete(j.targets, a)
+			delete(j.restless, a)
 		}
 	}
 	j.begun = j.begun || len(addresses) > 0
@@ -97,7 +102,7 @@
 		return
 	}
 	t.hold.begin(now)
-	t.eject(now, score)
+	j.eject(now, target, score)
 }
 
 // Verdict ejects a target on an observer's word, until lease has passed. An
@@ -110,10 +115,12 @@
 	if until := now.Add(min(lease, MaxHold)); until.After(t.lease) {
 		t.lease = until
 	}
-	t.eject(now, score)
+	j.eject(now, target, score)
 }
 
-func (t *judged) eject(now time.Time, score float64) {
+func (j *Judge) eject(now time.Time, target string, score float64) {
+	t := j.targets[target]
+	j.restless[target] = t
 	if t.phase != PhaseEjected {
 		t.since = now
 	}
@@ -138,22 +145,27 @@
 	}
 	if c.Bad > 0 {
 		t.hold.begin(now)
-		t.eject(now, t.score)
+		j.eject(now, c.Target, t.score)
 		return
 	}
 	t.good += c.Good
 }
 
 // Advance moves targets whose time has come to their next phase. It reports
-// whether any state changed.
+// whether any state changed, which it does all the time while a target warms.
 func (j *Judge) Advance(now time.Time) bool {
 	changed := false
-	for _, t := range j.targets {
+	for a, t := range j.restless {
 		if next := t.next(now); next != t.phase {
 			t.phase = next
 			t.since = now
 			changed = true
 		}
+		// The share of a warming target grows with time.
+		changed = changed || t.phase == PhaseWarming
+		if t.phase == PhaseHealthy {
+			delete(j.restless, a)
+		}
 	}
 	return changed
 }
--- a/internal/outlier/observer.go
+++ b/internal/outlier/observer.go
@@ -144,6 +144,21 @@
 	return out
 }
 
+// urgentShare is the part of the threshold from which on the observers of the
+// other data halls should know at once what mounts up here.
+const urgentShare = 0.25
+
+// Urgent tells whether the next summary should not wait: evidence against a
+// target mounts up, or a target says that it leaves.
+func (o *Observer) Urgent() bool {
+	for _, c := range o.summary {
+		if c.Leaving || o.own.Read(c.Target).Score > urgentShare*o.service.Threshold {
+			return true
+		}
+	}
+	return false
+}
+
 // TakeSummary returns what the own data hall's nodes reported since the last
 // call, for the observers of the other data halls.
 func (o *Observer) TakeSummary() []Counts { return take(o.summary) }
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -168,8 +168,13 @@
 }
 
 // Status asks the process for its state; nil if it doesn't answer.
-func (p *Process) Status() *operator.Status {
-	res, err := http.Get("http://" + p.ops + "/status")
+func (p *Process) Status() *operator.Status { return p.status("") }
+
+// Brief is Status without members, services and revisions.
+func (p *Process) Brief() *operator.Status { return p.status("?brief") }
+
+func (p *Process) status(query string) *operator.Status {
+	res, err := http.Get("http://" + p.ops + "/status" + query)
 	if err != nil {
 		return nil
 	}
