--- /dev/null
+++ b/internal/detection/measure.go
@@ -0,0 +1,360 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Pools of the brief, with assumed loads of about a sixth of their slots.
+var (
+	quotes       = pool{name: "quotes", targets: 16, slots: 3, nodes: 40, halls: 3, rate: 80, median: 80 * time.Millisecond}
+	reservations = pool{name: "reservations", targets: 9, slots: 3, nodes: 40, halls: 3, rate: 45, median: 80 * time.Millisecond}
+	documents    = pool{name: "documents", targets: 6, slots: 3, nodes: 40, halls: 3, rate: 30, median: 80 * time.Millisecond}
+	drafts       = pool{name: "drafts", targets: 20, slots: 4, nodes: 40, halls: 4, rate: 130, median: 80 * time.Millisecond}
+	receipts     = pool{name: "receipts", targets: 9, slots: 4, nodes: 40, halls: 4, rate: 60, median: 80 * time.Millisecond}
+	exports      = pool{name: "exports", targets: 8, slots: 4, nodes: 40, halls: 4, rate: 50, median: 80 * time.Millisecond}
+)
+
+// method is a way of judging.
+type method struct {
+	name string
+	// threshold is the knob of the shared method, 0 for baselines.
+	threshold float64
+	build     func(w *world)
+}
+
+func sharedMethod(threshold float64) method {
+	return method{
+		name:      fmt.Sprintf("shared evidence, threshold %g", threshold),
+		threshold: threshold,
+		build:     shared(threshold),
+	}
+}
+
+// thresholds are the settings of the curve.
+var thresholds = []float64{4, 7, 10, 14, 20}
+
+func baselines() []method {
+	return []method{
+		{name: "no ejection", build: baseline(0, never)},
+		{name: "5 failures in a row, each node alone", build: baseline(0, consecutive)},
+		{name: "success rate, each node alone", build: baseline(rateInterval, successRate)},
+	}
+}
+
+// fault is a scenario. Target 0 is the sick one where there is one.
+type fault struct {
+	name string
+	// begin injects the fault.
+	begin func(w *world)
+	// seen tells whether the fault has been detected; nil if nothing is sick.
+	seen func(w *world) bool
+	// sick are the targets whose ejection is right.
+	sick []int
+	// cut is the number of nodes whose ejections are right, the first ones.
+	cut func(w *world) []int
+}
+
+// seenShare is the share of nodes that must have taken the target out.
+const seenShare = 0.9
+
+func seenByAll(w *world) bool { return w.outShare(0) >= seenShare }
+
+func flap(period time.Duration) func(w *world) {
+	return func(w *world) {
+		t := w.targets[0]
+		var turn func()
+		turn = func() {
+			t.stall = !t.stall
+			w.at(w.now+period/2, kindFault, nil, turn)
+		}
+		turn()
+	}
+}
+
+func cutOff(nodes func(w *world) []int) func(w *world) {
+	return func(w *world) {
+		for _, n := range nodes(w) {
+			w.targets[0].cut[n] = true
+		}
+	}
+}
+
+func cutSeen(nodes func(w *world) []int) func(w *world) bool {
+	return func(w *world) bool {
+		for _, n := range nodes(w) {
+			if !w.nodes[n].strategy.out(0) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func firstNode(*world) []int { return []int{0} }
+
+func firstHall(w *world) []int {
+	var out []int
+	for _, n := range w.nodes {
+		if n.hall == 0 {
+			out = append(out, n.index)
+		}
+	}
+	return out
+}
+
+// each applies a change to all targets.
+func each(fn func(t *fakeTarget)) func(w *world) {
+	return func(w *world) {
+		for _, t := range w.targets {
+			fn(t)
+		}
+	}
+}
+
+func faults() []fault {
+	one := []int{0}
+	return []fault{
+		{name: "hard stall, probes fine", sick: one, seen: seenByAll, begin: func(w *world) { w.targets[0].stall = true }},
+		{name: "10 times slow", sick: one, seen: seenByAll, begin: func(w *world) { w.targets[0].slow = 10 }},
+		{name: "30% errors", sick: one, seen: seenByAll, begin: func(w *world) { w.targets[0].errors = 0.3 }},
+		{name: "flapping, period 4 s", sick: one, seen: seenByAll, begin: flap(4 * time.Second)},
+		{name: "flapping, period 20 s", sick: one, seen: seenByAll, begin: flap(20 * time.Second)},
+		{name: "flapping, period 120 s", sick: one, seen: seenByAll, begin: flap(120 * time.Second)},
+		{name: "cut from one node", cut: firstNode, seen: cutSeen(firstNode), begin: cutOff(firstNode)},
+		{name: "cut from one data hall", cut: firstHall, seen: cutSeen(firstHall), begin: cutOff(firstHall)},
+		{name: "whole pool 10 times slow", begin: each(func(t *fakeTarget) { t.slow = 10 })},
+		{name: "overload, half is shed", begin: each(func(t *fakeTarget) { t.shed = 0.5 })},
+		{name: "cold start, 3 times slow for 10 s", begin: coldStart},
+	}
+}
+
+func coldStart(w *world) {
+	t := w.targets[0]
+	t.slow = 3
+	w.at(w.now+10*time.Second, kindFault, nil, func() { t.slow = 1 })
+}
+
+// Times of a run with a fault.
+const (
+	warmUp    = time.Minute
+	faultTime = time.Minute
+	look      = 50 * time.Millisecond
+)
+
+// trial is one run with a fault.
+type trial struct {
+	// detected is the time until detection; negative means never.
+	detected time.Duration
+	// wrong is the number of ejections that the fault doesn't justify, each
+	// counting for its share of the nodes.
+	wrong float64
+	// lost is the number of failed requests.
+	lost int
+}
+
+func runFault(p pool, m method, f fault, seed uint64) trial {
+	w := newWorld(p, seed, m.build)
+	w.runUntil(warmUp)
+	before, lost := w.wrong(f), w.failed
+	f.begin(w)
+	out := trial{
+		detected: -1,
+	}
+	for w.now < warmUp+faultTime {
+		w.runUntil(w.now + look)
+		if out.detected < 0 && f.seen != nil && f.seen(w) {
+			out.detected = w.now - warmUp
+		}
+	}
+	out.wrong = w.wrong(f) - before
+	out.lost = w.failed - lost
+	return out
+}
+
+// wrong returns the ejections that a fault doesn't justify.
+func (w *world) wrong(f fault) float64 {
+	all := w.ejections(f.sick...)
+	if f.cut == nil {
+		return all
+	}
+	right := 0
+	for _, n := range f.cut(w) {
+		right += w.nodes[n].ejections[0]
+	}
+	return all - float64(right)/float64(len(w.nodes))
+}
+
+// cell is a method under a fault.
+type cell struct {
+	pool   pool
+	method method
+	fault  fault
+	trials []trial
+}
+
+// quietCell is a method without a fault.
+type quietCell struct {
+	pool   pool
+	method method
+	// perDay is the number of false ejections a day.
+	perDay float64
+	failed float64
+}
+
+// report holds all that was measured.
+type report struct {
+	args  arguments
+	cells []*cell
+	quiet []*quietCell
+}
+
+// workers bounds how many runs go on at once.
+const workers = 4
+
+func measureAll(args arguments) (*report, error) {
+	r := &report{
+		args: args,
+	}
+	var jobs []job
+	for _, p := range []pool{documents, drafts} {
+		methods := baselines()
+		for _, h := range thresholds {
+			methods = append(methods, sharedMethod(h))
+		}
+		for _, m := range methods {
+			jobs = append(jobs, r.quietJob(p, m))
+			for _, f := range faults() {
+				jobs = append(jobs, r.faultJob(p, m, f))
+			}
+		}
+	}
+	for _, p := range []pool{quotes, reservations, receipts, exports} {
+		m := sharedMethod(chosen(p))
+		jobs = append(jobs, r.quietJob(p, m), r.faultJob(p, m, faults()[0]))
+	}
+	work(jobs, args.Only)
+	return r, nil
+}
+
+// chosen returns the threshold that the page recommends for the user of a pool:
+// the non-profit weighs false ejections, the directorate detection time.
+func chosen(p pool) float64 {
+	if slices.Contains([]string{quotes.name, reservations.name, documents.name}, p.name) {
+		return leasingThreshold
+	}
+	return directorateThreshold
+}
+
+// Thresholds that the page recommends.
+const (
+	leasingThreshold     = 14
+	directorateThreshold = 7
+)
+
+// job is one cell to measure.
+type job struct {
+	name string
+	run  func()
+}
+
+func work(jobs []job, only string) {
+	var all sync.WaitGroup
+	next := make(chan func())
+	for range workers {
+		all.Go(func() {
+			for run := range next {
+				run()
+			}
+		})
+	}
+	for _, j := range jobs {
+		if strings.Contains(j.name, only) {
+			next <- j.run
+		}
+	}
+	close(next)
+	all.Wait()
+}
+
+func (r *report) quietJob(p pool, m method) job {
+	c := &quietCell{
+		pool:   p,
+		method: m,
+	}
+	r.quiet = append(r.quiet, c)
+	return job{
+		name: "quiet " + p.name + ", " + m.name,
+		run:  func() { r.runQuiet(c) },
+	}
+}
+
+func (r *report) runQuiet(c *quietCell) {
+	w := newWorld(c.pool, 1, c.method.build)
+	w.runUntil(r.args.Quiet)
+	c.perDay = w.ejections() * float64(24*time.Hour) / float64(r.args.Quiet)
+	c.failed = float64(w.failed) / float64(max(w.served, 1))
+	fmt.Printf("quiet %s, %s: %.2f a day\n", c.pool.name, c.method.name, c.perDay)
+}
+
+func (r *report) faultJob(p pool, m method, f fault) job {
+	c := &cell{
+		pool:   p,
+		method: m,
+		fault:  f,
+	}
+	r.cells = append(r.cells, c)
+	return job{
+		name: p.name + ", " + m.name + ", " + f.name,
+		run:  func() { r.runFaults(c) },
+	}
+}
+
+func (r *report) runFaults(c *cell) {
+	for i := range r.args.Runs {
+		c.trials = append(c.trials, runFault(c.pool, c.method, c.fault, uint64(i+1)))
+	}
+	fmt.Printf("%s, %s, %s: %s\n", c.pool.name, c.method.name, c.fault.name, c.summary())
+}
+
+// detection returns the median and the 95th percentile, and how often the fault
+// was never detected.
+func (c *cell) detection() (median, high time.Duration, never int) {
+	var times []time.Duration
+	for _, t := range c.trials {
+		if t.detected < 0 {
+			never++
+			times = append(times, faultTime)
+			continue
+		}
+		times = append(times, t.detected)
+	}
+	slices.Sort(times)
+	return times[len(times)/2], times[len(times)*95/100], never
+}
+
+func (c *cell) wrong() float64 {
+	total := 0.0
+	for _, t := range c.trials {
+		total += t.wrong / float64(len(c.trials))
+	}
+	return total
+}
+
+func (c *cell) lost() float64 {
+	total := 0.0
+	for _, t := range c.trials {
+		total += float64(t.lost) / float64(len(c.trials))
+	}
+	return total
+}
+
+func (c *cell) summary() string {
+	median, high, never := c.detection()
+	return fmt.Sprintf("median %v, 95%% %v, never %d of %d, wrong %.2f, lost %.0f", median, high, never, len(c.trials), c.wrong(), c.lost())
+}
--- /dev/null
+++ b/internal/detection/strategy.go
@@ -0,0 +1,398 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/balance"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/policy"
+)
+
+// floorShare is the part of the capacity that every strategy keeps in service.
+const floorShare = 0.5
+
+func targetName(i int) string { return fmt.Sprintf("192.0.2.%d:80", i+1) }
+
+// chooser is the part that all strategies share: the fleet's balancer.
+type chooser struct {
+	w      *world
+	node   *fakeNode
+	gauges []*balance.Gauge
+	pool   *balance.Pool
+	state  func(now time.Time, target int) outlier.State
+	isOut  []bool
+}
+
+func newChooser(w *world, n *fakeNode, state func(time.Time, int) outlier.State) *chooser {
+	c := &chooser{
+		w:     w,
+		node:  n,
+		state: state,
+		isOut: make([]bool, len(w.targets)),
+	}
+	for range w.targets {
+		c.gauges = append(c.gauges, &balance.Gauge{})
+	}
+	c.rebuild(epoch)
+	return c
+}
+
+// rebuild makes the pool anew after a change.
+func (c *chooser) rebuild(now time.Time) {
+	var members []balance.Member
+	for i, t := range c.w.targets {
+		s := c.state(now, i)
+		out := s.Phase == outlier.PhaseEjected || s.Phase == outlier.PhaseTrial
+		if s.Phase == outlier.PhaseEjected && !c.isOut[i] {
+			c.node.ejections[i]++
+		}
+		c.isOut[i] = out
+		members = append(members, balance.Member{
+			Address:     t.name,
+			Slots:       c.w.pool.slots,
+			Connections: 200,
+			Warmth:      s.Warmth,
+			Sick:        out,
+			Trial:       s.Phase == outlier.PhaseTrial,
+			Score:       s.Score,
+			Gauge:       c.gauges[i],
+		})
+	}
+	floor := floorShare * float64(len(members)*c.w.pool.slots)
+	c.pool = balance.NewPool(members, floor, fmt.Sprint("node", c.node.index), c.w.pool.nodes)
+}
+
+// take picks a target; observe is told how the request ended.
+func (c *chooser) take(observe func(target int) func(now time.Time, ok, shed bool)) (int, func(time.Time, bool, bool), bool) {
+	p, ok := c.pool.Pick(c.w.rng.Uint64, nil)
+	if !ok {
+		return 0, nil, false
+	}
+	return c.use(p, observe)
+}
+
+func (c *chooser) use(p balance.Pick, observe func(target int) func(time.Time, bool, bool)) (int, func(time.Time, bool, bool), bool) {
+	i := c.index(p.Address())
+	end := observe(i)
+	return i, func(now time.Time, ok, shed bool) {
+		p.Release()
+		end(now, ok, shed)
+	}, true
+}
+
+func (c *chooser) index(address string) int {
+	for i, t := range c.w.targets {
+		if t.name == address {
+			return i
+		}
+	}
+	panic("detection: the pool knows only the targets: " + address)
+}
+
+// shared is the fleet's own way of judging.
+func shared(threshold float64) func(w *world) {
+	return func(w *world) {
+		prg, err := policy.Compile(policy.Text{})
+		if err != nil {
+			panic("detection: the default policy compiles: " + err.Error())
+		}
+		info := outlier.Service{
+			Name:      "s",
+			Policy:    prg,
+			Threshold: threshold,
+		}
+		for _, t := range w.targets {
+			info.Targets = append(info.Targets, t.name)
+		}
+		halls := make([]*hallFake, w.pool.halls)
+		for i := range halls {
+			halls[i] = &hallFake{
+				observer: outlier.NewObserver(info),
+			}
+		}
+		for _, n := range w.nodes {
+			s := newSharing(w, n, info)
+			n.strategy = s.strategy()
+			halls[n.hall].nodes = append(halls[n.hall].nodes, s)
+		}
+		for i, h := range halls {
+			w.every(2*beat, func(now time.Time) { h.beat(now, i, halls) })
+		}
+	}
+}
+
+// slowBeat is how often evidence goes out that is not urgent.
+const slowBeat = 2 * time.Second
+
+// hallFake is a data hall with its observer.
+type hallFake struct {
+	observer *outlier.Observer
+	nodes    []*sharing
+	summed   time.Time
+}
+
+// beat passes the nodes' evidence on, as the observing controller does.
+func (h *hallFake) beat(now time.Time, self int, halls []*hallFake) {
+	for _, n := range h.nodes {
+		n.report(now, h.observer)
+	}
+	if h.observer.Urgent() || now.Sub(h.summed) >= slowBeat {
+		h.summed = now
+		for _, c := range h.observer.TakeSummary() {
+			for i, other := range halls {
+				if i != self {
+					other.observer.Summary(now, fmt.Sprint("hall", self), c)
+				}
+			}
+		}
+	}
+	for _, v := range h.observer.Advance(now) {
+		for _, n := range h.nodes {
+			n.judge.Verdict(now, v.Target, v.Score, v.Lease)
+			n.chooser.rebuild(now)
+		}
+	}
+}
+
+// sharing is one node that shares its evidence.
+type sharing struct {
+	*chooser
+	w         *world
+	node      *fakeNode
+	info      outlier.Service
+	collector *outlier.Collector
+	detector  *outlier.Detector
+	judge     *outlier.Judge
+	pending   map[string]outlier.Counts
+	urgent    bool
+	sent      time.Time
+}
+
+func newSharing(w *world, n *fakeNode, info outlier.Service) *sharing {
+	s := &sharing{
+		w:         w,
+		node:      n,
+		info:      info,
+		collector: outlier.NewCollector(beat),
+		detector:  outlier.NewDetector(info.Threshold),
+		judge:     outlier.NewJudge(),
+		pending:   map[string]outlier.Counts{},
+	}
+	s.judge.SetTargets(epoch, info.Targets)
+	s.chooser = newChooser(w, n, func(now time.Time, target int) outlier.State {
+		return s.judge.State(now, targetName(target))
+	})
+	return s
+}
+
+func (s *sharing) strategy() strategy {
+	return strategy{
+		pick: func(now time.Time) (int, func(time.Time, bool, bool), bool) {
+			if p, ok := s.pool.PickTrial(s.w.rng.Uint64); ok {
+				s.trial(now, p)
+			}
+			return s.take(func(target int) func(time.Time, bool, bool) { return s.observe(now, target) })
+		},
+		beat: s.beat,
+		out:  func(target int) bool { return s.isOut[target] },
+	}
+}
+
+func (s *sharing) observe(now time.Time, target int) func(time.Time, bool, bool) {
+	f := s.collector.Begin(now, "s", "c", targetName(target))
+	return func(now time.Time, ok, shed bool) {
+		f.End(now, outlier.End{
+			Failed:  !ok,
+			Ignored: shed,
+		})
+	}
+}
+
+// trial sends a copy that nobody waits for.
+func (s *sharing) trial(now time.Time, p balance.Pick) {
+	i, end, _ := s.use(p, func(target int) func(time.Time, bool, bool) { return s.observe(now, target) })
+	r := &request{
+		node:   s.node,
+		target: s.w.targets[i],
+		begun:  s.w.now,
+		end:    end,
+	}
+	s.w.send(r)
+}
+
+func (s *sharing) beat(now time.Time) {
+	changed := false
+	var counts []outlier.Counts
+	for _, e := range s.collector.Drain(now) {
+		c := e.Counts
+		s.judge.Evidence(now, c)
+		counts = append(counts, c)
+		sum := s.pending[c.Target]
+		sum.Target = c.Target
+		sum.Good += c.Good
+		sum.Bad += c.Bad
+		sum.Stalled += c.Stalled
+		s.pending[c.Target] = sum
+		s.urgent = s.urgent || c.Bad > 0
+	}
+	if len(counts) > 0 || !s.detector.Idle() {
+		s.detector.Update(now, counts)
+		for _, t := range s.info.Targets {
+			if r := s.detector.Read(t); r.Score >= s.info.Threshold {
+				s.judge.Sick(now, t, r.Score)
+				s.detector.Reset(t)
+				changed = true
+			}
+		}
+	}
+	if s.judge.Advance(now) || changed {
+		s.rebuild(now)
+	}
+}
+
+func (s *sharing) report(now time.Time, o *outlier.Observer) {
+	if len(s.pending) == 0 || !s.urgent && now.Sub(s.sent) < slowBeat {
+		return
+	}
+	for _, c := range s.pending {
+		o.Report(now, fmt.Sprint("node", s.node.index), fmt.Sprint("hall", s.node.hall), c)
+	}
+	clear(s.pending)
+	s.urgent = false
+	s.sent = now
+}
+
+// alone is a node that judges by its own failures; eject says which targets go.
+type alone struct {
+	*chooser
+	until []time.Time
+	ends  []ends
+	eject func(a *alone, now time.Time, target int) bool
+	// interval is the time between two judgements; 0 judges at each end.
+	interval time.Duration
+	judged   time.Time
+}
+
+// ends counts the ends of requests to one target.
+type ends struct {
+	ok, failed float64
+	row        int
+}
+
+// holdAlone is how long baselines eject.
+const holdAlone = 30 * time.Second
+
+func baseline(interval time.Duration, eject func(a *alone, now time.Time, target int) bool) func(w *world) {
+	return func(w *world) {
+		for _, n := range w.nodes {
+			a := &alone{
+				until:    make([]time.Time, len(w.targets)),
+				ends:     make([]ends, len(w.targets)),
+				eject:    eject,
+				interval: interval,
+			}
+			a.chooser = newChooser(w, n, a.stateOf)
+			n.strategy = strategy{
+				pick: func(time.Time) (int, func(time.Time, bool, bool), bool) { return a.take(a.observe) },
+				beat: a.beat,
+				out:  func(target int) bool { return a.isOut[target] },
+			}
+		}
+	}
+}
+
+func (a *alone) stateOf(now time.Time, target int) outlier.State {
+	s := outlier.State{
+		Warmth: 1,
+	}
+	if now.Before(a.until[target]) {
+		s.Phase = outlier.PhaseEjected
+	}
+	return s
+}
+
+func (a *alone) observe(target int) func(time.Time, bool, bool) {
+	return func(now time.Time, ok, shed bool) {
+		e := &a.ends[target]
+		switch {
+		case shed:
+		case ok:
+			e.ok++
+			e.row = 0
+		default:
+			e.failed++
+			e.row++
+		}
+		if a.interval == 0 {
+			a.judge(now, target)
+		}
+	}
+}
+
+func (a *alone) judge(now time.Time, target int) {
+	if a.eject(a, now, target) {
+		a.until[target] = now.Add(holdAlone)
+		a.ends[target] = ends{}
+		a.rebuild(now)
+	}
+}
+
+func (a *alone) beat(now time.Time) {
+	for i := range a.until {
+		if a.isOut[i] && !now.Before(a.until[i]) {
+			a.rebuild(now)
+		}
+	}
+	if a.interval == 0 || now.Sub(a.judged) < a.interval {
+		return
+	}
+	a.judged = now
+	for i := range a.ends {
+		a.judge(now, i)
+	}
+	clear(a.ends)
+}
+
+// never ejects nothing.
+func never(*alone, time.Time, int) bool { return false }
+
+// rowLength is how many failures in a row eject in the baseline.
+const rowLength = 5
+
+// consecutive ejects after failures in a row, the common default.
+func consecutive(a *alone, _ time.Time, target int) bool { return a.ends[target].row >= rowLength }
+
+// Parameters of the success-rate baseline, after the defaults of common proxies:
+// at least five targets with enough requests, a factor of 1.9 standard
+// deviations. The usual 100 requests would never be reached here; 5 are asked.
+const (
+	rateInterval = 10 * time.Second
+	rateTargets  = 5
+	rateRequests = 5
+	rateFactor   = 1.9
+)
+
+// successRate ejects targets whose success rate stands out below the others'.
+func successRate(a *alone, _ time.Time, target int) bool {
+	var rates []float64
+	for _, e := range a.ends {
+		if n := e.ok + e.failed; n >= rateRequests {
+			rates = append(rates, e.ok/n)
+		}
+	}
+	own := a.ends[target]
+	if len(rates) < rateTargets || own.ok+own.failed < rateRequests {
+		return false
+	}
+	mean, square := 0.0, 0.0
+	for _, r := range rates {
+		mean += r / float64(len(rates))
+		square += r * r / float64(len(rates))
+	}
+	deviation := math.Sqrt(max(square-mean*mean, 0))
+	return own.ok/(own.ok+own.failed) < mean-rateFactor*deviation-1e-9
+}
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -23,10 +23,19 @@
 	// half: a data hall that is lost takes a third of a pool or more with it, and
 	// those targets must go.
 	commonCause = 0.6
-	// poolMemory is the time constant of the pool's share.
-	poolMemory = 20 * time.Second
-	// priorWeight is how many requests the expectation leastHealthy stands for.
-	priorWeight = 50
+	// commonTargets is the same for the share of the other targets whose last
+	// requests went badly. A node with little traffic sees it sooner than a share
+	// of requests.
+	commonTargets = 0.5
+	// poolMemory is the time constant of the pool's usual share, recentMemory
+	// that of its recent share. A cause that meets the whole pool at once shows
+	// in the recent one.
+	poolMemory   = 20 * time.Second
+	recentMemory = 750 * time.Millisecond
+	// poolPrior and recentPrior are how many requests the expectation
+	// leastHealthy stands for.
+	poolPrior   = 10
+	recentPrior = 4
 	// beatShare is the part of the threshold that one beat may add. Requests of
 	// one beat often share one short cause, such as a pause of the target.
 	beatShare = 0.45
@@ -44,12 +53,45 @@
 	Leaving bool
 }
 
+// tally counts requests that fade with time.
+type tally struct {
+	good float64
+	bad  float64
+}
+
+func (t *tally) add(c *Counts) {
+	t.good += c.Good
+	t.bad += c.Bad
+}
+
+// fade lets time pass; memory is the time constant.
+func (t *tally) fade(past, memory time.Duration) {
+	keep := math.Exp(-past.Seconds() / memory.Seconds())
+	t.good *= keep
+	t.bad *= keep
+}
+
+// without returns the tally less that of one of its parts.
+func (t *tally) without(part tally) tally {
+	return tally{
+		good: max(t.good-part.good, 0),
+		bad:  max(t.bad-part.bad, 0),
+	}
+}
+
+// share returns the bad share, drawn to leastHealthy by prior requests.
+func (t tally) share(prior float64) float64 {
+	return (t.bad + leastHealthy*prior) / (t.good + t.bad + prior)
+}
+
 // track is the state of one target.
 type track struct {
 	score   float64
-	good    float64
-	bad     float64
+	usual   tally
+	recent  tally
 	stalled float64
+	// lastBad is set if most requests of the last beat with any were bad.
+	lastBad bool
 	// carry is evidence beyond what one beat may add. It counts in later beats
 	// unless the target does good work.
 	carry float64
@@ -61,9 +103,11 @@
 	tracks    map[string]*track
 	// carriers are the targets with evidence left for later beats.
 	carriers map[string]bool
-	good     float64
-	bad      float64
-	at       time.Time
+	usual    tally
+	recent   tally
+	// suffer is the number of targets whose last requests went badly.
+	suffer int
+	at     time.Time
 }
 
 // NewDetector returns a detector for a service. threshold is the score at which
@@ -86,6 +130,9 @@
 func (d *Detector) Update(now time.Time, beat []Counts) {
 	d.forget(now)
 	silent := maps.Clone(d.carriers)
+	for i := range beat {
+		d.pool(&beat[i])
+	}
 	for i := range beat {
 		delete(silent, beat[i].Target)
 		d.add(&beat[i])
@@ -95,21 +142,18 @@
 			Target: target,
 		})
 	}
-	for i := range beat {
-		d.pool(&beat[i])
-	}
 }
 
 // forget lets old counts fade.
 func (d *Detector) forget(now time.Time) {
 	if !d.at.IsZero() {
-		keep := math.Exp(-now.Sub(d.at).Seconds() / poolMemory.Seconds())
-		d.good *= keep
-		d.bad *= keep
+		past := now.Sub(d.at)
+		d.usual.fade(past, poolMemory)
+		d.recent.fade(past, recentMemory)
 		for _, t := range d.tracks {
-			t.good *= keep
-			t.bad *= keep
-			t.stalled *= keep
+			t.usual.fade(past, poolMemory)
+			t.recent.fade(past, recentMemory)
+			t.stalled *= math.Exp(-past.Seconds() / poolMemory.Seconds())
 		}
 	}
 	d.at = now
@@ -118,7 +162,7 @@
 func (d *Detector) add(c *Counts) {
 	t := d.track(c.Target)
 	healthy := d.othersShare(t)
-	if healthy >= commonCause {
+	if healthy >= commonCause || d.suffering(t) >= commonTargets {
 		// Nothing tells this target from the others now.
 		t.carry = 0
 		delete(d.carriers, c.Target)
@@ -140,21 +184,61 @@
 	t.score = min(max(t.score+gain, 0), ceiling*d.threshold)
 }
 
-// othersShare returns the bad share of all other targets, at least leastHealthy.
+// othersShare returns the bad share of all other targets, usual or recent,
+// whichever is worse, and at least leastHealthy.
 func (d *Detector) othersShare(t *track) float64 {
-	good := max(d.good-t.good, 0)
-	bad := max(d.bad-t.bad, 0)
-	share := (bad + leastHealthy*priorWeight) / (good + bad + priorWeight)
-	return max(share, leastHealthy)
+	return max(
+		d.usual.without(t.usual).share(poolPrior),
+		d.recent.without(t.recent).share(recentPrior),
+		leastHealthy,
+	)
+}
+
+// suffering returns the share of the other targets whose last requests went badly.
+func (d *Detector) suffering(t *track) float64 {
+	others := len(d.tracks) - 1
+	if others < 1 {
+		return 0
+	}
+	bad := d.suffer
+	if t.lastBad {
+		bad--
+	}
+	return float64(bad) / float64(others)
+}
+
+// note keeps count of the targets whose last requests went badly.
+func (d *Detector) note(t *track, bad bool) {
+	if t.lastBad == bad {
+		return
+	}
+	t.lastBad = bad
+	if bad {
+		d.suffer++
+	} else {
+		d.suffer--
+	}
+}
+
+// drop forgets a target.
+func (d *Detector) drop(target string) {
+	if t := d.tracks[target]; t != nil {
+		d.note(t, false)
+	}
+	delete(d.tracks, target)
+	delete(d.carriers, target)
 }
 
 func (d *Detector) pool(c *Counts) {
 	t := d.track(c.Target)
-	t.good += c.Good
-	t.bad += c.Bad
+	if c.Good+c.Bad > 0 {
+		d.note(t, c.Bad >= c.Good)
+	}
+	t.usual.add(c)
+	t.recent.add(c)
 	t.stalled += c.Stalled
-	d.good += c.Good
-	d.bad += c.Bad
+	d.usual.add(c)
+	d.recent.add(c)
 }
 
 func (d *Detector) track(target string) *track {
@@ -182,31 +266,29 @@
 	}
 	return Reading{
 		Score:   t.score,
-		Good:    t.good,
-		Bad:     t.bad,
+		Good:    t.usual.good,
+		Bad:     t.usual.bad,
 		Stalled: t.stalled,
 	}
 }
 
 // Reset forgets a target, as after an ejection: what it did no longer says what
-// is usual in its pool.
+// is usual in its pool. It stays in the recent share for its short memory: when
+// one target after another goes, a common cause is the likelier.
 func (d *Detector) Reset(target string) {
 	t := d.tracks[target]
 	if t == nil {
 		return
 	}
-	d.good = max(d.good-t.good, 0)
-	d.bad = max(d.bad-t.bad, 0)
-	delete(d.tracks, target)
-	delete(d.carriers, target)
+	d.usual = d.usual.without(t.usual)
+	d.drop(target)
 }
 
 // Keep drops all targets that are not in the set.
 func (d *Detector) Keep(targets map[string]bool) {
 	for name := range d.tracks {
 		if !targets[name] {
-			delete(d.tracks, name)
-			delete(d.carriers, name)
+			d.drop(name)
 		}
 	}
 }
