--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GENGO    = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 GENDRPC  = storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
 
-.PHONY: run test check generate build capacity
+.PHONY: run test check generate build capacity detection
 
 run:
 	./examples/quickstart/run
@@ -32,3 +32,7 @@
 # Measures the cost of control and writes docs/CAPACITY.md; about 20 minutes.
 capacity:
 	go run ./internal/capacity
+
+# Measures detection time and false ejections and writes docs/DETECTION.md.
+detection:
+	go run ./internal/detection
--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ploverjunction.example/ploverjunction/internal/admission"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func ExampleBudget() {
+	b := admission.NewBudget()
+	retries := 0
+	// Every request of an outage wants to be tried again.
+	for range 1000 {
+		b.First()
+		if b.Retry() {
+			retries++
+		}
+	}
+	fmt.Println("retries:", retries)
+	// Output: retries: 109
+}
+
+func TestBudgetProperty(t *testing.T) {
+	p := gopter.NewProperties(nil)
+	p.Property("retries stay within the share and the reserve", prop.ForAll(
+		func(steps []bool) bool {
+			b := admission.NewBudget()
+			first, retries := 0, 0
+			for _, retry := range steps {
+				if !retry {
+					b.First()
+					first++
+				} else if b.Retry() {
+					retries++
+				}
+			}
+			return float64(retries) <= 10+admission.RetryShare*float64(first)+1e-6
+		},
+		gen.SliceOfN(300, gen.Bool()),
+	))
+	p.TestingRun(t)
+}
+
+// admitted counts the requests that enter when many come evenly over some time.
+func admitted(l *admission.Limiter, id string, rate, burst float64, nodes, requests int, over time.Duration) int {
+	count := 0
+	for i := range requests {
+		now := start.Add(over * time.Duration(i) / time.Duration(requests))
+		if l.Admit(now, id, rate, burst, nodes) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func TestLimiter(t *testing.T) {
+	cases := []struct {
+		name        string
+		rate, burst float64
+		nodes       int
+		least, most int
+	}{
+		{"unlimited", 0, 0, 1, 10000, 10000},
+		{"one node", 10, 10, 1, 105, 111},
+		{"a tenth each on ten nodes", 100, 100, 10, 105, 111},
+		{"burst", 10, 50, 1, 145, 151},
+		{"less than one a second", 0.5, 1, 1, 5, 6},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := admitted(admission.NewLimiter(), "w", c.rate, c.burst, c.nodes, 10000, 10*time.Second)
+			if n < c.least || n > c.most {
+				t.Fatalf("%d admitted, want %d to %d", n, c.least, c.most)
+			}
+		})
+	}
+}
+
+func TestBusyWorkspaceDoesNotStarveOthers(t *testing.T) {
+	l := admission.NewLimiter()
+	admitted(l, "busy", 10, 10, 1, 100000, time.Second)
+	if n := admitted(l, "quiet", 10, 10, 1, 10, time.Second); n != 10 {
+		t.Fatalf("%d of 10 admitted beside a busy workspace", n)
+	}
+}
+
+func TestLimiterTellsWhenToComeBack(t *testing.T) {
+	l := admission.NewLimiter()
+	l.Admit(start, "w", 2, 1, 1)
+	wait := l.Admit(start, "w", 2, 1, 1)
+	if wait != 500*time.Millisecond {
+		t.Fatalf("wait %v", wait)
+	}
+	if l.Admit(start.Add(wait), "w", 2, 1, 1) != 0 {
+		t.Fatal("refused after the wait")
+	}
+}
+
+func TestClockThatGoesBackGivesNothing(t *testing.T) {
+	l := admission.NewLimiter()
+	l.Admit(start, "w", 1, 1, 1)
+	for i := range 100 {
+		if l.Admit(start.Add(-time.Duration(i)*time.Second), "w", 1, 1, 1) == 0 {
+			t.Fatal("a clock that goes back gave a token")
+		}
+	}
+}
+
+func TestTableOfWorkspacesIsBounded(t *testing.T) {
+	l := admission.NewLimiter()
+	for i := range 50000 {
+		l.Admit(start, fmt.Sprint(i), 1, 1, 1)
+	}
+	if n := l.Active(); n > 8192 {
+		t.Fatalf("%d workspaces in the table", n)
+	}
+}
--- /dev/null
+++ b/internal/attempt/attempt_test.go
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package attempt_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func yes() bool { return true }
+
+func no() bool { return false }
+
+func ExampleLife() {
+	reservation := attempt.NewLife(false, start.Add(time.Second))
+	fmt.Println(reservation.May(start, yes, yes))
+	reservation.Ended(attempt.OutcomeNotRun)
+	fmt.Println(reservation.May(start, yes, yes), reservation.Outcome())
+	reservation.Ended(attempt.OutcomeUnknown)
+	fmt.Println(reservation.May(start, yes, yes), reservation.Outcome())
+	// Output:
+	// none
+	// none not-run
+	// may have run unknown
+}
+
+func TestMay(t *testing.T) {
+	cases := []struct {
+		name       string
+		repeatable bool
+		ended      []attempt.Outcome
+		at         time.Duration
+		policy     func() bool
+		budget     func() bool
+		want       attempt.Reason
+	}{
+		{"first", false, nil, 0, no, no, attempt.ReasonNone},
+		{"first but late", false, nil, time.Second, yes, yes, attempt.ReasonDeadline},
+		{"after not run", false, []attempt.Outcome{attempt.OutcomeNotRun}, 0, yes, yes, attempt.ReasonNone},
+		{"after unknown", false, []attempt.Outcome{attempt.OutcomeUnknown}, 0, yes, yes, attempt.ReasonUnproved},
+		{"after done", false, []attempt.Outcome{attempt.OutcomeDone}, 0, yes, yes, attempt.ReasonUnproved},
+		{"unknown stays", false, []attempt.Outcome{attempt.OutcomeUnknown, attempt.OutcomeNotRun}, 0, yes, yes, attempt.ReasonUnproved},
+		{"repeatable after unknown", true, []attempt.Outcome{attempt.OutcomeUnknown}, 0, yes, yes, attempt.ReasonNone},
+		{"policy", true, []attempt.Outcome{attempt.OutcomeUnknown}, 0, no, yes, attempt.ReasonPolicy},
+		{"budget", true, []attempt.Outcome{attempt.OutcomeUnknown}, 0, yes, no, attempt.ReasonBudget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := attempt.NewLife(c.repeatable, start.Add(time.Second))
+			for _, o := range c.ended {
+				l.Ended(o)
+			}
+			if got := l.May(start.Add(c.at), c.policy, c.budget); got != c.want {
+				t.Fatalf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Whatever happens to attempts, a request that must not be repeated has at most
+// one that may have run, and "not run" is said only if none has.
+func TestAtMostOnceProperty(t *testing.T) {
+	p := gopter.NewProperties(nil)
+	p.Property("at most one attempt may have run", prop.ForAll(
+		func(outcomes []int) bool {
+			l := attempt.NewLife(false, start.Add(time.Second))
+			ran := 0
+			for _, o := range outcomes {
+				if l.May(start, yes, yes) != attempt.ReasonNone {
+					break
+				}
+				l.Ended(attempt.Outcome(o))
+				if attempt.Outcome(o) != attempt.OutcomeNotRun {
+					ran++
+				}
+			}
+			told := l.Outcome()
+			return ran <= 1 && (told == attempt.OutcomeNotRun) == (ran == 0)
+		},
+		gen.SliceOfN(10, gen.IntRange(0, 2)),
+	))
+	p.TestingRun(t)
+}
--- a/internal/detection/strategy.go
+++ b/internal/detection/strategy.go
@@ -120,7 +120,7 @@
 			halls[n.hall].nodes = append(halls[n.hall].nodes, s)
 		}
 		for i, h := range halls {
-			w.every(2*beat, func(now time.Time) { h.beat(now, i, halls) })
+			w.every(beat, func(now time.Time) { h.beat(now, i, halls) })
 		}
 	}
 }
--- a/internal/node/observing.go
+++ b/internal/node/observing.go
@@ -19,7 +19,7 @@
 // Beats of reports.
 const (
 	// observeBeat is how often an observer judges.
-	observeBeat = 500 * time.Millisecond
+	observeBeat = judgeBeat
 	// A node reports good requests at a slower beat that grows with the fleet,
 	// so that the cost for each node stays flat; bad ones it reports at once.
 	slowLeast   = 2 * time.Second
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package policy_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"ploverjunction.example/ploverjunction/internal/policy"
+)
+
+func ExampleCompile() {
+	p, err := policy.Compile(policy.Text{
+		Sick:  "score >= threshold && reporters >= 2",
+		Retry: `outcome == "not-run" || repeatable && attempt < 2`,
+		Floor: "capacity * 0.7",
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(p.Sick(policy.Health{
+		Score:     9,
+		Threshold: 7,
+		Reporters: 1,
+	}))
+	fmt.Println(p.Retry(policy.Try{
+		Attempt: 3,
+		Outcome: "not-run",
+	}))
+	fmt.Printf("%.1f\n", p.Floor(18, 6))
+	_, err = policy.Compile(policy.Text{
+		Floor: "capacity *\n targts",
+	})
+	fmt.Println(strings.SplitN(err.Error(), " (", 2)[0])
+	// Output:
+	// false
+	// true
+	// 12.6
+	// policy: floor:2:2: undeclared reference to 'targts'
+}
+
+func TestCompileRefuses(t *testing.T) {
+	cases := []struct {
+		name string
+		text policy.Text
+		part string
+	}{
+		{"type", policy.Text{Sick: "score"}, "sick"},
+		{"floor type", policy.Text{Floor: "targets"}, "floor"},
+		{"syntax", policy.Text{Retry: "attempt <"}, "retry"},
+		{"unknown name", policy.Text{Retry: "now() > 1"}, "retry"},
+		{"loop", policy.Text{Sick: "[1, 2].exists(x, x > 1)"}, "sick"},
+		{"cost", policy.Text{Retry: strings.Repeat(`route.matches("(a+)+$") || `, 30) + "true"}, "retry"},
+		{"length", policy.Text{Sick: strings.Repeat(" ", 5000) + "true"}, "sick"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := policy.Compile(c.text)
+			var pe *policy.Error
+			if !errors.As(err, &pe) {
+				t.Fatalf("got %v", err)
+			}
+			if pe.Part() != c.part || pe.Line() < 1 || pe.Column() < 1 {
+				t.Fatalf("part %q at %d:%d", pe.Part(), pe.Line(), pe.Column())
+			}
+		})
+	}
+}
+
+// A policy that fails while it runs must not take targets out of service, nor
+// lower the floor, nor cause retries.
+func TestFailingPolicyIsCareful(t *testing.T) {
+	p, err := policy.Compile(policy.Text{
+		Sick:  "1 / (reporters - reporters) > 0",
+		Retry: "1 / (attempt - attempt) > 0",
+		Floor: "double(1 / (targets - targets))",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Sick(policy.Health{Reporters: 3}) || p.Retry(policy.Try{Attempt: 1}) || p.Floor(12, 4) != 12 {
+		t.Fatal("a failing policy acted")
+	}
+}
+
+func TestFloorIsClamped(t *testing.T) {
+	for text, want := range map[string]float64{"-5.0": 0, "1e9": 12, "0.0/0.0": 12, "6.0": 6} {
+		p, err := policy.Compile(policy.Text{Floor: text})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := p.Floor(12, 4); got != want {
+			t.Errorf("%s gives %v, want %v", text, got, want)
+		}
+	}
+}
