--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -138,6 +138,8 @@
 	hall   string
 	front  *faultproxy.Proxy
 	toPlat string
+	// keys are the settings of the keys for peers.
+	keys string
 	// outgoing is the IP number that connections to targets come from.
 	outgoing string
 	extra    string
@@ -195,6 +197,7 @@
 listen = 127.0.0.1:0
 advertise = %s
 %s
+%s
 [source]
 kind = platform
 platform = http://%s
@@ -204,7 +207,7 @@
 [entry]
 listen = 127.0.0.1:0
 %s
-`, n.hall, n.outgoing, n.front.Addr(), seeds, n.toPlat, n.extra)
+`, n.hall, n.outgoing, n.front.Addr(), seeds, n.keys, n.toPlat, n.extra)
 }
 
 func (n *node) start() {
--- /dev/null
+++ b/internal/integration/smuggle_test.go
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// smuggled is a request hidden in the body of another one.
+const smuggled = "GET /quotes/smuggled HTTP/1.1\r\nHost: h\r\nTest-Key: smuggled\r\n\r\n"
+
+// raw sends bytes to a node and returns the statuses of all answers until the
+// node closes the connection or is silent.
+func raw(t *testing.T, address, text string) []int {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, text); err != nil {
+		return nil
+	}
+	var out []int
+	r := bufio.NewReader(conn)
+	for {
+		// A node that keeps the connection open waits for the next request.
+		_ = conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return out
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		out = append(out, res.StatusCode)
+	}
+}
+
+func TestSmugglingInputs(t *testing.T) {
+	s, b, n := oneTarget(t)
+	post := "POST /quotes/1 HTTP/1.1\r\nHost: h\r\nTest-Key: outer\r\n"
+	cases := []struct {
+		name string
+		text string
+		// want is the status of the only answer; 0 means that any one will do.
+		want int
+	}{
+		{"two lengths", post + "Content-Length: 3\r\nContent-Length: 90\r\n\r\nabc" + smuggled, 400},
+		{"list of lengths", post + "Content-Length: 3, 90\r\n\r\nabc" + smuggled, 400},
+		{"length with a sign", post + "Content-Length: +3\r\n\r\nabc" + smuggled, 400},
+		{"negative length", post + "Content-Length: -1\r\n\r\n" + smuggled, 400},
+		{"length and chunks", post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, 0},
+		{"chunks and length", post + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + smuggled, 0},
+		{"unknown coding", post + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + smuggled, 501},
+		{"two codings", post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled, 501},
+		{"bad chunk size", post + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n" + smuggled, 400},
+		{"chunk too long for its size", post + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n" + smuggled, 400},
+		{"huge chunk size", post + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nabc\r\n0\r\n\r\n" + smuggled, 400},
+		{"space before the colon", post + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + smuggled, 400},
+		{"folded header", post + "X-A: b\r\n c\r\nContent-Length: 0\r\n\r\n", 0},
+		{"zero byte in a header", post + "X-A: b\x00c\r\nContent-Length: 0\r\n\r\n", 400},
+		{"return in a header", post + "X-A: b\rc\r\nContent-Length: 0\r\n\r\n", 400},
+		{"no host", "GET /quotes/1 HTTP/1.1\r\nTest-Key: outer\r\n\r\n", 400},
+		{"two hosts", "GET /quotes/1 HTTP/1.1\r\nHost: a\r\nHost: b\r\nTest-Key: outer\r\n\r\n", 400},
+		{"other host in the target", "GET http://other/quotes/1 HTTP/1.1\r\nHost: h\r\nTest-Key: outer\r\n\r\n", 0},
+		{"line end in the path", "GET /quotes/1%0d%0aX: HTTP/1.1\r\nHost: h\r\nTest-Key: outer\r\n\r\n", 0},
+		{"no http", "hello\r\n\r\n", 400},
+		{"random bytes", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400},
+		{"large header", post + "X-A: " + strings.Repeat("a", 200<<10) + "\r\nContent-Length: 0\r\n\r\n", 431},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := raw(t, n.entry, c.text)
+			if len(got) != 1 || c.want != 0 && got[0] != c.want {
+				t.Fatalf("statuses %v, want one of %d", got, c.want)
+			}
+			t.Logf("status %d", got[0])
+			if runs := s.runsOf("smuggled"); runs != 0 {
+				t.Fatalf("the hidden request ran %d times", runs)
+			}
+		})
+	}
+	for _, r := range b.Runs() {
+		if r.Path != "/quotes/1" && r.Path != "/quotes/1\r\nX:" {
+			t.Errorf("a target got the path %q", r.Path)
+		}
+	}
+}
+
+// Hop-by-hop fields end at the node, and nobody outside sets the fleet's own.
+func TestHeadersTowardsTargets(t *testing.T) {
+	_, b, n := oneTarget(t)
+	r := n.do(http.MethodGet, "/quotes/1", "headers", "",
+		"Connection", "X-Secret, keep-alive",
+		"X-Secret", "1",
+		"Keep-Alive", "timeout=5",
+		"Te", "trailers",
+		"Upgrade", "h2c",
+		"Proxy-Authorization", "Basic x",
+		"X-Forwarded-For", "192.0.2.7",
+		"Plover-Deadline", "99999999999999",
+		"Plover-Request-Id", "forged",
+		"X-Kept", "yes",
+	)
+	if r.status != http.StatusOK {
+		t.Fatalf("status %d", r.status)
+	}
+	h := b.LastHeader()
+	for _, name := range []string{"X-Secret", "Keep-Alive", "Te", "Upgrade", "Proxy-Authorization", "Connection"} {
+		if h.Get(name) != "" {
+			t.Errorf("%s reached the target: %q", name, h.Get(name))
+		}
+	}
+	want := map[string]string{
+		"X-Kept":            "yes",
+		"X-Forwarded-For":   "192.0.2.7, 127.0.0.1",
+		"X-Forwarded-Proto": "http",
+		"Via":               "1.1 ploverjunction",
+	}
+	for name, value := range want {
+		if h.Get(name) != value {
+			t.Errorf("%s is %q, want %q", name, h.Get(name), value)
+		}
+	}
+	if h.Get("Plover-Request-Id") == "forged" || h.Get("Plover-Deadline") == "99999999999999" {
+		t.Errorf("forged fields reached the target: %v", h)
+	}
+}
--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -113,6 +113,13 @@
 // Sent returns the bytes that came through towards the upstream.
 func (p *Proxy) Sent() int64 { return p.forward.bytes.Load() }
 
+// Conns returns how many connections go through the proxy.
+func (p *Proxy) Conns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) / 2
+}
+
 // Reset breaks all connections with a TCP reset.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -75,6 +75,7 @@
 	requests atomic.Int64
 	mu       sync.Mutex
 	runs     []Run
+	header   http.Header
 }
 
 // New returns a healthy target with a number of slots.
@@ -103,6 +104,13 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// LastHeader returns the header of the request that ran last.
+func (t *Target) LastHeader() http.Header {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.header
+}
+
 // Handler serves requests, /health, /load and the test below /admin/.
 func (t *Target) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -195,6 +203,7 @@
 func (t *Target) record(r *http.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.header = r.Header.Clone()
 	t.runs = append(t.runs, Run{
 		Key:      r.Header.Get(HeaderKey),
 		ID:       r.Header.Get(headerRequestID),
