--- /dev/null
+++ b/internal/dissemination/dissemination_test.go
@@ -0,0 +1,238 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dissemination"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// peer is one node of a fake fleet.
+type peer struct {
+	name    string
+	replica *dissemination.Replica
+	gossip  *dissemination.Gossip
+	view    *membership.View
+}
+
+// fleet is a fake fleet whose messages take a millisecond.
+type fleet struct {
+	mu    sync.Mutex
+	peers map[string]*peer
+	// cut tells which way messages are lost.
+	cut   func(from, to string) bool
+	calls int
+}
+
+type lostError struct{}
+
+// Error says that a message was lost.
+func (lostError) Error() string { return "lost" }
+
+func newFleet(n int) *fleet {
+	f := &fleet{
+		peers: map[string]*peer{},
+		cut:   func(string, string) bool { return false },
+	}
+	var list []membership.Node
+	for i := range n {
+		list = append(list, membership.NewNode(fmt.Sprintf("192.0.2.%d:1", i), "a"))
+	}
+	for _, node := range list {
+		tab := membership.NewTable(node)
+		tab.List(list, nil)
+		p := &peer{
+			name:    node.Address(),
+			replica: dissemination.NewReplica(func(*fleetconfig.Config, []fleetconfig.Refusal) {}),
+			view:    tab.View(time.Now()),
+		}
+		p.gossip = dissemination.New(dissemination.Config{
+			Self: func() *wire.Node { return &wire.Node{Address: p.name} },
+			View: func() *membership.View { return p.view },
+			Call: func(ctx context.Context, to string, in *wire.SyncRequest) (*wire.SyncReply, error) {
+				return f.call(ctx, p.name, to, in)
+			},
+			Heard:     func(*wire.Node) {},
+			Mentioned: func(*wire.Node) {},
+			Failed:    func(string) {},
+		}, p.replica)
+		f.peers[p.name] = p
+	}
+	return f
+}
+
+// call hangs for two seconds where a message is lost, as a real one does.
+func (f *fleet) call(ctx context.Context, from, to string, in *wire.SyncRequest) (*wire.SyncReply, error) {
+	f.mu.Lock()
+	f.calls++
+	lost := f.cut(from, to)
+	f.mu.Unlock()
+	if lost {
+		select {
+		case <-ctx.Done():
+		case <-time.After(2 * time.Second):
+		}
+		return nil, lostError{}
+	}
+	time.Sleep(time.Millisecond)
+	reply, err := f.peers[to].gossip.Sync(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	lost = f.cut(to, from)
+	f.mu.Unlock()
+	if lost {
+		return nil, lostError{}
+	}
+	return reply, nil
+}
+
+func (f *fleet) run(ctx context.Context) *task.Group {
+	var g task.Group
+	for _, p := range f.peers {
+		g.Go(ctx, p.name, p.gossip.Run)
+	}
+	return &g
+}
+
+func value(rev uint64, size int) *wire.Entry {
+	return &wire.Entry{
+		Key:      "key",
+		Revision: rev,
+		Value:    fmt.Appendf(nil, `{"workspaces":[{"id":"w%d"}]}%*s`, rev, size, ""),
+	}
+}
+
+// have counts the nodes that have a revision in force.
+func (f *fleet) have(rev uint64) int {
+	n := 0
+	for _, p := range f.peers {
+		if p.replica.InForce()["key"] >= rev {
+			n++
+		}
+	}
+	return n
+}
+
+func TestSpread(t *testing.T) {
+	cases := []struct {
+		name string
+		size int
+		cut  func(from, to string) bool
+		most time.Duration
+	}{
+		{"small value", 10, func(string, string) bool { return false }, 3 * time.Second},
+		{"large value", 100_000, func(string, string) bool { return false }, 3 * time.Second},
+		{"a node that can only be reached", 10, func(from, _ string) bool { return from == "192.0.2.7:1" }, 30 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(60)
+				f.cut = c.cut
+				ctx, cancel := context.WithCancel(t.Context())
+				g := f.run(ctx)
+				time.Sleep(3 * time.Second)
+				begun := time.Now()
+				f.peers["192.0.2.0:1"].gossip.Publish([]*wire.Entry{value(1, c.size)})
+				for f.have(1) < len(f.peers) && time.Since(begun) < time.Minute {
+					time.Sleep(5 * time.Millisecond)
+				}
+				took := time.Since(begun)
+				t.Logf("on all nodes after %v", took)
+				if took > c.most {
+					t.Errorf("on %d of %d nodes after %v", f.have(1), len(f.peers), took)
+				}
+				cancel()
+				if err := g.Wait(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// A node to which nothing comes through, though its own messages arrive, can't
+// learn anything: it must know that.
+func TestDeafNodeKnowsThatItIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const deaf = "192.0.2.7:1"
+		f := newFleet(20)
+		f.cut = func(_, to string) bool { return to == deaf }
+		ctx, cancel := context.WithCancel(t.Context())
+		g := f.run(ctx)
+		time.Sleep(30 * time.Second)
+		for name, p := range f.peers {
+			if got := p.gossip.CutOff(); got != (name == deaf) {
+				t.Errorf("%s: cut off %t", name, got)
+			}
+		}
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// A quiet fleet costs about one call a node and beat, however large it is.
+func TestQuietCost(t *testing.T) {
+	for _, n := range []int{10, 40, 160} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(n)
+			ctx, cancel := context.WithCancel(t.Context())
+			g := f.run(ctx)
+			const seconds = 20
+			time.Sleep(seconds * time.Second)
+			f.mu.Lock()
+			each := float64(f.calls) / float64(n) / seconds
+			f.mu.Unlock()
+			t.Logf("%d nodes: %.2f calls a second and node", n, each)
+			if each > 1.3 {
+				t.Errorf("%d nodes: %.2f calls a second and node", n, each)
+			}
+			cancel()
+			if err := g.Wait(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+func TestHealedPartsAgreeOnTheGreatest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(20)
+		side := func(name string) bool { return len(name) == len("192.0.2.1:1") }
+		f.cut = func(from, to string) bool { return side(from) != side(to) }
+		ctx, cancel := context.WithCancel(t.Context())
+		g := f.run(ctx)
+		f.peers["192.0.2.1:1"].gossip.Publish([]*wire.Entry{value(7, 0)})
+		f.peers["192.0.2.11:1"].gossip.Publish([]*wire.Entry{value(9, 0)})
+		time.Sleep(10 * time.Second)
+		if a, b := f.have(7), f.have(9); a != 20 || b != 10 {
+			t.Errorf("during the cut %d nodes have 7 and %d have 9", a, b)
+		}
+		f.mu.Lock()
+		f.cut = func(string, string) bool { return false }
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if n := f.have(9); n != 20 {
+			t.Errorf("after the cut %d nodes have 9", n)
+		}
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/integration/config_test.go
+++ b/internal/integration/config_test.go
@@ -198,19 +198,55 @@
 			}
 		})
 	}
-	t.Run("platform gone after one reader heard", func(t *testing.T) {
+	for _, mode := range []platform.Mode{platform.ModeDown, platform.ModeHang, platform.ModeStale} {
+		t.Run("platform "+string(mode)+" after one reader heard", func(t *testing.T) {
+			rev := publish()
+			eventually(t, "one node with the revision", func() bool {
+				return slices.ContainsFunc(s.nodes, func(n *node) bool { return n.revision("routes") >= rev })
+			})
+			s.platform.SetModeAt(mode, rev-1)
+			defer s.platform.SetMode(platform.ModeGood)
+			s.checkSpread(t, rev, s.nodes)
+		})
+	}
+	t.Run("platform stale and a third cannot be reached", func(t *testing.T) {
 		rev := publish()
 		eventually(t, "one node with the revision", func() bool {
 			return slices.ContainsFunc(s.nodes, func(n *node) bool { return n.revision("routes") >= rev })
 		})
-		s.platform.SetMode(platform.ModeDown)
+		s.platform.SetModeAt(platform.ModeStale, rev-1)
 		defer s.platform.SetMode(platform.ModeGood)
-		took := s.spreadTime(rev, s.nodes)
-		t.Logf("last %v", took[len(took)-1])
-		if took[0] == 0 || took[len(took)-1] > inForceWithin {
-			t.Fatalf("last node after %v (0 means never)", took[len(took)-1])
+		for i := 0; i < len(s.nodes); i += 3 {
+			s.nodes[i].front.Forward(faultproxy.Fault{Cut: true})
+			defer s.nodes[i].front.Forward(faultproxy.Fault{})
 		}
+		s.checkSpread(t, rev, s.nodes)
 	})
+	t.Run("nodes restarting throughout", func(t *testing.T) {
+		restarted := s.nodes[30:]
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for _, n := range restarted {
+				n.restart()
+			}
+		}()
+		for range 3 {
+			s.checkSpread(t, publish(), s.nodes[:30])
+		}
+		<-done
+		s.checkSpread(t, publish(), s.nodes)
+	})
+}
+
+// checkSpread fails the test if a revision isn't in force on all nodes in time.
+func (s *site) checkSpread(t *testing.T, rev uint64, nodes []*node) {
+	t.Helper()
+	took := s.spreadTime(rev, nodes)
+	t.Logf("median %v, last %v", took[len(took)/2], took[len(took)-1])
+	if took[0] == 0 || took[len(took)-1] > inForceWithin {
+		t.Fatalf("last node after %v (0 means never)", took[len(took)-1])
+	}
 }
 
 // TestRevisionsNeverFall restarts nodes while the platform's replica is stale and
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func nodes(n int) []membership.Node {
+	out := make([]membership.Node, n)
+	for i := range out {
+		out[i] = membership.NewNode(fmt.Sprintf("192.0.2.%d:1", i), string(rune('a'+i%3)))
+	}
+	return out
+}
+
+func table(n int) (*membership.Table, []membership.Node) {
+	list := nodes(n)
+	t := membership.NewTable(list[0])
+	t.List(list, nil)
+	return t, list
+}
+
+func ExampleView_Duty() {
+	t, _ := table(9)
+	view := t.View(start)
+	for _, n := range view.Duty("observer/quotes", "b", 2) {
+		fmt.Println(n.DataHall())
+	}
+	// Output:
+	// b
+	// b
+}
+
+func TestDutyPassesOnAndReturns(t *testing.T) {
+	tab, _ := table(9)
+	first := tab.View(start).Duty("x", "b", 1)[0]
+	tab.Failed(start, first.Address())
+	if got := tab.View(start).Duty("x", "b", 1)[0]; got != first {
+		t.Fatal("one failed call was enough")
+	}
+	tab.Failed(start, first.Address())
+	second := tab.View(start).Duty("x", "b", 1)[0]
+	if second == first {
+		t.Fatal("a suspected node keeps its duty")
+	}
+	tab.Heard(start, first, 1, false)
+	if got := tab.View(start).Duty("x", "b", 1)[0]; got != first {
+		t.Fatal("a node that is heard again doesn't get its duty back")
+	}
+}
+
+func TestSuspicionEnds(t *testing.T) {
+	tab, list := table(3)
+	tab.Failed(start, list[1].Address())
+	tab.Failed(start, list[1].Address())
+	if n := len(tab.View(start).Live()); n != 2 {
+		t.Fatalf("%d live", n)
+	}
+	if n := len(tab.View(start.Add(membership.SuspectTime)).Live()); n != 3 {
+		t.Fatalf("%d live after the suspicion", n)
+	}
+}
+
+func TestLeaving(t *testing.T) {
+	tab, list := table(3)
+	tab.Heard(start, list[1], 5, true)
+	tab.List(list, nil)
+	if n := tab.View(start).Nodes(); n != 2 {
+		t.Fatalf("an old list takes back that a node leaves: %d nodes", n)
+	}
+	tab.Heard(start, list[1], 4, false)
+	if n := tab.View(start).Nodes(); n != 2 {
+		t.Fatalf("a message of an earlier life counts: %d nodes", n)
+	}
+	tab.Heard(start, list[1], 6, false)
+	if n := tab.View(start).Nodes(); n != 3 {
+		t.Fatalf("a new process at the address counts as leaving: %d nodes", n)
+	}
+}
+
+func TestUnlistedNodesAreForgotten(t *testing.T) {
+	tab, _ := table(2)
+	stray := membership.NewNode("192.0.2.99:1", "c")
+	tab.Mentioned(start, stray)
+	if n := tab.View(start).Nodes(); n != 3 {
+		t.Fatalf("%d nodes", n)
+	}
+	tab.Failed(start.Add(2*membership.ForgetTime), stray.Address())
+	if n := tab.View(start).Nodes(); n != 2 {
+		t.Fatalf("%d nodes after the stray one was forgotten", n)
+	}
+}
+
+// Nodes with different views agree on duties wherever their views agree on the
+// first ranks, and every view names someone.
+func TestDutyProperty(t *testing.T) {
+	p := gopter.NewProperties(nil)
+	p.Property("a duty always has a holder, and suspecting others doesn't move it", prop.ForAll(
+		func(suspects []int, duty string) bool {
+			tab, list := table(12)
+			before := tab.View(start).Duty(duty, "", 1)[0]
+			for _, i := range suspects {
+				if list[i] == before || i == 0 {
+					continue
+				}
+				tab.Failed(start, list[i].Address())
+				tab.Failed(start, list[i].Address())
+			}
+			after := tab.View(start).Duty(duty, "", 1)
+			return len(after) == 1 && after[0] == before
+		},
+		gen.SliceOfN(5, gen.IntRange(0, 11)),
+		gen.AlphaString(),
+	))
+	p.TestingRun(t)
+}
