--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -70,11 +70,46 @@
 		nodes       int
 		least, most int
 	}{
-		{"unlimited", 0, 0, 1, 10000, 10000},
-		{"one node", 10, 10, 1, 105, 111},
-		{"a tenth each on ten nodes", 100, 100, 10, 105, 111},
-		{"burst", 10, 50, 1, 145, 151},
-		{"less than one a second", 0.5, 1, 1, 5, 6},
+		{
+			name:  "unlimited",
+			rate:  0,
+			burst: 0,
+			nodes: 1,
+			least: 10000,
+			most:  10000,
+		},
+		{
+			name:  "one node",
+			rate:  10,
+			burst: 10,
+			nodes: 1,
+			least: 105,
+			most:  111,
+		},
+		{
+			name:  "a tenth each on ten nodes",
+			rate:  100,
+			burst: 100,
+			nodes: 10,
+			least: 105,
+			most:  111,
+		},
+		{
+			name:  "burst",
+			rate:  10,
+			burst: 50,
+			nodes: 1,
+			least: 145,
+			most:  151,
+		},
+		{
+			name:  "less than one a second",
+			rate:  0.5,
+			burst: 1,
+			nodes: 1,
+			least: 5,
+			most:  6,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -196,12 +196,36 @@
 		nodes, targets int
 		size           int
 	}{
-		{1, 6, 6},
-		{40, 6, 6},
-		{40, 20, 20},
-		{1000, 6, 6},
-		{1000, 30, 6},
-		{250, 30, 12},
+		{
+			nodes:   1,
+			targets: 6,
+			size:    6,
+		},
+		{
+			nodes:   40,
+			targets: 6,
+			size:    6,
+		},
+		{
+			nodes:   40,
+			targets: 20,
+			size:    20,
+		},
+		{
+			nodes:   1000,
+			targets: 6,
+			size:    6,
+		},
+		{
+			nodes:   1000,
+			targets: 30,
+			size:    6,
+		},
+		{
+			nodes:   250,
+			targets: 30,
+			size:    12,
+		},
 	}
 	for _, c := range cases {
 		t.Run(fmt.Sprintf("%d nodes %d targets", c.nodes, c.targets), func(t *testing.T) {
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -133,17 +133,54 @@
 	bytes := func(r *result) float64 { return grow(r, sentBytes) + grow(r, receivedBytes) }
 	p.Sum = []sumRow{
 		{
-			What: "a member alone", From: "base of the nodes series",
+			What:  "a member alone",
+			From:  "base of the nodes series",
 			Bytes: nodes.fit(sentBytes).base + nodes.fit(receivedBytes).base,
-			CPU:   nodes.fit(cpuShare).base, MBs: nodes.fit(memorySize).base,
+			CPU:   nodes.fit(cpuShare).base,
+			MBs:   nodes.fit(memorySize).base,
+		},
+		{
+			What:  "1,000 members",
+			From:  "nodes",
+			Bytes: bytes(nodes),
+			CPU:   grow(nodes, cpuShare),
+			MBs:   grow(nodes, memorySize),
+		},
+		{
+			What:  "290 services, 8,700 targets",
+			From:  "services",
+			Bytes: bytes(rs["services"]),
+			CPU:   grow(rs["services"], cpuShare),
+			MBs:   grow(rs["services"], memorySize),
+		},
+		{
+			What: "7,100 routes",
+			From: "routes",
+			CPU:  grow(rs["routes"], cpuShare),
+			MBs:  grow(rs["routes"], memorySize),
+		},
+		{
+			What: "48,000 workspaces",
+			From: "workspaces",
+			CPU:  grow(rs["workspaces"], cpuShare),
+			MBs:  grow(rs["workspaces"], memorySize),
+		},
+		{
+			What:  "5,800 changes a day of 10 kB",
+			From:  "changes; changes-full for the processor",
+			Bytes: bytes(rs["changes"]),
+			CPU:   grow(rs["changes-full"], cpuShare),
+		},
+		{
+			What: "memory in use while values change",
+			From: "changes-full, beyond its size 0",
+			MBs:  garbage(rs["changes-full"]),
+		},
+		{
+			What:  "evidence of 210 requests a second",
+			From:  "requests",
+			Bytes: bytes(rs["requests"]),
 		},
-		{What: "1,000 members", From: "nodes", Bytes: bytes(nodes), CPU: grow(nodes, cpuShare), MBs: grow(nodes, memorySize)},
-		{What: "290 services, 8,700 targets", From: "services", Bytes: bytes(rs["services"]), CPU: grow(rs["services"], cpuShare), MBs: grow(rs["services"], memorySize)},
-		{What: "7,100 routes", From: "routes", CPU: grow(rs["routes"], cpuShare), MBs: grow(rs["routes"], memorySize)},
-		{What: "48,000 workspaces", From: "workspaces", CPU: grow(rs["workspaces"], cpuShare), MBs: grow(rs["workspaces"], memorySize)},
-		{What: "5,800 changes a day of 10 kB", From: "changes; changes-full for the processor", Bytes: bytes(rs["changes"]), CPU: grow(rs["changes-full"], cpuShare)},
-		{What: "memory in use while values change", From: "changes-full, beyond its size 0", MBs: garbage(rs["changes-full"])},
-		{What: "evidence of 210 requests a second", From: "requests", Bytes: bytes(rs["requests"])},
 	}
 	p.Total = sumRow{
 		What: "sum",
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -24,12 +24,36 @@
 
 // Quantities.
 var (
-	sentBytes     = quantity{"sent", "B/s", func(s sample) float64 { return s.sent }}
-	receivedBytes = quantity{"received", "B/s", func(s sample) float64 { return s.received }}
-	peerCalls     = quantity{"calls to peers", "1/s", func(s sample) float64 { return s.calls }}
-	cpuShare      = quantity{"processor", "% of a core", func(s sample) float64 { return s.cpu }}
-	memorySize    = quantity{"memory", "MB", func(s sample) float64 { return s.memory }}
-	platformCalls = quantity{"calls on the platform", "1/min, whole fleet", func(s sample) float64 { return s.platform }}
+	sentBytes = quantity{
+		name: "sent",
+		unit: "B/s",
+		of:   func(s sample) float64 { return s.sent },
+	}
+	receivedBytes = quantity{
+		name: "received",
+		unit: "B/s",
+		of:   func(s sample) float64 { return s.received },
+	}
+	peerCalls = quantity{
+		name: "calls to peers",
+		unit: "1/s",
+		of:   func(s sample) float64 { return s.calls },
+	}
+	cpuShare = quantity{
+		name: "processor",
+		unit: "% of a core",
+		of:   func(s sample) float64 { return s.cpu },
+	}
+	memorySize = quantity{
+		name: "memory",
+		unit: "MB",
+		of:   func(s sample) float64 { return s.memory },
+	}
+	platformCalls = quantity{
+		name: "calls on the platform",
+		unit: "1/min, whole fleet",
+		of:   func(s sample) float64 { return s.platform },
+	}
 )
 
 // series varies one size and holds the others.
@@ -70,7 +94,10 @@
 	control := []quantity{sentBytes, receivedBytes, peerCalls, cpuShare, memorySize}
 	return []series{
 		{
-			name: "nodes", label: "nodes", sizes: []float64{10, 20, 40, 80}, goal: goalNodes,
+			name:       "nodes",
+			label:      "nodes",
+			sizes:      []float64{10, 20, 40, 80},
+			goal:       goalNodes,
 			quantities: append(control[:len(control):len(control)], platformCalls),
 			at: func(size float64) point {
 				p := small()
@@ -79,7 +106,10 @@
 			},
 		},
 		{
-			name: "services", label: "services of 30 targets", sizes: []float64{10, 40, 100, 290}, goal: goalServices,
+			name:       "services",
+			label:      "services of 30 targets",
+			sizes:      []float64{10, 40, 100, 290},
+			goal:       goalServices,
 			quantities: control,
 			at: func(size float64) point {
 				p := small()
@@ -90,7 +120,10 @@
 			},
 		},
 		{
-			name: "routes", label: "routes", sizes: []float64{100, 1000, 3500, 7100}, goal: goalRoutes,
+			name:       "routes",
+			label:      "routes",
+			sizes:      []float64{100, 1000, 3500, 7100},
+			goal:       goalRoutes,
 			quantities: []quantity{cpuShare, memorySize},
 			at: func(size float64) point {
 				p := small()
@@ -99,7 +132,10 @@
 			},
 		},
 		{
-			name: "workspaces", label: "workspaces", sizes: []float64{1000, 10000, 25000, 48000}, goal: goalWorkspaces,
+			name:       "workspaces",
+			label:      "workspaces",
+			sizes:      []float64{1000, 10000, 25000, 48000},
+			goal:       goalWorkspaces,
 			quantities: []quantity{cpuShare, memorySize},
 			at: func(size float64) point {
 				p := small()
@@ -108,7 +144,10 @@
 			},
 		},
 		{
-			name: "changes", label: "changes a second, each of 10 kB", sizes: []float64{0, 1, 2, 4}, goal: goalChanges,
+			name:       "changes",
+			label:      "changes a second, each of 10 kB",
+			sizes:      []float64{0, 1, 2, 4},
+			goal:       goalChanges,
 			quantities: []quantity{sentBytes, receivedBytes, cpuShare},
 			at: func(size float64) point {
 				p := small()
@@ -119,7 +158,10 @@
 			},
 		},
 		{
-			name: "changes-full", label: "changes a second before the whole configuration", sizes: []float64{0, 0.5, 1, 2}, goal: goalChanges,
+			name:       "changes-full",
+			label:      "changes a second before the whole configuration",
+			sizes:      []float64{0, 0.5, 1, 2},
+			goal:       goalChanges,
 			quantities: []quantity{cpuShare, memorySize},
 			at: func(size float64) point {
 				return point{
@@ -134,7 +176,10 @@
 			},
 		},
 		{
-			name: "requests", label: "requests a second and node", sizes: []float64{0, 20, 50, 100}, goal: goalRequests,
+			name:       "requests",
+			label:      "requests a second and node",
+			sizes:      []float64{0, 20, 50, 100},
+			goal:       goalRequests,
 			quantities: []quantity{sentBytes, receivedBytes, peerCalls},
 			at: func(size float64) point {
 				p := small()
--- a/internal/detection/measure.go
+++ b/internal/detection/measure.go
@@ -12,12 +12,60 @@
 
 // Pools of the brief, with assumed loads of about a sixth of their slots.
 var (
-	quotes       = pool{name: "quotes", targets: 16, slots: 3, nodes: 40, halls: 3, rate: 80, median: 80 * time.Millisecond}
-	reservations = pool{name: "reservations", targets: 9, slots: 3, nodes: 40, halls: 3, rate: 45, median: 80 * time.Millisecond}
-	documents    = pool{name: "documents", targets: 6, slots: 3, nodes: 40, halls: 3, rate: 30, median: 80 * time.Millisecond}
-	drafts       = pool{name: "drafts", targets: 20, slots: 4, nodes: 40, halls: 4, rate: 130, median: 80 * time.Millisecond}
-	receipts     = pool{name: "receipts", targets: 9, slots: 4, nodes: 40, halls: 4, rate: 60, median: 80 * time.Millisecond}
-	exports      = pool{name: "exports", targets: 8, slots: 4, nodes: 40, halls: 4, rate: 50, median: 80 * time.Millisecond}
+	quotes = pool{
+		name:    "quotes",
+		targets: 16,
+		slots:   3,
+		nodes:   40,
+		halls:   3,
+		rate:    80,
+		median:  80 * time.Millisecond,
+	}
+	reservations = pool{
+		name:    "reservations",
+		targets: 9,
+		slots:   3,
+		nodes:   40,
+		halls:   3,
+		rate:    45,
+		median:  80 * time.Millisecond,
+	}
+	documents = pool{
+		name:    "documents",
+		targets: 6,
+		slots:   3,
+		nodes:   40,
+		halls:   3,
+		rate:    30,
+		median:  80 * time.Millisecond,
+	}
+	drafts = pool{
+		name:    "drafts",
+		targets: 20,
+		slots:   4,
+		nodes:   40,
+		halls:   4,
+		rate:    130,
+		median:  80 * time.Millisecond,
+	}
+	receipts = pool{
+		name:    "receipts",
+		targets: 9,
+		slots:   4,
+		nodes:   40,
+		halls:   4,
+		rate:    60,
+		median:  80 * time.Millisecond,
+	}
+	exports = pool{
+		name:    "exports",
+		targets: 8,
+		slots:   4,
+		nodes:   40,
+		halls:   4,
+		rate:    50,
+		median:  80 * time.Millisecond,
+	}
 )
 
 // method is a way of judging.
@@ -41,9 +89,18 @@
 
 func baselines() []method {
 	return []method{
-		{name: "no ejection", build: baseline(0, never)},
-		{name: "5 failures in a row, each node alone", build: baseline(0, consecutive)},
-		{name: "success rate, each node alone", build: baseline(rateInterval, successRate)},
+		{
+			name:  "no ejection",
+			build: baseline(0, never),
+		},
+		{
+			name:  "5 failures in a row, each node alone",
+			build: baseline(0, consecutive),
+		},
+		{
+			name:  "success rate, each node alone",
+			build: baseline(rateInterval, successRate),
+		},
 	}
 }
 
@@ -120,17 +177,66 @@
 func faults() []fault {
 	one := []int{0}
 	return []fault{
-		{name: "hard stall, probes fine", sick: one, seen: seenByAll, begin: func(w *world) { w.targets[0].stall = true }},
-		{name: "10 times slow", sick: one, seen: seenByAll, begin: func(w *world) { w.targets[0].slow = 10 }},
-		{name: "30% errors", sick: one, seen: seenByAll, begin: func(w *world) { w.targets[0].errors = 0.3 }},
-		{name: "flapping, period 4 s", sick: one, seen: seenByAll, begin: flap(4 * time.Second)},
-		{name: "flapping, period 20 s", sick: one, seen: seenByAll, begin: flap(20 * time.Second)},
-		{name: "flapping, period 120 s", sick: one, seen: seenByAll, begin: flap(120 * time.Second)},
-		{name: "cut from one node", cut: firstNode, seen: cutSeen(firstNode), begin: cutOff(firstNode)},
-		{name: "cut from one data hall", cut: firstHall, seen: cutSeen(firstHall), begin: cutOff(firstHall)},
-		{name: "whole pool 10 times slow", begin: each(func(t *fakeTarget) { t.slow = 10 })},
-		{name: "overload, half is shed", begin: each(func(t *fakeTarget) { t.shed = 0.5 })},
-		{name: "cold start, 3 times slow for 10 s", begin: coldStart},
+		{
+			name:  "hard stall, probes fine",
+			sick:  one,
+			seen:  seenByAll,
+			begin: func(w *world) { w.targets[0].stall = true },
+		},
+		{
+			name:  "10 times slow",
+			sick:  one,
+			seen:  seenByAll,
+			begin: func(w *world) { w.targets[0].slow = 10 },
+		},
+		{
+			name:  "30% errors",
+			sick:  one,
+			seen:  seenByAll,
+			begin: func(w *world) { w.targets[0].errors = 0.3 },
+		},
+		{
+			name:  "flapping, period 4 s",
+			sick:  one,
+			seen:  seenByAll,
+			begin: flap(4 * time.Second),
+		},
+		{
+			name:  "flapping, period 20 s",
+			sick:  one,
+			seen:  seenByAll,
+			begin: flap(20 * time.Second),
+		},
+		{
+			name:  "flapping, period 120 s",
+			sick:  one,
+			seen:  seenByAll,
+			begin: flap(120 * time.Second),
+		},
+		{
+			name:  "cut from one node",
+			cut:   firstNode,
+			seen:  cutSeen(firstNode),
+			begin: cutOff(firstNode),
+		},
+		{
+			name:  "cut from one data hall",
+			cut:   firstHall,
+			seen:  cutSeen(firstHall),
+			begin: cutOff(firstHall),
+		},
+		{
+			name:  "whole pool 10 times slow",
+			begin: each(func(t *fakeTarget) { t.slow = 10 }),
+		},
+		{
+			name:  "overload, half is shed",
+			begin: each(func(t *fakeTarget) { t.shed = 0.5 }),
+		},
+		{
+			name:  "cold start, 3 times slow for 10 s",
+			begin: coldStart,
+		},
 	}
 }
 
--- a/internal/dissemination/dissemination_test.go
+++ b/internal/dissemination/dissemination_test.go
@@ -57,7 +57,11 @@
 			view:    tab.View(time.Now()),
 		}
 		p.gossip = dissemination.New(dissemination.Config{
-			Self: func() *wire.Node { return &wire.Node{Address: p.name} },
+			Self: func() *wire.Node {
+				return &wire.Node{
+					Address: p.name,
+				}
+			},
 			View: func() *membership.View { return p.view },
 			Call: func(ctx context.Context, to string, in *wire.SyncRequest) (*wire.SyncReply, error) {
 				return f.call(ctx, p.name, to, in)
@@ -133,9 +137,24 @@
 		cut  func(from, to string) bool
 		most time.Duration
 	}{
-		{"small value", 10, func(string, string) bool { return false }, 3 * time.Second},
-		{"large value", 100_000, func(string, string) bool { return false }, 3 * time.Second},
-		{"a node that can only be reached", 10, func(from, _ string) bool { return from == "192.0.2.7:1" }, 30 * time.Second},
+		{
+			name: "small value",
+			size: 10,
+			cut:  func(string, string) bool { return false },
+			most: 3 * time.Second,
+		},
+		{
+			name: "large value",
+			size: 100_000,
+			cut:  func(string, string) bool { return false },
+			most: 3 * time.Second,
+		},
+		{
+			name: "a node that can only be reached",
+			size: 10,
+			cut:  func(from, _ string) bool { return from == "192.0.2.7:1" },
+			most: 30 * time.Second,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -200,14 +200,13 @@
 		return fail.status, fail.outcome
 	}
 	x := &relay{
-		server: s,
-		id:     id,
-		req:    r,
-		in:     in,
-		body:   b,
-		life:   attempt.NewLife(in.route.Repeatable(), in.deadline),
-		header: towardsTarget(r),
-
+		server:  s,
+		id:      id,
+		req:     r,
+		in:      in,
+		body:    b,
+		life:    attempt.NewLife(in.route.Repeatable(), in.deadline),
+		header:  towardsTarget(r),
 		results: make(chan result, maxTries),
 	}
 	a, release, fail := x.answer()
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -58,28 +58,116 @@
 		value string
 		kind  fleetconfig.Kind
 	}{
-		{"unknown field", `{"sevices":[]}`, fleetconfig.KindSyntax},
-		{"wrong type", `{"services":{}}`, fleetconfig.KindSyntax},
-		{"bad duration", `{"services":[{"name":"s"}],"routes":[{"name":"r","pathPrefix":"/","service":"s","deadline":"2"}]}`, fleetconfig.KindSyntax},
-		{"too large", strings.Repeat(" ", fleetconfig.MaxValue) + "{}", fleetconfig.KindSize},
-		{"no name", `{"services":[{}]}`, fleetconfig.KindMissing},
-		{"service twice", `{"services":[{"name":"s"},{"name":"s"}]}`, fleetconfig.KindDuplicate},
-		{"bad policy", `{"services":[{"name":"s","policy":{"sick":"1"}}]}`, fleetconfig.KindPolicy},
-		{"bad path", `{"services":[{"name":"s","healthPath":"health"}]}`, fleetconfig.KindRange},
-		{"threshold", `{"services":[{"name":"s","threshold":-1}]}`, fleetconfig.KindRange},
-		{"target without service", `{"targets":[{"service":"x","address":"192.0.2.1:80","slots":1,"connections":1}]}`, fleetconfig.KindReference},
-		{"target by name", `{"services":[{"name":"s"}],"targets":[{"service":"s","address":"host:80","slots":1,"connections":1}]}`, fleetconfig.KindRange},
-		{"no slots", `{"services":[{"name":"s"}],"targets":[{"service":"s","address":"192.0.2.1:80","connections":1}]}`, fleetconfig.KindRange},
-		{"target twice", strings.Replace(pool, `"targets":[`, `"targets":[{"service":"s","address":"192.0.2.1:80","slots":1,"connections":1},`, 1), fleetconfig.KindDuplicate},
-		{"route without service", `{"routes":[{"name":"r","pathPrefix":"/","service":"x"}]}`, fleetconfig.KindReference},
-		{"route path", `{"services":[{"name":"s"}],"routes":[{"name":"r","pathPrefix":"x","service":"s"}]}`, fleetconfig.KindRange},
-		{"route method", `{"services":[{"name":"s"}],"routes":[{"name":"r","pathPrefix":"/","service":"s","methods":["get"]}]}`, fleetconfig.KindRange},
-		{"negative deadline", `{"services":[{"name":"s"}],"routes":[{"name":"r","pathPrefix":"/","service":"s","deadline":"-1s"}]}`, fleetconfig.KindRange},
-		{"two routes for one request", `{"services":[{"name":"s"}],"routes":[{"name":"a","pathPrefix":"/x","service":"s","methods":["GET"]},{"name":"b","pathPrefix":"/x/","service":"s","methods":["GET","PUT"]}]}`, fleetconfig.KindDuplicate},
-		{"negative rate", `{"workspaces":[{"id":"w","rate":-1}]}`, fleetconfig.KindRange},
-		{"infinite rate", `{"workspaces":[{"id":"w","rate":"Infinity"}]}`, fleetconfig.KindRange},
-		{"workspace twice", `{"workspaces":[{"id":"w"},{"id":"w"}]}`, fleetconfig.KindDuplicate},
-		{"instance state", `{"instances":[{"address":"192.0.2.1:80","role":"ENTRY"}]}`, fleetconfig.KindMissing},
+		{
+			name:  "unknown field",
+			value: `{"sevices":[]}`,
+			kind:  fleetconfig.KindSyntax,
+		},
+		{
+			name:  "wrong type",
+			value: `{"services":{}}`,
+			kind:  fleetconfig.KindSyntax,
+		},
+		{
+			name:  "bad duration",
+			value: `{"services":[{"name":"s"}],"routes":[{"name":"r","pathPrefix":"/","service":"s","deadline":"2"}]}`,
+			kind:  fleetconfig.KindSyntax,
+		},
+		{
+			name:  "too large",
+			value: strings.Repeat(" ", fleetconfig.MaxValue) + "{}",
+			kind:  fleetconfig.KindSize,
+		},
+		{
+			name:  "no name",
+			value: `{"services":[{}]}`,
+			kind:  fleetconfig.KindMissing,
+		},
+		{
+			name:  "service twice",
+			value: `{"services":[{"name":"s"},{"name":"s"}]}`,
+			kind:  fleetconfig.KindDuplicate,
+		},
+		{
+			name:  "bad policy",
+			value: `{"services":[{"name":"s","policy":{"sick":"1"}}]}`,
+			kind:  fleetconfig.KindPolicy,
+		},
+		{
+			name:  "bad path",
+			value: `{"services":[{"name":"s","healthPath":"health"}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "threshold",
+			value: `{"services":[{"name":"s","threshold":-1}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "target without service",
+			value: `{"targets":[{"service":"x","address":"192.0.2.1:80","slots":1,"connections":1}]}`,
+			kind:  fleetconfig.KindReference,
+		},
+		{
+			name:  "target by name",
+			value: `{"services":[{"name":"s"}],"targets":[{"service":"s","address":"host:80","slots":1,"connections":1}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "no slots",
+			value: `{"services":[{"name":"s"}],"targets":[{"service":"s","address":"192.0.2.1:80","connections":1}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "target twice",
+			value: strings.Replace(pool, `"targets":[`, `"targets":[{"service":"s","address":"192.0.2.1:80","slots":1,"connections":1},`, 1),
+			kind:  fleetconfig.KindDuplicate,
+		},
+		{
+			name:  "route without service",
+			value: `{"routes":[{"name":"r","pathPrefix":"/","service":"x"}]}`,
+			kind:  fleetconfig.KindReference,
+		},
+		{
+			name:  "route path",
+			value: `{"services":[{"name":"s"}],"routes":[{"name":"r","pathPrefix":"x","service":"s"}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "route method",
+			value: `{"services":[{"name":"s"}],"routes":[{"name":"r","pathPrefix":"/","service":"s","methods":["get"]}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "negative deadline",
+			value: `{"services":[{"name":"s"}],"routes":[{"name":"r","pathPrefix":"/","service":"s","deadline":"-1s"}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "two routes for one request",
+			value: `{"services":[{"name":"s"}],"routes":[{"name":"a","pathPrefix":"/x","service":"s","methods":["GET"]},{"name":"b","pathPrefix":"/x/","service":"s","methods":["GET","PUT"]}]}`,
+			kind:  fleetconfig.KindDuplicate,
+		},
+		{
+			name:  "negative rate",
+			value: `{"workspaces":[{"id":"w","rate":-1}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "infinite rate",
+			value: `{"workspaces":[{"id":"w","rate":"Infinity"}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "workspace twice",
+			value: `{"workspaces":[{"id":"w"},{"id":"w"}]}`,
+			kind:  fleetconfig.KindDuplicate,
+		},
+		{
+			name:  "instance state",
+			value: `{"instances":[{"address":"192.0.2.1:80","role":"ENTRY"}]}`,
+			kind:  fleetconfig.KindMissing,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -111,16 +199,66 @@
 		t.Fatal(err)
 	}
 	cases := []struct{ host, path, method, want string }{
-		{"a", "/quotes", "GET", "quotes"},
-		{"a", "/quotes/", "GET", "quotes"},
-		{"a", "/quotes/1/2", "GET", "quotes"},
-		{"a", "/quotes/special/2", "GET", "special"},
-		{"a", "/quotesspecial", "GET", "any"},
-		{"a", "/quotes", "POST", "any"},
-		{"example.org", "/quotes/1", "GET", "host"},
-		{"example.org", "/quotes/1", "POST", "any"},
-		{"a", "/", "GET", "any"},
-		{"a", "/only", "PUT", "put"},
+		{
+			host:   "a",
+			path:   "/quotes",
+			method: "GET",
+			want:   "quotes",
+		},
+		{
+			host:   "a",
+			path:   "/quotes/",
+			method: "GET",
+			want:   "quotes",
+		},
+		{
+			host:   "a",
+			path:   "/quotes/1/2",
+			method: "GET",
+			want:   "quotes",
+		},
+		{
+			host:   "a",
+			path:   "/quotes/special/2",
+			method: "GET",
+			want:   "special",
+		},
+		{
+			host:   "a",
+			path:   "/quotesspecial",
+			method: "GET",
+			want:   "any",
+		},
+		{
+			host:   "a",
+			path:   "/quotes",
+			method: "POST",
+			want:   "any",
+		},
+		{
+			host:   "example.org",
+			path:   "/quotes/1",
+			method: "GET",
+			want:   "host",
+		},
+		{
+			host:   "example.org",
+			path:   "/quotes/1",
+			method: "POST",
+			want:   "any",
+		},
+		{
+			host:   "a",
+			path:   "/",
+			method: "GET",
+			want:   "any",
+		},
+		{
+			host:   "a",
+			path:   "/only",
+			method: "PUT",
+			want:   "put",
+		},
 	}
 	for _, c := range cases {
 		r, m := cfg.Route(c.host, c.path, c.method)
@@ -230,9 +368,16 @@
 
 func TestDeletedKeyStaysDeleted(t *testing.T) {
 	s := fleetconfig.NewStore()
-	e := step{key: 1, revision: 1}.entry()
+	e := step{
+		key:      1,
+		revision: 1,
+	}.entry()
 	s.Offer([]*wire.Entry{e})
-	s.Offer([]*wire.Entry{{Key: e.GetKey(), Revision: 2, Deleted: true}})
+	s.Offer([]*wire.Entry{{
+		Key:      e.GetKey(),
+		Revision: 2,
+		Deleted:  true,
+	}})
 	if s.Config().Workspaces() != 0 {
 		t.Fatal("still there after the deletion")
 	}
@@ -244,16 +389,28 @@
 
 func TestValuesThatNeedEachOtherWaitForEachOther(t *testing.T) {
 	s := fleetconfig.NewStore()
-	s.Offer([]*wire.Entry{{Key: "routes", Revision: 1, Value: []byte(`{"routes":[{"name":"r","pathPrefix":"/","service":"s"}]}`)}})
+	s.Offer([]*wire.Entry{{
+		Key:      "routes",
+		Revision: 1,
+		Value:    []byte(`{"routes":[{"name":"r","pathPrefix":"/","service":"s"}]}`),
+	}})
 	if len(s.Refusals()) != 1 || s.Config().Routes() != 0 {
 		t.Fatalf("refusals %v", s.Refusals())
 	}
-	s.Offer([]*wire.Entry{{Key: "pool", Revision: 2, Value: []byte(pool)}})
+	s.Offer([]*wire.Entry{{
+		Key:      "pool",
+		Revision: 2,
+		Value:    []byte(pool),
+	}})
 	if len(s.Refusals()) != 0 || s.Config().Routes() != 1 {
 		t.Fatalf("refusals %v, %d routes", s.Refusals(), s.Config().Routes())
 	}
 	// Taking the service away while a route needs it is refused.
-	s.Offer([]*wire.Entry{{Key: "pool", Revision: 3, Deleted: true}})
+	s.Offer([]*wire.Entry{{
+		Key:      "pool",
+		Revision: 3,
+		Deleted:  true,
+	}})
 	if len(s.Refusals()) != 1 || s.Config().Service("s") == nil {
 		t.Fatal("a needed service was deleted")
 	}
--- a/internal/forward/guard_test.go
+++ b/internal/forward/guard_test.go
@@ -19,25 +19,50 @@
 		want  string
 		wrote bool
 	}{
-		{"in time", func(c net.Conn, _ func() bool) { _, _ = io.WriteString(c, "a") }, "a", true},
-		{"woken late", func(c net.Conn, _ func() bool) {
-			time.Sleep(time.Second)
-			_, _ = io.WriteString(c, "a")
-		}, "", false},
-		{"goes on after the limit once begun", func(c net.Conn, _ func() bool) {
-			_, _ = io.WriteString(c, "a")
-			time.Sleep(time.Second)
-			_, _ = io.WriteString(c, "b")
-		}, "ab", true},
-		{"given up before the write", func(c net.Conn, seal func() bool) {
-			seal()
-			_, _ = io.WriteString(c, "a")
-		}, "", false},
-		{"given up within the request", func(c net.Conn, seal func() bool) {
-			_, _ = io.WriteString(c, "a")
-			seal()
-			_, _ = io.WriteString(c, "b")
-		}, "a", true},
+		{
+			name:  "in time",
+			steps: func(c net.Conn, _ func() bool) { _, _ = io.WriteString(c, "a") },
+			want:  "a",
+			wrote: true,
+		},
+		{
+			name: "woken late",
+			steps: func(c net.Conn, _ func() bool) {
+				time.Sleep(time.Second)
+				_, _ = io.WriteString(c, "a")
+			},
+			want:  "",
+			wrote: false,
+		},
+		{
+			name: "goes on after the limit once begun",
+			steps: func(c net.Conn, _ func() bool) {
+				_, _ = io.WriteString(c, "a")
+				time.Sleep(time.Second)
+				_, _ = io.WriteString(c, "b")
+			},
+			want:  "ab",
+			wrote: true,
+		},
+		{
+			name: "given up before the write",
+			steps: func(c net.Conn, seal func() bool) {
+				seal()
+				_, _ = io.WriteString(c, "a")
+			},
+			want:  "",
+			wrote: false,
+		},
+		{
+			name: "given up within the request",
+			steps: func(c net.Conn, seal func() bool) {
+				_, _ = io.WriteString(c, "a")
+				seal()
+				_, _ = io.WriteString(c, "b")
+			},
+			want:  "a",
+			wrote: true,
+		},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -11,30 +11,92 @@
 
 func TestCheckFindsEachBrokenPromise(t *testing.T) {
 	at := time.Unix(1000, 0)
-	once := []history.Run{{Key: "k", Target: "t", At: at, Deadline: at}}
+	once := []history.Run{{
+		Key:      "k",
+		Target:   "t",
+		At:       at,
+		Deadline: at,
+	}}
 	twice := append(once, once...)
-	good := history.Call{Key: "k", Outcome: history.OutcomeDone, Whole: true, Right: true}
+	good := history.Call{
+		Key:     "k",
+		Outcome: history.OutcomeDone,
+		Whole:   true,
+		Right:   true,
+	}
 	cases := []struct {
 		name string
 		call func(*history.Call)
 		runs []history.Run
 		want history.Promise
 	}{
-		{"good", func(*history.Call) {}, once, ""},
-		{"repeatable twice", func(c *history.Call) { c.Repeatable = true }, twice, ""},
-		{"twice", func(*history.Call) {}, twice, history.PromiseAtMostOnce},
-		{"not run but run", func(c *history.Call) { c.Outcome = history.OutcomeNotRun }, once, history.PromiseNotRun},
-		{"unknown and run", func(c *history.Call) { c.Outcome = history.OutcomeUnknown }, once, ""},
-		{"done but never run", func(*history.Call) {}, nil, history.PromiseDone},
-		{"other bytes", func(c *history.Call) { c.Right = false }, once, history.PromiseWhole},
-		{"visibly broken", func(c *history.Call) { c.Right, c.Whole = false, false }, once, ""},
-		{"late", func(*history.Call) {}, []history.Run{{Key: "k", At: at, Deadline: at.Add(-time.Second)}}, history.PromiseDeadline},
+		{
+			name: "good",
+			call: func(*history.Call) {},
+			runs: once,
+			want: "",
+		},
+		{
+			name: "repeatable twice",
+			call: func(c *history.Call) { c.Repeatable = true },
+			runs: twice,
+			want: "",
+		},
+		{
+			name: "twice",
+			call: func(*history.Call) {},
+			runs: twice,
+			want: history.PromiseAtMostOnce,
+		},
+		{
+			name: "not run but run",
+			call: func(c *history.Call) { c.Outcome = history.OutcomeNotRun },
+			runs: once,
+			want: history.PromiseNotRun,
+		},
+		{
+			name: "unknown and run",
+			call: func(c *history.Call) { c.Outcome = history.OutcomeUnknown },
+			runs: once,
+			want: "",
+		},
+		{
+			name: "done but never run",
+			call: func(*history.Call) {},
+			runs: nil,
+			want: history.PromiseDone,
+		},
+		{
+			name: "other bytes",
+			call: func(c *history.Call) { c.Right = false },
+			runs: once,
+			want: history.PromiseWhole,
+		},
+		{
+			name: "visibly broken",
+			call: func(c *history.Call) { c.Right, c.Whole = false, false },
+			runs: once,
+			want: "",
+		},
+		{
+			name: "late",
+			call: func(*history.Call) {},
+			runs: []history.Run{{
+				Key:      "k",
+				At:       at,
+				Deadline: at.Add(-time.Second),
+			}},
+			want: history.PromiseDeadline,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			call := good
 			c.call(&call)
-			got := history.Check(history.History{Calls: []history.Call{call}, Runs: c.runs}, 10*time.Millisecond)
+			got := history.Check(history.History{
+				Calls: []history.Call{call},
+				Runs:  c.runs,
+			}, 10*time.Millisecond)
 			if c.want == "" && len(got) > 0 {
 				t.Fatalf("found %v", got)
 			}
--- a/internal/integration/config_test.go
+++ b/internal/integration/config_test.go
@@ -68,13 +68,48 @@
 		value string
 		want  string
 	}{
-		{"no json", "routes", `{`, "syntax error"},
-		{"unknown field", "routes", `{"rutes":[]}`, "syntax error"},
-		{"unknown service", "routes", `{"routes":[{"name":"x","pathPrefix":"/","service":"nothing"}]}`, "refers to nothing"},
-		{"policy type", "policy", `{"services":[{"name":"other","policy":{"sick":"score"}}]}`, "policy: sick:1:1"},
-		{"policy place", "policy", `{"services":[{"name":"other","policy":{"sick":"score >\n nothing"}}]}`, "policy: sick:2:2"},
-		{"policy loop", "policy", `{"services":[{"name":"other","policy":{"sick":"[1,2].all(x, x > 0)"}}]}`, "policy: sick"},
-		{"too large", "routes", strings.Repeat(" ", 1<<20) + "{}", "too large"},
+		{
+			name:  "no json",
+			key:   "routes",
+			value: `{`,
+			want:  "syntax error",
+		},
+		{
+			name:  "unknown field",
+			key:   "routes",
+			value: `{"rutes":[]}`,
+			want:  "syntax error",
+		},
+		{
+			name:  "unknown service",
+			key:   "routes",
+			value: `{"routes":[{"name":"x","pathPrefix":"/","service":"nothing"}]}`,
+			want:  "refers to nothing",
+		},
+		{
+			name:  "policy type",
+			key:   "policy",
+			value: `{"services":[{"name":"other","policy":{"sick":"score"}}]}`,
+			want:  "policy: sick:1:1",
+		},
+		{
+			name:  "policy place",
+			key:   "policy",
+			value: `{"services":[{"name":"other","policy":{"sick":"score >\n nothing"}}]}`,
+			want:  "policy: sick:2:2",
+		},
+		{
+			name:  "policy loop",
+			key:   "policy",
+			value: `{"services":[{"name":"other","policy":{"sick":"[1,2].all(x, x > 0)"}}]}`,
+			want:  "policy: sick",
+		},
+		{
+			name:  "too large",
+			key:   "routes",
+			value: strings.Repeat(" ", 1<<20) + "{}",
+			want:  "too large",
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -163,25 +198,41 @@
 		fault func()
 		heal  func()
 	}{
-		{"no fault", func() {}, func() {}},
-		{"a third cannot be reached", func() {
-			for i := 0; i < len(s.nodes); i += 3 {
-				s.nodes[i].front.Forward(faultproxy.Fault{Cut: true})
-			}
-		}, func() {
-			for _, n := range s.nodes {
-				n.front.Forward(faultproxy.Fault{})
-			}
-		}},
-		{"a third is not heard back", func() {
-			for i := 0; i < len(s.nodes); i += 3 {
-				s.nodes[i].front.Backward(faultproxy.Fault{Cut: true})
-			}
-		}, func() {
-			for _, n := range s.nodes {
-				n.front.Backward(faultproxy.Fault{})
-			}
-		}},
+		{
+			name:  "no fault",
+			fault: func() {},
+			heal:  func() {},
+		},
+		{
+			name: "a third cannot be reached",
+			fault: func() {
+				for i := 0; i < len(s.nodes); i += 3 {
+					s.nodes[i].front.Forward(faultproxy.Fault{
+						Cut: true,
+					})
+				}
+			},
+			heal: func() {
+				for _, n := range s.nodes {
+					n.front.Forward(faultproxy.Fault{})
+				}
+			},
+		},
+		{
+			name: "a third is not heard back",
+			fault: func() {
+				for i := 0; i < len(s.nodes); i += 3 {
+					s.nodes[i].front.Backward(faultproxy.Fault{
+						Cut: true,
+					})
+				}
+			},
+			heal: func() {
+				for _, n := range s.nodes {
+					n.front.Backward(faultproxy.Fault{})
+				}
+			},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -217,7 +268,9 @@
 		s.platform.SetModeAt(platform.ModeStale, rev-1)
 		defer s.platform.SetMode(platform.ModeGood)
 		for i := 0; i < len(s.nodes); i += 3 {
-			s.nodes[i].front.Forward(faultproxy.Fault{Cut: true})
+			s.nodes[i].front.Forward(faultproxy.Fault{
+				Cut: true,
+			})
 			defer s.nodes[i].front.Forward(faultproxy.Fault{})
 		}
 		s.checkSpread(t, rev, s.nodes)
@@ -336,7 +389,9 @@
 	s.platform.SetModeAt(platform.ModeStale, old)
 	last := s.nodes[3]
 	for _, n := range s.nodes[:3] {
-		n.front.Forward(faultproxy.Fault{Delay: 300 * time.Millisecond})
+		n.front.Forward(faultproxy.Fault{
+			Delay: 300 * time.Millisecond,
+		})
 	}
 	last.restart()
 	eventually(t, "the restarted node ready", last.ready)
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -160,12 +160,11 @@
 func (s *site) node(hall string, opts ...option) *node {
 	s.t.Helper()
 	n := &node{
-		t:      s.t,
-		site:   s,
-		hall:   hall,
-		front:  newProxy(s.t, "127.0.0.1:1"),
-		toPlat: s.toPlat.Addr(),
-
+		t:        s.t,
+		site:     s,
+		hall:     hall,
+		front:    newProxy(s.t, "127.0.0.1:1"),
+		toPlat:   s.toPlat.Addr(),
 		outgoing: fmt.Sprintf("127.0.1.%d", len(s.nodes)+1),
 	}
 	for i, other := range s.nodes {
--- a/internal/integration/load_test.go
+++ b/internal/integration/load_test.go
@@ -33,7 +33,9 @@
 func TestRetryStorm(t *testing.T) {
 	s := pool(t, 2, `,"policy":{"retry":"attempt < 10","floor":"capacity"}`)
 	for _, b := range s.targets {
-		b.SetMode(target.Mode{ResetAfter: true})
+		b.SetMode(target.Mode{
+			ResetAfter: true,
+		})
 	}
 	const workers, each = 10, 100
 	var all sync.WaitGroup
@@ -136,7 +138,9 @@
 	l := startLoad(s.nodes, 16, 5*time.Millisecond)
 	b := s.targets[0]
 	eventually(t, "work on the target", func() bool { return len(b.Runs()) > 50 })
-	b.proxy.Forward(faultproxy.Fault{Cut: true})
+	b.proxy.Forward(faultproxy.Fault{
+		Cut: true,
+	})
 	ran := len(s.targets[1].Runs())
 	eventually(t, "work elsewhere", func() bool { return len(s.targets[1].Runs()) > ran+100 })
 	b.proxy.Forward(faultproxy.Fault{})
@@ -210,8 +214,10 @@
 		a.t.Fatal(err)
 	}
 	tmpl := &x509.Certificate{
-		SerialNumber:          big.NewInt(time.Now().UnixNano()),
-		Subject:               pkix.Name{CommonName: name},
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject: pkix.Name{
+			CommonName: name,
+		},
 		NotBefore:             time.Now().Add(-time.Hour),
 		NotAfter:              time.Now().Add(time.Hour),
 		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
@@ -242,7 +248,10 @@
 
 func (a *authority) write(name, kind string, der []byte) {
 	a.t.Helper()
-	b := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	b := pem.EncodeToMemory(&pem.Block{
+		Type:  kind,
+		Bytes: der,
+	})
 	if err := os.WriteFile(filepath.Join(a.dir, name), b, 0o600); err != nil {
 		a.t.Fatal(err)
 	}
--- a/internal/integration/once_test.go
+++ b/internal/integration/once_test.go
@@ -35,12 +35,54 @@
 		status int
 		most   time.Duration
 	}{
-		{"runs and never answers", target.Mode{Stall: true}, http.StatusGatewayTimeout, 3 * time.Second},
-		{"answer lost", target.Mode{ResetAfter: true}, http.StatusBadGateway, time.Second},
-		{"reset before it runs", target.Mode{ResetBefore: true}, http.StatusBadGateway, time.Second},
-		{"answer cut", target.Mode{CutAfter: 5}, http.StatusBadGateway, time.Second},
-		{"answer of another request", target.Mode{Swap: true}, http.StatusBadGateway, time.Second},
-		{"answer without length", target.Mode{Unframed: true}, http.StatusBadGateway, time.Second},
+		{
+			name: "runs and never answers",
+			mode: target.Mode{
+				Stall: true,
+			},
+			status: http.StatusGatewayTimeout,
+			most:   3 * time.Second,
+		},
+		{
+			name: "answer lost",
+			mode: target.Mode{
+				ResetAfter: true,
+			},
+			status: http.StatusBadGateway,
+			most:   time.Second,
+		},
+		{
+			name: "reset before it runs",
+			mode: target.Mode{
+				ResetBefore: true,
+			},
+			status: http.StatusBadGateway,
+			most:   time.Second,
+		},
+		{
+			name: "answer cut",
+			mode: target.Mode{
+				CutAfter: 5,
+			},
+			status: http.StatusBadGateway,
+			most:   time.Second,
+		},
+		{
+			name: "answer of another request",
+			mode: target.Mode{
+				Swap: true,
+			},
+			status: http.StatusBadGateway,
+			most:   time.Second,
+		},
+		{
+			name: "answer without length",
+			mode: target.Mode{
+				Unframed: true,
+			},
+			status: http.StatusBadGateway,
+			most:   time.Second,
+		},
 	}
 	s, b, n := oneTarget(t)
 	other := s.target("quotes", "a", 30)
@@ -80,7 +122,9 @@
 		if warm.status != http.StatusOK {
 			t.Fatalf("warm request: status %d", warm.status)
 		}
-		b.SetMode(target.Mode{ResetAfter: true})
+		b.SetMode(target.Mode{
+			ResetAfter: true,
+		})
 		key := fmt.Sprintf("once-%d", i)
 		r := n.do(http.MethodPost, "/quotes/1", key, "", "Idempotency-Key", key)
 		if runs := s.runsOf(key); runs != 1 || r.outcome != "unknown" {
@@ -105,7 +149,9 @@
 
 func TestShedRequestIsTriedElsewhere(t *testing.T) {
 	s, b, n := oneTarget(t)
-	b.SetMode(target.Mode{Shed: true})
+	b.SetMode(target.Mode{
+		Shed: true,
+	})
 	r := n.do(http.MethodPost, "/quotes/1", "alone", "x")
 	if r.outcome != "not-run" || s.runsOf("alone") != 0 {
 		t.Fatalf("outcome %q runs %d", r.outcome, s.runsOf("alone"))
@@ -119,7 +165,9 @@
 
 func TestCallerGoneCancelsTheRun(t *testing.T) {
 	s, b, n := oneTarget(t)
-	b.SetMode(target.Mode{Stall: true})
+	b.SetMode(target.Mode{
+		Stall: true,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.entry+"/quotes/1", nil)
 	if err != nil {
@@ -227,7 +275,11 @@
 // all whatever the storm brought.
 func everyOutcome(s *site, n *node) []history.Call {
 	var calls []history.Call
-	for i, m := range []target.Mode{{}, {Shed: true}, {Stall: true}} {
+	for i, m := range []target.Mode{{}, {
+		Shed: true,
+	}, {
+		Stall: true,
+	}} {
 		for _, b := range s.targets {
 			b.SetMode(m)
 			b.proxy.Forward(faultproxy.Fault{})
@@ -243,15 +295,33 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	modes := []target.Mode{
 		{},
-		{ResetAfter: true},
-		{ResetBefore: true},
-		{Shed: true},
-		{Stall: true},
-		{ErrorShare: 0.5},
-		{CutAfter: 7},
-		{Swap: true},
-		{Unframed: true},
-		{Latency: 50 * time.Millisecond},
+		{
+			ResetAfter: true,
+		},
+		{
+			ResetBefore: true,
+		},
+		{
+			Shed: true,
+		},
+		{
+			Stall: true,
+		},
+		{
+			ErrorShare: 0.5,
+		},
+		{
+			CutAfter: 7,
+		},
+		{
+			Swap: true,
+		},
+		{
+			Unframed: true,
+		},
+		{
+			Latency: 50 * time.Millisecond,
+		},
 	}
 	next := time.NewTicker(30 * time.Millisecond)
 	defer next.Stop()
@@ -264,7 +334,9 @@
 		}
 		if step%20 < 2 {
 			for _, b := range s.targets {
-				b.SetMode(target.Mode{Shed: step%20 == 0})
+				b.SetMode(target.Mode{
+					Shed: step%20 == 0,
+				})
 			}
 			continue
 		}
@@ -273,8 +345,12 @@
 		case 0, 1:
 			b.SetMode(modes[rng.IntN(len(modes))])
 		case 2:
-			b.proxy.Forward(faultproxy.Fault{Cut: rng.IntN(3) == 0})
-			b.proxy.Backward(faultproxy.Fault{Cut: rng.IntN(3) == 0})
+			b.proxy.Forward(faultproxy.Fault{
+				Cut: rng.IntN(3) == 0,
+			})
+			b.proxy.Backward(faultproxy.Fault{
+				Cut: rng.IntN(3) == 0,
+			})
 		case 3:
 			b.proxy.Reset()
 		case 4:
--- a/internal/integration/outlier_test.go
+++ b/internal/integration/outlier_test.go
@@ -81,7 +81,9 @@
 func pool(t *testing.T, nodes int, policy string) *site {
 	s := newSite(t)
 	for range 6 {
-		s.target("quotes", "a", 30).SetMode(target.Mode{Latency: 5 * time.Millisecond})
+		s.target("quotes", "a", 30).SetMode(target.Mode{
+			Latency: 5 * time.Millisecond,
+		})
 	}
 	s.publishTargets(map[string]string{"quotes": policy})
 	s.standardRoutes("quotes")
@@ -100,7 +102,9 @@
 	l := startLoad(s.nodes[:4], 16, 10*time.Millisecond)
 	eventually(t, "work on the target", func() bool { return len(bad.Runs()) > 50 })
 	begun := time.Now()
-	bad.SetMode(target.Mode{Stall: true})
+	bad.SetMode(target.Mode{
+		Stall: true,
+	})
 	for _, n := range s.nodes {
 		eventually(t, "ejection on "+n.hall, func() bool {
 			p := n.phase(bad).Phase
@@ -121,7 +125,9 @@
 			}
 		}
 	}
-	bad.SetMode(target.Mode{Latency: 5 * time.Millisecond})
+	bad.SetMode(target.Mode{
+		Latency: 5 * time.Millisecond,
+	})
 	eventually(t, "the target healthy again on the nodes with callers", func() bool {
 		for _, n := range s.nodes[:4] {
 			if n.phase(bad).Phase != "healthy" {
@@ -144,7 +150,9 @@
 	// The targets fail one after another, so that each stands out from its pool.
 	// Without the floor four of six would go.
 	for _, b := range s.targets[:4] {
-		b.SetMode(target.Mode{ErrorShare: 1})
+		b.SetMode(target.Mode{
+			ErrorShare: 1,
+		})
 		for _, n := range s.nodes {
 			eventually(t, "the target judged sick", func() bool {
 				s.checkFloor(n)
@@ -184,9 +192,30 @@
 		forward  faultproxy.Fault
 		backward faultproxy.Fault
 	}{
-		{"one node is not heard", []int{0}, faultproxy.Fault{Cut: true}, faultproxy.Fault{}},
-		{"one node does not hear", []int{0}, faultproxy.Fault{}, faultproxy.Fault{Cut: true}},
-		{"one data hall is not heard", []int{0, 2, 4}, faultproxy.Fault{Cut: true}, faultproxy.Fault{}},
+		{
+			name: "one node is not heard",
+			cut:  []int{0},
+			forward: faultproxy.Fault{
+				Cut: true,
+			},
+			backward: faultproxy.Fault{},
+		},
+		{
+			name:    "one node does not hear",
+			cut:     []int{0},
+			forward: faultproxy.Fault{},
+			backward: faultproxy.Fault{
+				Cut: true,
+			},
+		},
+		{
+			name: "one data hall is not heard",
+			cut:  []int{0, 2, 4},
+			forward: faultproxy.Fault{
+				Cut: true,
+			},
+			backward: faultproxy.Fault{},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/integration/path_test.go
+++ b/internal/integration/path_test.go
@@ -27,10 +27,34 @@
 		body   string
 		want   []byte
 	}{
-		{"read", http.MethodGet, "/quotes/1", "", target.Echo(http.MethodGet, "/quotes/1", "read", nil)},
-		{"write", http.MethodPost, "/quotes/1", "price", target.Echo(http.MethodPost, "/quotes/1", "write", []byte("price"))},
-		{"large body", http.MethodPost, "/quotes/1", large, target.Echo(http.MethodPost, "/quotes/1", "large body", []byte(large))},
-		{"document", http.MethodGet, "/quotes/doc?size=5000000", "", target.Document("/quotes/doc", 5000000)},
+		{
+			name:   "read",
+			method: http.MethodGet,
+			path:   "/quotes/1",
+			body:   "",
+			want:   target.Echo(http.MethodGet, "/quotes/1", "read", nil),
+		},
+		{
+			name:   "write",
+			method: http.MethodPost,
+			path:   "/quotes/1",
+			body:   "price",
+			want:   target.Echo(http.MethodPost, "/quotes/1", "write", []byte("price")),
+		},
+		{
+			name:   "large body",
+			method: http.MethodPost,
+			path:   "/quotes/1",
+			body:   large,
+			want:   target.Echo(http.MethodPost, "/quotes/1", "large body", []byte(large)),
+		},
+		{
+			name:   "document",
+			method: http.MethodGet,
+			path:   "/quotes/doc?size=5000000",
+			body:   "",
+			want:   target.Document("/quotes/doc", 5000000),
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -62,15 +86,87 @@
 		status    int
 		code      string
 	}{
-		{"no route", http.MethodGet, "/other", "", "open", 404, "no-route"},
-		{"method", http.MethodDelete, "/quotes/1", "", "open", 405, "method-not-allowed"},
-		{"trace", http.MethodTrace, "/quotes/1", "", "open", 405, "method-not-allowed"},
-		{"dot segment", http.MethodGet, "/quotes/%2e%2e/admin", "", "open", 400, "bad-path"},
-		{"backslash", http.MethodGet, "/quotes/..%5cadmin", "", "open", 400, "bad-path"},
-		{"large body", http.MethodPost, "/quotes/1", strings.Repeat("x", 1<<20+1), "open", 413, "body-too-large"},
-		{"workspace", http.MethodGet, "/quotes/1", "", "stranger", 403, "unknown-workspace"},
-		{"first of a small workspace", http.MethodGet, "/quotes/1", "", "small", 200, ""},
-		{"second of a small workspace", http.MethodGet, "/quotes/1", "", "small", 429, "rate-limit"},
+		{
+			name:      "no route",
+			method:    http.MethodGet,
+			path:      "/other",
+			body:      "",
+			workspace: "open",
+			status:    404,
+			code:      "no-route",
+		},
+		{
+			name:      "method",
+			method:    http.MethodDelete,
+			path:      "/quotes/1",
+			body:      "",
+			workspace: "open",
+			status:    405,
+			code:      "method-not-allowed",
+		},
+		{
+			name:      "trace",
+			method:    http.MethodTrace,
+			path:      "/quotes/1",
+			body:      "",
+			workspace: "open",
+			status:    405,
+			code:      "method-not-allowed",
+		},
+		{
+			name:      "dot segment",
+			method:    http.MethodGet,
+			path:      "/quotes/%2e%2e/admin",
+			body:      "",
+			workspace: "open",
+			status:    400,
+			code:      "bad-path",
+		},
+		{
+			name:      "backslash",
+			method:    http.MethodGet,
+			path:      "/quotes/..%5cadmin",
+			body:      "",
+			workspace: "open",
+			status:    400,
+			code:      "bad-path",
+		},
+		{
+			name:      "large body",
+			method:    http.MethodPost,
+			path:      "/quotes/1",
+			body:      strings.Repeat("x", 1<<20+1),
+			workspace: "open",
+			status:    413,
+			code:      "body-too-large",
+		},
+		{
+			name:      "workspace",
+			method:    http.MethodGet,
+			path:      "/quotes/1",
+			body:      "",
+			workspace: "stranger",
+			status:    403,
+			code:      "unknown-workspace",
+		},
+		{
+			name:      "first of a small workspace",
+			method:    http.MethodGet,
+			path:      "/quotes/1",
+			body:      "",
+			workspace: "small",
+			status:    200,
+			code:      "",
+		},
+		{
+			name:      "second of a small workspace",
+			method:    http.MethodGet,
+			path:      "/quotes/1",
+			body:      "",
+			workspace: "small",
+			status:    429,
+			code:      "rate-limit",
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/integration/smuggle_test.go
+++ b/internal/integration/smuggle_test.go
@@ -51,28 +51,116 @@
 		// want is the status of the only answer; 0 means that any one will do.
 		want int
 	}{
-		{"two lengths", post + "Content-Length: 3\r\nContent-Length: 90\r\n\r\nabc" + smuggled, 400},
-		{"list of lengths", post + "Content-Length: 3, 90\r\n\r\nabc" + smuggled, 400},
-		{"length with a sign", post + "Content-Length: +3\r\n\r\nabc" + smuggled, 400},
-		{"negative length", post + "Content-Length: -1\r\n\r\n" + smuggled, 400},
-		{"length and chunks", post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, 0},
-		{"chunks and length", post + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + smuggled, 0},
-		{"unknown coding", post + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + smuggled, 501},
-		{"two codings", post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled, 501},
-		{"bad chunk size", post + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n" + smuggled, 400},
-		{"chunk too long for its size", post + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n" + smuggled, 400},
-		{"huge chunk size", post + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nabc\r\n0\r\n\r\n" + smuggled, 400},
-		{"space before the colon", post + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + smuggled, 400},
-		{"folded header", post + "X-A: b\r\n c\r\nContent-Length: 0\r\n\r\n", 0},
-		{"zero byte in a header", post + "X-A: b\x00c\r\nContent-Length: 0\r\n\r\n", 400},
-		{"return in a header", post + "X-A: b\rc\r\nContent-Length: 0\r\n\r\n", 400},
-		{"no host", "GET /quotes/1 HTTP/1.1\r\nTest-Key: outer\r\n\r\n", 400},
-		{"two hosts", "GET /quotes/1 HTTP/1.1\r\nHost: a\r\nHost: b\r\nTest-Key: outer\r\n\r\n", 400},
-		{"other host in the target", "GET http://other/quotes/1 HTTP/1.1\r\nHost: h\r\nTest-Key: outer\r\n\r\n", 0},
-		{"line end in the path", "GET /quotes/1%0d%0aX: HTTP/1.1\r\nHost: h\r\nTest-Key: outer\r\n\r\n", 0},
-		{"no http", "hello\r\n\r\n", 400},
-		{"random bytes", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", 400},
-		{"large header", post + "X-A: " + strings.Repeat("a", 200<<10) + "\r\nContent-Length: 0\r\n\r\n", 431},
+		{
+			name: "two lengths",
+			text: post + "Content-Length: 3\r\nContent-Length: 90\r\n\r\nabc" + smuggled,
+			want: 400,
+		},
+		{
+			name: "list of lengths",
+			text: post + "Content-Length: 3, 90\r\n\r\nabc" + smuggled,
+			want: 400,
+		},
+		{
+			name: "length with a sign",
+			text: post + "Content-Length: +3\r\n\r\nabc" + smuggled,
+			want: 400,
+		},
+		{
+			name: "negative length",
+			text: post + "Content-Length: -1\r\n\r\n" + smuggled,
+			want: 400,
+		},
+		{
+			name: "length and chunks",
+			text: post + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+			want: 0,
+		},
+		{
+			name: "chunks and length",
+			text: post + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + smuggled,
+			want: 0,
+		},
+		{
+			name: "unknown coding",
+			text: post + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + smuggled,
+			want: 501,
+		},
+		{
+			name: "two codings",
+			text: post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled,
+			want: 501,
+		},
+		{
+			name: "bad chunk size",
+			text: post + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n" + smuggled,
+			want: 400,
+		},
+		{
+			name: "chunk too long for its size",
+			text: post + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n0\r\n\r\n" + smuggled,
+			want: 400,
+		},
+		{
+			name: "huge chunk size",
+			text: post + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nabc\r\n0\r\n\r\n" + smuggled,
+			want: 400,
+		},
+		{
+			name: "space before the colon",
+			text: post + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n" + smuggled,
+			want: 400,
+		},
+		{
+			name: "folded header",
+			text: post + "X-A: b\r\n c\r\nContent-Length: 0\r\n\r\n",
+			want: 0,
+		},
+		{
+			name: "zero byte in a header",
+			text: post + "X-A: b\x00c\r\nContent-Length: 0\r\n\r\n",
+			want: 400,
+		},
+		{
+			name: "return in a header",
+			text: post + "X-A: b\rc\r\nContent-Length: 0\r\n\r\n",
+			want: 400,
+		},
+		{
+			name: "no host",
+			text: "GET /quotes/1 HTTP/1.1\r\nTest-Key: outer\r\n\r\n",
+			want: 400,
+		},
+		{
+			name: "two hosts",
+			text: "GET /quotes/1 HTTP/1.1\r\nHost: a\r\nHost: b\r\nTest-Key: outer\r\n\r\n",
+			want: 400,
+		},
+		{
+			name: "other host in the target",
+			text: "GET http://other/quotes/1 HTTP/1.1\r\nHost: h\r\nTest-Key: outer\r\n\r\n",
+			want: 0,
+		},
+		{
+			name: "line end in the path",
+			text: "GET /quotes/1%0d%0aX: HTTP/1.1\r\nHost: h\r\nTest-Key: outer\r\n\r\n",
+			want: 0,
+		},
+		{
+			name: "no http",
+			text: "hello\r\n\r\n",
+			want: 400,
+		},
+		{
+			name: "random bytes",
+			text: "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+			want: 400,
+		},
+		{
+			name: "large header",
+			text: post + "X-A: " + strings.Repeat("a", 200<<10) + "\r\nContent-Length: 0\r\n\r\n",
+			want: 431,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -80,7 +80,9 @@
 func TestPlannedStopCutsNothing(t *testing.T) {
 	s := pool(t, 1, "")
 	for _, b := range s.targets {
-		b.SetMode(target.Mode{ChunkDelay: 20 * time.Millisecond})
+		b.SetMode(target.Mode{
+			ChunkDelay: 20 * time.Millisecond,
+		})
 	}
 	n := s.nodes[0]
 	const size = 5 << 20
@@ -120,7 +122,9 @@
 func TestAllNodesReplacedUnderLoad(t *testing.T) {
 	s := newSite(t)
 	for range 4 {
-		s.target("quotes", "a", 30).SetMode(target.Mode{Latency: 3 * time.Millisecond})
+		s.target("quotes", "a", 30).SetMode(target.Mode{
+			Latency: 3 * time.Millisecond,
+		})
 	}
 	s.publishTargets(nil)
 	s.standardRoutes("quotes")
@@ -176,7 +180,9 @@
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	s := newSite(t)
 	for range 4 {
-		s.target("quotes", "a", 30).SetMode(target.Mode{Latency: 3 * time.Millisecond})
+		s.target("quotes", "a", 30).SetMode(target.Mode{
+			Latency: 3 * time.Millisecond,
+		})
 	}
 	s.publishTargets(map[string]string{"quotes": `,"healthPath":"/health"`})
 	s.standardRoutes("quotes")
@@ -189,7 +195,10 @@
 	leaving := s.targets[0]
 	eventually(t, "work on the target", func() bool { return len(leaving.Runs()) > 20 })
 	// The platform's list still says live, and goes on doing so.
-	leaving.SetMode(target.Mode{Latency: 3 * time.Millisecond, Leaving: true})
+	leaving.SetMode(target.Mode{
+		Latency: 3 * time.Millisecond,
+		Leaving: true,
+	})
 	begun := time.Now()
 	for _, n := range s.nodes {
 		eventually(t, "leaving on all nodes", func() bool { return n.phase(leaving).Leaving })
--- a/internal/integration/whole_test.go
+++ b/internal/integration/whole_test.go
@@ -20,8 +20,18 @@
 		name string
 		mode target.Mode
 	}{
-		{"cut", target.Mode{CutAfter: 1 << 20}},
-		{"stalled", target.Mode{StallAfter: 1 << 20}},
+		{
+			name: "cut",
+			mode: target.Mode{
+				CutAfter: 1 << 20,
+			},
+		},
+		{
+			name: "stalled",
+			mode: target.Mode{
+				StallAfter: 1 << 20,
+			},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -55,7 +65,11 @@
 	s.standardRoutes("quotes")
 	n := s.node("a", withExtra("stall = 200ms"))
 	s.allReady()
-	for _, m := range []target.Mode{{CutAfter: 1 << 20}, {StallAfter: 1 << 20}} {
+	for _, m := range []target.Mode{{
+		CutAfter: 1 << 20,
+	}, {
+		StallAfter: 1 << 20,
+	}} {
 		for _, framing := range []string{"", "&chunked"} {
 			bad.SetMode(m)
 			r := n.do(http.MethodGet, fmt.Sprintf("/quotes/pack?size=%d%s", documentSize, framing), "pack", "")
@@ -75,7 +89,17 @@
 	s.standardRoutes("quotes")
 	n := s.node("a")
 	s.allReady()
-	for _, m := range []target.Mode{{CutAfter: 9}, {Swap: true}, {Unframed: true}, {ResetAfter: true}, {ResetBefore: true}} {
+	for _, m := range []target.Mode{{
+		CutAfter: 9,
+	}, {
+		Swap: true,
+	}, {
+		Unframed: true,
+	}, {
+		ResetAfter: true,
+	}, {
+		ResetBefore: true,
+	}} {
 		bad.SetMode(m)
 		// Each mode costs one retry of the budget.
 		for before := bad.Requests(); bad.Requests() == before; {
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -35,7 +35,9 @@
 }
 
 func TestDetector(t *testing.T) {
-	good := outlier.Counts{Good: 20}
+	good := outlier.Counts{
+		Good: 20,
+	}
 	cases := []struct {
 		name   string
 		first  outlier.Counts
@@ -43,15 +45,96 @@
 		// least and most bound the beats until detection; 0 means never.
 		least, most int
 	}{
-		{"healthy", good, good, 0, 0},
-		{"as bad as the usual pool", outlier.Counts{Good: 98, Bad: 2}, outlier.Counts{Good: 98, Bad: 2}, 0, 0},
-		{"all bad", outlier.Counts{Bad: 20}, good, 2, 4},
-		{"a third bad", outlier.Counts{Good: 14, Bad: 6}, good, 2, 6},
-		{"one bad request", outlier.Counts{Bad: 0.01}, good, 0, 0},
-		{"no traffic", outlier.Counts{}, good, 0, 0},
-		{"one of many lost with a data hall", outlier.Counts{Bad: 20}, outlier.Counts{Good: 12, Bad: 8}, 2, 6},
-		{"a good one in a bad pool", outlier.Counts{Good: 20}, outlier.Counts{Good: 1, Bad: 19}, 0, 0},
-		{"the whole pool bad", outlier.Counts{Bad: 20}, outlier.Counts{Bad: 20}, 0, 4},
+		{
+			name:   "healthy",
+			first:  good,
+			others: good,
+			least:  0,
+			most:   0,
+		},
+		{
+			name: "as bad as the usual pool",
+			first: outlier.Counts{
+				Good: 98,
+				Bad:  2,
+			},
+			others: outlier.Counts{
+				Good: 98,
+				Bad:  2,
+			},
+			least: 0,
+			most:  0,
+		},
+		{
+			name: "all bad",
+			first: outlier.Counts{
+				Bad: 20,
+			},
+			others: good,
+			least:  2,
+			most:   4,
+		},
+		{
+			name: "a third bad",
+			first: outlier.Counts{
+				Good: 14,
+				Bad:  6,
+			},
+			others: good,
+			least:  2,
+			most:   6,
+		},
+		{
+			name: "one bad request",
+			first: outlier.Counts{
+				Bad: 0.01,
+			},
+			others: good,
+			least:  0,
+			most:   0,
+		},
+		{
+			name:   "no traffic",
+			first:  outlier.Counts{},
+			others: good,
+			least:  0,
+			most:   0,
+		},
+		{
+			name: "one of many lost with a data hall",
+			first: outlier.Counts{
+				Bad: 20,
+			},
+			others: outlier.Counts{
+				Good: 12,
+				Bad:  8,
+			},
+			least: 2,
+			most:  6,
+		},
+		{
+			name: "a good one in a bad pool",
+			first: outlier.Counts{
+				Good: 20,
+			},
+			others: outlier.Counts{
+				Good: 1,
+				Bad:  19,
+			},
+			least: 0,
+			most:  0,
+		},
+		{
+			name: "the whole pool bad",
+			first: outlier.Counts{
+				Bad: 20,
+			},
+			others: outlier.Counts{
+				Bad: 20,
+			},
+			least: 0,
+			most:  4,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -66,7 +149,10 @@
 // Once the pool is known to suffer, one more bad target says nothing.
 func TestCommonCauseStopsEjections(t *testing.T) {
 	d := outlier.NewDetector(threshold)
-	bad := outlier.Counts{Good: 10, Bad: 10}
+	bad := outlier.Counts{
+		Good: 10,
+		Bad:  10,
+	}
 	feed(d, 3, bad, bad)
 	d.Reset("first")
 	if beats := feed(d, 20, bad, bad); beats != 0 {
@@ -76,9 +162,13 @@
 
 func TestShortPauseOfATargetIsNotDetected(t *testing.T) {
 	d := outlier.NewDetector(threshold)
-	good := outlier.Counts{Good: 5}
+	good := outlier.Counts{
+		Good: 5,
+	}
 	feed(d, 10, good, good)
-	if n := feed(d, 1, outlier.Counts{Bad: 20}, good); n != 0 {
+	if n := feed(d, 1, outlier.Counts{
+		Bad: 20,
+	}, good); n != 0 {
 		t.Fatal("one beat was enough")
 	}
 	if n := feed(d, 10, good, good); n != 0 {
@@ -88,8 +178,13 @@
 
 func TestSilentStallIsDetected(t *testing.T) {
 	d := outlier.NewDetector(threshold)
-	good := outlier.Counts{Good: 5}
-	feed(d, 1, outlier.Counts{Bad: 4, Stalled: 4}, good)
+	good := outlier.Counts{
+		Good: 5,
+	}
+	feed(d, 1, outlier.Counts{
+		Bad:     4,
+		Stalled: 4,
+	}, good)
 	// All callers wait for their answers: no request ends any more.
 	if n := feed(d, 10, outlier.Counts{}, good); n == 0 {
 		t.Fatal("evidence beyond the first beat is lost")
@@ -104,38 +199,93 @@
 		run  func(c *outlier.Collector, now time.Time) time.Time
 		want outlier.Counts
 	}{
-		{"good", func(c *outlier.Collector, now time.Time) time.Time {
-			c.Begin(now, "s", "c", "t").End(now.Add(10*time.Millisecond), outlier.End{})
-			return now.Add(beat)
-		}, outlier.Counts{Good: 1}},
-		{"failed", func(c *outlier.Collector, now time.Time) time.Time {
-			c.Begin(now, "s", "c", "t").End(now, outlier.End{Failed: true})
-			return now.Add(beat)
-		}, outlier.Counts{Bad: 1}},
-		{"slow", func(c *outlier.Collector, now time.Time) time.Time {
-			c.Begin(now, "s", "c", "t").End(now.Add(100*time.Millisecond), outlier.End{})
-			return now.Add(beat)
-		}, outlier.Counts{Bad: 1}},
-		{"shed", func(c *outlier.Collector, now time.Time) time.Time {
-			c.Begin(now, "s", "c", "t").End(now, outlier.End{Failed: true, Ignored: true})
-			return now.Add(beat)
-		}, outlier.Counts{}},
-		{"cancelled when slow", func(c *outlier.Collector, now time.Time) time.Time {
-			c.Begin(now, "s", "c", "t").End(now.Add(time.Second), outlier.End{Ignored: true})
-			return now.Add(beat)
-		}, outlier.Counts{Bad: 1}},
-		{"still in flight", func(c *outlier.Collector, now time.Time) time.Time {
-			c.Begin(now, "s", "c", "t")
-			return now.Add(beat)
-		}, outlier.Counts{Bad: 1, Stalled: 1}},
-		{"across a pause of this process", func(c *outlier.Collector, now time.Time) time.Time {
-			c.Begin(now, "s", "c", "t")
-			return now.Add(time.Minute)
-		}, outlier.Counts{}},
-		{"leaving", func(c *outlier.Collector, now time.Time) time.Time {
-			c.Begin(now, "s", "c", "t").End(now, outlier.End{Leaving: true})
-			return now.Add(beat)
-		}, outlier.Counts{Good: 1, Leaving: true}},
+		{
+			name: "good",
+			run: func(c *outlier.Collector, now time.Time) time.Time {
+				c.Begin(now, "s", "c", "t").End(now.Add(10*time.Millisecond), outlier.End{})
+				return now.Add(beat)
+			},
+			want: outlier.Counts{
+				Good: 1,
+			},
+		},
+		{
+			name: "failed",
+			run: func(c *outlier.Collector, now time.Time) time.Time {
+				c.Begin(now, "s", "c", "t").End(now, outlier.End{
+					Failed: true,
+				})
+				return now.Add(beat)
+			},
+			want: outlier.Counts{
+				Bad: 1,
+			},
+		},
+		{
+			name: "slow",
+			run: func(c *outlier.Collector, now time.Time) time.Time {
+				c.Begin(now, "s", "c", "t").End(now.Add(100*time.Millisecond), outlier.End{})
+				return now.Add(beat)
+			},
+			want: outlier.Counts{
+				Bad: 1,
+			},
+		},
+		{
+			name: "shed",
+			run: func(c *outlier.Collector, now time.Time) time.Time {
+				c.Begin(now, "s", "c", "t").End(now, outlier.End{
+					Failed:  true,
+					Ignored: true,
+				})
+				return now.Add(beat)
+			},
+			want: outlier.Counts{},
+		},
+		{
+			name: "cancelled when slow",
+			run: func(c *outlier.Collector, now time.Time) time.Time {
+				c.Begin(now, "s", "c", "t").End(now.Add(time.Second), outlier.End{
+					Ignored: true,
+				})
+				return now.Add(beat)
+			},
+			want: outlier.Counts{
+				Bad: 1,
+			},
+		},
+		{
+			name: "still in flight",
+			run: func(c *outlier.Collector, now time.Time) time.Time {
+				c.Begin(now, "s", "c", "t")
+				return now.Add(beat)
+			},
+			want: outlier.Counts{
+				Bad:     1,
+				Stalled: 1,
+			},
+		},
+		{
+			name: "across a pause of this process",
+			run: func(c *outlier.Collector, now time.Time) time.Time {
+				c.Begin(now, "s", "c", "t")
+				return now.Add(time.Minute)
+			},
+			want: outlier.Counts{},
+		},
+		{
+			name: "leaving",
+			run: func(c *outlier.Collector, now time.Time) time.Time {
+				c.Begin(now, "s", "c", "t").End(now, outlier.End{
+					Leaving: true,
+				})
+				return now.Add(beat)
+			},
+			want: outlier.Counts{
+				Good:    1,
+				Leaving: true,
+			},
+		},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -175,7 +325,9 @@
 	j := outlier.NewJudge()
 	j.SetTargets(start, []string{"t", "u"})
 	j.Sick(start, "t", threshold)
-	got := phases(j, start, 40, outlier.Counts{Good: 1})
+	got := phases(j, start, 40, outlier.Counts{
+		Good: 1,
+	})
 	want := []outlier.Phase{outlier.PhaseEjected, outlier.PhaseTrial, outlier.PhaseWarming, outlier.PhaseHealthy}
 	if fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Fatalf("phases %v, want %v", got, want)
@@ -200,7 +352,10 @@
 		}
 		last = held
 		// A bad trial request is a relapse.
-		j.Evidence(now, outlier.Counts{Target: "t", Bad: 1})
+		j.Evidence(now, outlier.Counts{
+			Target: "t",
+			Bad:    1,
+		})
 		if p := j.State(now, "t").Phase; p != outlier.PhaseEjected {
 			t.Fatalf("after a bad trial: %v", p)
 		}
@@ -264,9 +419,15 @@
 		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
 		for n := range nodes {
 			for _, target := range []string{"t", "u", "v"} {
-				c := outlier.Counts{Target: target, Good: 2}
+				c := outlier.Counts{
+					Target: target,
+					Good:   2,
+				}
 				if target == "t" && n < bad {
-					c = outlier.Counts{Target: target, Bad: 2}
+					c = outlier.Counts{
+						Target: target,
+						Bad:    2,
+					}
 				}
 				o.Report(now, fmt.Sprint("node", n), "a", c)
 			}
@@ -282,10 +443,26 @@
 		bad  int
 		want int
 	}{
-		{"nobody", 0, 0},
-		{"one node alone", 1, 0},
-		{"all nodes", 10, 1},
-		{"most nodes", 7, 1},
+		{
+			name: "nobody",
+			bad:  0,
+			want: 0,
+		},
+		{
+			name: "one node alone",
+			bad:  1,
+			want: 0,
+		},
+		{
+			name: "all nodes",
+			bad:  10,
+			want: 1,
+		},
+		{
+			name: "most nodes",
+			bad:  7,
+			want: 1,
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -48,13 +48,55 @@
 		text policy.Text
 		part string
 	}{
-		{"type", policy.Text{Sick: "score"}, "sick"},
-		{"floor type", policy.Text{Floor: "targets"}, "floor"},
-		{"syntax", policy.Text{Retry: "attempt <"}, "retry"},
-		{"unknown name", policy.Text{Retry: "now() > 1"}, "retry"},
-		{"loop", policy.Text{Sick: "[1, 2].exists(x, x > 1)"}, "sick"},
-		{"cost", policy.Text{Retry: strings.Repeat(`route.matches("(a+)+$") || `, 30) + "true"}, "retry"},
-		{"length", policy.Text{Sick: strings.Repeat(" ", 5000) + "true"}, "sick"},
+		{
+			name: "type",
+			text: policy.Text{
+				Sick: "score",
+			},
+			part: "sick",
+		},
+		{
+			name: "floor type",
+			text: policy.Text{
+				Floor: "targets",
+			},
+			part: "floor",
+		},
+		{
+			name: "syntax",
+			text: policy.Text{
+				Retry: "attempt <",
+			},
+			part: "retry",
+		},
+		{
+			name: "unknown name",
+			text: policy.Text{
+				Retry: "now() > 1",
+			},
+			part: "retry",
+		},
+		{
+			name: "loop",
+			text: policy.Text{
+				Sick: "[1, 2].exists(x, x > 1)",
+			},
+			part: "sick",
+		},
+		{
+			name: "cost",
+			text: policy.Text{
+				Retry: strings.Repeat(`route.matches("(a+)+$") || `, 30) + "true",
+			},
+			part: "retry",
+		},
+		{
+			name: "length",
+			text: policy.Text{
+				Sick: strings.Repeat(" ", 5000) + "true",
+			},
+			part: "sick",
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -81,14 +123,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if p.Sick(policy.Health{Reporters: 3}) || p.Retry(policy.Try{Attempt: 1}) || p.Floor(12, 4) != 12 {
+	if p.Sick(policy.Health{
+		Reporters: 3,
+	}) || p.Retry(policy.Try{
+		Attempt: 1,
+	}) || p.Floor(12, 4) != 12 {
 		t.Fatal("a failing policy acted")
 	}
 }
 
 func TestFloorIsClamped(t *testing.T) {
 	for text, want := range map[string]float64{"-5.0": 0, "1e9": 12, "0.0/0.0": 12, "6.0": 6} {
-		p, err := policy.Compile(policy.Text{Floor: text})
+		p, err := policy.Compile(policy.Text{
+			Floor: text,
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
