internal/balance: leave headroom for uneven subsets

Cause: rendezvous hashing spreads 1,000 nodes unevenly over 30 targets; with six targets a node the busiest one would have had more than the 200 connections it accepts. Ruled out: the limit of a node, which is one connection already. Change: a fifth of the connections stays free where nodes use subsets, and a subset may shrink to four targets.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -147,10 +147,12 @@
 }
 
 // Sizes of subsets. minSubset leaves a choice when one target fails; with
-// minShare connections each a node can pick by load.
+// minShare connections each a node can pick by load. headroom is the part of a
+// target's connections that is given out: hashing spreads the nodes unevenly.
 const (
-	minSubset = 6
+	minSubset = 4
 	minShare  = 2
+	headroom  = 0.8
 )
 
 // subset returns how many targets a node uses and which part of a target's
@@ -159,15 +161,20 @@
 // together stay within each target's connections.
 func subset(serving []Member, nodes int) (size int, share float64) {
 	nodes = max(nodes, 1)
-	connections := 0
+	connections := 0.0
 	for i := range serving {
-		connections += serving[i].Connections
+		connections += headroom * float64(serving[i].Connections)
 	}
-	size = min(len(serving), max(connections/(nodes*minShare), minSubset))
-	if size == 0 {
+	size = min(len(serving), max(int(connections)/(nodes*minShare), minSubset))
+	switch size {
+	case 0:
 		return 0, 0
+	case len(serving):
+		// All nodes use all targets: nothing is uneven.
+		return size, 1 / float64(nodes)
+	default:
+		return size, headroom * float64(len(serving)) / float64(nodes*size)
 	}
-	return size, float64(len(serving)) / float64(nodes*size)
 }
 
 // orderFor sorts members by rendezvous hashing for a node: each node has its own
--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -110,12 +110,29 @@
 	return sorted[(len(sorted)-1)*percent/100].Microseconds()
 }
 
-// connections works out the subset of a node at the target size with the
-// balancer itself.
+// connectionRow is one size of a service's pool at the target size.
+type connectionRow struct {
+	Targets int
+	// Subset is how many targets a node uses, Most the connections of the
+	// busiest target.
+	Subset int
+	Most   int
+}
+
+// poolSizes are the sizes of the brief's pools and the mean at the target size.
+var poolSizes = []int{6, 9, 16, 20, goalTargets / goalServices}
+
+// connections works out with the balancer itself what the nodes of the target
+// size use together.
 func (p *page) connections() {
+	for _, n := range poolSizes {
+		p.Connections = append(p.Connections, connectionsOf(n))
+	}
+}
+
+func connectionsOf(targets int) connectionRow {
 	var members []balance.Member
-	const perService = goalTargets / goalServices
-	for i := range perService {
+	for i := range targets {
 		members = append(members, balance.Member{
 			Address:     fmt.Sprintf("192.0.2.%d:80", i),
 			Slots:       3,
@@ -123,15 +140,19 @@
 			Gauge:       &balance.Gauge{},
 		})
 	}
+	row := connectionRow{
+		Targets: targets,
+	}
 	uses := map[string]int{}
 	for n := range goalNodes {
 		pool := balance.NewPool(members, 0, fmt.Sprintf("node-%d", n), goalNodes)
-		p.Subset = pool.Len()
+		row.Subset = pool.Len()
 		for _, a := range pool.Addresses() {
 			uses[a] += pool.Limit(a)
 		}
 	}
 	for _, n := range uses {
-		p.PerTarget = max(p.PerTarget, n)
+		row.Most = max(row.Most, n)
 	}
+	return row
 }
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -43,17 +43,17 @@
 
 // page is what the template shows.
 type page struct {
-	Machine   string
-	Runs      int
-	Window    string
-	Slopes    []slopeRow
-	Sum       []sumRow
-	Total     sumRow
-	Verdicts  []string
-	Platform  string
-	Latency   *latencyResult
-	Subset    int
-	PerTarget int
+	Machine  string
+	Runs     int
+	Window   string
+	Slopes   []slopeRow
+	Sum      []sumRow
+	Total    sumRow
+	Verdicts []string
+	Platform string
+	Latency  *latencyResult
+	// Connections are the pools at the target size.
+	Connections []connectionRow
 }
 
 func writePage(args arguments, results map[string]*result, lat *latencyResult) error {
