internal/entry: resume downloads after the request's deadline

Cause: the deadline is about the first byte, but a resumed answer was an attempt of the same life, so that a download that broke after the deadline wasn't resumed. Test: 1 of 4 MiB came, then the connection ended. Ruled out: the budget (one resume) and the target (its answer to Range was right). Change: the rest of an answer has a deadline of its own. Now 4 of 4 MiB. The header of a request is copied for each attempt before it starts, and no longer within it, where a resume could meet the copy of a lost hedge.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -78,6 +78,10 @@
 // Deadline returns the time after which no attempt may begin or go on.
 func (l *Life) Deadline() time.Time { return l.deadline }
 
+// Continue gives the rest of an answer that broke off a deadline of its own: a
+// deadline is about the first byte, and a download may take longer.
+func (l *Life) Continue(deadline time.Time) { l.deadline = deadline }
+
 // Attempts returns the number of attempts that ended.
 func (l *Life) Attempts() int { return l.attempts }
 
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -20,8 +20,10 @@
 	config    *fleetconfig.Config
 	route     *fleetconfig.Route
 	workspace string
-	deadline  time.Time
-	maxBody   int64
+	// wait is the time to the first byte of an answer.
+	wait     time.Duration
+	deadline time.Time
+	maxBody  int64
 }
 
 // admit checks a request before any work is done for it.
@@ -58,6 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.wait = wait
 	a.deadline = now.Add(wait)
 	return a, s.checkWorkspace(a, now)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -299,7 +299,7 @@
 		Method:   x.req.Method,
 		Host:     x.req.Host,
 		URI:      x.req.URL.RequestURI(),
-		Header:   x.header,
+		Header:   x.header.Clone(),
 		Body:     reader,
 		Length:   x.body.length,
 		Deadline: x.life.Deadline(),
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -36,8 +36,6 @@
 	reader, _ := x.body.next()
 	r := x.request(pick.Address(), reader)
 	r.ID = newRequestID()
-	// The request itself may go on to resume an answer and add to its header.
-	r.Header = x.header.Clone()
 	// The copy lives on when the caller has its answer; its own deadline ends it.
 	ctx := context.WithoutCancel(x.req.Context())
 	x.server.own(task.Go(ctx, "trial", func(ctx context.Context) error {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -97,7 +97,8 @@
 	}, nil
 }
 
-// Request is what an attempt sends. The header must hold no hop-by-hop fields.
+// Request is what an attempt sends. The header must hold no hop-by-hop fields; it
+// belongs to the attempt, which adds to it.
 type Request struct {
 	ID       string
 	Target   string
@@ -161,7 +162,7 @@
 		req.Body = nil
 	}
 	req.Host = r.Host
-	req.Header = r.Header.Clone()
+	req.Header = r.Header
 	req.Header.Set(HeaderRequestID, r.ID)
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
 	if _, ok := req.Header["User-Agent"]; !ok {
--- a/internal/integration/whole_test.go
+++ b/internal/integration/whole_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/standin/target"
 )
@@ -58,6 +59,31 @@
 	}
 }
 
+// A download may take longer than the deadline, which is about the first byte.
+func TestDocumentIsResumedAfterTheDeadline(t *testing.T) {
+	s := newSite(t)
+	bad := s.target("quotes", "a", 10)
+	s.target("quotes", "a", 10)
+	s.publishTargets(map[string]string{
+		"quotes": `,"policy":{"floor":"capacity"}`,
+	})
+	s.standardRoutes("quotes")
+	n := s.node("a")
+	s.allReady()
+	// A megabyte in pieces of 16 KiB takes at least 320 ms.
+	bad.SetMode(target.Mode{
+		CutAfter:   1 << 20,
+		ChunkDelay: 5 * time.Millisecond,
+	})
+	want := target.Document("/quotes/pack", documentSize)
+	for before := bad.Requests(); bad.Requests() == before; {
+		r := n.do(http.MethodGet, fmt.Sprintf("/quotes/pack?size=%d", documentSize), "pack", "", "Plover-Timeout", "200ms")
+		if r.err != nil || !bytes.Equal(r.body, want) {
+			t.Fatalf("%d of %d bytes, err %v", len(r.body), len(want), r.err)
+		}
+	}
+}
+
 func TestBrokenDocumentWithoutResumeIsVisiblyBroken(t *testing.T) {
 	s := newSite(t)
 	bad := s.target("quotes", "a", 10)
