internal/node: wait for no observer, keep views and duties until they change

Cause 1: a node waited for all its reports before it judged again, so that a frozen observer held it up for the 2 s of a call, and reports that failed were lost. Now no report is waited for, an observer with one on its way gets no other, and what wasn't taken is reported again. Views change only with their nodes and remember duties. Cause 3: with the platform down for long every node would have called it; now about one of all at a time.

--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,8 @@
 type Table struct {
 	self  Node
 	nodes map[string]*state
+	// changed is set when the next view may differ from the last one.
+	changed bool
 }
 
 // NewTable returns a table that knows only self.
@@ -71,9 +74,18 @@
 	}
 }
 
+// Changed tells whether anything happened since the last call that can change a
+// view; the mere end of a suspicion isn't noticed.
+func (t *Table) Changed() bool {
+	c := t.changed
+	t.changed = false
+	return c
+}
+
 // List takes the platform's list of nodes: live ones, and leaving ones. A node
 // that said itself that it leaves stays leaving, however old the list is.
 func (t *Table) List(live, leaving []Node) {
+	t.changed = true
 	for _, s := range t.nodes {
 		s.listed = false
 	}
@@ -94,9 +106,11 @@
 			node: n,
 		}
 		t.nodes[n.address] = s
+		t.changed = true
 	}
-	if n.dataHall != "" {
+	if n.dataHall != "" && s.node.dataHall != n.dataHall {
 		s.node.dataHall = n.dataHall
+		t.changed = true
 	}
 	return s
 }
@@ -112,11 +126,13 @@
 	if incarnation < s.incarnation {
 		return
 	}
+	before := s.leaving
 	if incarnation > s.incarnation {
 		s.leaving = false
 	}
 	s.incarnation = incarnation
 	s.leaving = s.leaving || leaving
+	t.changed = t.changed || s.leaving != before || !s.suspectTill.IsZero()
 	s.heard = now
 	s.failures = 0
 	s.suspectTill = time.Time{}
@@ -139,9 +155,11 @@
 	s.failures++
 	if s.failures >= suspectAfter {
 		s.suspectTill = now.Add(SuspectTime)
+		t.changed = true
 	}
 	if !s.listed && now.Sub(s.heard) > ForgetTime {
 		delete(t.nodes, address)
+		t.changed = true
 	}
 }
 
@@ -150,6 +168,20 @@
 	self  Node
 	peers []Node
 	live  []Node
+	// duties are the holders of duties that were asked for before.
+	duties sync.Map
+}
+
+// dutyKey is one question after the holders of a duty.
+type dutyKey struct {
+	duty     string
+	dataHall string
+	n        int
+}
+
+// Same tells whether two views hold the same nodes.
+func (v *View) Same(o *View) bool {
+	return o != nil && v.self == o.self && slices.Equal(v.peers, o.peers) && slices.Equal(v.live, o.live)
 }
 
 // View returns the table as it stands at now.
@@ -188,8 +220,23 @@
 func (v *View) Nodes() int { return len(v.peers) + 1 }
 
 // Duty returns the n live nodes of a data hall that rank first for a duty by
-// rendezvous hashing, or of all data halls if dataHall is empty.
+// rendezvous hashing, or of all data halls if dataHall is empty. The slice must
+// not be changed.
 func (v *View) Duty(duty, dataHall string, n int) []Node {
+	k := dutyKey{
+		duty:     duty,
+		dataHall: dataHall,
+		n:        n,
+	}
+	if known, ok := v.duties.Load(k); ok {
+		return known.([]Node)
+	}
+	out := v.rank(duty, dataHall, n)
+	v.duties.Store(k, out)
+	return out
+}
+
+func (v *View) rank(duty, dataHall string, n int) []Node {
 	type ranked struct {
 		node Node
 		rank uint64
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -32,13 +32,30 @@
 	return m
 }
 
-// change applies fn to the table and publishes the result.
+// change applies fn to the table and publishes the view if that changed it.
 func (m *members) change(fn func(t *membership.Table, now time.Time)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
 	fn(m.table, now)
-	m.board.view.Store(m.table.View(now))
+	if m.table.Changed() {
+		m.publish(now)
+	}
+}
+
+// publish writes the view unless it is the one that stands there: a view keeps
+// the duties that were worked out on it.
+func (m *members) publish(now time.Time) {
+	if v := m.table.View(now); !v.Same(m.board.view.Load()) {
+		m.board.view.Store(v)
+	}
+}
+
+// renew publishes what the mere passing of time has changed.
+func (m *members) renew() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.publish(time.Now())
 }
 
 func (m *members) heard(n *wire.Node) {
@@ -83,11 +100,15 @@
 		if c := m.board.currentConfig(); c != nil {
 			m.list(c)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		case <-beat.C:
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changed:
+				waiting = false
+			case <-beat.C:
+				m.renew()
+			}
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
@@ -429,7 +430,10 @@
 	if len(view.Peers()) == 0 && len(n.set.Seeds()) == 0 {
 		return true
 	}
-	age := n.gossip.PlatformAge(now)
-	silent := now.Sub(n.begun)
-	return age > platformSilent && silent > startSilent
+	if n.gossip.PlatformAge(now) <= platformSilent || now.Sub(n.begun) <= startSilent {
+		return false
+	}
+	// All nodes come here when the platform is down for long: as many of them ask
+	// at a time, on average, however large the fleet is.
+	return rand.IntN(len(view.Live())) == 0
 }
--- a/internal/node/observing.go
+++ b/internal/node/observing.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +42,7 @@
 
 // pending is the evidence about one service that hasn't been reported yet.
 type pending struct {
-	targets map[string]*wire.TargetEvidence
+	targets map[uint32]*wire.TargetEvidence
 	urgent  bool
 	sent    time.Time
 }
@@ -66,6 +67,8 @@
 	mu      sync.Mutex
 	pending map[string]*pending
 	served  map[string]*observed
+	// busy are the observers with a report on its way.
+	busy map[string]bool
 }
 
 func newObserving(board *Board, link peerLink, deliver func(time.Time, outlier.Verdict, uint32), log *logrus.Entry) *observing {
@@ -76,6 +79,7 @@
 		log:     log,
 		pending: map[string]*pending{},
 		served:  map[string]*observed{},
+		busy:    map[string]bool{},
 	}
 }
 
@@ -84,43 +88,69 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, e := range evidence {
-		p := o.pending[e.Service]
-		if p == nil {
-			p = &pending{
-				targets: map[string]*wire.TargetEvidence{},
-			}
-			o.pending[e.Service] = p
+		o.add(e.Service, &wire.TargetEvidence{
+			Target:  outlier.Key(e.Counts.Target),
+			Good:    uint32(e.Counts.Good),
+			Bad:     uint32(e.Counts.Bad),
+			Stalled: uint32(e.Counts.Stalled),
+			Leaving: e.Counts.Leaving,
+		})
+	}
+}
+
+// add adds evidence to what will be reported.
+func (o *observing) add(service string, e *wire.TargetEvidence) {
+	p := o.pending[service]
+	if p == nil {
+		p = &pending{
+			targets: map[uint32]*wire.TargetEvidence{},
 		}
-		t := p.targets[e.Counts.Target]
-		if t == nil {
-			t = &wire.TargetEvidence{
-				Target: outlier.Key(e.Counts.Target),
-			}
-			p.targets[e.Counts.Target] = t
+		o.pending[service] = p
+	}
+	t := p.targets[e.GetTarget()]
+	if t == nil {
+		t = &wire.TargetEvidence{
+			Target: e.GetTarget(),
+		}
+		p.targets[e.GetTarget()] = t
+	}
+	t.Good += e.GetGood()
+	t.Bad += e.GetBad()
+	t.Stalled += e.GetStalled()
+	t.Leaving = t.Leaving || e.GetLeaving()
+	p.urgent = p.urgent || e.GetBad() > 0 || e.GetLeaving()
+}
+
+// back takes up the evidence of reports that weren't taken, for the next one.
+func (o *observing) back(reports []*wire.Report) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range reports {
+		for _, e := range r.GetTargets() {
+			o.add(r.GetService(), e)
 		}
-		t.Good += uint32(e.Counts.Good)
-		t.Bad += uint32(e.Counts.Bad)
-		t.Stalled += uint32(e.Counts.Stalled)
-		t.Leaving = t.Leaving || e.Counts.Leaving
-		p.urgent = p.urgent || e.Counts.Bad > 0 || e.Counts.Leaving
 	}
 }
 
 // run reports and judges at each beat until the context ends.
 func (o *observing) run(ctx context.Context) error {
+	var talks task.Group
 	beat := time.NewTicker(observeBeat)
 	defer beat.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return talks.Wait()
 		case <-beat.C:
 		}
 		now := time.Now()
-		o.send(ctx, o.due(now), false)
+		o.send(ctx, &talks, o.due(now), false)
 		summaries, verdicts := o.advance(now)
-		o.send(ctx, summaries, true)
-		o.announce(ctx, now, verdicts)
+		o.send(ctx, &talks, summaries, true)
+		o.announce(ctx, &talks, now, verdicts)
+		if err := talks.Reap(); err != nil {
+			o.log.WithError(err).Debug("not all reached")
+		}
 	}
 }
 
@@ -135,17 +165,22 @@
 		if len(p.targets) == 0 || !p.urgent && now.Sub(p.sent) < slow {
 			continue
 		}
+		observers := view.Duty(duty(name), view.Self().DataHall(), observersPerService)
+		if slices.ContainsFunc(observers, func(n membership.Node) bool { return o.busy[n.Address()] }) {
+			// A report that hangs must not hold more than itself up.
+			continue
+		}
 		r := &wire.Report{
 			Service: name,
 		}
 		for _, t := range p.targets {
 			r.Targets = append(r.Targets, t)
 		}
-		for _, n := range view.Duty(duty(name), view.Self().DataHall(), observersPerService) {
+		for _, n := range observers {
 			out[n.Address()] = append(out[n.Address()], r)
 		}
 		o.pending[name] = &pending{
-			targets: map[string]*wire.TargetEvidence{},
+			targets: map[uint32]*wire.TargetEvidence{},
 			sent:    now,
 		}
 	}
@@ -159,11 +194,10 @@
 
 func duty(service string) string { return "observer/" + service }
 
-// send takes reports to their observers, all at the same time. What is for this
-// node itself takes the short way.
-func (o *observing) send(ctx context.Context, reports map[string][]*wire.Report, summary bool) {
+// send takes reports to their observers and waits for none of them. What is for
+// this node itself takes the short way.
+func (o *observing) send(ctx context.Context, talks *task.Group, reports map[string][]*wire.Report, summary bool) {
 	self := o.link.self()
-	var all task.Group
 	for peer, list := range reports {
 		batch := &wire.ReportBatch{
 			From:    self,
@@ -174,16 +208,29 @@
 			o.observe(time.Now(), batch)
 			continue
 		}
-		all.Go(ctx, "report", func(ctx context.Context) error {
+		o.setBusy(peer, true)
+		talks.Go(ctx, "report", func(ctx context.Context) error {
+			defer o.setBusy(peer, false)
 			err := o.link.observe(ctx, peer, batch)
-			if err != nil {
-				o.link.failed(peer)
+			if err == nil {
+				return nil
+			}
+			o.link.failed(peer)
+			if !summary {
+				o.back(list)
 			}
 			return err
 		})
 	}
-	if err := all.Wait(); err != nil {
-		o.log.WithError(err).Debug("observers not reached")
+}
+
+func (o *observing) setBusy(peer string, busy bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if busy {
+		o.busy[peer] = true
+	} else {
+		delete(o.busy, peer)
 	}
 }
 
@@ -315,7 +362,7 @@
 
 // announce takes new verdicts to all nodes of the data hall. Verdicts are rare;
 // a lost one is found by the node's own evidence.
-func (o *observing) announce(ctx context.Context, now time.Time, verdicts []outlier.Verdict) {
+func (o *observing) announce(ctx context.Context, talks *task.Group, now time.Time, verdicts []outlier.Verdict) {
 	if len(verdicts) == 0 {
 		return
 	}
@@ -332,17 +379,16 @@
 			Leaving: v.Leaving,
 		})
 	}
-	o.spread(ctx, batch)
+	o.spread(ctx, talks, batch)
 }
 
-func (o *observing) spread(ctx context.Context, batch *wire.VerdictBatch) {
+func (o *observing) spread(ctx context.Context, talks *task.Group, batch *wire.VerdictBatch) {
 	view := o.board.view.Load()
-	var all task.Group
 	for _, n := range view.Peers() {
 		if n.DataHall() != view.Self().DataHall() {
 			continue
 		}
-		all.Go(ctx, "verdict", func(ctx context.Context) error {
+		talks.Go(ctx, "verdict", func(ctx context.Context) error {
 			err := o.link.judge(ctx, n.Address(), batch)
 			if err != nil {
 				o.link.failed(n.Address())
@@ -350,9 +396,6 @@
 			return err
 		})
 	}
-	if err := all.Wait(); err != nil {
-		o.log.WithError(err).Debug("verdicts not taken")
-	}
 }
 
 // judged takes the verdicts of an observer. Only an observer of this node's data
