--- a/internal/capacity/bench.go
+++ b/internal/capacity/bench.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("capacity: %w", err)
 	}
-	daemon, err := process.Build(dir)
+	daemon, err := process.Build(dir, "ploverd")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -25,7 +25,8 @@
 // patience bounds every wait for something that must happen.
 const patience = 30 * time.Second
 
-var daemon string
+// daemon and tool are the paths of the programs under test.
+var daemon, tool string
 
 func TestMain(m *testing.M) {
 	os.Exit(run(m))
@@ -38,7 +39,10 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	if daemon, err = process.Build(dir); err != nil {
+	if daemon, err = process.Build(dir, "ploverd"); err == nil {
+		tool, err = process.Build(dir, "ploverctl")
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
--- /dev/null
+++ b/internal/integration/tool_test.go
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ploverjunction.example/ploverjunction/internal/standin/process"
+)
+
+// ctl runs ploverctl and returns its exit code and output.
+func ctl(t *testing.T, args ...string) (int, string) {
+	t.Helper()
+	cmd := exec.Command(tool, args...)
+	out, err := cmd.CombinedOutput()
+	if cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+func file(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestTool(t *testing.T) {
+	s := pool(t, 1, "")
+	n := s.nodes[0]
+	ops := n.proc.Load().Operator()
+	cases := []struct {
+		name string
+		args []string
+		exit int
+		want string
+	}{
+		{
+			name: "good folder",
+			args: []string{"check", "../../examples/quickstart/published"},
+			exit: 0,
+			want: "good: 2 files, 1 services, 2 routes",
+		},
+		{
+			name: "good settings",
+			args: []string{"check", "../../examples/quickstart/ploverd.ini"},
+			exit: 0,
+			want: "good",
+		},
+		{
+			name: "bad policy",
+			args: []string{"check", file(t, "bad.json", `{"services":[{"name":"s","policy":{"sick":"score >"}}]}`)},
+			exit: 1,
+			want: "policy: sick:1:",
+		},
+		{
+			name: "bad settings",
+			args: []string{"check", file(t, "bad.ini", "[entry]\nlisten = nowhere\n")},
+			exit: 1,
+			want: "[node] data_hall: missing value",
+		},
+		{
+			name: "empty folder",
+			args: []string{"check", t.TempDir()},
+			exit: 1,
+			want: "no .json files",
+		},
+		{
+			name: "status",
+			args: []string{"status", "--node", ops},
+			exit: 0,
+			want: "ready, up for",
+		},
+		{
+			name: "no node",
+			args: []string{"status", "--node", "127.0.0.1:1"},
+			exit: 2,
+			want: "node 127.0.0.1:1",
+		},
+		{
+			name: "explain",
+			args: []string{"explain", "--node", ops, "/quotes/1"},
+			exit: 0,
+			want: "route read, class read, repeatable true",
+		},
+		{
+			name: "explain no route",
+			args: []string{"explain", "--node", ops, "/other"},
+			exit: 0,
+			want: "no route",
+		},
+		{
+			name: "config",
+			args: []string{"config", "show", "--node", ops},
+			exit: 0,
+			want: "routes at revision",
+		},
+		{
+			name: "version",
+			args: []string{"version"},
+			exit: 0,
+			want: "0.1.0",
+		},
+		{
+			name: "no command",
+			args: []string{"nonsense"},
+			exit: 80,
+			want: "unexpected argument",
+		},
+		{
+			name: "help",
+			args: []string{"--help"},
+			exit: 0,
+			want: "Exit codes",
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			exit, out := ctl(t, c.args...)
+			if exit != c.exit || !strings.Contains(out, c.want) {
+				t.Fatalf("exit %d, want %d; output:\n%s", exit, c.exit, out)
+			}
+		})
+	}
+	_, out := ctl(t, "--output", "json", "status", "--node", ops)
+	var list []map[string]any
+	if err := json.Unmarshal([]byte(out), &list); err != nil || len(list) != 1 {
+		t.Fatalf("no JSON: %v\n%s", err, out)
+	}
+	if exit, out := ctl(t, "drain", "--node", ops); exit != 0 {
+		t.Fatalf("drain: exit %d: %s", exit, out)
+	}
+	eventually(t, "not ready", func() bool {
+		exit, _ := ctl(t, "status", "--node", ops)
+		return exit != 0
+	})
+	n.exits()
+}
+
+// Faulty settings end the daemon before any port opens.
+func TestDaemonChecksItsSettings(t *testing.T) {
+	for _, args := range [][]string{{"--check"}, {}} {
+		cmd := exec.Command(daemon, append(args, file(t, "bad.ini", "[entry]\nlisten = 127.0.0.1:0\nspeed = 9\n"))...)
+		out, _ := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != 2 || !strings.Contains(string(out), "[entry] speed: unknown key") {
+			t.Errorf("exit %d: %s", cmd.ProcessState.ExitCode(), out)
+		}
+		if strings.Contains(string(out), "serving") {
+			t.Error("ports were opened")
+		}
+	}
+}
+
+// A directory serves a small site; a change of a file is in force without a
+// restart, and a bad one is refused.
+func TestDirectorySource(t *testing.T) {
+	s := newSite(t)
+	b := s.target("quotes", "a", 3)
+	dir := t.TempDir()
+	put := func(name, text string) {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("pool.json", fmt.Sprintf(`{"services":[{"name":"quotes"}],"targets":[{"service":"quotes","address":%q,"slots":3,"connections":9}]}`, b.proxy.Addr()))
+	p, err := process.Start(daemon, t.TempDir(), fmt.Sprintf(`
+[node]
+data_hall = a
+[entry]
+listen = 127.0.0.1:0
+[operator]
+listen = 127.0.0.1:0
+[source]
+kind = directory
+directory = %s
+[log]
+format = json
+`, dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Kill)
+	status := func() int {
+		return send(callers, http.MethodGet, "http://"+p.Entry()+"/quotes/1", "k", "").status
+	}
+	eventually(t, "ready", p.Ready)
+	if got := status(); got != http.StatusNotFound {
+		t.Fatalf("status %d without a route", got)
+	}
+	put("routes.json", routesDoc(1))
+	eventually(t, "the new route", func() bool { return status() == http.StatusOK })
+	put("routes.json", "{")
+	eventually(t, "the refusal", func() bool { return len(p.Status().Config.Refused) == 1 })
+	if got := status(); got != http.StatusOK {
+		t.Fatalf("status %d after a bad file", got)
+	}
+	if err := os.Remove(filepath.Join(dir, "routes.json")); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the end of the route", func() bool { return status() == http.StatusNotFound })
+}
--- /dev/null
+++ b/internal/source/source_test.go
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package source_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/source"
+	"ploverjunction.example/ploverjunction/internal/standin/platform"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+func write(t *testing.T, dir, name, text string, at time.Time) {
+	t.Helper()
+	file := filepath.Join(dir, name)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Chtimes(file, at, at); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// read expects one change and returns it.
+func read(t *testing.T, d *source.Directory) *wire.Entry {
+	t.Helper()
+	got, err := d.Read(time.Now())
+	if err != nil || len(got) != 1 {
+		t.Fatalf("%d changes, err %v", len(got), err)
+	}
+	return got[0]
+}
+
+func TestDirectory(t *testing.T) {
+	dir := t.TempDir()
+	d := source.NewDirectory(dir)
+	at := time.Now().Add(-time.Hour)
+	write(t, dir, "notes.txt", "not a value", at)
+	write(t, dir, "a.json", "1", at)
+	first := read(t, d)
+	if first.GetKey() != "a" || string(first.GetValue()) != "1" {
+		t.Fatalf("got %v", first)
+	}
+	if got, err := d.Read(time.Now()); err != nil || len(got) != 0 {
+		t.Fatalf("%d changes without any, err %v", len(got), err)
+	}
+	// An older file in its place is a change, with a greater revision.
+	write(t, dir, "a.json", "0", at.Add(-time.Hour))
+	second := read(t, d)
+	if string(second.GetValue()) != "0" || second.GetRevision() <= first.GetRevision() {
+		t.Fatalf("got %v after %v", second, first)
+	}
+	if err := os.Remove(filepath.Join(dir, "a.json")); err != nil {
+		t.Fatal(err)
+	}
+	third := read(t, d)
+	if !third.GetDeleted() || third.GetRevision() <= second.GetRevision() {
+		t.Fatalf("got %v", third)
+	}
+	// A process that starts anew gives the same file the same revision.
+	write(t, dir, "b.json", "1", at)
+	one, two := read(t, source.NewDirectory(dir)), read(t, source.NewDirectory(dir))
+	if one.GetRevision() != two.GetRevision() {
+		t.Fatal("a restart changes the revision")
+	}
+}
+
+func TestMissingDirectory(t *testing.T) {
+	_, err := source.NewDirectory(filepath.Join(t.TempDir(), "nothing")).Read(time.Now())
+	var se *source.Error
+	if !errors.As(err, &se) || se.Kind() != source.KindDirectory {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// follower runs a platform source and keeps what it delivers.
+type follower struct {
+	mu      sync.Mutex
+	entries map[string]*wire.Entry
+	failed  int
+	changed chan struct{}
+}
+
+func follow(t *testing.T, base string) *follower {
+	t.Helper()
+	f := &follower{
+		entries: map[string]*wire.Entry{},
+		changed: make(chan struct{}, 1000),
+	}
+	run := task.Go(t.Context(), "source", func(ctx context.Context) error {
+		return source.NewPlatform(base).Run(ctx, source.Config{
+			Reader:  func() bool { return true },
+			Deliver: f.deliver,
+			Heard:   func() {},
+			Failed:  f.fail,
+		})
+	})
+	t.Cleanup(func() {
+		if err := run.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+func (f *follower) deliver(entries []*wire.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range entries {
+		if old := f.entries[e.GetKey()]; old == nil || old.GetRevision() < e.GetRevision() {
+			f.entries[e.GetKey()] = e
+		}
+	}
+	f.changed <- struct{}{}
+}
+
+func (f *follower) fail(error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed++
+	f.changed <- struct{}{}
+}
+
+// until waits until cond holds; every change is looked at.
+func (f *follower) until(t *testing.T, cond func() bool) {
+	t.Helper()
+	end := time.After(30 * time.Second)
+	for {
+		f.mu.Lock()
+		ok := cond()
+		f.mu.Unlock()
+		if ok {
+			return
+		}
+		select {
+		case <-f.changed:
+		case <-end:
+			t.Fatal("not in time")
+		}
+	}
+}
+
+func TestPlatform(t *testing.T) {
+	p := platform.New()
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(func() {
+		p.SetMode(platform.ModeDown)
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	first := p.Publish("a", "1")
+	f := follow(t, srv.URL)
+	f.until(t, func() bool { return f.entries["a"].GetRevision() == first })
+	second := p.Publish("a", "2")
+	f.until(t, func() bool { return f.entries["a"].GetRevision() == second })
+	// A replica that is behind doesn't bring the watch back.
+	p.SetModeAt(platform.ModeStale, first)
+	p.SetMode(platform.ModeDown)
+	f.until(t, func() bool { return f.failed > 0 })
+	p.SetMode(platform.ModeGood)
+	third := p.Delete("a")
+	f.until(t, func() bool { return f.entries["a"].GetRevision() == third && f.entries["a"].GetDeleted() })
+}
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -39,10 +39,11 @@
 // Unwrap returns the error beneath, or nil.
 func (e *Error) Unwrap() error { return e.cause }
 
-// Build compiles ploverd into a folder and returns its path.
-func Build(dir string) (string, error) {
-	path := filepath.Join(dir, "ploverd")
-	build := exec.Command("go", "build", "-o", path, "ploverjunction.example/ploverjunction/cmd/ploverd")
+// Build compiles a command, ploverd or ploverctl, into a folder and returns its
+// path.
+func Build(dir, command string) (string, error) {
+	path := filepath.Join(dir, command)
+	build := exec.Command("go", "build", "-o", path, "ploverjunction.example/ploverjunction/cmd/"+command)
 	out, err := build.CombinedOutput()
 	if err != nil {
 		return "", &Error{
