internal/node, internal/dissemination: cut the bytes of evidence and of changes

Change 1: beyond 100 nodes good requests are reported by chance and count for those left out. Cause 2: several peers announce a value within milliseconds and each was asked for it; and each push ended in a list of all revisions, for digests differ while a value spreads. Change 2: a value that was asked for isn't asked for again for half a second, and only comparisons send lists.

--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -36,6 +36,7 @@
 func measureLatency(b *bench) (*latencyResult, error) {
 	p := small()
 	p.nodes = 1
+	p.workspaces = 0
 	f, err := b.startFleet(p)
 	if f == nil {
 		return nil, err
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -206,7 +206,7 @@
 	}
 	for _, peer := range g.choose(fanout) {
 		talks.Go(ctx, "push", func(ctx context.Context) error {
-			g.converse(ctx, peer, req)
+			g.converse(ctx, peer, req, false)
 			return nil
 		})
 	}
@@ -226,7 +226,7 @@
 		for _, peer := range peers {
 			answered := make(chan struct{})
 			tries.Go(ctx, "compare with one", func(ctx context.Context) error {
-				if g.converse(ctx, peer, g.request()) {
+				if g.converse(ctx, peer, g.request(), true) {
 					close(answered)
 				}
 				return nil
@@ -241,9 +241,9 @@
 	})
 }
 
-// converse sends req to a peer and goes on until neither side lacks anything
-// that the other has. It reports whether the peer answered to the end.
-func (g *Gossip) converse(ctx context.Context, peer string, req *wire.SyncRequest) bool {
+// converse sends req to a peer and goes on until the peer wants nothing more or,
+// to compare, neither side lacks anything that the other has. It reports whether the peer answered to the end.
+func (g *Gossip) converse(ctx context.Context, peer string, req *wire.SyncRequest, compare bool) bool {
 	for range maxRounds {
 		reply, err := g.cfg.Call(ctx, peer, req)
 		g.called(err == nil)
@@ -253,9 +253,11 @@
 		}
 		g.learn(reply)
 		g.spread(g.replica.Offer(reply.GetEntries()))
-		req = g.follow(req, reply)
+		req = g.follow(req, reply, compare)
 		if req == nil {
-			g.compared(peer)
+			if compare {
+				g.compared(peer)
+			}
 			return true
 		}
 	}
@@ -263,7 +265,7 @@
 }
 
 // follow returns the next message to a peer, or nil if all is said.
-func (g *Gossip) follow(sent *wire.SyncRequest, reply *wire.SyncReply) *wire.SyncRequest {
+func (g *Gossip) follow(sent *wire.SyncRequest, reply *wire.SyncReply, compare bool) *wire.SyncRequest {
 	next := g.request()
 	if len(reply.GetWanted()) > 0 {
 		next.Entries = g.replica.Entries(reply.GetWanted())
@@ -272,8 +274,10 @@
 	if reply.GetDigest() == next.GetDigest() {
 		return nil
 	}
-	// Nothing came of a complete list: the rest is left to the next beat.
-	if sent.GetComplete() && len(reply.GetEntries()) == 0 {
+	// While a value spreads digests differ everywhere: only comparisons look for
+	// the reason. If nothing came of a complete list the rest is left to the next
+	// beat.
+	if !compare || sent.GetComplete() && len(reply.GetEntries()) == 0 {
 		return nil
 	}
 	next.Revisions = g.replica.Revisions()
@@ -302,7 +306,7 @@
 	g.cfg.Heard(in.GetFrom())
 	g.learnAge(time.Now(), in.GetPlatformAgeMs())
 	g.spread(g.replica.Offer(in.GetEntries()))
-	lacks, wanted := g.replica.Compare(in.GetRevisions(), in.GetComplete())
+	lacks, wanted := g.replica.Compare(time.Now(), in.GetRevisions(), in.GetComplete())
 	return &wire.SyncReply{
 		From:          g.cfg.Self(),
 		Digest:        g.replica.Digest(),
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -9,6 +9,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/wire"
@@ -23,12 +24,23 @@
 	pushWhole = 512
 )
 
+// askAgain is after how long a value that a peer was asked for is asked for again:
+// several peers announce the same value within milliseconds.
+const askAgain = 500 * time.Millisecond
+
+// question is a value that a peer was asked for.
+type question struct {
+	revision uint64
+	at       time.Time
+}
+
 // Replica is this node's copy of the published values. It may be used
 // concurrently.
 type Replica struct {
 	mu       sync.Mutex
 	store    *fleetconfig.Store
 	digest   uint64
+	asked    map[string]question
 	accepted func(*fleetconfig.Config, []fleetconfig.Refusal)
 }
 
@@ -39,6 +51,7 @@
 	return &Replica{
 		store:    s,
 		digest:   s.Digest(),
+		asked:    map[string]question{},
 		accepted: accepted,
 	}
 }
@@ -51,6 +64,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fresh := r.store.Offer(entries)
+	for _, e := range fresh {
+		delete(r.asked, e.GetKey())
+	}
 	if len(fresh) > 0 {
 		r.digest = r.store.Digest()
 		r.accepted(r.store.Config(), r.store.Refusals())
@@ -104,7 +120,7 @@
 // Compare tells what a peer with the given revisions lacks and what it has
 // beyond this replica. Keys that the peer doesn't name count as lacking only if
 // the list is complete.
-func (r *Replica) Compare(revisions []*wire.KeyRevision, complete bool) (lacks []*wire.Entry, wanted []string) {
+func (r *Replica) Compare(now time.Time, revisions []*wire.KeyRevision, complete bool) (lacks []*wire.Entry, wanted []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	theirs := map[string]uint64{}
@@ -121,9 +137,22 @@
 		}
 	}
 	for _, kr := range revisions {
-		if ours[kr.GetKey()] < kr.GetRevision() {
+		if ours[kr.GetKey()] < kr.GetRevision() && r.ask(now, kr) {
 			wanted = append(wanted, kr.GetKey())
 		}
 	}
 	return r.entries(keys), wanted
 }
+
+// ask tells whether a peer should be asked for a value, and notes that it was.
+func (r *Replica) ask(now time.Time, kr *wire.KeyRevision) bool {
+	q := r.asked[kr.GetKey()]
+	if q.revision >= kr.GetRevision() && now.Sub(q.at) < askAgain {
+		return false
+	}
+	r.asked[kr.GetKey()] = question{
+		revision: kr.GetRevision(),
+		at:       now,
+	}
+	return true
+}
--- a/internal/node/observing.go
+++ b/internal/node/observing.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +27,10 @@
 	slowLeast   = 2 * time.Second
 	slowMost    = 30 * time.Second
 	slowPerNode = 30 * time.Millisecond
+	// Up to sampleFrom nodes all evidence is reported. In a larger fleet good
+	// requests are reported by chance, as many nodes as that at a time, and count
+	// for those that were left out.
+	sampleFrom = 100
 	// observersPerService is how many observers each data hall has for a service.
 	observersPerService = 1
 	// observerForget is after how long without reports an observer's state ends.
@@ -170,23 +175,45 @@
 			// A report that hangs must not hold more than itself up.
 			continue
 		}
-		r := &wire.Report{
-			Service: name,
+		o.pending[name] = &pending{
+			targets: map[uint32]*wire.TargetEvidence{},
+			sent:    now,
 		}
-		for _, t := range p.targets {
-			r.Targets = append(r.Targets, t)
+		r := p.report(name, sampleWeight(view.Nodes()))
+		if r == nil {
+			continue
 		}
 		for _, n := range observers {
 			out[n.Address()] = append(out[n.Address()], r)
 		}
-		o.pending[name] = &pending{
-			targets: map[uint32]*wire.TargetEvidence{},
-			sent:    now,
-		}
 	}
 	return out
 }
 
+// sampleWeight returns for how many nodes the good evidence of one stands.
+func sampleWeight(nodes int) int {
+	return max((nodes+sampleFrom/2)/sampleFrom, 1)
+}
+
+// report returns the report of a service, or nil if its turn is left out. What is
+// urgent is always reported, as it is.
+func (p *pending) report(service string, weight int) *wire.Report {
+	if p.urgent {
+		weight = 1
+	}
+	if rand.IntN(weight) != 0 {
+		return nil
+	}
+	r := &wire.Report{
+		Service: service,
+	}
+	for _, t := range p.targets {
+		t.Good *= uint32(weight)
+		r.Targets = append(r.Targets, t)
+	}
+	return r
+}
+
 // slowBeat is how often evidence goes out that is not urgent.
 func slowBeat(nodes int) time.Duration {
 	return min(max(slowPerNode*time.Duration(nodes), slowLeast), slowMost)
