--- /dev/null
+++ b/internal/entry/deliver.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/forward"
+)
+
+// deliver gives an answer to the caller. An answer that breaks and can't be
+// resumed ends the caller's connection, so that it can't pass for a whole one.
+func (x *relay) deliver(w http.ResponseWriter, a *forward.Answer, release func()) {
+	h := w.Header()
+	for name, values := range endToEnd(a.Header()) {
+		h[name] = values
+	}
+	h.Add("Via", via)
+	h.Set(forward.HeaderRequestID, x.id)
+	h.Set(forward.HeaderOutcome, attempt.OutcomeDone.String())
+	if n := a.Length(); n >= 0 && hasBody(x.req.Method, a.Status()) {
+		h.Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	w.WriteHeader(a.Status())
+	if !hasBody(x.req.Method, a.Status()) {
+		a.Close()
+		release()
+		return
+	}
+	if err := x.copy(w, a, release); err != nil {
+		x.server.log.WithField("request", x.id).WithError(err).Warn("answer broken off")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// copy streams the body and resumes it where that is possible.
+func (x *relay) copy(w http.ResponseWriter, a *forward.Answer, release func()) error {
+	total := a.Length()
+	etag := a.Header().Get("Etag")
+	resumable := x.resumable(a)
+	offset := int64(0)
+	for range maxResumes {
+		n, err := x.stream(w, a)
+		offset += n
+		a.Close()
+		release()
+		if err == nil {
+			return nil
+		}
+		var fe *forward.Error
+		if !errors.As(err, &fe) {
+			return err
+		}
+		x.broke(a.Target())
+		x.life.Ended(attempt.OutcomeUnknown)
+		if !resumable {
+			return err
+		}
+		if a, release = x.resume(etag, offset, total); a == nil {
+			return err
+		}
+		x.server.log.WithField("request", x.id).WithField("offset", offset).Info("answer resumed")
+	}
+	a.Close()
+	release()
+	return &Error{
+		code:    CodeFailed,
+		status:  http.StatusBadGateway,
+		outcome: attempt.OutcomeUnknown,
+	}
+}
+
+// stream copies until the end of one target's answer.
+func (x *relay) stream(w http.ResponseWriter, a *forward.Answer) (int64, error) {
+	buf := x.server.buffers.Get().(*[]byte)
+	defer x.server.buffers.Put(buf)
+	flush := http.NewResponseController(w).Flush
+	var sent int64
+	for {
+		n, err := a.Read(*buf)
+		if n > 0 {
+			if _, werr := w.Write((*buf)[:n]); werr != nil {
+				return sent, fmt.Errorf("entry: write to the caller: %w", werr)
+			}
+			sent += int64(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return sent, nil
+		}
+		if err != nil {
+			return sent, err
+		}
+		if !a.Whole() {
+			if err := flush(); err != nil {
+				return sent, fmt.Errorf("entry: flush to the caller: %w", err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/dialer.go
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Dialer keeps one connection to each peer that is talked to. It may be used
+// concurrently; calls to one peer follow one another.
+type Dialer struct {
+	keys    *Keys
+	traffic *Traffic
+	mu      sync.Mutex
+	peers   map[string]*peerConn
+}
+
+type peerConn struct {
+	mu   sync.Mutex
+	conn *drpcconn.Conn
+	used atomic.Int64
+}
+
+// NewDialer returns a dialer without connections.
+func NewDialer(keys *Keys, traffic *Traffic) *Dialer {
+	return &Dialer{
+		keys:    keys,
+		traffic: traffic,
+		peers:   map[string]*peerConn{},
+	}
+}
+
+// Sync calls Sync of a peer.
+func (d *Dialer) Sync(ctx context.Context, peer string, in *wire.SyncRequest) (*wire.SyncReply, error) {
+	return call(ctx, d, peer, in, wire.DRPCPeerClient.Sync)
+}
+
+// Observe calls Observe of a peer.
+func (d *Dialer) Observe(ctx context.Context, peer string, in *wire.ReportBatch) error {
+	_, err := call(ctx, d, peer, in, wire.DRPCPeerClient.Observe)
+	return err
+}
+
+// Judge calls Judge of a peer.
+func (d *Dialer) Judge(ctx context.Context, peer string, in *wire.VerdictBatch) error {
+	_, err := call(ctx, d, peer, in, wire.DRPCPeerClient.Judge)
+	return err
+}
+
+func call[In, Out any](ctx context.Context, d *Dialer, peer string, in In, fn func(wire.DRPCPeerClient, context.Context, In) (Out, error)) (Out, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	d.traffic.calls.Add(1)
+	var zero Out
+	p := d.peer(peer)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used.Store(time.Now().UnixNano())
+	if err := d.connect(ctx, p, peer); err != nil {
+		return zero, err
+	}
+	out, err := fn(wire.NewDRPCPeerClient(p.conn), ctx, in)
+	if err != nil {
+		_ = p.conn.Close()
+		p.conn = nil
+		return zero, &Error{
+			kind:  KindCall,
+			peer:  peer,
+			cause: err,
+		}
+	}
+	return out, nil
+}
+
+func (d *Dialer) peer(address string) *peerConn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.peers[address]
+	if p == nil {
+		p = &peerConn{}
+		d.peers[address] = p
+	}
+	return p
+}
+
+func (d *Dialer) connect(ctx context.Context, p *peerConn, address string) error {
+	if p.conn != nil {
+		select {
+		case <-p.conn.Closed():
+			p.conn = nil
+		default:
+			return nil
+		}
+	}
+	raw, err := (&net.Dialer{
+		Timeout: dialTimeout,
+	}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return &Error{
+			kind:  KindDial,
+			peer:  address,
+			cause: err,
+		}
+	}
+	var conn net.Conn = &countedConn{
+		Conn:    raw,
+		traffic: d.traffic,
+	}
+	if d.keys != nil {
+		cfg := d.keys.config.Clone()
+		cfg.ServerName, _, _ = net.SplitHostPort(address)
+		conn = tls.Client(conn, cfg)
+	}
+	p.conn = drpcconn.New(conn)
+	return nil
+}
+
+// CloseIdle closes the connections that weren't used for a while before now.
+func (d *Dialer) CloseIdle(now time.Time) {
+	d.closeWhere(func(p *peerConn) bool {
+		return now.UnixNano()-p.used.Load() > int64(idleClose)
+	})
+}
+
+// Close closes all connections.
+func (d *Dialer) Close() {
+	d.closeWhere(func(*peerConn) bool { return true })
+}
+
+func (d *Dialer) closeWhere(match func(*peerConn) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, p := range d.peers {
+		// A peer whose call is under way is in use.
+		if !match(p) || !p.mu.TryLock() {
+			continue
+		}
+		if p.conn != nil {
+			_ = p.conn.Close()
+		}
+		p.mu.Unlock()
+		delete(d.peers, address)
+	}
+}
--- /dev/null
+++ b/internal/node/announcing.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// announce takes new verdicts to all nodes of the data hall. Verdicts are rare;
+// a lost one is found by the node's own evidence.
+func (o *observing) announce(ctx context.Context, talks *task.Group, now time.Time, verdicts []outlier.Verdict) {
+	if len(verdicts) == 0 {
+		return
+	}
+	batch := &wire.VerdictBatch{
+		From: o.link.self(),
+	}
+	for _, v := range verdicts {
+		o.deliver(now, v, outlier.Key(v.Target))
+		batch.Verdicts = append(batch.Verdicts, &wire.Verdict{
+			Service: v.Service,
+			Target:  outlier.Key(v.Target),
+			Score:   float32(v.Score),
+			LeaseMs: uint32(v.Lease.Milliseconds()),
+			Leaving: v.Leaving,
+		})
+	}
+	o.spread(ctx, talks, batch)
+}
+
+func (o *observing) spread(ctx context.Context, talks *task.Group, batch *wire.VerdictBatch) {
+	view := o.board.view.Load()
+	for _, n := range view.Peers() {
+		if n.DataHall() != view.Self().DataHall() {
+			continue
+		}
+		talks.Go(ctx, "verdict", func(ctx context.Context) error {
+			err := o.link.judge(ctx, n.Address(), batch)
+			if err != nil {
+				o.link.failed(n.Address())
+			}
+			return err
+		})
+	}
+}
+
+// judged takes the verdicts of an observer. Only an observer of this node's data
+// hall, by this node's own view of the fleet, is believed.
+func (o *observing) judged(now time.Time, in *wire.VerdictBatch) {
+	for _, v := range in.GetVerdicts() {
+		if !o.hasDuty(in.GetFrom(), v.GetService()) {
+			continue
+		}
+		o.deliver(now, outlier.Verdict{
+			Service: v.GetService(),
+			Score:   float64(v.GetScore()),
+			Lease:   time.Duration(v.GetLeaseMs()) * time.Millisecond,
+			Leaving: v.GetLeaving(),
+		}, v.GetTarget())
+	}
+}
+
+// trustedRanks is how far down the order of observers a sender may stand: views
+// differ by the nodes that just one of them suspects.
+const trustedRanks = 3
+
+func (o *observing) hasDuty(from *wire.Node, service string) bool {
+	view := o.board.view.Load()
+	for _, n := range view.Duty(duty(service), view.Self().DataHall(), trustedRanks) {
+		if n == membership.NewNode(from.GetAddress(), from.GetDataHall()) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/node/duty.go
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// observed is one service that this node observes for its data hall.
+type observed struct {
+	observer *outlier.Observer
+	config   *fleetconfig.Service
+	byKey    map[uint32]string
+	heard    time.Time
+	// summed is when the last summary went out.
+	summed time.Time
+}
+
+// observe takes the reports of one node as an observer. Any node that reports
+// come to serves as one: the sender may know the fleet better.
+func (o *observing) observe(now time.Time, in *wire.ReportBatch) {
+	cfg := o.board.currentConfig()
+	if cfg == nil {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range in.GetReports() {
+		sc := cfg.Service(r.GetService())
+		if sc == nil {
+			continue
+		}
+		s := o.observed(sc)
+		s.heard = now
+		for _, t := range r.GetTargets() {
+			target, ok := s.byKey[t.GetTarget()]
+			if !ok {
+				continue
+			}
+			s.take(now, in, outlier.Counts{
+				Target:  target,
+				Good:    float64(t.GetGood()),
+				Bad:     float64(t.GetBad()),
+				Stalled: float64(t.GetStalled()),
+				Leaving: t.GetLeaving(),
+			})
+		}
+	}
+}
+
+func (s *observed) take(now time.Time, in *wire.ReportBatch, c outlier.Counts) {
+	from := in.GetFrom()
+	if in.GetSummary() {
+		s.observer.Summary(now, from.GetDataHall(), c)
+		return
+	}
+	s.observer.Report(now, from.GetAddress(), from.GetDataHall(), c)
+}
+
+// observed returns the state for a service, in its newest configuration.
+func (o *observing) observed(sc *fleetconfig.Service) *observed {
+	s := o.served[sc.Name()]
+	if s != nil && s.config == sc {
+		return s
+	}
+	info := outlier.Service{
+		Name:      sc.Name(),
+		Policy:    sc.Policy(),
+		Threshold: sc.Threshold(),
+	}
+	byKey := map[uint32]string{}
+	for _, t := range sc.Targets() {
+		info.Targets = append(info.Targets, t.Address())
+		byKey[outlier.Key(t.Address())] = t.Address()
+	}
+	if s == nil {
+		s = &observed{
+			observer: outlier.NewObserver(info),
+		}
+		o.served[sc.Name()] = s
+	} else {
+		s.observer.Configure(info)
+	}
+	s.config = sc
+	s.byKey = byKey
+	return s
+}
+
+// advance judges all observed services. It returns the summaries for the
+// observers of the other data halls and the new verdicts.
+func (o *observing) advance(now time.Time) (map[string][]*wire.Report, []outlier.Verdict) {
+	view := o.board.view.Load()
+	halls := view.DataHalls()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	summaries := map[string][]*wire.Report{}
+	var verdicts []outlier.Verdict
+	for name, s := range o.served {
+		if now.Sub(s.heard) > observerForget {
+			delete(o.served, name)
+			continue
+		}
+		if r := s.summary(now, slowBeat(view.Nodes())); r != nil {
+			for _, h := range halls {
+				if h == view.Self().DataHall() {
+					continue
+				}
+				for _, n := range view.Duty(duty(name), h, observersPerService) {
+					summaries[n.Address()] = append(summaries[n.Address()], r)
+				}
+			}
+		}
+		verdicts = append(verdicts, s.observer.Advance(now)...)
+	}
+	return summaries, verdicts
+}
+
+// summary returns what the other data halls should know, or nil if that can wait
+// for the slow beat.
+func (s *observed) summary(now time.Time, slow time.Duration) *wire.Report {
+	if !s.observer.Urgent() && now.Sub(s.summed) < slow {
+		return nil
+	}
+	s.summed = now
+	counts := s.observer.TakeSummary()
+	if len(counts) == 0 {
+		return nil
+	}
+	r := &wire.Report{
+		Service:   s.config.Name(),
+		Reporters: uint32(s.observer.Reporters(now)),
+	}
+	for _, c := range counts {
+		r.Targets = append(r.Targets, &wire.TargetEvidence{
+			Target:  outlier.Key(c.Target),
+			Good:    uint32(c.Good),
+			Bad:     uint32(c.Bad),
+			Stalled: uint32(c.Stalled),
+			Leaving: c.Leaving,
+		})
+	}
+	return r
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
@@ -249,14 +248,6 @@
 	return &wire.Receipt{}, nil
 }
 
-// Drain begins a planned stop. It may be called concurrently and more than once.
-func (n *Node) Drain() {
-	select {
-	case n.drain <- struct{}{}:
-	default:
-	}
-}
-
 // Run serves until a planned stop has finished or the context ends. The end of
 // the context stops at once; Drain stops after all requests in flight.
 func (n *Node) Run(ctx context.Context) error {
@@ -350,90 +341,3 @@
 
 // Error says that a part ended.
 func (*StoppedError) Error() string { return "node: a part ended unasked" }
-
-// stop is the planned stop: the balancer is told first and callers are accepted
-// until it has had time to notice; then what is in flight ends in its own time.
-func (n *Node) stop(ctx context.Context) error {
-	log := logging.Part(n.log, "node")
-	log.Info("leaving")
-	n.lifecycle.leaving.Store(true)
-	n.entry.Closing()
-	n.sayLeaving(ctx)
-	wait := time.NewTimer(n.set.DrainWait())
-	defer wait.Stop()
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-wait.C:
-	}
-	log.WithField("in_flight", n.entry.InFlight()).Info("draining")
-	if err := n.entry.Drain(ctx); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("node: drain: %w", err)
-	}
-	log.Info("drained")
-	return nil
-}
-
-// sayLeaving tells all peers: they must give this node's duties to others.
-func (n *Node) sayLeaving(ctx context.Context) {
-	if n.peers == nil {
-		return
-	}
-	var all task.Group
-	for _, p := range n.board.view.Load().Peers() {
-		all.Go(ctx, "leave", func(ctx context.Context) error { return n.sayLeavingTo(ctx, p.Address()) })
-	}
-	if err := all.Wait(); err != nil {
-		logging.Part(n.log, "node").WithError(err).Debug("not all peers told")
-	}
-}
-
-func (n *Node) sayLeavingTo(ctx context.Context, peer string) error {
-	var err error
-	for range leaveTimes {
-		_, err = n.dialer.Sync(ctx, peer, &wire.SyncRequest{
-			From:   n.self(),
-			Digest: n.replica.Digest(),
-		})
-		if err == nil || ctx.Err() != nil {
-			break
-		}
-	}
-	return err
-}
-
-func (n *Node) runSource(ctx context.Context) error {
-	log := logging.Part(n.log, "source")
-	failed := func(err error) { log.WithError(err).Warn("source not read") }
-	deliver := func(entries []*wire.Entry) { n.gossip.Publish(entries) }
-	if n.directory != nil {
-		return n.directory.Run(ctx, deliver, failed)
-	}
-	return n.platform.Run(ctx, source.Config{
-		Reader:  n.reader,
-		Deliver: deliver,
-		Heard:   func() { n.gossip.PlatformHeard(time.Now()) },
-		Failed:  failed,
-	})
-}
-
-// reader tells whether this node should read the platform: it has the duty, or
-// nobody seems to do it.
-func (n *Node) reader() bool {
-	now := time.Now()
-	view := n.board.view.Load()
-	for _, d := range view.Duty("reader", n.set.DataHall(), readersPerHall) {
-		if d == view.Self() {
-			return true
-		}
-	}
-	if len(view.Peers()) == 0 && len(n.set.Seeds()) == 0 {
-		return true
-	}
-	if n.gossip.PlatformAge(now) <= platformSilent || now.Sub(n.begun) <= startSilent {
-		return false
-	}
-	// All nodes come here when the platform is down for long: as many of them ask
-	// at a time, on average, however large the fleet is.
-	return rand.IntN(len(view.Live())) == 0
-}
--- /dev/null
+++ b/internal/node/stop.go
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Drain begins a planned stop. It may be called concurrently and more than once.
+func (n *Node) Drain() {
+	select {
+	case n.drain <- struct{}{}:
+	default:
+	}
+}
+
+// stop is the planned stop: the balancer is told first and callers are accepted
+// until it has had time to notice; then what is in flight ends in its own time.
+func (n *Node) stop(ctx context.Context) error {
+	log := logging.Part(n.log, "node")
+	log.Info("leaving")
+	n.lifecycle.leaving.Store(true)
+	n.entry.Closing()
+	n.sayLeaving(ctx)
+	wait := time.NewTimer(n.set.DrainWait())
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-wait.C:
+	}
+	log.WithField("in_flight", n.entry.InFlight()).Info("draining")
+	if err := n.entry.Drain(ctx); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("node: drain: %w", err)
+	}
+	log.Info("drained")
+	return nil
+}
+
+// sayLeaving tells all peers: they must give this node's duties to others.
+func (n *Node) sayLeaving(ctx context.Context) {
+	if n.peers == nil {
+		return
+	}
+	var all task.Group
+	for _, p := range n.board.view.Load().Peers() {
+		all.Go(ctx, "leave", func(ctx context.Context) error { return n.sayLeavingTo(ctx, p.Address()) })
+	}
+	if err := all.Wait(); err != nil {
+		logging.Part(n.log, "node").WithError(err).Debug("not all peers told")
+	}
+}
+
+func (n *Node) sayLeavingTo(ctx context.Context, peer string) error {
+	var err error
+	for range leaveTimes {
+		_, err = n.dialer.Sync(ctx, peer, &wire.SyncRequest{
+			From:   n.self(),
+			Digest: n.replica.Digest(),
+		})
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,13 +5,10 @@
 
 import (
 	"net/netip"
-	"net/url"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/dustin/go-humanize"
 	"gopkg.in/ini.v1"
 )
 
@@ -335,115 +332,3 @@
 	}
 	return nil
 }
-
-func text(dst *string) func(string) string {
-	return func(v string) string {
-		if v == "" {
-			return "is empty"
-		}
-		*dst = v
-		return ""
-	}
-}
-
-func address(dst *netip.AddrPort) func(string) string {
-	return func(v string) string {
-		a, err := netip.ParseAddrPort(v)
-		if err != nil {
-			return "want IP:PORT, got " + strconv.Quote(v)
-		}
-		*dst = a
-		return ""
-	}
-}
-
-func ip(dst *netip.Addr) func(string) string {
-	return func(v string) string {
-		a, err := netip.ParseAddr(v)
-		if err != nil {
-			return "want an IP number, got " + strconv.Quote(v)
-		}
-		*dst = a
-		return ""
-	}
-}
-
-func addresses(dst *[]netip.AddrPort) func(string) string {
-	return func(v string) string {
-		for part := range strings.SplitSeq(v, ",") {
-			var a netip.AddrPort
-			if fault := address(&a)(strings.TrimSpace(part)); fault != "" {
-				return fault
-			}
-			*dst = append(*dst, a)
-		}
-		return ""
-	}
-}
-
-func webAddress(dst *string) func(string) string {
-	return func(v string) string {
-		u, err := url.Parse(v)
-		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-			return "want http://IP:PORT, got " + strconv.Quote(v)
-		}
-		*dst = strings.TrimRight(v, "/")
-		return ""
-	}
-}
-
-func size(dst *int64, low, high int64) func(string) string {
-	return func(v string) string {
-		n, err := humanize.ParseBytes(v)
-		if err != nil {
-			return "want a size with its unit, such as 32MiB, got " + strconv.Quote(v)
-		}
-		if _, err := strconv.ParseFloat(v, 64); err == nil && v != "0" {
-			return "want a unit, such as KiB or MiB, got " + strconv.Quote(v)
-		}
-		if n > uint64(high) || int64(n) < low {
-			return "out of range " + humanize.IBytes(uint64(low)) + " to " + humanize.IBytes(uint64(high))
-		}
-		*dst = int64(n)
-		return ""
-	}
-}
-
-func duration(dst *time.Duration, low, high time.Duration) func(string) string {
-	return func(v string) string {
-		d, err := time.ParseDuration(v)
-		if err != nil {
-			return "want a time with its unit, such as 250ms, got " + strconv.Quote(v)
-		}
-		if d < low || d > high {
-			return "out of range " + low.String() + " to " + high.String()
-		}
-		*dst = d
-		return ""
-	}
-}
-
-func count(dst *int, low, high int) func(string) string {
-	return func(v string) string {
-		n, err := strconv.Atoi(v)
-		if err != nil || n < low || n > high {
-			return "want a whole number from " + strconv.Itoa(low) + " to " + strconv.Itoa(high)
-		}
-		*dst = n
-		return ""
-	}
-}
-
-func oneOf[T ~string](dst *T, allowed ...T) func(string) string {
-	return func(v string) string {
-		if !slices.Contains(allowed, T(v)) {
-			words := make([]string, len(allowed))
-			for i, a := range allowed {
-				words[i] = string(a)
-			}
-			return "want one of " + strings.Join(words, ", ") + ", got " + strconv.Quote(v)
-		}
-		*dst = T(v)
-		return ""
-	}
-}
