internal/capacity: keep raw latencies, write the page from raw figures too

Cause: the series of nodes counted calls on the platform in windows of 4 s, but a watch waits 25 s, so it showed none.

--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -19,6 +19,7 @@
 	Page   string        `default:"docs/CAPACITY.md" help:"Page to write."`
 	Runs   int           `default:"3" help:"Repeated runs of each point."`
 	Window time.Duration `default:"4s" help:"Time over which one point is measured."`
+	Keep   bool          `help:"Measure nothing: write the page from the raw figures."`
 	Only   string        `help:"Measure just this series and write no page."`
 }
 
@@ -35,6 +36,9 @@
 	if err := os.MkdirAll(args.Raw, 0o755); err != nil {
 		return fmt.Errorf("capacity: %w", err)
 	}
+	if args.Keep {
+		return keep(args)
+	}
 	bench, err := newBench(args.Window)
 	if err != nil {
 		return err
@@ -64,5 +68,32 @@
 	if err != nil {
 		return err
 	}
+	if err := lat.writeCSV(filepath.Join(args.Raw, latencyFile)); err != nil {
+		return err
+	}
+	return writePage(args, results, lat)
+}
+
+// latencyFile holds the raw latencies.
+const latencyFile = "latency.csv"
+
+// keep writes the page from the raw figures of an earlier run.
+func keep(args arguments) error {
+	results := map[string]*result{}
+	for _, s := range allSeries() {
+		r, err := readCSV(filepath.Join(args.Raw, s.name+".csv"), s)
+		if err != nil {
+			return err
+		}
+		results[s.name] = r
+		if err := r.plot(args.Raw); err != nil {
+			return err
+		}
+	}
+	lat, err := readLatency(filepath.Join(args.Raw, latencyFile))
+	if err != nil {
+		return err
+	}
+	args.Runs = len(results[allSeries()[0].name].samples[0])
 	return writePage(args, results, lat)
 }
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -50,7 +50,6 @@
 	Sum      []sumRow
 	Total    sumRow
 	Verdicts []string
-	Platform string
 	Latency  *latencyResult
 	// Connections are the pools at the target size.
 	Connections []connectionRow
@@ -193,7 +192,6 @@
 		s.text()
 	}
 	p.Total.text()
-	p.Platform = short(nodes.fit(platformCalls).at(goalNodes))
 	p.judge("bytes a second between nodes", p.Total.Bytes, limitBytes)
 	p.judge("processor, % of a core", p.Total.CPU, limitCPU)
 	p.judge("memory, MB", p.Total.MBs, limitMemory)
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -145,3 +145,38 @@
 		}
 	}
 }
+
+// The policy of a service is evaluated for each target with evidence at each
+// beat, and for each retry: it must stay a small part of either.
+func TestEvaluationGuard(t *testing.T) {
+	short, err := policy.Compile(policy.Text{
+		Sick: "score >= threshold",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	long, err := policy.Compile(policy.Text{
+		Sick: "score >= threshold && (reporters >= 2 || data_halls >= 2) && bad > 0.3 * (good + bad)",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := policy.Health{
+		Score:     9,
+		Threshold: 7,
+		Good:      1,
+		Bad:       9,
+		Reporters: 3,
+		DataHalls: 2,
+	}
+	for name, p := range map[string]*policy.Program{
+		"short": short,
+		"long":  long,
+	} {
+		allocs := testing.AllocsPerRun(1000, func() { p.Sick(h) })
+		t.Logf("%s: %v allocations", name, allocs)
+		if allocs > 25 {
+			t.Errorf("%s: %v allocations an evaluation", name, allocs)
+		}
+	}
+}
