--- a/cmd/ploverctl/status.go
+++ b/cmd/ploverctl/status.go
@@ -59,7 +59,7 @@
 		ready = "not ready: " + s.Reason
 	}
 	fmt.Fprintf(b, "node %s in %s: %s, up for %s, %d in flight\n", s.Node, s.DataHall, ready, s.UpFor, s.InFlight)
-	fmt.Fprintf(b, "  configuration: revision %d, %d services, %d routes, %d workspaces, platform heard %s ago\n",
+	fmt.Fprintf(b, "  configuration: revision %d, %d services, %d routes, %d workspaces, platform %s\n",
 		s.Config.Revision, s.Config.Services, s.Config.Routes, s.Config.Workspaces, age(s.Config.PlatformAgeMS))
 	for _, r := range s.Config.Refused {
 		fmt.Fprintf(b, "  refused: %s at revision %d: %s\n", r.Key, r.Revision, r.Reason)
@@ -93,9 +93,9 @@
 
 func age(ms int64) string {
 	if ms < 0 {
-		return "never"
+		return "never heard"
 	}
-	return (time.Duration(ms) * time.Millisecond).Round(time.Millisecond).String()
+	return "heard " + (time.Duration(ms) * time.Millisecond).Round(time.Millisecond).String() + " ago"
 }
 
 type explainCommand struct {
