internal/policy, internal/outlier: one piece of code for what stood twice

What a policy sees of a target was written in the judging controller and in the observer; the evaluation of a bool in two expressions. No change of behaviour.

--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -13,7 +13,6 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/outlier"
-	"ploverjunction.example/ploverjunction/internal/policy"
 )
 
 // judgeBeat is how often a node judges its targets.
@@ -187,16 +186,7 @@
 	if r.Score == 0 {
 		return
 	}
-	sick := s.config.Policy().Sick(policy.Health{
-		Score:     r.Score,
-		Threshold: s.config.Threshold(),
-		Good:      r.Good,
-		Bad:       r.Bad,
-		Stalled:   r.Stalled,
-		Reporters: 1,
-		DataHalls: 1,
-	})
-	if !sick {
+	if !s.config.Policy().Sick(r.Health(s.config.Threshold(), 1, 1)) {
 		return
 	}
 	s.judge.Sick(now, target, r.Score)
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -6,6 +6,8 @@
 	"maps"
 	"math"
 	"time"
+
+	"ploverjunction.example/ploverjunction/internal/policy"
 )
 
 // Parameters of the test. Shares are shares of bad requests.
@@ -258,6 +260,20 @@
 	Stalled float64
 }
 
+// Health returns the reading as a policy sees it. threshold is the service's;
+// reporters and dataHalls count the sources of the evidence.
+func (r Reading) Health(threshold float64, reporters, dataHalls int) policy.Health {
+	return policy.Health{
+		Score:     r.Score,
+		Threshold: threshold,
+		Good:      r.Good,
+		Bad:       r.Bad,
+		Stalled:   r.Stalled,
+		Reporters: reporters,
+		DataHalls: dataHalls,
+	}
+}
+
 // Read returns the reading of a target; the zero value for an unknown one.
 func (d *Detector) Read(target string) Reading {
 	t := d.tracks[target]
--- a/internal/outlier/observer.go
+++ b/internal/outlier/observer.go
@@ -225,15 +225,7 @@
 }
 
 func (o *Observer) sick(now time.Time, r Reading) bool {
-	return o.service.Policy.Sick(policy.Health{
-		Score:     r.Score,
-		Threshold: o.service.Threshold,
-		Good:      r.Good,
-		Bad:       r.Bad,
-		Stalled:   r.Stalled,
-		Reporters: recent(o.reporters, now),
-		DataHalls: recent(o.halls, now),
-	})
+	return o.service.Policy.Sick(r.Health(o.service.Threshold, recent(o.reporters, now), recent(o.halls, now)))
 }
 
 // Standing returns the verdicts whose hold has not ended, with what is left of
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -193,7 +193,7 @@
 // Sick tells whether a target counts as sick. A failed evaluation counts as not
 // sick: a faulty policy must not take targets out of service.
 func (p *Program) Sick(h Health) bool {
-	out, _, err := p.sick.Eval(map[string]any{
+	return truth(p.sick, map[string]any{
 		"score":      h.Score,
 		"threshold":  h.Threshold,
 		"good":       h.Good,
@@ -202,6 +202,11 @@
 		"reporters":  h.Reporters,
 		"data_halls": h.DataHalls,
 	})
+}
+
+// truth evaluates an expression that gives a bool; a failed one counts as false.
+func truth(prg cel.Program, vars map[string]any) bool {
+	out, _, err := prg.Eval(vars)
 	if err != nil {
 		return false
 	}
@@ -224,7 +229,7 @@
 // Retry tells whether the policy allows another attempt. A failed evaluation
 // counts as no.
 func (p *Program) Retry(t Try) bool {
-	out, _, err := p.retry.Eval(map[string]any{
+	return truth(p.retry, map[string]any{
 		"attempt":    t.Attempt,
 		"outcome":    t.Outcome,
 		"repeatable": t.Repeatable,
@@ -232,11 +237,6 @@
 		"route":      t.Route,
 		"class":      t.Class,
 	})
-	if err != nil {
-		return false
-	}
-	b, ok := out.Value().(bool)
-	return ok && b
 }
 
 // Floor returns how many slots must stay in service, between 0 and capacity. A
