--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -20,7 +20,7 @@
 	Runs   int           `default:"3" help:"Repeated runs of each point."`
 	Window time.Duration `default:"4s" help:"Time over which one point is measured."`
 	Keep   bool          `help:"Measure nothing: write the page from the raw figures."`
-	Only   string        `help:"Measure just this series and write no page."`
+	Only   string        `help:"Measure just this series, or latency, and write no page."`
 }
 
 func main() {
@@ -61,7 +61,7 @@
 			return err
 		}
 	}
-	if args.Only != "" {
+	if args.Only != "" && args.Only != latencyName {
 		return nil
 	}
 	lat, err := measureLatency(bench)
@@ -71,11 +71,17 @@
 	if err := lat.writeCSV(filepath.Join(args.Raw, latencyFile)); err != nil {
 		return err
 	}
+	if args.Only != "" {
+		return nil
+	}
 	return writePage(args, results, lat)
 }
 
+// latencyName names the measurement of added latency among the series.
+const latencyName = "latency"
+
 // latencyFile holds the raw latencies.
-const latencyFile = "latency.csv"
+const latencyFile = latencyName + ".csv"
 
 // keep writes the page from the raw figures of an earlier run.
 func keep(args arguments) error {
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -170,17 +170,17 @@
 			Bytes: bytes(rs["changes"]),
 			CPU:   grow(rs["changes-full"], cpuShare),
 		},
-		{
-			What: "memory in use while values change",
-			From: "changes-full, beyond its size 0",
-			MBs:  garbage(rs["changes-full"]),
-		},
 		{
 			What:  "evidence of 210 requests a second",
 			From:  "requests",
 			Bytes: bytes(rs["requests"]),
 		},
 	}
+	p.Sum = append(p.Sum, sumRow{
+		What: "all of it together, beyond its parts",
+		From: "changes-full",
+		MBs:  p.beyond(rs["changes-full"]),
+	})
 	p.Total = sumRow{
 		What: "sum",
 	}
@@ -197,21 +197,21 @@
 	p.judge("memory, MB", p.Total.MBs, limitMemory)
 }
 
-// garbage returns how much more memory a node takes while its configuration
-// changes than when it is quiet, in MB.
-func garbage(r *result) float64 {
-	mean := func(runs []sample) float64 {
-		total := 0.0
+// beyond returns how much more memory a node with the whole configuration takes,
+// quiet or while values change, than the parts of it measured alone, in MB.
+func (p *page) beyond(r *result) float64 {
+	most := 0.0
+	for _, runs := range r.samples {
+		mean := 0.0
 		for _, s := range runs {
-			total += s.memory / float64(len(runs))
+			mean += s.memory / float64(len(runs))
 		}
-		return total
+		most = max(most, mean)
 	}
-	most := 0.0
-	for _, runs := range r.samples[1:] {
-		most = max(most, mean(runs))
+	for _, s := range p.Sum {
+		most -= s.MBs
 	}
-	return max(most-mean(r.samples[0]), 0)
+	return max(most, 0)
 }
 
 func (s *sumRow) text() {
