--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -20,7 +20,7 @@
 	Runs   int           `default:"3" help:"Repeated runs of each point."`
 	Window time.Duration `default:"4s" help:"Time over which one point is measured."`
 	Keep   bool          `help:"Measure nothing: write the page from the raw figures."`
-	Only   string        `help:"Measure just this series, or latency, and write no page."`
+	Only   string        `help:"Measure just this series, or restart, or latency, and write no page."`
 }
 
 func main() {
@@ -44,7 +44,6 @@
 		return err
 	}
 	defer bench.close()
-	results := map[string]*result{}
 	for _, s := range allSeries() {
 		if args.Only != "" && args.Only != s.name {
 			continue
@@ -53,11 +52,16 @@
 		if err != nil {
 			return fmt.Errorf("capacity: series %s: %w", s.name, err)
 		}
-		results[s.name] = r
 		if err := r.writeCSV(filepath.Join(args.Raw, s.name+".csv")); err != nil {
 			return err
 		}
-		if err := r.plot(args.Raw); err != nil {
+	}
+	if args.Only == "" || args.Only == restartName {
+		list, err := measureRestarts(bench)
+		if err != nil {
+			return err
+		}
+		if err := writeRestarts(filepath.Join(args.Raw, restartFile), list); err != nil {
 			return err
 		}
 	}
@@ -74,7 +78,7 @@
 	if args.Only != "" {
 		return nil
 	}
-	return writePage(args, results, lat)
+	return keep(args)
 }
 
 // latencyName names the measurement of added latency among the series.
@@ -100,6 +104,10 @@
 	if err != nil {
 		return err
 	}
+	restarts, err := readRestarts(filepath.Join(args.Raw, restartFile))
+	if err != nil {
+		return err
+	}
 	args.Runs = len(results[allSeries()[0].name].samples[0])
-	return writePage(args, results, lat)
+	return writePage(args, results, lat, worstRestart(restarts))
 }
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -51,16 +51,18 @@
 	Total    sumRow
 	Verdicts []string
 	Latency  *latencyResult
+	Restart  restartRow
 	// Connections are the pools at the target size.
 	Connections []connectionRow
 }
 
-func writePage(args arguments, results map[string]*result, lat *latencyResult) error {
+func writePage(args arguments, results map[string]*result, lat *latencyResult, restart restartRow) error {
 	p := page{
 		Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), totalMemory()),
 		Runs:    args.Runs,
 		Window:  args.Window.String(),
 		Latency: lat,
+		Restart: restart,
 	}
 	for _, s := range allSeries() {
 		p.Slopes = append(p.Slopes, slopeRows(results[s.name], args.Raw)...)
@@ -75,7 +77,7 @@
 	if err != nil {
 		return fmt.Errorf("capacity: %w", err)
 	}
-	if err := t.Execute(f, p); err != nil {
+	if err := t.Execute(f, &p); err != nil {
 		return fmt.Errorf("capacity: %w", err)
 	}
 	return f.Close()
@@ -218,6 +220,13 @@
 	s.BytesT, s.CPUT, s.MT = short(s.Bytes), short(s.CPU), short(s.MBs)
 }
 
+// RestartRate returns what the restarts of a day cost each node of the target
+// size on average, in bytes a second, sent and received together.
+func (p *page) RestartRate() string {
+	const restarts = 3700 / 86400.0
+	return short(2 * restarts * float64(p.Restart.Received) / goalNodes)
+}
+
 func (p *page) judge(what string, have, limit float64) {
 	if have <= limit {
 		p.Verdicts = append(p.Verdicts, fmt.Sprintf("%s: %s of %s: fits", what, short(have), short(limit)))
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -161,6 +161,11 @@
 	f.until(t, func() bool { return f.entries["a"].GetRevision() == first })
 	second := p.Publish("a", "2")
 	f.until(t, func() bool { return f.entries["a"].GetRevision() == second })
+	// A change that the platform shows late comes all the same.
+	p.SetLag(200 * time.Millisecond)
+	second = p.Publish("a", "2b")
+	f.until(t, func() bool { return f.entries["a"].GetRevision() == second })
+	p.SetLag(0)
 	// A replica that is behind doesn't bring the watch back.
 	p.SetModeAt(platform.ModeStale, first)
 	p.SetMode(platform.ModeDown)
