--- a/cmd/ploverd/main.go
+++ b/cmd/ploverd/main.go
@@ -18,6 +18,7 @@
 	"ploverjunction.example/ploverjunction/internal/settings"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/version"
+	"ploverjunction.example/ploverjunction/platform"
 )
 
 // Exit codes.
@@ -27,7 +28,7 @@
 )
 
 type arguments struct {
-	Settings string           `arg:"" help:"Settings file (INI)." placeholder:"FILE"`
+	Settings string           `arg:"" help:"Settings file (INI)." placeholder:"FILE" env:"PLOVERJUNCTION_SETTINGS"`
 	Check    bool             `help:"Check the settings and exit: 0 if they are good, 2 if not."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
@@ -51,8 +52,8 @@
 	if args.Check {
 		return 0
 	}
-	log := logging.New(os.Stderr, set.LogLevel(), set.LogFormat())
-	n, err := node.New(set, log)
+	log := logging.New(os.Stdout, set.LogLevel(), set.LogFormat())
+	n, err := node.New(set, log, adapter(set))
 	if err != nil {
 		logging.Part(log, "node").WithError(err).Error("not started")
 		return exitFailed
@@ -73,6 +74,15 @@
 	return 0
 }
 
+// adapter returns what the platform that the settings name needs, or nil for the
+// project's own.
+func adapter(set *settings.Settings) *node.Adapter {
+	if set.Source() != settings.SourceStore {
+		return nil
+	}
+	return platform.New(set.Platform())
+}
+
 // follow turns the first signal into a planned stop and the second into an end
 // at once.
 func follow(ctx context.Context, drain, stop func()) error {
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -63,8 +63,10 @@
 	repeatable bool
 	deadline   time.Time
 	attempts   int
-	// ran is set once an attempt ended that is not proved to have not run.
-	ran bool
+	// ran is set once an attempt ended that is not proved to have not run; runs
+	// counts those attempts.
+	ran  bool
+	runs int
 }
 
 // NewLife returns a request without attempts.
@@ -85,6 +87,9 @@
 // Attempts returns the number of attempts that ended.
 func (l *Life) Attempts() int { return l.attempts }
 
+// Runs returns the number of attempts that may have run.
+func (l *Life) Runs() int { return l.runs }
+
 // Repeatable tells whether the request may run more than once.
 func (l *Life) Repeatable() bool { return l.repeatable }
 
@@ -93,6 +98,7 @@
 	l.attempts++
 	if o != OutcomeNotRun {
 		l.ran = true
+		l.runs++
 	}
 }
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -4,12 +4,12 @@
 
 // Pick is one target taken for one attempt. Release must be called once.
 type Pick struct {
-	address string
-	gauge   *Gauge
+	key   string
+	gauge *Gauge
 }
 
-// Address returns the IP number and port of the target.
-func (p Pick) Address() string { return p.address }
+// Key returns the key of the target, as its Member gave it.
+func (p Pick) Key() string { return p.key }
 
 // Release ends the attempt's claim on the target.
 func (p Pick) Release() { p.gauge.inFlight.Add(-1) }
@@ -53,8 +53,8 @@
 		return Pick{}, false
 	}
 	return Pick{
-		address: c.address,
-		gauge:   c.gauge,
+		key:   c.key,
+		gauge: c.gauge,
 	}, true
 }
 
@@ -62,7 +62,7 @@
 // tried before are never better than none.
 func (p *Pool) better(best, at int, tried []string) int {
 	c := &p.choices[at]
-	if c.gauge.inFlight.Load() >= c.limit || contains(tried, c.address) {
+	if c.gauge.inFlight.Load() >= c.limit || contains(tried, c.key) {
 		return best
 	}
 	if best < 0 || p.load(at) < p.load(best) {
@@ -87,8 +87,8 @@
 
 func (p *Pool) pick(at int) Pick {
 	return Pick{
-		address: p.choices[at].address,
-		gauge:   p.choices[at].gauge,
+		key:   p.choices[at].key,
+		gauge: p.choices[at].gauge,
 	}
 }
 
@@ -98,7 +98,7 @@
 	for _, again := range [...]bool{false, true} {
 		for i := range n {
 			at := (from + i) % n
-			if contains(tried, p.choices[at].address) == again && p.take(at) {
+			if contains(tried, p.choices[at].key) == again && p.take(at) {
 				return p.pick(at), true
 			}
 		}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -24,8 +24,8 @@
 
 // Member is one target in a pool.
 type Member struct {
-	// Address is the IP number and port of the target.
-	Address string
+	// Key names the target among those of its service.
+	Key string
 	// Slots is the target's capacity; Connections what it accepts in all.
 	Slots       int
 	Connections int
@@ -56,11 +56,11 @@
 
 // choice is one target that may get work, prepared for picking.
 type choice struct {
-	address string
-	weight  float64
-	load    float64
-	limit   int32
-	gauge   *Gauge
+	key    string
+	weight float64
+	load   float64
+	limit  int32
+	gauge  *Gauge
 }
 
 // Pool chooses among the targets of one service. It never changes and may be
@@ -109,11 +109,11 @@
 
 func newChoice(m *Member, share float64) choice {
 	return choice{
-		address: m.Address,
-		weight:  max(m.capacity(), minWeight),
-		load:    m.Reported,
-		limit:   int32(max(float64(m.Connections)*share, 1)),
-		gauge:   m.Gauge,
+		key:    m.Key,
+		weight: max(m.capacity(), minWeight),
+		load:   m.Reported,
+		limit:  int32(max(float64(m.Connections)*share, 1)),
+		gauge:  m.Gauge,
 	}
 }
 
@@ -182,18 +182,18 @@
 func orderFor(members []Member, node string) {
 	slices.SortFunc(members, func(a, b Member) int {
 		return cmp.Or(
-			cmp.Compare(rank(node, b.Address), rank(node, a.Address)),
-			cmp.Compare(a.Address, b.Address),
+			cmp.Compare(rank(node, b.Key), rank(node, a.Key)),
+			cmp.Compare(a.Key, b.Key),
 		)
 	})
 }
 
-func rank(node, address string) uint64 {
+func rank(node, key string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(node)
 	_, _ = d.WriteString("|")
-	_, _ = d.WriteString(address)
+	_, _ = d.WriteString(key)
 	return d.Sum64()
 }
 
@@ -217,20 +217,20 @@
 
 // Limit returns how many requests this node may have in flight at a target, which
 // is also how many connections it may hold; 0 for a target that it doesn't use.
-func (p *Pool) Limit(address string) int {
+func (p *Pool) Limit(key string) int {
 	for i := range p.choices {
-		if p.choices[i].address == address {
+		if p.choices[i].key == key {
 			return int(p.choices[i].limit)
 		}
 	}
 	return 0
 }
 
-// Addresses returns the targets that this node uses.
-func (p *Pool) Addresses() []string {
+// Keys returns the keys of the targets that this node uses.
+func (p *Pool) Keys() []string {
 	out := make([]string, len(p.choices))
 	for i := range p.choices {
-		out[i] = p.choices[i].address
+		out[i] = p.choices[i].key
 	}
 	return out
 }
--- a/internal/capacity/latency.go
+++ b/internal/capacity/latency.go
@@ -135,7 +135,7 @@
 	var members []balance.Member
 	for i := range targets {
 		members = append(members, balance.Member{
-			Address:     fmt.Sprintf("192.0.2.%d:80", i),
+			Key:         fmt.Sprintf("192.0.2.%d:80", i),
 			Slots:       3,
 			Connections: 200,
 			Gauge:       &balance.Gauge{},
@@ -148,7 +148,7 @@
 	for n := range goalNodes {
 		pool := balance.NewPool(members, 0, fmt.Sprintf("node-%d", n), goalNodes)
 		row.Subset = pool.Len()
-		for _, a := range pool.Addresses() {
+		for _, a := range pool.Keys() {
 			uses[a] += pool.Limit(a)
 		}
 	}
--- a/internal/detection/strategy.go
+++ b/internal/detection/strategy.go
@@ -52,7 +52,7 @@
 		}
 		c.isOut[i] = out
 		members = append(members, balance.Member{
-			Address:     t.name,
+			Key:         t.name,
 			Slots:       c.w.pool.slots,
 			Connections: 200,
 			Warmth:      s.Warmth,
@@ -76,7 +76,7 @@
 }
 
 func (c *chooser) use(p balance.Pick, observe func(target int) func(time.Time, bool, bool)) (int, func(time.Time, bool, bool), bool) {
-	i := c.index(p.Address())
+	i := c.index(p.Key())
 	end := observe(i)
 	return i, func(now time.Time, ok, shed bool) {
 		p.Release()
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -88,6 +88,21 @@
 	return r.store.Revisions()
 }
 
+// Value returns the newest value of a key, and false if there is none or it is
+// deleted.
+func (r *Replica) Value(key string) ([]byte, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Value(key)
+}
+
+// Keys returns the keys that have values, sorted.
+func (r *Replica) Keys() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Keys()
+}
+
 // InForce returns the revisions in force by key.
 func (r *Replica) InForce() map[string]uint64 {
 	r.mu.Lock()
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -11,10 +11,6 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 )
 
-// HeaderTimeout carries how long the caller waits, as a Go duration such as
-// "1500ms". The route's deadline caps it.
-const HeaderTimeout = "Plover-Timeout"
-
 // admitted is a request that passed all checks.
 type admitted struct {
 	config    *fleetconfig.Config
@@ -29,7 +25,7 @@
 // admit checks a request before any work is done for it.
 func (s *Server) admit(r *http.Request, now time.Time) (*admitted, *Error) {
 	cfg := s.cfg.Config()
-	if cfg == nil {
+	if cfg == nil || len(cfg.Services()) == 0 {
 		e := refuse(CodeNotReady, http.StatusServiceUnavailable)
 		e.retryAfter = comeBack
 		return nil, e
@@ -50,13 +46,16 @@
 		workspace: r.Header.Get(s.cfg.WorkspaceHeader),
 		maxBody:   s.cfg.MaxBody,
 	}
+	if most := cfg.Limits().MaxBody(); most > 0 {
+		a.maxBody = most
+	}
 	if route.MaxBody() > 0 {
 		a.maxBody = route.MaxBody()
 	}
 	if r.ContentLength > a.maxBody {
 		return nil, refuse(CodeBodySize, http.StatusRequestEntityTooLarge)
 	}
-	wait, err := callerTimeout(r, route, s.cfg.Deadline)
+	wait, err := s.callerWait(r, route)
 	if err != nil {
 		return nil, err
 	}
@@ -102,18 +101,19 @@
 	return strings.ToLower(host)
 }
 
-func callerTimeout(r *http.Request, route *fleetconfig.Route, fallback time.Duration) (time.Duration, *Error) {
+func (s *Server) callerWait(r *http.Request, route *fleetconfig.Route) (time.Duration, *Error) {
 	longest := route.Deadline()
 	if longest == 0 {
-		longest = fallback
+		longest = s.cfg.Deadline
 	}
-	text := r.Header.Get(HeaderTimeout)
-	if text == "" {
-		return longest, nil
+	d, err := s.cfg.Contract.CallerWait(r.Header)
+	if err != nil {
+		e := refuse(CodeBadRequest, http.StatusBadRequest)
+		e.cause = err
+		return 0, e
 	}
-	d, err := time.ParseDuration(text)
-	if err != nil || d <= 0 {
-		return 0, refuse(CodeBadRequest, http.StatusBadRequest)
+	if d == 0 {
+		return longest, nil
 	}
 	return min(d, longest), nil
 }
--- /dev/null
+++ b/internal/entry/choice.go
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+)
+
+// Query asks for a target for one attempt.
+type Query struct {
+	Service    *fleetconfig.Service
+	Route      *fleetconfig.Route
+	Repeatable bool
+	// Kilobytes is the expected size of the answer in KiB, rounded up.
+	Kilobytes int
+	// Priority is the rank under overload; 0 is served first.
+	Priority int
+	// Aim is until when an answer is worth most, Deadline until when it counts.
+	Aim      time.Time
+	Deadline time.Time
+	// Tried are the keys of the targets that the request was sent to before.
+	Tried []string
+	// Again is set for attempts after the first one.
+	Again bool
+}
+
+// Choice is a target taken for one attempt.
+type Choice struct {
+	// Address is the IP number and port.
+	Address string
+	// Key names the target among those of its service.
+	Key string
+	// ID is the target's published ID, or "".
+	ID string
+	// Done must be called once, when the attempt has ended.
+	Done func(end outlier.End, took time.Duration)
+}
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -17,12 +17,14 @@
 // resumed ends the caller's connection, so that it can't pass for a whole one.
 func (x *relay) deliver(w http.ResponseWriter, a *forward.Answer, release func()) {
 	h := w.Header()
-	for name, values := range endToEnd(a.Header()) {
+	c := x.server.cfg.Contract
+	for name, values := range endToEnd(c, a.Header()) {
 		h[name] = values
 	}
-	h.Add("Via", via)
-	h.Set(forward.HeaderRequestID, x.id)
-	h.Set(forward.HeaderOutcome, attempt.OutcomeDone.String())
+	if c.Forwarded {
+		h.Add("Via", via)
+	}
+	x.server.setOutcome(h, x.id, attempt.OutcomeDone)
 	if n := a.Length(); n >= 0 && hasBody(x.req.Method, a.Status()) {
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
@@ -60,7 +62,7 @@
 		if !errors.As(err, &fe) {
 			return err
 		}
-		x.broke(a.Target())
+		x.broke(x.key(a.Target()))
 		x.life.Ended(attempt.OutcomeUnknown)
 		if !resumable || resumes == maxResumes {
 			return err
--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -70,16 +70,20 @@
 const comeBack = time.Second
 
 // gaveUp returns the final answer of a life that ended without an answer.
-func gaveUp(l *attempt.Life, reason attempt.Reason, cause error) *Error {
+// retryAfter is when the caller may come back; 0 means the usual time.
+func gaveUp(l *attempt.Life, reason attempt.Reason, retryAfter time.Duration, cause error) *Error {
 	e := &Error{
 		code:       CodeFailed,
 		status:     http.StatusBadGateway,
 		outcome:    l.Outcome(),
-		retryAfter: comeBack,
+		retryAfter: retryAfter,
 		cause:      cause,
 	}
+	if retryAfter <= 0 {
+		e.retryAfter = comeBack
+	}
 	switch {
-	case reason == attempt.ReasonDeadline:
+	case reason == attempt.ReasonDeadline && e.outcome != attempt.OutcomeNotRun:
 		e.code = CodeDeadline
 		e.status = http.StatusGatewayTimeout
 	case e.outcome == attempt.OutcomeNotRun:
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strings"
 
-	"ploverjunction.example/ploverjunction/internal/forward"
+	"ploverjunction.example/ploverjunction/internal/contract"
 )
 
 // hopByHop are the fields that concern one connection only (RFC 9110, section
@@ -24,19 +24,11 @@
 	"Upgrade",
 }
 
-// reserved are the fields of the contract that only the fleet sets.
-var reserved = []string{
-	forward.HeaderRequestID,
-	forward.HeaderOutcome,
-	forward.HeaderDeadline,
-	forward.HeaderState,
-}
-
 // via is the pseudonym of the fleet in Via (RFC 9110, section 7.6.3).
 const via = "1.1 ploverjunction"
 
 // endToEnd returns a copy of h without hop-by-hop and reserved fields.
-func endToEnd(h http.Header) http.Header {
+func endToEnd(c *contract.Contract, h http.Header) http.Header {
 	out := h.Clone()
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
@@ -46,16 +38,19 @@
 	for _, name := range hopByHop {
 		out.Del(name)
 	}
-	for _, name := range reserved {
+	for _, name := range c.Reserved {
 		out.Del(name)
 	}
 	return out
 }
 
 // towardsTarget returns the header that a target gets.
-func towardsTarget(r *http.Request) http.Header {
-	h := endToEnd(r.Header)
+func towardsTarget(c *contract.Contract, r *http.Request) http.Header {
+	h := endToEnd(c, r.Header)
 	h.Del("Expect")
+	if !c.Forwarded {
+		return h
+	}
 	h.Add("Via", via)
 	if ip, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		chain := append(h.Values("X-Forwarded-For"), ip)
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -4,11 +4,10 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
 
-	"ploverjunction.example/ploverjunction/internal/forward"
+	"ploverjunction.example/ploverjunction/internal/attempt"
 )
 
 // refusal is the body of a final answer that no target gave.
@@ -22,10 +21,9 @@
 	s.log.WithField("request", id).WithError(e).Info("request refused")
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(forward.HeaderOutcome, e.outcome.String())
+	s.setOutcome(h, id, e.outcome)
 	if e.retryAfter > 0 {
-		seconds := int64(math.Ceil(e.retryAfter.Seconds()))
-		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		h.Set("Retry-After", s.cfg.Contract.RetryAfter(e.retryAfter))
 	}
 	body, err := json.Marshal(refusal{
 		Code:    e.code,
@@ -40,3 +38,14 @@
 	// A caller that is gone needs no answer.
 	_, _ = w.Write(body)
 }
+
+// setOutcome writes the request's name and outcome into the header of an answer.
+func (s *Server) setOutcome(h http.Header, id string, o attempt.Outcome) {
+	c := s.cfg.Contract
+	if c.Outcome != "" {
+		h.Set(c.Outcome, o.String())
+	}
+	if id != "" {
+		h.Set(c.RequestID, id)
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -6,14 +6,13 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/admission"
 	"ploverjunction.example/ploverjunction/internal/attempt"
-	"ploverjunction.example/ploverjunction/internal/balance"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/policy"
@@ -23,31 +22,32 @@
 // relay is the way of one request from its admission to a target's answer. It
 // belongs to the goroutine of the request, but for try.run.
 type relay struct {
-	server *Server
-	id     string
-	req    *http.Request
-	in     *admitted
-	body   *body
-	life   *attempt.Life
+	server  *Server
+	id      string
+	req     *http.Request
+	in      *admitted
+	service *fleetconfig.Service
+	begun   time.Time
+	body    *body
+	life    *attempt.Life
+	// tried are the keys of the targets that were asked. It is written by the
+	// tries, under mu.
+	mu     sync.Mutex
 	tried  []string
 	header http.Header
 	last   error
+	// launched counts the tries that were begun.
+	launched int
 	// running are the tries whose end hasn't been read from results.
 	running []*try
 	results chan result
+	// won is the try whose answer is delivered.
+	won *try
 	// spare is an answer that is given only if no better one comes.
 	spare *result
-}
-
-// try is one attempt under way.
-type try struct {
-	relay  *relay
-	pick   balance.Pick
-	flight *outlier.Flight
-	req    *forward.Request
-	cancel context.CancelFunc
-	// counted is set once the attempt has been counted in the request's life.
-	counted bool
+	// blocked says why no other try may begin, comeBack when the caller may.
+	blocked  attempt.Reason
+	comeBack time.Duration
 }
 
 // result is the end of a try: an answer or an error.
@@ -62,7 +62,7 @@
 	if r.answer != nil {
 		r.answer.Close()
 	}
-	r.try.pick.Release()
+	r.try.release()
 }
 
 // maxTries bounds the attempts of a request, whatever its policy says.
@@ -71,7 +71,7 @@
 // answer makes attempts until one answers or no other may follow. The pick of
 // the answer's target stays taken until release is called.
 func (x *relay) answer() (a *forward.Answer, release func(), fail *Error) {
-	x.budget().First()
+	x.server.cfg.First(x.service.Name())
 	x.trial()
 	for {
 		reason := x.launch()
@@ -86,59 +86,36 @@
 			continue
 		}
 		x.abandon(r)
-		return r.answer, r.try.pick.Release, nil
+		x.won = r.try
+		return r.answer, r.try.release, nil
 	}
 }
 
-func (x *relay) budget() *admission.Budget {
-	return x.server.budget(x.in.route.Service().Name())
-}
-
 // launch begins an attempt, or gives the reason against it.
 func (x *relay) launch() attempt.Reason {
+	if x.blocked != attempt.ReasonNone {
+		return x.blocked
+	}
 	if reason := x.may(); reason != attempt.ReasonNone {
 		return reason
 	}
 	reader, ok := x.body.next()
-	if !ok || len(x.tried) >= maxTries {
+	if !ok || x.launched >= maxTries {
 		return attempt.ReasonPolicy
 	}
-	pool := x.server.cfg.Pool(x.in.route.Service().Name())
-	if pool == nil {
-		return attempt.ReasonTargets
-	}
-	pick, ok := pool.Pick(rand.Uint64, x.tried)
-	if !ok {
-		return attempt.ReasonTargets
-	}
-	x.tried = append(x.tried, pick.Address())
 	ctx, cancel := context.WithCancel(x.req.Context())
 	t := &try{
 		relay:  x,
-		pick:   pick,
-		flight: x.begin(pick.Address()),
-		req:    x.request(pick.Address(), reader),
+		reader: reader,
 		cancel: cancel,
+		again:  x.launched > 0,
 	}
+	x.launched++
 	x.running = append(x.running, t)
 	go t.run(ctx)
 	return attempt.ReasonNone
 }
 
-// run makes the attempt and reports its end to the relay, which reads it.
-func (t *try) run(ctx context.Context) {
-	x := t.relay
-	a, err := x.server.client.Do(ctx, t.req)
-	end := endOf(a, err)
-	end.Ignored = end.Ignored || x.body.broken() != nil
-	t.flight.End(time.Now(), end)
-	x.results <- result{
-		try:    t,
-		answer: a,
-		err:    err,
-	}
-}
-
 // await waits for the answer of one of the tries that are running. A repeatable
 // request that takes unusually long is sent to another target as well
 // (Dean and Barroso, "The tail at scale", CACM 2013). It gives nil when all
@@ -160,15 +137,24 @@
 	return nil
 }
 
-// hedgeAfter returns after how long another target is asked as well.
+// hedgeAfter returns after how long another target is asked as well: when the
+// request takes unusually long, or when a second one could just be in time.
 func (x *relay) hedgeAfter() time.Duration {
 	r := x.in.route
-	if !r.Repeatable() || x.body.stream != nil {
+	if !r.Repeatable() || x.body.stream != nil || r.MaxAttempts() == 1 {
 		return time.Until(x.life.Deadline()) + time.Hour
 	}
-	return x.server.cfg.Collector.Slow(r.Service().Name(), r.Class())
+	slow := x.server.cfg.Collector.Slow(x.service.Name(), r.Class())
+	if aim := r.TargetLatency(); aim > 0 {
+		slow = min(slow, aim/hedgePart-time.Since(x.begun))
+	}
+	return max(slow, 0)
 }
 
+// hedgePart is the part of a route's target latency after which a second target
+// is asked: half of it leaves the second one as much time as the first had.
+const hedgePart = 2
+
 // hedge asks another target while the first is still expected to answer.
 func (x *relay) hedge() {
 	for _, t := range x.running {
@@ -193,6 +179,7 @@
 		x.failed(r)
 		return false
 	}
+	x.learnSize(r.answer)
 	if !x.replaceable(r.answer) {
 		return true
 	}
@@ -236,10 +223,12 @@
 	if x.body.broken() != nil {
 		return attempt.ReasonCaller
 	}
-	svc := x.in.route.Service()
 	return x.life.May(time.Now(),
 		func() bool {
-			return svc.Policy().Retry(policy.Try{
+			if most := x.in.route.MaxAttempts(); most > 0 && x.life.Runs() >= most {
+				return false
+			}
+			return x.service.Policy().Retry(policy.Try{
 				Attempt:    x.life.Attempts(),
 				Outcome:    x.life.Outcome().String(),
 				Repeatable: x.in.route.Repeatable(),
@@ -248,12 +237,18 @@
 				Class:      x.in.route.Class(),
 			})
 		},
-		x.budget().Retry,
+		func() bool { return x.server.cfg.Retry(x.service.Name()) },
 	)
 }
 
-// failed notes an attempt that failed.
+// failed notes an attempt that failed, or one for which there was no target.
 func (x *relay) failed(r result) {
+	var none *NoTargetError
+	if errors.As(r.err, &none) {
+		x.blocked = none.reason
+		x.comeBack = none.retryAfter
+		return
+	}
 	outcome := attempt.OutcomeUnknown
 	var fe *forward.Error
 	if errors.As(r.err, &fe) {
@@ -261,19 +256,19 @@
 	}
 	x.count(r.try, outcome)
 	x.last = r.err
-	x.server.log.WithField("request", x.id).WithField("attempt", x.life.Attempts()).WithError(r.err).Debug("attempt failed")
 }
 
 // replaceable tells whether another target may give a repeatable request a better
 // answer than this one.
 func (x *relay) replaceable(a *forward.Answer) bool {
 	_, again := x.body.next()
-	return x.in.route.Repeatable() && gatewayFailure(a.Status()) && again
+	return x.in.route.Repeatable() && passing(a.Status()) && again
 }
 
-func gatewayFailure(status int) bool {
+// passing tells whether a failure may not come from another target.
+func passing(status int) bool {
 	switch status {
-	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		return true
 	default:
 		return false
@@ -284,25 +279,26 @@
 	if f := x.body.fault(x.life.Outcome()); f != nil {
 		return f
 	}
-	return gaveUp(x.life, reason, x.last)
+	return gaveUp(x.life, reason, x.comeBack, x.last)
 }
 
 func (x *relay) begin(target string) *outlier.Flight {
-	r := x.in.route
-	return x.server.cfg.Collector.Begin(time.Now(), r.Service().Name(), r.Class(), target)
+	return x.server.cfg.Collector.Begin(time.Now(), x.service.Name(), x.in.route.Class(), target)
 }
 
-func (x *relay) request(target string, reader io.Reader) *forward.Request {
+func (x *relay) request(c Choice, reader io.Reader) *forward.Request {
 	return &forward.Request{
-		ID:       x.id,
-		Target:   target,
-		Method:   x.req.Method,
-		Host:     x.req.Host,
-		URI:      x.req.URL.RequestURI(),
-		Header:   x.header.Clone(),
-		Body:     reader,
-		Length:   x.body.length,
-		Deadline: x.life.Deadline(),
+		ID:         x.id,
+		Target:     c.Address,
+		Expect:     c.ID,
+		Repeatable: x.in.route.Repeatable(),
+		Method:     x.req.Method,
+		Host:       x.req.Host,
+		URI:        x.req.URL.RequestURI(),
+		Header:     x.header.Clone(),
+		Body:       reader,
+		Length:     x.body.length,
+		Deadline:   x.life.Deadline(),
 	}
 }
 
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -41,7 +41,8 @@
 		return nil, nil
 	}
 	x.abandon(r)
-	a, release := r.answer, r.try.pick.Release
+	x.won = r.try
+	a, release := r.answer, r.try.release
 	want := fmt.Sprintf("bytes %d-%d/%d", offset, total-1, total)
 	same := a.Status() == http.StatusPartialContent &&
 		a.Header().Get("Content-Range") == want &&
@@ -53,3 +54,11 @@
 	}
 	return a, release
 }
+
+// key returns the key of the target at an address, by the choice that led there.
+func (x *relay) key(address string) string {
+	if x.won != nil && x.won.choice.Address == address {
+		return x.won.choice.Key
+	}
+	return address
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,7 +21,7 @@
 
 	"ploverjunction.example/ploverjunction/internal/admission"
 	"ploverjunction.example/ploverjunction/internal/attempt"
-	"ploverjunction.example/ploverjunction/internal/balance"
+	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
@@ -40,8 +41,18 @@
 	WorkspaceHeader string
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *fleetconfig.Config
-	// Pool returns the targets of a service, or nil.
-	Pool func(service string) *balance.Pool
+	// Contract names the headers between callers, the fleet and targets.
+	Contract *contract.Contract
+	// Choose takes a target for an attempt. It may wait for one until the end of
+	// the context; it returns a *NoTargetError where there is none.
+	Choose func(ctx context.Context, q *Query) (Choice, error)
+	// Trial takes a target that should get a copy of a repeatable request, if
+	// there is one.
+	Trial func(service *fleetconfig.Service) (Choice, bool)
+	// First pays into a service's retry budget, Retry takes one retry out of it
+	// and reports whether there was one.
+	First func(service string)
+	Retry func(service string) bool
 	// Nodes returns the number of live nodes of the fleet, at least 1.
 	Nodes func() int
 	// Collector counts what attempts show of the targets.
@@ -67,7 +78,7 @@
 	listener net.Listener
 	client   *forward.Client
 	limiter  *admission.Limiter
-	budgets  sync.Map
+	sizes    *sizes
 	log      *logrus.Entry
 	inFlight atomic.Int64
 	closing  atomic.Bool
@@ -85,8 +96,9 @@
 	s := &Server{
 		cfg:      cfg,
 		listener: lis,
-		client:   forward.NewClient(cfg.HoldBody, cfg.Stall, cfg.Outgoing),
+		client:   forward.NewClient(cfg.Contract, cfg.HoldBody, cfg.Stall, cfg.Outgoing),
 		limiter:  admission.NewLimiter(),
+		sizes:    newSizes(),
 		log:      cfg.Log,
 		tasks:    make(chan *task.Task, maxTrials),
 	}
@@ -97,6 +109,7 @@
 	// The filter stands before kratos' router, which would clean paths and
 	// redirect; the timeout is off, for kratos gives each request one second.
 	s.http = kratos.NewServer(
+		kratos.Address(lis.Addr().String()),
 		kratos.Listener(&capturing{
 			Listener: lis,
 			most:     int(cfg.MaxHeader),
@@ -164,20 +177,11 @@
 	}
 }
 
-func (s *Server) budget(service string) *admission.Budget {
-	if b, ok := s.budgets.Load(service); ok {
-		return b.(*admission.Budget)
-	}
-	b, _ := s.budgets.LoadOrStore(service, admission.NewBudget())
-	return b.(*admission.Budget)
-}
-
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	begun := time.Now()
-	id := newRequestID()
-	w.Header().Set(forward.HeaderRequestID, id)
+	id := s.requestID(r)
 	if s.closing.Load() || len(r.TransferEncoding) > 0 {
 		// Should a chunked request hide another one, it ends here (RFC 9112,
 		// section 6.1).
@@ -189,12 +193,21 @@
 		s.cfg.Served("refused", "", fail.status, fail.outcome.String(), time.Since(begun))
 		return
 	}
-	status, outcome := s.forward(w, r, id, in)
+	status, outcome := s.forward(w, r, id, begun, in)
 	s.cfg.Served(in.route.Class(), in.workspace, status, outcome.String(), time.Since(begun))
 }
 
+// requestID returns the name of a request: the caller's where the contract says
+// so, else a new one.
+func (s *Server) requestID(r *http.Request) string {
+	if s.cfg.Contract.CallersID {
+		return r.Header.Get(s.cfg.Contract.RequestID)
+	}
+	return newRequestID()
+}
+
 // forward has an admitted request answered.
-func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, in *admitted) (int, attempt.Outcome) {
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, begun time.Time, in *admitted) (int, attempt.Outcome) {
 	b, fail := readBody(w, r, in.maxBody, s.cfg.HoldBody)
 	if fail != nil {
 		s.refuse(w, id, fail)
@@ -205,9 +218,11 @@
 		id:      id,
 		req:     r,
 		in:      in,
+		service: in.route.Choose(rand.Uint64()),
+		begun:   begun,
 		body:    b,
 		life:    attempt.NewLife(in.route.Repeatable(), in.deadline),
-		header:  towardsTarget(r),
+		header:  towardsTarget(s.cfg.Contract, r),
 		results: make(chan result, maxTries),
 	}
 	a, release, fail := x.answer()
--- /dev/null
+++ b/internal/entry/size.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"sync"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+)
+
+// Parameters of the expected size of answers.
+const (
+	// sizeStep is the part by which one answer moves the expectation.
+	sizeStep = 0.1
+	// bulkGuess and smallGuess are the sizes in bytes that are expected of routes
+	// before their first answer.
+	bulkGuess  = 64 << 10
+	smallGuess = 1 << 10
+	// maxSizes bounds the routes with an expectation of their own.
+	maxSizes = 16384
+)
+
+// sizes holds the expected size of the answers of each route. It may be used
+// concurrently.
+type sizes struct {
+	mu      sync.Mutex
+	byRoute map[string]float64
+}
+
+func newSizes() *sizes {
+	return &sizes{
+		byRoute: map[string]float64{},
+	}
+}
+
+func guess(r *fleetconfig.Route) float64 {
+	if r.Bulk() {
+		return bulkGuess
+	}
+	return smallGuess
+}
+
+func (s *sizes) add(r *fleetconfig.Route, size int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.byRoute[r.Name()]
+	if !ok {
+		if len(s.byRoute) >= maxSizes {
+			return
+		}
+		old = guess(r)
+	}
+	s.byRoute[r.Name()] = old + sizeStep*(float64(size)-old)
+}
+
+// expected returns the expected size in KiB, at least 1.
+func (s *sizes) expected(r *fleetconfig.Route) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	size, ok := s.byRoute[r.Name()]
+	if !ok {
+		size = guess(r)
+	}
+	return int(size)>>10 + 1
+}
--- /dev/null
+++ b/internal/entry/try.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/forward"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+)
+
+// try is one attempt under way.
+type try struct {
+	relay  *relay
+	reader io.Reader
+	cancel context.CancelFunc
+	again  bool
+	choice Choice
+	chosen time.Time
+	end    outlier.End
+	// released is set once the choice was given back.
+	released atomic.Bool
+	// counted is set once the attempt has been counted in the request's life.
+	counted bool
+}
+
+// run chooses a target, makes the attempt and reports its end to the relay, which
+// reads it.
+func (t *try) run(ctx context.Context) {
+	x := t.relay
+	choice, err := x.choose(ctx, t.again)
+	if err != nil {
+		x.results <- result{
+			try: t,
+			err: err,
+		}
+		return
+	}
+	t.choice = choice
+	t.chosen = time.Now()
+	flight := x.begin(choice.Key)
+	a, err := x.server.client.Do(ctx, x.request(choice, t.reader))
+	t.end = endOf(a, err)
+	t.end.Ignored = t.end.Ignored || x.body.broken() != nil
+	flight.End(time.Now(), t.end)
+	x.logTry(t, a, err)
+	if err != nil || a.Whole() {
+		t.release()
+	}
+	x.results <- result{
+		try:    t,
+		answer: a,
+		err:    err,
+	}
+}
+
+// release gives the choice back; more than one call does no harm.
+func (t *try) release() {
+	if t.choice.Done != nil && t.released.CompareAndSwap(false, true) {
+		t.choice.Done(t.end, time.Since(t.chosen))
+	}
+}
+
+// choose takes a target for an attempt and notes that it was tried.
+func (x *relay) choose(ctx context.Context, again bool) (Choice, error) {
+	r := x.in.route
+	q := &Query{
+		Service:    x.service,
+		Route:      r,
+		Repeatable: r.Repeatable(),
+		Kilobytes:  x.server.sizes.expected(r),
+		Priority:   r.Priority(),
+		Aim:        x.aim(),
+		Deadline:   x.life.Deadline(),
+		Again:      again,
+	}
+	x.mu.Lock()
+	q.Tried = slices.Clone(x.tried)
+	x.mu.Unlock()
+	c, err := x.server.cfg.Choose(ctx, q)
+	if err != nil {
+		x.logNoTarget(err)
+		return Choice{}, err
+	}
+	x.mu.Lock()
+	x.tried = append(x.tried, c.Key)
+	x.mu.Unlock()
+	return c, nil
+}
+
+// aim returns until when an answer is worth most.
+func (x *relay) aim() time.Time {
+	if d := x.in.route.TargetLatency(); d > 0 {
+		return x.begun.Add(d)
+	}
+	return x.life.Deadline()
+}
+
+// learnSize notes how large the answers of a route are.
+func (x *relay) learnSize(a *forward.Answer) {
+	if a.Length() >= 0 {
+		x.server.sizes.add(x.in.route, a.Length())
+	}
+}
+
+// NoTargetError says why no target could be chosen for an attempt.
+type NoTargetError struct {
+	reason     attempt.Reason
+	retryAfter time.Duration
+}
+
+// NewNoTargetError returns the error for a reason; retryAfter is when the caller
+// may come back, 0 if that isn't known.
+func NewNoTargetError(reason attempt.Reason, retryAfter time.Duration) *NoTargetError {
+	return &NoTargetError{
+		reason:     reason,
+		retryAfter: retryAfter,
+	}
+}
+
+// Error names the reason.
+func (e *NoTargetError) Error() string { return "entry: no target: " + e.reason.String() }
+
+// Reason returns why there is no target.
+func (e *NoTargetError) Reason() attempt.Reason { return e.reason }
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -23,6 +23,9 @@
 	dataHall    string
 	slots       int
 	connections int
+	id          string
+	leaving     bool
+	warmup      time.Duration
 }
 
 // Service returns the name of the service.
@@ -40,6 +43,23 @@
 // Connections returns how many connections the target accepts, at least 1.
 func (t *Target) Connections() int { return t.connections }
 
+// ID names one life of the target's process; it is empty where none is published.
+func (t *Target) ID() string { return t.id }
+
+// Key names the target among those of its service: its ID, else its address.
+func (t *Target) Key() string {
+	if t.id != "" {
+		return t.id
+	}
+	return t.address
+}
+
+// Leaving tells whether the target takes no new work.
+func (t *Target) Leaving() bool { return t.leaving }
+
+// Warmup returns how long after its appearance the target works more slowly.
+func (t *Target) Warmup() time.Duration { return t.warmup }
+
 // Service is a pool of targets with its policy.
 type Service struct {
 	name       string
@@ -48,6 +68,9 @@
 	loadPath   string
 	threshold  float64
 	targets    []*Target
+	byKey      map[string]*Target
+	// connections is what a target accepts that states no number itself.
+	connections int
 }
 
 // Name returns the name of the service.
@@ -69,6 +92,9 @@
 // not be changed.
 func (s *Service) Targets() []*Target { return s.targets }
 
+// Target returns a target by its key, or nil.
+func (s *Service) Target(key string) *Target { return s.byKey[key] }
+
 // Route says where matching requests go.
 type Route struct {
 	name       string
@@ -80,14 +106,58 @@
 	repeatable bool
 	deadline   time.Duration
 	maxBody    int64
+	// below is set where the path of a request must go on behind the prefix.
+	below         bool
+	targetLatency time.Duration
+	priority      int
+	maxAttempts   int
+	bulk          bool
+	parts         []part
+}
+
+// part is one service of a route that splits its traffic.
+type part struct {
+	service *Service
+	// upTo is the sum of the weights up to this part's, its own included.
+	upTo uint64
 }
 
 // Name returns the name of the route.
 func (r *Route) Name() string { return r.name }
 
-// Service returns the service of the route, never nil.
+// Service returns the service of the route, the first one of a route that splits
+// its traffic. It is never nil.
 func (r *Route) Service() *Service { return r.service }
 
+// Choose returns the service of one request. random gives 64 random bits; the
+// parts of a split get requests in proportion to their weights.
+func (r *Route) Choose(random uint64) *Service {
+	if len(r.parts) == 0 {
+		return r.service
+	}
+	at := random % r.parts[len(r.parts)-1].upTo
+	for _, p := range r.parts {
+		if at < p.upTo {
+			return p.service
+		}
+	}
+	return r.service
+}
+
+// TargetLatency returns the time within which an answer is worth most; 0 means
+// that none is published.
+func (r *Route) TargetLatency() time.Duration { return r.targetLatency }
+
+// Priority returns the rank under overload; 0 is served first.
+func (r *Route) Priority() int { return r.priority }
+
+// MaxAttempts returns the greatest number of targets that may run one request; 0
+// means that only the policy bounds it.
+func (r *Route) MaxAttempts() int { return r.maxAttempts }
+
+// Bulk tells whether answers are large.
+func (r *Route) Bulk() bool { return r.bulk }
+
 // Class returns the class of the route, its service's name where none is given.
 func (r *Route) Class() string { return r.class }
 
@@ -147,8 +217,33 @@
 	workspaces map[string]*Workspace
 	instances  map[string]*Instance
 	revision   uint64
+	limits     *Limits
+}
+
+// Limits bound what callers may send. Zero values leave the settings of the
+// process in force.
+type Limits struct {
+	maxHeader     int64
+	maxBody       int64
+	headerTimeout time.Duration
+	idleTimeout   time.Duration
 }
 
+// MaxHeader returns the greatest size of a request's header in bytes.
+func (l *Limits) MaxHeader() int64 { return l.maxHeader }
+
+// MaxBody returns the greatest size of a request's body in bytes.
+func (l *Limits) MaxBody() int64 { return l.maxBody }
+
+// HeaderTimeout returns how long a caller may take to send a header.
+func (l *Limits) HeaderTimeout() time.Duration { return l.headerTimeout }
+
+// IdleTimeout returns how long a caller's connection may rest.
+func (l *Limits) IdleTimeout() time.Duration { return l.idleTimeout }
+
+// Limits returns the published limits, never nil.
+func (c *Config) Limits() *Limits { return c.limits }
+
 // Service returns a service by name, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
--- a/internal/fleetconfig/route.go
+++ b/internal/fleetconfig/route.go
@@ -28,7 +28,7 @@
 		t.hosts[r.host] = prefixes
 	}
 	for _, other := range prefixes[r.prefix] {
-		if sharesMethod(r.methods, other.methods) {
+		if r.below == other.below && sharesMethod(r.methods, other.methods) {
 			return false
 		}
 	}
@@ -80,7 +80,7 @@
 	for p := strings.TrimRight(path, "/"); ; p = p[:strings.LastIndexByte(p, '/')] {
 		if routes := prefixes[p]; len(routes) > 0 {
 			best = MatchPath
-			if r := pickMethod(routes, method); r != nil {
+			if r := pickMethod(routes, method, len(path) > len(p)); r != nil {
 				return r, MatchRoute
 			}
 		}
@@ -90,9 +90,14 @@
 	}
 }
 
-func pickMethod(routes []*Route, method string) *Route {
+// pickMethod returns the route for a method; longer tells whether the path goes
+// on behind the prefix.
+func pickMethod(routes []*Route, method string, longer bool) *Route {
 	var open *Route
 	for _, r := range routes {
+		if r.below && !longer {
+			continue
+		}
 		if len(r.methods) == 0 {
 			open = r
 		} else if slices.Contains(r.methods, method) {
--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -292,6 +292,28 @@
 	return out
 }
 
+// Value returns the newest value of a key, and false if there is none or it is
+// deleted.
+func (s *Store) Value(key string) ([]byte, bool) {
+	r := s.records[key]
+	if r == nil || r.newest.entry.GetDeleted() {
+		return nil, false
+	}
+	return r.newest.entry.GetValue(), true
+}
+
+// Keys returns the keys that have values, sorted.
+func (s *Store) Keys() []string {
+	var out []string
+	for k, r := range s.records {
+		if !r.newest.entry.GetDeleted() {
+			out = append(out, k)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // InForce returns the revision in force of each key, by key.
 func (s *Store) InForce() map[string]uint64 {
 	out := map[string]uint64{}
--- a/internal/fleetconfig/validate.go
+++ b/internal/fleetconfig/validate.go
@@ -3,6 +3,7 @@
 package fleetconfig
 
 import (
+	"cmp"
 	"math"
 	"net/netip"
 	"slices"
@@ -71,6 +72,7 @@
 		routes:     newRouteTable(),
 		workspaces: map[string]*Workspace{},
 		instances:  map[string]*Instance{},
+		limits:     &Limits{},
 	}
 	steps := []func(*wire.Document) error{
 		func(d *wire.Document) error { return c.addServices(d, cache) },
@@ -78,6 +80,7 @@
 		c.addRoutes,
 		c.addWorkspaces,
 		c.addInstances,
+		c.addLimits,
 	}
 	for _, step := range steps {
 		for _, d := range docs {
@@ -87,7 +90,9 @@
 		}
 	}
 	for _, s := range c.services {
-		slices.SortFunc(s.targets, func(a, b *Target) int { return strings.Compare(a.address, b.address) })
+		slices.SortFunc(s.targets, func(a, b *Target) int {
+			return cmp.Or(strings.Compare(a.address, b.address), strings.Compare(a.id, b.id))
+		})
 	}
 	return c, nil
 }
@@ -145,6 +150,9 @@
 		healthPath: w.GetHealthPath(),
 		loadPath:   w.GetLoadPath(),
 		threshold:  w.GetThreshold(),
+
+		connections: int(w.GetConnections()),
+		byKey:       map[string]*Target{},
 	}
 	if math.IsNaN(s.threshold) || s.threshold < 0 || s.threshold > maxThreshold {
 		return nil, fault(KindRange, "threshold from 0 to 100", "service %s", s.name)
@@ -163,80 +171,51 @@
 func (c *Config) addTargets(d *wire.Document) error {
 	for _, w := range d.GetTargets() {
 		s := c.services[w.GetService()]
+		if s == nil && w.GetId() != "" {
+			// Targets that register themselves come and go apart from the services:
+			// one whose service isn't published waits for it.
+			continue
+		}
 		if s == nil {
 			return fault(KindReference, "service "+w.GetService(), "target %s", w.GetAddress())
 		}
 		if err := checkAddress("target", w.GetAddress()); err != nil {
 			return err
 		}
-		if slices.ContainsFunc(s.targets, func(t *Target) bool { return t.address == w.GetAddress() }) {
-			return fault(KindDuplicate, "", "target %s of service %s", w.GetAddress(), s.name)
-		}
-		if w.GetSlots() < 1 || w.GetSlots() > maxSlots || w.GetConnections() < 1 || w.GetConnections() > maxSlots {
-			return fault(KindRange, "slots and connections from 1 to 100000", "target %s", w.GetAddress())
-		}
-		s.targets = append(s.targets, &Target{
-			service:     s.name,
-			address:     w.GetAddress(),
-			dataHall:    w.GetDataHall(),
-			slots:       int(w.GetSlots()),
-			connections: int(w.GetConnections()),
-		})
-	}
-	return nil
-}
-
-func (c *Config) addRoutes(d *wire.Document) error {
-	for _, w := range d.GetRoutes() {
-		if err := checkName("route", w.GetName()); err != nil {
-			return err
-		}
-		s := c.services[w.GetService()]
-		if s == nil {
-			return fault(KindReference, "service "+w.GetService(), "route %s", w.GetName())
-		}
-		r, err := newRoute(w, s)
+		t, err := newTarget(w, s)
 		if err != nil {
 			return err
 		}
-		if !c.routes.add(r) {
-			return fault(KindDuplicate, "host, path prefix and method of another route", "route %s", w.GetName())
+		if s.byKey[t.Key()] != nil {
+			return fault(KindDuplicate, "", "target %s of service %s", t.Key(), s.name)
 		}
+		s.targets = append(s.targets, t)
+		s.byKey[t.Key()] = t
 	}
 	return nil
 }
 
-func newRoute(w *wire.Route, s *Service) (*Route, error) {
-	if !strings.HasPrefix(w.GetPathPrefix(), "/") {
-		return nil, fault(KindRange, "path_prefix begins with /", "route %s", w.GetName())
+func newTarget(w *wire.Target, s *Service) (*Target, error) {
+	t := &Target{
+		service:     s.name,
+		address:     w.GetAddress(),
+		dataHall:    w.GetDataHall(),
+		slots:       int(w.GetSlots()),
+		connections: int(w.GetConnections()),
+		id:          w.GetId(),
+		leaving:     w.GetLeaving(),
+		warmup:      w.GetWarmup().AsDuration(),
 	}
-	deadline := w.GetDeadline().AsDuration()
-	if deadline < 0 || deadline > maxDeadline {
-		return nil, fault(KindRange, "deadline from 0s to 24h", "route %s", w.GetName())
+	if t.connections == 0 {
+		t.connections = s.connections
 	}
-	if w.GetMaxBody() > math.MaxInt64 {
-		return nil, fault(KindRange, "max_body", "route %s", w.GetName())
-	}
-	for _, m := range w.GetMethods() {
-		if m == "" || m != strings.ToUpper(m) {
-			return nil, fault(KindRange, "methods in capitals", "route %s", w.GetName())
-		}
+	if t.slots < 1 || t.slots > maxSlots || t.connections < 1 || t.connections > maxSlots {
+		return nil, fault(KindRange, "slots and connections from 1 to 100000", "target %s", t.address)
 	}
-	class := w.GetClass()
-	if class == "" {
-		class = s.name
+	if t.warmup < 0 || t.warmup > maxDeadline || len(t.id) > maxName {
+		return nil, fault(KindRange, "warmup from 0s to 24h and id of 200 bytes at most", "target %s", t.address)
 	}
-	return &Route{
-		name:       w.GetName(),
-		host:       strings.ToLower(w.GetHost()),
-		prefix:     strings.TrimRight(w.GetPathPrefix(), "/"),
-		methods:    w.GetMethods(),
-		service:    s,
-		class:      class,
-		repeatable: w.GetRepeatable(),
-		deadline:   deadline,
-		maxBody:    int64(w.GetMaxBody()),
-	}, nil
+	return t, nil
 }
 
 func (c *Config) addWorkspaces(d *wire.Document) error {
@@ -284,3 +263,26 @@
 	}
 	return nil
 }
+
+func (c *Config) addLimits(d *wire.Document) error {
+	w := d.GetLimits()
+	if w == nil {
+		return nil
+	}
+	if *c.limits != (Limits{}) {
+		return fault(KindDuplicate, "", "limits")
+	}
+	if w.GetMaxBody() > math.MaxInt64 || w.GetMaxHeader() > math.MaxInt64 {
+		return fault(KindRange, "max_header and max_body", "limits")
+	}
+	c.limits = &Limits{
+		maxHeader:     int64(w.GetMaxHeader()),
+		maxBody:       int64(w.GetMaxBody()),
+		headerTimeout: w.GetHeaderTimeout().AsDuration(),
+		idleTimeout:   w.GetIdleTimeout().AsDuration(),
+	}
+	if c.limits.headerTimeout < 0 || c.limits.idleTimeout < 0 {
+		return fault(KindRange, "times from 0s", "limits")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleetconfig/validate_route.go
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"math"
+	"strings"
+
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+func (c *Config) addRoutes(d *wire.Document) error {
+	for _, w := range d.GetRoutes() {
+		if err := checkName("route", w.GetName()); err != nil {
+			return err
+		}
+		parts, err := c.routeParts(w)
+		if err != nil {
+			return err
+		}
+		r, err := newRoute(w, parts)
+		if err != nil {
+			return err
+		}
+		if !c.routes.add(r) {
+			return fault(KindDuplicate, "host, path prefix and method of another route", "route %s", w.GetName())
+		}
+	}
+	return nil
+}
+
+// routeParts returns the services of a route, one with weight 1 where the route
+// does not split its traffic.
+func (c *Config) routeParts(w *wire.Route) ([]part, error) {
+	split := w.GetSplit()
+	if len(split) > 0 && w.GetService() != "" {
+		return nil, fault(KindRange, "either service or split", "route %s", w.GetName())
+	}
+	if len(split) == 0 {
+		split = []*wire.Split{
+			{
+				Service: w.GetService(),
+				Weight:  1,
+			},
+		}
+	}
+	var parts []part
+	sum := uint64(0)
+	for _, p := range split {
+		s := c.services[p.GetService()]
+		if s == nil {
+			return nil, fault(KindReference, "service "+p.GetService(), "route %s", w.GetName())
+		}
+		if p.GetWeight() == 0 {
+			continue
+		}
+		sum += uint64(p.GetWeight())
+		parts = append(parts, part{
+			service: s,
+			upTo:    sum,
+		})
+	}
+	if sum == 0 {
+		return nil, fault(KindRange, "a weight above 0", "route %s", w.GetName())
+	}
+	return parts, nil
+}
+
+func newRoute(w *wire.Route, parts []part) (*Route, error) {
+	if !strings.HasPrefix(w.GetPathPrefix(), "/") {
+		return nil, fault(KindRange, "path_prefix begins with /", "route %s", w.GetName())
+	}
+	deadline, latency := w.GetDeadline().AsDuration(), w.GetTargetLatency().AsDuration()
+	if deadline < 0 || deadline > maxDeadline || latency < 0 || latency > maxDeadline {
+		return nil, fault(KindRange, "deadline and target_latency from 0s to 24h", "route %s", w.GetName())
+	}
+	if w.GetMaxBody() > math.MaxInt64 {
+		return nil, fault(KindRange, "max_body", "route %s", w.GetName())
+	}
+	for _, m := range w.GetMethods() {
+		if m == "" || m != strings.ToUpper(m) {
+			return nil, fault(KindRange, "methods in capitals", "route %s", w.GetName())
+		}
+	}
+	class := w.GetClass()
+	if class == "" {
+		class = parts[0].service.name
+	}
+	r := &Route{
+		name:          w.GetName(),
+		host:          strings.ToLower(w.GetHost()),
+		prefix:        strings.TrimRight(w.GetPathPrefix(), "/"),
+		methods:       w.GetMethods(),
+		service:       parts[0].service,
+		class:         class,
+		repeatable:    w.GetRepeatable(),
+		deadline:      deadline,
+		maxBody:       int64(w.GetMaxBody()),
+		below:         w.GetBelow(),
+		targetLatency: latency,
+		priority:      int(w.GetPriority()),
+		maxAttempts:   int(w.GetMaxAttempts()),
+		bulk:          w.GetBulk(),
+	}
+	if len(parts) > 1 {
+		r.parts = parts
+	}
+	return r, nil
+}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -12,31 +12,23 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
-)
-
-// Headers of the contract with callers and targets.
-const (
-	// HeaderRequestID names the request; a target may echo it.
-	HeaderRequestID = "Plover-Request-Id"
-	// HeaderOutcome carries "done", "not-run" or "unknown". A target that
-	// refuses a request before running it says "not-run" in it.
-	HeaderOutcome = "Plover-Outcome"
-	// HeaderDeadline carries the absolute time limit in milliseconds since 1970.
-	HeaderDeadline = "Plover-Deadline"
-	// HeaderState carries "leaving" in the answers of a target that drains.
-	HeaderState = "Plover-State"
-	// stateLeaving is the value of HeaderState.
-	stateLeaving = "leaving"
+	"ploverjunction.example/ploverjunction/internal/contract"
 )
 
 // Bounds of connections to targets.
 const (
-	connectTimeout  = time.Second
-	idleTimeout     = time.Minute
+	// connectTimeout is some ten round trips between regions. A target that is
+	// dark says nothing; another one can be asked while the caller still waits.
+	connectTimeout = 300 * time.Millisecond
+	// idleTimeout is how long a connection to a target may rest. Targets close
+	// theirs after 10 s or more, some without a word.
+	idleTimeout = 6 * time.Second
+	// idleUnsafe is the same for requests that must not be repeated: what is sent
+	// on a connection that has died unnoticed may have run.
+	idleUnsafe      = 1500 * time.Millisecond
 	idlePerTarget   = 32
 	bufferSize      = 16 << 10
 	maxAnswerHeader = 256 << 10
@@ -44,17 +36,20 @@
 
 // Client sends attempts to targets. It may be used concurrently.
 type Client struct {
+	contract  *contract.Contract
 	transport *http.Transport
-	dial      func(ctx context.Context, network, address string) (net.Conn, error)
-	hold      int64
-	stall     time.Duration
+	// unsafe carries requests that must not be repeated.
+	unsafe *http.Transport
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	hold   int64
+	stall  time.Duration
 }
 
 // NewClient returns a client that holds answers up to hold bytes whole before
 // it gives them out; 0 streams all answers. The body of an answer that stops for
 // stall counts as broken. Connections come from the IP number outgoing, or from
 // any if it is the zero value.
-func NewClient(hold int64, stall time.Duration, outgoing netip.Addr) *Client {
+func NewClient(c *contract.Contract, hold int64, stall time.Duration, outgoing netip.Addr) *Client {
 	dialer := &net.Dialer{
 		Timeout: connectTimeout,
 	}
@@ -63,28 +58,35 @@
 			IP: outgoing.AsSlice(),
 		}
 	}
-	c := &Client{
-		dial:  dialer.DialContext,
-		hold:  hold,
-		stall: stall,
+	cl := &Client{
+		contract: c,
+		dial:     dialer.DialContext,
+		hold:     hold,
+		stall:    stall,
 	}
-	c.transport = &http.Transport{
+	cl.transport = cl.newTransport(idleTimeout)
+	cl.unsafe = cl.newTransport(idleUnsafe)
+	return cl
+}
+
+func (c *Client) newTransport(idle time.Duration) *http.Transport {
+	return &http.Transport{
 		Proxy:                  nil,
 		DialContext:            c.dialGuarded,
 		DisableCompression:     true,
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    idlePerTarget,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        idle,
 		MaxResponseHeaderBytes: maxAnswerHeader,
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
 	}
-	return c
 }
 
 // Close drops all idle connections.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
+	c.unsafe.CloseIdleConnections()
 }
 
 func (c *Client) dialGuarded(ctx context.Context, network, address string) (net.Conn, error) {
@@ -100,15 +102,19 @@
 // Request is what an attempt sends. The header must hold no hop-by-hop fields; it
 // belongs to the attempt, which adds to it.
 type Request struct {
-	ID       string
-	Target   string
-	Method   string
-	Host     string
-	URI      string
-	Header   http.Header
-	Body     io.Reader
-	Length   int64
-	Deadline time.Time
+	ID     string
+	Target string
+	// Expect is the ID of the target that may run the request, or "".
+	Expect string
+	// Repeatable tells whether the request may run more than once.
+	Repeatable bool
+	Method     string
+	Host       string
+	URI        string
+	Header     http.Header
+	Body       io.Reader
+	Length     int64
+	Deadline   time.Time
 }
 
 // Do makes one attempt. It returns the answer, whose Close must be called, or an
@@ -130,7 +136,8 @@
 		watch:    watch,
 		stall:    c.stall,
 		cancel:   cancel,
-		leaving:  Leaving(res.Header),
+		leaving:  c.contract.Leaving(res.Header),
+		contract: c.contract,
 	}
 	if err := a.check(r.ID); err != nil {
 		a.Close()
@@ -163,12 +170,20 @@
 	}
 	req.Host = r.Host
 	req.Header = r.Header
-	req.Header.Set(HeaderRequestID, r.ID)
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(r.Deadline.UnixMilli(), 10))
+	if r.ID != "" {
+		req.Header.Set(c.contract.RequestID, r.ID)
+	}
+	if r.Expect != "" {
+		req.Header.Set(c.contract.ExpectTarget, r.Expect)
+	}
+	c.contract.SetDeadline(req.Header, r.Deadline, time.Now())
 	if _, ok := req.Header["User-Agent"]; !ok {
 		// An empty value keeps net/http from adding its own.
 		req.Header.Set("User-Agent", "")
 	}
+	if !r.Repeatable {
+		return c.unsafe.RoundTrip(req)
+	}
 	return c.transport.RoundTrip(req)
 }
 
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -27,8 +27,8 @@
 	KindShed Kind = "refused by the target"
 	// KindForeign means that the answer belongs to another request.
 	KindForeign Kind = "answer to another request"
-	// KindUnframed means that the end of the answer can't be told from a cut.
-	KindUnframed Kind = "answer without length"
+	// KindOther means that another process has the target's address.
+	KindOther Kind = "another target at the address"
 	// KindStall means that the answer's body stopped coming.
 	KindStall Kind = "answer stalled"
 	// KindCaller means that the caller is gone or its body broke.
@@ -69,7 +69,7 @@
 // health; a late start or a caller that left is not the target's doing.
 func (e *Error) Against() bool {
 	switch e.kind {
-	case KindShed, KindLate, KindSealed, KindCaller:
+	case KindShed, KindOther, KindLate, KindSealed, KindCaller:
 		return false
 	default:
 		return true
--- /dev/null
+++ b/internal/node/choosing.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/admission"
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/balance"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+)
+
+// alone chooses targets by what this node has in flight and by the verdicts on
+// the blackboard. It may be used concurrently.
+type alone struct {
+	board   *Board
+	budgets sync.Map
+}
+
+// choose takes a target at once or says why there is none.
+func (a *alone) choose(_ context.Context, q *entry.Query) (entry.Choice, error) {
+	pool := a.board.pool(q.Service.Name())
+	if pool == nil {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
+	}
+	pick, ok := pool.Pick(rand.Uint64, q.Tried)
+	if !ok {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
+	}
+	c, ok := choiceOf(q.Service, pick)
+	if !ok {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
+	}
+	return c, nil
+}
+
+// trial takes a target on trial for a copy of a repeatable request.
+func (a *alone) trial(s *fleetconfig.Service) (entry.Choice, bool) {
+	pool := a.board.pool(s.Name())
+	if pool == nil || pool.Trials() == 0 {
+		return entry.Choice{}, false
+	}
+	pick, ok := pool.PickTrial(rand.Uint64)
+	if !ok {
+		return entry.Choice{}, false
+	}
+	return choiceOf(s, pick)
+}
+
+// choiceOf finds the target of a pick. The pool may be of an older configuration
+// than the request's; a target that is gone from it is not used.
+func choiceOf(s *fleetconfig.Service, pick balance.Pick) (entry.Choice, bool) {
+	t := s.Target(pick.Key())
+	if t == nil {
+		pick.Release()
+		return entry.Choice{}, false
+	}
+	return entry.Choice{
+		Address: t.Address(),
+		Key:     t.Key(),
+		ID:      t.ID(),
+		Done:    func(outlier.End, time.Duration) { pick.Release() },
+	}, true
+}
+
+func (a *alone) budget(service string) *admission.Budget {
+	if b, ok := a.budgets.Load(service); ok {
+		return b.(*admission.Budget)
+	}
+	b, _ := a.budgets.LoadOrStore(service, admission.NewBudget())
+	return b.(*admission.Budget)
+}
+
+func (a *alone) first(service string)      { a.budget(service).First() }
+func (a *alone) retry(service string) bool { return a.budget(service).Retry() }
--- a/internal/node/duty.go
+++ b/internal/node/duty.go
@@ -74,8 +74,8 @@
 	}
 	byKey := map[uint32]string{}
 	for _, t := range sc.Targets() {
-		info.Targets = append(info.Targets, t.Address())
-		byKey[outlier.Key(t.Address())] = t.Address()
+		info.Targets = append(info.Targets, t.Key())
+		byKey[outlier.Key(t.Key())] = t.Key()
 	}
 	if s == nil {
 		s = &observed{
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -124,11 +124,11 @@
 	known := map[string]bool{}
 	addresses := make([]string, len(sc.Targets()))
 	for i, t := range sc.Targets() {
-		addresses[i] = t.Address()
-		known[t.Address()] = true
-		s.byKey[outlier.Key(t.Address())] = t.Address()
-		if s.gauges[t.Address()] == nil {
-			s.gauges[t.Address()] = &balance.Gauge{}
+		addresses[i] = t.Key()
+		known[t.Key()] = true
+		s.byKey[outlier.Key(t.Key())] = t.Key()
+		if s.gauges[t.Key()] == nil {
+			s.gauges[t.Key()] = &balance.Gauge{}
 		}
 	}
 	s.judge.SetTargets(now, addresses)
@@ -174,7 +174,7 @@
 		}
 		s.detector.Update(now, beats[name])
 		for _, t := range s.config.Targets() {
-			j.judge(now, s, t.Address())
+			j.judge(now, s, t.Key())
 		}
 	}
 }
@@ -236,11 +236,11 @@
 	var members []balance.Member
 	capacity := 0
 	for _, t := range s.config.Targets() {
-		st := s.judge.State(now, t.Address())
+		st := s.judge.State(now, t.Key())
 		inst := j.config.Instances()[t.Address()]
-		listed := inst != nil && inst.Leaving()
+		listed := t.Leaving() || inst != nil && inst.Leaving()
 		members = append(members, balance.Member{
-			Address:     t.Address(),
+			Key:         t.Key(),
 			Slots:       t.Slots(),
 			Connections: t.Connections(),
 			Warmth:      st.Warmth,
@@ -248,13 +248,13 @@
 			Sick:        st.Phase == outlier.PhaseEjected || st.Phase == outlier.PhaseTrial,
 			Score:       st.Score,
 			Trial:       st.Phase == outlier.PhaseTrial,
-			Gauge:       s.gauges[t.Address()],
+			Gauge:       s.gauges[t.Key()],
 		})
 		p.targets = append(p.targets, targetState{
-			address:       t.Address(),
+			address:       t.Key(),
 			state:         st,
 			listedLeaving: listed,
-			inFlight:      s.gauges[t.Address()].InFlight(),
+			inFlight:      s.gauges[t.Key()].InFlight(),
 		})
 		if !st.Leaving && !listed {
 			capacity += t.Slots()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/sirupsen/logrus"
 
+	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/dissemination"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
@@ -54,6 +55,7 @@
 	traffic   *link.Traffic
 	dialer    *link.Dialer
 	peers     *link.Server
+	adapter   *Adapter
 	platform  *source.Platform
 	directory *source.Directory
 	judging   *judging
@@ -66,9 +68,25 @@
 	drain     chan struct{}
 }
 
+// Adapter is what another platform than the project's own brings.
+type Adapter struct {
+	// Contract names the headers between callers, the fleet and targets.
+	Contract *contract.Contract
+	// Read reads published values, and goes on reading, until the context ends;
+	// nil leaves it to the source that the settings name.
+	Read func(ctx context.Context, cfg source.Config) error
+	// Calls returns how many calls were made on the platform.
+	Calls func() int64
+}
+
 // New checks what settings alone can't and opens all ports. Nothing is served
-// before Run.
-func New(set *settings.Settings, log *logrus.Logger) (*Node, error) {
+// before Run. adapter may be nil.
+func New(set *settings.Settings, log *logrus.Logger, adapter *Adapter) (*Node, error) {
+	if adapter == nil {
+		adapter = &Adapter{
+			Contract: contract.Plover(),
+		}
+	}
 	klog.SetLogger(klog.NewFilter(klog.DefaultLogger, klog.FilterLevel(klog.LevelError)))
 	n := &Node{
 		set:     set,
@@ -78,6 +96,7 @@
 		traffic: &link.Traffic{},
 		metrics: metrics.New(set.MetricWorkspaces()),
 		drain:   make(chan struct{}, 1),
+		adapter: adapter,
 	}
 	keys, err := loadKeys(set)
 	if err != nil {
@@ -150,7 +169,7 @@
 		self:    n.self,
 	}, n.judging.verdict, logging.Part(n.log, "observing"))
 	n.judging.report = n.observing.collect
-	n.probing = newProbing(n.board, n.observing.collect, logging.Part(n.log, "probing"))
+	n.probing = newProbing(n.board, n.adapter.Contract.Leaving, n.observing.collect, logging.Part(n.log, "probing"))
 	n.lifecycle = &lifecycle{
 		board:       n.board,
 		begun:       n.begun,
@@ -159,9 +178,13 @@
 		platformAge: n.gossip.PlatformAge,
 		seeds:       len(n.set.Seeds()),
 	}
-	if n.set.Source() == settings.SourcePlatform {
+	switch {
+	case n.adapter.Read != nil:
+	case n.set.Source() == settings.SourcePlatform:
 		n.platform = source.NewPlatform(n.set.Platform())
-	} else {
+		n.adapter.Read = n.platform.Run
+		n.adapter.Calls = n.platform.Calls
+	default:
 		n.directory = source.NewDirectory(n.set.Directory())
 	}
 }
@@ -169,6 +192,9 @@
 // open opens the three listeners.
 func (n *Node) open(keys *link.Keys) error {
 	var err error
+	a := &alone{
+		board: n.board,
+	}
 	n.entry, err = entry.New(entry.Config{
 		Listen:          n.set.EntryListen(),
 		MaxBody:         n.set.MaxBody(),
@@ -179,7 +205,11 @@
 		Outgoing:        n.set.Outgoing(),
 		WorkspaceHeader: n.set.WorkspaceHeader(),
 		Config:          n.board.currentConfig,
-		Pool:            n.board.pool,
+		Contract:        n.adapter.Contract,
+		Choose:          a.choose,
+		Trial:           a.trial,
+		First:           a.first,
+		Retry:           a.retry,
 		Nodes:           n.board.nodes,
 		Collector:       n.judging.collector,
 		Served:          n.metrics.Served,
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
-	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
@@ -31,15 +30,18 @@
 type probing struct {
 	board  *Board
 	report func(now time.Time, evidence []outlier.Evidence)
-	client *http.Client
-	log    *logrus.Entry
+	// leaving tells whether a probe's answer says that its target is leaving.
+	leaving func(h http.Header) bool
+	client  *http.Client
+	log     *logrus.Entry
 }
 
-func newProbing(board *Board, report func(time.Time, []outlier.Evidence), log *logrus.Entry) *probing {
+func newProbing(board *Board, leaving func(http.Header) bool, report func(time.Time, []outlier.Evidence), log *logrus.Entry) *probing {
 	return &probing{
-		board:  board,
-		report: report,
-		log:    log,
+		board:   board,
+		report:  report,
+		leaving: leaving,
+		log:     log,
 		client: &http.Client{
 			Timeout: probeTimeout,
 			Transport: &http.Transport{
@@ -101,14 +103,14 @@
 		return fmt.Errorf("node: probe: %w", err)
 	}
 	_ = res.Body.Close()
-	if !forward.Leaving(res.Header) {
+	if !p.leaving(res.Header) {
 		return nil
 	}
 	p.report(time.Now(), []outlier.Evidence{
 		{
 			Service: s.Name(),
 			Counts: outlier.Counts{
-				Target:  t.Address(),
+				Target:  t.Key(),
 				Leaving: true,
 			},
 		},
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -19,9 +19,12 @@
 	if n.directory != nil {
 		return n.directory.Run(ctx, deliver, failed)
 	}
-	return n.platform.Run(ctx, source.Config{
+	return n.adapter.Read(ctx, source.Config{
 		Reader:  n.reader,
 		Deliver: deliver,
+		Known:   n.replica.Value,
+		Keys:    n.replica.Keys,
+		Age:     func() time.Duration { return n.gossip.PlatformAge(time.Now()) },
 		Heard:   func() { n.gossip.PlatformHeard(time.Now()) },
 		Failed:  failed,
 	})
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -38,8 +38,8 @@
 			Calls:         n.traffic.Calls(),
 		},
 	}
-	if n.platform != nil {
-		s.Control.PlatformCalls = n.platform.Calls()
+	if n.adapter.Calls != nil {
+		s.Control.PlatformCalls = n.adapter.Calls()
 	}
 	if brief {
 		return s
@@ -109,7 +109,7 @@
 		Kept:     p.pool.Kept(),
 		Used:     p.pool.Len(),
 	}
-	used := p.pool.Addresses()
+	used := p.pool.Keys()
 	for _, t := range p.targets {
 		s.Targets = append(s.Targets, operator.TargetStatus{
 			Address:  t.address,
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -52,6 +52,8 @@
 		listener: lis,
 	}
 	s.http = kratos.NewServer(
+		// Without an address kratos looks at the network interfaces for one.
+		kratos.Address(lis.Addr().String()),
 		kratos.Listener(lis),
 		kratos.Timeout(0),
 	)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,20 @@
 const (
 	SourceDirectory SourceKind = "directory"
 	SourcePlatform  SourceKind = "platform"
+	// SourceStore is a key-value store that an adapter reads.
+	SourceStore SourceKind = "store"
+)
+
+// ChoiceMode says how the nodes choose targets.
+type ChoiceMode string
+
+// Ways to choose targets.
+const (
+	// ChoiceAlone means that each node chooses by what it knows itself and by the
+	// verdicts of observers.
+	ChoiceAlone ChoiceMode = "alone"
+	// ChoiceJoint means that one node chooses for all requests of a service.
+	ChoiceJoint ChoiceMode = "joint"
 )
 
 // Bounds of settings, both included.
@@ -30,6 +44,7 @@
 	maxDrainWait  = 10 * time.Minute
 	maxDeadline   = 24 * time.Hour
 	maxWorkspaces = 10000
+	maxReserve    = 1_000_000
 )
 
 // Settings are the checked settings of one process. They don't change after
@@ -55,15 +70,22 @@
 	peerCert   string
 	peerKey    string
 	peerCA     string
+	peerSecret string
 
 	source    SourceKind
 	directory string
 	platform  string
 
+	choice       ChoiceMode
+	retryShare   float64
+	retryReserve int
+	retryWindow  time.Duration
+
 	logLevel  string
 	logFormat string
 
 	metricWorkspaces int
+	metricsListen    netip.AddrPort
 }
 
 // DataHall returns the data hall of this process.
@@ -131,6 +153,22 @@
 // Platform returns the base URL of the platform for SourcePlatform.
 func (s *Settings) Platform() string { return s.platform }
 
+// Choice returns how this process chooses targets.
+func (s *Settings) Choice() ChoiceMode { return s.choice }
+
+// Retries returns what the whole fleet may send beyond the first attempt of each
+// request to one service: share of the requests and reserve more in each window.
+func (s *Settings) Retries() (share float64, reserve int, window time.Duration) {
+	return s.retryShare, s.retryReserve, s.retryWindow
+}
+
+// PeerSecret returns the key of the datagrams between peers, or "".
+func (s *Settings) PeerSecret() string { return s.peerSecret }
+
+// MetricsListen returns the address on which metrics are served besides the
+// operators' one; the zero value means nowhere else.
+func (s *Settings) MetricsListen() netip.AddrPort { return s.metricsListen }
+
 // LogLevel returns the level as logrus names it.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
@@ -182,11 +220,17 @@
 		optional("peers", "certificate", text(&s.peerCert)),
 		optional("peers", "key", text(&s.peerKey)),
 		optional("peers", "authority", text(&s.peerCA)),
-		required("source", "kind", oneOf(&s.source, SourceDirectory, SourcePlatform)),
+		optional("peers", "secret", text(&s.peerSecret)),
+		required("source", "kind", oneOf(&s.source, SourceDirectory, SourcePlatform, SourceStore)),
 		optional("source", "directory", text(&s.directory)),
 		optional("source", "platform", webAddress(&s.platform)),
+		optional("targets", "choice", oneOf(&s.choice, ChoiceAlone, ChoiceJoint)),
+		optional("targets", "retry_share", share(&s.retryShare)),
+		optional("targets", "retry_reserve", count(&s.retryReserve, 0, maxReserve)),
+		optional("targets", "retry_window", duration(&s.retryWindow, time.Second, maxDeadline)),
 		optional("log", "level", oneOf(&s.logLevel, "debug", "info", "warning", "error")),
 		optional("log", "format", oneOf(&s.logFormat, "text", "json")),
+		optional("metrics", "listen", address(&s.metricsListen)),
 		optional("metrics", "workspaces", count(&s.metricWorkspaces, 0, maxWorkspaces)),
 	}
 }
@@ -198,6 +242,10 @@
 		holdBody:         64 << 10,
 		deadline:         10 * time.Second,
 		stall:            15 * time.Second,
+		choice:           ChoiceAlone,
+		retryShare:       0.1,
+		retryReserve:     10,
+		retryWindow:      10 * time.Second,
 		workspaceHeader:  "Plover-Workspace",
 		drainWait:        5 * time.Second,
 		logLevel:         "info",
@@ -315,8 +363,8 @@
 	if s.source == SourceDirectory && s.directory == "" {
 		return missing("source", "directory", "kind is directory")
 	}
-	if s.source == SourcePlatform && s.platform == "" {
-		return missing("source", "platform", "kind is platform")
+	if s.source != SourceDirectory && s.platform == "" {
+		return missing("source", "platform", "kind is "+string(s.source))
 	}
 	if len(s.seeds) > 0 && !s.peerListen.IsValid() {
 		return missing("peers", "listen", "seeds are given")
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -124,3 +124,15 @@
 		return ""
 	}
 }
+
+// share reads a number from 0 to 1.
+func share(dst *float64) func(string) string {
+	return func(v string) string {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(f >= 0 && f <= 1) {
+			return "want a number from 0 to 1, got " + strconv.Quote(v)
+		}
+		*dst = f
+		return ""
+	}
+}
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -66,6 +66,12 @@
 	// Deliver gets values; heard is called with each good answer.
 	Deliver func([]*wire.Entry)
 	Heard   func()
+	// Known returns the newest value of a key that the fleet has, and false if it
+	// has none or it is deleted. Keys returns the keys with values.
+	Known func(key string) ([]byte, bool)
+	Keys  func() []string
+	// Age returns how long ago any process of the fleet heard the source.
+	Age func() time.Duration
 	// Failed gets each failure.
 	Failed func(error)
 }
