--- /dev/null
+++ b/internal/dispatch/budget.go
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// Parts of what the settings allow that are used: clocks and counts of several
+// nodes differ a little.
+const (
+	shareUsed   = 0.8
+	reserveUsed = 0.4
+	// budgetParts is into how many parts the window is divided.
+	budgetParts = 20
+)
+
+// Budget bounds what is sent beyond the first attempt of each request.
+type Budget struct {
+	// Share is the number of repeats that each request pays for.
+	Share float64
+	// Reserve is how many more there may be in each window.
+	Reserve float64
+	// Window is the length of the sliding window.
+	Window time.Duration
+}
+
+// window counts first attempts and repeats in a sliding window.
+type window struct {
+	firsts  [budgetParts]float64
+	repeats [budgetParts]float64
+	at      int64
+}
+
+// turn drops the parts that have left the window.
+func (w *window) turn(now time.Time, begun time.Time, b Budget) {
+	part := int64(now.Sub(begun) / (b.Window / budgetParts))
+	for w.at < part {
+		w.at++
+		w.firsts[w.at%budgetParts] = 0
+		w.repeats[w.at%budgetParts] = 0
+		if part-w.at > budgetParts {
+			w.at = part - budgetParts
+		}
+	}
+}
+
+func (w *window) first()  { w.firsts[w.at%budgetParts]++ }
+func (w *window) repeat() { w.repeats[w.at%budgetParts]++ }
+
+// left returns how many repeats the budget still pays for. part is the share of
+// the reserve that this desk may use.
+func (w *window) left(b Budget, part float64) float64 {
+	firsts, repeats := 0.0, 0.0
+	for i := range w.firsts {
+		firsts += w.firsts[i]
+		repeats += w.repeats[i]
+	}
+	return shareUsed*b.Share*firsts + reserveUsed*b.Reserve*part - repeats
+}
--- /dev/null
+++ b/internal/dispatch/cost.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// Weights of what a choice costs. The unit is the worth of one answer.
+const (
+	// unsafeFailure is the cost of a failed request that can't be repeated: its
+	// answer is lost, and the share of requests that are served at all counts for
+	// much more than one answer.
+	unsafeFailure = 6
+	// safeFailure is the same where another target can be asked.
+	safeFailure = 1
+	// lastFailure is the same where the attempt is a second one already.
+	lastFailure = 3
+	// crossing is the cost of one KiB between data halls, from the users' prices.
+	crossing = 0.02
+	// loadCost is what a full target costs more than an empty one: some slow down
+	// when they are nearly full.
+	loadCost = 0.04
+	// coldCost is what a starting target costs more than a warm one.
+	coldCost = 0.05
+	// connectionGain is the price of a new connection, which an idle one saves.
+	connectionGain = 0.015
+	// noise breaks ties by chance.
+	noise = 0.002
+	// waitCost is what waiting for a better target costs; a target that is worse
+	// by less than that is taken at once.
+	waitCost = 0.3
+)
+
+// failureCost returns the cost of a failure of this attempt.
+func (a *Ask) failureCost() float64 {
+	switch {
+	case !a.Repeatable:
+		return unsafeFailure
+	case a.Again:
+		return lastFailure
+	default:
+		return safeFailure
+	}
+}
+
+// quality returns what a target costs apart from its load.
+func (d *Desk) quality(now time.Time, t *target, a *Ask) float64 {
+	c := a.failureCost() * d.badShare(now, t)
+	if t.DataHall != a.DataHall {
+		c += crossing * float64(a.Kilobytes)
+	}
+	if now.Before(t.warmUntil) {
+		c += coldCost
+	}
+	return c
+}
+
+// cost returns what a target costs with its load.
+func (d *Desk) cost(now time.Time, t *target, a *Ask) float64 {
+	c := d.quality(now, t, a)
+	c += loadCost * float64(len(t.flights)+1) / float64(max(t.Slots, 1))
+	for _, k := range a.Connected {
+		if k == t.Key {
+			c -= connectionGain
+		}
+	}
+	return c + noise*d.random()
+}
+
+// badShare returns the probability that a request sent now fails, what is overdue
+// included.
+func (d *Desk) badShare(now time.Time, t *target) float64 {
+	limit := d.slow()
+	overdue := 0
+	for _, f := range t.flights {
+		if now.Sub(f.begun) > limit {
+			overdue++
+		}
+	}
+	if overdue == 0 {
+		return t.health.bad(now)
+	}
+	h := t.health
+	if h.memory == 0 {
+		h.memory = memoryFirst
+	}
+	for range min(overdue, 2) {
+		h.update(now, oddsOverdue)
+	}
+	return h.bad(now)
+}
--- /dev/null
+++ b/internal/dispatch/desk.go
@@ -0,0 +1,364 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Target is one target that a desk may grant.
+type Target struct {
+	Key      string
+	DataHall string
+	// Slots is how many requests the target works on at once.
+	Slots int
+	// Leaving targets get no work.
+	Leaving bool
+	// Warmup is how long after its appearance the target works more slowly.
+	Warmup time.Duration
+}
+
+// ID names one ask: the node that asks and the number that it gave.
+type ID struct {
+	Node   string
+	Number uint64
+}
+
+// Ask asks for a target for one attempt.
+type Ask struct {
+	ID         ID
+	DataHall   string
+	Repeatable bool
+	// Again is set for attempts after a request's first one.
+	Again bool
+	// Kilobytes is the expected size of the answer in KiB.
+	Kilobytes int
+	// Priority is the rank under overload; 0 is served first.
+	Priority int
+	// Aim is until when an answer is worth most, Deadline until when it counts.
+	Aim      time.Time
+	Deadline time.Time
+	// Tried are keys of targets that the request was sent to before, Connected
+	// those to which the node holds an idle connection.
+	Tried     []string
+	Connected []string
+}
+
+// Verdict answers an ask.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Granted means that the request may go to the target.
+	Granted Verdict = iota
+	// Queued means that a grant or a refusal follows.
+	Queued
+	// Refused means that no target can take the request in time.
+	Refused
+	// Spent means that the retry budget pays for no other attempt.
+	Spent
+)
+
+// String returns the verdict in words.
+func (v Verdict) String() string { return [...]string{"granted", "queued", "refused", "spent"}[v] }
+
+// Grant is the answer to an ask.
+type Grant struct {
+	ID      ID
+	Verdict Verdict
+	Target  string
+	// RetryAfter is when a refused caller may come back.
+	RetryAfter time.Duration
+}
+
+// flight is one attempt that was granted.
+type flight struct {
+	begun time.Time
+	until time.Time
+}
+
+type target struct {
+	Target
+	health    health
+	warmUntil time.Time
+	flights   map[ID]flight
+}
+
+// Times and shares of a desk.
+const (
+	// usualStart is the usual time of a request before any was seen.
+	usualStart = 300 * time.Millisecond
+	// usualStep is the part by which one request moves the usual time.
+	usualStep = 0.03
+	// slowFactor and slowLeast say what is unusually slow.
+	slowFactor = 4
+	slowLeast  = 700 * time.Millisecond
+	// flightSlack is how long after its deadline a granted attempt is forgotten.
+	flightSlack = 500 * time.Millisecond
+	// refusedFrom is the part of the time left that a queue may take.
+	refusedFrom = 0.6
+	// coldSlots is the part of its slots that a starting target gets.
+	coldSlots = 0.5
+)
+
+// Desk chooses the targets of one service. It isn't safe for concurrent use.
+type Desk struct {
+	begun   time.Time
+	budget  Budget
+	random  func() float64
+	targets map[string]*target
+	order   []*target
+	queue   queue
+	window  window
+	usual   time.Duration
+	granted map[ID]string
+}
+
+// NewDesk returns a desk without targets. random gives numbers from 0 to 1.
+func NewDesk(now time.Time, b Budget, random func() float64) *Desk {
+	return &Desk{
+		begun:   now,
+		budget:  b,
+		random:  random,
+		targets: map[string]*target{},
+		usual:   usualStart,
+		granted: map[ID]string{},
+	}
+}
+
+// Configure takes the targets in force. What is known of those that stay is kept.
+func (d *Desk) Configure(now time.Time, list []Target) {
+	old := d.targets
+	first := len(old) == 0
+	d.targets = make(map[string]*target, len(list))
+	d.order = d.order[:0]
+	for _, c := range list {
+		t := old[c.Key]
+		if t == nil {
+			t = &target{
+				flights: map[ID]flight{},
+			}
+			if !first {
+				t.warmUntil = now.Add(c.Warmup)
+			}
+		}
+		t.Target = c
+		d.targets[c.Key] = t
+		d.order = append(d.order, t)
+	}
+}
+
+// Ask answers an ask at once. Asking again with the same ID gives the same answer.
+func (d *Desk) Ask(now time.Time, a *Ask) Grant {
+	if g, known := d.before(a.ID); known {
+		return g
+	}
+	d.window.turn(now, d.begun, d.budget)
+	if a.Again && d.window.left(d.budget, 1) < 1 {
+		return Grant{
+			ID:      a.ID,
+			Verdict: Spent,
+		}
+	}
+	d.count(a)
+	if wait := d.queue.wait(d, a.Priority); wait > 0 && now.Add(wait).After(now.Add(time.Duration(refusedFrom*float64(a.Deadline.Sub(now))))) {
+		return Grant{
+			ID:         a.ID,
+			Verdict:    Refused,
+			RetryAfter: wait,
+		}
+	}
+	if d.queue.ahead(a.Priority) == 0 {
+		if t := d.best(now, now, a); t != nil {
+			return d.grant(now, t, a)
+		}
+	}
+	d.queue.add(now, a)
+	return Grant{
+		ID:      a.ID,
+		Verdict: Queued,
+	}
+}
+
+func (d *Desk) count(a *Ask) {
+	if a.Again {
+		d.window.repeat()
+	} else {
+		d.window.first()
+	}
+}
+
+// before returns the answer that an ask got before.
+func (d *Desk) before(id ID) (Grant, bool) {
+	if key, ok := d.granted[id]; ok {
+		return Grant{
+			ID:      id,
+			Verdict: Granted,
+			Target:  key,
+		}, true
+	}
+	return Grant{
+		ID:      id,
+		Verdict: Queued,
+	}, d.queue.has(id)
+}
+
+// AskAlone answers for a node that reaches no dispatcher: it grants without
+// regard to slots, for it doesn't know what others have in flight. part is this
+// node's share of the reserve of the retry budget.
+func (d *Desk) AskAlone(now time.Time, a *Ask, part float64) Grant {
+	d.window.turn(now, d.begun, d.budget)
+	if a.Again && d.window.left(d.budget, part) < 1 {
+		return Grant{
+			ID:      a.ID,
+			Verdict: Spent,
+		}
+	}
+	d.count(a)
+	if t := d.cheapest(now, a, func(*target) bool { return true }); t != nil {
+		return d.grant(now, t, a)
+	}
+	return Grant{
+		ID:      a.ID,
+		Verdict: Refused,
+	}
+}
+
+func (d *Desk) grant(now time.Time, t *target, a *Ask) Grant {
+	t.flights[a.ID] = flight{
+		begun: now,
+		until: a.Deadline.Add(flightSlack),
+	}
+	d.granted[a.ID] = t.Key
+	return Grant{
+		ID:      a.ID,
+		Verdict: Granted,
+		Target:  t.Key,
+	}
+}
+
+// best returns the target that an ask should get now, or nil if it should wait.
+// since is when it began to wait.
+func (d *Desk) best(now, since time.Time, a *Ask) *target {
+	free := d.cheapest(now, a, func(t *target) bool { return len(t.flights) < d.slots(now, t) })
+	if free == nil || now.Sub(since) >= d.patience(since, a) {
+		return free
+	}
+	all := d.cheapest(now, a, func(*target) bool { return true })
+	if d.quality(now, free, a)-d.quality(now, all, a) > waitCost {
+		return nil
+	}
+	return free
+}
+
+// patience returns how long an ask waits for a better target than is free.
+func (d *Desk) patience(since time.Time, a *Ask) time.Duration {
+	return max(a.Aim.Sub(since)-2*d.usual, 0) / 2
+}
+
+func (d *Desk) slots(now time.Time, t *target) int {
+	if now.Before(t.warmUntil) {
+		return max(int(coldSlots*float64(t.Slots)), 1)
+	}
+	return t.Slots
+}
+
+// cheapest returns the target with the least cost of those that fit; targets that
+// were tried before count only when there is no other.
+func (d *Desk) cheapest(now time.Time, a *Ask, fits func(*target) bool) *target {
+	var best *target
+	least, bestTried := 0.0, false
+	for _, t := range d.order {
+		if t.Leaving || !fits(t) {
+			continue
+		}
+		tried := slices.Contains(a.Tried, t.Key)
+		if best != nil && tried && !bestTried {
+			continue
+		}
+		c := d.cost(now, t, a)
+		if best == nil || bestTried && !tried || c < least {
+			best, least, bestTried = t, c, tried
+		}
+	}
+	return best
+}
+
+// slow returns the time after which a request is unusually late.
+func (d *Desk) slow() time.Duration { return max(slowFactor*d.usual, slowLeast) }
+
+// Done takes in the end of a granted attempt and returns the grants that its slot
+// makes possible.
+func (d *Desk) Done(now time.Time, id ID, key string, r Result, took time.Duration) []Grant {
+	delete(d.granted, id)
+	t := d.targets[key]
+	if t == nil {
+		return nil
+	}
+	idle := len(t.flights) <= t.Slots
+	delete(t.flights, id)
+	t.health.note(now, r, took > d.slow(), idle)
+	if r == ResultGood {
+		d.learn(took)
+	}
+	return d.serve(now)
+}
+
+// Note takes in what a node saw of a target that another desk granted.
+func (d *Desk) Note(now time.Time, key string, r Result, took time.Duration) {
+	if t := d.targets[key]; t != nil {
+		t.health.note(now, r, took > d.slow(), true)
+	}
+	if r == ResultGood {
+		d.learn(took)
+	}
+}
+
+// learn moves the usual time, an estimate of the median, towards a request's.
+func (d *Desk) learn(took time.Duration) {
+	step := time.Duration(float64(d.usual) * usualStep)
+	if took > d.usual {
+		d.usual += step
+	} else {
+		d.usual = max(d.usual-step, time.Millisecond)
+	}
+}
+
+// Advance forgets attempts whose end was never told and returns the grants and
+// refusals that are due.
+func (d *Desk) Advance(now time.Time) []Grant {
+	for _, t := range d.order {
+		for id, f := range t.flights {
+			if now.After(f.until) {
+				delete(t.flights, id)
+				delete(d.granted, id)
+			}
+		}
+	}
+	return append(d.queue.expire(now), d.serve(now)...)
+}
+
+// serve grants what the queue can have now.
+func (d *Desk) serve(now time.Time) []Grant {
+	var out []Grant
+	d.queue.each(func(w *waiting) bool {
+		t := d.best(now, w.since, w.ask)
+		if t == nil {
+			return false
+		}
+		out = append(out, d.grant(now, t, w.ask))
+		return true
+	})
+	return out
+}
+
+// Cancel ends an ask that waits or was granted without saying anything of a
+// target.
+func (d *Desk) Cancel(now time.Time, id ID) []Grant {
+	if key, ok := d.granted[id]; ok {
+		return d.Done(now, id, key, ResultIgnored, 0)
+	}
+	d.queue.drop(id)
+	return nil
+}
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -35,6 +35,17 @@
 	comparePatience = 300 * time.Millisecond
 	// maxTalks bounds the conversations under way.
 	maxTalks = 32
+	// differsPause is the least time between two comparisons because of a digest:
+	// while a value spreads digests differ everywhere.
+	differsPause = 150 * time.Millisecond
+	// fanoutFar is how many peers of other data halls learn of a new value from
+	// the node that read it. Bytes between data halls are dear; each data hall
+	// needs to hear of a value once.
+	fanoutFar = 2
+	// ownHallOdds is how many of ten comparisons stay in the data hall.
+	ownHallOdds = 8
+	// mentionsMost is how many nodes a reply names to a node that knows few.
+	mentionsMost = 40
 )
 
 // Config holds the seams of a Gossip. All functions may be called concurrently.
@@ -59,7 +70,10 @@
 	cfg      Config
 	replica  *Replica
 	fresh    chan []*wire.Entry
+	own      chan []*wire.Entry
+	begun    time.Time
 	platform atomic.Int64
+	differs  chan string
 	mu       sync.Mutex
 	compares map[string]bool
 	recent   [recentCalls]bool
@@ -72,13 +86,19 @@
 		cfg:      cfg,
 		replica:  replica,
 		fresh:    make(chan []*wire.Entry, 64),
+		own:      make(chan []*wire.Entry, 64),
 		compares: map[string]bool{},
+		begun:    time.Now(),
+		differs:  make(chan string, 1),
 	}
 }
 
+// The time at which the platform was heard is kept as the time since begun: the
+// time of day may jump.
+
 // PlatformHeard notes that this node has just heard the platform.
 func (g *Gossip) PlatformHeard(now time.Time) {
-	g.platform.Store(now.UnixNano())
+	g.LearnAge(now, 0)
 }
 
 // PlatformAge returns how long ago any node that this one knows of has heard the
@@ -86,25 +106,44 @@
 func (g *Gossip) PlatformAge(now time.Time) time.Duration {
 	at := g.platform.Load()
 	if at == 0 {
-		return 1 << 62
+		return never
 	}
-	return now.Sub(time.Unix(0, at))
+	return now.Sub(g.begun) - time.Duration(at)
 }
 
-func (g *Gossip) learnAge(now time.Time, ms uint64) {
-	const never = 1 << 40
-	if ms >= never {
+// never is the age of what was not heard at all.
+const never = 1 << 62
+
+// LearnAge notes that a peer knows of a node that heard the platform age ago.
+func (g *Gossip) LearnAge(now time.Time, age time.Duration) {
+	if age > maxAge {
 		return
 	}
-	at := now.Add(-time.Duration(ms) * time.Millisecond).UnixNano()
+	// A node that began later than that still knows that it was heard.
+	at := int64(now.Sub(g.begun) - age)
+	if at == 0 {
+		at = 1
+	}
 	for {
 		old := g.platform.Load()
-		if old >= at || g.platform.CompareAndSwap(old, at) {
+		if old != 0 && old >= at || g.platform.CompareAndSwap(old, at) {
 			return
 		}
 	}
 }
 
+// maxAge bounds the ages that are passed on.
+const maxAge = 100 * 24 * time.Hour
+
+// Differs notes that a peer has another digest than this node. The two compare
+// unless a comparison began a moment ago.
+func (g *Gossip) Differs(peer string) {
+	select {
+	case g.differs <- peer:
+	default:
+	}
+}
+
 // Compared returns with how many different peers this node has compared all its
 // values to the end.
 func (g *Gossip) Compared() int {
@@ -154,7 +193,14 @@
 
 // Publish offers values that this node has learned by itself.
 func (g *Gossip) Publish(entries []*wire.Entry) {
-	g.spread(g.replica.Offer(entries))
+	fresh := g.replica.Offer(entries)
+	if len(fresh) == 0 {
+		return
+	}
+	select {
+	case g.own <- fresh:
+	default:
+	}
 }
 
 // spread hands new values to Run. If Run is far behind they are left to the
@@ -175,14 +221,22 @@
 	var talks task.Group
 	next := time.NewTimer(0)
 	defer next.Stop()
+	var asked time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return talks.Wait()
+		case entries := <-g.own:
+			g.push(ctx, &talks, entries, true)
 		case entries := <-g.fresh:
-			g.push(ctx, &talks, entries)
+			g.push(ctx, &talks, entries, false)
+		case peer := <-g.differs:
+			if time.Since(asked) >= differsPause {
+				asked = time.Now()
+				g.compare(ctx, &talks, []string{peer})
+			}
 		case <-next.C:
-			g.compare(ctx, &talks)
+			g.compare(ctx, &talks, g.choose(compareTries))
 			next.Reset(Beat/2 + rand.N(Beat))
 		}
 		if err := talks.Reap(); err != nil {
@@ -194,7 +248,7 @@
 // Sync answers the message of a peer.
 func (g *Gossip) Sync(_ context.Context, in *wire.SyncRequest) (*wire.SyncReply, error) {
 	g.cfg.Heard(in.GetFrom())
-	g.learnAge(time.Now(), in.GetPlatformAgeMs())
+	g.learnAge(in.GetPlatformAgeMs())
 	g.spread(g.replica.Offer(in.GetEntries()))
 	lacks, wanted := g.replica.Compare(time.Now(), in.GetRevisions(), in.GetComplete())
 	return &wire.SyncReply{
@@ -203,34 +257,95 @@
 		Entries:       lacks,
 		Wanted:        wanted,
 		PlatformAgeMs: uint64(g.PlatformAge(time.Now()).Milliseconds()),
-		Nodes:         g.mention(),
+		Nodes:         g.mention(int(in.GetKnown())),
 	}, nil
 }
 
 // mention names a few random nodes, so that nodes find each other where the
-// platform gives no list.
-func (g *Gossip) mention() []*wire.Node {
+// platform gives no list; more of them to a peer that knows few.
+func (g *Gossip) mention(known int) []*wire.Node {
 	var out []*wire.Node
-	peers := g.cfg.View().Peers()
-	for range min(mentions, len(peers)) {
-		n := peers[rand.IntN(len(peers))]
+	live := g.cfg.View().Live()
+	n := min(max(mentions, len(live)-known), mentionsMost)
+	from := rand.IntN(len(live))
+	for i := range min(n, len(live)) {
+		m := live[(from+i)%len(live)]
 		out = append(out, &wire.Node{
-			Address:  n.Address(),
-			DataHall: n.DataHall(),
+			Address:  m.Address(),
+			DataHall: m.DataHall(),
 		})
 	}
 	return out
 }
 
-// choose returns up to n different random peers; seeds count as peers until
-// others are known, and now and then later, so that two parts of the fleet that
-// lost each other meet again.
+// learnAge takes the age that a message carries in milliseconds.
+func (g *Gossip) learnAge(ms uint64) {
+	g.LearnAge(time.Now(), time.Duration(min(ms, uint64(never/time.Millisecond)))*time.Millisecond)
+}
+
+// near returns the peers of the own data hall, far the others.
+func (g *Gossip) halls() (near, far []string) {
+	view := g.cfg.View()
+	for _, p := range view.Live() {
+		switch {
+		case p == view.Self():
+		case p.DataHall() == view.Self().DataHall():
+			near = append(near, p.Address())
+		default:
+			far = append(far, p.Address())
+		}
+	}
+	return near, far
+}
+
+// pushTo returns the peers that learn of a new value from this node; first is
+// set on the node that read it. In each data hall a few others carry it on to
+// other data halls, in case that the first one's messages were lost.
+func (g *Gossip) pushTo(first bool) []string {
+	near, far := g.halls()
+	out := some(near, fanout)
+	switch {
+	case first:
+		return append(out, g.eachHall(fanoutFar)...)
+	case rand.IntN(len(near)+1) < fanoutFar:
+		return append(out, some(far, 1)...)
+	default:
+		return out
+	}
+}
+
+// eachHall returns up to n live peers of each other data hall.
+func (g *Gossip) eachHall(n int) []string {
+	view := g.cfg.View()
+	byHall := map[string][]string{}
+	for _, p := range view.Live() {
+		if p.DataHall() != view.Self().DataHall() {
+			byHall[p.DataHall()] = append(byHall[p.DataHall()], p.Address())
+		}
+	}
+	var out []string
+	for _, peers := range byHall {
+		out = append(out, some(peers, n)...)
+	}
+	return out
+}
+
+// some returns up to n random ones of a list, which it reorders.
+func some(list []string, n int) []string {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// choose returns up to n different random peers, mostly of the own data hall.
+// Seeds count as peers until others are known, and now and then later, so that two
+// parts of the fleet that lost each other meet again.
 func (g *Gossip) choose(n int) []string {
-	var all []string
-	for _, p := range g.cfg.View().Peers() {
-		all = append(all, p.Address())
+	near, far := g.halls()
+	if rand.IntN(10) < ownHallOdds && len(near) > 0 {
+		return some(near, n)
 	}
-	const seedOdds = 10
+	all := append(near, far...)
+	const seedOdds = 4
 	if len(all) < n || rand.IntN(seedOdds) == 0 {
 		self := g.cfg.Self().GetAddress()
 		for _, s := range g.cfg.Seeds {
@@ -240,7 +355,5 @@
 		}
 	}
 	slices.Sort(all)
-	all = slices.Compact(all)
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(n, len(all))]
+	return some(slices.Compact(all), n)
 }
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -11,7 +11,8 @@
 )
 
 // push tells a few random peers of new values.
-func (g *Gossip) push(ctx context.Context, talks *task.Group, entries []*wire.Entry) {
+// first is set on the node that read them.
+func (g *Gossip) push(ctx context.Context, talks *task.Group, entries []*wire.Entry, first bool) {
 	req := g.request()
 	for _, e := range entries {
 		if len(e.GetValue()) <= pushWhole {
@@ -23,7 +24,7 @@
 			Revision: e.GetRevision(),
 		})
 	}
-	for _, peer := range g.choose(fanout) {
+	for _, peer := range g.pushTo(first) {
 		talks.Go(ctx, "push", func(ctx context.Context) error {
 			g.converse(ctx, peer, req, false)
 			return nil
@@ -31,13 +32,12 @@
 	}
 }
 
-// compare exchanges digests with one random peer, and with another one when the
-// first doesn't answer soon.
-func (g *Gossip) compare(ctx context.Context, talks *task.Group) {
+// compare exchanges digests with the first of some peers, and with the next one
+// when it doesn't answer soon.
+func (g *Gossip) compare(ctx context.Context, talks *task.Group, peers []string) {
 	if talks.Len() > maxTalks {
 		return
 	}
-	peers := g.choose(compareTries)
 	talks.Go(ctx, "compare", func(ctx context.Context) error {
 		var tries task.Group
 		patience := time.NewTicker(comparePatience)
@@ -105,7 +105,7 @@
 }
 
 func (g *Gossip) learn(reply *wire.SyncReply) {
-	g.learnAge(time.Now(), reply.GetPlatformAgeMs())
+	g.learnAge(reply.GetPlatformAgeMs())
 	g.cfg.Heard(reply.GetFrom())
 	for _, n := range reply.GetNodes() {
 		g.cfg.Mentioned(n)
@@ -117,5 +117,6 @@
 		From:          g.cfg.Self(),
 		Digest:        g.replica.Digest(),
 		PlatformAgeMs: uint64(g.PlatformAge(time.Now()).Milliseconds()),
+		Known:         uint32(g.cfg.View().Nodes()),
 	}
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -320,5 +320,7 @@
 		Failed:  true,
 		Ignored: !fe.Against(),
 		Leaving: fe.Leaving(),
+		Shed:    fe.Kind() == forward.KindShed,
+		Other:   fe.Kind() == forward.KindOther,
 	}
 }
--- /dev/null
+++ b/internal/membership/news.go
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package membership
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Opinion is what one node believes of another.
+type Opinion uint8
+
+// Opinions.
+const (
+	OpinionAlive Opinion = iota
+	// OpinionSuspect means that probes went unanswered; the node can refute it.
+	OpinionSuspect
+	// OpinionDead means that nobody refuted a suspicion.
+	OpinionDead
+)
+
+// News is an opinion that travels between nodes.
+type News struct {
+	Node        Node
+	Incarnation uint64
+	Leaving     bool
+	Opinion     Opinion
+}
+
+// Times and counts of news.
+const (
+	// RefuteTime is how long a suspected node has to refute a suspicion: some
+	// beats of the probes, so that news reaches it and its word comes back.
+	RefuteTime = 500 * time.Millisecond
+	// tellFactor is how often news is passed on, in times the logarithm of the
+	// number of nodes (Das, Gupta and Motivala, "SWIM", DSN 2002).
+	tellFactor = 3
+)
+
+// rumor is news that this node still passes on.
+type rumor struct {
+	news News
+	told int
+}
+
+// spread begins to pass on what this node believes of s.
+func (t *Table) spread(s *state, o Opinion) {
+	t.news[s.node.address] = &rumor{
+		news: News{
+			Node:        s.node,
+			Incarnation: s.incarnation,
+			Leaving:     s.leaving,
+			Opinion:     o,
+		},
+	}
+}
+
+// alive notes that a node lives, in the given incarnation.
+func (t *Table) alive(s *state, incarnation uint64, leaving bool) {
+	if s.dead || !s.suspected.IsZero() || s.heard.IsZero() || incarnation > s.incarnation || leaving != s.leaving {
+		s.incarnation = incarnation
+		s.leaving = s.leaving || leaving
+		t.spread(s, OpinionAlive)
+		t.changed = true
+	}
+	s.dead = false
+	s.suspected = time.Time{}
+}
+
+// Suspect notes that a node did not answer a probe, nor others on this node's
+// behalf.
+func (t *Table) Suspect(now time.Time, address string) {
+	s := t.nodes[address]
+	if s == nil || s.dead || !s.suspected.IsZero() {
+		return
+	}
+	s.suspected = now
+	t.spread(s, OpinionSuspect)
+}
+
+// Take takes the news of a peer. It returns true when the news is about this node
+// itself and wrong, so that it must be refuted by a greater incarnation than the
+// one named.
+func (t *Table) Take(now time.Time, n News, own uint64) (refute bool) {
+	if n.Node.address == t.self.address {
+		return n.Incarnation > own || n.Opinion != OpinionAlive && n.Incarnation == own
+	}
+	if n.Node.address == "" {
+		return false
+	}
+	known := t.nodes[n.Node.address] != nil
+	s := t.find(n.Node)
+	switch {
+	case n.Incarnation < s.incarnation:
+	case n.Opinion == OpinionAlive:
+		if !known || n.Incarnation > s.incarnation || n.Leaving && !s.leaving {
+			if n.Incarnation > s.incarnation {
+				s.leaving = false
+			}
+			t.alive(s, n.Incarnation, n.Leaving)
+			s.heard = now
+		}
+	case s.dead:
+	case n.Opinion == OpinionDead:
+		s.incarnation = n.Incarnation
+		t.bury(s)
+	case s.suspected.IsZero():
+		s.incarnation = n.Incarnation
+		t.Suspect(now, n.Node.address)
+	}
+	return false
+}
+
+func (t *Table) bury(s *state) {
+	s.dead = true
+	t.changed = true
+	t.spread(s, OpinionDead)
+}
+
+// Advance takes nodes for dead whose time to refute a suspicion is over. It
+// returns them.
+func (t *Table) Advance(now time.Time) []Node {
+	var out []Node
+	for _, s := range t.nodes {
+		if !s.dead && !s.suspected.IsZero() && now.Sub(s.suspected) >= RefuteTime {
+			t.bury(s)
+			out = append(out, s.node)
+		}
+	}
+	return out
+}
+
+// Calm gives all suspected nodes their whole time to refute again: this node has
+// just stood still.
+func (t *Table) Calm(now time.Time) {
+	for _, s := range t.nodes {
+		if !s.dead && !s.suspected.IsZero() {
+			s.suspected = now
+		}
+	}
+}
+
+// Tell returns up to n pieces of news to pass on, the least told first.
+func (t *Table) Tell(n int) []News {
+	var all []*rumor
+	for _, r := range t.news {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *rumor) int {
+		return cmp.Or(cmp.Compare(a.told, b.told), cmp.Compare(a.news.Node.address, b.news.Node.address))
+	})
+	most := tellFactor * bits.Len(uint(len(t.nodes)+1))
+	var out []News
+	for _, r := range all[:min(n, len(all))] {
+		out = append(out, r.news)
+		if r.told++; r.told >= most {
+			delete(t.news, r.news.Node.address)
+		}
+	}
+	return out
+}
+
+// Dead returns the nodes that are taken for dead: one that comes back is found by
+// asking them now and then.
+func (t *Table) Dead() []Node {
+	var out []Node
+	for _, s := range t.nodes {
+		if s.dead && !s.leaving {
+			out = append(out, s.node)
+		}
+	}
+	return out
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -55,6 +55,10 @@
 	heard       time.Time
 	failures    int
 	suspectTill time.Time
+	// suspected is when a probe or a peer raised a suspicion, dead is set when
+	// nobody refuted it.
+	suspected time.Time
+	dead      bool
 }
 
 // Table is the list of nodes as one node knows it. It isn't safe for concurrent
@@ -64,6 +68,7 @@
 	nodes map[string]*state
 	// changed is set when the next view may differ from the last one.
 	changed bool
+	news    map[string]*rumor
 }
 
 // NewTable returns a table that knows only self.
@@ -71,6 +76,7 @@
 	return &Table{
 		self:  self,
 		nodes: map[string]*state{},
+		news:  map[string]*rumor{},
 	}
 }
 
@@ -124,12 +130,16 @@
 	}
 	s := t.find(n)
 	if incarnation < s.incarnation {
+		// The process started anew while its clock was behind: it is told, so that
+		// it takes a greater one.
+		t.spread(s, OpinionAlive)
 		return
 	}
 	before := s.leaving
 	if incarnation > s.incarnation {
 		s.leaving = false
 	}
+	t.alive(s, incarnation, leaving)
 	s.incarnation = incarnation
 	s.leaving = s.leaving || leaving
 	t.changed = t.changed || s.leaving != before || !s.suspectTill.IsZero()
@@ -159,6 +169,7 @@
 	}
 	if !s.listed && now.Sub(s.heard) > ForgetTime {
 		delete(t.nodes, address)
+		delete(t.news, address)
 		t.changed = true
 	}
 }
@@ -195,7 +206,7 @@
 			continue
 		}
 		v.peers = append(v.peers, s.node)
-		if !now.Before(s.suspectTill) {
+		if !now.Before(s.suspectTill) && !s.dead {
 			v.live = append(v.live, s.node)
 		}
 	}
--- /dev/null
+++ b/internal/node/dispatching.go
@@ -0,0 +1,580 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Times and counts of the joint choice.
+const (
+	// resendAfter is after how long an ask is sent again: datagrams are lost now
+	// and then, and an answer takes a few milliseconds.
+	resendAfter = 25 * time.Millisecond
+	// giveUpAfter is after how long without an answer another dispatcher is asked.
+	giveUpAfter = 70 * time.Millisecond
+	// queuedBeat is how often an ask that waits is repeated, queuedSilence after
+	// how long without an answer its dispatcher counts as lost.
+	queuedBeat    = 100 * time.Millisecond
+	queuedSilence = 350 * time.Millisecond
+	// distrustTime is how long a dispatcher that did not answer isn't asked.
+	distrustTime = time.Second
+	// dispatchers is how many nodes are asked, one after another, before a node
+	// chooses alone.
+	dispatchers = 2
+	// deskBeat is how often the desks look at their queues.
+	deskBeat = 50 * time.Millisecond
+	// doneTries is how often the end of an attempt is told, every doneBeat, until
+	// it is confirmed.
+	doneTries = 4
+	doneBeat  = 60 * time.Millisecond
+)
+
+func dispatcherDuty(service string) string { return "dispatcher/" + service }
+
+// dispatching chooses targets jointly and does this node's duty as a dispatcher.
+// It may be used concurrently.
+type dispatching struct {
+	board     *Board
+	messenger *messenger
+	budget    dispatch.Budget
+	log       *logrus.Entry
+
+	mu     sync.Mutex
+	desks  map[string]*desk
+	config *fleetconfig.Config
+	// distrust is until when a dispatcher isn't asked.
+	distrust map[string]time.Time
+	// pending are the ends of attempts that were not confirmed.
+	pending map[uint64]*unconfirmed
+}
+
+// desk is the state of one service on this node.
+type desk struct {
+	*dispatch.Desk
+	config *fleetconfig.Service
+}
+
+// unconfirmed is the end of an attempt that its dispatcher hasn't confirmed.
+type unconfirmed struct {
+	peer  string
+	done  *wire.Done
+	tries int
+	at    time.Time
+}
+
+func newDispatching(board *Board, m *messenger, b dispatch.Budget, log *logrus.Entry) *dispatching {
+	d := &dispatching{
+		board:     board,
+		messenger: m,
+		budget:    b,
+		log:       log,
+		desks:     map[string]*desk{},
+		distrust:  map[string]time.Time{},
+		pending:   map[uint64]*unconfirmed{},
+	}
+	m.ask = d.asked
+	m.done = d.told
+	m.taken = d.confirmed
+	return d
+}
+
+// run serves the queues and repeats what was not confirmed, until the context
+// ends.
+func (d *dispatching) run(ctx context.Context) error {
+	beat := time.NewTicker(deskBeat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-beat.C:
+			d.advance(now)
+			d.repeat(now)
+		}
+	}
+}
+
+func (d *dispatching) advance(now time.Time) {
+	d.mu.Lock()
+	var out []dispatch.Grant
+	names := make([]string, 0, len(d.desks))
+	var grants [][]dispatch.Grant
+	for name := range d.desks {
+		if dk := d.desk(now, name); dk != nil {
+			out = dk.Advance(now)
+			names = append(names, name)
+			grants = append(grants, out)
+		}
+	}
+	d.mu.Unlock()
+	for i, name := range names {
+		d.deliver(name, grants[i])
+	}
+}
+
+// desk returns the desk of a service in its newest configuration, or nil if there
+// is no such service. d.mu is held.
+func (d *dispatching) desk(now time.Time, name string) *desk {
+	c := d.board.currentConfig()
+	if c == nil || c.Service(name) == nil {
+		delete(d.desks, name)
+		return nil
+	}
+	sc := c.Service(name)
+	dk := d.desks[name]
+	if dk == nil {
+		dk = &desk{
+			Desk: dispatch.NewDesk(now, d.budget, rand.Float64),
+		}
+		d.desks[name] = dk
+	}
+	if dk.config != sc {
+		dk.config = sc
+		dk.Configure(now, deskTargets(sc))
+	}
+	return dk
+}
+
+func deskTargets(sc *fleetconfig.Service) []dispatch.Target {
+	var out []dispatch.Target
+	for _, t := range sc.Targets() {
+		out = append(out, dispatch.Target{
+			Key:      t.Key(),
+			DataHall: t.DataHall(),
+			Slots:    t.Slots(),
+			Leaving:  t.Leaving(),
+			Warmup:   t.Warmup(),
+		})
+	}
+	return out
+}
+
+// asked answers the ask of a peer.
+func (d *dispatching) asked(in *wire.Datagram) {
+	now := time.Now()
+	w := in.GetAsk()
+	a := &dispatch.Ask{
+		ID: dispatch.ID{
+			Node:   in.GetFrom().GetAddress(),
+			Number: in.GetCall(),
+		},
+		DataHall:   in.GetFrom().GetDataHall(),
+		Repeatable: w.GetRepeatable(),
+		Again:      w.GetAgain(),
+		Kilobytes:  int(w.GetKilobytes()),
+		Priority:   int(w.GetPriority()),
+		Aim:        now.Add(time.Duration(w.GetAimMs()) * time.Millisecond),
+		Deadline:   now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
+		Tried:      w.GetTried(),
+		Connected:  w.GetConnected(),
+	}
+	d.mu.Lock()
+	dk := d.desk(now, w.GetService())
+	var g dispatch.Grant
+	if dk != nil {
+		g = dk.Ask(now, a)
+	}
+	d.mu.Unlock()
+	if dk == nil {
+		d.answer(in.GetFrom().GetAddress(), in.GetCall(), &wire.Grant{
+			Verdict: wire.Grant_UNKNOWN,
+		})
+		return
+	}
+	d.answer(a.ID.Node, a.ID.Number, grantOf(g))
+}
+
+func grantOf(g dispatch.Grant) *wire.Grant {
+	return &wire.Grant{
+		Verdict:      wire.Grant_Verdict(g.Verdict),
+		Target:       g.Target,
+		RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
+	}
+}
+
+func (d *dispatching) answer(peer string, call uint64, g *wire.Grant) {
+	out := &wire.Datagram{
+		Call: call,
+		Body: &wire.Datagram_Grant{
+			Grant: g,
+		},
+	}
+	if peer == d.board.view.Load().Self().Address() {
+		d.messenger.answered(out)
+		return
+	}
+	d.messenger.send(peer, out)
+}
+
+// deliver sends grants that became possible later.
+func (d *dispatching) deliver(service string, grants []dispatch.Grant) {
+	for _, g := range grants {
+		d.log.WithFields(logrus.Fields{
+			"service": service,
+			"node":    g.ID.Node,
+			"verdict": g.Verdict.String(),
+			"target":  g.Target,
+		}).Debug("queued request answered")
+		d.answer(g.ID.Node, g.ID.Number, grantOf(g))
+	}
+}
+
+// told takes the end of an attempt from a peer.
+func (d *dispatching) told(in *wire.Datagram) {
+	w := in.GetDone()
+	d.end(in.GetFrom().GetAddress(), w)
+	d.messenger.send(in.GetFrom().GetAddress(), &wire.Datagram{
+		Call: in.GetCall(),
+		Body: &wire.Datagram_Taken{
+			Taken: &wire.Taken{},
+		},
+	})
+}
+
+// end takes the end of an attempt of any node.
+func (d *dispatching) end(node string, w *wire.Done) {
+	now := time.Now()
+	id := dispatch.ID{
+		Node:   node,
+		Number: w.GetRequest(),
+	}
+	d.mu.Lock()
+	dk := d.desk(now, w.GetService())
+	var out []dispatch.Grant
+	if dk != nil && w.GetTarget() == "" {
+		out = dk.Cancel(now, id)
+	} else if dk != nil {
+		out = dk.Done(now, id, w.GetTarget(), dispatch.Result(w.GetResult()), time.Duration(w.GetTookMs())*time.Millisecond)
+	}
+	d.mu.Unlock()
+	d.deliver(w.GetService(), out)
+}
+
+// tell tells a dispatcher how an attempt ended, until it confirms.
+func (d *dispatching) tell(peer string, w *wire.Done) {
+	if peer == d.board.view.Load().Self().Address() {
+		d.end(peer, w)
+		return
+	}
+	u := &unconfirmed{
+		peer: peer,
+		done: w,
+	}
+	id := d.messenger.calls.Add(1)
+	d.mu.Lock()
+	d.pending[id] = u
+	d.mu.Unlock()
+	d.sendDone(time.Now(), id, u)
+}
+
+func (d *dispatching) sendDone(now time.Time, id uint64, u *unconfirmed) {
+	d.mu.Lock()
+	u.tries++
+	u.at = now
+	d.mu.Unlock()
+	d.messenger.send(u.peer, &wire.Datagram{
+		Call: id,
+		Body: &wire.Datagram_Done{
+			Done: u.done,
+		},
+	})
+}
+
+func (d *dispatching) repeat(now time.Time) {
+	d.mu.Lock()
+	due := map[uint64]*unconfirmed{}
+	for id, u := range d.pending {
+		switch {
+		case now.Sub(u.at) < doneBeat:
+		case u.tries >= doneTries:
+			delete(d.pending, id)
+		default:
+			due[id] = u
+		}
+	}
+	d.mu.Unlock()
+	for id, u := range due {
+		d.sendDone(now, id, u)
+	}
+}
+
+// confirmed notes that a dispatcher took the end of an attempt.
+func (d *dispatching) confirmed(call uint64) {
+	d.mu.Lock()
+	delete(d.pending, call)
+	d.mu.Unlock()
+}
+
+// dispatcher returns the node that should be asked for a service, the n-th in
+// rank of those that are trusted.
+func (d *dispatching) dispatcher(service string, n int) (membership.Node, bool) {
+	now := time.Now()
+	view := d.board.view.Load()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, node := range view.Duty(dispatcherDuty(service), "", 2*dispatchers) {
+		if now.Before(d.distrust[node.Address()]) {
+			continue
+		}
+		if n == 0 {
+			return node, true
+		}
+		n--
+	}
+	return membership.Node{}, false
+}
+
+func (d *dispatching) doubt(peer string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.distrust[peer] = time.Now().Add(distrustTime)
+}
+
+// choose takes a target for an attempt: from the dispatcher, from the next one if
+// it doesn't answer, else alone.
+func (d *dispatching) choose(ctx context.Context, q *entry.Query) (entry.Choice, error) {
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	for range dispatchers {
+		node, ok := d.dispatcher(q.Service.Name(), 0)
+		if !ok {
+			break
+		}
+		g, answered := d.askOne(ctx, node.Address(), q)
+		if ctx.Err() != nil {
+			return entry.Choice{}, ended(ctx)
+		}
+		if !answered {
+			d.doubt(node.Address())
+			d.log.WithField("peer", node.Address()).WithField("service", q.Service.Name()).Warn("dispatcher did not answer")
+			continue
+		}
+		c, usable, err := d.take(node.Address(), q, g)
+		if usable || err != nil {
+			return c, err
+		}
+		break
+	}
+	return d.chooseAlone(q)
+}
+
+// ended says why a wait for a target was broken off.
+func ended(ctx context.Context) error {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return entry.NewNoTargetError(attempt.ReasonDeadline, 0)
+	}
+	return entry.NewNoTargetError(attempt.ReasonCaller, 0)
+}
+
+// granted is an answer with the number of the ask that it answers.
+type granted struct {
+	grant  *wire.Grant
+	number uint64
+}
+
+// askOne asks one dispatcher and waits for its last word.
+func (d *dispatching) askOne(ctx context.Context, peer string, q *entry.Query) (granted, bool) {
+	id, answers, end := d.messenger.call()
+	defer end()
+	send := func() { d.sendAsk(peer, id, q) }
+	send()
+	begun := time.Now()
+	resend := time.NewTicker(resendAfter)
+	defer resend.Stop()
+	limit := giveUpAfter
+	heard := begun
+	for {
+		select {
+		case <-ctx.Done():
+			d.tell(peer, &wire.Done{
+				Service: q.Service.Name(),
+				Request: id,
+			})
+			return granted{}, false
+		case in := <-answers:
+			g := in.GetGrant()
+			if g.GetVerdict() != wire.Grant_QUEUED {
+				return granted{
+					grant:  g,
+					number: id,
+				}, true
+			}
+			heard = time.Now()
+			limit = queuedSilence
+			resend.Reset(queuedBeat)
+		case now := <-resend.C:
+			if now.Sub(heard) >= limit {
+				d.tell(peer, &wire.Done{
+					Service: q.Service.Name(),
+					Request: id,
+				})
+				return granted{}, false
+			}
+			send()
+		}
+	}
+}
+
+func (d *dispatching) sendAsk(peer string, id uint64, q *entry.Query) {
+	now := time.Now()
+	out := &wire.Datagram{
+		Call: id,
+		Body: &wire.Datagram_Ask{
+			Ask: &wire.Ask{
+				Service:    q.Service.Name(),
+				Repeatable: q.Repeatable,
+				Again:      q.Again,
+				Kilobytes:  uint32(q.Kilobytes),
+				Priority:   uint32(q.Priority),
+				AimMs:      uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
+				DeadlineMs: uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
+				Tried:      q.Tried,
+			},
+		},
+	}
+	if peer == d.board.view.Load().Self().Address() {
+		out.From = d.messenger.self()
+		d.asked(out)
+		return
+	}
+	d.messenger.send(peer, out)
+}
+
+// take turns an answer into a choice. It isn't usable if this node doesn't know
+// the target or the dispatcher not the service.
+func (d *dispatching) take(peer string, q *entry.Query, g granted) (c entry.Choice, usable bool, err error) {
+	switch g.grant.GetVerdict() {
+	case wire.Grant_GRANTED:
+	case wire.Grant_REFUSED:
+		return entry.Choice{}, true, entry.NewNoTargetError(attempt.ReasonTargets, time.Duration(g.grant.GetRetryAfterMs())*time.Millisecond)
+	case wire.Grant_BUDGET:
+		return entry.Choice{}, true, entry.NewNoTargetError(attempt.ReasonBudget, 0)
+	default:
+		return entry.Choice{}, false, nil
+	}
+	t := d.target(q.Service, g.grant.GetTarget())
+	if t == nil || t.Leaving() {
+		// One of the two doesn't know yet what the other knows.
+		result := wire.Done_IGNORED
+		if t != nil {
+			result = wire.Done_GONE
+		}
+		d.tell(peer, doneOf(q.Service.Name(), g, result, 0))
+		return entry.Choice{}, false, nil
+	}
+	return entry.Choice{
+		Address: t.Address(),
+		Key:     t.Key(),
+		ID:      t.ID(),
+		Done: func(end outlier.End, took time.Duration) {
+			d.tell(peer, doneOf(q.Service.Name(), g, resultOf(end), took))
+			d.note(q.Service.Name(), t.Key(), end, took)
+		},
+	}, true, nil
+}
+
+// target finds a target in the newest configuration, or in that of the request.
+func (d *dispatching) target(s *fleetconfig.Service, key string) *fleetconfig.Target {
+	if c := d.board.currentConfig(); c != nil && c.Service(s.Name()) != nil {
+		s = c.Service(s.Name())
+	}
+	return s.Target(key)
+}
+
+func doneOf(service string, g granted, r wire.Done_Result, took time.Duration) *wire.Done {
+	return &wire.Done{
+		Service: service,
+		Request: g.number,
+		Target:  g.grant.GetTarget(),
+		Result:  r,
+		TookMs:  uint32(took.Milliseconds()),
+	}
+}
+
+func resultOf(end outlier.End) wire.Done_Result {
+	switch {
+	case end.Other:
+		return wire.Done_GONE
+	case end.Shed:
+		return wire.Done_SHED
+	case end.Ignored:
+		return wire.Done_IGNORED
+	case end.Failed:
+		return wire.Done_BAD
+	default:
+		return wire.Done_GOOD
+	}
+}
+
+// note keeps what this node saw itself, for when it must choose alone.
+func (d *dispatching) note(service, key string, end outlier.End, took time.Duration) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if dk := d.desk(now, service); dk != nil {
+		dk.Note(now, key, dispatch.Result(resultOf(end)), took)
+	}
+}
+
+// chooseAlone takes a target by what this node knows itself.
+func (d *dispatching) chooseAlone(q *entry.Query) (entry.Choice, error) {
+	now := time.Now()
+	self := d.board.view.Load().Self()
+	a := &dispatch.Ask{
+		ID: dispatch.ID{
+			Node:   "alone",
+			Number: d.messenger.calls.Add(1),
+		},
+		DataHall:   self.DataHall(),
+		Repeatable: q.Repeatable,
+		Again:      q.Again,
+		Kilobytes:  q.Kilobytes,
+		Priority:   q.Priority,
+		Aim:        q.Aim,
+		Deadline:   q.Deadline,
+		Tried:      q.Tried,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dk := d.desk(now, q.Service.Name())
+	if dk == nil {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
+	}
+	g := dk.AskAlone(now, a, 1/float64(d.board.nodes()))
+	if g.Verdict == dispatch.Spent {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonBudget, 0)
+	}
+	t := dk.config.Target(g.Target)
+	if t == nil {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
+	}
+	service := q.Service.Name()
+	return entry.Choice{
+		Address: t.Address(),
+		Key:     t.Key(),
+		ID:      t.ID(),
+		Done: func(end outlier.End, took time.Duration) {
+			d.end(a.ID.Node, &wire.Done{
+				Service: service,
+				Request: a.ID.Number,
+				Target:  t.Key(),
+				Result:  resultOf(end),
+				TookMs:  uint32(took.Milliseconds()),
+			})
+		},
+	}, nil
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
@@ -21,6 +22,8 @@
 	board *Board
 	mu    sync.Mutex
 	table *membership.Table
+	// incarnation is this node's own.
+	incarnation atomic.Uint64
 }
 
 func newMembers(board *Board, self membership.Node) *members {
@@ -74,6 +77,44 @@
 	m.change(func(t *membership.Table, now time.Time) { t.Failed(now, peer) })
 }
 
+// take takes the news of a peer. News that takes this node for dead is refuted by
+// a greater incarnation.
+func (m *members) take(now time.Time, n membership.News) {
+	m.change(func(t *membership.Table, _ time.Time) {
+		if t.Take(now, n, m.incarnation.Load()) {
+			m.incarnation.Store(n.Incarnation + 1)
+		}
+	})
+}
+
+func (m *members) suspect(peer string) {
+	m.change(func(t *membership.Table, now time.Time) { t.Suspect(now, peer) })
+}
+
+// advance takes nodes for dead that refuted no suspicion.
+func (m *members) advance(now time.Time) []membership.Node {
+	var out []membership.Node
+	m.change(func(t *membership.Table, _ time.Time) { out = t.Advance(now) })
+	return out
+}
+
+// calm drops the suspicions that nobody has confirmed yet.
+func (m *members) calm() {
+	m.change(func(t *membership.Table, now time.Time) { t.Calm(now) })
+}
+
+func (m *members) tell(n int) []membership.News {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Tell(n)
+}
+
+func (m *members) dead() []membership.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Dead()
+}
+
 // list takes the nodes of a configuration's list of instances.
 func (m *members) list(c *fleetconfig.Config) {
 	var live, leaving []membership.Node
--- /dev/null
+++ b/internal/node/messenger.go
@@ -0,0 +1,205 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/dissemination"
+	"ploverjunction.example/ploverjunction/internal/link"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// newsPerDatagram is how much news of members travels on one datagram: about 50
+// bytes each.
+const newsPerDatagram = 4
+
+// messenger sends and receives datagrams and puts on each one what this node
+// believes. It may be used concurrently.
+type messenger struct {
+	socket  *link.Socket
+	members *members
+	gossip  *dissemination.Gossip
+	replica *dissemination.Replica
+	self    func() *wire.Node
+	log     *logrus.Entry
+	calls   atomic.Uint64
+	// ask and done answer the questions of peers about targets.
+	ask   func(*wire.Datagram)
+	done  func(*wire.Datagram)
+	taken func(call uint64)
+
+	mu sync.Mutex
+	// waits are the calls that wait for an answer.
+	waits map[uint64]chan *wire.Datagram
+}
+
+func newMessenger() *messenger {
+	m := &messenger{
+		waits: map[uint64]chan *wire.Datagram{},
+	}
+	// Calls of two lives of a process must not be taken for one another.
+	m.calls.Store(rand.Uint64() >> 1)
+	return m
+}
+
+// send fills in what travels on each datagram and sends it. Failures show as
+// answers that don't come.
+func (m *messenger) send(peer string, d *wire.Datagram) {
+	d.From = m.self()
+	d.Digest = m.replica.Digest()
+	if age := m.gossip.PlatformAge(time.Now()); age < time.Hour {
+		d.SourceAgeMs = uint64(max(age.Milliseconds(), 0)) + 1
+	}
+	d.News = nil
+	for _, n := range m.members.tell(newsPerDatagram) {
+		d.News = append(d.News, &wire.MemberNews{
+			State: wire.MemberNews_State(n.Opinion),
+			Node: &wire.Node{
+				Address:     n.Node.Address(),
+				DataHall:    n.Node.DataHall(),
+				Incarnation: n.Incarnation,
+				Leaving:     n.Leaving,
+			},
+		})
+	}
+	if err := m.socket.Send(peer, d); err != nil {
+		m.log.WithField("peer", peer).WithError(err).Debug("datagram not sent")
+	}
+}
+
+// call opens a call; its answers come on the channel until it is ended.
+func (m *messenger) call() (uint64, <-chan *wire.Datagram, func()) {
+	id := m.calls.Add(1)
+	// A queued ask gets several answers.
+	c := make(chan *wire.Datagram, 4)
+	m.mu.Lock()
+	m.waits[id] = c
+	m.mu.Unlock()
+	return id, c, func() {
+		m.mu.Lock()
+		delete(m.waits, id)
+		m.mu.Unlock()
+	}
+}
+
+// handle takes one datagram.
+func (m *messenger) handle(d *wire.Datagram) {
+	now := time.Now()
+	m.learn(now, d)
+	switch b := d.GetBody().(type) {
+	case *wire.Datagram_Ping:
+		m.send(d.GetFrom().GetAddress(), &wire.Datagram{
+			Call: d.GetCall(),
+			Body: &wire.Datagram_Pong{
+				Pong: &wire.Pong{},
+			},
+		})
+	case *wire.Datagram_PingVia:
+		go m.pingFor(d.GetFrom().GetAddress(), d.GetCall(), b.PingVia.GetAddress())
+	case *wire.Datagram_Ask:
+		m.ask(d)
+	case *wire.Datagram_Done:
+		m.done(d)
+	case *wire.Datagram_Taken:
+		m.taken(d.GetCall())
+	default:
+		m.answered(d)
+	}
+}
+
+// learn takes what travels on each datagram.
+func (m *messenger) learn(now time.Time, d *wire.Datagram) {
+	m.members.heard(d.GetFrom())
+	for _, n := range d.GetNews() {
+		m.members.take(now, membership.News{
+			Node:        membership.NewNode(n.GetNode().GetAddress(), n.GetNode().GetDataHall()),
+			Incarnation: n.GetNode().GetIncarnation(),
+			Leaving:     n.GetNode().GetLeaving(),
+			Opinion:     membership.Opinion(n.GetState()),
+		})
+	}
+	if age := d.GetSourceAgeMs(); age > 0 {
+		m.gossip.LearnAge(now, time.Duration(age-1)*time.Millisecond)
+	}
+	if d.GetDigest() != m.replica.Digest() {
+		m.gossip.Differs(d.GetFrom().GetAddress())
+	}
+}
+
+func (m *messenger) answered(d *wire.Datagram) {
+	m.mu.Lock()
+	c := m.waits[d.GetCall()]
+	m.mu.Unlock()
+	if c == nil {
+		return
+	}
+	select {
+	case c <- d:
+	default:
+	}
+}
+
+// ping asks a peer whether it is alive and waits for its answer.
+func (m *messenger) ping(ctx context.Context, peer string, wait time.Duration) bool {
+	id, answers, end := m.call()
+	defer end()
+	m.send(peer, &wire.Datagram{
+		Call: id,
+		Body: &wire.Datagram_Ping{
+			Ping: &wire.Ping{},
+		},
+	})
+	return waitFor(ctx, answers, wait)
+}
+
+// pingVia asks others to ping a peer.
+func (m *messenger) pingVia(ctx context.Context, helpers []string, peer string, wait time.Duration) bool {
+	id, answers, end := m.call()
+	defer end()
+	for _, h := range helpers {
+		m.send(h, &wire.Datagram{
+			Call: id,
+			Body: &wire.Datagram_PingVia{
+				PingVia: &wire.PingVia{
+					Address: peer,
+				},
+			},
+		})
+	}
+	return waitFor(ctx, answers, wait)
+}
+
+// pingFor pings a node on behalf of a peer.
+func (m *messenger) pingFor(peer string, call uint64, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), viaWait)
+	defer cancel()
+	if m.ping(ctx, address, viaWait) {
+		m.send(peer, &wire.Datagram{
+			Call: call,
+			Body: &wire.Datagram_Pong{
+				Pong: &wire.Pong{},
+			},
+		})
+	}
+}
+
+func waitFor(ctx context.Context, answers <-chan *wire.Datagram, wait time.Duration) bool {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return false
+	case <-answers:
+		return true
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ploverjunction.example/ploverjunction/internal/contract"
+	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/dissemination"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
@@ -56,16 +57,20 @@
 	dialer    *link.Dialer
 	peers     *link.Server
 	adapter   *Adapter
-	platform  *source.Platform
-	directory *source.Directory
-	judging   *judging
-	observing *observing
-	probing   *probing
-	lifecycle *lifecycle
-	metrics   *metrics.Metrics
-	entry     *entry.Server
-	operator  *operator.Server
-	drain     chan struct{}
+	messenger *messenger
+	pinging   *pinging
+	// dispatching is nil where each node chooses targets alone.
+	dispatching *dispatching
+	platform    *source.Platform
+	directory   *source.Directory
+	judging     *judging
+	observing   *observing
+	probing     *probing
+	lifecycle   *lifecycle
+	metrics     *metrics.Metrics
+	entry       *entry.Server
+	operator    *operator.Server
+	drain       chan struct{}
 }
 
 // Adapter is what another platform than the project's own brings.
@@ -75,6 +80,10 @@
 	// Read reads published values, and goes on reading, until the context ends;
 	// nil leaves it to the source that the settings name.
 	Read func(ctx context.Context, cfg source.Config) error
+	// Silent is after how long without word of the platform from anyone any node
+	// may read it. 0 means the time that fits the project's own platform, and a
+	// reader in each data hall; else two nodes read for the fleet.
+	Silent time.Duration
 	// Calls returns how many calls were made on the platform.
 	Calls func() int64
 }
@@ -104,6 +113,7 @@
 	}
 	n.dialer = link.NewDialer(keys, n.traffic)
 	n.members = newMembers(n.board, membership.NewNode(n.address(), set.DataHall()))
+	n.members.incarnation.Store(uint64(n.begun.UnixMilli()))
 	n.replica = dissemination.NewReplica(n.accepted)
 	n.gossip = dissemination.New(n.gossipConfig(), n.replica)
 	n.control()
@@ -137,7 +147,7 @@
 	return &wire.Node{
 		Address:     n.address(),
 		DataHall:    n.set.DataHall(),
-		Incarnation: uint64(n.begun.UnixNano()),
+		Incarnation: n.members.incarnation.Load(),
 		Leaving:     n.lifecycle.leaving.Load(),
 	}
 }
@@ -192,9 +202,20 @@
 // open opens the three listeners.
 func (n *Node) open(keys *link.Keys) error {
 	var err error
+	if err := n.openSocket(); err != nil {
+		return err
+	}
 	a := &alone{
 		board: n.board,
 	}
+	choose, trial, retry := a.choose, a.trial, a.retry
+	if n.dispatching != nil {
+		// The dispatcher holds the retry budget, and targets that failed come back
+		// with requests of callers.
+		choose = n.dispatching.choose
+		trial = func(*fleetconfig.Service) (entry.Choice, bool) { return entry.Choice{}, false }
+		retry = func(string) bool { return true }
+	}
 	n.entry, err = entry.New(entry.Config{
 		Listen:          n.set.EntryListen(),
 		MaxBody:         n.set.MaxBody(),
@@ -206,10 +227,10 @@
 		WorkspaceHeader: n.set.WorkspaceHeader(),
 		Config:          n.board.currentConfig,
 		Contract:        n.adapter.Contract,
-		Choose:          a.choose,
-		Trial:           a.trial,
+		Choose:          choose,
+		Trial:           trial,
 		First:           a.first,
-		Retry:           a.retry,
+		Retry:           retry,
 		Nodes:           n.board.nodes,
 		Collector:       n.judging.collector,
 		Served:          n.metrics.Served,
@@ -243,6 +264,43 @@
 	return nil
 }
 
+// openSocket opens the socket for datagrams and makes the controllers that use it.
+func (n *Node) openSocket() error {
+	if !n.set.PeerListen().IsValid() || n.set.PeerListen().Port() == 0 {
+		return nil
+	}
+	log := logging.Part(n.log, "link")
+	n.messenger = newMessenger()
+	socket, err := link.OpenSocket(n.set.PeerListen(), n.set.PeerSecret(), n.traffic, func(err error) {
+		n.metrics.Count("datagrams_refused", 1)
+		log.WithError(err).Debug("datagram refused")
+	})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	m := n.messenger
+	m.socket, m.members, m.gossip, m.replica, m.self, m.log = socket, n.members, n.gossip, n.replica, n.self, log
+	n.pinging = &pinging{
+		messenger: m,
+		members:   n.members,
+		board:     n.board,
+		log:       logging.Part(n.log, "members"),
+	}
+	for _, s := range n.set.Seeds() {
+		n.pinging.seeds = append(n.pinging.seeds, s.String())
+	}
+	share, reserve, window := n.set.Retries()
+	d := newDispatching(n.board, m, dispatch.Budget{
+		Share:   share,
+		Reserve: float64(reserve),
+		Window:  window,
+	}, logging.Part(n.log, "dispatch"))
+	if n.set.Choice() == settings.ChoiceJoint {
+		n.dispatching = d
+	}
+	return nil
+}
+
 // accepted takes each new state of the replica.
 func (n *Node) accepted(c *fleetconfig.Config, refusals []fleetconfig.Refusal) {
 	log := logging.Part(n.log, "config")
@@ -314,6 +372,13 @@
 		"operator":  n.operator.Serve,
 		"source":    n.runSource,
 	}
+	if n.messenger != nil {
+		run["datagrams"] = func(ctx context.Context) error { return n.messenger.socket.Serve(ctx, n.messenger.handle) }
+		run["pinging"] = n.pinging.run
+	}
+	if n.dispatching != nil {
+		run["dispatching"] = n.dispatching.run
+	}
 	if n.peers != nil {
 		run["link"] = n.peers.Serve
 		run["gossip"] = n.gossip.Run
--- /dev/null
+++ b/internal/node/pinging.go
@@ -0,0 +1,179 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/task"
+)
+
+// Times and counts of probes between nodes. A node that dies is pinged by one of
+// the others of its data hall within a beat or two, and is taken for dead everywhere
+// after pingWait, viaWait, the time to refute and the spread of the news: under a
+// second and a half, most of it under one.
+const (
+	pingBeat = 200 * time.Millisecond
+	// pingWait is some ten round trips inside a region.
+	pingWait = 100 * time.Millisecond
+	// viaWait is the same for two round trips.
+	viaWait = 150 * time.Millisecond
+	// helpers is how many nodes ping on behalf of one that got no answer.
+	helpers = 2
+	// farPings is one of how many pings goes to another data hall.
+	farPings = 4
+	// deadPings is one of how many pings goes to a node that is taken for dead.
+	deadPings = 8
+	// lateBeat is how late a beat may be before this node distrusts itself: it
+	// was slow then, not its peers (Dadgar, Phillips and Currey, "Lifeguard", DSN
+	// 2018).
+	lateBeat = 60 * time.Millisecond
+	// doubts is how many pings in a row without an answer from different peers
+	// make a node suspect its own link.
+	doubts = 3
+)
+
+// pinging finds nodes that died.
+type pinging struct {
+	messenger *messenger
+	members   *members
+	board     *Board
+	seeds     []string
+	log       *logrus.Entry
+	// unanswered counts the pings in a row that failed directly and by others.
+	unanswered int
+	failed     chan string
+	answered   chan string
+}
+
+// run pings a peer at each beat until the context ends.
+func (p *pinging) run(ctx context.Context) error {
+	p.failed = make(chan string, 8)
+	p.answered = make(chan string, 8)
+	var pings task.Group
+	beat := time.NewTicker(pingBeat)
+	defer beat.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return pings.Wait()
+		case peer := <-p.answered:
+			_ = peer
+			p.unanswered = 0
+		case peer := <-p.failed:
+			p.noAnswer(peer)
+		case <-beat.C:
+			now := time.Now()
+			p.step(ctx, &pings, now, now.Sub(last) > pingBeat+lateBeat)
+			last = now
+		}
+	}
+}
+
+func (p *pinging) step(ctx context.Context, pings *task.Group, now time.Time, late bool) {
+	if late {
+		// What was not answered meanwhile shows this node's pause.
+		p.unanswered = 0
+		for len(p.failed) > 0 {
+			<-p.failed
+		}
+		p.members.calm()
+	}
+	for _, n := range p.members.advance(now) {
+		p.log.WithField("peer", n.Address()).WithField("data_hall", n.DataHall()).Warn("node taken for dead")
+	}
+	if err := pings.Reap(); err != nil {
+		p.log.WithError(err).Debug("ping ended")
+	}
+	peer := p.next()
+	if peer == "" {
+		return
+	}
+	pings.Go(ctx, "ping", func(ctx context.Context) error {
+		p.probe(ctx, peer)
+		return nil
+	})
+}
+
+// probe pings a peer, and has others ping it if it doesn't answer.
+func (p *pinging) probe(ctx context.Context, peer string) {
+	begun := time.Now()
+	if p.messenger.ping(ctx, peer, pingWait) {
+		p.answered <- peer
+		return
+	}
+	if time.Since(begun) > pingWait+lateBeat {
+		// This node slept itself.
+		return
+	}
+	if p.messenger.pingVia(ctx, p.helpers(peer), peer, viaWait) {
+		p.answered <- peer
+		return
+	}
+	if ctx.Err() == nil && time.Since(begun) <= pingWait+viaWait+2*lateBeat {
+		p.failed <- peer
+	}
+}
+
+func (p *pinging) noAnswer(peer string) {
+	p.unanswered++
+	if p.unanswered >= doubts {
+		// The cause is likelier to lie here than with all of them.
+		return
+	}
+	p.members.suspect(peer)
+}
+
+// helpers returns random live nodes other than a peer.
+func (p *pinging) helpers(peer string) []string {
+	live := p.board.view.Load().Live()
+	var out []string
+	for range 3 * helpers {
+		n := live[rand.IntN(len(live))]
+		if n != p.board.view.Load().Self() && n.Address() != peer && len(out) < helpers {
+			out = append(out, n.Address())
+		}
+	}
+	return out
+}
+
+// next returns the peer to ping: mostly one of the own data hall.
+func (p *pinging) next() string {
+	view := p.board.view.Load()
+	if dead := p.members.dead(); len(dead) > 0 && rand.IntN(deadPings) == 0 {
+		return dead[rand.IntN(len(dead))].Address()
+	}
+	var near, far []membership.Node
+	for _, n := range view.Live() {
+		switch {
+		case n == view.Self():
+		case n.DataHall() == view.Self().DataHall():
+			near = append(near, n)
+		default:
+			far = append(far, n)
+		}
+	}
+	if len(near)+len(far) == 0 {
+		return p.seed(view.Self().Address())
+	}
+	if len(near) == 0 || len(far) > 0 && rand.IntN(farPings) == 0 {
+		near = far
+	}
+	return near[rand.IntN(len(near))].Address()
+}
+
+func (p *pinging) seed(self string) string {
+	if len(p.seeds) == 0 {
+		return ""
+	}
+	if s := p.seeds[rand.IntN(len(p.seeds))]; s != self {
+		return s
+	}
+	return ""
+}
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/source"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -35,18 +37,44 @@
 func (n *Node) reader() bool {
 	now := time.Now()
 	view := n.board.view.Load()
-	for _, d := range view.Duty("reader", n.set.DataHall(), readersPerHall) {
-		if d == view.Self() {
+	if n.adapter.Silent == 0 {
+		if hasDuty(view, view.Duty("reader", n.set.DataHall(), readersPerHall)) {
 			return true
 		}
+	} else if hasDuty(view, fleetReaders(view)) && now.Sub(n.begun) > meetTime {
+		return true
 	}
 	if len(view.Peers()) == 0 && len(n.set.Seeds()) == 0 {
 		return true
 	}
-	if n.gossip.PlatformAge(now) <= platformSilent || now.Sub(n.begun) <= startSilent {
+	silent, start := platformSilent, startSilent
+	if n.adapter.Silent > 0 {
+		silent, start = n.adapter.Silent, meetTime
+	}
+	if n.gossip.PlatformAge(now) <= silent || now.Sub(n.begun) <= start {
 		return false
 	}
 	// All nodes come here when the platform is down for long: as many of them ask
 	// at a time, on average, however large the fleet is.
 	return rand.IntN(len(view.Live())) == 0
 }
+
+// meetTime is how long a node that has just started looks for others before it
+// takes up duties or believes that nobody reads.
+const meetTime = 500 * time.Millisecond
+
+func hasDuty(view *membership.View, holders []membership.Node) bool {
+	return slices.Contains(holders, view.Self())
+}
+
+// fleetReaders returns the two nodes that read for the whole fleet: the first in
+// rank and the first of the other data halls.
+func fleetReaders(view *membership.View) []membership.Node {
+	ranked := view.Duty("reader", "", len(view.Live()))
+	for _, other := range ranked {
+		if other.DataHall() != ranked[0].DataHall() {
+			return []membership.Node{ranked[0], other}
+		}
+	}
+	return ranked[:min(2, len(ranked))]
+}
--- a/internal/outlier/collector.go
+++ b/internal/outlier/collector.go
@@ -152,6 +152,10 @@
 	Ignored bool
 	// Leaving is set when the target said that it leaves.
 	Leaving bool
+	// Shed is set when the target refused the request before running it, Other
+	// when another process has its address.
+	Shed  bool
+	Other bool
 }
 
 // End notes the end of the attempt.
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -86,10 +86,12 @@
 		cmd:    exec.Command(daemon, file),
 		exited: make(chan struct{}),
 	}
-	out, err := p.cmd.StderrPipe()
+	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, fmt.Errorf("process: %w", err)
 	}
+	// Panics of the runtime go to standard error.
+	p.cmd.Stderr = p.cmd.Stdout
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("process: %w", err)
 	}
