internal/dispatch: wait for a target that isn't failing, tell quick failures from those after work

Ruled out: leaked slots (none in the desk's lines). Now: worse targets the longer a request waits, single errors after work weigh little, memory 1.2 to 4 s, retries 95% of the budget, Retry-After 250 ms.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -4,11 +4,11 @@
 
 import "time"
 
-// Parts of what the settings allow that are used: clocks and counts of several
-// nodes differ a little.
+// Parts of what the settings allow that are used. When the duty moves to another
+// node it begins to count anew, so that two reserves may be spent in one window.
 const (
-	shareUsed   = 0.8
-	reserveUsed = 0.4
+	shareUsed   = 0.95
+	reserveUsed = 0.45
 	// budgetParts is into how many parts the window is divided.
 	budgetParts = 20
 )
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -98,6 +98,12 @@
 	flightSlack = 500 * time.Millisecond
 	// refusedFrom is the part of the time left that a queue may take.
 	refusedFrom = 0.6
+	// closedTime is how long an ask that ended is remembered, some times longer
+	// than a datagram is repeated.
+	closedTime = 2 * time.Second
+	// unsafePatience is the part of its time that a request which can't be repeated
+	// waits for a target that isn't failing.
+	unsafePatience = 0.6
 	// coldSlots is the part of its slots that a starting target gets.
 	coldSlots = 0.5
 )
@@ -113,6 +119,9 @@
 	window  window
 	usual   time.Duration
 	granted map[ID]string
+	// closed are asks that have ended: a repeated datagram of one of them must not
+	// open it again.
+	closed map[ID]time.Time
 }
 
 // NewDesk returns a desk without targets. random gives numbers from 0 to 1.
@@ -124,6 +133,7 @@
 		targets: map[string]*target{},
 		usual:   usualStart,
 		granted: map[ID]string{},
+		closed:  map[ID]time.Time{},
 	}
 }
 
@@ -198,6 +208,12 @@
 			Target:  key,
 		}, true
 	}
+	if _, over := d.closed[id]; over {
+		return Grant{
+			ID:      id,
+			Verdict: Refused,
+		}, true
+	}
 	return Grant{
 		ID:      id,
 		Verdict: Queued,
@@ -242,18 +258,30 @@
 // since is when it began to wait.
 func (d *Desk) best(now, since time.Time, a *Ask) *target {
 	free := d.cheapest(now, a, func(t *target) bool { return len(t.flights) < d.slots(now, t) })
-	if free == nil || now.Sub(since) >= d.patience(since, a) {
+	if free == nil {
+		return nil
+	}
+	waited := float64(now.Sub(since)) / float64(max(d.patience(since, a), 1))
+	if waited >= 1 {
 		return free
 	}
 	all := d.cheapest(now, a, func(*target) bool { return true })
-	if d.quality(now, free, a)-d.quality(now, all, a) > waitCost {
+	// The longer an ask has waited the worse a target it takes: one that failed
+	// gets work again when its slots are needed.
+	if d.quality(now, free, a)-d.quality(now, all, a) > waitCost+waited*a.failureCost()*badFailing {
 		return nil
 	}
 	return free
 }
 
-// patience returns how long an ask waits for a better target than is free.
+// patience returns how long an ask waits for a better target than is free. What
+// can be repeated waits as long as an answer can still be in time. What can't be
+// waits longer: a late answer is worth more than a failure, and failing targets
+// always have free slots.
 func (d *Desk) patience(since time.Time, a *Ask) time.Duration {
+	if !a.Repeatable {
+		return time.Duration(unsafePatience * float64(a.Deadline.Sub(since)))
+	}
 	return max(a.Aim.Sub(since)-2*d.usual, 0) / 2
 }
 
@@ -292,13 +320,14 @@
 // makes possible.
 func (d *Desk) Done(now time.Time, id ID, key string, r Result, took time.Duration) []Grant {
 	delete(d.granted, id)
+	d.closed[id] = now
 	t := d.targets[key]
 	if t == nil {
 		return nil
 	}
 	idle := len(t.flights) <= t.Slots
 	delete(t.flights, id)
-	t.health.note(now, r, took > d.slow(), idle)
+	t.health.note(now, d.seen(r, took, idle))
 	if r == ResultGood {
 		d.learn(took)
 	}
@@ -308,13 +337,22 @@
 // Note takes in what a node saw of a target that another desk granted.
 func (d *Desk) Note(now time.Time, key string, r Result, took time.Duration) {
 	if t := d.targets[key]; t != nil {
-		t.health.note(now, r, took > d.slow(), true)
+		t.health.note(now, d.seen(r, took, true))
 	}
 	if r == ResultGood {
 		d.learn(took)
 	}
 }
 
+func (d *Desk) seen(r Result, took time.Duration, idle bool) seen {
+	return seen{
+		result: r,
+		slow:   took > d.slow(),
+		quick:  took < time.Duration(quickPart*float64(d.usual)),
+		idle:   idle,
+	}
+}
+
 // learn moves the usual time, an estimate of the median, towards a request's.
 func (d *Desk) learn(took time.Duration) {
 	step := time.Duration(float64(d.usual) * usualStep)
@@ -336,6 +374,11 @@
 			}
 		}
 	}
+	for id, at := range d.closed {
+		if now.Sub(at) > closedTime {
+			delete(d.closed, id)
+		}
+	}
 	return append(d.queue.expire(now), d.serve(now)...)
 }
 
@@ -359,6 +402,7 @@
 	if key, ok := d.granted[id]; ok {
 		return d.Done(now, id, key, ResultIgnored, 0)
 	}
+	d.closed[id] = now
 	d.queue.drop(id)
 	return nil
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -41,22 +41,37 @@
 	// a healthy target.
 	badFailing = 0.6
 	badHealthy = 0.012
-	// oddsShed and oddsSlow are by how much a refusal in spite of free slots and an
-	// unusually slow answer raise the odds.
-	oddsShed = 6
+	// oddsQuick and oddsWorked are by how much a failure raises the odds: a target
+	// that fails without having worked is sick; one that worked for the usual time
+	// may have met a bad request.
+	oddsQuick  = badFailing / badHealthy
+	oddsWorked = 6
+	// quickPart is the part of the usual time below which a failure is quick.
+	quickPart = 0.15
+	// oddsShed and oddsSlow are the same for a refusal in spite of free slots and
+	// for an unusually slow answer.
+	oddsShed = 2
 	oddsSlow = 4
 	// oddsOverdue is the same for a request that should long have been answered.
 	oddsOverdue = 6
+	// oddsUnreached is the same for a connection that couldn't be opened. One node
+	// alone may have lost its way to the target; that node avoids it itself.
+	oddsUnreached = 6
+	// mostFailing bounds the belief: more evidence of one phase says nothing of how
+	// long it lasts.
+	mostFailing = 0.95
 	// memoryFirst is the time constant with which the belief fades after a first
 	// failure, memoryMost the greatest after relapses.
-	memoryFirst = 1500 * time.Millisecond
-	memoryMost  = 8 * time.Second
+	memoryFirst = 1200 * time.Millisecond
+	memoryMost  = 4 * time.Second
 	// memoryGrowth is by how much each relapse lengthens the memory, memoryShrink
 	// by how much each success of a trusted target shortens it.
 	memoryGrowth = 1.6
 	memoryShrink = 0.8
-	// relapseTime is within which time a failure counts as a relapse.
-	relapseTime = 10 * time.Second
+	// relapseTime is within which time a failure counts as a relapse, if the
+	// target had got work again: at a belief below secondChance.
+	relapseTime  = 6 * time.Second
+	secondChance = 0.5
 	// trusted is the belief below which a target counts as healthy.
 	trusted = 0.1
 	// goneTime is how long a target that is gone gets no work; its registration
@@ -92,20 +107,41 @@
 	return p*badFailing + (1-p)*badHealthy
 }
 
-// note takes in what one attempt showed; slow tells whether it took unusually
-// long, and idle whether the target had free slots.
-func (h *health) note(now time.Time, r Result, slow, idle bool) {
+// seen is what an attempt showed beside its result.
+type seen struct {
+	result Result
+	// slow is set when it took unusually long, quick when it ended before any work
+	// can have been done, and idle when the target had free slots.
+	slow  bool
+	quick bool
+	idle  bool
+}
+
+// note takes in what one attempt showed.
+func (h *health) note(now time.Time, s seen) {
 	if h.memory == 0 {
 		h.memory = memoryFirst
 	}
-	switch r {
+	switch s.result {
 	case ResultGood:
-		h.good(now, slow)
-	case ResultBad, ResultUnreached:
-		h.blame(now, badFailing/badHealthy)
+		h.good(now, s.slow)
+	case ResultBad:
+		h.relapse(now)
+		if s.quick {
+			h.update(now, oddsQuick)
+		} else {
+			h.update(now, oddsWorked)
+		}
+	case ResultUnreached:
+		h.update(now, oddsUnreached)
 	case ResultShed:
-		if idle {
-			h.blame(now, oddsShed)
+		if s.idle {
+			h.update(now, oddsShed)
+		}
+	case ResultIgnored:
+		if s.slow {
+			// The caller or a second target was quicker.
+			h.update(now, oddsSlow)
 		}
 	case ResultGone:
 		h.gone = now.Add(goneTime)
@@ -114,7 +150,7 @@
 
 func (h *health) good(now time.Time, slow bool) {
 	if slow {
-		h.blame(now, oddsSlow)
+		h.update(now, oddsSlow)
 		return
 	}
 	h.update(now, (1-badFailing)/(1-badHealthy))
@@ -123,21 +159,17 @@
 	}
 }
 
-// blame raises the odds and, after a relapse, the memory.
-func (h *health) blame(now time.Time, odds float64) {
-	if h.memory == 0 {
-		h.memory = memoryFirst
-	}
-	if !h.lastBad.IsZero() && now.Sub(h.lastBad) < relapseTime {
+// relapse lengthens the memory if the target had failed before and got work again.
+func (h *health) relapse(now time.Time) {
+	if !h.lastBad.IsZero() && now.Sub(h.lastBad) < relapseTime && h.failingAt(now) < secondChance {
 		h.memory = min(time.Duration(float64(h.memory)*memoryGrowth), memoryMost)
 	}
-	h.update(now, odds)
 	h.lastBad = now
 }
 
 func (h *health) update(now time.Time, odds float64) {
 	p := h.failingAt(now)
-	o := p / (1 - min(p, 0.999)) * odds
-	h.failing = min(o/(1+o), 0.99)
+	o := p / (1 - min(p, mostFailing)) * odds
+	h.failing = min(o/(1+o), mostFailing)
 	h.at = now
 }
--- /dev/null
+++ b/internal/dispatch/status.go
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// Status describes a desk.
+type Status struct {
+	// Waiting and InFlight count asks, Slots what all targets can work on.
+	Waiting  int
+	InFlight int
+	Slots    int
+	// Usual is the usual time of a request.
+	Usual time.Duration
+	// RepeatsLeft is how many repeats the retry budget still pays for.
+	RepeatsLeft float64
+	// Targets are all targets, in the order of their configuration.
+	Targets []TargetStatus
+}
+
+// TargetStatus describes one target.
+type TargetStatus struct {
+	Key string
+	// Failing is the belief that the target is failing, from 0 to 1.
+	Failing  float64
+	InFlight int
+	Slots    int
+	Leaving  bool
+}
+
+// Status returns the state of the desk.
+func (d *Desk) Status(now time.Time) Status {
+	d.window.turn(now, d.begun, d.budget)
+	s := Status{
+		Waiting:     len(d.queue.list),
+		Usual:       d.usual,
+		RepeatsLeft: d.window.left(d.budget, 1),
+	}
+	for _, t := range d.order {
+		s.InFlight += len(t.flights)
+		if !t.Leaving {
+			s.Slots += d.slots(now, t)
+		}
+		s.Targets = append(s.Targets, TargetStatus{
+			Key:      t.Key,
+			Failing:  t.health.failingAt(now),
+			InFlight: len(t.flights),
+			Slots:    t.Slots,
+			Leaving:  t.Leaving,
+		})
+	}
+	return s
+}
+
+// Asked returns how many asks came in the window of the retry budget.
+func (d *Desk) Asked() int {
+	n := 0.0
+	for i := range d.window.firsts {
+		n += d.window.firsts[i] + d.window.repeats[i]
+	}
+	return int(n)
+}
--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -66,8 +66,9 @@
 	}
 }
 
-// comeBack is when a caller should come back after a failure that passes soon.
-const comeBack = time.Second
+// comeBack is when a caller should come back after a failure that passes soon:
+// about the time in which a slot of a target becomes free.
+const comeBack = 250 * time.Millisecond
 
 // gaveUp returns the final answer of a life that ended without an answer.
 // retryAfter is when the caller may come back; 0 means the usual time.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -322,5 +322,7 @@
 		Leaving: fe.Leaving(),
 		Shed:    fe.Kind() == forward.KindShed,
 		Other:   fe.Kind() == forward.KindOther,
+
+		Unreached: fe.Kind() == forward.KindConnect,
 	}
 }
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +33,17 @@
 	queuedSilence = 350 * time.Millisecond
 	// distrustTime is how long a dispatcher that did not answer isn't asked.
 	distrustTime = time.Second
+	// reportBeat is how often a dispatcher writes a line about each of its desks,
+	// reportLeast how many asks in the window of the retry budget make that worth
+	// it, and reportFailing from which belief on a failing target is named.
+	reportBeat    = time.Second
+	reportLeast   = 10
+	reportFailing = 0.1
+	// lostTime is how long a node doesn't use a target to which it could open no
+	// connection: paths between two machines come back after some seconds.
+	lostTime = 4 * time.Second
+	// mostTried bounds the targets that an ask names, in keys of 20 bytes or so.
+	mostTried = 24
 	// dispatchers is how many nodes are asked, one after another, before a node
 	// chooses alone.
 	dispatchers = 2
@@ -58,6 +70,10 @@
 	config *fleetconfig.Config
 	// distrust is until when a dispatcher isn't asked.
 	distrust map[string]time.Time
+	// lost is until when this node doesn't reach a target.
+	lost map[string]time.Time
+	// reported is when the desks were last written to the log; only run uses it.
+	reported time.Time
 	// pending are the ends of attempts that were not confirmed.
 	pending map[uint64]*unconfirmed
 }
@@ -84,6 +100,7 @@
 		log:       log,
 		desks:     map[string]*desk{},
 		distrust:  map[string]time.Time{},
+		lost:      map[string]time.Time{},
 		pending:   map[uint64]*unconfirmed{},
 	}
 	m.ask = d.asked
@@ -104,6 +121,7 @@
 		case now := <-beat.C:
 			d.advance(now)
 			d.repeat(now)
+			d.report(now)
 		}
 	}
 }
@@ -126,6 +144,37 @@
 	}
 }
 
+// report writes a line about each desk that has work, at a slow beat.
+func (d *dispatching) report(now time.Time) {
+	if now.Sub(d.reported) < reportBeat {
+		return
+	}
+	d.reported = now
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, dk := range d.desks {
+		s := dk.Status(now)
+		if dk.Asked() < reportLeast {
+			continue
+		}
+		failing := map[string]float64{}
+		for _, t := range s.Targets {
+			if t.Failing > reportFailing {
+				failing[t.Key] = math.Round(t.Failing*100) / 100
+			}
+		}
+		d.log.WithFields(logrus.Fields{
+			"service":      name,
+			"waiting":      s.Waiting,
+			"in_flight":    s.InFlight,
+			"slots":        s.Slots,
+			"usual_ms":     s.Usual.Milliseconds(),
+			"repeats_left": math.Round(s.RepeatsLeft),
+			"failing":      failing,
+		}).Info("desk")
+	}
+}
+
 // desk returns the desk of a service in its newest configuration, or nil if there
 // is no such service. d.mu is held.
 func (d *dispatching) desk(now time.Time, name string) *desk {
@@ -349,6 +398,7 @@
 func (d *dispatching) choose(ctx context.Context, q *entry.Query) (entry.Choice, error) {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
+	q.Tried = d.avoid(q)
 	for range dispatchers {
 		node, ok := d.dispatcher(q.Service.Name(), 0)
 		if !ok {
@@ -372,6 +422,23 @@
 	return d.chooseAlone(q)
 }
 
+// avoid returns the targets that this node should not get: those that the request
+// was sent to and those that can't be reached from here.
+func (d *dispatching) avoid(q *entry.Query) []string {
+	now := time.Now()
+	out := q.Tried
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, until := range d.lost {
+		if now.After(until) {
+			delete(d.lost, key)
+		} else if q.Service.Target(key) != nil && len(out) < mostTried {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // ended says why a wait for a target was broken off.
 func ended(ctx context.Context) error {
 	if context.Cause(ctx) == context.DeadlineExceeded {
@@ -511,6 +578,8 @@
 		return wire.Done_GONE
 	case end.Shed:
 		return wire.Done_SHED
+	case end.Unreached:
+		return wire.Done_UNREACHED
 	case end.Ignored:
 		return wire.Done_IGNORED
 	case end.Failed:
@@ -525,6 +594,9 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if end.Unreached {
+		d.lost[key] = now.Add(lostTime)
+	}
 	if dk := d.desk(now, service); dk != nil {
 		dk.Note(now, key, dispatch.Result(resultOf(end)), took)
 	}
--- a/internal/outlier/collector.go
+++ b/internal/outlier/collector.go
@@ -156,6 +156,8 @@
 	// when another process has its address.
 	Shed  bool
 	Other bool
+	// Unreached is set when no connection could be opened.
+	Unreached bool
 }
 
 // End notes the end of the attempt.
