--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -11,7 +11,7 @@
 	// much more than one answer.
 	unsafeFailure = 6
 	// safeFailure is the same where another target can be asked.
-	safeFailure = 1
+	safeFailure = 0.5
 	// lastFailure is the same where the attempt is a second one already.
 	lastFailure = 3
 	// crossing is the cost of one KiB between data halls, from the users' prices.
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -122,6 +123,10 @@
 	// closed are asks that have ended: a repeated datagram of one of them must not
 	// open it again.
 	closed map[ID]time.Time
+	// prior is the part of the time that targets of the service are failing, as
+	// learned until learned.
+	prior   float64
+	learned time.Time
 }
 
 // NewDesk returns a desk without targets. random gives numbers from 0 to 1.
@@ -134,6 +139,8 @@
 		usual:   usualStart,
 		granted: map[ID]string{},
 		closed:  map[ID]time.Time{},
+		prior:   priorStart,
+		learned: now,
 	}
 }
 
@@ -149,6 +156,7 @@
 			t = &target{
 				flights: map[ID]flight{},
 			}
+			t.health.prior = &d.prior
 			if !first {
 				t.warmUntil = now.Add(c.Warmup)
 			}
@@ -172,14 +180,14 @@
 		}
 	}
 	d.count(a)
-	if wait := d.queue.wait(d, a.Priority); wait > 0 && now.Add(wait).After(now.Add(time.Duration(refusedFrom*float64(a.Deadline.Sub(now))))) {
+	if wait := d.queue.wait(now, d, a.Priority); wait > 0 && now.Add(wait).After(now.Add(time.Duration(refusedFrom*float64(a.Deadline.Sub(now))))) {
 		return Grant{
 			ID:         a.ID,
 			Verdict:    Refused,
 			RetryAfter: wait,
 		}
 	}
-	if d.queue.ahead(a.Priority) == 0 {
+	if d.queue.ahead(now, d.usual, a.Priority) == 0 {
 		if t := d.best(now, now, a); t != nil {
 			return d.grant(now, t, a)
 		}
@@ -366,6 +374,7 @@
 // Advance forgets attempts whose end was never told and returns the grants and
 // refusals that are due.
 func (d *Desk) Advance(now time.Time) []Grant {
+	d.learnPrior(now)
 	for _, t := range d.order {
 		for id, f := range t.flights {
 			if now.After(f.until) {
@@ -382,10 +391,29 @@
 	return append(d.queue.expire(now), d.serve(now)...)
 }
 
+// learnPrior moves the prior towards the mean belief: over time a true belief is
+// right on average.
+func (d *Desk) learnPrior(now time.Time) {
+	past := now.Sub(d.learned)
+	d.learned = now
+	sum, n := 0.0, 0
+	for _, t := range d.order {
+		if !t.Leaving {
+			sum += t.health.failingAt(now)
+			n++
+		}
+	}
+	if n == 0 {
+		return
+	}
+	step := 1 - math.Exp(-past.Seconds()/priorMemory.Seconds())
+	d.prior = min(max(d.prior+step*(sum/float64(n)-d.prior), priorLeast), priorMost)
+}
+
 // serve grants what the queue can have now.
 func (d *Desk) serve(now time.Time) []Grant {
 	var out []Grant
-	d.queue.each(func(w *waiting) bool {
+	d.queue.each(now, d.usual, func(w *waiting) bool {
 		t := d.best(now, w.since, w.ask)
 		if t == nil {
 			return false
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -35,8 +35,13 @@
 // failures that were measured: short phases in which a target fails most of its
 // requests, and single errors that say nothing.
 const (
-	// priorFailing is the part of the time that a target is failing.
-	priorFailing = 0.02
+	// priorStart is the part of the time that targets are taken to be failing
+	// before anything is known of the service; priorLeast and priorMost bound what
+	// is learned of it, priorMemory is the time constant of learning it.
+	priorStart  = 0.05
+	priorLeast  = 0.02
+	priorMost   = 0.35
+	priorMemory = 10 * time.Second
 	// badFailing and badHealthy are the shares of bad requests of a failing and of
 	// a healthy target.
 	badFailing = 0.6
@@ -62,7 +67,7 @@
 	mostFailing = 0.95
 	// memoryFirst is the time constant with which the belief fades after a first
 	// failure, memoryMost the greatest after relapses.
-	memoryFirst = 1200 * time.Millisecond
+	memoryFirst = 2 * time.Second
 	memoryMost  = 4 * time.Second
 	// memoryGrowth is by how much each relapse lengthens the memory, memoryShrink
 	// by how much each success of a trusted target shortens it.
@@ -79,9 +84,12 @@
 	goneTime = 5 * time.Second
 )
 
-// health is the belief that one target is failing. The zero value is a target of
-// which nothing is known.
+// health is the belief that one target is failing: a hidden Markov model with two
+// states. What was seen last counts less and less, in both directions, until only
+// the service's prior is left; so a target that has just done work is trusted more
+// than one that nobody asked for a while.
 type health struct {
+	prior   *float64
 	failing float64
 	at      time.Time
 	memory  time.Duration
@@ -95,10 +103,11 @@
 		return 1
 	}
 	if h.at.IsZero() {
-		return priorFailing
+		// A target that has just started works, unless it shows otherwise.
+		return priorLeast
 	}
 	past := max(now.Sub(h.at), 0)
-	return priorFailing + (h.failing-priorFailing)*math.Exp(-past.Seconds()/h.memory.Seconds())
+	return *h.prior + (h.failing-*h.prior)*math.Exp(-past.Seconds()/h.memory.Seconds())
 }
 
 // bad returns the probability that a request sent at now fails.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -29,26 +29,32 @@
 	})
 }
 
-// ahead returns how many asks of the same or a more urgent priority wait.
-func (q *queue) ahead(priority int) int {
+// ahead returns how many asks of the same or a more urgent priority wait that can
+// still be answered in time, if a request takes usual.
+func (q *queue) ahead(now time.Time, usual time.Duration, priority int) int {
 	n := 0
 	for _, w := range q.list {
-		if w.ask.Priority <= priority {
+		if w.ask.Priority <= priority && w.inTime(now, usual) {
 			n++
 		}
 	}
 	return n
 }
 
+// inTime tells whether an answer can still be worth most.
+func (w *waiting) inTime(now time.Time, usual time.Duration) bool {
+	return now.Add(usual).Before(w.ask.Aim)
+}
+
 // wait estimates how long an ask would wait.
-func (q *queue) wait(d *Desk, priority int) time.Duration {
+func (q *queue) wait(now time.Time, d *Desk, priority int) time.Duration {
 	slots := 0
 	for _, t := range d.order {
 		if !t.Leaving {
 			slots += t.Slots
 		}
 	}
-	return time.Duration(float64(q.ahead(priority)) * float64(d.usual) / float64(max(slots, 1)))
+	return time.Duration(float64(q.ahead(now, d.usual, priority)) * float64(d.usual) / float64(max(slots, 1)))
 }
 
 func (q *queue) has(id ID) bool {
@@ -59,15 +65,21 @@
 	q.list = slices.DeleteFunc(q.list, func(w *waiting) bool { return w.ask.ID == id })
 }
 
-// each gives the asks in order and removes those for which taken returns true.
-func (q *queue) each(taken func(*waiting) bool) {
-	q.list = slices.DeleteFunc(q.list, taken)
+// each gives the asks in order and removes those for which taken returns true. Asks
+// that can still be answered in time come first: under overload the others would
+// make all of them late.
+func (q *queue) each(now time.Time, usual time.Duration, taken func(*waiting) bool) {
+	for _, inTime := range [...]bool{true, false} {
+		q.list = slices.DeleteFunc(q.list, func(w *waiting) bool {
+			return w.inTime(now, usual) == inTime && taken(w)
+		})
+	}
 }
 
 // expire refuses what can't be served any more.
 func (q *queue) expire(now time.Time) []Grant {
 	var out []Grant
-	q.each(func(w *waiting) bool {
+	q.list = slices.DeleteFunc(q.list, func(w *waiting) bool {
 		if now.Before(w.ask.Deadline) {
 			return false
 		}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -12,6 +12,8 @@
 	Slots    int
 	// Usual is the usual time of a request.
 	Usual time.Duration
+	// Prior is the part of the time that targets of the service are failing.
+	Prior float64
 	// RepeatsLeft is how many repeats the retry budget still pays for.
 	RepeatsLeft float64
 	// Targets are all targets, in the order of their configuration.
@@ -34,6 +36,7 @@
 	s := Status{
 		Waiting:     len(d.queue.list),
 		Usual:       d.usual,
+		Prior:       d.prior,
 		RepeatsLeft: d.window.left(d.budget, 1),
 	}
 	for _, t := range d.order {
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -169,6 +169,7 @@
 			"in_flight":    s.InFlight,
 			"slots":        s.Slots,
 			"usual_ms":     s.Usual.Milliseconds(),
+			"prior":        math.Round(s.Prior*100) / 100,
 			"repeats_left": math.Round(s.RepeatsLeft),
 			"failing":      failing,
 		}).Info("desk")
