cmd/ploverd, internal/node, internal/logging: reload, faster start, a log that never blocks

Change: settings are read again on SIGHUP and when the file has changed; seeds read at once when nobody was heard, a request waits 400 ms for the first configuration; a bounded buffer with one writer, successes left out first.

--- a/cmd/ploverd/main.go
+++ b/cmd/ploverd/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -52,7 +53,9 @@
 	if args.Check {
 		return 0
 	}
-	log := logging.New(os.Stdout, set.LogLevel(), set.LogFormat())
+	out := logging.NewBuffer(os.Stdout)
+	defer out.Close()
+	log := logging.New(out, set.LogLevel(), set.LogFormat())
 	n, err := node.New(set, log, adapter(set))
 	if err != nil {
 		logging.Part(log, "node").WithError(err).Error("not started")
@@ -63,8 +66,11 @@
 	signals := task.Go(ctx, "signals", func(ctx context.Context) error {
 		return follow(ctx, n.Drain, cancel)
 	})
+	reload := task.Go(ctx, "reload", func(ctx context.Context) error {
+		return followSettings(ctx, args.Settings, n.Reload)
+	})
 	err = n.Run(ctx)
-	if serr := signals.Stop(); err == nil {
+	if serr := errors.Join(signals.Stop(), reload.Stop()); err == nil {
 		err = serr
 	}
 	if err != nil {
--- /dev/null
+++ b/cmd/ploverd/reload.go
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/settings"
+)
+
+// settingsBeat is how often the settings file is looked at: a change takes effect
+// without a signal too, a moment later.
+const settingsBeat = 2 * time.Second
+
+// followSettings reads the settings again after SIGHUP and when the file has
+// changed, and hands them or the fault in them to reload, until the context ends.
+func followSettings(ctx context.Context, file string, reload func(*settings.Settings, error)) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	beat := time.NewTicker(settingsBeat)
+	defer beat.Stop()
+	known := changed(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangups:
+		case <-beat.C:
+			if changed(file) == known {
+				continue
+			}
+		}
+		known = changed(file)
+		reload(settings.Load(file))
+	}
+}
+
+// stamp tells two states of a file apart.
+type stamp struct {
+	at   time.Time
+	size int64
+}
+
+// changed returns the stamp of a file, the zero value if it can't be read: the
+// reload then tells why.
+func changed(file string) stamp {
+	info, err := os.Stat(file)
+	if err != nil {
+		return stamp{}
+	}
+	return stamp{
+		at:   info.ModTime(),
+		size: info.Size(),
+	}
+}
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -54,8 +54,8 @@
 	Self func() *wire.Node
 	// View returns the known nodes.
 	View func() *membership.View
-	// Seeds are peers to ask when no others are known.
-	Seeds []string
+	// Seeds returns peers to ask when no others are known.
+	Seeds func() []string
 	// Call sends a request to a peer.
 	Call func(ctx context.Context, peer string, in *wire.SyncRequest) (*wire.SyncReply, error)
 	// Heard notes a node that sent a message, Mentioned one that a peer knows,
@@ -348,7 +348,7 @@
 	const seedOdds = 4
 	if len(all) < n || rand.IntN(seedOdds) == 0 {
 		self := g.cfg.Self().GetAddress()
-		for _, s := range g.cfg.Seeds {
+		for _, s := range g.cfg.Seeds() {
 			if s != self {
 				all = append(all, s)
 			}
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -26,6 +27,9 @@
 func (s *Server) admit(r *http.Request, now time.Time) (*admitted, *Error) {
 	cfg := s.cfg.Config()
 	if cfg == nil || len(cfg.Services()) == 0 {
+		cfg = s.await(r.Context())
+	}
+	if cfg == nil {
 		e := refuse(CodeNotReady, http.StatusServiceUnavailable)
 		e.retryAfter = comeBack
 		return nil, e
@@ -134,3 +138,10 @@
 	}
 	return nil
 }
+
+// await waits a moment for the first configuration of a process that starts.
+func (s *Server) await(ctx context.Context) *fleetconfig.Config {
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	return s.cfg.AwaitConfig(ctx)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -41,6 +41,9 @@
 	WorkspaceHeader string
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *fleetconfig.Config
+	// AwaitConfig waits for the first configuration until the context ends; it
+	// returns nil if none came.
+	AwaitConfig func(ctx context.Context) *fleetconfig.Config
 	// Contract names the headers between callers, the fleet and targets.
 	Contract *contract.Contract
 	// Choose takes a target for an attempt. It may wait for one until the end of
@@ -69,6 +72,9 @@
 	copyBuffer      = 32 << 10
 	maxResumes      = 3
 	requestIDLength = 16
+	// startWait is how long a request waits for the first configuration: a process
+	// that has just started reads it within a few hundred milliseconds.
+	startWait = 400 * time.Millisecond
 )
 
 // Server serves callers over kratos' HTTP transport.
--- /dev/null
+++ b/internal/logging/buffer.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of a buffer.
+const (
+	// bufferLines is how many lines wait at most; with about 300 bytes each that
+	// is some 1.2 MB.
+	bufferLines = 4096
+	// calmLines is how many lines may wait before lines that tell of successes are
+	// left out, so that there is room for failures.
+	calmLines = bufferLines / 2
+	// closeWait is how long Close waits for the reader of the log.
+	closeWait = 200 * time.Millisecond
+)
+
+// success marks the lines that are left out first, in either format.
+var success = [][]byte{
+	[]byte(`"level":"info"`),
+	[]byte("level=info"),
+	[]byte(`"level":"debug"`),
+	[]byte("level=debug"),
+}
+
+// Buffer is a writer that never blocks: one goroutine writes the lines, and those
+// for which there is no room are counted and left out. It may be used concurrently.
+type Buffer struct {
+	lines   chan []byte
+	stop    chan struct{}
+	done    chan error
+	dropped atomic.Int64
+}
+
+// NewBuffer returns a buffer that writes to w until Close.
+func NewBuffer(w io.Writer) *Buffer {
+	b := &Buffer{
+		lines: make(chan []byte, bufferLines),
+		stop:  make(chan struct{}),
+		done:  make(chan error, 1),
+	}
+	go func() { b.done <- b.run(w) }()
+	return b
+}
+
+// Write takes one line. It always reports success: a process must not fail for
+// its log.
+func (b *Buffer) Write(line []byte) (int, error) {
+	if len(b.lines) >= calmLines && tellsSuccess(line) {
+		b.dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case b.lines <- bytes.Clone(line):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func tellsSuccess(line []byte) bool {
+	for _, mark := range success {
+		if bytes.Contains(line, mark) {
+			return true
+		}
+	}
+	return false
+}
+
+// Dropped returns how many lines were left out since the last line that told so.
+func (b *Buffer) Dropped() int64 { return b.dropped.Load() }
+
+func (b *Buffer) run(w io.Writer) error {
+	for {
+		select {
+		case line := <-b.lines:
+			if err := b.put(w, line); err != nil {
+				return err
+			}
+		case <-b.stop:
+			return b.flush(w)
+		}
+	}
+}
+
+// flush writes what waits.
+func (b *Buffer) flush(w io.Writer) error {
+	for {
+		select {
+		case line := <-b.lines:
+			if err := b.put(w, line); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+func (b *Buffer) put(w io.Writer, line []byte) error {
+	if n := b.dropped.Swap(0); n > 0 {
+		if _, err := fmt.Fprintf(w, "{\"level\":\"warning\",\"msg\":\"logging: lines left out\",\"lines\":%d}\n", n); err != nil {
+			return fmt.Errorf("logging: write: %w", err)
+		}
+	}
+	if _, err := w.Write(line); err != nil {
+		return fmt.Errorf("logging: write: %w", err)
+	}
+	return nil
+}
+
+// Close writes what waits, as long as the log is read, and ends the buffer.
+func (b *Buffer) Close() {
+	close(b.stop)
+	t := time.NewTimer(closeWait)
+	defer t.Stop()
+	select {
+	case <-b.done:
+	case <-t.C:
+	}
+}
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/balance"
@@ -72,3 +73,19 @@
 func (b *Board) nodes() int {
 	return b.view.Load().Nodes()
 }
+
+// awaitConfig waits until a configuration with services is known, or the context
+// ends. It returns it, or nil.
+func (b *Board) awaitConfig(ctx context.Context) *fleetconfig.Config {
+	for {
+		changed := b.config.Watch()
+		if c := b.currentConfig(); c != nil && len(c.Services()) > 0 {
+			return c
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	klog "github.com/go-kratos/kratos/v2/log"
@@ -71,6 +72,8 @@
 	entry       *entry.Server
 	operator    *operator.Server
 	drain       chan struct{}
+	// live are the settings as they were last read; set those of the start.
+	live atomic.Pointer[settings.Settings]
 }
 
 // Adapter is what another platform than the project's own brings.
@@ -107,6 +110,7 @@
 		drain:   make(chan struct{}, 1),
 		adapter: adapter,
 	}
+	n.live.Store(set)
 	keys, err := loadKeys(set)
 	if err != nil {
 		return nil, err
@@ -153,14 +157,10 @@
 }
 
 func (n *Node) gossipConfig() dissemination.Config {
-	var seeds []string
-	for _, s := range n.set.Seeds() {
-		seeds = append(seeds, s.String())
-	}
 	return dissemination.Config{
 		Self:      n.self,
 		View:      n.board.view.Load,
-		Seeds:     seeds,
+		Seeds:     n.seeds,
 		Call:      n.dialer.Sync,
 		Heard:     n.members.heard,
 		Mentioned: n.members.mentioned,
@@ -187,6 +187,8 @@
 		cutOff:      n.gossip.CutOff,
 		platformAge: n.gossip.PlatformAge,
 		seeds:       len(n.set.Seeds()),
+		// An adapter's reads are never stale.
+		settled: n.adapter.Silent > 0,
 	}
 	switch {
 	case n.adapter.Read != nil:
@@ -226,6 +228,7 @@
 		Outgoing:        n.set.Outgoing(),
 		WorkspaceHeader: n.set.WorkspaceHeader(),
 		Config:          n.board.currentConfig,
+		AwaitConfig:     n.board.awaitConfig,
 		Contract:        n.adapter.Contract,
 		Choose:          choose,
 		Trial:           trial,
@@ -284,11 +287,9 @@
 		messenger: m,
 		members:   n.members,
 		board:     n.board,
+		seeds:     n.seeds,
 		log:       logging.Part(n.log, "members"),
 	}
-	for _, s := range n.set.Seeds() {
-		n.pinging.seeds = append(n.pinging.seeds, s.String())
-	}
 	share, reserve, window := n.set.Retries()
 	d := newDispatching(n.board, m, dispatch.Budget{
 		Share:   share,
--- a/internal/node/pinging.go
+++ b/internal/node/pinging.go
@@ -43,7 +43,7 @@
 	messenger *messenger
 	members   *members
 	board     *Board
-	seeds     []string
+	seeds     func() []string
 	log       *logrus.Entry
 	// unanswered counts the pings in a row that failed directly and by others.
 	unanswered int
@@ -169,10 +169,11 @@
 }
 
 func (p *pinging) seed(self string) string {
-	if len(p.seeds) == 0 {
+	seeds := p.seeds()
+	if len(seeds) == 0 {
 		return ""
 	}
-	if s := p.seeds[rand.IntN(len(p.seeds))]; s != self {
+	if s := seeds[rand.IntN(len(seeds))]; s != self {
 		return s
 	}
 	return ""
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -44,6 +44,10 @@
 	} else if hasDuty(view, fleetReaders(view)) && now.Sub(n.begun) > meetTime {
 		return true
 	}
+	if n.adapter.Silent > 0 && n.gossip.PlatformAge(now) > n.adapter.Silent && slices.Contains(n.seeds(), n.address()) {
+		// When the whole fleet starts the others ask the seeds.
+		return true
+	}
 	if len(view.Peers()) == 0 && len(n.set.Seeds()) == 0 {
 		return true
 	}
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/settings"
+)
+
+// Reload takes settings that were read again, or the fault in them. Seeds, the log
+// level and the wait of a planned stop take effect at once; what needs other ports
+// or parts takes effect at the next start and is named in the log. Faulty settings
+// change nothing. It may be called concurrently with Run.
+func (n *Node) Reload(set *settings.Settings, err error) {
+	log := logging.Part(n.log, "settings")
+	if err != nil {
+		log.WithError(err).Error("settings not reloaded, the old ones stay in force")
+		return
+	}
+	old := n.live.Swap(set)
+	if level, err := logrus.ParseLevel(set.LogLevel()); err == nil {
+		n.log.SetLevel(level)
+	}
+	restart := set.EntryListen() != old.EntryListen() || set.OperatorListen() != old.OperatorListen() ||
+		set.PeerListen() != old.PeerListen() || set.Source() != old.Source() || set.Platform() != old.Platform() ||
+		set.Choice() != old.Choice() || set.DataHall() != old.DataHall()
+	log.WithField("seeds", len(set.Seeds())).WithField("needs_restart", restart).Info("settings reloaded")
+}
+
+// seeds returns the seeds in force.
+func (n *Node) seeds() []string {
+	var out []string
+	for _, s := range n.live.Load().Seeds() {
+		out = append(out, s.String())
+	}
+	return out
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -28,7 +28,7 @@
 	n.lifecycle.leaving.Store(true)
 	n.entry.Closing()
 	n.sayLeaving(ctx)
-	wait := time.NewTimer(n.set.DrainWait())
+	wait := time.NewTimer(n.live.Load().DrainWait())
 	defer wait.Stop()
 	select {
 	case <-ctx.Done():
