--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -10,10 +10,11 @@
 	// answer is lost, and the share of requests that are served at all counts for
 	// much more than one answer.
 	unsafeFailure = 6
-	// safeFailure is the same where another target can be asked.
-	safeFailure = 0.5
+	// safeFailure is the same where another target can be asked, for which the
+	// retry budget must pay.
+	safeFailure = 1.5
 	// lastFailure is the same where the attempt is a second one already.
-	lastFailure = 3
+	lastFailure = 4
 	// crossing is the cost of one KiB between data halls, from the users' prices.
 	crossing = 0.02
 	// loadCost is what a full target costs more than an empty one: some slow down
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -33,6 +33,8 @@
 	Repeatable bool
 	// Again is set for attempts after a request's first one.
 	Again bool
+	// Hedge is set where an earlier attempt still goes on.
+	Hedge bool
 	// Kilobytes is the expected size of the answer in KiB.
 	Kilobytes int
 	// Priority is the rank under overload; 0 is served first.
@@ -97,6 +99,9 @@
 	slowLeast  = 700 * time.Millisecond
 	// flightSlack is how long after its deadline a granted attempt is forgotten.
 	flightSlack = 500 * time.Millisecond
+	// hedgeReserve is the part of the reserve of repeats that is kept for attempts
+	// that failed.
+	hedgeReserve = 0.7
 	// refusedFrom is the part of the time left that a queue may take.
 	refusedFrom = 0.6
 	// closedTime is how long an ask that ended is remembered, some times longer
@@ -173,7 +178,7 @@
 		return g
 	}
 	d.window.turn(now, d.begun, d.budget)
-	if a.Again && d.window.left(d.budget, 1) < 1 {
+	if a.Again && d.window.left(d.budget, 1) < d.needs(a) {
 		return Grant{
 			ID:      a.ID,
 			Verdict: Spent,
@@ -199,6 +204,15 @@
 	}
 }
 
+// needs returns how many repeats must be left for an ask to get one. Failed
+// attempts go before those that are merely slow.
+func (d *Desk) needs(a *Ask) float64 {
+	if a.Hedge {
+		return max(hedgeReserve*reserveUsed*d.budget.Reserve, 1)
+	}
+	return 1
+}
+
 func (d *Desk) count(a *Ask) {
 	if a.Again {
 		d.window.repeat()
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -25,6 +25,8 @@
 	Tried []string
 	// Again is set for attempts after the first one.
 	Again bool
+	// Hedge is set where an earlier attempt still goes on.
+	Hedge bool
 }
 
 // Choice is a target taken for one attempt.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -109,6 +109,7 @@
 		reader: reader,
 		cancel: cancel,
 		again:  x.launched > 0,
+		hedge:  len(x.running) > 0,
 	}
 	x.launched++
 	x.running = append(x.running, t)
@@ -245,6 +246,10 @@
 func (x *relay) failed(r result) {
 	var none *NoTargetError
 	if errors.As(r.err, &none) {
+		if r.try.hedge && none.reason != attempt.ReasonDeadline {
+			// The attempt before it goes on, and may be followed by another if it fails.
+			return
+		}
 		x.blocked = none.reason
 		x.comeBack = none.retryAfter
 		return
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -20,6 +20,7 @@
 	reader io.Reader
 	cancel context.CancelFunc
 	again  bool
+	hedge  bool
 	choice Choice
 	chosen time.Time
 	end    outlier.End
@@ -33,7 +34,7 @@
 // reads it.
 func (t *try) run(ctx context.Context) {
 	x := t.relay
-	choice, err := x.choose(ctx, t.again)
+	choice, err := x.choose(ctx, t.again, t.hedge)
 	if err != nil {
 		x.results <- result{
 			try: t,
@@ -67,7 +68,7 @@
 }
 
 // choose takes a target for an attempt and notes that it was tried.
-func (x *relay) choose(ctx context.Context, again bool) (Choice, error) {
+func (x *relay) choose(ctx context.Context, again, hedge bool) (Choice, error) {
 	r := x.in.route
 	q := &Query{
 		Service:    x.service,
@@ -78,6 +79,7 @@
 		Aim:        x.aim(),
 		Deadline:   x.life.Deadline(),
 		Again:      again,
+		Hedge:      hedge,
 	}
 	x.mu.Lock()
 	q.Tried = slices.Clone(x.tried)
