--- /dev/null
+++ b/internal/dispatch/desk_test.go
@@ -0,0 +1,379 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// start is when all desks of these tests begin.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newDesk(targets ...dispatch.Target) *dispatch.Desk {
+	d := dispatch.NewDesk(start, dispatch.Budget{
+		Share:   0.2,
+		Reserve: 50,
+		Window:  10 * time.Second,
+	}, rand.New(rand.NewPCG(1, 2)).Float64)
+	d.Configure(start, targets)
+	return d
+}
+
+// pool returns n targets of three slots, in data halls a and b by turns.
+func pool(n int) []dispatch.Target {
+	var out []dispatch.Target
+	for i := range n {
+		out = append(out, dispatch.Target{
+			Key:      fmt.Sprintf("t%d", i),
+			DataHall: string(rune('a' + i%2)),
+			Slots:    3,
+		})
+	}
+	return out
+}
+
+// ask returns an ask for something that can't be repeated.
+func ask(now time.Time, n uint64) *dispatch.Ask {
+	return &dispatch.Ask{
+		ID: dispatch.ID{
+			Node:   "n",
+			Number: n,
+		},
+		DataHall:  "a",
+		Kilobytes: 1,
+		Aim:       now.Add(time.Second),
+		Deadline:  now.Add(3 * time.Second),
+	}
+}
+
+func ExampleDesk_Ask() {
+	d := newDesk(dispatch.Target{
+		Key:   "only",
+		Slots: 1,
+	})
+	fmt.Println(d.Ask(start, ask(start, 1)).Verdict)
+	fmt.Println(d.Ask(start, ask(start, 2)).Verdict)
+	later := start.Add(200 * time.Millisecond)
+	for _, g := range d.Done(later, dispatch.ID{
+		Node:   "n",
+		Number: 1,
+	}, "only", dispatch.ResultGood, 200*time.Millisecond) {
+		fmt.Println(g.ID.Number, g.Verdict, g.Target)
+	}
+	// Output:
+	// granted
+	// queued
+	// 2 granted only
+}
+
+// No target gets more than its slots, and each ask gets one answer, in whatever
+// order attempts end.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		d := newDesk(pool(5)...)
+		busy := map[string]int{}
+		running := map[uint64]string{}
+		answers := map[uint64]int{}
+		now := start
+		take := func(g dispatch.Grant) {
+			if g.Verdict == dispatch.Queued {
+				return
+			}
+			answers[g.ID.Number]++
+			if g.Verdict == dispatch.Granted {
+				running[g.ID.Number] = g.Target
+				busy[g.Target]++
+				if busy[g.Target] > 3 {
+					t.Fatalf("seed %d: %d at %s", seed, busy[g.Target], g.Target)
+				}
+			}
+		}
+		for n := range uint64(300) {
+			now = now.Add(time.Duration(rng.IntN(20)) * time.Millisecond)
+			take(d.Ask(now, ask(now, n)))
+			for id, key := range running {
+				if rng.IntN(3) == 0 {
+					delete(running, id)
+					busy[key]--
+					for _, g := range d.Done(now, dispatch.ID{
+						Node:   "n",
+						Number: id,
+					}, key, dispatch.Result(rng.IntN(5)), 100*time.Millisecond) {
+						take(g)
+					}
+				}
+			}
+			for _, g := range d.Advance(now) {
+				take(g)
+			}
+		}
+		for n, count := range answers {
+			if count != 1 {
+				t.Fatalf("seed %d: ask %d got %d answers", seed, n, count)
+			}
+		}
+	}
+}
+
+// One quick failure is enough to send what can't be repeated elsewhere, and the
+// target gets work again after some seconds.
+func TestFailureIsAvoidedAtOnceAndForgotten(t *testing.T) {
+	d := newDesk(pool(6)...)
+	first := d.Ask(start, ask(start, 1))
+	d.Done(start.Add(3*time.Millisecond), first.ID, first.Target, dispatch.ResultBad, 3*time.Millisecond)
+	used := func(from time.Time, n uint64) int {
+		hits := 0
+		for i := range n {
+			now := from.Add(time.Duration(i) * 10 * time.Millisecond)
+			g := d.Ask(now, ask(now, uint64(from.Sub(start))+10+i))
+			if g.Target == first.Target {
+				hits++
+			}
+			d.Done(now, g.ID, g.Target, dispatch.ResultGood, 200*time.Millisecond)
+		}
+		return hits
+	}
+	if hits := used(start.Add(5*time.Millisecond), 100); hits != 0 {
+		t.Errorf("%d of 100 requests went to the target that had just failed", hits)
+	}
+	// In the other data hall and unproved, it needs the load of the others.
+	d = newDesk(pool(1)...)
+	d.Ask(start, ask(start, 1))
+	d.Done(start, dispatch.ID{
+		Node:   "n",
+		Number: 1,
+	}, "t0", dispatch.ResultBad, 0)
+	later := start.Add(6 * time.Second)
+	if g := d.Ask(later, ask(later, 2)); g.Verdict != dispatch.Granted {
+		t.Errorf("the only target got no work after it failed: %v", g.Verdict)
+	}
+}
+
+// While a target that isn't failing is busy, what can't be repeated waits for it
+// and does not go to one that is failing and therefore free.
+func TestWaitsForATargetThatIsNotFailing(t *testing.T) {
+	d := newDesk(dispatch.Target{
+		Key:      "good",
+		DataHall: "a",
+		Slots:    1,
+	}, dispatch.Target{
+		Key:      "bad",
+		DataHall: "a",
+		Slots:    3,
+	})
+	d.Note(start, "bad", dispatch.ResultBad, time.Millisecond)
+	d.Note(start, "bad", dispatch.ResultBad, time.Millisecond)
+	if g := d.Ask(start, ask(start, 1)); g.Target != "good" {
+		t.Fatalf("first ask got %q", g.Target)
+	}
+	if g := d.Ask(start, ask(start, 2)); g.Verdict != dispatch.Queued {
+		t.Fatalf("second ask: %v %q", g.Verdict, g.Target)
+	}
+	grants := d.Done(start.Add(300*time.Millisecond), dispatch.ID{
+		Node:   "n",
+		Number: 1,
+	}, "good", dispatch.ResultGood, 300*time.Millisecond)
+	if len(grants) != 1 || grants[0].Target != "good" {
+		t.Fatalf("got %v", grants)
+	}
+}
+
+// A datagram that arrives twice must not take a slot again after the attempt ended.
+func TestAskThatEndedIsNotOpenedAgain(t *testing.T) {
+	d := newDesk(pool(1)...)
+	g := d.Ask(start, ask(start, 1))
+	d.Done(start, g.ID, g.Target, dispatch.ResultGood, time.Millisecond)
+	d.Ask(start.Add(time.Millisecond), ask(start, 1))
+	if s := d.Status(start); s.InFlight != 0 {
+		t.Fatalf("%d in flight", s.InFlight)
+	}
+}
+
+// The end of each attempt frees its slot, also where the target failed.
+func TestEverySlotComesBack(t *testing.T) {
+	results := []dispatch.Result{
+		dispatch.ResultGood,
+		dispatch.ResultBad,
+		dispatch.ResultShed,
+		dispatch.ResultUnreached,
+		dispatch.ResultIgnored,
+		dispatch.ResultGone,
+	}
+	for _, r := range results {
+		d := newDesk(pool(1)...)
+		g := d.Ask(start, ask(start, 1))
+		d.Done(start, g.ID, g.Target, r, time.Millisecond)
+		if s := d.Status(start); s.InFlight != 0 {
+			t.Errorf("%v: %d in flight", r, s.InFlight)
+		}
+	}
+}
+
+// An attempt whose end is never told holds its slot only until its deadline.
+func TestLostEndFreesTheSlotAtTheDeadline(t *testing.T) {
+	d := newDesk(dispatch.Target{
+		Key:   "only",
+		Slots: 1,
+	})
+	d.Ask(start, ask(start, 1))
+	late := start.Add(3 * time.Second)
+	d.Ask(late, ask(late, 2))
+	grants := d.Advance(late.Add(600 * time.Millisecond))
+	if len(grants) != 1 || grants[0].Verdict != dispatch.Granted {
+		t.Fatalf("got %v", grants)
+	}
+}
+
+// Whatever fails, repeats stay within the share and the reserve.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	d := newDesk(pool(20)...)
+	now := start
+	firsts, repeats := 0, 0
+	for n := range uint64(400) {
+		now = now.Add(20 * time.Millisecond)
+		a := ask(now, 2*n)
+		a.Repeatable = true
+		g := d.Ask(now, a)
+		firsts++
+		d.Done(now, g.ID, g.Target, dispatch.ResultBad, 0)
+		b := ask(now, 2*n+1)
+		b.Repeatable, b.Again = true, true
+		if g := d.Ask(now, b); g.Verdict == dispatch.Granted {
+			repeats++
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, 0)
+		}
+	}
+	if most := 0.2*float64(firsts) + 50; float64(repeats) > most || repeats < 60 {
+		t.Fatalf("%d repeats of %d requests, at most %v", repeats, firsts, most)
+	}
+}
+
+// Second attempts of slow requests must leave repeats for those that failed.
+func TestHedgesLeaveTheBudgetToFailures(t *testing.T) {
+	d := newDesk(pool(20)...)
+	hedges := 0
+	for n := range uint64(100) {
+		a := ask(start, n)
+		a.Repeatable, a.Again, a.Hedge = true, true, true
+		if g := d.Ask(start, a); g.Verdict == dispatch.Granted {
+			hedges++
+			d.Done(start, g.ID, g.Target, dispatch.ResultIgnored, 0)
+		}
+	}
+	a := ask(start, 1000)
+	a.Repeatable, a.Again = true, true
+	if g := d.Ask(start, a); hedges == 0 || g.Verdict != dispatch.Granted {
+		t.Fatalf("after %d hedges the retry of a failed request is %v", hedges, g.Verdict)
+	}
+}
+
+// Under overload asks that can be answered in time go before those that can't.
+func TestInTimeGoesFirst(t *testing.T) {
+	d := newDesk(dispatch.Target{
+		Key:   "only",
+		Slots: 1,
+	})
+	d.Ask(start, ask(start, 1))
+	old := ask(start, 2)
+	old.Aim = start.Add(100 * time.Millisecond)
+	d.Ask(start, old)
+	now := start.Add(200 * time.Millisecond)
+	d.Ask(now, ask(now, 3))
+	grants := d.Done(now, dispatch.ID{
+		Node:   "n",
+		Number: 1,
+	}, "only", dispatch.ResultGood, 200*time.Millisecond)
+	if len(grants) != 1 || grants[0].ID.Number != 3 {
+		t.Fatalf("got %v", grants)
+	}
+}
+
+// Under overload the more urgent goes first.
+func TestPriorityGoesFirst(t *testing.T) {
+	d := newDesk(dispatch.Target{
+		Key:   "only",
+		Slots: 1,
+	})
+	d.Ask(start, ask(start, 1))
+	low, high := ask(start, 2), ask(start, 3)
+	low.Priority, high.Priority = 2, 1
+	d.Ask(start, low)
+	d.Ask(start, high)
+	grants := d.Done(start, dispatch.ID{
+		Node:   "n",
+		Number: 1,
+	}, "only", dispatch.ResultGood, 200*time.Millisecond)
+	if len(grants) != 1 || grants[0].ID.Number != 3 {
+		t.Fatalf("got %v", grants)
+	}
+}
+
+// A target that joins gets work though others have proved themselves.
+func TestTargetThatJoinsGetsWork(t *testing.T) {
+	d := newDesk(pool(4)...)
+	d.Configure(start, append(pool(4), dispatch.Target{
+		Key:      "new",
+		DataHall: "a",
+		Slots:    3,
+		Warmup:   time.Second,
+	}))
+	got := false
+	for n := range uint64(200) {
+		now := start.Add(2*time.Second + time.Duration(n)*10*time.Millisecond)
+		g := d.Ask(now, ask(now, n))
+		got = got || g.Target == "new"
+		if n >= 6 {
+			d.Done(now, dispatch.ID{
+				Node:   "n",
+				Number: n - 6,
+			}, g.Target, dispatch.ResultGood, 60*time.Millisecond)
+		}
+	}
+	if !got {
+		t.Fatal("the new target got nothing")
+	}
+}
+
+// Large answers stay in their data hall as long as a target there works.
+func TestLargeAnswersStayInTheDataHall(t *testing.T) {
+	d := newDesk(pool(4)...)
+	for n := range uint64(6) {
+		a := ask(start, n)
+		a.Repeatable, a.Kilobytes = true, 90
+		g := d.Ask(start, a)
+		if g.Verdict != dispatch.Granted || g.Target != "t0" && g.Target != "t2" {
+			t.Fatalf("ask %d: %v %q", n, g.Verdict, g.Target)
+		}
+	}
+}
+
+// A node that reaches no dispatcher gets a target whatever it knows of slots.
+func TestAloneNeverWaits(t *testing.T) {
+	d := newDesk(pool(1)...)
+	for n := range uint64(10) {
+		if g := d.AskAlone(start, ask(start, n), 0.1); g.Verdict != dispatch.Granted {
+			t.Fatalf("ask %d: %v", n, g.Verdict)
+		}
+	}
+}
+
+// Leaving targets get nothing, not even alone.
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	d := newDesk(dispatch.Target{
+		Key:     "leaving",
+		Slots:   3,
+		Leaving: true,
+	})
+	if g := d.Ask(start, ask(start, 1)); g.Verdict != dispatch.Queued {
+		t.Errorf("got %v", g.Verdict)
+	}
+	if g := d.AskAlone(start, ask(start, 2), 1); g.Verdict != dispatch.Refused {
+		t.Errorf("alone: got %v", g.Verdict)
+	}
+}
--- a/internal/fleetconfig/route.go
+++ b/internal/fleetconfig/route.go
@@ -79,10 +79,11 @@
 	best := MatchNone
 	for p := strings.TrimRight(path, "/"); ; p = p[:strings.LastIndexByte(p, '/')] {
 		if routes := prefixes[p]; len(routes) > 0 {
-			best = MatchPath
-			if r := pickMethod(routes, method, len(path) > len(p)); r != nil {
+			r, m := pickMethod(routes, method, len(path) > len(p))
+			if r != nil {
 				return r, MatchRoute
 			}
+			best = max(best, m)
 		}
 		if p == "" {
 			return nil, best
@@ -90,19 +91,21 @@
 	}
 }
 
-// pickMethod returns the route for a method; longer tells whether the path goes
-// on behind the prefix.
-func pickMethod(routes []*Route, method string, longer bool) *Route {
+// pickMethod returns the route for a method, or whether there is one for the path
+// at least; longer tells whether the path goes on behind the prefix.
+func pickMethod(routes []*Route, method string, longer bool) (*Route, Match) {
 	var open *Route
+	match := MatchNone
 	for _, r := range routes {
 		if r.below && !longer {
 			continue
 		}
+		match = MatchPath
 		if len(r.methods) == 0 {
 			open = r
 		} else if slices.Contains(r.methods, method) {
-			return r
+			return r, MatchRoute
 		}
 	}
-	return open
+	return open, match
 }
--- /dev/null
+++ b/internal/membership/news_test.go
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func peer(n int) membership.Node {
+	return membership.NewNode(fmt.Sprintf("192.0.2.%d:1", n), "a")
+}
+
+// heardTable returns the table of node 0, which has heard n others.
+func heardTable(n int) *membership.Table {
+	t := membership.NewTable(peer(0))
+	for i := 1; i <= n; i++ {
+		t.Heard(begin, peer(i), 1, false)
+	}
+	return t
+}
+
+func live(t *membership.Table, now time.Time, n membership.Node) bool {
+	for _, l := range t.View(now).Live() {
+		if l == n {
+			return true
+		}
+	}
+	return false
+}
+
+// A suspicion that nobody refutes takes a node out of duty within a second.
+func TestSilentNodeIsDead(t *testing.T) {
+	tab := heardTable(3)
+	tab.Suspect(begin, peer(1).Address())
+	if !live(tab, begin, peer(1)) {
+		t.Error("a suspected node lost its duties before it could refute")
+	}
+	now := begin.Add(membership.RefuteTime)
+	if dead := tab.Advance(now); len(dead) != 1 || live(tab, now, peer(1)) {
+		t.Errorf("dead: %v", dead)
+	}
+}
+
+// A word of the node itself ends a suspicion and a death.
+func TestNodeThatSpeaksLives(t *testing.T) {
+	tab := heardTable(3)
+	tab.Suspect(begin, peer(1).Address())
+	tab.Heard(begin, peer(1), 1, false)
+	now := begin.Add(2 * membership.RefuteTime)
+	if dead := tab.Advance(now); len(dead) != 0 {
+		t.Errorf("dead: %v", dead)
+	}
+	tab.Suspect(now, peer(1).Address())
+	now = now.Add(membership.RefuteTime)
+	tab.Advance(now)
+	tab.Heard(now, peer(1), 1, false)
+	if !live(tab, now, peer(1)) {
+		t.Error("a node that speaks is taken for dead")
+	}
+}
+
+// News of a greater incarnation refutes a suspicion that came from elsewhere; news
+// of an older one changes nothing.
+func TestNewsIsRefutedByIncarnation(t *testing.T) {
+	tab := heardTable(3)
+	take := func(o membership.Opinion, incarnation uint64) {
+		tab.Take(begin, membership.News{
+			Node:        peer(1),
+			Incarnation: incarnation,
+			Opinion:     o,
+		}, 1)
+	}
+	take(membership.OpinionSuspect, 1)
+	take(membership.OpinionAlive, 2)
+	now := begin.Add(membership.RefuteTime)
+	if dead := tab.Advance(now); len(dead) != 0 {
+		t.Errorf("dead: %v", dead)
+	}
+	take(membership.OpinionDead, 1)
+	if !live(tab, now, peer(1)) {
+		t.Error("old news killed a node")
+	}
+	take(membership.OpinionDead, 2)
+	if live(tab, now, peer(1)) {
+		t.Error("news of a death was not taken")
+	}
+}
+
+// A node that hears of its own death must be told to refute it.
+func TestOwnDeathIsRefuted(t *testing.T) {
+	tab := heardTable(3)
+	n := membership.News{
+		Node:        peer(0),
+		Incarnation: 5,
+		Opinion:     membership.OpinionDead,
+	}
+	if !tab.Take(begin, n, 5) {
+		t.Error("news of the own death was not refuted")
+	}
+	if tab.Take(begin, n, 6) {
+		t.Error("news that was refuted already was refuted again")
+	}
+}
+
+// A process whose clock was set back starts with a smaller incarnation. It is told
+// of the greater one and takes it up.
+func TestRestartWithAnOlderClock(t *testing.T) {
+	tab := heardTable(3)
+	tab.Heard(begin, peer(1), 100, false)
+	for len(tab.Tell(10)) > 0 {
+	}
+	tab.Heard(begin, peer(1), 50, false)
+	told := tab.Tell(10)
+	if len(told) != 1 || told[0].Incarnation != 100 {
+		t.Fatalf("told %v", told)
+	}
+	own := membership.NewTable(peer(1))
+	if !own.Take(begin, told[0], 50) {
+		t.Error("the process does not take a greater incarnation")
+	}
+}
+
+// A node that stood still itself gives the others their whole time again.
+func TestOwnPauseKillsNobody(t *testing.T) {
+	tab := heardTable(3)
+	tab.Suspect(begin, peer(1).Address())
+	now := begin.Add(5 * time.Second)
+	tab.Calm(now)
+	if dead := tab.Advance(now); len(dead) != 0 {
+		t.Errorf("dead: %v", dead)
+	}
+}
+
+// News is passed on a bounded number of times.
+func TestNewsEnds(t *testing.T) {
+	tab := heardTable(30)
+	n := 0
+	for len(tab.Tell(4)) > 0 {
+		if n++; n > 1000 {
+			t.Fatal("news never ends")
+		}
+	}
+}
