--- a/internal/dissemination/dissemination_test.go
+++ b/internal/dissemination/dissemination_test.go
@@ -57,6 +57,7 @@
 			view:    tab.View(time.Now()),
 		}
 		p.gossip = dissemination.New(dissemination.Config{
+			Seeds: func() []string { return nil },
 			Self: func() *wire.Node {
 				return &wire.Node{
 					Address: p.name,
--- a/internal/logging/buffer_test.go
+++ b/internal/logging/buffer_test.go
@@ -52,7 +52,7 @@
 
 // Close gives up on a reader that never reads.
 func TestCloseDoesNotWaitForever(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		g := &gate{
 			open: make(chan struct{}),
 		}
--- a/internal/membership/news_test.go
+++ b/internal/membership/news_test.go
@@ -113,7 +113,8 @@
 func TestRestartWithAnOlderClock(t *testing.T) {
 	tab := heardTable(3)
 	tab.Heard(begin, peer(1), 100, false)
-	for len(tab.Tell(10)) > 0 {
+	for told := 1; told > 0; {
+		told = len(tab.Tell(10))
 	}
 	tab.Heard(begin, peer(1), 50, false)
 	told := tab.Tell(10)
