--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -14,7 +14,8 @@
 	Service    *fleetconfig.Service
 	Route      *fleetconfig.Route
 	Repeatable bool
-	// Kilobytes is the expected size of the answer in KiB, rounded up.
+	// Kilobytes is the expected size of the request's body and its answer in KiB,
+	// rounded up.
 	Kilobytes int
 	// Priority is the rank under overload; 0 is served first.
 	Priority int
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -74,7 +74,7 @@
 		Service:    x.service,
 		Route:      r,
 		Repeatable: r.Repeatable(),
-		Kilobytes:  x.server.sizes.expected(r),
+		Kilobytes:  x.server.sizes.expected(r) + int(x.body.length>>10),
 		Priority:   r.Priority(),
 		Aim:        x.aim(),
 		Deadline:   x.life.Deadline(),
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -32,6 +32,9 @@
 type judging struct {
 	board     *Board
 	collector *outlier.Collector
+	// passive is set where a dispatcher judges the targets: this controller then
+	// only publishes what the configuration says of them.
+	passive bool
 	// report takes the evidence of each beat.
 	report   func(now time.Time, evidence []outlier.Evidence)
 	log      *logrus.Entry
@@ -143,6 +146,9 @@
 // beat takes in the evidence of the last beat.
 func (j *judging) beat(now time.Time) {
 	evidence := j.collector.Drain(now)
+	if j.passive {
+		return
+	}
 	j.mu.Lock()
 	j.evidence(now, evidence)
 	for _, s := range j.services {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -298,6 +298,7 @@
 	}, logging.Part(n.log, "dispatch"))
 	if n.set.Choice() == settings.ChoiceJoint {
 		n.dispatching = d
+		n.judging.passive = true
 	}
 	return nil
 }
@@ -366,8 +367,6 @@
 	run := map[string]func(context.Context) error{
 		"members":   n.members.run,
 		"judging":   n.judging.run,
-		"observing": n.observing.run,
-		"probing":   n.probing.run,
 		"lifecycle": n.lifecycle.run,
 		"entry":     n.entry.Serve,
 		"operator":  n.operator.Serve,
@@ -379,6 +378,9 @@
 	}
 	if n.dispatching != nil {
 		run["dispatching"] = n.dispatching.run
+	} else {
+		run["observing"] = n.observing.run
+		run["probing"] = n.probing.run
 	}
 	if n.peers != nil {
 		run["link"] = n.peers.Serve
