internal/dispatch: give all targets that work their share, move the duty without a new reserve

Now targets that work are alike, work is spread while many last attempts fail, and the reserve grows with the time for which a node has the duty.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -4,11 +4,11 @@
 
 import "time"
 
-// Parts of what the settings allow that are used. When the duty moves to another
-// node it begins to count anew, so that two reserves may be spent in one window.
+// Parts of what the settings allow that are used. Parts of the fleet that lost each
+// other have a dispatcher each, so that two reserves may be spent in one window.
 const (
 	shareUsed   = 0.95
-	reserveUsed = 0.45
+	reserveUsed = 0.5
 	// budgetParts is into how many parts the window is divided.
 	budgetParts = 20
 )
@@ -28,6 +28,17 @@
 	firsts  [budgetParts]float64
 	repeats [budgetParts]float64
 	at      int64
+	// since is when this desk began to serve, last its last ask.
+	since time.Time
+	last  time.Time
+}
+
+// asked notes an ask. A desk that got none for a while has just taken up the duty.
+func (w *window) asked(now time.Time, b Budget) {
+	if now.Sub(w.last) > b.Window/2 {
+		w.since = now
+	}
+	w.last = now
 }
 
 // turn drops the parts that have left the window.
@@ -48,7 +59,9 @@
 
 // left returns how many repeats the budget still pays for. part is the share of
 // the reserve that this desk may use.
-func (w *window) left(b Budget, part float64) float64 {
+func (w *window) left(now time.Time, b Budget, part float64) float64 {
+	// Whoever had the duty before may have spent what the window allows.
+	part *= min(now.Sub(w.since).Seconds()/b.Window.Seconds(), 1)
 	firsts, repeats := 0.0, 0.0
 	for i := range w.firsts {
 		firsts += w.firsts[i]
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -79,6 +79,8 @@
 type flight struct {
 	begun time.Time
 	until time.Time
+	// last is set where no other attempt can follow a failure.
+	last bool
 }
 
 type target struct {
@@ -86,6 +88,8 @@
 	health    health
 	warmUntil time.Time
 	flights   map[ID]flight
+	// granted is when the target last got work.
+	granted time.Time
 }
 
 // Times and shares of a desk.
@@ -132,6 +136,7 @@
 	// learned until learned.
 	prior   float64
 	learned time.Time
+	ends    ends
 }
 
 // NewDesk returns a desk without targets. random gives numbers from 0 to 1.
@@ -178,7 +183,8 @@
 		return g
 	}
 	d.window.turn(now, d.begun, d.budget)
-	if a.Again && d.window.left(d.budget, 1) < d.needs(a) {
+	d.window.asked(now, d.budget)
+	if a.Again && d.window.left(now, d.budget, 1) < d.needs(a) {
 		return Grant{
 			ID:      a.ID,
 			Verdict: Spent,
@@ -192,6 +198,9 @@
 			RetryAfter: wait,
 		}
 	}
+	if t := d.neglected(now, a); t != nil {
+		return d.grant(now, t, a)
+	}
 	if d.queue.ahead(now, d.usual, a.Priority) == 0 {
 		if t := d.best(now, now, a); t != nil {
 			return d.grant(now, t, a)
@@ -247,7 +256,8 @@
 // node's share of the reserve of the retry budget.
 func (d *Desk) AskAlone(now time.Time, a *Ask, part float64) Grant {
 	d.window.turn(now, d.begun, d.budget)
-	if a.Again && d.window.left(d.budget, part) < 1 {
+	d.window.asked(now, d.budget)
+	if a.Again && d.window.left(now, d.budget, part) < 1 {
 		return Grant{
 			ID:      a.ID,
 			Verdict: Spent,
@@ -264,9 +274,11 @@
 }
 
 func (d *Desk) grant(now time.Time, t *target, a *Ask) Grant {
+	t.granted = now
 	t.flights[a.ID] = flight{
 		begun: now,
 		until: a.Deadline.Add(flightSlack),
+		last:  !a.Repeatable || a.Again && !a.Hedge,
 	}
 	d.granted[a.ID] = t.Key
 	return Grant{
@@ -348,6 +360,9 @@
 		return nil
 	}
 	idle := len(t.flights) <= t.Slots
+	if f, ok := t.flights[id]; ok && f.last {
+		d.ends.note(now, r)
+	}
 	delete(t.flights, id)
 	t.health.note(now, d.seen(r, took, idle))
 	if r == ResultGood {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -73,6 +73,9 @@
 	// by how much each success of a trusted target shortens it.
 	memoryGrowth = 1.6
 	memoryShrink = 0.8
+	// forgetTime is the time constant with which a target that nobody asked is
+	// trusted again.
+	forgetTime = 4 * time.Second
 	// relapseTime is within which time a failure counts as a relapse, if the
 	// target had got work again: at a belief below secondChance.
 	relapseTime  = 6 * time.Second
@@ -85,9 +88,9 @@
 )
 
 // health is the belief that one target is failing: a hidden Markov model with two
-// states. What was seen last counts less and less, in both directions, until only
-// the service's prior is left; so a target that has just done work is trusted more
-// than one that nobody asked for a while.
+// states. A failure counts less and less, first until the service's prior is left,
+// then until nothing is. Targets that work are all alike, however long ago they
+// were asked: to prefer the last ones would leave the others without work.
 type health struct {
 	prior   *float64
 	failing float64
@@ -106,8 +109,12 @@
 		// A target that has just started works, unless it shows otherwise.
 		return priorLeast
 	}
-	past := max(now.Sub(h.at), 0)
-	return *h.prior + (h.failing-*h.prior)*math.Exp(-past.Seconds()/h.memory.Seconds())
+	past := max(now.Sub(h.at), 0).Seconds()
+	p := h.failing
+	if p > *h.prior {
+		p = *h.prior + (p-*h.prior)*math.Exp(-past/h.memory.Seconds())
+	}
+	return priorLeast + max(p-priorLeast, 0)*math.Exp(-past/forgetTime.Seconds())
 }
 
 // bad returns the probability that a request sent at now fails.
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -37,7 +37,7 @@
 		Waiting:     len(d.queue.list),
 		Usual:       d.usual,
 		Prior:       d.prior,
-		RepeatsLeft: d.window.left(d.budget, 1),
+		RepeatsLeft: d.window.left(now, d.budget, 1),
 	}
 	for _, t := range d.order {
 		s.InFlight += len(t.flights)
