--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -42,6 +42,9 @@
 	// the node that read it. Bytes between data halls are dear; each data hall
 	// needs to hear of a value once.
 	fanoutFar = 2
+	// startCompares is how many different peers a node compares with before it
+	// prefers those of its data hall: as many as it needs to become ready.
+	startCompares = 3
 	// ownHallOdds is how many of ten comparisons stay in the data hall.
 	ownHallOdds = 8
 	// mentionsMost is how many nodes a reply names to a node that knows few.
@@ -341,7 +344,7 @@
 // parts of the fleet that lost each other meet again.
 func (g *Gossip) choose(n int) []string {
 	near, far := g.halls()
-	if rand.IntN(10) < ownHallOdds && len(near) > 0 {
+	if g.Compared() >= startCompares && rand.IntN(10) < ownHallOdds && len(near) > 0 {
 		return some(near, n)
 	}
 	all := append(near, far...)
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -3,6 +3,7 @@
 package integration_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -149,6 +150,8 @@
 	outgoing string
 	extra    string
 	seeds    []string
+	// peersAt is the address for peers where no proxy stands before it, else "".
+	peersAt string
 	// proc is the running process, entry its address for callers.
 	proc  atomic.Pointer[process.Process]
 	entry string
@@ -174,7 +177,7 @@
 	}
 	for i, other := range s.nodes {
 		if i < 3 {
-			n.seeds = append(n.seeds, other.front.Addr())
+			n.seeds = append(n.seeds, cmp.Or(other.peersAt, other.front.Addr()))
 		}
 	}
 	for _, o := range opts {
@@ -186,6 +189,18 @@
 	return n
 }
 
+// withPeersAt gives the node an address for peers of its own, for datagrams pass
+// no proxy.
+func withPeersAt(address string) option { return func(n *node) { n.peersAt = address } }
+
+// peerSettings returns the addresses for peers.
+func (n *node) peerSettings() string {
+	if n.peersAt != "" {
+		return "listen = " + n.peersAt
+	}
+	return "listen = 127.0.0.1:0\nadvertise = " + n.front.Addr()
+}
+
 func (n *node) settings() string {
 	seeds := ""
 	if len(n.seeds) > 0 {
@@ -198,8 +213,7 @@
 [operator]
 listen = 127.0.0.1:0
 [peers]
-listen = 127.0.0.1:0
-advertise = %s
+%s
 %s
 %s
 [source]
@@ -211,7 +225,7 @@
 [entry]
 listen = 127.0.0.1:0
 %s
-`, n.hall, n.outgoing, n.front.Addr(), seeds, n.keys, n.toPlat, n.extra)
+`, n.hall, n.outgoing, n.peerSettings(), seeds, n.keys, n.toPlat, n.extra)
 }
 
 func (n *node) start() {
