cmd/ploverctl, internal/entry: a line for each request, and the story of one from the logs

One line for each request that went well at once, one more for each other attempt; milliseconds in the time, who chose the target, how long it waited. Metrics get an address of their own.

--- a/cmd/ploverctl/main.go
+++ b/cmd/ploverctl/main.go
@@ -34,6 +34,7 @@
 	Explain explainCommand `cmd:"" help:"Show where a request would go, and why."`
 	Config  configCommand  `cmd:"" help:"Configuration in force on a node."`
 	Follow  followCommand  `cmd:"" help:"Print the changes on a node as they happen, until interrupted."`
+	Trace   traceCommand   `cmd:"" help:"Tell the story of one request from the logs of the nodes."`
 	Drain   drainCommand   `cmd:"" help:"Begin the planned stop of a node."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -38,6 +38,8 @@
 	Key string
 	// ID is the target's published ID, or "".
 	ID string
+	// By names the node that chose, "alone" where this one did.
+	By string
 	// Done must be called once, when the attempt has ended.
 	Done func(end outlier.End, took time.Duration)
 }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -8,17 +8,28 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/forward"
 )
 
-// logTry writes the line about one attempt: which target, how long, what came.
+// Lines about one request carry its name in the field "request". A request that
+// went well at its first attempt has one line; each attempt that failed, or was not
+// the first one, has a line of its own.
+
+// logTry writes the line about one attempt: who chose which target, how long it
+// took and what came.
 func (x *relay) logTry(t *try, a *forward.Answer, err error) {
+	if err == nil && !t.again && !passing(a.Status()) {
+		return
+	}
 	l := x.server.log.WithFields(logrus.Fields{
-		"request": x.id,
-		"service": x.service.Name(),
-		"target":  t.choice.Key,
-		"took_ms": time.Since(t.chosen).Milliseconds(),
-		"again":   t.again,
+		"request":   x.id,
+		"service":   x.service.Name(),
+		"target":    t.choice.Key,
+		"by":        t.choice.By,
+		"waited_ms": t.chosen.Sub(t.begun).Milliseconds(),
+		"took_ms":   time.Since(t.chosen).Milliseconds(),
+		"again":     t.again,
 	})
 	if err == nil {
 		l.WithField("status", a.Status()).WithField("whole", a.Whole()).Info("attempt answered")
@@ -32,7 +43,37 @@
 }
 
 // logNoTarget writes the line about an attempt that couldn't begin.
-func (x *relay) logNoTarget(err error) {
-	x.server.log.WithField("request", x.id).WithField("service", x.service.Name()).
-		WithError(err).Warn("no target for the attempt")
+func (x *relay) logNoTarget(err error, hedge bool) {
+	l := x.server.log.WithField("request", x.id).WithField("service", x.service.Name()).WithError(err)
+	if hedge {
+		l.Debug("no second target for a slow attempt")
+		return
+	}
+	l.Warn("no target for the attempt")
+}
+
+// logEnd writes the line about the final answer to a request.
+func (x *relay) logEnd(status int, outcome attempt.Outcome, fail *Error) {
+	l := x.server.log.WithFields(logrus.Fields{
+		"request":  x.id,
+		"route":    x.in.route.Name(),
+		"revision": x.in.config.Revision(),
+		"service":  x.service.Name(),
+		"status":   status,
+		"outcome":  outcome.String(),
+		"attempts": x.launched,
+		"took_ms":  time.Since(x.begun).Milliseconds(),
+	})
+	if x.won != nil {
+		l = l.WithFields(logrus.Fields{
+			"target":    x.won.choice.Key,
+			"by":        x.won.choice.By,
+			"waited_ms": x.won.chosen.Sub(x.won.begun).Milliseconds(),
+		})
+	}
+	if fail != nil {
+		l.WithError(fail).Warn("request failed")
+		return
+	}
+	l.Info("request answered")
 }
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -17,8 +17,14 @@
 	Request string `json:"request"`
 }
 
+// refuse answers a request that got no attempt.
 func (s *Server) refuse(w http.ResponseWriter, id string, e *Error) {
-	s.log.WithField("request", id).WithError(e).Info("request refused")
+	s.log.WithField("request", id).WithField("status", e.status).WithError(e).Warn("request refused")
+	s.answer(w, id, e)
+}
+
+// answer writes a final answer that no target gave.
+func (s *Server) answer(w http.ResponseWriter, id string, e *Error) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	s.setOutcome(h, id, e.outcome)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -233,9 +233,11 @@
 	}
 	a, release, fail := x.answer()
 	if fail != nil {
-		s.refuse(w, id, fail)
+		x.logEnd(fail.status, fail.outcome, fail)
+		s.answer(w, id, fail)
 		return fail.status, fail.outcome
 	}
+	x.logEnd(a.Status(), attempt.OutcomeDone, nil)
 	x.deliver(w, a, release)
 	return a.Status(), attempt.OutcomeDone
 }
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -22,6 +22,8 @@
 	again  bool
 	hedge  bool
 	choice Choice
+	// begun is when a target was asked for, chosen when there was one.
+	begun  time.Time
 	chosen time.Time
 	end    outlier.End
 	// released is set once the choice was given back.
@@ -34,6 +36,7 @@
 // reads it.
 func (t *try) run(ctx context.Context) {
 	x := t.relay
+	t.begun = time.Now()
 	choice, err := x.choose(ctx, t.again, t.hedge)
 	if err != nil {
 		x.results <- result{
@@ -86,7 +89,7 @@
 	x.mu.Unlock()
 	c, err := x.server.cfg.Choose(ctx, q)
 	if err != nil {
-		x.logNoTarget(err)
+		x.logNoTarget(err, hedge)
 		return Choice{}, err
 	}
 	x.mu.Lock()
--- a/internal/integration/tool_test.go
+++ b/internal/integration/tool_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"ploverjunction.example/ploverjunction/internal/standin/process"
+	"ploverjunction.example/ploverjunction/internal/standin/target"
 )
 
 // ctl runs ploverctl and returns its exit code and output.
@@ -209,3 +210,57 @@
 	}
 	eventually(t, "the end of the route", func() bool { return status() == http.StatusNotFound })
 }
+
+// The story of a request is told from the logs of several nodes, in the order of
+// time, whatever stands between and before the lines.
+func TestTraceTellsTheStoryOfARequest(t *testing.T) {
+	one := file(t, "one.log", `{"level":"info","msg":"dispatch: desk","time":"2026-01-01T00:00:00.100Z"}
+{"level":"warning","msg":"entry: request failed","request":"r1","status":502,"time":"2026-01-01T00:00:00.300Z"}
+{"level":"info","msg":"entry: request answered","request":"r12","time":"2026-01-01T00:00:00.300Z"}
+not JSON, names r1
+`)
+	two := file(t, "two.log", `host-2 {"level":"warning","msg":"entry: attempt failed","request":"r1","target":"t7","time":"2026-01-01T00:00:00.200Z"}
+`)
+	exit, out := ctl(t, "trace", "r1", one, two)
+	first, second := strings.Index(out, "attempt failed  target=t7"), strings.Index(out, "request failed  status=502")
+	if exit != 0 || first < 0 || second < first || strings.Contains(out, "answered") || strings.Count(out, "\n") != 2 {
+		t.Errorf("exit %d:\n%s", exit, out)
+	}
+	if exit, out := ctl(t, "trace", "nobody", one); exit != 1 {
+		t.Errorf("exit %d:\n%s", exit, out)
+	}
+	exit, out = ctl(t, "--output", "json", "trace", "r1", one, two)
+	var lines []map[string]any
+	if err := json.Unmarshal([]byte(out), &lines); exit != 0 || err != nil || len(lines) != 2 {
+		t.Errorf("exit %d, err %v:\n%s", exit, err, out)
+	}
+}
+
+// Each request has one line with its final answer, and each failed attempt another.
+func TestEveryRequestHasItsLine(t *testing.T) {
+	s, b, n := oneTarget(t)
+	good := n.do(http.MethodPost, "/quotes/1", "good", "")
+	b.SetMode(target.Mode{
+		ResetAfter: true,
+	})
+	bad := n.do(http.MethodPost, "/quotes/1", "bad", "")
+	if s.runsOf("good") != 1 || good.status != http.StatusOK || bad.outcome != "unknown" {
+		t.Fatalf("status %d, outcome %q", good.status, bad.outcome)
+	}
+	count := func(id, msg string) int {
+		lines := 0
+		for text := range strings.SplitSeq(n.proc.Load().Log(), "\n") {
+			if strings.Contains(text, `"request":"`+id+`"`) && strings.Contains(text, msg) {
+				lines++
+			}
+		}
+		return lines
+	}
+	goodID, badID := good.header.Get("Plover-Request-Id"), bad.header.Get("Plover-Request-Id")
+	eventually(t, "the lines", func() bool {
+		return count(goodID, "request answered") == 1 && count(badID, "request failed") == 1
+	})
+	if count(goodID, "") != 1 || count(badID, "attempt failed") != 1 {
+		t.Errorf("lines about the good request %d, about the failed attempt %d", count(goodID, ""), count(badID, "attempt failed"))
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -12,6 +12,10 @@
 // partField carries the name of a part from Part to the formatter.
 const partField = "part"
 
+// stampFormat is RFC 3339 with milliseconds: lines of several nodes are put in
+// order by it.
+const stampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes to w. An unknown level means info; any
 // format but "json" means text.
 func New(w io.Writer, level, format string) *logrus.Logger {
@@ -23,7 +27,9 @@
 		DisableColors: true,
 	}
 	if format == "json" {
-		inner = &logrus.JSONFormatter{}
+		inner = &logrus.JSONFormatter{
+			TimestampFormat: stampFormat,
+		}
 	}
 	l.SetFormatter(&prefixed{
 		format: inner.Format,
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -55,6 +55,9 @@
 	doneBeat  = 60 * time.Millisecond
 )
 
+// byItself names a choice that a node made without a dispatcher.
+const byItself = "alone"
+
 func dispatcherDuty(service string) string { return "dispatcher/" + service }
 
 // dispatching chooses targets jointly and does this node's duty as a dispatcher.
@@ -550,6 +553,7 @@
 		Address: t.Address(),
 		Key:     t.Key(),
 		ID:      t.ID(),
+		By:      peer,
 		Done: func(end outlier.End, took time.Duration) {
 			d.tell(peer, doneOf(q.Service.Name(), g, resultOf(end), took))
 			d.note(q.Service.Name(), t.Key(), end, took)
@@ -611,7 +615,7 @@
 	self := d.board.view.Load().Self()
 	a := &dispatch.Ask{
 		ID: dispatch.ID{
-			Node:   "alone",
+			Node:   byItself,
 			Number: d.messenger.calls.Add(1),
 		},
 		DataHall:   self.DataHall(),
@@ -643,6 +647,7 @@
 		Address: t.Address(),
 		Key:     t.Key(),
 		ID:      t.ID(),
+		By:      byItself,
 		Done: func(end outlier.End, took time.Duration) {
 			d.end(a.ID.Node, &wire.Done{
 				Service: service,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,6 +249,8 @@
 		Explain: n.explain,
 		Drain:   n.Drain,
 		Metrics: n.metrics.Handler(),
+
+		MetricsListen: n.set.MetricsListen(),
 	})
 	if err != nil {
 		return fmt.Errorf("node: %w", err)
@@ -311,7 +313,8 @@
 	for _, r := range refusals {
 		log.WithField("key", r.Key()).WithField("revision", r.Revision()).WithError(r.Err()).Warn("value refused")
 	}
-	log.WithField("revision", c.Revision()).Debug("configuration in force")
+	log.WithField("revision", c.Revision()).WithField("routes", c.Routes()).
+		WithField("services", len(c.Services())).Info("configuration in force")
 	n.board.config.Store(&configuration{
 		config:   c,
 		refusals: refusals,
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -21,8 +21,16 @@
 	if n.directory != nil {
 		return n.directory.Run(ctx, deliver, failed)
 	}
+	reads := false
 	return n.adapter.Read(ctx, source.Config{
-		Reader:  n.reader,
+		Reader: func() bool {
+			now := n.reader()
+			if now != reads {
+				reads = now
+				log.WithField("reads", reads).WithField("age_ms", ageMS(n.gossip.PlatformAge(time.Now()))).Info("duty to read the platform changed")
+			}
+			return reads
+		},
 		Deliver: deliver,
 		Known:   n.replica.Value,
 		Keys:    n.replica.Keys,
@@ -32,6 +40,14 @@
 	})
 }
 
+// ageMS returns an age in milliseconds, -1 for what was never heard.
+func ageMS(age time.Duration) int64 {
+	if age > time.Hour {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 // reader tells whether this node should read the platform: it has the duty, or
 // nobody seems to do it.
 func (n *Node) reader() bool {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"time"
 
 	kratos "github.com/go-kratos/kratos/v2/transport/http"
+
+	"ploverjunction.example/ploverjunction/internal/task"
 )
 
 // headerTimeout bounds how long a request's header may take.
@@ -32,6 +35,9 @@
 	// Drain begins a planned stop.
 	Drain   func()
 	Metrics http.Handler
+	// MetricsListen is another address on which only metrics are served; the zero
+	// value means none.
+	MetricsListen netip.AddrPort
 }
 
 // Server serves operators over kratos' HTTP transport.
@@ -39,6 +45,8 @@
 	cfg      Config
 	http     *kratos.Server
 	listener net.Listener
+	// metrics is nil where metrics have no address of their own.
+	metrics *kratos.Server
 }
 
 // New returns a server that listens already but does not serve yet.
@@ -64,6 +72,11 @@
 	s.http.HandleFunc("/explain", s.explain)
 	s.http.HandleFunc("/drain", s.drain)
 	s.http.Handle("/metrics", cfg.Metrics)
+	if cfg.MetricsListen.IsValid() {
+		s.metrics = kratos.NewServer(kratos.Address(cfg.MetricsListen.String()), kratos.Timeout(0))
+		s.metrics.ReadHeaderTimeout = headerTimeout
+		s.metrics.Handle("/metrics", cfg.Metrics)
+	}
 	return s, nil
 }
 
@@ -72,7 +85,12 @@
 
 // Serve serves until Close is called.
 func (s *Server) Serve(ctx context.Context) error {
-	return s.http.Start(context.WithoutCancel(ctx))
+	ctx = context.WithoutCancel(ctx)
+	if s.metrics == nil {
+		return s.http.Start(ctx)
+	}
+	second := task.Go(ctx, "metrics", s.metrics.Start)
+	return errors.Join(s.http.Start(ctx), s.metrics.Close(), <-second.Done())
 }
 
 // Close ends all connections and Serve.
