internal/membership: duties by what a machine can carry; internal/dispatch: crossings cost 0.03 a KiB

Cause: the grown sites have machines of 0.16 and of 0.8 processors, and a dispatcher there takes hundreds of asks a second. Weighted rendezvous hashing.

--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -16,7 +16,7 @@
 	// lastFailure is the same where the attempt is a second one already.
 	lastFailure = 4
 	// crossing is the cost of one KiB between data halls, from the users' prices.
-	crossing = 0.02
+	crossing = 0.03
 	// loadCost is what a full target costs more than an empty one: some slow down
 	// when they are nearly full.
 	loadCost = 0.04
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -38,6 +38,8 @@
 	Key string
 	// ID is the target's published ID, or "".
 	ID string
+	// DataHall is the target's.
+	DataHall string
 	// By names the node that chose, "alone" where this one did.
 	By string
 	// Done must be called once, when the attempt has ended.
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -67,6 +67,7 @@
 	if x.won != nil {
 		l = l.WithFields(logrus.Fields{
 			"target":    x.won.choice.Key,
+			"hall":      x.won.choice.DataHall,
 			"by":        x.won.choice.By,
 			"waited_ms": x.won.chosen.Sub(x.won.begun).Milliseconds(),
 		})
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -27,6 +27,8 @@
 	Incarnation uint64
 	Leaving     bool
 	Opinion     Opinion
+	// Weight is how much of the duties the node can carry; 0 if it isn't known.
+	Weight uint32
 }
 
 // Times and counts of news.
@@ -53,6 +55,7 @@
 			Incarnation: s.incarnation,
 			Leaving:     s.leaving,
 			Opinion:     o,
+			Weight:      s.weight,
 		},
 	}
 }
@@ -92,6 +95,7 @@
 	}
 	known := t.nodes[n.Node.address] != nil
 	s := t.find(n.Node)
+	t.Weigh(n.Node.address, n.Weight)
 	switch {
 	case n.Incarnation < s.incarnation:
 	case n.Opinion == OpinionAlive:
--- a/internal/membership/news_test.go
+++ b/internal/membership/news_test.go
@@ -148,3 +148,25 @@
 		}
 	}
 }
+
+// Nodes that can carry more get more of the duties.
+func TestDutiesFollowWeights(t *testing.T) {
+	tab := heardTable(9)
+	tab.Weigh(peer(0).Address(), 100)
+	for i := 1; i <= 9; i++ {
+		tab.Weigh(peer(i).Address(), 100)
+	}
+	tab.Weigh(peer(3).Address(), 900)
+	view := tab.View(begin)
+	count := 0
+	const duties = 2000
+	for i := range duties {
+		if view.Duty(fmt.Sprintf("duty-%d", i), "", 1)[0] == peer(3) {
+			count++
+		}
+	}
+	// Half of the weight of all ten nodes is its own.
+	if share := float64(count) / duties; share < 0.45 || share > 0.55 {
+		t.Errorf("half of the weight got %.2f of the duties", share)
+	}
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -8,6 +8,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -59,6 +61,7 @@
 	// nobody refuted it.
 	suspected time.Time
 	dead      bool
+	weight    uint32
 }
 
 // Table is the list of nodes as one node knows it. It isn't safe for concurrent
@@ -69,6 +72,8 @@
 	// changed is set when the next view may differ from the last one.
 	changed bool
 	news    map[string]*rumor
+	// weight is this node's own.
+	weight uint32
 }
 
 // NewTable returns a table that knows only self.
@@ -148,6 +153,23 @@
 	s.suspectTill = time.Time{}
 }
 
+// Weigh notes how much of the duties a node, or this one, can carry; 0 means
+// DefaultWeight.
+func (t *Table) Weigh(address string, weight uint32) {
+	if address == t.self.address {
+		t.changed = t.changed || weight != t.weight
+		t.weight = weight
+		return
+	}
+	if s := t.nodes[address]; s != nil && s.weight != weight && weight != 0 {
+		s.weight = weight
+		t.changed = true
+	}
+}
+
+// DefaultWeight is the weight of a node that states none.
+const DefaultWeight = 1000
+
 // Mentioned notes a node that a peer knows.
 func (t *Table) Mentioned(now time.Time, n Node) {
 	if n.address == t.self.address || n.address == "" || t.nodes[n.address] != nil {
@@ -179,6 +201,8 @@
 	self  Node
 	peers []Node
 	live  []Node
+	// weights are those of the live nodes that differ from DefaultWeight.
+	weights map[string]uint32
 	// duties are the holders of duties that were asked for before.
 	duties sync.Map
 }
@@ -192,7 +216,7 @@
 
 // Same tells whether two views hold the same nodes.
 func (v *View) Same(o *View) bool {
-	return o != nil && v.self == o.self && slices.Equal(v.peers, o.peers) && slices.Equal(v.live, o.live)
+	return o != nil && v.self == o.self && slices.Equal(v.peers, o.peers) && slices.Equal(v.live, o.live) && maps.Equal(v.weights, o.weights)
 }
 
 // View returns the table as it stands at now.
@@ -200,6 +224,11 @@
 	v := &View{
 		self: t.self,
 		live: []Node{t.self},
+
+		weights: map[string]uint32{},
+	}
+	if t.weight != 0 {
+		v.weights[t.self.address] = t.weight
 	}
 	for _, s := range t.nodes {
 		if s.leaving || s.node.address == t.self.address {
@@ -208,6 +237,9 @@
 		v.peers = append(v.peers, s.node)
 		if !now.Before(s.suspectTill) && !s.dead {
 			v.live = append(v.live, s.node)
+			if s.weight != 0 {
+				v.weights[s.node.address] = s.weight
+			}
 		}
 	}
 	byAddress := func(a, b Node) int { return strings.Compare(a.address, b.address) }
@@ -250,14 +282,14 @@
 func (v *View) rank(duty, dataHall string, n int) []Node {
 	type ranked struct {
 		node Node
-		rank uint64
+		rank float64
 	}
 	var all []ranked
 	for _, node := range v.live {
 		if dataHall == "" || node.dataHall == dataHall {
 			all = append(all, ranked{
 				node: node,
-				rank: xxhash.Sum64String(duty + "|" + node.address),
+				rank: v.score(duty, node),
 			})
 		}
 	}
@@ -271,6 +303,17 @@
 	return out
 }
 
+// score is the rank of a node by weighted rendezvous hashing: over many duties a
+// node gets as many as its weight says (Schindelhauer and Schomaker, SPAA 2005).
+func (v *View) score(duty string, node Node) float64 {
+	w := v.weights[node.address]
+	if w == 0 {
+		w = DefaultWeight
+	}
+	u := (float64(xxhash.Sum64String(duty+"|"+node.address)) + 0.5) / (1 << 64)
+	return float64(w) / -math.Log(u)
+}
+
 // DataHalls returns the data halls with live nodes, sorted.
 func (v *View) DataHalls() []string {
 	var out []string
--- a/internal/node/choosing.go
+++ b/internal/node/choosing.go
@@ -65,8 +65,10 @@
 		Address: t.Address(),
 		Key:     t.Key(),
 		ID:      t.ID(),
-		By:      byItself,
-		Done:    func(outlier.End, time.Duration) { pick.Release() },
+
+		DataHall: t.DataHall(),
+		By:       byItself,
+		Done:     func(outlier.End, time.Duration) { pick.Release() },
 	}, true
 }
 
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -553,7 +553,9 @@
 		Address: t.Address(),
 		Key:     t.Key(),
 		ID:      t.ID(),
-		By:      peer,
+
+		DataHall: t.DataHall(),
+		By:       peer,
 		Done: func(end outlier.End, took time.Duration) {
 			d.tell(peer, doneOf(q.Service.Name(), g, resultOf(end), took))
 			d.note(q.Service.Name(), t.Key(), end, took)
@@ -647,7 +649,9 @@
 		Address: t.Address(),
 		Key:     t.Key(),
 		ID:      t.ID(),
-		By:      byItself,
+
+		DataHall: t.DataHall(),
+		By:       byItself,
 		Done: func(end outlier.End, took time.Duration) {
 			d.end(a.ID.Node, &wire.Done{
 				Service: service,
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -26,11 +26,12 @@
 	incarnation atomic.Uint64
 }
 
-func newMembers(board *Board, self membership.Node) *members {
+func newMembers(board *Board, self membership.Node, weight uint32) *members {
 	m := &members{
 		board: board,
 		table: membership.NewTable(self),
 	}
+	m.table.Weigh(self.Address(), weight)
 	m.board.view.Store(m.table.View(time.Now()))
 	return m
 }
@@ -64,6 +65,7 @@
 func (m *members) heard(n *wire.Node) {
 	m.change(func(t *membership.Table, now time.Time) {
 		t.Heard(now, membership.NewNode(n.GetAddress(), n.GetDataHall()), n.GetIncarnation(), n.GetLeaving())
+		t.Weigh(n.GetAddress(), n.GetWeight())
 	})
 }
 
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -67,6 +67,7 @@
 				DataHall:    n.Node.DataHall(),
 				Incarnation: n.Incarnation,
 				Leaving:     n.Leaving,
+				Weight:      n.Weight,
 			},
 		})
 	}
@@ -124,6 +125,7 @@
 			Incarnation: n.GetNode().GetIncarnation(),
 			Leaving:     n.GetNode().GetLeaving(),
 			Opinion:     membership.Opinion(n.GetState()),
+			Weight:      n.GetNode().GetWeight(),
 		})
 	}
 	if age := d.GetSourceAgeMs(); age > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,7 +116,7 @@
 		return nil, err
 	}
 	n.dialer = link.NewDialer(keys, n.traffic)
-	n.members = newMembers(n.board, membership.NewNode(n.address(), set.DataHall()))
+	n.members = newMembers(n.board, membership.NewNode(n.address(), set.DataHall()), set.Weight())
 	n.members.incarnation.Store(uint64(n.begun.UnixMilli()))
 	n.replica = dissemination.NewReplica(n.accepted)
 	n.gossip = dissemination.New(n.gossipConfig(), n.replica)
@@ -153,6 +153,7 @@
 		DataHall:    n.set.DataHall(),
 		Incarnation: n.members.incarnation.Load(),
 		Leaving:     n.lifecycle.leaving.Load(),
+		Weight:      n.set.Weight(),
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,7 @@
 type Settings struct {
 	dataHall string
 	outgoing netip.Addr
+	weight   uint32
 
 	entryListen     netip.AddrPort
 	maxBody         int64
@@ -95,6 +96,10 @@
 // value leaves the choice to the system.
 func (s *Settings) Outgoing() netip.Addr { return s.outgoing }
 
+// Weight returns what this process can carry, in thousandths of a processor. Nodes
+// that can carry more get more of the fleet's duties.
+func (s *Settings) Weight() uint32 { return s.weight }
+
 // EntryListen returns the address on which callers are served.
 func (s *Settings) EntryListen() netip.AddrPort { return s.entryListen }
 
@@ -205,6 +210,7 @@
 	return []field{
 		required("node", "data_hall", text(&s.dataHall)),
 		optional("node", "outgoing", ip(&s.outgoing)),
+		optional("node", "processors", processors(&s.weight)),
 		required("entry", "listen", address(&s.entryListen)),
 		optional("entry", "max_body", size(&s.maxBody, minBody, maxBody)),
 		optional("entry", "max_header", size(&s.maxHeader, minHeader, maxHeader)),
@@ -242,6 +248,7 @@
 		holdBody:         64 << 10,
 		deadline:         10 * time.Second,
 		stall:            15 * time.Second,
+		weight:           1000,
 		choice:           ChoiceAlone,
 		retryShare:       0.1,
 		retryReserve:     10,
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -136,3 +136,16 @@
 		return ""
 	}
 }
+
+// processors reads how many processors a process can use, from 0.001 to 1000, into
+// thousandths.
+func processors(dst *uint32) func(string) string {
+	return func(v string) string {
+		f, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(f >= 0.001 && f <= 1000) {
+			return "want a number from 0.001 to 1000, got " + strconv.Quote(v)
+		}
+		*dst = uint32(f * 1000)
+		return ""
+	}
+}
