--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -22,8 +22,6 @@
 	loadCost = 0.04
 	// coldCost is what a starting target costs more than a warm one.
 	coldCost = 0.05
-	// connectionGain is the price of a new connection, which an idle one saves.
-	connectionGain = 0.015
 	// noise breaks ties by chance.
 	noise = 0.002
 	// waitCost is what waiting for a better target costs; a target that is worse
@@ -59,11 +57,6 @@
 func (d *Desk) cost(now time.Time, t *target, a *Ask) float64 {
 	c := d.quality(now, t, a)
 	c += loadCost * float64(len(t.flights)+1) / float64(max(t.Slots, 1))
-	for _, k := range a.Connected {
-		if k == t.Key {
-			c -= connectionGain
-		}
-	}
 	return c + noise*d.random()
 }
 
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -3,8 +3,6 @@
 package dispatch
 
 import (
-	"math"
-	"slices"
 	"time"
 )
 
@@ -42,10 +40,9 @@
 	// Aim is until when an answer is worth most, Deadline until when it counts.
 	Aim      time.Time
 	Deadline time.Time
-	// Tried are keys of targets that the request was sent to before, Connected
-	// those to which the node holds an idle connection.
-	Tried     []string
-	Connected []string
+	// Tried are keys of targets that the request was sent to before or that the
+	// node can't reach.
+	Tried []string
 }
 
 // Verdict answers an ask.
@@ -288,65 +285,6 @@
 	}
 }
 
-// best returns the target that an ask should get now, or nil if it should wait.
-// since is when it began to wait.
-func (d *Desk) best(now, since time.Time, a *Ask) *target {
-	free := d.cheapest(now, a, func(t *target) bool { return len(t.flights) < d.slots(now, t) })
-	if free == nil {
-		return nil
-	}
-	waited := float64(now.Sub(since)) / float64(max(d.patience(since, a), 1))
-	if waited >= 1 {
-		return free
-	}
-	all := d.cheapest(now, a, func(*target) bool { return true })
-	// The longer an ask has waited the worse a target it takes: one that failed
-	// gets work again when its slots are needed.
-	if d.quality(now, free, a)-d.quality(now, all, a) > waitCost+waited*a.failureCost()*badFailing {
-		return nil
-	}
-	return free
-}
-
-// patience returns how long an ask waits for a better target than is free. What
-// can be repeated waits as long as an answer can still be in time. What can't be
-// waits longer: a late answer is worth more than a failure, and failing targets
-// always have free slots.
-func (d *Desk) patience(since time.Time, a *Ask) time.Duration {
-	if !a.Repeatable {
-		return time.Duration(unsafePatience * float64(a.Deadline.Sub(since)))
-	}
-	return max(a.Aim.Sub(since)-2*d.usual, 0) / 2
-}
-
-func (d *Desk) slots(now time.Time, t *target) int {
-	if now.Before(t.warmUntil) {
-		return max(int(coldSlots*float64(t.Slots)), 1)
-	}
-	return t.Slots
-}
-
-// cheapest returns the target with the least cost of those that fit; targets that
-// were tried before count only when there is no other.
-func (d *Desk) cheapest(now time.Time, a *Ask, fits func(*target) bool) *target {
-	var best *target
-	least, bestTried := 0.0, false
-	for _, t := range d.order {
-		if t.Leaving || !fits(t) {
-			continue
-		}
-		tried := slices.Contains(a.Tried, t.Key)
-		if best != nil && tried && !bestTried {
-			continue
-		}
-		c := d.cost(now, t, a)
-		if best == nil || bestTried && !tried || c < least {
-			best, least, bestTried = t, c, tried
-		}
-	}
-	return best
-}
-
 // slow returns the time after which a request is unusually late.
 func (d *Desk) slow() time.Duration { return max(slowFactor*d.usual, slowLeast) }
 
@@ -420,25 +358,6 @@
 	return append(d.queue.expire(now), d.serve(now)...)
 }
 
-// learnPrior moves the prior towards the mean belief: over time a true belief is
-// right on average.
-func (d *Desk) learnPrior(now time.Time) {
-	past := now.Sub(d.learned)
-	d.learned = now
-	sum, n := 0.0, 0
-	for _, t := range d.order {
-		if !t.Leaving {
-			sum += t.health.failingAt(now)
-			n++
-		}
-	}
-	if n == 0 {
-		return
-	}
-	step := 1 - math.Exp(-past.Seconds()/priorMemory.Seconds())
-	d.prior = min(max(d.prior+step*(sum/float64(n)-d.prior), priorLeast), priorMost)
-}
-
 // serve grants what the queue can have now.
 func (d *Desk) serve(now time.Time) []Grant {
 	var out []Grant
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -189,3 +189,22 @@
 	h.failing = min(o/(1+o), mostFailing)
 	h.at = now
 }
+
+// learnPrior moves the prior towards the mean belief: over time a true belief is
+// right on average.
+func (d *Desk) learnPrior(now time.Time) {
+	past := now.Sub(d.learned)
+	d.learned = now
+	sum, n := 0.0, 0
+	for _, t := range d.order {
+		if !t.Leaving {
+			sum += t.health.failingAt(now)
+			n++
+		}
+	}
+	if n == 0 {
+		return
+	}
+	step := 1 - math.Exp(-past.Seconds()/priorMemory.Seconds())
+	d.prior = min(max(d.prior+step*(sum/float64(n)-d.prior), priorLeast), priorMost)
+}
--- /dev/null
+++ b/internal/node/alone.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// chooseAlone takes a target by what this node knows itself.
+func (d *dispatching) chooseAlone(q *entry.Query) (entry.Choice, error) {
+	now := time.Now()
+	self := d.board.view.Load().Self()
+	a := &dispatch.Ask{
+		ID: dispatch.ID{
+			Node:   byItself,
+			Number: d.messenger.calls.Add(1),
+		},
+		DataHall:   self.DataHall(),
+		Repeatable: q.Repeatable,
+		Again:      q.Again,
+		Hedge:      q.Hedge,
+		Kilobytes:  q.Kilobytes,
+		Priority:   q.Priority,
+		Aim:        q.Aim,
+		Deadline:   q.Deadline,
+		Tried:      q.Tried,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dk := d.desk(now, q.Service.Name())
+	if dk == nil {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
+	}
+	g := dk.AskAlone(now, a, 1/float64(d.board.nodes()))
+	if g.Verdict == dispatch.Spent {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonBudget, 0)
+	}
+	t := dk.config.Target(g.Target)
+	if t == nil {
+		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
+	}
+	service := q.Service.Name()
+	return entry.Choice{
+		Address: t.Address(),
+		Key:     t.Key(),
+		ID:      t.ID(),
+
+		DataHall: t.DataHall(),
+		By:       byItself,
+		Done: func(end outlier.End, took time.Duration) {
+			d.end(a.ID.Node, &wire.Done{
+				Service: service,
+				Request: a.ID.Number,
+				Target:  t.Key(),
+				Result:  resultOf(end),
+				TookMs:  uint32(took.Milliseconds()),
+			})
+		},
+	}, nil
+}
--- /dev/null
+++ b/internal/node/dispatcher.go
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// This file is the side of a dispatcher: what a node does for the requests of
+// others.
+
+func (d *dispatching) advance(now time.Time) {
+	d.mu.Lock()
+	var out []dispatch.Grant
+	names := make([]string, 0, len(d.desks))
+	var grants [][]dispatch.Grant
+	for name := range d.desks {
+		if dk := d.desk(now, name); dk != nil {
+			out = dk.Advance(now)
+			names = append(names, name)
+			grants = append(grants, out)
+		}
+	}
+	d.mu.Unlock()
+	for i, name := range names {
+		d.deliver(name, grants[i])
+	}
+}
+
+// report writes a line about each desk that has work, at a slow beat.
+func (d *dispatching) report(now time.Time) {
+	if now.Sub(d.reported) < reportBeat {
+		return
+	}
+	d.reported = now
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, dk := range d.desks {
+		s := dk.Status(now)
+		if dk.Asked() < reportLeast {
+			continue
+		}
+		failing := map[string]float64{}
+		for _, t := range s.Targets {
+			if t.Failing > reportFailing {
+				failing[t.Key] = math.Round(t.Failing*100) / 100
+			}
+		}
+		d.log.WithFields(logrus.Fields{
+			"service":      name,
+			"waiting":      s.Waiting,
+			"in_flight":    s.InFlight,
+			"slots":        s.Slots,
+			"usual_ms":     s.Usual.Milliseconds(),
+			"prior":        math.Round(s.Prior*100) / 100,
+			"repeats_left": math.Round(s.RepeatsLeft),
+			"failing":      failing,
+		}).Info("desk")
+	}
+}
+
+// desk returns the desk of a service in its newest configuration, or nil if there
+// is no such service. d.mu is held.
+func (d *dispatching) desk(now time.Time, name string) *desk {
+	c := d.board.currentConfig()
+	if c == nil || c.Service(name) == nil {
+		delete(d.desks, name)
+		return nil
+	}
+	sc := c.Service(name)
+	dk := d.desks[name]
+	if dk == nil {
+		dk = &desk{
+			Desk: dispatch.NewDesk(now, d.budget, rand.Float64),
+		}
+		d.desks[name] = dk
+	}
+	if dk.config != sc {
+		dk.config = sc
+		dk.Configure(now, deskTargets(sc))
+	}
+	return dk
+}
+
+func deskTargets(sc *fleetconfig.Service) []dispatch.Target {
+	var out []dispatch.Target
+	for _, t := range sc.Targets() {
+		out = append(out, dispatch.Target{
+			Key:      t.Key(),
+			DataHall: t.DataHall(),
+			Slots:    t.Slots(),
+			Leaving:  t.Leaving(),
+			Warmup:   t.Warmup(),
+		})
+	}
+	return out
+}
+
+// asked answers the ask of a peer.
+func (d *dispatching) asked(in *wire.Datagram) {
+	now := time.Now()
+	w := in.GetAsk()
+	a := &dispatch.Ask{
+		ID: dispatch.ID{
+			Node:   in.GetFrom().GetAddress(),
+			Number: in.GetCall(),
+		},
+		DataHall:   in.GetFrom().GetDataHall(),
+		Repeatable: w.GetRepeatable(),
+		Again:      w.GetAgain(),
+		Hedge:      w.GetHedge(),
+		Kilobytes:  int(w.GetKilobytes()),
+		Priority:   int(w.GetPriority()),
+		Aim:        now.Add(time.Duration(w.GetAimMs()) * time.Millisecond),
+		Deadline:   now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
+		Tried:      w.GetTried(),
+	}
+	d.mu.Lock()
+	dk := d.desk(now, w.GetService())
+	var g dispatch.Grant
+	if dk != nil {
+		g = dk.Ask(now, a)
+	}
+	d.mu.Unlock()
+	if dk == nil {
+		d.answer(in.GetFrom().GetAddress(), in.GetCall(), &wire.Grant{
+			Verdict: wire.Grant_UNKNOWN,
+		})
+		return
+	}
+	d.answer(a.ID.Node, a.ID.Number, grantOf(g))
+}
+
+func grantOf(g dispatch.Grant) *wire.Grant {
+	return &wire.Grant{
+		Verdict:      wire.Grant_Verdict(g.Verdict),
+		Target:       g.Target,
+		RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
+	}
+}
+
+func (d *dispatching) answer(peer string, call uint64, g *wire.Grant) {
+	out := &wire.Datagram{
+		Call: call,
+		Body: &wire.Datagram_Grant{
+			Grant: g,
+		},
+	}
+	if peer == d.board.view.Load().Self().Address() {
+		d.messenger.answered(out)
+		return
+	}
+	d.messenger.send(peer, out)
+}
+
+// deliver sends grants that became possible later.
+func (d *dispatching) deliver(service string, grants []dispatch.Grant) {
+	for _, g := range grants {
+		d.log.WithFields(logrus.Fields{
+			"service": service,
+			"node":    g.ID.Node,
+			"verdict": g.Verdict.String(),
+			"target":  g.Target,
+		}).Debug("queued request answered")
+		d.answer(g.ID.Node, g.ID.Number, grantOf(g))
+	}
+}
+
+// told takes the end of an attempt from a peer.
+func (d *dispatching) told(in *wire.Datagram) {
+	w := in.GetDone()
+	d.end(in.GetFrom().GetAddress(), w)
+	d.messenger.send(in.GetFrom().GetAddress(), &wire.Datagram{
+		Call: in.GetCall(),
+		Body: &wire.Datagram_Taken{
+			Taken: &wire.Taken{},
+		},
+	})
+}
+
+// end takes the end of an attempt of any node.
+func (d *dispatching) end(node string, w *wire.Done) {
+	now := time.Now()
+	id := dispatch.ID{
+		Node:   node,
+		Number: w.GetRequest(),
+	}
+	d.mu.Lock()
+	dk := d.desk(now, w.GetService())
+	var out []dispatch.Grant
+	if dk != nil && w.GetTarget() == "" {
+		out = dk.Cancel(now, id)
+	} else if dk != nil {
+		out = dk.Done(now, id, w.GetTarget(), dispatch.Result(w.GetResult()), time.Duration(w.GetTookMs())*time.Millisecond)
+	}
+	d.mu.Unlock()
+	d.deliver(w.GetService(), out)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,7 +15,6 @@
 	"github.com/sirupsen/logrus"
 
 	"ploverjunction.example/ploverjunction/internal/contract"
-	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/dissemination"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
@@ -76,21 +75,6 @@
 	live atomic.Pointer[settings.Settings]
 }
 
-// Adapter is what another platform than the project's own brings.
-type Adapter struct {
-	// Contract names the headers between callers, the fleet and targets.
-	Contract *contract.Contract
-	// Read reads published values, and goes on reading, until the context ends;
-	// nil leaves it to the source that the settings name.
-	Read func(ctx context.Context, cfg source.Config) error
-	// Silent is after how long without word of the platform from anyone any node
-	// may read it. 0 means the time that fits the project's own platform, and a
-	// reader in each data hall; else two nodes read for the fleet.
-	Silent time.Duration
-	// Calls returns how many calls were made on the platform.
-	Calls func() int64
-}
-
 // New checks what settings alone can't and opens all ports. Nothing is served
 // before Run. adapter may be nil.
 func New(set *settings.Settings, log *logrus.Logger, adapter *Adapter) (*Node, error) {
@@ -270,42 +254,6 @@
 	return nil
 }
 
-// openSocket opens the socket for datagrams and makes the controllers that use it.
-func (n *Node) openSocket() error {
-	if !n.set.PeerListen().IsValid() || n.set.PeerListen().Port() == 0 {
-		return nil
-	}
-	log := logging.Part(n.log, "link")
-	n.messenger = newMessenger()
-	socket, err := link.OpenSocket(n.set.PeerListen(), n.set.PeerSecret(), n.traffic, func(err error) {
-		n.metrics.Count("datagrams_refused", 1)
-		log.WithError(err).Debug("datagram refused")
-	})
-	if err != nil {
-		return fmt.Errorf("node: %w", err)
-	}
-	m := n.messenger
-	m.socket, m.members, m.gossip, m.replica, m.self, m.log = socket, n.members, n.gossip, n.replica, n.self, log
-	n.pinging = &pinging{
-		messenger: m,
-		members:   n.members,
-		board:     n.board,
-		seeds:     n.seeds,
-		log:       logging.Part(n.log, "members"),
-	}
-	share, reserve, window := n.set.Retries()
-	d := newDispatching(n.board, m, dispatch.Budget{
-		Share:   share,
-		Reserve: float64(reserve),
-		Window:  window,
-	}, logging.Part(n.log, "dispatch"))
-	if n.set.Choice() == settings.ChoiceJoint {
-		n.dispatching = d
-		n.judging.passive = true
-	}
-	return nil
-}
-
 // accepted takes each new state of the replica.
 func (n *Node) accepted(c *fleetconfig.Config, refusals []fleetconfig.Refusal) {
 	log := logging.Part(n.log, "config")
--- /dev/null
+++ b/internal/node/socket.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"fmt"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/link"
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/settings"
+)
+
+// openSocket opens the socket for datagrams and makes the controllers that use it.
+func (n *Node) openSocket() error {
+	if !n.set.PeerListen().IsValid() || n.set.PeerListen().Port() == 0 {
+		return nil
+	}
+	log := logging.Part(n.log, "link")
+	n.messenger = newMessenger()
+	socket, err := link.OpenSocket(n.set.PeerListen(), n.set.PeerSecret(), n.traffic, func(err error) {
+		n.metrics.Count("datagrams_refused", 1)
+		log.WithError(err).Debug("datagram refused")
+	})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	m := n.messenger
+	m.socket, m.members, m.gossip, m.replica, m.self, m.log = socket, n.members, n.gossip, n.replica, n.self, log
+	n.pinging = &pinging{
+		messenger: m,
+		members:   n.members,
+		board:     n.board,
+		seeds:     n.seeds,
+		log:       logging.Part(n.log, "members"),
+	}
+	share, reserve, window := n.set.Retries()
+	d := newDispatching(n.board, m, dispatch.Budget{
+		Share:   share,
+		Reserve: float64(reserve),
+		Window:  window,
+	}, logging.Part(n.log, "dispatch"))
+	if n.set.Choice() == settings.ChoiceJoint {
+		n.dispatching = d
+		n.judging.passive = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/telling.go
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// unconfirmed is the end of an attempt that its dispatcher hasn't confirmed.
+type unconfirmed struct {
+	peer  string
+	done  *wire.Done
+	tries int
+	at    time.Time
+}
+
+// tell tells a dispatcher how an attempt ended, until it confirms.
+func (d *dispatching) tell(peer string, w *wire.Done) {
+	if peer == d.board.view.Load().Self().Address() {
+		d.end(peer, w)
+		return
+	}
+	u := &unconfirmed{
+		peer: peer,
+		done: w,
+	}
+	id := d.messenger.calls.Add(1)
+	d.mu.Lock()
+	d.pending[id] = u
+	d.mu.Unlock()
+	d.sendDone(time.Now(), id, u)
+}
+
+func (d *dispatching) sendDone(now time.Time, id uint64, u *unconfirmed) {
+	d.mu.Lock()
+	u.tries++
+	u.at = now
+	d.mu.Unlock()
+	d.messenger.send(u.peer, &wire.Datagram{
+		Call: id,
+		Body: &wire.Datagram_Done{
+			Done: u.done,
+		},
+	})
+}
+
+func (d *dispatching) repeat(now time.Time) {
+	d.mu.Lock()
+	due := map[uint64]*unconfirmed{}
+	for id, u := range d.pending {
+		switch {
+		case now.Sub(u.at) < doneBeat:
+		case u.tries >= doneTries:
+			delete(d.pending, id)
+		default:
+			due[id] = u
+		}
+	}
+	d.mu.Unlock()
+	for id, u := range due {
+		d.sendDone(now, id, u)
+	}
+}
+
+// confirmed notes that a dispatcher took the end of an attempt.
+func (d *dispatching) confirmed(call uint64) {
+	d.mu.Lock()
+	delete(d.pending, call)
+	d.mu.Unlock()
+}
