--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -46,7 +46,7 @@
 	// prefers those of its data hall: as many as it needs to become ready.
 	startCompares = 3
 	// ownHallOdds is how many of ten comparisons stay in the data hall.
-	ownHallOdds = 8
+	ownHallOdds = 6
 	// mentionsMost is how many nodes a reply names to a node that knows few.
 	mentionsMost = 40
 )
@@ -57,6 +57,10 @@
 	Self func() *wire.Node
 	// View returns the known nodes.
 	View func() *membership.View
+	// Near is set where datagrams tell of differences at once: values and
+	// comparisons then stay mostly in the data hall. Without them all peers are
+	// chosen alike, for a comparison is all that finds what a cut held back.
+	Near bool
 	// Seeds returns peers to ask when no others are known.
 	Seeds func() []string
 	// Call sends a request to a peer.
@@ -305,6 +309,9 @@
 // set on the node that read it. In each data hall a few others carry it on to
 // other data halls, in case that the first one's messages were lost.
 func (g *Gossip) pushTo(first bool) []string {
+	if !g.cfg.Near {
+		return g.choose(fanout)
+	}
 	near, far := g.halls()
 	out := some(near, fanout)
 	switch {
@@ -344,11 +351,17 @@
 // parts of the fleet that lost each other meet again.
 func (g *Gossip) choose(n int) []string {
 	near, far := g.halls()
-	if g.Compared() >= startCompares && rand.IntN(10) < ownHallOdds && len(near) > 0 {
+	if g.cfg.Near && g.Compared() >= startCompares && rand.IntN(10) < ownHallOdds && len(near) > 0 {
 		return some(near, n)
 	}
 	all := append(near, far...)
-	const seedOdds = 4
+	if !g.cfg.Near {
+		all = all[:0]
+		for _, p := range g.cfg.View().Peers() {
+			all = append(all, p.Address())
+		}
+	}
+	const seedOdds = 10
 	if len(all) < n || rand.IntN(seedOdds) == 0 {
 		self := g.cfg.Self().GetAddress()
 		for _, s := range g.cfg.Seeds() {
--- /dev/null
+++ b/internal/dissemination/pack_test.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"ploverjunction.example/ploverjunction/internal/dissemination"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// manyRoutes returns a published value of about 400 KB.
+func manyRoutes() []byte {
+	var b strings.Builder
+	b.WriteString(`{"services":[{"name":"s"}],"routes":[`)
+	for i := range 3000 {
+		if i > 0 {
+			b.WriteString(",")
+		}
+		fmt.Fprintf(&b, `{"name":"route-%d","host":"h%d.example","pathPrefix":"/p%d/","service":"s","repeatable":true,"deadline":"2.500s"}`, i, i%7, i)
+	}
+	b.WriteString("]}")
+	return []byte(b.String())
+}
+
+func TestLargeValuesTravelCompressed(t *testing.T) {
+	newReplica := func() *dissemination.Replica {
+		return dissemination.NewReplica(func(*fleetconfig.Config, []fleetconfig.Refusal) {})
+	}
+	value := manyRoutes()
+	from, to := newReplica(), newReplica()
+	from.Offer([]*wire.Entry{
+		{
+			Key:      "config",
+			Revision: 7,
+			Value:    value,
+		},
+	})
+	sent := from.Entries([]string{"config"})
+	if len(sent) != 1 || len(sent[0].GetValue()) != 0 || len(sent[0].GetPacked()) > len(value)/8 {
+		t.Fatalf("%d entries, %d bytes compressed of %d", len(sent), len(sent[0].GetPacked()), len(value))
+	}
+	if fresh := to.Offer(sent); len(fresh) != 1 {
+		t.Fatalf("%d fresh", len(fresh))
+	}
+	if got, ok := to.Value("config"); !ok || !bytes.Equal(got, value) {
+		t.Error("the value has changed on its way")
+	}
+	broken := &wire.Entry{
+		Key:      "config",
+		Revision: 8,
+		Packed:   []byte("no DEFLATE"),
+	}
+	if fresh := to.Offer([]*wire.Entry{broken}); len(fresh) != 0 || to.Broken() != 1 {
+		t.Errorf("%d fresh of a broken value, %d counted", len(fresh), to.Broken())
+	}
+}
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -9,6 +9,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
@@ -37,10 +38,13 @@
 // Replica is this node's copy of the published values. It may be used
 // concurrently.
 type Replica struct {
-	mu       sync.Mutex
-	store    *fleetconfig.Store
-	digest   uint64
-	asked    map[string]question
+	mu     sync.Mutex
+	store  *fleetconfig.Store
+	digest uint64
+	asked  map[string]question
+	packed map[string]*wire.Entry
+	// broken counts compressed values of peers that could not be read.
+	broken   atomic.Int64
 	accepted func(*fleetconfig.Config, []fleetconfig.Refusal)
 }
 
@@ -52,6 +56,7 @@
 		store:    s,
 		digest:   s.Digest(),
 		asked:    map[string]question{},
+		packed:   map[string]*wire.Entry{},
 		accepted: accepted,
 	}
 }
@@ -63,7 +68,20 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fresh := r.store.Offer(entries)
+	plain := make([]*wire.Entry, 0, len(entries))
+	for _, e := range entries {
+		v, err := unpack(e)
+		if err != nil {
+			// The comparisons bring it again, from another peer.
+			r.broken.Add(1)
+			continue
+		}
+		if v != e {
+			r.packed[e.GetKey()] = e
+		}
+		plain = append(plain, v)
+	}
+	fresh := r.store.Offer(plain)
 	for _, e := range fresh {
 		delete(r.asked, e.GetKey())
 	}
@@ -74,6 +92,9 @@
 	return fresh
 }
 
+// Broken returns how many compressed values of peers could not be read.
+func (r *Replica) Broken() int64 { return r.broken.Load() }
+
 // Digest returns the digest of all newest revisions.
 func (r *Replica) Digest() uint64 {
 	r.mu.Lock()
@@ -122,16 +143,32 @@
 	size := 0
 	for _, k := range keys {
 		for _, e := range r.store.Entries(k) {
-			size += len(e.GetValue())
+			size += min(len(e.GetValue()), packFrom)
 			if size > maxReply && len(out) > 0 {
 				return out
 			}
-			out = append(out, e)
+			out = append(out, r.pack(e))
 		}
 	}
 	return out
 }
 
+// pack returns an entry as it travels; each is compressed once.
+func (r *Replica) pack(e *wire.Entry) *wire.Entry {
+	if p := r.packed[e.GetKey()]; p != nil && p.GetRevision() == e.GetRevision() {
+		return p
+	}
+	p, err := pack(e)
+	if err != nil {
+		// Memory can't fail to be written; the value can travel as it is.
+		return e
+	}
+	if p != e {
+		r.packed[e.GetKey()] = p
+	}
+	return p
+}
+
 // Compare tells what a peer with the given revisions lacks and what it has
 // beyond this replica. Keys that the peer doesn't name count as lacking only if
 // the list is complete.
--- a/internal/membership/news_test.go
+++ b/internal/membership/news_test.go
@@ -149,7 +149,8 @@
 	}
 }
 
-// Nodes that can carry more get more of the duties.
+// Nodes that can carry more get more of the duties, and weak ones none as long as
+// there are others.
 func TestDutiesFollowWeights(t *testing.T) {
 	tab := heardTable(9)
 	tab.Weigh(peer(0).Address(), 100)
@@ -157,16 +158,23 @@
 		tab.Weigh(peer(i).Address(), 100)
 	}
 	tab.Weigh(peer(3).Address(), 900)
-	view := tab.View(begin)
-	count := 0
-	const duties = 2000
-	for i := range duties {
-		if view.Duty(fmt.Sprintf("duty-%d", i), "", 1)[0] == peer(3) {
-			count++
+	tab.Weigh(peer(4).Address(), 600)
+	count := func() map[membership.Node]int {
+		view := tab.View(begin)
+		out := map[membership.Node]int{}
+		for i := range 2000 {
+			out[view.Duty(fmt.Sprintf("duty-%d", i), "", 1)[0]]++
 		}
+		return out
 	}
-	// Half of the weight of all ten nodes is its own.
-	if share := float64(count) / duties; share < 0.45 || share > 0.55 {
-		t.Errorf("half of the weight got %.2f of the duties", share)
+	if c := count(); len(c) != 2 || c[peer(3)] < 1100 || c[peer(3)] > 1300 {
+		t.Errorf("duties: %v, want three fifths for the strongest", c)
+	}
+	for _, strong := range []int{3, 4} {
+		tab.Suspect(begin, peer(strong).Address())
+	}
+	tab.Advance(begin.Add(membership.RefuteTime))
+	if c := count(); len(c) != 8 {
+		t.Errorf("without the strong ones %d nodes get duties, want 8", len(c))
 	}
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -279,14 +279,16 @@
 	return out
 }
 
+// rank gives duties to the strong nodes, as long as there are any in question.
 func (v *View) rank(duty, dataHall string, n int) []Node {
 	type ranked struct {
 		node Node
 		rank float64
 	}
 	var all []ranked
+	least := v.strong(dataHall)
 	for _, node := range v.live {
-		if dataHall == "" || node.dataHall == dataHall {
+		if (dataHall == "" || node.dataHall == dataHall) && v.weight(node) >= least {
 			all = append(all, ranked{
 				node: node,
 				rank: v.score(duty, node),
@@ -303,13 +305,32 @@
 	return out
 }
 
+func (v *View) weight(node Node) uint32 {
+	if w := v.weights[node.address]; w != 0 {
+		return w
+	}
+	return DefaultWeight
+}
+
+// weakPart is the part of the strongest node's weight below which a node gets no
+// duty: what it costs would show in the requests that it serves itself.
+const weakPart = 2
+
+// strong returns the least weight that gets duties.
+func (v *View) strong(dataHall string) uint32 {
+	most := uint32(0)
+	for _, node := range v.live {
+		if dataHall == "" || node.dataHall == dataHall {
+			most = max(most, v.weight(node))
+		}
+	}
+	return most / weakPart
+}
+
 // score is the rank of a node by weighted rendezvous hashing: over many duties a
 // node gets as many as its weight says (Schindelhauer and Schomaker, SPAA 2005).
 func (v *View) score(duty string, node Node) float64 {
-	w := v.weights[node.address]
-	if w == 0 {
-		w = DefaultWeight
-	}
+	w := v.weight(node)
 	u := (float64(xxhash.Sum64String(duty+"|"+node.address)) + 0.5) / (1 << 64)
 	return float64(w) / -math.Log(u)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,6 +145,7 @@
 	return dissemination.Config{
 		Self:      n.self,
 		View:      n.board.view.Load,
+		Near:      n.set.Choice() == settings.ChoiceJoint,
 		Seeds:     n.seeds,
 		Call:      n.dialer.Sync,
 		Heard:     n.members.heard,
