internal/forward: a test's connection answers only what it was asked

Cause: the test's connection answered before the request was written, which net/http takes for an answer that nobody asked for.

--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -270,15 +271,21 @@
 	})
 }
 
-// resetConn is a connection that answers and is then reset.
+// resetConn is a connection that answers what is written to it and is then reset.
 type resetConn struct {
 	net.Conn
 	answer *strings.Reader
+	asked  chan struct{}
+	once   sync.Once
 }
 
-func (c *resetConn) Write(p []byte) (int, error) { return len(p), nil }
+func (c *resetConn) Write(p []byte) (int, error) {
+	c.once.Do(func() { close(c.asked) })
+	return len(p), nil
+}
 
 func (c *resetConn) Read(p []byte) (int, error) {
+	<-c.asked
 	if c.answer.Len() == 0 {
 		return 0, syscall.ECONNRESET
 	}
@@ -294,6 +301,7 @@
 		return &resetConn{
 			Conn:   near,
 			answer: strings.NewReader("HTTP/1.1 200 OK\r\n\r\nbo"),
+			asked:  make(chan struct{}),
 		}, nil
 	})
 	_, err := c.Do(t.Context(), &forward.Request{
