internal/integration: wait for the line about a refused value, and ask for its revision

Cause: lines go through a buffer now and reach the reader a moment after the status shows the refusal; the test looked once.

--- a/internal/integration/config_test.go
+++ b/internal/integration/config_test.go
@@ -123,9 +123,14 @@
 			if got := n.revision("routes"); got != good {
 				t.Fatalf("revision %d in force, want %d", got, good)
 			}
-			if !strings.Contains(n.proc.Load().Log(), "value refused") {
-				t.Fatal("no line in the log")
-			}
+			eventually(t, "the line in the log", func() bool {
+				for text := range strings.SplitSeq(n.proc.Load().Log(), "\n") {
+					if strings.Contains(text, "value refused") && strings.Contains(text, fmt.Sprintf(`"revision":%d`, rev)) {
+						return true
+					}
+				}
+				return false
+			})
 		})
 	}
 	// A process that starts anew learns from a peer what is in force before the
