internal/dispatch, internal/node, internal/source, internal/dissemination: one piece of code for what stood twice

No behaviour is meant to change. One loop for readers of both platforms (source.Follow), one division of live nodes into data halls (membership.View.Halls), one channel of new values, one way to a choice, one check of the retry budget, one reader of numbers in settings. Pings on behalf of peers are owned by a task now. Dropped: a field, an argument and a part of a query that nothing used, a memory of beliefs that was set in three places.

Ran: vet, revive, the changed packages' tests, with the race detector too, and the integration tests of dispatch, membership, configuration and tool.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -57,15 +57,20 @@
 func (w *window) first()  { w.firsts[w.at%budgetParts]++ }
 func (w *window) repeat() { w.repeats[w.at%budgetParts]++ }
 
+// sums returns the first attempts and the repeats in the window.
+func (w *window) sums() (firsts, repeats float64) {
+	for i := range w.firsts {
+		firsts += w.firsts[i]
+		repeats += w.repeats[i]
+	}
+	return firsts, repeats
+}
+
 // left returns how many repeats the budget still pays for. part is the share of
 // the reserve that this desk may use.
 func (w *window) left(now time.Time, b Budget, part float64) float64 {
 	// Whoever had the duty before may have spent what the window allows.
 	part *= min(now.Sub(w.since).Seconds()/b.Window.Seconds(), 1)
-	firsts, repeats := 0.0, 0.0
-	for i := range w.firsts {
-		firsts += w.firsts[i]
-		repeats += w.repeats[i]
-	}
+	firsts, repeats := w.sums()
 	return shareUsed*b.Share*firsts + reserveUsed*b.Reserve*part - repeats
 }
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -74,9 +74,6 @@
 		return t.health.bad(now)
 	}
 	h := t.health
-	if h.memory == 0 {
-		h.memory = memoryFirst
-	}
 	for range min(overdue, 2) {
 		h.update(now, oddsOverdue)
 	}
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -163,7 +163,10 @@
 			t = &target{
 				flights: map[ID]flight{},
 			}
-			t.health.prior = &d.prior
+			t.health = health{
+				prior:  &d.prior,
+				memory: memoryFirst,
+			}
 			if !first {
 				t.warmUntil = now.Add(c.Warmup)
 			}
@@ -179,16 +182,14 @@
 	if g, known := d.before(a.ID); known {
 		return g
 	}
-	d.window.turn(now, d.begun, d.budget)
-	d.window.asked(now, d.budget)
-	if a.Again && d.window.left(now, d.budget, 1) < d.needs(a) {
+	if !d.pays(now, a, 1, d.needs(a)) {
 		return Grant{
 			ID:      a.ID,
 			Verdict: Spent,
 		}
 	}
-	d.count(a)
-	if wait := d.queue.wait(now, d, a.Priority); wait > 0 && now.Add(wait).After(now.Add(time.Duration(refusedFrom*float64(a.Deadline.Sub(now))))) {
+	most := time.Duration(refusedFrom * float64(a.Deadline.Sub(now)))
+	if wait := d.queue.wait(now, d, a.Priority); wait > 0 && wait > most {
 		return Grant{
 			ID:         a.ID,
 			Verdict:    Refused,
@@ -219,12 +220,20 @@
 	return 1
 }
 
-func (d *Desk) count(a *Ask) {
-	if a.Again {
-		d.window.repeat()
-	} else {
+// pays counts an ask in the retry budget, or returns false if it is a repeat and
+// fewer than needs are left. part is the share of the reserve that may be used.
+func (d *Desk) pays(now time.Time, a *Ask, part, needs float64) bool {
+	d.window.turn(now, d.begun, d.budget)
+	d.window.asked(now, d.budget)
+	if !a.Again {
 		d.window.first()
+		return true
+	}
+	if d.window.left(now, d.budget, part) < needs {
+		return false
 	}
+	d.window.repeat()
+	return true
 }
 
 // before returns the answer that an ask got before.
@@ -252,15 +261,12 @@
 // regard to slots, for it doesn't know what others have in flight. part is this
 // node's share of the reserve of the retry budget.
 func (d *Desk) AskAlone(now time.Time, a *Ask, part float64) Grant {
-	d.window.turn(now, d.begun, d.budget)
-	d.window.asked(now, d.budget)
-	if a.Again && d.window.left(now, d.budget, part) < 1 {
+	if !d.pays(now, a, part, 1) {
 		return Grant{
 			ID:      a.ID,
 			Verdict: Spent,
 		}
 	}
-	d.count(a)
 	if t := d.cheapest(now, a, func(*target) bool { return true }); t != nil {
 		return d.grant(now, t, a)
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -135,9 +135,6 @@
 
 // note takes in what one attempt showed.
 func (h *health) note(now time.Time, s seen) {
-	if h.memory == 0 {
-		h.memory = memoryFirst
-	}
 	switch s.result {
 	case ResultGood:
 		h.good(now, s.slow)
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -14,6 +14,8 @@
 	Usual time.Duration
 	// Prior is the part of the time that targets of the service are failing.
 	Prior float64
+	// Asked is how many asks came in the window of the retry budget.
+	Asked int
 	// RepeatsLeft is how many repeats the retry budget still pays for.
 	RepeatsLeft float64
 	// Targets are all targets, in the order of their configuration.
@@ -33,10 +35,12 @@
 // Status returns the state of the desk.
 func (d *Desk) Status(now time.Time) Status {
 	d.window.turn(now, d.begun, d.budget)
+	firsts, repeats := d.window.sums()
 	s := Status{
 		Waiting:     len(d.queue.list),
 		Usual:       d.usual,
 		Prior:       d.prior,
+		Asked:       int(firsts + repeats),
 		RepeatsLeft: d.window.left(now, d.budget, 1),
 	}
 	for _, t := range d.order {
@@ -54,12 +58,3 @@
 	}
 	return s
 }
-
-// Asked returns how many asks came in the window of the retry budget.
-func (d *Desk) Asked() int {
-	n := 0.0
-	for i := range d.window.firsts {
-		n += d.window.firsts[i] + d.window.repeats[i]
-	}
-	return int(n)
-}
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -76,8 +76,7 @@
 type Gossip struct {
 	cfg      Config
 	replica  *Replica
-	fresh    chan []*wire.Entry
-	own      chan []*wire.Entry
+	fresh    chan learned
 	begun    time.Time
 	platform atomic.Int64
 	differs  chan string
@@ -92,8 +91,7 @@
 	return &Gossip{
 		cfg:      cfg,
 		replica:  replica,
-		fresh:    make(chan []*wire.Entry, 64),
-		own:      make(chan []*wire.Entry, 64),
+		fresh:    make(chan learned, 128),
 		compares: map[string]bool{},
 		begun:    time.Now(),
 		differs:  make(chan string, 1),
@@ -200,24 +198,27 @@
 
 // Publish offers values that this node has learned by itself.
 func (g *Gossip) Publish(entries []*wire.Entry) {
-	fresh := g.replica.Offer(entries)
-	if len(fresh) == 0 {
-		return
-	}
-	select {
-	case g.own <- fresh:
-	default:
-	}
+	g.spread(g.replica.Offer(entries), true)
+}
+
+// learned are values that are new to this node; first is set if it read them
+// itself.
+type learned struct {
+	entries []*wire.Entry
+	first   bool
 }
 
 // spread hands new values to Run. If Run is far behind they are left to the
 // comparisons.
-func (g *Gossip) spread(entries []*wire.Entry) {
+func (g *Gossip) spread(entries []*wire.Entry, first bool) {
 	if len(entries) == 0 {
 		return
 	}
 	select {
-	case g.fresh <- entries:
+	case g.fresh <- learned{
+		entries: entries,
+		first:   first,
+	}:
 	default:
 	}
 }
@@ -233,10 +234,8 @@
 		select {
 		case <-ctx.Done():
 			return talks.Wait()
-		case entries := <-g.own:
-			g.push(ctx, &talks, entries, true)
-		case entries := <-g.fresh:
-			g.push(ctx, &talks, entries, false)
+		case l := <-g.fresh:
+			g.push(ctx, &talks, l)
 		case peer := <-g.differs:
 			if time.Since(asked) >= differsPause {
 				asked = time.Now()
@@ -256,7 +255,7 @@
 func (g *Gossip) Sync(_ context.Context, in *wire.SyncRequest) (*wire.SyncReply, error) {
 	g.cfg.Heard(in.GetFrom())
 	g.learnAge(in.GetPlatformAgeMs())
-	g.spread(g.replica.Offer(in.GetEntries()))
+	g.spread(g.replica.Offer(in.GetEntries()), false)
 	lacks, wanted := g.replica.Compare(time.Now(), in.GetRevisions(), in.GetComplete())
 	return &wire.SyncReply{
 		From:          g.cfg.Self(),
@@ -290,19 +289,13 @@
 	g.LearnAge(time.Now(), time.Duration(min(ms, uint64(never/time.Millisecond)))*time.Millisecond)
 }
 
-// near returns the peers of the own data hall, far the others.
-func (g *Gossip) halls() (near, far []string) {
-	view := g.cfg.View()
-	for _, p := range view.Live() {
-		switch {
-		case p == view.Self():
-		case p.DataHall() == view.Self().DataHall():
-			near = append(near, p.Address())
-		default:
-			far = append(far, p.Address())
-		}
+// addresses returns the addresses of nodes.
+func addresses(nodes []membership.Node) []string {
+	var out []string
+	for _, n := range nodes {
+		out = append(out, n.Address())
 	}
-	return near, far
+	return out
 }
 
 // pushTo returns the peers that learn of a new value from this node; first is
@@ -312,26 +305,23 @@
 	if !g.cfg.Near {
 		return g.choose(fanout)
 	}
-	near, far := g.halls()
-	out := some(near, fanout)
+	near, far := g.cfg.View().Halls()
+	out := some(addresses(near), fanout)
 	switch {
 	case first:
-		return append(out, g.eachHall(fanoutFar)...)
+		return append(out, eachHall(far, fanoutFar)...)
 	case rand.IntN(len(near)+1) < fanoutFar:
-		return append(out, some(far, 1)...)
+		return append(out, some(addresses(far), 1)...)
 	default:
 		return out
 	}
 }
 
-// eachHall returns up to n live peers of each other data hall.
-func (g *Gossip) eachHall(n int) []string {
-	view := g.cfg.View()
+// eachHall returns up to n nodes of each data hall among far.
+func eachHall(far []membership.Node, n int) []string {
 	byHall := map[string][]string{}
-	for _, p := range view.Live() {
-		if p.DataHall() != view.Self().DataHall() {
-			byHall[p.DataHall()] = append(byHall[p.DataHall()], p.Address())
-		}
+	for _, p := range far {
+		byHall[p.DataHall()] = append(byHall[p.DataHall()], p.Address())
 	}
 	var out []string
 	for _, peers := range byHall {
@@ -350,16 +340,13 @@
 // Seeds count as peers until others are known, and now and then later, so that two
 // parts of the fleet that lost each other meet again.
 func (g *Gossip) choose(n int) []string {
-	near, far := g.halls()
-	if g.cfg.Near && g.Compared() >= startCompares && rand.IntN(10) < ownHallOdds && len(near) > 0 {
-		return some(near, n)
-	}
-	all := append(near, far...)
-	if !g.cfg.Near {
-		all = all[:0]
-		for _, p := range g.cfg.View().Peers() {
-			all = append(all, p.Address())
+	all := addresses(g.cfg.View().Peers())
+	if g.cfg.Near {
+		near, far := g.cfg.View().Halls()
+		if g.Compared() >= startCompares && rand.IntN(10) < ownHallOdds && len(near) > 0 {
+			return some(addresses(near), n)
 		}
+		all = append(addresses(near), addresses(far)...)
 	}
 	const seedOdds = 10
 	if len(all) < n || rand.IntN(seedOdds) == 0 {
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -11,10 +11,9 @@
 )
 
 // push tells a few random peers of new values.
-// first is set on the node that read them.
-func (g *Gossip) push(ctx context.Context, talks *task.Group, entries []*wire.Entry, first bool) {
+func (g *Gossip) push(ctx context.Context, talks *task.Group, l learned) {
 	req := g.request()
-	for _, e := range entries {
+	for _, e := range l.entries {
 		if len(e.GetValue()) <= pushWhole {
 			req.Entries = append(req.Entries, e)
 			continue
@@ -24,7 +23,7 @@
 			Revision: e.GetRevision(),
 		})
 	}
-	for _, peer := range g.pushTo(first) {
+	for _, peer := range g.pushTo(l.first) {
 		talks.Go(ctx, "push", func(ctx context.Context) error {
 			g.converse(ctx, peer, req, false)
 			return nil
@@ -71,7 +70,7 @@
 			return false
 		}
 		g.learn(reply)
-		g.spread(g.replica.Offer(reply.GetEntries()))
+		g.spread(g.replica.Offer(reply.GetEntries()), false)
 		req = g.follow(req, reply, compare)
 		if req == nil {
 			if compare {
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -12,7 +12,6 @@
 // Query asks for a target for one attempt.
 type Query struct {
 	Service    *fleetconfig.Service
-	Route      *fleetconfig.Route
 	Repeatable bool
 	// Kilobytes is the expected size of the request's body and its answer in KiB,
 	// rounded up.
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -75,7 +75,6 @@
 	r := x.in.route
 	q := &Query{
 		Service:    x.service,
-		Route:      r,
 		Repeatable: r.Repeatable(),
 		Kilobytes:  x.server.sizes.expected(r) + int(x.body.length>>10),
 		Priority:   r.Priority(),
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -259,6 +259,21 @@
 // be changed.
 func (v *View) Live() []Node { return v.live }
 
+// Halls returns the other live nodes, divided into those of this node's data hall
+// and those of the others.
+func (v *View) Halls() (near, far []Node) {
+	for _, n := range v.live {
+		switch {
+		case n == v.self:
+		case n.dataHall == v.self.dataHall:
+			near = append(near, n)
+		default:
+			far = append(far, n)
+		}
+	}
+	return near, far
+}
+
 // Nodes returns how many nodes share the work: all that aren't leaving.
 func (v *View) Nodes() int { return len(v.peers) + 1 }
 
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -46,21 +46,13 @@
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
 	service := q.Service.Name()
-	return entry.Choice{
-		Address: t.Address(),
-		Key:     t.Key(),
-		ID:      t.ID(),
-
-		DataHall: t.DataHall(),
-		By:       byItself,
-		Done: func(end outlier.End, took time.Duration) {
-			d.end(a.ID.Node, &wire.Done{
-				Service: service,
-				Request: a.ID.Number,
-				Target:  t.Key(),
-				Result:  resultOf(end),
-				TookMs:  uint32(took.Milliseconds()),
-			})
-		},
-	}, nil
+	return choiceOf(t, byItself, func(end outlier.End, took time.Duration) {
+		d.end(a.ID.Node, &wire.Done{
+			Service: service,
+			Request: a.ID.Number,
+			Target:  t.Key(),
+			Result:  resultOf(end),
+			TookMs:  uint32(took.Milliseconds()),
+		})
+	}), nil
 }
--- a/internal/node/choosing.go
+++ b/internal/node/choosing.go
@@ -33,7 +33,7 @@
 	if !ok {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
-	c, ok := choiceOf(q.Service, pick)
+	c, ok := picked(q.Service, pick)
 	if !ok {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
@@ -50,26 +50,30 @@
 	if !ok {
 		return entry.Choice{}, false
 	}
-	return choiceOf(s, pick)
+	return picked(s, pick)
 }
 
-// choiceOf finds the target of a pick. The pool may be of an older configuration
+// picked finds the target of a pick. The pool may be of an older configuration
 // than the request's; a target that is gone from it is not used.
-func choiceOf(s *fleetconfig.Service, pick balance.Pick) (entry.Choice, bool) {
+func picked(s *fleetconfig.Service, pick balance.Pick) (entry.Choice, bool) {
 	t := s.Target(pick.Key())
 	if t == nil {
 		pick.Release()
 		return entry.Choice{}, false
 	}
-	return entry.Choice{
-		Address: t.Address(),
-		Key:     t.Key(),
-		ID:      t.ID(),
+	return choiceOf(t, byItself, func(outlier.End, time.Duration) { pick.Release() }), true
+}
 
+// choiceOf returns the choice of a target; by names the node that chose.
+func choiceOf(t *fleetconfig.Target, by string, done func(outlier.End, time.Duration)) entry.Choice {
+	return entry.Choice{
+		Address:  t.Address(),
+		Key:      t.Key(),
+		ID:       t.ID(),
 		DataHall: t.DataHall(),
-		By:       byItself,
-		Done:     func(outlier.End, time.Duration) { pick.Release() },
-	}, true
+		By:       by,
+		Done:     done,
+	}
 }
 
 func (a *alone) budget(service string) *admission.Budget {
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -19,19 +19,15 @@
 
 func (d *dispatching) advance(now time.Time) {
 	d.mu.Lock()
-	var out []dispatch.Grant
-	names := make([]string, 0, len(d.desks))
-	var grants [][]dispatch.Grant
+	grants := map[string][]dispatch.Grant{}
 	for name := range d.desks {
 		if dk := d.desk(now, name); dk != nil {
-			out = dk.Advance(now)
-			names = append(names, name)
-			grants = append(grants, out)
+			grants[name] = dk.Advance(now)
 		}
 	}
 	d.mu.Unlock()
-	for i, name := range names {
-		d.deliver(name, grants[i])
+	for name, list := range grants {
+		d.deliver(name, list)
 	}
 }
 
@@ -45,7 +41,7 @@
 	defer d.mu.Unlock()
 	for name, dk := range d.desks {
 		s := dk.Status(now)
-		if dk.Asked() < reportLeast {
+		if s.Asked < reportLeast {
 			continue
 		}
 		failing := map[string]float64{}
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -66,9 +66,8 @@
 	budget    dispatch.Budget
 	log       *logrus.Entry
 
-	mu     sync.Mutex
-	desks  map[string]*desk
-	config *fleetconfig.Config
+	mu    sync.Mutex
+	desks map[string]*desk
 	// distrust is until when a dispatcher isn't asked.
 	distrust map[string]time.Time
 	// lost is until when this node doesn't reach a target.
@@ -119,21 +118,17 @@
 	}
 }
 
-// dispatcher returns the node that should be asked for a service, the n-th in
+// dispatcher returns the node that should be asked for a service: the first in
 // rank of those that are trusted.
-func (d *dispatching) dispatcher(service string, n int) (membership.Node, bool) {
+func (d *dispatching) dispatcher(service string) (membership.Node, bool) {
 	now := time.Now()
 	view := d.board.view.Load()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, node := range view.Duty(dispatcherDuty(service), "", 2*dispatchers) {
-		if now.Before(d.distrust[node.Address()]) {
-			continue
-		}
-		if n == 0 {
+		if !now.Before(d.distrust[node.Address()]) {
 			return node, true
 		}
-		n--
 	}
 	return membership.Node{}, false
 }
@@ -151,7 +146,7 @@
 	defer cancel()
 	q.Tried = d.avoid(q)
 	for range dispatchers {
-		node, ok := d.dispatcher(q.Service.Name(), 0)
+		node, ok := d.dispatcher(q.Service.Name())
 		if !ok {
 			break
 		}
@@ -210,18 +205,14 @@
 	defer end()
 	send := func() { d.sendAsk(peer, id, q) }
 	send()
-	begun := time.Now()
+	heard := time.Now()
 	resend := time.NewTicker(resendAfter)
 	defer resend.Stop()
 	limit := giveUpAfter
-	heard := begun
 	for {
 		select {
 		case <-ctx.Done():
-			d.tell(peer, &wire.Done{
-				Service: q.Service.Name(),
-				Request: id,
-			})
+			d.cancel(peer, q, id)
 			return granted{}, false
 		case in := <-answers:
 			g := in.GetGrant()
@@ -236,10 +227,7 @@
 			resend.Reset(queuedBeat)
 		case now := <-resend.C:
 			if now.Sub(heard) >= limit {
-				d.tell(peer, &wire.Done{
-					Service: q.Service.Name(),
-					Request: id,
-				})
+				d.cancel(peer, q, id)
 				return granted{}, false
 			}
 			send()
@@ -247,6 +235,14 @@
 	}
 }
 
+// cancel tells a dispatcher that an ask has ended without an attempt.
+func (d *dispatching) cancel(peer string, q *entry.Query, id uint64) {
+	d.tell(peer, &wire.Done{
+		Service: q.Service.Name(),
+		Request: id,
+	})
+}
+
 func (d *dispatching) sendAsk(peer string, id uint64, q *entry.Query) {
 	now := time.Now()
 	out := &wire.Datagram{
@@ -295,18 +291,10 @@
 		d.tell(peer, doneOf(q.Service.Name(), g, result, 0))
 		return entry.Choice{}, false, nil
 	}
-	return entry.Choice{
-		Address: t.Address(),
-		Key:     t.Key(),
-		ID:      t.ID(),
-
-		DataHall: t.DataHall(),
-		By:       peer,
-		Done: func(end outlier.End, took time.Duration) {
-			d.tell(peer, doneOf(q.Service.Name(), g, resultOf(end), took))
-			d.note(q.Service.Name(), t.Key(), end, took)
-		},
-	}, true, nil
+	return choiceOf(t, peer, func(end outlier.End, took time.Duration) {
+		d.tell(peer, doneOf(q.Service.Name(), g, resultOf(end), took))
+		d.note(q.Service.Name(), t.Key(), end, took)
+	}), true, nil
 }
 
 // target finds a target in the newest configuration, or in that of the request.
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"ploverjunction.example/ploverjunction/internal/dissemination"
 	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -31,10 +33,13 @@
 	self    func() *wire.Node
 	log     *logrus.Entry
 	calls   atomic.Uint64
-	// ask and done answer the questions of peers about targets.
+	// ask and done answer the questions of peers about targets, taken notes the
+	// answer to the end of an attempt.
 	ask   func(*wire.Datagram)
 	done  func(*wire.Datagram)
 	taken func(call uint64)
+	// helping are the pings on behalf of peers; only run uses it.
+	helping task.Group
 
 	mu sync.Mutex
 	// waits are the calls that wait for an answer.
@@ -91,20 +96,32 @@
 	}
 }
 
+// run takes datagrams until the context ends.
+func (m *messenger) run(ctx context.Context) error {
+	err := m.socket.Serve(ctx, func(d *wire.Datagram) { m.handle(ctx, d) })
+	return errors.Join(err, m.helping.Wait())
+}
+
+// reap reads the ends of the pings on behalf of peers.
+func (m *messenger) reap() {
+	if err := m.helping.Reap(); err != nil {
+		m.log.WithError(err).Debug("ping for a peer ended")
+	}
+}
+
 // handle takes one datagram.
-func (m *messenger) handle(d *wire.Datagram) {
+func (m *messenger) handle(ctx context.Context, d *wire.Datagram) {
 	now := time.Now()
 	m.learn(now, d)
 	switch b := d.GetBody().(type) {
 	case *wire.Datagram_Ping:
-		m.send(d.GetFrom().GetAddress(), &wire.Datagram{
-			Call: d.GetCall(),
-			Body: &wire.Datagram_Pong{
-				Pong: &wire.Pong{},
-			},
-		})
+		m.pong(d.GetFrom().GetAddress(), d.GetCall())
 	case *wire.Datagram_PingVia:
-		go m.pingFor(d.GetFrom().GetAddress(), d.GetCall(), b.PingVia.GetAddress())
+		m.reap()
+		m.helping.Go(ctx, "ping for a peer", func(ctx context.Context) error {
+			m.pingFor(ctx, d.GetFrom().GetAddress(), d.GetCall(), b.PingVia.GetAddress())
+			return nil
+		})
 	case *wire.Datagram_Ask:
 		m.ask(d)
 	case *wire.Datagram_Done:
@@ -180,19 +197,21 @@
 }
 
 // pingFor pings a node on behalf of a peer.
-func (m *messenger) pingFor(peer string, call uint64, address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), viaWait)
-	defer cancel()
+func (m *messenger) pingFor(ctx context.Context, peer string, call uint64, address string) {
 	if m.ping(ctx, address, viaWait) {
-		m.send(peer, &wire.Datagram{
-			Call: call,
-			Body: &wire.Datagram_Pong{
-				Pong: &wire.Pong{},
-			},
-		})
+		m.pong(peer, call)
 	}
 }
 
+func (m *messenger) pong(peer string, call uint64) {
+	m.send(peer, &wire.Datagram{
+		Call: call,
+		Body: &wire.Datagram_Pong{
+			Pong: &wire.Pong{},
+		},
+	})
+}
+
 func waitFor(ctx context.Context, answers <-chan *wire.Datagram, wait time.Duration) bool {
 	t := time.NewTimer(wait)
 	defer t.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -326,7 +326,7 @@
 		"source":    n.runSource,
 	}
 	if n.messenger != nil {
-		run["datagrams"] = func(ctx context.Context) error { return n.messenger.socket.Serve(ctx, n.messenger.handle) }
+		run["datagrams"] = n.messenger.run
 		run["pinging"] = n.pinging.run
 	}
 	if n.dispatching != nil {
--- a/internal/node/pinging.go
+++ b/internal/node/pinging.go
@@ -9,7 +9,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
 
@@ -48,13 +47,13 @@
 	// unanswered counts the pings in a row that failed directly and by others.
 	unanswered int
 	failed     chan string
-	answered   chan string
+	answered   chan struct{}
 }
 
 // run pings a peer at each beat until the context ends.
 func (p *pinging) run(ctx context.Context) error {
 	p.failed = make(chan string, 8)
-	p.answered = make(chan string, 8)
+	p.answered = make(chan struct{}, 8)
 	var pings task.Group
 	beat := time.NewTicker(pingBeat)
 	defer beat.Stop()
@@ -63,8 +62,7 @@
 		select {
 		case <-ctx.Done():
 			return pings.Wait()
-		case peer := <-p.answered:
-			_ = peer
+		case <-p.answered:
 			p.unanswered = 0
 		case peer := <-p.failed:
 			p.noAnswer(peer)
@@ -105,7 +103,7 @@
 func (p *pinging) probe(ctx context.Context, peer string) {
 	begun := time.Now()
 	if p.messenger.ping(ctx, peer, pingWait) {
-		p.answered <- peer
+		p.answered <- struct{}{}
 		return
 	}
 	if time.Since(begun) > pingWait+lateBeat {
@@ -113,7 +111,7 @@
 		return
 	}
 	if p.messenger.pingVia(ctx, p.helpers(peer), peer, viaWait) {
-		p.answered <- peer
+		p.answered <- struct{}{}
 		return
 	}
 	if ctx.Err() == nil && time.Since(begun) <= pingWait+viaWait+2*lateBeat {
@@ -149,16 +147,7 @@
 	if dead := p.members.dead(); len(dead) > 0 && rand.IntN(deadPings) == 0 {
 		return dead[rand.IntN(len(dead))].Address()
 	}
-	var near, far []membership.Node
-	for _, n := range view.Live() {
-		switch {
-		case n == view.Self():
-		case n.DataHall() == view.Self().DataHall():
-			near = append(near, n)
-		default:
-			far = append(far, n)
-		}
-	}
+	near, far := view.Halls()
 	if len(near)+len(far) == 0 {
 		return p.seed(view.Self().Address())
 	}
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -53,32 +53,27 @@
 func (n *Node) reader() bool {
 	now := time.Now()
 	view := n.board.view.Load()
-	if n.adapter.Silent == 0 {
-		if hasDuty(view, view.Duty("reader", n.set.DataHall(), readersPerHall)) {
-			return true
-		}
-	} else if hasDuty(view, fleetReaders(view)) && now.Sub(n.begun) > meetTime {
-		return true
-	}
-	if n.adapter.Silent > 0 && n.gossip.PlatformAge(now) > n.adapter.Silent && slices.Contains(n.seeds(), n.address()) {
-		// When the whole fleet starts the others ask the seeds.
-		return true
-	}
+	age, up := n.gossip.PlatformAge(now), now.Sub(n.begun)
 	if len(view.Peers()) == 0 && len(n.set.Seeds()) == 0 {
 		return true
 	}
-	silent, start := platformSilent, startSilent
-	if n.adapter.Silent > 0 {
-		silent, start = n.adapter.Silent, meetTime
+	if n.adapter.Silent == 0 {
+		return hasDuty(view, view.Duty("reader", n.set.DataHall(), readersPerHall)) ||
+			age > platformSilent && up > startSilent && stepsIn(view)
 	}
-	if n.gossip.PlatformAge(now) <= silent || now.Sub(n.begun) <= start {
-		return false
+	silent := age > n.adapter.Silent
+	if silent && slices.Contains(n.seeds(), n.address()) {
+		// When the whole fleet starts the others ask the seeds.
+		return true
 	}
-	// All nodes come here when the platform is down for long: as many of them ask
-	// at a time, on average, however large the fleet is.
-	return rand.IntN(len(view.Live())) == 0
+	return up > meetTime && (hasDuty(view, fleetReaders(view)) || silent && stepsIn(view))
 }
 
+// stepsIn tells by chance whether this node reads though others have the duty. All
+// nodes come here when the platform is down for long: as many of them ask at a
+// time, on average, however large the fleet is.
+func stepsIn(view *membership.View) bool { return rand.IntN(len(view.Live())) == 0 }
+
 // meetTime is how long a node that has just started looks for others before it
 // takes up duties or believes that nobody reads.
 const meetTime = 500 * time.Millisecond
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -125,15 +125,24 @@
 	}
 }
 
+// number reads a number from low to high.
+func number(v string, low, high float64) (float64, string) {
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(f >= low && f <= high) {
+		text := func(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
+		return 0, "want a number from " + text(low) + " to " + text(high) + ", got " + strconv.Quote(v)
+	}
+	return f, ""
+}
+
 // share reads a number from 0 to 1.
 func share(dst *float64) func(string) string {
 	return func(v string) string {
-		f, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(f >= 0 && f <= 1) {
-			return "want a number from 0 to 1, got " + strconv.Quote(v)
+		f, fault := number(v, 0, 1)
+		if fault == "" {
+			*dst = f
 		}
-		*dst = f
-		return ""
+		return fault
 	}
 }
 
@@ -141,11 +150,10 @@
 // thousandths.
 func processors(dst *uint32) func(string) string {
 	return func(v string) string {
-		f, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(f >= 0.001 && f <= 1000) {
-			return "want a number from 0.001 to 1000, got " + strconv.Quote(v)
+		f, fault := number(v, 0.001, 1000)
+		if fault == "" {
+			*dst = uint32(f * 1000)
 		}
-		*dst = uint32(f * 1000)
-		return ""
+		return fault
 	}
 }
--- /dev/null
+++ b/internal/source/follow.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package source
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Config holds the seams of a platform's run.
+type Config struct {
+	// Reader tells whether this process should read the platform now.
+	Reader func() bool
+	// Deliver gets values; heard is called with each good answer.
+	Deliver func([]*wire.Entry)
+	Heard   func()
+	// Known returns the newest value of a key that the fleet has, and false if it
+	// has none or it is deleted. Keys returns the keys with values.
+	Known func(key string) ([]byte, bool)
+	Keys  func() []string
+	// Age returns how long ago any process of the fleet heard the source.
+	Age func() time.Duration
+	// Failed gets each failure.
+	Failed func(error)
+}
+
+// Beats are the times of a reader.
+type Beats struct {
+	// Role is how often a process that isn't a reader asks whether it is.
+	Role time.Duration
+	// Pace is the least time from the begin of one step to the next, 0 for none.
+	Pace time.Duration
+	// RetryFirst is the wait after a first failure; it doubles up to RetryMost.
+	RetryFirst time.Duration
+	RetryMost  time.Duration
+}
+
+// Follow makes one step after another while this process is a reader, until the
+// context ends. After failures it waits, ever longer and by chance, so that a
+// platform that comes back isn't met by the whole fleet at once.
+func Follow(ctx context.Context, cfg Config, b Beats, step func(ctx context.Context) error) error {
+	wait := b.RetryFirst
+	for ctx.Err() == nil {
+		if !cfg.Reader() {
+			pause(ctx, b.Role)
+			continue
+		}
+		begun := time.Now()
+		err := step(ctx)
+		if err != nil {
+			if ctx.Err() == nil {
+				cfg.Failed(err)
+			}
+			pause(ctx, wait/2+rand.N(wait))
+			wait = min(wait*2, b.RetryMost)
+			continue
+		}
+		wait = b.RetryFirst
+		pause(ctx, b.Pace-time.Since(begun))
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -59,56 +58,21 @@
 // Calls returns how many calls were made.
 func (p *Platform) Calls() int64 { return p.calls.Load() }
 
-// Config holds the seams of a platform's run.
-type Config struct {
-	// Reader tells whether this process should read the platform now.
-	Reader func() bool
-	// Deliver gets values; heard is called with each good answer.
-	Deliver func([]*wire.Entry)
-	Heard   func()
-	// Known returns the newest value of a key that the fleet has, and false if it
-	// has none or it is deleted. Keys returns the keys with values.
-	Known func(key string) ([]byte, bool)
-	Keys  func() []string
-	// Age returns how long ago any process of the fleet heard the source.
-	Age func() time.Duration
-	// Failed gets each failure.
-	Failed func(error)
-}
-
 // Run reads and watches while this process is a reader, until the context ends.
-// After failures it waits, ever longer and by chance, so that a platform that
-// comes back isn't met by the whole fleet at once.
 func (p *Platform) Run(ctx context.Context, cfg Config) error {
-	wait := retryFirst
-	for ctx.Err() == nil {
-		if !cfg.Reader() {
-			pause(ctx, roleBeat)
-			continue
-		}
+	return Follow(ctx, cfg, Beats{
+		Role:       roleBeat,
+		RetryFirst: retryFirst,
+		RetryMost:  retryMost,
+	}, func(ctx context.Context) error {
 		entries, err := p.next(ctx)
 		if err != nil {
-			if ctx.Err() == nil {
-				cfg.Failed(err)
-			}
-			pause(ctx, wait/2+rand.N(wait))
-			wait = min(wait*2, retryMost)
-			continue
+			return err
 		}
-		wait = retryFirst
 		cfg.Heard()
 		cfg.Deliver(entries)
-	}
-	return nil
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+		return nil
+	})
 }
 
 // next makes one call: a read at first, then watches. An answer older than one
