internal/membership: a node of unknown weight counts as this one

Views were complete 3 s after the start (a trial that printed them), so membership was ruled out. A node learned of by mention had no weight, and that counted as 1000 against 320 of those heard themselves: each node gave the duties to those it had not heard yet. News that began before the weight was known never carried it.

Change: unknown weights count as this node's own; mentions and news carry weights.

--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -271,7 +271,8 @@
 // platform gives no list; more of them to a peer that knows few.
 func (g *Gossip) mention(known int) []*wire.Node {
 	var out []*wire.Node
-	live := g.cfg.View().Live()
+	view := g.cfg.View()
+	live := view.Live()
 	n := min(max(mentions, len(live)-known), mentionsMost)
 	from := rand.IntN(len(live))
 	for i := range min(n, len(live)) {
@@ -279,6 +280,7 @@
 		out = append(out, &wire.Node{
 			Address:  m.Address(),
 			DataHall: m.DataHall(),
+			Weight:   view.Weight(m),
 		})
 	}
 	return out
--- a/internal/membership/news_test.go
+++ b/internal/membership/news_test.go
@@ -178,3 +178,43 @@
 		t.Errorf("without the strong ones %d nodes get duties, want 8", len(c))
 	}
 }
+
+// Nodes that know a peer only by name give duties as those do that have heard it:
+// a weight that isn't known doesn't make it the strongest.
+func TestUnknownWeightGivesTheSameDuties(t *testing.T) {
+	heard, mentioned := heardTable(9), membership.NewTable(peer(0))
+	for _, tab := range []*membership.Table{
+		heard,
+		mentioned,
+	} {
+		tab.Weigh(peer(0).Address(), 320)
+	}
+	for i := 1; i <= 9; i++ {
+		heard.Weigh(peer(i).Address(), 320)
+		if i < 5 {
+			mentioned.Heard(begin, peer(i), 1, false)
+			mentioned.Weigh(peer(i).Address(), 320)
+		} else {
+			mentioned.Mentioned(begin, peer(i))
+		}
+	}
+	a, b := heard.View(begin), mentioned.View(begin)
+	for i := range 100 {
+		duty := fmt.Sprintf("duty-%d", i)
+		if x, y := a.Duty(duty, "", 1)[0], b.Duty(duty, "", 1)[0]; x != y {
+			t.Fatalf("%s: %s or %s", duty, x.Address(), y.Address())
+		}
+	}
+}
+
+// News that began before a node's weight was known carries the weight once it is.
+func TestNewsCarriesTheWeight(t *testing.T) {
+	tab := heardTable(1)
+	for range 3 {
+		tab.Tell(1)
+	}
+	tab.Weigh(peer(1).Address(), 320)
+	if news := tab.Tell(1); len(news) != 1 || news[0].Weight != 320 {
+		t.Errorf("news: %+v, want the weight 320", news)
+	}
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -153,21 +153,28 @@
 	s.suspectTill = time.Time{}
 }
 
-// Weigh notes how much of the duties a node, or this one, can carry; 0 means
-// DefaultWeight.
+// Weigh notes how much of the duties a node, or this one, can carry; 0 says
+// nothing.
 func (t *Table) Weigh(address string, weight uint32) {
 	if address == t.self.address {
 		t.changed = t.changed || weight != t.weight
 		t.weight = weight
 		return
 	}
-	if s := t.nodes[address]; s != nil && s.weight != weight && weight != 0 {
-		s.weight = weight
-		t.changed = true
+	s := t.nodes[address]
+	if s == nil || s.weight == weight || weight == 0 {
+		return
+	}
+	s.weight = weight
+	t.changed = true
+	if r := t.news[address]; r != nil {
+		// What was told so far had another weight, or none.
+		r.news.Weight = weight
+		r.told = 0
 	}
 }
 
-// DefaultWeight is the weight of a node that states none.
+// DefaultWeight is the weight of this node if it states none.
 const DefaultWeight = 1000
 
 // Mentioned notes a node that a peer knows.
@@ -201,7 +208,7 @@
 	self  Node
 	peers []Node
 	live  []Node
-	// weights are those of the live nodes that differ from DefaultWeight.
+	// weights are those of the live nodes, as far as they are known.
 	weights map[string]uint32
 	// duties are the holders of duties that were asked for before.
 	duties sync.Map
@@ -320,11 +327,15 @@
 	return out
 }
 
+// Weight returns how much of the duties a live node can carry, 0 if that isn't
+// known.
+func (v *View) Weight(node Node) uint32 { return v.weights[node.address] }
+
+// weight returns the same for ranks. A node of which it isn't known counts as one
+// like this: most fleets have instances of one size, and nodes that took it for
+// more than that would give it duties that the others do not.
 func (v *View) weight(node Node) uint32 {
-	if w := v.weights[node.address]; w != 0 {
-		return w
-	}
-	return DefaultWeight
+	return cmp.Or(v.weights[node.address], v.weights[v.self.address], DefaultWeight)
 }
 
 // weakPart is the part of the strongest node's weight below which a node gets no
