internal/dispatch: last attempts wait for a target that isn't failing

The second attempt waited no longer than the first, and only failing targets have free slots under load.

Change: an attempt after which no other can follow waits as long as one that can't be repeated.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -28,12 +28,12 @@
 }
 
 // patience returns how long an ask waits for a better target than is free. What
-// can be repeated waits as long as an answer can still be in time. What can't be
-// waits longer: a late answer is worth more than a failure, and failing targets
-// always have free slots.
+// can be repeated once more waits as long as an answer can still be in time. A
+// last attempt waits longer: a late answer is worth more than a failure, and
+// failing targets always have free slots.
 func (d *Desk) patience(since time.Time, a *Ask) time.Duration {
-	if !a.Repeatable {
-		return time.Duration(unsafePatience * float64(a.Deadline.Sub(since)))
+	if a.last() {
+		return time.Duration(lastPatience * float64(a.Deadline.Sub(since)))
 	}
 	return max(a.Aim.Sub(since)-2*d.usual, 0) / 2
 }
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -45,6 +45,9 @@
 	Tried []string
 }
 
+// last tells whether no other attempt can follow a failure of this one.
+func (a *Ask) last() bool { return !a.Repeatable || a.Again && !a.Hedge }
+
 // Verdict answers an ask.
 type Verdict uint8
 
@@ -108,9 +111,9 @@
 	// closedTime is how long an ask that ended is remembered, some times longer
 	// than a datagram is repeated.
 	closedTime = 2 * time.Second
-	// unsafePatience is the part of its time that a request which can't be repeated
+	// lastPatience is the part of its time that an attempt which no other can follow
 	// waits for a target that isn't failing.
-	unsafePatience = 0.6
+	lastPatience = 0.6
 	// coldSlots is the part of its slots that a starting target gets.
 	coldSlots = 0.5
 )
@@ -281,7 +284,7 @@
 	t.flights[a.ID] = flight{
 		begun: now,
 		until: a.Deadline.Add(flightSlack),
-		last:  !a.Repeatable || a.Again && !a.Hedge,
+		last:  a.last(),
 	}
 	d.granted[a.ID] = t.Key
 	return Grant{
--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -184,6 +184,33 @@
 	}
 }
 
+// The last attempt of something that can be repeated waits for a target that isn't
+// failing as well: after it the request is lost.
+func TestLastAttemptWaitsForATargetThatIsNotFailing(t *testing.T) {
+	d := newDesk(dispatch.Target{
+		Key:      "good",
+		DataHall: "a",
+		Slots:    1,
+	}, dispatch.Target{
+		Key:      "bad",
+		DataHall: "a",
+		Slots:    3,
+	})
+	for range 3 {
+		d.Note(start, "bad", dispatch.ResultBad, time.Millisecond)
+	}
+	d.Ask(start, ask(start, 1))
+	a := ask(start, 2)
+	a.Repeatable = true
+	a.Again = true
+	if g := d.Ask(start, a); g.Verdict != dispatch.Queued {
+		t.Fatalf("second attempt: %v %q", g.Verdict, g.Target)
+	}
+	if grants := d.Advance(start.Add(500 * time.Millisecond)); len(grants) != 0 {
+		t.Fatalf("after half a second: %v", grants)
+	}
+}
+
 // A datagram that arrives twice must not take a slot again after the attempt ended.
 func TestAskThatEndedIsNotOpenedAgain(t *testing.T) {
 	d := newDesk(pool(1)...)
