--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -196,17 +196,23 @@
 		DataHall: "a",
 		Slots:    3,
 	})
+	// The retry budget must have something to give.
+	first := d.Ask(start, ask(start, 1))
+	d.Done(start, first.ID, first.Target, dispatch.ResultGood, time.Millisecond)
+	now := start.Add(4 * time.Second)
 	for range 3 {
-		d.Note(start, "bad", dispatch.ResultBad, time.Millisecond)
+		d.Note(now, "bad", dispatch.ResultBad, time.Millisecond)
 	}
-	d.Ask(start, ask(start, 1))
-	a := ask(start, 2)
+	if g := d.Ask(now, ask(now, 2)); g.Target != "good" {
+		t.Fatalf("first attempt got %q", g.Target)
+	}
+	a := ask(now, 3)
 	a.Repeatable = true
 	a.Again = true
-	if g := d.Ask(start, a); g.Verdict != dispatch.Queued {
+	if g := d.Ask(now, a); g.Verdict != dispatch.Queued {
 		t.Fatalf("second attempt: %v %q", g.Verdict, g.Target)
 	}
-	if grants := d.Advance(start.Add(500 * time.Millisecond)); len(grants) != 0 {
+	if grants := d.Advance(now.Add(500 * time.Millisecond)); len(grants) != 0 {
 		t.Fatalf("after half a second: %v", grants)
 	}
 }
