internal/dispatch: nodes tell a dispatcher what others gave them

The duty moved between dispatchers in a rolling stop while all targets refused 55 in 100: the first had spent what ten quiet seconds had saved, the next began with an empty window. Ruled out: the reserve, which grows from nothing on a new dispatcher (TestMovingDutyKeepsTheReserve).

Change: each node keeps a ledger of what it got from each dispatcher in the window and tells a dispatcher what it got from the others; a new dispatcher so knows the fleet's window after one ask of each node. A node that chooses alone counts in the same window as the desk that it has as a dispatcher.

TestMovingDutyKeepsTheBudget fails without the reports (251 of 250).

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -43,6 +43,8 @@
 	// Tried are keys of targets that the request was sent to before or that the
 	// node can't reach.
 	Tried []string
+	// Elsewhere is what the node got from other dispatchers of the service.
+	Elsewhere Spending
 }
 
 // last tells whether no other attempt can follow a failure of this one.
@@ -127,6 +129,7 @@
 	order   []*target
 	queue   queue
 	window  window
+	others  elsewhere
 	usual   time.Duration
 	granted map[ID]string
 	// closed are asks that have ended: a repeated datagram of one of them must not
@@ -146,6 +149,7 @@
 		budget:  b,
 		random:  random,
 		targets: map[string]*target{},
+		others:  elsewhere{},
 		usual:   usualStart,
 		granted: map[ID]string{},
 		closed:  map[ID]time.Time{},
@@ -228,17 +232,25 @@
 func (d *Desk) pays(now time.Time, a *Ask, part, needs float64) bool {
 	d.window.turn(now, d.begun, d.budget)
 	d.window.asked(now, d.budget)
+	d.others.note(now, a.ID.Node, a.Elsewhere)
 	if !a.Again {
 		d.window.first()
 		return true
 	}
-	if d.window.left(now, d.budget, part) < needs {
+	if d.left(now, part) < needs {
 		return false
 	}
 	d.window.repeat()
 	return true
 }
 
+// left returns how many repeats the budget still pays for. part is the share of the
+// reserve that this desk may use.
+func (d *Desk) left(now time.Time, part float64) float64 {
+	firsts, repeats := d.others.sums(now, d.budget)
+	return d.window.left(now, d.budget, part) + shareUsed*d.budget.Share*firsts - repeats
+}
+
 // before returns the answer that an ask got before.
 func (d *Desk) before(id ID) (Grant, bool) {
 	if key, ok := d.granted[id]; ok {
--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -520,3 +520,77 @@
 		}
 	}
 }
+
+// When the duty moves after quiet seconds while most requests are refused by their
+// targets, all dispatchers together stay within the budget in each window: the
+// first may have spent what the quiet seconds had saved.
+func TestMovingDutyKeepsTheBudget(t *testing.T) {
+	const (
+		nodes = 10
+		moves = 5
+	)
+	budget := dispatch.Budget{
+		Share:   0.2,
+		Reserve: 50,
+		Window:  10 * time.Second,
+	}
+	ledgers := make([]*dispatch.Ledger, nodes)
+	for i := range ledgers {
+		ledgers[i] = dispatch.NewLedger(start, budget)
+	}
+	var firsts, repeats []time.Time
+	now, number := start, uint64(0)
+	for move := range moves {
+		name := fmt.Sprintf("dispatcher-%d", move)
+		d := dispatch.NewDesk(now, budget, rand.New(rand.NewPCG(1, 2)).Float64)
+		d.Configure(now, pool(20))
+		asks := 250
+		if move == 0 {
+			asks = 1200
+		}
+		for n := range asks {
+			now = now.Add(10 * time.Millisecond)
+			result := dispatch.ResultShed
+			if move == 0 && n < 1000 {
+				result = dispatch.ResultGood
+			}
+			ledger := ledgers[number%nodes]
+			for attempt := range 3 {
+				number++
+				a := ask(now, number)
+				a.ID.Node = fmt.Sprintf("node-%d", number%nodes)
+				a.Again = attempt > 0
+				a.Elsewhere = ledger.Elsewhere(now, name)
+				g := d.Ask(now, a)
+				if g.Verdict != dispatch.Granted {
+					break
+				}
+				ledger.Took(now, name, a.Again)
+				d.Done(now, g.ID, g.Target, result, 0)
+				if a.Again {
+					repeats = append(repeats, now)
+				} else {
+					firsts = append(firsts, now)
+				}
+				if result == dispatch.ResultGood {
+					break
+				}
+			}
+		}
+	}
+	within := func(list []time.Time, end time.Time) int {
+		n := 0
+		for _, at := range list {
+			if !at.After(end) && end.Sub(at) < budget.Window {
+				n++
+			}
+		}
+		return n
+	}
+	for _, end := range repeats {
+		most := budget.Share*float64(within(firsts, end)) + budget.Reserve
+		if n := within(repeats, end); float64(n) > most {
+			t.Fatalf("%d repeats in the window before %v, at most %.0f", n, end.Sub(start), most)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/ledger.go
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// Spending counts what the retry budget of a service pays for: first attempts, and
+// repeats taken from it, in one window.
+type Spending struct {
+	Firsts  int
+	Repeats int
+}
+
+// Ledger counts what one node got from each dispatcher of a service in the window
+// of the retry budget. A node tells each dispatcher what it got from the others:
+// the one that takes up the duty then knows what was spent before it. It isn't
+// safe for concurrent use.
+type Ledger struct {
+	begun  time.Time
+	budget Budget
+	by     map[string]*window
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(now time.Time, b Budget) *Ledger {
+	return &Ledger{
+		begun:  now,
+		budget: b,
+		by:     map[string]*window{},
+	}
+}
+
+// Took notes an attempt that a dispatcher answered; again is set for a repeat.
+func (l *Ledger) Took(now time.Time, dispatcher string, again bool) {
+	w := l.by[dispatcher]
+	if w == nil {
+		w = &window{}
+		l.by[dispatcher] = w
+	}
+	w.turn(now, l.begun, l.budget)
+	if again {
+		w.repeat()
+	} else {
+		w.first()
+	}
+}
+
+// Elsewhere returns what other dispatchers than the one named gave.
+func (l *Ledger) Elsewhere(now time.Time, dispatcher string) Spending {
+	var s Spending
+	for name, w := range l.by {
+		w.turn(now, l.begun, l.budget)
+		firsts, repeats := w.sums()
+		if firsts == 0 && repeats == 0 {
+			delete(l.by, name)
+		} else if name != dispatcher {
+			s.Firsts += int(firsts)
+			s.Repeats += int(repeats)
+		}
+	}
+	return s
+}
+
+// told is what a node said of its dealings with other dispatchers.
+type told struct {
+	Spending
+	at time.Time
+}
+
+// elsewhere is what all nodes said. Each word counts until the node's next one or
+// until the window has passed.
+type elsewhere map[string]told
+
+func (e elsewhere) note(now time.Time, node string, s Spending) {
+	if s == (Spending{}) {
+		delete(e, node)
+		return
+	}
+	e[node] = told{
+		Spending: s,
+		at:       now,
+	}
+}
+
+// sums returns the first attempts and the repeats that others gave in the window.
+func (e elsewhere) sums(now time.Time, b Budget) (firsts, repeats float64) {
+	for node, t := range e {
+		if now.Sub(t.at) > b.Window {
+			delete(e, node)
+			continue
+		}
+		firsts += float64(t.Firsts)
+		repeats += float64(t.Repeats)
+	}
+	return firsts, repeats
+}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -41,7 +41,7 @@
 		Usual:       d.usual,
 		Prior:       d.prior,
 		Asked:       int(firsts + repeats),
-		RepeatsLeft: d.window.left(now, d.budget, 1),
+		RepeatsLeft: d.left(now, 1),
 	}
 	for _, t := range d.order {
 		s.InFlight += len(t.flights)
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -18,7 +18,7 @@
 	self := d.board.view.Load().Self()
 	a := &dispatch.Ask{
 		ID: dispatch.ID{
-			Node:   byItself,
+			Node:   self.Address(),
 			Number: d.messenger.calls.Add(1),
 		},
 		DataHall:   self.DataHall(),
@@ -33,6 +33,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	ledger := d.ledger(q.Service.Name())
+	a.Elsewhere = ledger.Elsewhere(now, self.Address())
 	dk := d.desk(now, q.Service.Name())
 	if dk == nil {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
@@ -41,6 +43,7 @@
 	if g.Verdict == dispatch.Spent {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonBudget, 0)
 	}
+	ledger.Took(now, self.Address(), q.Again)
 	t := dk.config.Target(g.Target)
 	if t == nil {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -118,6 +118,10 @@
 		Aim:        now.Add(time.Duration(w.GetAimMs()) * time.Millisecond),
 		Deadline:   now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
 		Tried:      w.GetTried(),
+		Elsewhere: dispatch.Spending{
+			Firsts:  int(w.GetFirstsElsewhere()),
+			Repeats: int(w.GetRepeatsElsewhere()),
+		},
 	}
 	d.mu.Lock()
 	dk := d.desk(now, w.GetService())
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -72,6 +72,8 @@
 	distrust map[string]time.Time
 	// lost is until when this node doesn't reach a target.
 	lost map[string]time.Time
+	// ledgers are what this node got from each dispatcher of a service.
+	ledgers map[string]*dispatch.Ledger
 	// reported is when the desks were last written to the log; only run uses it.
 	reported time.Time
 	// pending are the ends of attempts that were not confirmed.
@@ -94,6 +96,7 @@
 		distrust:  map[string]time.Time{},
 		lost:      map[string]time.Time{},
 		pending:   map[uint64]*unconfirmed{},
+		ledgers:   map[string]*dispatch.Ledger{},
 	}
 	m.ask = d.asked
 	m.done = d.told
@@ -159,6 +162,9 @@
 			d.log.WithField("peer", node.Address()).WithField("service", q.Service.Name()).Warn("dispatcher did not answer")
 			continue
 		}
+		if g.grant.GetVerdict() != wire.Grant_BUDGET {
+			d.took(node.Address(), q)
+		}
 		c, usable, err := d.take(node.Address(), q, g)
 		if usable || err != nil {
 			return c, err
@@ -243,8 +249,33 @@
 	})
 }
 
+// took notes what a dispatcher, or this node alone, gave for an attempt.
+func (d *dispatching) took(by string, q *entry.Query) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ledger(q.Service.Name()).Took(time.Now(), by, q.Again)
+}
+
+// elsewhere returns what this node got from other dispatchers than the one named.
+func (d *dispatching) elsewhere(by, service string) dispatch.Spending {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ledger(service).Elsewhere(time.Now(), by)
+}
+
+// ledger returns the ledger of a service. d.mu is held.
+func (d *dispatching) ledger(service string) *dispatch.Ledger {
+	l := d.ledgers[service]
+	if l == nil {
+		l = dispatch.NewLedger(time.Now(), d.budget)
+		d.ledgers[service] = l
+	}
+	return l
+}
+
 func (d *dispatching) sendAsk(peer string, id uint64, q *entry.Query) {
 	now := time.Now()
+	spent := d.elsewhere(peer, q.Service.Name())
 	out := &wire.Datagram{
 		Call: id,
 		Body: &wire.Datagram_Ask{
@@ -258,6 +289,9 @@
 				AimMs:      uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
 				DeadlineMs: uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
 				Tried:      q.Tried,
+
+				FirstsElsewhere:  uint32(spent.Firsts),
+				RepeatsElsewhere: uint32(spent.Repeats),
 			},
 		},
 	}
