internal/dispatch: work is spread over nearly all targets while many requests fail

A large service was spread at ten requests a second whatever its size, and a fifth of all targets might be left out; the users' sound ones can be few of 206. Ruled out: the store and the membership (one dispatcher throughout).

Change: nineteen in twenty targets get work, each within 1.8 s; requests whose callers leave, that are refused or for which no repeat is left count as not served, answers to first attempts as served.

TestLargeServiceSpreadsWorkWhileManyRequestsFail and TestCallersThatLeaveSpreadWork fail without.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -190,6 +190,9 @@
 		return g
 	}
 	if !d.pays(now, a, 1, d.needs(a)) {
+		if !a.Hedge {
+			d.ends.note(now, false)
+		}
 		return Grant{
 			ID:      a.ID,
 			Verdict: Spent,
@@ -197,6 +200,7 @@
 	}
 	most := time.Duration(refusedFrom * float64(a.Deadline.Sub(now)))
 	if wait := d.queue.wait(now, d, a.Priority); wait > 0 && wait > most {
+		d.ends.note(now, false)
 		return Grant{
 			ID:         a.ID,
 			Verdict:    Refused,
@@ -319,8 +323,8 @@
 		return nil
 	}
 	idle := len(t.flights) <= t.Slots
-	if f, ok := t.flights[id]; ok && f.last {
-		d.ends.note(now, r)
+	if f, ok := t.flights[id]; ok && (f.last || r == ResultGood) {
+		d.ends.note(now, r == ResultGood)
 	}
 	delete(t.flights, id)
 	t.health.note(now, d.seen(r, took, idle))
@@ -330,6 +334,16 @@
 	return d.serve(now)
 }
 
+// Lost notes of an attempt, before its end is told, that its request ends with it.
+func (d *Desk) Lost(key string, id ID) {
+	if t := d.targets[key]; t != nil {
+		if f, ok := t.flights[id]; ok {
+			f.last = true
+			t.flights[id] = f
+		}
+	}
+}
+
 // Note takes in what a node saw of a target that another desk granted.
 func (d *Desk) Note(now time.Time, key string, r Result, took time.Duration) {
 	if t := d.targets[key]; t != nil {
@@ -376,7 +390,11 @@
 			delete(d.closed, id)
 		}
 	}
-	return append(d.queue.expire(now), d.serve(now)...)
+	expired := d.queue.expire(now)
+	for range expired {
+		d.ends.note(now, false)
+	}
+	return append(expired, d.serve(now)...)
 }
 
 // serve grants what the queue can have now.
@@ -400,6 +418,10 @@
 		return d.Done(now, id, key, ResultIgnored, 0)
 	}
 	d.closed[id] = now
-	d.queue.drop(id)
+	if d.queue.has(id) {
+		// Its caller has left.
+		d.queue.drop(id)
+		d.ends.note(now, false)
+	}
 	return nil
 }
--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -594,3 +594,83 @@
 		}
 	}
 }
+
+// Requests whose callers leave while their first attempt goes on are not served
+// either: work is spread when there are many of them.
+func TestCallersThatLeaveSpreadWork(t *testing.T) {
+	d := newDesk(pool(9)...)
+	last := map[string]time.Time{}
+	now := start
+	for n := range uint64(600) {
+		now = now.Add(15 * time.Millisecond)
+		a := ask(now, n)
+		a.Repeatable = true
+		g := d.Ask(now, a)
+		if g.Verdict != dispatch.Granted {
+			t.Fatalf("ask %d: %v", n, g.Verdict)
+		}
+		last[g.Target] = now
+		switch {
+		case g.Target < "t4":
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, 3*time.Millisecond)
+		case n%5 == 0:
+			d.Lost(g.Target, g.ID)
+			d.Done(now, g.ID, g.Target, dispatch.ResultIgnored, 300*time.Millisecond)
+		default:
+			d.Done(now, g.ID, g.Target, dispatch.ResultGood, 300*time.Millisecond)
+		}
+		if n < 200 {
+			continue
+		}
+		fresh := 0
+		for _, at := range last {
+			if now.Sub(at) <= 2*time.Second {
+				fresh++
+			}
+		}
+		if fresh < 9 {
+			t.Fatalf("ask %d: %d of 9 targets got work within 2 s", n, fresh)
+		}
+	}
+}
+
+// In a large service too nearly all targets get work while many requests fail: the
+// users may take any few of them for sound.
+func TestLargeServiceSpreadsWorkWhileManyRequestsFail(t *testing.T) {
+	const (
+		targets = 100
+		failing = 30
+	)
+	d := newDesk(pool(targets)...)
+	rng := rand.New(rand.NewPCG(3, 4))
+	last := map[string]time.Time{}
+	for n := range uint64(3200) {
+		now := start.Add(time.Duration(n) * 2500 * time.Microsecond)
+		g := d.Ask(now, ask(now, n))
+		last[g.Target] = now
+		var index int
+		if _, err := fmt.Sscanf(g.Target, "t%d", &index); err != nil {
+			t.Fatal(err)
+		}
+		switch {
+		case index < failing:
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, time.Millisecond)
+		case rng.IntN(6) == 0:
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, 300*time.Millisecond)
+		default:
+			d.Done(now, g.ID, g.Target, dispatch.ResultGood, 300*time.Millisecond)
+		}
+		if n < 1600 {
+			continue
+		}
+		fresh := 0
+		for _, at := range last {
+			if now.Sub(at) <= 2*time.Second {
+				fresh++
+			}
+		}
+		if fresh < 90 {
+			t.Fatalf("ask %d: %d of %d targets got work within 2 s", n, fresh, targets)
+		}
+	}
+}
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -6,25 +6,27 @@
 
 // Parameters of the spread of work over targets while many requests fail. The
 // users' floor asks for 70% of the sound targets within 2 s while more than a
-// tenth of the requests fail.
+// tenth of the requests fail. Which ones the users take for sound can't be known
+// here, and they may be few: nearly all must get work.
 const (
-	// spreadFrom is the share of failed attempts from which on work is spread.
+	// spreadFrom is the share of failed requests from which on work is spread.
 	spreadFrom = 0.085
-	// spreadLeast is how many attempts must have ended for a share to count.
+	// spreadLeast is how many requests must have ended for a share to count.
 	spreadLeast = 20
 	// spreadTime is within which time a target should get work, spreadShare how
 	// many of the targets.
-	spreadTime  = 1600 * time.Millisecond
-	spreadShare = 0.8
-	// spreadBeat is the least time between two requests that go to a target for
-	// this reason.
-	spreadBeat = 100 * time.Millisecond
+	spreadTime  = 1500 * time.Millisecond
+	spreadShare = 0.95
+	// spreadWithin is within which time all targets that lack work should get some,
+	// so that they have it before two seconds are over; spreadBeat is the greatest
+	// time between two requests that go to a target for this reason.
+	spreadWithin = 300 * time.Millisecond
+	spreadBeat   = 100 * time.Millisecond
 	// endsTime is how long the two halves of the counts of ends last.
 	endsTime = time.Second
 )
 
-// ends counts how the last attempts of requests ended in the last one to two
-// seconds.
+// ends counts how requests ended in the last one to two seconds.
 type ends struct {
 	all  [2]int
 	bad  [2]int
@@ -44,16 +46,17 @@
 	}
 }
 
-func (e *ends) note(now time.Time, r Result) {
+// note counts a request that was served, or not: refused, failed at its last
+// attempt, or left by its caller.
+func (e *ends) note(now time.Time, served bool) {
 	e.advance(now)
-	// A caller that left was not served either.
 	e.all[0]++
-	if r != ResultGood {
+	if !served {
 		e.bad[0]++
 	}
 }
 
-// many tells whether so many attempts fail that work must be spread.
+// many tells whether so many requests fail that work must be spread.
 func (e *ends) many(now time.Time) bool {
 	e.advance(now)
 	all, bad := e.all[0]+e.all[1], e.bad[0]+e.bad[1]
@@ -64,7 +67,7 @@
 // and too many targets are left out: of those the one that is least likely to fail.
 // Beliefs may be wrong; leaving out what works would overload the rest.
 func (d *Desk) neglected(now time.Time, a *Ask) *target {
-	if a.Again || now.Sub(d.ends.spread) < spreadBeat || !d.ends.many(now) {
+	if a.Again || !d.ends.many(now) {
 		return nil
 	}
 	var best *target
@@ -82,7 +85,7 @@
 			best = t
 		}
 	}
-	if float64(out) <= (1-spreadShare)*float64(all) {
+	if float64(out) <= (1-spreadShare)*float64(all) || now.Sub(d.ends.spread) < min(spreadBeat, spreadWithin/time.Duration(out)) {
 		return nil
 	}
 	d.ends.spread = now
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
@@ -41,8 +42,9 @@
 	// running are the tries whose end hasn't been read from results.
 	running []*try
 	results chan result
-	// won is the try whose answer is delivered.
-	won *try
+	// won is the try whose answer is delivered; settled is set once there is one.
+	won     *try
+	settled atomic.Bool
 	// spare is an answer that is given only if no better one comes.
 	spare *result
 	// blocked says why no other try may begin, comeBack when the caller may.
@@ -195,6 +197,7 @@
 // abandon ends the tries that lost to another one. Their ends are read by the
 // server.
 func (x *relay) abandon(won *result) {
+	x.settled.Store(true)
 	if x.spare != nil && x.spare != won {
 		x.spare.discard()
 	}
@@ -307,6 +310,12 @@
 	}
 }
 
+// lost tells whether the request ends unserved with an attempt that failed now: its
+// caller has left, or its time is over.
+func (x *relay) lost() bool {
+	return !x.settled.Load() && (x.req.Context().Err() != nil || time.Until(x.life.Deadline()) <= 0)
+}
+
 // endOf says what an attempt showed of its target.
 func endOf(a *forward.Answer, err error) outlier.End {
 	if a != nil {
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -56,6 +56,7 @@
 			Target:  t.Key(),
 			Result:  resultOf(end),
 			TookMs:  uint32(took.Milliseconds()),
+			Lost:    end.Lost,
 		})
 	}), nil
 }
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -199,6 +199,9 @@
 	if dk != nil && w.GetTarget() == "" {
 		out = dk.Cancel(now, id)
 	} else if dk != nil {
+		if w.GetLost() {
+			dk.Lost(w.GetTarget(), id)
+		}
 		out = dk.Done(now, id, w.GetTarget(), dispatch.Result(w.GetResult()), time.Duration(w.GetTookMs())*time.Millisecond)
 	}
 	d.mu.Unlock()
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -326,7 +326,9 @@
 		return entry.Choice{}, false, nil
 	}
 	return choiceOf(t, peer, func(end outlier.End, took time.Duration) {
-		d.tell(peer, doneOf(q.Service.Name(), g, resultOf(end), took))
+		done := doneOf(q.Service.Name(), g, resultOf(end), took)
+		done.Lost = end.Lost
+		d.tell(peer, done)
 		d.note(q.Service.Name(), t.Key(), end, took)
 	}), true, nil
 }
--- a/internal/outlier/collector.go
+++ b/internal/outlier/collector.go
@@ -158,6 +158,8 @@
 	Other bool
 	// Unreached is set when no connection could be opened.
 	Unreached bool
+	// Lost is set when the request ended with this attempt and was not served.
+	Lost bool
 }
 
 // End notes the end of the attempt.
