internal/soak: random faults on fleets of real processes

The users ask for a soak of our own: signals that stop, pause, kill and restart nodes, proxies that delay, reset, silence or cut one way, targets that stall, fail, shed, abort, shorten and swap, a platform that is cut, slow or down, publications and targets that leave, in series that overlap. Callers keep their connections until the process is gone. Checked while it runs and after: at most once, not run is true, whole and own answers, an answer to each call that a sound or stopping process read, no route that was in force goes, publications in force within 5 s on nodes that nothing harms, leaving targets without work, all nodes back, no panic.

TestChecksSeeBrokenPromises shows that the checks can fail. Not covered: datagrams between nodes pass no proxy, clocks have no seam.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GENGO    = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 GENDRPC  = storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
 
-.PHONY: run test race check generate build capacity detection
+.PHONY: run test race check generate build capacity detection soak
 
 run:
 	./examples/quickstart/run
@@ -39,6 +39,16 @@
 	GOBIN=$(CURDIR)/.bin go install $(GENDRPC)
 	PATH=$(CURDIR)/.bin:$$PATH go generate ./internal/wire
 
+# Random faults on fleets of real processes: SEEDS of them from FIRST on, fleets of
+# NODES processes, BESIDE fleets at a time. About 20 s a seed.
+SEEDS  = 50
+FIRST  = 1000
+NODES  = 4
+BESIDE = 4
+
+soak:
+	go test ./internal/soak -run 'TestSoak$$' -count=1 -v -timeout 2h -seeds $(SEEDS) -first $(FIRST) -nodes $(NODES) -beside $(BESIDE)
+
 # Measures the cost of control and writes docs/CAPACITY.md; about 20 minutes.
 capacity:
 	go run ./internal/capacity
--- /dev/null
+++ b/internal/soak/export_test.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/history"
+)
+
+// Observed is a call for a test of the checks.
+type Observed struct {
+	Outcome   string
+	Err       error
+	Post      bool
+	Stopped   bool
+	Disturbed bool
+	// Runs is how often targets ran it.
+	Runs int
+}
+
+// Judge returns what the checks say of one call.
+func Judge(o Observed) []string {
+	f := &fleet{
+		begun: time.Now(),
+	}
+	l := &life{}
+	l.stopped.Store(o.Stopped)
+	l.disturbed.Store(o.Disturbed)
+	r := record{
+		Call: history.Call{
+			Key:        "k",
+			Repeatable: !o.Post,
+			Outcome:    o.Outcome,
+			Whole:      o.Err == nil,
+			Right:      true,
+		},
+		life: l,
+		err:  o.Err,
+	}
+	h := history.History{
+		Calls: []history.Call{
+			r.Call,
+		},
+	}
+	for range o.Runs {
+		h.Runs = append(h.Runs, history.Run{
+			Key: "k",
+		})
+	}
+	f.judgeCall(&r, h)
+	return f.faults
+}
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/standin/faultproxy"
+	"ploverjunction.example/ploverjunction/internal/standin/platform"
+)
+
+// slowDelay is how long a slow link holds each piece back: longer than any wait of
+// the joint choice.
+const slowDelay = 150 * time.Millisecond
+
+var (
+	cut  = faultproxy.Fault{Cut: true}
+	slow = faultproxy.Fault{Delay: slowDelay}
+	none = faultproxy.Fault{}
+)
+
+// step applies one step and takes it back after its time.
+func (f *fleet) step(s Step) error {
+	switch s.Kind {
+	case KindStop:
+		return f.nodes[s.Index].stop()
+	case KindKill:
+		return f.nodes[s.Index].kill()
+	case KindPause:
+		f.nodes[s.Index].pause(s.For)
+	case KindPeersCut, KindPeersDeaf:
+		f.link(f.nodes[s.Index].front, s)
+		for _, n := range f.nodes {
+			n.touch()
+		}
+	case KindPlatformCut, KindPlatformDeaf, KindPlatformSlow, KindPlatformReset, KindPlatformDown:
+		f.platformStep(s)
+		f.platformTouched.Store(int64(time.Since(f.begun)))
+	case KindPublish:
+		f.publishRoute()
+	case KindLeave:
+		f.leave(s.Index)
+	default:
+		f.targetStep(f.targets[s.Index], s)
+	}
+	return nil
+}
+
+// link harms a proxy's connections for the time of a step.
+func (f *fleet) link(p *faultproxy.Proxy, s Step) {
+	switch s.Kind {
+	case KindPeersCut, KindPlatformCut, KindTargetCut:
+		p.Forward(cut)
+		p.Backward(cut)
+	case KindPeersDeaf, KindPlatformDeaf, KindTargetDeaf:
+		p.Backward(cut)
+	case KindPlatformSlow, KindTargetSlow:
+		p.Forward(slow)
+		p.Backward(slow)
+	case KindPlatformReset, KindTargetReset:
+		p.Reset()
+		return
+	}
+	time.Sleep(s.For)
+	p.Forward(none)
+	p.Backward(none)
+}
+
+func (f *fleet) platformStep(s Step) {
+	if s.Kind != KindPlatformDown {
+		f.link(f.toPlatform, s)
+		return
+	}
+	f.platform.SetMode(platform.ModeDown)
+	time.Sleep(s.For)
+	f.platform.SetMode(platform.ModeGood)
+}
+
+// leave says that a target leaves; at least half of them stay.
+func (f *fleet) leave(index int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	staying := 0
+	for _, b := range f.targets {
+		if !b.leaving.Load() {
+			staying++
+		}
+	}
+	if staying <= len(f.targets)/2 || f.targets[index].leaving.Swap(true) {
+		return
+	}
+	f.publishTargets()
+}
+
+func (f *fleet) targetStep(b *backend, s Step) {
+	m := healthy()
+	switch s.Kind {
+	case KindTargetStall:
+		m.Stall = true
+	case KindTargetErrors:
+		m.ErrorShare = 0.7
+	case KindTargetSheds:
+		m.Shed = true
+	case KindTargetAborts:
+		m.ResetAfter = true
+	case KindTargetShort:
+		m.CutAfter = 10
+	case KindTargetSwaps:
+		m.Swap = true
+	default:
+		f.link(b.proxy, s)
+		return
+	}
+	b.SetMode(m)
+	time.Sleep(s.For)
+	b.SetMode(healthy())
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,235 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/standin/faultproxy"
+	"ploverjunction.example/ploverjunction/internal/standin/platform"
+	"ploverjunction.example/ploverjunction/internal/standin/process"
+	"ploverjunction.example/ploverjunction/internal/standin/target"
+)
+
+// Times of a fleet.
+const (
+	// stopTime bounds a planned stop: the drain wait and the longest request.
+	stopTime = 15 * time.Second
+	// backTime is within which all nodes must serve again after the last fault.
+	backTime = 20 * time.Second
+	// targetSlots and targetWork say how targets work when nothing is wrong.
+	targetSlots = 8
+	targetWork  = 10 * time.Millisecond
+)
+
+// backend is a target behind a proxy.
+type backend struct {
+	*target.Target
+	server  *httptest.Server
+	proxy   *faultproxy.Proxy
+	leaving atomic.Bool
+}
+
+// fleet is everything that takes part in one run.
+type fleet struct {
+	plan       Plan
+	daemon     string
+	dir        string
+	begun      time.Time
+	platform   *platform.Platform
+	server     *httptest.Server
+	toPlatform *faultproxy.Proxy
+	nodes      []*node
+	targets    []*backend
+	// routes counts the published routes, published is when the last one was.
+	mu        sync.Mutex
+	routes    int
+	published time.Time
+	faults    []string
+	// active counts the steps under way.
+	active atomic.Int64
+	// platformTouched is as node.touched for steps that act on the platform.
+	platformTouched atomic.Int64
+}
+
+func hall(index int) string { return string(rune('a' + index%2)) }
+
+// peerAddress returns where a node hears its peers. Each run has a loopback network
+// of its own, so that runs beside each other don't meet.
+func (f *fleet) peerAddress(index int) string {
+	if !f.plan.Joint {
+		return f.nodes[index].front.Addr()
+	}
+	return fmt.Sprintf("127.%d.%d.%d:7960", 64+os.Getpid()%128, f.plan.Seed%250, index+1)
+}
+
+// newFleet starts the stand-ins and the processes of a plan.
+func newFleet(daemon, dir string, plan Plan) (*fleet, error) {
+	f := &fleet{
+		plan:     plan,
+		daemon:   daemon,
+		dir:      dir,
+		begun:    time.Now(),
+		platform: platform.New(),
+	}
+	f.server = httptest.NewServer(f.platform.Handler())
+	var err error
+	if f.toPlatform, err = faultproxy.New(address(f.server)); err != nil {
+		return f, err
+	}
+	for i := range plan.Targets {
+		b := &backend{
+			Target: target.New(fmt.Sprintf("target-%d", i), targetSlots),
+		}
+		b.SetMode(healthy())
+		b.server = httptest.NewServer(b.Handler())
+		if b.proxy, err = faultproxy.New(address(b.server)); err != nil {
+			return f, err
+		}
+		f.targets = append(f.targets, b)
+	}
+	f.publishTargets()
+	f.publishRoute()
+	for i := range plan.Nodes {
+		n := &node{
+			fleet: f,
+			index: i,
+		}
+		if n.front, err = faultproxy.New("127.0.0.1:1"); err != nil {
+			return f, err
+		}
+		f.nodes = append(f.nodes, n)
+		if err := n.start(); err != nil {
+			return f, err
+		}
+	}
+	return f, f.awaitReady(backTime)
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+func healthy() target.Mode {
+	return target.Mode{
+		Latency: targetWork,
+	}
+}
+
+func (f *fleet) startProcess(dir, settings string) (*process.Process, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	return process.Start(f.daemon, dir, settings)
+}
+
+// close ends what this run started.
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		if l := n.life.Load(); l != nil {
+			l.proc.Kill()
+		}
+		n.front.Close()
+	}
+	f.platform.SetMode(platform.ModeDown)
+	for _, b := range f.targets {
+		b.server.CloseClientConnections()
+		b.proxy.Close()
+		b.server.Close()
+	}
+	f.toPlatform.Close()
+	f.server.CloseClientConnections()
+	f.server.Close()
+}
+
+// publishTargets publishes the service and its targets.
+func (f *fleet) publishTargets() {
+	var list []string
+	for i, b := range f.targets {
+		list = append(list, fmt.Sprintf(`{"service":"quotes","address":%q,"dataHall":%q,"slots":%d,"connections":200,"leaving":%t}`,
+			b.proxy.Addr(), hall(i), targetSlots, b.leaving.Load()))
+	}
+	f.platform.Publish("services", `{"services":[{"name":"quotes"}],"targets":[`+strings.Join(list, ",")+`]}`)
+}
+
+// publishRoute publishes the routes of the service and one more by which callers
+// see which publication a node has in force.
+func (f *fleet) publishRoute() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routes++
+	f.published = time.Now()
+	routes := []string{
+		`{"name":"read","pathPrefix":"/quotes","methods":["GET"],"service":"quotes","class":"read","repeatable":true,"deadline":"3s"}`,
+		`{"name":"write","pathPrefix":"/quotes","methods":["POST"],"service":"quotes","class":"write","deadline":"2s"}`,
+	}
+	for i := 1; i <= f.routes; i++ {
+		routes = append(routes, fmt.Sprintf(`{"name":"mark-%[1]d","pathPrefix":"/mark-%[1]d","methods":["GET"],"service":"quotes","class":"mark","repeatable":true,"deadline":"2s"}`, i))
+	}
+	f.platform.Publish("routes", `{"routes":[`+strings.Join(routes, ",")+`]}`)
+}
+
+// newest returns the number of the last published route and when that was.
+func (f *fleet) newest() (int, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.routes, f.published
+}
+
+// broken notes a broken promise.
+func (f *fleet) broken(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = append(f.faults, fmt.Sprintf("%6.2fs ", time.Since(f.begun).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// NotReadyError is a fleet of which a node did not become ready.
+type NotReadyError struct {
+	index int
+	log   string
+}
+
+// Error names the node and shows the end of its log.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("soak: node %d is not ready:\n%s", e.index, e.log)
+}
+
+// awaitReady waits until all nodes are ready.
+func (f *fleet) awaitReady(limit time.Duration) error {
+	end := time.Now().Add(limit)
+	var errs []error
+	for _, n := range f.nodes {
+		for !n.life.Load().proc.Ready() {
+			if time.Now().After(end) {
+				errs = append(errs, &NotReadyError{
+					index: n.index,
+					log:   tail(n.life.Load().proc.Log()),
+				})
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// tail returns the end of a log.
+func tail(log string) string {
+	const most = 4000
+	return log[max(len(log)-most, 0):]
+}
+
+// checkLog looks for signs of a defect in the log of a process.
+func (f *fleet) checkLog(n *node, l *life) {
+	log := l.proc.Log()
+	for _, sign := range []string{"DATA RACE", "panic:", "panicked"} {
+		if strings.Contains(log, sign) {
+			f.broken("node %d: %s in its log:\n%s", n.index, sign, tail(log))
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/standin/faultproxy"
+	"ploverjunction.example/ploverjunction/internal/standin/process"
+)
+
+// life is one process of a node, from its start to its end.
+type life struct {
+	proc *process.Process
+	// stopped is set when it got SIGTERM, disturbed when it was killed or paused.
+	stopped   atomic.Bool
+	disturbed atomic.Bool
+	// known is the newest published route that callers were served by this life.
+	known atomic.Int64
+}
+
+// node is one place of the fleet, with one process after another.
+type node struct {
+	fleet *fleet
+	index int
+	front *faultproxy.Proxy
+	// mu is held while a step acts on the process.
+	mu     sync.Mutex
+	life   atomic.Pointer[life]
+	starts int
+	// touched is when the last step that acts on the node ended, in nanoseconds
+	// since the begin of the fleet.
+	touched atomic.Int64
+}
+
+func (n *node) settings() string {
+	var seeds []string
+	for i := range min(n.index, 3) {
+		seeds = append(seeds, n.fleet.peerAddress(i))
+	}
+	peers := "listen = " + n.fleet.peerAddress(n.index)
+	choice := "joint"
+	if !n.fleet.plan.Joint {
+		peers = "listen = 127.0.0.1:0\nadvertise = " + n.front.Addr()
+		choice = "alone"
+	}
+	if len(seeds) > 0 {
+		peers += "\nseeds = " + strings.Join(seeds, ", ")
+	}
+	return fmt.Sprintf(`
+[node]
+data_hall = %s
+[operator]
+listen = 127.0.0.1:0
+[peers]
+%s
+[source]
+kind = platform
+platform = http://%s
+[log]
+format = json
+[entry]
+listen = 127.0.0.1:0
+drain_wait = 500ms
+[targets]
+choice = %s
+`, hall(n.index), peers, n.fleet.toPlatform.Addr(), choice)
+}
+
+// start starts a process; n.mu is held.
+func (n *node) start() error {
+	n.starts++
+	dir := filepath.Join(n.fleet.dir, fmt.Sprintf("node-%d-%d", n.index, n.starts))
+	p, err := n.fleet.startProcess(dir, n.settings())
+	if err != nil {
+		return fmt.Errorf("soak: node %d: %w", n.index, err)
+	}
+	n.front.SetUpstream(p.Peers())
+	n.life.Store(&life{
+		proc: p,
+	})
+	return nil
+}
+
+// stop ends the process as planned work does and starts a new one.
+func (n *node) stop() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.life.Load()
+	l.stopped.Store(true)
+	l.proc.Signal(syscall.SIGTERM)
+	select {
+	case <-l.proc.Exited():
+	case <-time.After(stopTime):
+		n.fleet.broken("node %d: a planned stop took longer than %v", n.index, stopTime)
+		l.disturbed.Store(true)
+		l.proc.Kill()
+	}
+	return n.next(l)
+}
+
+// kill ends the process at once and starts a new one.
+func (n *node) kill() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.life.Load()
+	l.disturbed.Store(true)
+	l.proc.Kill()
+	return n.next(l)
+}
+
+// next starts the process after one that has ended.
+func (n *node) next(l *life) error {
+	n.fleet.checkLog(n, l)
+	n.touch()
+	return n.start()
+}
+
+// pause lets the process stand still for a time.
+func (n *node) pause(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.life.Load()
+	l.disturbed.Store(true)
+	l.proc.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	l.proc.Signal(syscall.SIGCONT)
+	n.touch()
+}
+
+func (n *node) touch() { n.touched.Store(int64(time.Since(n.fleet.begun))) }
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is what a step does.
+type Kind string
+
+// Kinds of steps. Those of a node, a target or a proxy act on the one with the
+// step's index.
+const (
+	// KindStop sends SIGTERM and starts a new process after the old one's end;
+	// KindKill does the same with SIGKILL, KindPause stops and continues it.
+	KindStop  Kind = "stop"
+	KindKill  Kind = "kill"
+	KindPause Kind = "pause"
+	// KindPeersCut and KindPeersDeaf act before a node's port for peers.
+	KindPeersCut  Kind = "peers cut"
+	KindPeersDeaf Kind = "peers deaf"
+	// The next ones act between all nodes and the platform, or on it.
+	KindPlatformCut   Kind = "platform cut"
+	KindPlatformDeaf  Kind = "platform deaf"
+	KindPlatformSlow  Kind = "platform slow"
+	KindPlatformReset Kind = "platform reset"
+	KindPlatformDown  Kind = "platform down"
+	// KindPublish publishes one more route, KindLeave says that a target leaves.
+	KindPublish Kind = "publish"
+	KindLeave   Kind = "leave"
+	// The next ones act between all nodes and a target, or on it.
+	KindTargetCut    Kind = "target cut"
+	KindTargetDeaf   Kind = "target deaf"
+	KindTargetSlow   Kind = "target slow"
+	KindTargetReset  Kind = "target reset"
+	KindTargetStall  Kind = "target stalls"
+	KindTargetErrors Kind = "target errors"
+	KindTargetSheds  Kind = "target sheds"
+	KindTargetAborts Kind = "target aborts"
+	KindTargetShort  Kind = "target cuts bodies"
+	KindTargetSwaps  Kind = "target swaps ids"
+)
+
+// kinds are all kinds, those that act on processes more than once: they are drawn
+// more often.
+var kinds = []Kind{
+	KindStop, KindStop, KindStop, KindKill, KindKill, KindPause, KindPause,
+	KindPeersCut, KindPeersDeaf,
+	KindPlatformCut, KindPlatformDeaf, KindPlatformSlow, KindPlatformReset, KindPlatformDown,
+	KindPublish, KindPublish, KindPublish, KindLeave,
+	KindTargetCut, KindTargetDeaf, KindTargetSlow, KindTargetReset, KindTargetStall,
+	KindTargetErrors, KindTargetSheds, KindTargetAborts, KindTargetShort, KindTargetSwaps,
+}
+
+// Step is one fault or change.
+type Step struct {
+	At    time.Duration
+	For   time.Duration
+	Kind  Kind
+	Index int
+}
+
+// Plan is a series of steps for a fleet.
+type Plan struct {
+	Seed    uint64
+	Joint   bool
+	Nodes   int
+	Targets int
+	Steps   []Step
+}
+
+// Times and sizes of plans.
+const (
+	// faultTime is the time in which steps begin: two rolling restarts of a small
+	// fleet fit into it.
+	faultTime = 8 * time.Second
+	// stepLeast and stepMost bound how long a fault lasts: both shorter and longer
+	// than the second in which nodes find each other dead.
+	stepLeast = 200 * time.Millisecond
+	stepMost  = 2500 * time.Millisecond
+	// stepsLeast and stepsMost bound the steps of each node of the fleet.
+	stepsLeast = 3
+	stepsMost  = 6
+)
+
+// NewPlan draws the plan of a seed for a number of nodes.
+func NewPlan(seed uint64, nodes int) Plan {
+	rng := rand.New(rand.NewPCG(seed, 0x50a4))
+	p := Plan{
+		Seed:    seed,
+		Joint:   rng.IntN(2) == 0,
+		Nodes:   nodes,
+		Targets: 6,
+	}
+	steps := nodes * (stepsLeast + rng.IntN(stepsMost-stepsLeast+1))
+	for range steps {
+		s := Step{
+			At:   time.Duration(rng.Int64N(int64(faultTime))),
+			For:  stepLeast + time.Duration(rng.Int64N(int64(stepMost-stepLeast))),
+			Kind: kinds[rng.IntN(len(kinds))],
+		}
+		switch s.Kind {
+		case KindStop, KindKill, KindPause, KindPeersCut, KindPeersDeaf:
+			s.Index = rng.IntN(nodes)
+		default:
+			s.Index = rng.IntN(p.Targets)
+		}
+		p.Steps = append(p.Steps, s)
+	}
+	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
+	return p
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak_test
+
+import (
+	"bufio"
+	"errors"
+	"flag"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"ploverjunction.example/ploverjunction/internal/soak"
+	"ploverjunction.example/ploverjunction/internal/standin/process"
+)
+
+var (
+	seeds    = flag.Uint64("seeds", 2, "how many seeds to play beside the regression seeds")
+	first    = flag.Uint64("first", 1, "the first of these seeds")
+	nodes    = flag.Int("nodes", 4, "nodes of each fleet")
+	parallel = flag.Int("beside", 2, "fleets beside each other")
+)
+
+// TestSoak plays the regression seeds, each of which once broke a promise, and the
+// seeds that the flags name.
+func TestSoak(t *testing.T) {
+	daemon, err := process.Build(t.TempDir(), "ploverd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := regression(t)
+	for i := range *seeds {
+		list = append(list, *first+i)
+	}
+	free := make(chan struct{}, *parallel)
+	var all sync.WaitGroup
+	for _, seed := range list {
+		free <- struct{}{}
+		all.Go(func() {
+			defer func() { <-free }()
+			play(t, daemon, seed)
+		})
+	}
+	all.Wait()
+}
+
+func play(t *testing.T, daemon string, seed uint64) {
+	plan := soak.NewPlan(seed, *nodes)
+	report, err := soak.Run(daemon, t.TempDir(), plan)
+	if err != nil {
+		t.Errorf("seed %d: %v", seed, err)
+	}
+	t.Logf("seed %d: joint %t, %d steps, %d calls %v, %d runs", seed, plan.Joint, len(plan.Steps), report.Calls, report.Counts, report.Runs)
+	for _, b := range report.Broken {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+	if len(report.Broken) > 0 {
+		for _, s := range plan.Steps {
+			t.Logf("seed %d: %6.2fs for %4.2fs %s %d", seed, s.At.Seconds(), s.For.Seconds(), s.Kind, s.Index)
+		}
+	}
+}
+
+// regression reads the seeds that ever failed.
+func regression(t *testing.T) []uint64 {
+	t.Helper()
+	file, err := os.Open("testdata/seeds.tsv")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	var out []uint64
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "#") {
+			continue
+		}
+		seed, err := strconv.ParseUint(strings.Split(lines.Text(), "\t")[0], 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, seed)
+	}
+	return out
+}
+
+// The same seed gives the same series, and seeds differ.
+func TestPlanIsGivenByItsSeed(t *testing.T) {
+	a, b, c := soak.NewPlan(7, 4), soak.NewPlan(7, 4), soak.NewPlan(8, 4)
+	if len(a.Steps) != len(b.Steps) {
+		t.Fatalf("%d and %d steps", len(a.Steps), len(b.Steps))
+	}
+	for i := range a.Steps {
+		if a.Steps[i] != b.Steps[i] {
+			t.Errorf("step %d: %v and %v", i, a.Steps[i], b.Steps[i])
+		}
+	}
+	if len(a.Steps) == len(c.Steps) && a.Steps[0] == c.Steps[0] {
+		t.Error("two seeds give the same series")
+	}
+}
+
+// The checks see what they are there for, and nothing else.
+func TestChecksSeeBrokenPromises(t *testing.T) {
+	lost := errors.New("connection closed")
+	cases := []struct {
+		name   string
+		call   soak.Observed
+		broken bool
+	}{
+		{
+			name: "done",
+			call: soak.Observed{
+				Outcome: "done",
+				Runs:    1,
+			},
+		},
+		{
+			name: "ran twice",
+			call: soak.Observed{
+				Outcome: "done",
+				Post:    true,
+				Runs:    2,
+			},
+			broken: true,
+		},
+		{
+			name: "not run, but ran",
+			call: soak.Observed{
+				Outcome: "not-run",
+				Runs:    1,
+			},
+			broken: true,
+		},
+		{
+			name: "done, but never ran",
+			call: soak.Observed{
+				Outcome: "done",
+			},
+			broken: true,
+		},
+		{
+			name: "cut by a planned stop",
+			call: soak.Observed{
+				Err:     lost,
+				Stopped: true,
+				Runs:    1,
+			},
+			broken: true,
+		},
+		{
+			name: "closed unread by a planned stop",
+			call: soak.Observed{
+				Err:     lost,
+				Stopped: true,
+			},
+		},
+		{
+			name: "cut by a kill",
+			call: soak.Observed{
+				Err:       lost,
+				Disturbed: true,
+				Runs:      1,
+			},
+		},
+		{
+			name: "no answer from a sound process",
+			call: soak.Observed{
+				Err: lost,
+			},
+			broken: true,
+		},
+	}
+	for _, c := range cases {
+		if got := soak.Judge(c.call); len(got) > 0 != c.broken {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
