--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -147,8 +147,10 @@
 	r := call(ctx, c, http.MethodGet, fmt.Sprintf("http://%s/mark-%d", l.proc.Entry(), newest), fmt.Sprintf("look-%d-%d", n.index, i))
 	switch {
 	case r.err != nil:
-	case r.status != http.StatusNotFound:
+	case r.status == http.StatusOK:
 		l.known.Store(max(l.known.Load(), int64(newest)))
+	case r.status != http.StatusNotFound:
+		// A refusal says nothing of the routes in force.
 	case l.known.Load() >= int64(newest):
 		f.broken("node %d: route mark-%d was in force and is gone", n.index, newest)
 	case time.Since(published) > forceTime && f.calmSince(n, begun-forceTime) && !l.stopped.Load():
