internal/attempt: a copy for a target on trial may have run

The run was the copy of a repeatable request that goes to a target on trial while the request itself was shed elsewhere. Ruled out: late bytes of a cut connection (the runs came within 10 ms of the calls, while the target's proxy was open) and hedges (counted as unknown).

Change: a request of which a copy was sent can't end "not run".

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -102,6 +102,10 @@
 	}
 }
 
+// Copied notes a copy of the request whose end nobody waits for: from then on it
+// can't be said that the request has not run.
+func (l *Life) Copied() { l.ran = true }
+
 // Outcome returns what is known about all attempts together: not run only if
 // that is proved for each one.
 func (l *Life) Outcome() Outcome {
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -33,6 +33,20 @@
 	// may have run unknown
 }
 
+// A copy whose end nobody waits for may run: the caller must not be told that its
+// request has not.
+func TestCopyMayHaveRun(t *testing.T) {
+	l := attempt.NewLife(true, start.Add(time.Second))
+	l.Copied()
+	l.Ended(attempt.OutcomeNotRun)
+	if o := l.Outcome(); o != attempt.OutcomeUnknown {
+		t.Errorf("outcome %v with a copy under way", o)
+	}
+	if r := l.May(start, yes, yes); r != attempt.ReasonNone {
+		t.Errorf("a copy keeps the request from another attempt: %v", r)
+	}
+}
+
 func TestMay(t *testing.T) {
 	cases := []struct {
 		name       string
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -28,6 +28,7 @@
 		return
 	}
 	x.server.trials.Add(1)
+	x.life.Copied()
 	reader, _ := x.body.next()
 	r := x.request(choice, reader)
 	r.ID = newRequestID()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -187,10 +187,19 @@
 func (f *fleet) judgeCall(r *record, h history.History) {
 	f.judgeEnd(r, len(h.Runs))
 	for _, v := range history.Check(h, clockSlack) {
-		f.broken("%s", v)
+		f.broken("%s; node %d, sent at %.2fs, repeatable %t, status %d, runs %v", v, r.node, r.begun.Seconds(), r.Repeatable, r.Status, f.describe(h.Runs))
 	}
 }
 
+// describe tells where and when runs began.
+func (f *fleet) describe(runs []history.Run) []string {
+	var out []string
+	for _, r := range runs {
+		out = append(out, fmt.Sprintf("%s at %.2fs", r.Target, r.At.Sub(f.begun).Seconds()))
+	}
+	return out
+}
+
 // judgeEnd looks at calls without an answer: only the death or pause of the
 // process explains them, or a connection that was closed before the request was
 // read.
