internal/node: ends that the dispatcher's own node saw count once

After one failure after work the belief was 0.424, for any other node's 0.109. TestOwnFailureCountsOnce fails before.

--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -329,7 +329,7 @@
 		done := doneOf(q.Service.Name(), g, resultOf(end), took)
 		done.Lost = end.Lost
 		d.tell(peer, done)
-		d.note(q.Service.Name(), t.Key(), end, took)
+		d.note(peer, q.Service.Name(), t.Key(), end, took)
 	}), true, nil
 }
 
@@ -368,14 +368,18 @@
 	}
 }
 
-// note keeps what this node saw itself, for when it must choose alone.
-func (d *dispatching) note(service, key string, end outlier.End, took time.Duration) {
+// note keeps what this node saw itself of a target that a dispatcher chose, for when
+// it must choose alone. Its own desk has been told already.
+func (d *dispatching) note(dispatcher, service, key string, end outlier.End, took time.Duration) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if end.Unreached {
 		d.lost[key] = now.Add(lostTime)
 	}
+	if dispatcher == d.board.view.Load().Self().Address() {
+		return
+	}
 	if dk := d.desk(now, service); dk != nil {
 		dk.Note(now, key, dispatch.Result(resultOf(end)), took)
 	}
--- /dev/null
+++ b/internal/node/dispatching_test.go
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/node"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// A failure that the dispatcher's own node saw counts once: its belief is that of a
+// desk which was told of it once.
+func TestOwnFailureCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const key = "192.0.2.10:80"
+		c := node.NewChooser("quotes", []*wire.Entry{
+			{
+				Key:      "services",
+				Revision: 1,
+				Value:    []byte(`{"services":[{"name":"quotes"}],"targets":[{"service":"quotes","address":"192.0.2.10:80","dataHall":"a","slots":3,"connections":200}]}`),
+			},
+		})
+		choice, err := c.Choose(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		choice.Done(outlier.End{
+			Failed: true,
+		}, 200*time.Millisecond)
+
+		d := dispatch.NewDesk(time.Now(), dispatch.Budget{
+			Window: 10 * time.Second,
+		}, func() float64 { return 0 })
+		d.Configure(time.Now(), []dispatch.Target{
+			{
+				Key:      key,
+				DataHall: "a",
+				Slots:    3,
+			},
+		})
+		d.Note(time.Now(), key, dispatch.ResultBad, 200*time.Millisecond)
+		if got, want := c.Failing(key), d.Status(time.Now()).Targets[0].Failing; got != want {
+			t.Errorf("belief %.3f after one failure, want %.3f", got, want)
+		}
+	})
+}
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -3,9 +3,13 @@
 package node
 
 import (
+	"context"
 	"io"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/outlier"
@@ -38,3 +42,64 @@
 func (r *Reporter) Due(now time.Time) map[string][]*wire.Report {
 	return r.observing.due(now)
 }
+
+// Chooser is the joint choice of a node that is the only one of its fleet.
+type Chooser struct {
+	dispatching *dispatching
+	service     *fleetconfig.Service
+}
+
+// NewChooser returns the choice of a node for one service, which published entries
+// describe.
+func NewChooser(service string, entries []*wire.Entry) *Chooser {
+	board := &Board{}
+	self := membership.NewNode("192.0.2.1:1", "a")
+	board.view.Store(membership.NewTable(self).View(time.Now()))
+	store := fleetconfig.NewStore()
+	store.Offer(entries)
+	for _, r := range store.Refusals() {
+		panic(r.Err())
+	}
+	board.config.Store(&configuration{
+		config: store.Config(),
+	})
+	m := newMessenger()
+	m.self = func() *wire.Node {
+		return &wire.Node{
+			Address:  self.Address(),
+			DataHall: self.DataHall(),
+		}
+	}
+	log := logging.Part(logging.New(io.Discard, "error", "text"), "dispatch")
+	return &Chooser{
+		dispatching: newDispatching(board, m, dispatch.Budget{
+			Share:   0.2,
+			Reserve: 10,
+			Window:  10 * time.Second,
+		}, log),
+		service: store.Config().Service(service),
+	}
+}
+
+// Choose takes a target for one attempt.
+func (c *Chooser) Choose(ctx context.Context) (entry.Choice, error) {
+	return c.dispatching.choose(ctx, &entry.Query{
+		Service:  c.service,
+		Aim:      time.Now().Add(time.Second),
+		Deadline: time.Now().Add(time.Second),
+	})
+}
+
+// Failing returns the belief that a target is failing.
+func (c *Chooser) Failing(key string) float64 {
+	d := c.dispatching
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, t := range d.desk(now, c.service.Name()).Status(now).Targets {
+		if t.Key == key {
+			return t.Failing
+		}
+	}
+	return 0
+}
