internal/dispatch, internal/node: one function for the share that is spread; ledgers end with their services

Reading the change: a switch inside a loop's function, a comment over the line, and a table that kept services that are gone. No behaviour changes but the last.

--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -4,18 +4,19 @@
 
 import "time"
 
-// Parameters of the spread of work over targets. The users' floor asks for 70% of the sound targets within 2 s while more than a
-// tenth of the requests fail. Which ones the users take for sound can't be known
-// here, and they may be few: nearly all must get work.
+// Parameters of the spread of work over targets. The users' floor asks for 70% of
+// the sound targets within 2 s while more than a tenth of the requests fail. Which
+// ones the users take for sound can't be known here, and they may be few: nearly
+// all must get work.
 const (
 	// spreadFrom is the share of failed requests from which on work is spread.
 	spreadFrom = 0.085
 	// spreadLeast is how many requests must have ended for a share to count.
 	spreadLeast = 20
-	// spreadTime is within which time a target should get work, spreadShare how
-	// many of the targets.
-	spreadTime  = 1500 * time.Millisecond
-	spreadShare = 0.95
+	// spreadTime is within which time a target should get work, failingShare how
+	// many of the targets while many requests fail.
+	spreadTime   = 1500 * time.Millisecond
+	failingShare = 0.95
 	// repeatableShare and calmShare are the same for a large service while few
 	// requests fail: the death of nodes can end a tenth of them at any moment, and
 	// the targets of the seconds before it count then. What can be repeated costs
@@ -71,23 +72,31 @@
 	return all >= spreadLeast && float64(bad) >= spreadFrom*float64(all)
 }
 
+// spreadShare returns the part of the targets that should have work if an ask is
+// used for it, 0 if none need it.
+func (d *Desk) spreadShare(now time.Time, a *Ask) float64 {
+	switch {
+	case d.ends.many(now):
+		return failingShare
+	case len(d.order) < largeService:
+		return 0
+	case a.Repeatable:
+		return repeatableShare
+	default:
+		return calmShare
+	}
+}
+
 // neglected returns a target that got no work for a while, if too many targets are
-// left out: of those the one that is least likely to fail.
-// Beliefs may be wrong; leaving out what works would overload the rest.
+// left out: of those the one that is least likely to fail. Beliefs may be wrong, and
+// leaving out what works would overload the rest.
 func (d *Desk) neglected(now time.Time, a *Ask) *target {
 	if a.Again {
 		return nil
 	}
-	share := 0.0
-	switch {
-	case d.ends.many(now):
-		share = spreadShare
-	case len(d.order) < largeService:
+	share := d.spreadShare(now, a)
+	if share == 0 {
 		return nil
-	case a.Repeatable:
-		share = repeatableShare
-	default:
-		share = calmShare
 	}
 	var best *target
 	out, all := 0, 0
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -69,6 +69,7 @@
 	c := d.board.currentConfig()
 	if c == nil || c.Service(name) == nil {
 		delete(d.desks, name)
+		delete(d.ledgers, name)
 		return nil
 	}
 	sc := c.Service(name)
