--- /dev/null
+++ b/internal/dispatch/ask.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// Target is one target that a desk may grant.
+type Target struct {
+	Key      string
+	DataHall string
+	// Slots is how many requests the target works on at once.
+	Slots int
+	// Leaving targets get no work.
+	Leaving bool
+	// Warmup is how long after its appearance the target works more slowly.
+	Warmup time.Duration
+}
+
+// ID names one ask: the node that asks and the number that it gave.
+type ID struct {
+	Node   string
+	Number uint64
+}
+
+// Ask asks for a target for one attempt.
+type Ask struct {
+	ID         ID
+	DataHall   string
+	Repeatable bool
+	// Again is set for attempts after a request's first one.
+	Again bool
+	// Hedge is set where an earlier attempt still goes on.
+	Hedge bool
+	// Kilobytes is the expected size of the answer in KiB.
+	Kilobytes int
+	// Priority is the rank under overload; 0 is served first.
+	Priority int
+	// Aim is until when an answer is worth most, Deadline until when it counts.
+	Aim      time.Time
+	Deadline time.Time
+	// Tried are keys of targets that the request was sent to before or that the
+	// node can't reach.
+	Tried []string
+	// Elsewhere is what the node got from other dispatchers of the service.
+	Elsewhere Spending
+}
+
+// last tells whether no other attempt can follow a failure of this one.
+func (a *Ask) last() bool { return !a.Repeatable || a.Again && !a.Hedge }
+
+// Verdict answers an ask.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Granted means that the request may go to the target.
+	Granted Verdict = iota
+	// Queued means that a grant or a refusal follows.
+	Queued
+	// Refused means that no target can take the request in time.
+	Refused
+	// Spent means that the retry budget pays for no other attempt.
+	Spent
+)
+
+// String returns the verdict in words.
+func (v Verdict) String() string { return [...]string{"granted", "queued", "refused", "spent"}[v] }
+
+// Grant is the answer to an ask.
+type Grant struct {
+	ID      ID
+	Verdict Verdict
+	Target  string
+	// RetryAfter is when a refused caller may come back.
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/internal/dispatch/spread_test.go
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// fresh counts the targets that got work within the last two seconds.
+func fresh(last map[string]time.Time, now time.Time) int {
+	n := 0
+	for _, at := range last {
+		if now.Sub(at) <= 2*time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+// All targets that work share it, also after a time in which many failed and few
+// requests come: to prefer those that worked last would leave the others out.
+func TestTargetsThatWorkShareIt(t *testing.T) {
+	d := newDesk(pool(20)...)
+	last := map[string]time.Time{}
+	running := map[uint64]dispatch.Grant{}
+	now := start
+	const failUntil, checkFrom = 1200, 1800
+	for n := range uint64(2600) {
+		now = now.Add(12 * time.Millisecond)
+		a := ask(now, n)
+		a.DataHall = string(rune('a' + n%2))
+		g := d.Ask(now, a)
+		last[g.Target] = now
+		if n < failUntil && g.Target < "t15" {
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, time.Millisecond)
+		} else {
+			running[n] = g
+		}
+		if g, ok := running[n-20]; ok {
+			d.Done(now, g.ID, g.Target, dispatch.ResultGood, 240*time.Millisecond)
+			delete(running, n-20)
+		}
+		if n < checkFrom {
+			continue
+		}
+		if got := fresh(last, now); got < 16 {
+			t.Fatalf("ask %d: %d of 20 targets got work within 2 s", n, got)
+		}
+	}
+}
+
+// While many requests fail, no target that takes work is left out for long: others
+// would have to carry its share.
+func TestEveryTargetGetsWorkWhileManyRequestsFail(t *testing.T) {
+	d := newDesk(pool(9)...)
+	last := map[string]time.Time{}
+	now := start
+	for n := range uint64(600) {
+		now = now.Add(15 * time.Millisecond)
+		g := d.Ask(now, ask(now, n))
+		if g.Verdict != dispatch.Granted {
+			t.Fatalf("ask %d: %v", n, g.Verdict)
+		}
+		last[g.Target] = now
+		r := dispatch.ResultGood
+		if g.Target < "t3" {
+			r = dispatch.ResultBad
+		}
+		// A share of the rest fails too, whatever its target.
+		if n%5 == 0 {
+			r = dispatch.ResultBad
+		}
+		d.Done(now, g.ID, g.Target, r, 3*time.Millisecond)
+		if n < 200 {
+			continue
+		}
+		if got := fresh(last, now); got < 7 {
+			t.Fatalf("ask %d: %d of 9 targets got work within 2 s", n, got)
+		}
+	}
+}
+
+// A large service with little load uses nearly all of its targets for what can be
+// repeated, also those that failed some seconds ago.
+func TestTargetsComeBackToALargeService(t *testing.T) {
+	const targets = 100
+	d := newDesk(pool(targets)...)
+	for i := range 40 {
+		for range 2 {
+			d.Note(start, fmt.Sprintf("t%d", i), dispatch.ResultBad, time.Millisecond)
+		}
+	}
+	last := map[string]time.Time{}
+	for n := range uint64(3200) {
+		now := start.Add(time.Duration(n) * 2500 * time.Microsecond)
+		a := ask(now, n)
+		a.Repeatable = true
+		g := d.Ask(now, a)
+		last[g.Target] = now
+		d.Done(now, g.ID, g.Target, dispatch.ResultGood, 300*time.Millisecond)
+		if n < 1200 {
+			continue
+		}
+		if got := fresh(last, now); got < 85 {
+			t.Fatalf("ask %d: %d of %d targets got work within 2 s", n, got, targets)
+		}
+	}
+}
+
+// Requests whose callers leave while their first attempt goes on are not served
+// either: work is spread when there are many of them.
+func TestCallersThatLeaveSpreadWork(t *testing.T) {
+	d := newDesk(pool(9)...)
+	last := map[string]time.Time{}
+	now := start
+	for n := range uint64(600) {
+		now = now.Add(15 * time.Millisecond)
+		a := ask(now, n)
+		a.Repeatable = true
+		g := d.Ask(now, a)
+		if g.Verdict != dispatch.Granted {
+			t.Fatalf("ask %d: %v", n, g.Verdict)
+		}
+		last[g.Target] = now
+		switch {
+		case g.Target < "t4":
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, 3*time.Millisecond)
+		case n%5 == 0:
+			d.Lost(g.Target, g.ID)
+			d.Done(now, g.ID, g.Target, dispatch.ResultIgnored, 300*time.Millisecond)
+		default:
+			d.Done(now, g.ID, g.Target, dispatch.ResultGood, 300*time.Millisecond)
+		}
+		if n < 200 {
+			continue
+		}
+		if got := fresh(last, now); got < 9 {
+			t.Fatalf("ask %d: %d of 9 targets got work within 2 s", n, got)
+		}
+	}
+}
+
+// In a large service too nearly all targets get work while many requests fail: the
+// users may take any few of them for sound.
+func TestLargeServiceSpreadsWorkWhileManyRequestsFail(t *testing.T) {
+	const (
+		targets = 100
+		failing = 30
+	)
+	d := newDesk(pool(targets)...)
+	rng := rand.New(rand.NewPCG(3, 4))
+	last := map[string]time.Time{}
+	for n := range uint64(3200) {
+		now := start.Add(time.Duration(n) * 2500 * time.Microsecond)
+		g := d.Ask(now, ask(now, n))
+		last[g.Target] = now
+		var index int
+		if _, err := fmt.Sscanf(g.Target, "t%d", &index); err != nil {
+			t.Fatal(err)
+		}
+		switch {
+		case index < failing:
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, time.Millisecond)
+		case rng.IntN(6) == 0:
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, 300*time.Millisecond)
+		default:
+			d.Done(now, g.ID, g.Target, dispatch.ResultGood, 300*time.Millisecond)
+		}
+		if n < 1600 {
+			continue
+		}
+		if got := fresh(last, now); got < 90 {
+			t.Fatalf("ask %d: %d of %d targets got work within 2 s", n, got, targets)
+		}
+	}
+}
