internal/soak: say what Go's client sends again

The comment said that the body keeps the client from sending a request again; a body that is empty doesn't. It sends GET again and never POST, which is what the check of at most once needs. Only the comment changes.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -76,9 +76,9 @@
 }
 
 // newClient returns a client that keeps its connections open and uses them until
-// the process at their other end is gone. Go's client sends a request again when a
-// kept connection turns out to be closed; a body that can't be read again stops
-// that.
+// the process at their other end is gone. Go's client itself sends a GET again when
+// a kept connection turns out to be closed, never a POST: what can't be repeated is
+// sent once.
 func newClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
