internal/health: learn how targets fail and how long answers take

One route whose requests are never answered made its targets suspect 60 times in 32 s. Change: a channel with two states; rates of entry and exit, what targets do in either state, and the time of answers by route are learned (fixed lag expectation maximization); attempts in flight, given up and ended speak by their age, at the time at which they were sent. Targets in doubt are tried by what can be repeated, large answers not across data halls.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -35,6 +35,8 @@
 	Kilobytes int
 	// Priority is the rank under overload; 0 is served first.
 	Priority int
+	// Route names the route: requests of one route take similar time.
+	Route string
 	// Aim is until when an answer is worth most, Deadline until when it counts.
 	Aim      time.Time
 	Deadline time.Time
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -43,7 +43,7 @@
 
 // quality returns what a target costs apart from its load.
 func (d *Desk) quality(now time.Time, t *target, a *Ask) float64 {
-	c := a.failureCost() * d.badShare(now, t)
+	c := a.failureCost() * t.lost(now)
 	if t.DataHall != a.DataHall {
 		c += crossing * float64(a.Kilobytes)
 	}
@@ -59,23 +59,3 @@
 	c += loadCost * float64(len(t.flights)+1) / float64(max(t.Slots, 1))
 	return c + noise*d.random()
 }
-
-// badShare returns the probability that a request sent now fails, what is overdue
-// included.
-func (d *Desk) badShare(now time.Time, t *target) float64 {
-	limit := d.slow()
-	overdue := 0
-	for _, f := range t.flights {
-		if now.Sub(f.begun) > limit {
-			overdue++
-		}
-	}
-	if overdue == 0 {
-		return t.health.bad(now)
-	}
-	h := t.health
-	for range min(overdue, 2) {
-		h.update(now, oddsOverdue)
-	}
-	return h.bad(now)
-}
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -4,6 +4,8 @@
 
 import (
 	"time"
+
+	"ploverjunction.example/ploverjunction/internal/health"
 )
 
 // flight is one attempt that was granted.
@@ -12,11 +14,17 @@
 	until time.Time
 	// last is set where no other attempt can follow a failure.
 	last bool
+	// route is what is known of the request's route, event the number of the attempt
+	// in the target's health.
+	route *health.Route
+	event uint64
 }
 
 type target struct {
 	Target
-	health    health
+	health *health.Target
+	// gone is until when a target that is gone gets no work.
+	gone      time.Time
 	warmUntil time.Time
 	flights   map[ID]flight
 	// granted is when the target last got work.
@@ -29,9 +37,6 @@
 	usualStart = 300 * time.Millisecond
 	// usualStep is the part by which one request moves the usual time.
 	usualStep = 0.03
-	// slowFactor and slowLeast say what is unusually slow.
-	slowFactor = 4
-	slowLeast  = 700 * time.Millisecond
 	// flightSlack is how long after its deadline a granted attempt is forgotten.
 	flightSlack = 500 * time.Millisecond
 	// hedgeReserve is the part of the reserve of repeats that is kept for attempts
@@ -64,11 +69,9 @@
 	// closed are asks that have ended: a repeated datagram of one of them must not
 	// open it again.
 	closed map[ID]time.Time
-	// prior is the part of the time that targets of the service are failing, as
-	// learned until learned.
-	prior   float64
-	learned time.Time
-	ends    ends
+	// model is what is learned of the service's targets.
+	model *health.Model
+	ends  ends
 }
 
 // NewDesk returns a desk without targets. random gives numbers from 0 to 1.
@@ -82,8 +85,7 @@
 		usual:   usualStart,
 		granted: map[ID]string{},
 		closed:  map[ID]time.Time{},
-		prior:   priorStart,
-		learned: now,
+		model:   health.NewModel(now),
 	}
 }
 
@@ -97,12 +99,9 @@
 		t := old[c.Key]
 		if t == nil {
 			t = &target{
+				health:  health.NewTarget(now, d.model),
 				flights: map[ID]flight{},
 			}
-			t.health = health{
-				prior:  &d.prior,
-				memory: memoryFirst,
-			}
 			if !first {
 				t.warmUntil = now.Add(c.Warmup)
 			}
@@ -226,10 +225,13 @@
 
 func (d *Desk) grant(now time.Time, t *target, a *Ask) Grant {
 	t.granted = now
+	route := d.model.Route(now, a.Route)
 	t.flights[a.ID] = flight{
 		begun: now,
 		until: a.Deadline.Add(flightSlack),
 		last:  a.last(),
+		route: route,
+		event: t.health.Begin(now, route),
 	}
 	d.granted[a.ID] = t.Key
 	return Grant{
@@ -239,9 +241,6 @@
 	}
 }
 
-// slow returns the time after which a request is unusually late.
-func (d *Desk) slow() time.Duration { return max(slowFactor*d.usual, slowLeast) }
-
 // Done takes in the end of a granted attempt and returns the grants that its slot
 // makes possible.
 func (d *Desk) Done(now time.Time, id ID, key string, r Result, took time.Duration) []Grant {
@@ -252,14 +251,16 @@
 		return nil
 	}
 	idle := len(t.flights) <= t.Slots
-	if f, ok := t.flights[id]; ok && (f.last || r == ResultGood) {
+	f, ok := t.flights[id]
+	if ok && (f.last || r == ResultGood) {
 		d.ends.note(now, r == ResultGood)
 	}
 	delete(t.flights, id)
-	t.health.note(now, d.seen(r, took, idle))
-	if r == ResultGood {
-		d.learn(took)
+	if ok {
+		t.health.End(now, f.event, kindOf(r, f.route, took, idle))
+		d.learn(f.route, r, took)
 	}
+	t.noteGone(now, r)
 	return d.serve(now)
 }
 
@@ -274,26 +275,24 @@
 }
 
 // Note takes in what a node saw of a target that another desk granted.
-func (d *Desk) Note(now time.Time, key string, r Result, took time.Duration) {
+func (d *Desk) Note(now time.Time, key, route string, r Result, took time.Duration) {
+	rt := d.model.Route(now, route)
 	if t := d.targets[key]; t != nil {
-		t.health.note(now, d.seen(r, took, true))
-	}
-	if r == ResultGood {
-		d.learn(took)
+		t.health.Saw(now, rt, kindOf(r, rt, took, true), took)
+		t.noteGone(now, r)
 	}
+	d.learn(rt, r, took)
 }
 
-func (d *Desk) seen(r Result, took time.Duration, idle bool) seen {
-	return seen{
-		result: r,
-		slow:   took > d.slow(),
-		quick:  took < time.Duration(quickPart*float64(d.usual)),
-		idle:   idle,
+// learn takes in how long a good answer took.
+func (d *Desk) learn(route *health.Route, r Result, took time.Duration) {
+	if r != ResultGood {
+		return
 	}
-}
-
-// learn moves the usual time, an estimate of the median, towards a request's.
-func (d *Desk) learn(took time.Duration) {
+	if err := route.Answered(took); err != nil {
+		return
+	}
+	// The usual time is an estimate of the median.
 	step := time.Duration(float64(d.usual) * usualStep)
 	if took > d.usual {
 		d.usual += step
@@ -305,10 +304,11 @@
 // Advance forgets attempts whose end was never told and returns the grants and
 // refusals that are due.
 func (d *Desk) Advance(now time.Time) []Grant {
-	d.learnPrior(now)
+	d.model.Advance(now)
 	for _, t := range d.order {
 		for id, f := range t.flights {
 			if now.After(f.until) {
+				t.health.End(now, f.event, health.Open)
 				delete(t.flights, id)
 				delete(d.granted, id)
 			}
--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -167,8 +167,8 @@
 		DataHall: "a",
 		Slots:    3,
 	})
-	d.Note(start, "bad", dispatch.ResultBad, time.Millisecond)
-	d.Note(start, "bad", dispatch.ResultBad, time.Millisecond)
+	d.Note(start, "bad", "", dispatch.ResultBad, time.Millisecond)
+	d.Note(start, "bad", "", dispatch.ResultBad, time.Millisecond)
 	if g := d.Ask(start, ask(start, 1)); g.Target != "good" {
 		t.Fatalf("first ask got %q", g.Target)
 	}
@@ -201,7 +201,7 @@
 	d.Done(start, first.ID, first.Target, dispatch.ResultGood, time.Millisecond)
 	now := start.Add(4 * time.Second)
 	for range 3 {
-		d.Note(now, "bad", dispatch.ResultBad, time.Millisecond)
+		d.Note(now, "bad", "", dispatch.ResultBad, time.Millisecond)
 	}
 	if g := d.Ask(now, ask(now, 2)); g.Target != "good" {
 		t.Fatalf("first attempt got %q", g.Target)
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -31,6 +31,9 @@
 	// time between two requests that go to a target for this reason.
 	spreadWithin = 300 * time.Millisecond
 	spreadBeat   = 100 * time.Millisecond
+	// spreadCrossing is the greatest cost of bytes between data halls for which a
+	// request is used to spread work while few fail: that of a few KiB.
+	spreadCrossing = 0.1
 	// endsTime is how long the two halves of the counts of ends last.
 	endsTime = time.Second
 )
@@ -72,16 +75,18 @@
 	return all >= spreadLeast && float64(bad) >= spreadFrom*float64(all)
 }
 
+func (d *Desk) calm(now time.Time) bool { return !d.ends.many(now) }
+
 // spreadShare returns the part of the targets that should have work if an ask is
 // used for it, 0 if none need it.
 func (d *Desk) spreadShare(now time.Time, a *Ask) float64 {
 	switch {
 	case d.ends.many(now):
 		return failingShare
-	case len(d.order) < largeService:
-		return 0
 	case a.Repeatable:
 		return repeatableShare
+	case len(d.order) < largeService:
+		return 0
 	default:
 		return calmShare
 	}
@@ -109,7 +114,10 @@
 			continue
 		}
 		out++
-		if len(t.flights) < t.Slots && (best == nil || t.health.failingAt(now) < best.health.failingAt(now)) {
+		if d.calm(now) && t.DataHall != a.DataHall && crossing*float64(a.Kilobytes) > spreadCrossing {
+			continue
+		}
+		if len(t.flights) < t.Slots && (best == nil || t.failing(now) < best.failing(now)) {
 			best = t
 		}
 	}
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -92,7 +92,7 @@
 	d := newDesk(pool(targets)...)
 	for i := range 40 {
 		for range 2 {
-			d.Note(start, fmt.Sprintf("t%d", i), dispatch.ResultBad, time.Millisecond)
+			d.Note(start, fmt.Sprintf("t%d", i), "", dispatch.ResultBad, time.Millisecond)
 		}
 	}
 	last := map[string]time.Time{}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -14,6 +14,10 @@
 	Usual time.Duration
 	// Prior is the part of the time that targets of the service are failing.
 	Prior float64
+	// Enter and Leave are how often, in 1/s, targets begin and end to fail.
+	Enter, Leave float64
+	// LostFailing is the share of requests that a failing target doesn't answer.
+	LostFailing float64
 	// Asked is how many asks came in the window of the retry budget.
 	Asked int
 	// RepeatsLeft is how many repeats the retry budget still pays for.
@@ -39,10 +43,12 @@
 	s := Status{
 		Waiting:     len(d.queue.list),
 		Usual:       d.usual,
-		Prior:       d.prior,
+		Prior:       d.model.Share(),
+		LostFailing: d.model.LostFailing(),
 		Asked:       int(firsts + repeats),
 		RepeatsLeft: d.left(now, 1),
 	}
+	s.Enter, s.Leave = d.model.Rates()
 	for _, t := range d.order {
 		s.InFlight += len(t.flights)
 		if !t.Leaving {
@@ -50,7 +56,7 @@
 		}
 		s.Targets = append(s.Targets, TargetStatus{
 			Key:      t.Key,
-			Failing:  t.health.failingAt(now),
+			Failing:  t.failing(now),
 			InFlight: len(t.flights),
 			Slots:    t.Slots,
 			Leaving:  t.Leaving,
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -79,6 +79,7 @@
 		Repeatable: r.Repeatable(),
 		Kilobytes:  x.server.sizes.expected(r) + int(x.body.length>>10),
 		Priority:   r.Priority(),
+		Route:      r.Name(),
 		Aim:        x.aim(),
 		Deadline:   x.life.Deadline(),
 		Again:      again,
--- /dev/null
+++ b/internal/health/model.go
@@ -0,0 +1,242 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// Parameters of what is learned of a service. Guesses are what is believed before
+// anything was seen, weights how many observations they count for.
+const (
+	// enterGuess and leaveGuess are the rates, in 1/s, at which targets begin and end
+	// to fail.
+	enterGuess = 0.03
+	leaveGuess = 0.15
+	rateWeight = 3
+	enterLeast = 0.002
+	enterMost  = 0.4
+	leaveLeast = 0.08
+	leaveMost  = 2
+	// failingWeight and workingWeight belong to the guesses of what targets do.
+	failingWeight = 8
+	workingWeight = 100
+	// routeWeight is what the service's shares count for on one of its routes.
+	routeWeight = 12
+	// failingGoodMost and workingGoodLeast keep the two states apart.
+	failingGoodMost  = 0.6
+	workingGoodLeast = 0.85
+	// memory is the time constant with which what was learned fades.
+	memory = 60 * time.Second
+	// lateShare is the share of good answers that count as late: those that take
+	// longer than the others.
+	lateShare = 0.012
+	// quickPart is the part of the usual time below which a failure is quick.
+	quickPart = 0.15
+	// mostRoutes bounds the routes that are told apart.
+	mostRoutes = 256
+)
+
+var (
+	failingGuess = shares{
+		Good:   0.3,
+		Late:   0.05,
+		Quick:  0.25,
+		Worked: 0.1,
+		Silent: 0.3,
+	}
+	workingGuess = shares{
+		Good:   0.968,
+		Late:   0.01,
+		Quick:  0.003,
+		Worked: 0.012,
+		Silent: 0.007,
+	}
+)
+
+// rate learns how often something happens.
+type rate struct {
+	times   float64
+	seconds float64
+}
+
+func (r *rate) over(guess, least, most float64) float64 {
+	return min(max((r.times+rateWeight)/(r.seconds+rateWeight/guess), least), most)
+}
+
+// Model is what is learned of the targets of one service.
+type Model struct {
+	enter   rate
+	leave   rate
+	failing counts
+	working counts
+	routes  map[string]*Route
+	faded   time.Time
+	// failingShares and workingShares are made of the counts, enterRate and leaveRate
+	// of the rates.
+	failingShares shares
+	workingShares shares
+	enterRate     float64
+	leaveRate     float64
+}
+
+// Route is what is learned of one route of a service.
+type Route struct {
+	name    string
+	times   *times
+	working counts
+	shares  shares
+	used    time.Time
+}
+
+// NewModel returns a model that knows only the guesses.
+func NewModel(now time.Time) *Model {
+	m := &Model{
+		routes: map[string]*Route{},
+		faded:  now,
+	}
+	m.renew()
+	return m
+}
+
+// renew makes the shares and rates of what was counted.
+func (m *Model) renew() {
+	m.enterRate = m.enter.over(enterGuess, enterLeast, enterMost)
+	m.leaveRate = m.leave.over(leaveGuess, leaveLeast, leaveMost)
+	m.failingShares = m.failing.over(&failingGuess, failingWeight)
+	bound(&m.failingShares, 0, failingGoodMost)
+	m.workingShares = m.working.over(&workingGuess, workingWeight)
+	bound(&m.workingShares, workingGoodLeast, 1)
+	for _, r := range m.routes {
+		r.shares = r.working.over(&m.workingShares, routeWeight)
+	}
+}
+
+// bound keeps the share of good answers between least and most.
+func bound(s *shares, least, most float64) {
+	good := min(max(s[Good], least), most)
+	if good == s[Good] {
+		return
+	}
+	scale := (1 - good) / max(1-s[Good], 1e-9)
+	for k := range s {
+		s[k] *= scale
+	}
+	s[Good] = good
+}
+
+// Advance lets what was learned fade and takes in what was counted since.
+func (m *Model) Advance(now time.Time) {
+	past := now.Sub(m.faded)
+	m.faded = now
+	part := math.Exp(-past.Seconds() / memory.Seconds())
+	for _, r := range [...]*rate{&m.enter, &m.leave} {
+		r.times *= part
+		r.seconds *= part
+	}
+	m.failing.fade(part)
+	m.working.fade(part)
+	for _, r := range m.routes {
+		r.working.fade(part)
+	}
+	m.renew()
+}
+
+// Route returns what is known of a route. The one that was used least lately makes
+// room for a new one.
+func (m *Model) Route(now time.Time, name string) *Route {
+	r := m.routes[name]
+	if r == nil {
+		if len(m.routes) >= mostRoutes {
+			m.forget()
+		}
+		r = &Route{
+			name:   name,
+			times:  newTimes(),
+			shares: m.workingShares,
+		}
+		m.routes[name] = r
+	}
+	r.used = now
+	return r
+}
+
+func (m *Model) forget() {
+	var oldest *Route
+	for _, r := range m.routes {
+		if oldest == nil || r.used.Before(oldest.used) {
+			oldest = r
+		}
+	}
+	delete(m.routes, oldest.name)
+}
+
+// Usual returns the median time of the route's good answers.
+func (r *Route) Usual() time.Duration { return r.times.usual() }
+
+// Longer returns the share of the route's good answers that take longer than age.
+func (r *Route) Longer(age time.Duration) float64 { return r.times.longer(age) }
+
+// EndKind returns the kind of an attempt's end after a time.
+func (r *Route) EndKind(good bool, took time.Duration) Kind {
+	late := r.times.longer(took) < lateShare
+	switch {
+	case good && late:
+		return Late
+	case good:
+		return Good
+	case late:
+		return Silent
+	case took < time.Duration(quickPart*float64(r.times.usual())):
+		return Quick
+	default:
+		return Worked
+	}
+}
+
+// Share returns the part of the time that targets are failing.
+func (m *Model) Share() float64 { return m.enterRate / (m.enterRate + m.leaveRate) }
+
+// Rates returns how often, in 1/s, targets begin and end to fail.
+func (m *Model) Rates() (enter, leave float64) { return m.enterRate, m.leaveRate }
+
+// LostFailing and LostWorking return the share of requests that a target doesn't
+// answer well in either state.
+func (m *Model) LostFailing() float64 { return 1 - m.failingShares[Good] - m.failingShares[Late]/2 }
+
+// LostWorking returns the share of requests that a working target doesn't answer.
+func (m *Model) LostWorking() float64 { return 1 - m.workingShares[Good] - m.workingShares[Late] }
+
+// drift returns the probability of failing after a time in which nothing was seen.
+func (m *Model) drift(p float64, past time.Duration) float64 {
+	if past <= 0 {
+		return p
+	}
+	share := m.Share()
+	return share + (p-share)*math.Exp(-(m.enterRate+m.leaveRate)*past.Seconds())
+}
+
+// likelihoods returns how likely a working and a failing target shows a thing.
+func (m *Model) likelihoods(e *event, now time.Time) (working, failing float64) {
+	switch e.kind {
+	case Shed:
+		return 1, oddsShed
+	case Unreached:
+		return 1, oddsUnreached
+	case Open:
+		age := e.age
+		if e.running {
+			age = now.Sub(e.begun)
+		}
+		longer := e.route.times.longer(age)
+		mute := e.route.shares[Silent]
+		silent := m.failingShares[Silent] + m.failingShares[Late]
+		return mute + (1-mute)*longer, mute + (1-mute)*(silent+(1-silent)*longer)
+	case Good:
+		return e.route.shares[Good], e.route.shares[Good] * m.failingShares[Good]
+	default:
+		w := e.route.shares[e.kind]
+		return w, w + (1-w)*m.failingShares[e.kind]
+	}
+}
--- /dev/null
+++ b/internal/health/survival.go
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package health
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Parameters of the time that a good answer takes.
+const (
+	// timeMost is the greatest time that is told from longer ones, in milliseconds;
+	// no route waits as long as that. timeDigits is the precision of the histograms.
+	timeMost   = 60_000
+	timeDigits = 1
+	// timeStart is the usual time before any answer was seen.
+	timeStart = 300 * time.Millisecond
+	// timeGeneration is how many answers a generation of the histogram takes in. The
+	// last two generations count.
+	timeGeneration = 150
+	// timeRenew is after how many answers the table is made anew.
+	timeRenew = 8
+	// timePrior is how many answers the guess for an unknown route counts for.
+	timePrior = 6
+	// timeTail is the share of answers that take longer than any that was seen.
+	timeTail = 0.004
+)
+
+// quantiles are the shares of answers, in percent, whose times the table holds.
+var quantiles = [...]float64{0, 10, 25, 50, 75, 90, 95, 98, 99, 100}
+
+// times is the learned distribution of the time that good answers take.
+type times struct {
+	recent *hdrhistogram.Histogram
+	before *hdrhistogram.Histogram
+	// table holds the quantiles in milliseconds, n how many answers they are made of.
+	table [len(quantiles)]float64
+	n     float64
+	added int
+}
+
+func newTimes() *times {
+	return &times{
+		recent: hdrhistogram.New(1, timeMost, timeDigits),
+		before: hdrhistogram.New(1, timeMost, timeDigits),
+	}
+}
+
+// add takes in the time of a good answer.
+func (t *times) add(took time.Duration) error {
+	if t.recent.TotalCount() >= timeGeneration {
+		t.recent, t.before = t.before, t.recent
+		t.recent.Reset()
+	}
+	if err := t.recent.RecordValue(min(max(took.Milliseconds(), 1), timeMost)); err != nil {
+		return err
+	}
+	t.added++
+	if t.added >= timeRenew || t.n < timeRenew {
+		t.added = 0
+		t.renew()
+	}
+	return nil
+}
+
+// renew makes the table of both generations.
+func (t *times) renew() {
+	all := hdrhistogram.New(1, timeMost, timeDigits)
+	all.Merge(t.before)
+	all.Merge(t.recent)
+	t.n = float64(all.TotalCount())
+	for i, q := range quantiles {
+		t.table[i] = float64(all.ValueAtQuantile(q))
+	}
+}
+
+// usual returns the median time.
+func (t *times) usual() time.Duration {
+	if t.n < timeRenew {
+		return timeStart
+	}
+	return time.Duration(t.table[medianAt] * float64(time.Millisecond))
+}
+
+// medianAt is the place of the median in the table.
+const medianAt = 3
+
+// longer returns the share of good answers that take longer than age.
+func (t *times) longer(age time.Duration) float64 {
+	ms := float64(age) / float64(time.Millisecond)
+	guess := math.Exp2(-ms / float64(timeStart.Milliseconds()))
+	if t.n == 0 {
+		return guess
+	}
+	return (t.n*t.seenLonger(ms) + timePrior*guess) / (t.n + timePrior)
+}
+
+// seenLonger returns the same of the answers in the table.
+func (t *times) seenLonger(ms float64) float64 {
+	if ms <= t.table[0] {
+		return 1
+	}
+	for i := 1; i < len(quantiles); i++ {
+		if ms > t.table[i] {
+			continue
+		}
+		part := (ms - t.table[i-1]) / max(t.table[i]-t.table[i-1], 1)
+		percent := quantiles[i-1] + part*(quantiles[i]-quantiles[i-1])
+		return max(1-percent/100, timeTail)
+	}
+	return timeTail
+}
--- /dev/null
+++ b/internal/health/target.go
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package health
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// mostEvents bounds the attempts that are kept of each target. What falls out
+	// has been followed by that many others.
+	mostEvents = 10
+	// startFailing is the probability that a target fails that has just started.
+	startFailing = 0.02
+	// leastFailing and mostFailing bound the belief: no evidence is certain.
+	leastFailing = 0.004
+	mostFailing  = 0.985
+	// cacheTime is how long a belief is used again while nothing new was seen.
+	cacheTime = 20 * time.Millisecond
+)
+
+// event is one attempt at a target.
+type event struct {
+	id    uint64
+	begun time.Time
+	route *Route
+	kind  Kind
+	// running is set while the attempt goes on, age is how long it took if it was
+	// given up.
+	running bool
+	age     time.Duration
+}
+
+// Target is the belief about one target.
+type Target struct {
+	model *Model
+	// base is the probability of failing at the time at, before the events.
+	base   float64
+	at     time.Time
+	events []event
+	next   uint64
+
+	cached   float64
+	cachedAt time.Time
+}
+
+// NewTarget returns the belief about a target that has just started.
+func NewTarget(now time.Time, m *Model) *Target {
+	return &Target{
+		model:  m,
+		base:   startFailing,
+		at:     now,
+		events: make([]event, 0, mostEvents+1),
+	}
+}
+
+// Begin notes an attempt and returns its number.
+func (t *Target) Begin(now time.Time, r *Route) uint64 {
+	t.next++
+	t.insert(event{
+		id:      t.next,
+		begun:   now,
+		route:   r,
+		kind:    Open,
+		running: true,
+	})
+	return t.next
+}
+
+// End notes the end of an attempt that Begin noted. Attempts that many others have
+// followed say nothing any more.
+func (t *Target) End(now time.Time, id uint64, k Kind) {
+	t.cachedAt = time.Time{}
+	for i := range t.events {
+		e := &t.events[i]
+		if e.id == id && e.running {
+			e.running = false
+			e.kind = k
+			e.age = now.Sub(e.begun)
+			return
+		}
+	}
+}
+
+// Saw notes an attempt of which only the end is known.
+func (t *Target) Saw(now time.Time, r *Route, k Kind, took time.Duration) {
+	t.insert(event{
+		begun: now.Add(-took),
+		route: r,
+		kind:  k,
+		age:   took,
+	})
+}
+
+func (t *Target) insert(e event) {
+	at := len(t.events)
+	for at > 0 && e.begun.Before(t.events[at-1].begun) {
+		at--
+	}
+	t.events = slices.Insert(t.events, at, e)
+	t.cachedAt = time.Time{}
+	if len(t.events) > mostEvents {
+		t.evict(later(e.begun.Add(e.age), t.events[mostEvents].begun))
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Failing returns the probability that the target is failing at now.
+func (t *Target) Failing(now time.Time) float64 {
+	if past := now.Sub(t.cachedAt); past >= 0 && past < cacheTime {
+		return t.cached
+	}
+	p, at := t.base, t.at
+	for i := range t.events {
+		e := &t.events[i]
+		p = t.update(t.model.drift(p, e.begun.Sub(at)), e, now)
+		at = e.begun
+	}
+	t.cached = t.model.drift(p, now.Sub(at))
+	t.cachedAt = now
+	return t.cached
+}
+
+// update returns the probability of failing after one event.
+func (t *Target) update(p float64, e *event, now time.Time) float64 {
+	working, failing := t.model.likelihoods(e, now)
+	p = p * failing / (p*failing + (1-p)*working)
+	if p < leastFailing {
+		return leastFailing
+	}
+	if p > mostFailing {
+		return mostFailing
+	}
+	return p
+}
+
+// Lost returns the probability that a request sent at now is not answered well.
+func (t *Target) Lost(now time.Time) float64 {
+	p := t.Failing(now)
+	return p*t.model.LostFailing() + (1-p)*t.model.LostWorking()
+}
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -30,6 +30,7 @@
 		Aim:        q.Aim,
 		Deadline:   q.Deadline,
 		Tried:      q.Tried,
+		Route:      q.Route,
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -57,6 +57,9 @@
 			"slots":        s.Slots,
 			"usual_ms":     s.Usual.Milliseconds(),
 			"prior":        math.Round(s.Prior*100) / 100,
+			"enter":        math.Round(s.Enter*1000) / 1000,
+			"leave":        math.Round(s.Leave*1000) / 1000,
+			"lost_failing": math.Round(s.LostFailing*100) / 100,
 			"repeats_left": math.Round(s.RepeatsLeft),
 			"failing":      failing,
 		}).Info("desk")
@@ -119,6 +122,7 @@
 		Aim:        now.Add(time.Duration(w.GetAimMs()) * time.Millisecond),
 		Deadline:   now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
 		Tried:      w.GetTried(),
+		Route:      w.GetRoute(),
 		Elsewhere: dispatch.Spending{
 			Firsts:  int(w.GetFirstsElsewhere()),
 			Repeats: int(w.GetRepeatsElsewhere()),
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -289,6 +289,7 @@
 				AimMs:      uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
 				DeadlineMs: uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
 				Tried:      q.Tried,
+				Route:      q.Route,
 
 				FirstsElsewhere:  uint32(spent.Firsts),
 				RepeatsElsewhere: uint32(spent.Repeats),
@@ -329,7 +330,7 @@
 		done := doneOf(q.Service.Name(), g, resultOf(end), took)
 		done.Lost = end.Lost
 		d.tell(peer, done)
-		d.note(peer, q.Service.Name(), t.Key(), end, took)
+		d.note(peer, q, t.Key(), end, took)
 	}), true, nil
 }
 
@@ -370,7 +371,7 @@
 
 // note keeps what this node saw itself of a target that a dispatcher chose, for when
 // it must choose alone. Its own desk has been told already.
-func (d *dispatching) note(dispatcher, service, key string, end outlier.End, took time.Duration) {
+func (d *dispatching) note(dispatcher string, q *entry.Query, key string, end outlier.End, took time.Duration) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -380,7 +381,7 @@
 	if dispatcher == d.board.view.Load().Self().Address() {
 		return
 	}
-	if dk := d.desk(now, service); dk != nil {
-		dk.Note(now, key, dispatch.Result(resultOf(end)), took)
+	if dk := d.desk(now, q.Service.Name()); dk != nil {
+		dk.Note(now, key, q.Route, dispatch.Result(resultOf(end)), took)
 	}
 }
