internal/dispatch, internal/entry: second attempts when silence is likely

Cause: hedges went out at half of the target latency after the request's begin, for 55 in 100 lookups under load, and then the budget kept for failures ran out for them: lookups with one silent target failed without a second. Change: a grant says when three quarters of the answers have come; from then the node asks each 50 ms, and the desk grants when the first attempt is probably silent: 0.1 while the budget is hardly used, up to 0.9 when nine tenths are.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -29,8 +29,10 @@
 	Repeatable bool
 	// Again is set for attempts after a request's first one.
 	Again bool
-	// Hedge is set where an earlier attempt still goes on.
+	// Hedge is set where an earlier attempt still goes on; Age is how long it has
+	// waited for its answer.
 	Hedge bool
+	Age   time.Duration
 	// Kilobytes is the expected size of the answer in KiB.
 	Kilobytes int
 	// Priority is the rank under overload; 0 is served first.
@@ -75,4 +77,6 @@
 	Target  string
 	// RetryAfter is when a refused caller may come back.
 	RetryAfter time.Duration
+	// HedgeAfter is after how long without an answer a second target may be asked for.
+	HedgeAfter time.Duration
 }
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -66,11 +66,11 @@
 	return firsts, repeats
 }
 
-// left returns how many repeats the budget still pays for. part is the share of
-// the reserve that this desk may use.
-func (w *window) left(now time.Time, b Budget, part float64) float64 {
+// allowed returns how many repeats the budget pays for in the window, and spent how
+// many of them were made. part is the share of the reserve that this desk may use.
+func (w *window) allowed(now time.Time, b Budget, part float64) (all, spent float64) {
 	// Whoever had the duty before may have spent what the window allows.
 	part *= min(now.Sub(w.since).Seconds()/b.Window.Seconds(), 1)
 	firsts, repeats := w.sums()
-	return shareUsed*b.Share*firsts + reserveUsed*b.Reserve*part - repeats
+	return shareUsed*b.Share*firsts + reserveUsed*b.Reserve*part, repeats
 }
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -39,9 +39,6 @@
 	usualStep = 0.03
 	// flightSlack is how long after its deadline a granted attempt is forgotten.
 	flightSlack = 500 * time.Millisecond
-	// hedgeReserve is the part of the reserve of repeats that is kept for attempts
-	// that failed.
-	hedgeReserve = 0.7
 	// refusedFrom is the part of the time left that a queue may take.
 	refusedFrom = 0.6
 	// closedTime is how long an ask that ended is remembered, some times longer
@@ -117,7 +114,7 @@
 	if g, known := d.before(a.ID); known {
 		return g
 	}
-	if !d.pays(now, a, 1, d.needs(a)) {
+	if a.Hedge && !d.hedges(now, a) || !d.pays(now, a, 1) {
 		if !a.Hedge {
 			d.ends.note(now, false)
 		}
@@ -150,18 +147,9 @@
 	}
 }
 
-// needs returns how many repeats must be left for an ask to get one. Failed
-// attempts go before those that are merely slow.
-func (d *Desk) needs(a *Ask) float64 {
-	if a.Hedge {
-		return max(hedgeReserve*reserveUsed*d.budget.Reserve, 1)
-	}
-	return 1
-}
-
 // pays counts an ask in the retry budget, or returns false if it is a repeat and
-// fewer than needs are left. part is the share of the reserve that may be used.
-func (d *Desk) pays(now time.Time, a *Ask, part, needs float64) bool {
+// none is left. part is the share of the reserve that may be used.
+func (d *Desk) pays(now time.Time, a *Ask, part float64) bool {
 	d.window.turn(now, d.begun, d.budget)
 	d.window.asked(now, d.budget)
 	d.others.note(now, a.ID.Node, a.Elsewhere)
@@ -169,18 +157,26 @@
 		d.window.first()
 		return true
 	}
-	if d.left(now, part) < needs {
+	if d.left(now, part) < 1 {
 		return false
 	}
 	d.window.repeat()
 	return true
 }
 
-// left returns how many repeats the budget still pays for. part is the share of the
-// reserve that this desk may use.
-func (d *Desk) left(now time.Time, part float64) float64 {
+// repeats returns how many repeats the budget pays for in the window and how many of
+// them were made, by others too. part is the share of the reserve that this desk may
+// use.
+func (d *Desk) repeats(now time.Time, part float64) (all, spent float64) {
 	firsts, repeats := d.others.sums(now, d.budget)
-	return d.window.left(now, d.budget, part) + shareUsed*d.budget.Share*firsts - repeats
+	all, spent = d.window.allowed(now, d.budget, part)
+	return all + shareUsed*d.budget.Share*firsts, spent + repeats
+}
+
+// left returns how many repeats the budget still pays for.
+func (d *Desk) left(now time.Time, part float64) float64 {
+	all, spent := d.repeats(now, part)
+	return all - spent
 }
 
 // before returns the answer that an ask got before.
@@ -190,6 +186,8 @@
 			ID:      id,
 			Verdict: Granted,
 			Target:  key,
+
+			HedgeAfter: d.targets[key].hedgeAfter(id),
 		}, true
 	}
 	if _, over := d.closed[id]; over {
@@ -208,7 +206,7 @@
 // regard to slots, for it doesn't know what others have in flight. part is this
 // node's share of the reserve of the retry budget.
 func (d *Desk) AskAlone(now time.Time, a *Ask, part float64) Grant {
-	if !d.pays(now, a, part, 1) {
+	if !d.pays(now, a, part) {
 		return Grant{
 			ID:      a.ID,
 			Verdict: Spent,
@@ -238,6 +236,8 @@
 		ID:      a.ID,
 		Verdict: Granted,
 		Target:  t.Key,
+
+		HedgeAfter: route.Within(hedgeFrom),
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/hedge.go
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// Parameters of second attempts beside one that goes on.
+const (
+	// hedgeFrom is the share of good answers that have come when a second target may
+	// be asked for the first time.
+	hedgeFrom = 0.75
+	// hedgeLeast is the probability of silence from which a second attempt is made
+	// while the retry budget is hardly used, hedgeMost the same when it is spent but
+	// for hedgeKept: that part is for attempts that failed.
+	hedgeLeast = 0.1
+	hedgeMost  = 0.9
+	hedgeFree  = 0.4
+	hedgeKept  = 0.1
+)
+
+// hedges tells whether a second attempt beside one that goes on is worth a repeat:
+// the more of the retry budget is spent, the surer it must be that the first one
+// gets no answer.
+func (d *Desk) hedges(now time.Time, a *Ask) bool {
+	d.window.turn(now, d.begun, d.budget)
+	all, repeats := d.repeats(now, 1)
+	if all < 1 || a.Age <= 0 {
+		return false
+	}
+	spent := repeats / all
+	price := min(max((spent-hedgeFree)/(1-hedgeKept-hedgeFree), 0), 1)
+	return spent < 1-hedgeKept && d.silent(now, a) >= hedgeLeast+price*(hedgeMost-hedgeLeast)
+}
+
+// silent returns the probability that the attempt of a request that goes on gets no
+// answer.
+func (d *Desk) silent(now time.Time, a *Ask) float64 {
+	route := d.model.Route(now, a.Route)
+	p := d.model.Share()
+	if n := len(a.Tried); n > 0 && d.targets[a.Tried[n-1]] != nil {
+		p = d.targets[a.Tried[n-1]].failing(now)
+	}
+	return d.model.Silent(route, p, a.Age)
+}
+
+// hedgeAfter returns what the grant of an attempt said.
+func (t *target) hedgeAfter(id ID) time.Duration {
+	if t == nil || t.flights[id].route == nil {
+		return 0
+	}
+	return t.flights[id].route.Within(hedgeFrom)
+}
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -27,8 +27,10 @@
 	Tried []string
 	// Again is set for attempts after the first one.
 	Again bool
-	// Hedge is set where an earlier attempt still goes on.
+	// Hedge is set where an earlier attempt still goes on; Age is how long it has
+	// waited for its answer.
 	Hedge bool
+	Age   time.Duration
 }
 
 // Choice is a target taken for one attempt.
@@ -43,6 +45,9 @@
 	DataHall string
 	// By names the node that chose, "alone" where this one did.
 	By string
+	// HedgeAfter is after how long without an answer a second target may be asked
+	// for, 0 if whoever chose doesn't know.
+	HedgeAfter time.Duration
 	// Done must be called once, when the attempt has ended.
 	Done func(end outlier.End, took time.Duration)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -42,6 +42,10 @@
 	// running are the tries whose end hasn't been read from results.
 	running []*try
 	results chan result
+	// granted tells of targets that tries got.
+	granted chan grant
+	// sent is when the attempt that may need a hedge was sent.
+	sent time.Time
 	// won is the try whose answer is delivered; settled is set once there is one.
 	won     *try
 	settled atomic.Bool
@@ -52,6 +56,13 @@
 	comeBack time.Duration
 }
 
+// grant is a target that a try got.
+type grant struct {
+	at time.Time
+	// hedgeAfter is after how long a second target may be asked for, 0 if unknown.
+	hedgeAfter time.Duration
+}
+
 // result is the end of a try: an answer or an error.
 type result struct {
 	try    *try
@@ -113,6 +124,9 @@
 		again:  x.launched > 0,
 		hedge:  len(x.running) > 0,
 	}
+	if t.hedge && !x.sent.IsZero() {
+		t.age = time.Since(x.sent)
+	}
 	x.launched++
 	x.running = append(x.running, t)
 	go t.run(ctx)
@@ -133,6 +147,18 @@
 			if x.accept(r) {
 				return &r
 			}
+			if r.try.hedge && spent(r.err) {
+				x.launched--
+				hedge.Reset(hedgeAgain)
+			}
+		case g := <-x.granted:
+			if len(x.running) > 1 {
+				continue
+			}
+			x.sent = g.at
+			if g.hedgeAfter > 0 && x.hedgeable() {
+				hedge.Reset(time.Until(g.at.Add(g.hedgeAfter)))
+			}
 		case <-hedge.C:
 			x.hedge()
 		}
@@ -144,7 +170,7 @@
 // request takes unusually long, or when a second one could just be in time.
 func (x *relay) hedgeAfter() time.Duration {
 	r := x.in.route
-	if !r.Repeatable() || x.body.stream != nil || r.MaxAttempts() == 1 {
+	if !x.hedgeable() {
 		return time.Until(x.life.Deadline()) + time.Hour
 	}
 	slow := x.server.cfg.Collector.Slow(x.service.Name(), r.Class())
@@ -154,6 +180,24 @@
 	return max(slow, 0)
 }
 
+// hedgeable tells whether the request may be sent to a second target while the first
+// works on it.
+func (x *relay) hedgeable() bool {
+	r := x.in.route
+	return r.Repeatable() && x.body.stream == nil && r.MaxAttempts() != 1
+}
+
+// spent tells whether there was no target because the retry budget doesn't pay for
+// it now.
+func spent(err error) bool {
+	var none *NoTargetError
+	return errors.As(err, &none) && none.reason == attempt.ReasonBudget
+}
+
+// hedgeAgain is after how long a second target is asked for again when none was
+// granted: what is known of the first one grows with the time that it says nothing.
+const hedgeAgain = 50 * time.Millisecond
+
 // hedgePart is the part of a route's target latency after which a second target
 // is asked: half of it leaves the second one as much time as the first had.
 const hedgePart = 2
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -230,6 +230,7 @@
 		life:    attempt.NewLife(in.route.Repeatable(), in.deadline),
 		header:  towardsTarget(s.cfg.Contract, r),
 		results: make(chan result, maxTries),
+		granted: make(chan grant, maxTries),
 	}
 	a, release, fail := x.answer()
 	if fail != nil {
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -21,6 +21,8 @@
 	cancel context.CancelFunc
 	again  bool
 	hedge  bool
+	// age is how long the attempt beside a hedge had waited when that was asked for.
+	age    time.Duration
 	choice Choice
 	// begun is when a target was asked for, chosen when there was one.
 	begun  time.Time
@@ -37,7 +39,7 @@
 func (t *try) run(ctx context.Context) {
 	x := t.relay
 	t.begun = time.Now()
-	choice, err := x.choose(ctx, t.again, t.hedge)
+	choice, err := x.choose(ctx, t)
 	if err != nil {
 		x.results <- result{
 			try: t,
@@ -47,6 +49,10 @@
 	}
 	t.choice = choice
 	t.chosen = time.Now()
+	x.granted <- grant{
+		at:         t.chosen,
+		hedgeAfter: choice.HedgeAfter,
+	}
 	flight := x.begin(choice.Key)
 	a, err := x.server.client.Do(ctx, x.request(choice, t.reader))
 	t.end = endOf(a, err)
@@ -72,7 +78,7 @@
 }
 
 // choose takes a target for an attempt and notes that it was tried.
-func (x *relay) choose(ctx context.Context, again, hedge bool) (Choice, error) {
+func (x *relay) choose(ctx context.Context, t *try) (Choice, error) {
 	r := x.in.route
 	q := &Query{
 		Service:    x.service,
@@ -82,15 +88,16 @@
 		Route:      r.Name(),
 		Aim:        x.aim(),
 		Deadline:   x.life.Deadline(),
-		Again:      again,
-		Hedge:      hedge,
+		Again:      t.again,
+		Hedge:      t.hedge,
+		Age:        t.age,
 	}
 	x.mu.Lock()
 	q.Tried = slices.Clone(x.tried)
 	x.mu.Unlock()
 	c, err := x.server.cfg.Choose(ctx, q)
 	if err != nil {
-		x.logNoTarget(err, hedge)
+		x.logNoTarget(err, t.hedge)
 		return Choice{}, err
 	}
 	x.mu.Lock()
--- a/internal/health/model.go
+++ b/internal/health/model.go
@@ -175,6 +175,9 @@
 // Usual returns the median time of the route's good answers.
 func (r *Route) Usual() time.Duration { return r.times.usual() }
 
+// Within returns the time within which a share of the route's good answers comes.
+func (r *Route) Within(share float64) time.Duration { return r.times.within(share) }
+
 // Longer returns the share of the route's good answers that take longer than age.
 func (r *Route) Longer(age time.Duration) float64 { return r.times.longer(age) }
 
@@ -217,6 +220,16 @@
 	return share + (p-share)*math.Exp(-(m.enterRate+m.leaveRate)*past.Seconds())
 }
 
+// Silent returns the probability that an attempt on a route which has waited for
+// age gets no answer, if its target fails with probability p when it is sent.
+func (m *Model) Silent(r *Route, p float64, age time.Duration) float64 {
+	longer := r.times.longer(age)
+	mute := r.shares[Silent]
+	silent := p * (mute + (1-mute)*m.failingShares[Silent])
+	silent += (1 - p) * mute
+	return silent / (silent + (1-silent)*longer)
+}
+
 // likelihoods returns how likely a working and a failing target shows a thing.
 func (m *Model) likelihoods(e *event, now time.Time) (working, failing float64) {
 	switch e.kind {
--- a/internal/health/survival.go
+++ b/internal/health/survival.go
@@ -87,6 +87,20 @@
 // medianAt is the place of the median in the table.
 const medianAt = 3
 
+// within returns the time within which a share of the good answers comes, of those
+// in the table the least that is as great.
+func (t *times) within(share float64) time.Duration {
+	if t.n < timeRenew {
+		return timeStart
+	}
+	for i, q := range quantiles {
+		if q >= 100*share {
+			return time.Duration(t.table[i] * float64(time.Millisecond))
+		}
+	}
+	return timeMost * time.Millisecond
+}
+
 // longer returns the share of good answers that take longer than age.
 func (t *times) longer(age time.Duration) float64 {
 	ms := float64(age) / float64(time.Millisecond)
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -25,6 +25,7 @@
 		Repeatable: q.Repeatable,
 		Again:      q.Again,
 		Hedge:      q.Hedge,
+		Age:        q.Age,
 		Kilobytes:  q.Kilobytes,
 		Priority:   q.Priority,
 		Aim:        q.Aim,
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -117,6 +117,7 @@
 		Repeatable: w.GetRepeatable(),
 		Again:      w.GetAgain(),
 		Hedge:      w.GetHedge(),
+		Age:        time.Duration(w.GetAgeMs()) * time.Millisecond,
 		Kilobytes:  int(w.GetKilobytes()),
 		Priority:   int(w.GetPriority()),
 		Aim:        now.Add(time.Duration(w.GetAimMs()) * time.Millisecond),
@@ -149,6 +150,7 @@
 		Verdict:      wire.Grant_Verdict(g.Verdict),
 		Target:       g.Target,
 		RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
+		HedgeAfterMs: uint32(g.HedgeAfter.Milliseconds()),
 	}
 }
 
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -284,6 +284,7 @@
 				Repeatable: q.Repeatable,
 				Again:      q.Again,
 				Hedge:      q.Hedge,
+				AgeMs:      uint32(q.Age.Milliseconds()),
 				Kilobytes:  uint32(q.Kilobytes),
 				Priority:   uint32(q.Priority),
 				AimMs:      uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
@@ -326,12 +327,14 @@
 		d.tell(peer, doneOf(q.Service.Name(), g, result, 0))
 		return entry.Choice{}, false, nil
 	}
-	return choiceOf(t, peer, func(end outlier.End, took time.Duration) {
+	c = choiceOf(t, peer, func(end outlier.End, took time.Duration) {
 		done := doneOf(q.Service.Name(), g, resultOf(end), took)
 		done.Lost = end.Lost
 		d.tell(peer, done)
 		d.note(peer, q, t.Key(), end, took)
-	}), true, nil
+	})
+	c.HedgeAfter = time.Duration(g.grant.GetHedgeAfterMs()) * time.Millisecond
+	return c, true, nil
 }
 
 // target finds a target in the newest configuration, or in that of the request.
