internal/dispatch, internal/entry: log how much the chosen target was doubted

Cause: a failed request's lines did not say what the dispatcher believed when it chose. Change: grants carry the probability that the request is not answered well; lines about attempts and answers show it.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -79,4 +79,6 @@
 	RetryAfter time.Duration
 	// HedgeAfter is after how long without an answer a second target may be asked for.
 	HedgeAfter time.Duration
+	// Doubt is how likely the target was not to answer well.
+	Doubt float64
 }
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -223,6 +223,7 @@
 
 func (d *Desk) grant(now time.Time, t *target, a *Ask) Grant {
 	t.granted = now
+	doubt := t.lost(now)
 	route := d.model.Route(now, a.Route)
 	t.flights[a.ID] = flight{
 		begun: now,
@@ -238,6 +239,7 @@
 		Target:  t.Key,
 
 		HedgeAfter: route.Within(hedgeFrom),
+		Doubt:      doubt,
 	}
 }
 
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -48,6 +48,8 @@
 	// HedgeAfter is after how long without an answer a second target may be asked
 	// for, 0 if whoever chose doesn't know.
 	HedgeAfter time.Duration
+	// Doubt is how likely the target was not to answer well, by whoever chose it.
+	Doubt float64
 	// Done must be called once, when the attempt has ended.
 	Done func(end outlier.End, took time.Duration)
 }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -30,6 +30,7 @@
 		"waited_ms": t.chosen.Sub(t.begun).Milliseconds(),
 		"took_ms":   time.Since(t.chosen).Milliseconds(),
 		"again":     t.again,
+		"doubt":     t.choice.Doubt,
 	})
 	if err == nil {
 		l.WithField("status", a.Status()).WithField("whole", a.Whole()).Info("attempt answered")
@@ -69,6 +70,7 @@
 			"target":    x.won.choice.Key,
 			"hall":      x.won.choice.DataHall,
 			"by":        x.won.choice.By,
+			"doubt":     x.won.choice.Doubt,
 			"waited_ms": x.won.chosen.Sub(x.won.begun).Milliseconds(),
 		})
 	}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -150,6 +150,7 @@
 		Verdict:      wire.Grant_Verdict(g.Verdict),
 		Target:       g.Target,
 		RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
+		Doubt:        uint32(1000 * g.Doubt),
 		HedgeAfterMs: uint32(g.HedgeAfter.Milliseconds()),
 	}
 }
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -333,6 +333,7 @@
 		d.tell(peer, done)
 		d.note(peer, q, t.Key(), end, took)
 	})
+	c.Doubt = float64(g.grant.GetDoubt()) / 1000
 	c.HedgeAfter = time.Duration(g.grant.GetHedgeAfterMs()) * time.Millisecond
 	return c, true, nil
 }
