internal/dispatch: wait some milliseconds for a slot in the own data hall

Change: a slot goes to asks of its own data hall first, and what waiting makes up for grows from 0.03 by 2.5 a second instead of 0.3 at once.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -21,7 +21,8 @@
 	all := d.cheapest(now, a, func(*target) bool { return true })
 	// The longer an ask has waited the worse a target it takes: one that failed
 	// gets work again when its slots are needed.
-	if d.quality(now, free, a)-d.quality(now, all, a) > waitCost+waited*a.failureCost()*d.model.LostFailing() {
+	worse := d.quality(now, free, a) - d.quality(now, all, a)
+	if worse > waitCost+waitRate*now.Sub(since).Seconds()+waited*a.failureCost()*d.model.LostFailing() {
 		return nil
 	}
 	return free
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -24,9 +24,10 @@
 	coldCost = 0.05
 	// noise breaks ties by chance.
 	noise = 0.002
-	// waitCost is what waiting for a better target costs; a target that is worse
-	// by less than that is taken at once.
-	waitCost = 0.3
+	// waitCost and waitRate, by the second, are what waiting for a better target
+	// costs; a target that is worse by less than that is taken at once.
+	waitCost = 0.03
+	waitRate = 2.5
 )
 
 // failureCost returns the cost of a failure of this attempt.
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -328,17 +328,20 @@
 	return append(expired, d.serve(now)...)
 }
 
-// serve grants what the queue can have now.
+// serve grants what the queue can have now. A slot goes to an ask of its own data
+// hall first.
 func (d *Desk) serve(now time.Time) []Grant {
 	var out []Grant
-	d.queue.each(now, d.usual, func(w *waiting) bool {
-		t := d.best(now, w.since, w.ask)
-		if t == nil {
-			return false
-		}
-		out = append(out, d.grant(now, t, w.ask))
-		return true
-	})
+	for _, near := range [...]bool{true, false} {
+		d.queue.each(now, d.usual, func(w *waiting) bool {
+			t := d.best(now, w.since, w.ask)
+			if t == nil || near && t.DataHall != w.ask.DataHall {
+				return false
+			}
+			out = append(out, d.grant(now, t, w.ask))
+			return true
+		})
+	}
 	return out
 }
 
