internal/dispatch: refuse what hardly any answer would come for in time

Cause: under overload asks got a slot some 30 ms before their deadline and wasted it, and others waited for it. Change: an ask that has less time left than a quarter of the route's answers take is refused at once.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -41,6 +41,8 @@
 	flightSlack = 500 * time.Millisecond
 	// refusedFrom is the part of the time left that a queue may take.
 	refusedFrom = 0.6
+	// hopelessShare is the share of answers that must come in the time that is left.
+	hopelessShare = 0.25
 	// closedTime is how long an ask that ended is remembered, some times longer
 	// than a datagram is repeated.
 	closedTime = 2 * time.Second
@@ -140,6 +142,12 @@
 			return d.grant(now, t, a)
 		}
 	}
+	if d.hopeless(now, a) {
+		return Grant{
+			ID:      a.ID,
+			Verdict: Refused,
+		}
+	}
 	d.queue.add(now, a)
 	return Grant{
 		ID:      a.ID,
@@ -147,6 +155,12 @@
 	}
 }
 
+// hopeless tells whether so little time is left that hardly any answer would come.
+// Others make better use of the slot.
+func (d *Desk) hopeless(now time.Time, a *Ask) bool {
+	return a.Deadline.Sub(now) < d.model.Route(now, a.Route).Within(hopelessShare)
+}
+
 // pays counts an ask in the retry budget, or returns false if it is a repeat and
 // none is left. part is the share of the reserve that may be used.
 func (d *Desk) pays(now time.Time, a *Ask, part float64) bool {
@@ -321,17 +335,16 @@
 			delete(d.closed, id)
 		}
 	}
-	expired := d.queue.expire(now)
-	for range expired {
-		d.ends.note(now, false)
-	}
-	return append(expired, d.serve(now)...)
+	return d.serve(now)
 }
 
 // serve grants what the queue can have now. A slot goes to an ask of its own data
 // hall first.
 func (d *Desk) serve(now time.Time) []Grant {
-	var out []Grant
+	out := d.queue.expire(func(a *Ask) bool { return d.hopeless(now, a) })
+	for range out {
+		d.ends.note(now, false)
+	}
 	for _, near := range [...]bool{true, false} {
 		d.queue.each(now, d.usual, func(w *waiting) bool {
 			t := d.best(now, w.since, w.ask)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -76,11 +76,11 @@
 	}
 }
 
-// expire refuses what can't be served any more.
-func (q *queue) expire(now time.Time) []Grant {
+// expire refuses what hopeless says can't be served any more.
+func (q *queue) expire(hopeless func(*Ask) bool) []Grant {
 	var out []Grant
 	q.list = slices.DeleteFunc(q.list, func(w *waiting) bool {
-		if now.Before(w.ask.Deadline) {
+		if !hopeless(w.ask) {
 			return false
 		}
 		out = append(out, Grant{
