internal/dispatch: first attempts wait as long as answers are in time

Cause: with two tenths of the targets silent and all others busy, a first attempt took a silent one after half of the spare time.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -28,6 +28,10 @@
 	return free
 }
 
+// inTimeShare is the share of answers that must still be in time after an ask has
+// waited.
+const inTimeShare = 0.9
+
 // patience returns how long an ask waits for a better target than is free. What
 // can be repeated once more waits as long as an answer can still be in time. A
 // last attempt waits longer: a late answer is worth more than a failure, and
@@ -36,7 +40,7 @@
 	if !a.Repeatable || a.Again {
 		return time.Duration(lastPatience * float64(a.Deadline.Sub(since)))
 	}
-	return max(a.Aim.Sub(since)-2*d.usual, 0) / 2
+	return max(a.Aim.Sub(since)-d.model.Route(since, a.Route).Within(inTimeShare), 0)
 }
 
 func (d *Desk) slots(now time.Time, t *target) int {
