internal/dispatch: try targets where nothing can be repeated

Cause: a service without repeatable requests never used a target again that had failed, unless its load needed it (TestTargetsThatWorkShareIt).

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -294,6 +294,7 @@
 func (d *Desk) Note(now time.Time, key, route string, r Result, took time.Duration) {
 	rt := d.model.Route(now, route)
 	if t := d.targets[key]; t != nil {
+		t.granted = now
 		t.health.Saw(now, rt, kindOf(r, rt, took, true), took)
 		t.noteGone(now, r)
 	}
--- a/internal/dispatch/desk_test.go
+++ b/internal/dispatch/desk_test.go
@@ -300,7 +300,7 @@
 	hedges := 0
 	for n := range uint64(100) {
 		a := ask(now, n)
-		a.Repeatable, a.Again, a.Hedge = true, true, true
+		a.Repeatable, a.Again, a.Hedge, a.Age = true, true, true, 900*time.Millisecond
 		if g := d.Ask(now, a); g.Verdict == dispatch.Granted {
 			hedges++
 			d.Done(now, g.ID, g.Target, dispatch.ResultIgnored, 0)
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -15,7 +15,10 @@
 	spreadLeast = 20
 	// spreadTime is within which time a target should get work, failingShare how
 	// many of the targets while many requests fail.
-	spreadTime   = 1500 * time.Millisecond
+	spreadTime = 1500 * time.Millisecond
+	// trialTime is within which time each target should get work though all that is
+	// asked for can't be repeated.
+	trialTime    = 5 * time.Second
 	failingShare = 0.95
 	// repeatableShare and calmShare are the same for a large service while few
 	// requests fail: the death of nodes can end a tenth of them at any moment, and
@@ -77,32 +80,57 @@
 
 func (d *Desk) calm(now time.Time) bool { return !d.ends.many(now) }
 
-// spreadShare returns the part of the targets that should have work if an ask is
-// used for it, 0 if none need it.
-func (d *Desk) spreadShare(now time.Time, a *Ask) float64 {
+// spread is how far work is spread: the part of the targets that should have had
+// some within a time.
+type spread struct {
+	share  float64
+	within time.Duration
+}
+
+// spreadOf returns how far work is spread by an ask.
+func (d *Desk) spreadOf(now time.Time, a *Ask) spread {
 	switch {
 	case d.ends.many(now):
-		return failingShare
+		return spread{
+			share:  failingShare,
+			within: spreadTime,
+		}
 	case a.Repeatable:
-		return repeatableShare
-	case len(d.order) < largeService:
-		return 0
+		return spread{
+			share:  repeatableShare,
+			within: spreadTime,
+		}
+	case len(d.order) >= largeService:
+		return spread{
+			share:  calmShare,
+			within: spreadTime,
+		}
 	default:
-		return calmShare
+		return spread{
+			share:  failingShare,
+			within: trialTime,
+		}
 	}
 }
 
+// before tells whether one neglected target gets work before another: while few
+// requests fail the one that is less likely to fail, else the one that had none for
+// longer, so that each has its turn.
+func before(now time.Time, one, other *target, calm bool) bool {
+	if calm {
+		return one.failing(now) < other.failing(now)
+	}
+	return one.granted.Before(other.granted)
+}
+
 // neglected returns a target that got no work for a while, if too many targets are
-// left out: of those the one that is least likely to fail. Beliefs may be wrong, and
-// leaving out what works would overload the rest.
+// left out. Beliefs may be wrong, and leaving out what works would overload the rest.
 func (d *Desk) neglected(now time.Time, a *Ask) *target {
 	if a.Again {
 		return nil
 	}
-	share := d.spreadShare(now, a)
-	if share == 0 {
-		return nil
-	}
+	s := d.spreadOf(now, a)
+	calm := !d.ends.many(now)
 	var best *target
 	out, all := 0, 0
 	for _, t := range d.order {
@@ -110,18 +138,18 @@
 			continue
 		}
 		all++
-		if now.Sub(t.granted) < spreadTime {
+		if now.Sub(t.granted) < s.within {
 			continue
 		}
 		out++
-		if d.calm(now) && t.DataHall != a.DataHall && crossing*float64(a.Kilobytes) > spreadCrossing {
+		if calm && t.DataHall != a.DataHall && crossing*float64(a.Kilobytes) > spreadCrossing {
 			continue
 		}
-		if len(t.flights) < t.Slots && (best == nil || t.failing(now) < best.failing(now)) {
+		if len(t.flights) < t.Slots && (best == nil || before(now, t, best, calm)) {
 			best = t
 		}
 	}
-	if float64(out) <= (1-share)*float64(all) || now.Sub(d.ends.spread) < min(spreadBeat, spreadWithin/time.Duration(out)) {
+	if float64(out) <= (1-s.share)*float64(all) || now.Sub(d.ends.spread) < min(spreadBeat, spreadWithin/time.Duration(out)) {
 		return nil
 	}
 	d.ends.spread = now
