internal/dispatch: waiting doesn't make up for doubt before a last attempt

Cause: TestLastAttemptWaitsForATargetThatIsNotFailing: the price of waiting grew until a failing target was taken after half a second of three.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -22,7 +22,7 @@
 	// The longer an ask has waited the worse a target it takes: one that failed
 	// gets work again when its slots are needed.
 	worse := d.quality(now, free, a) - d.quality(now, all, a)
-	if worse > waitCost+waitRate*now.Sub(since).Seconds()+waited*a.failureCost()*d.model.LostFailing() {
+	if worse > a.waitCost(now.Sub(since))+waited*a.failureCost()*d.model.LostFailing() {
 		return nil
 	}
 	return free
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -28,6 +28,9 @@
 	// costs; a target that is worse by less than that is taken at once.
 	waitCost = 0.03
 	waitRate = 2.5
+	// waitMost bounds that cost for what no other attempt can follow: waiting makes up
+	// for bytes between data halls then, not for doubt.
+	waitMost = 0.2
 )
 
 // failureCost returns the cost of a failure of this attempt.
@@ -42,6 +45,15 @@
 	}
 }
 
+// waitCost returns what it costs an ask to have waited.
+func (a *Ask) waitCost(waited time.Duration) float64 {
+	c := waitRate * waited.Seconds()
+	if !a.Repeatable || a.Again {
+		c = min(c, waitMost)
+	}
+	return waitCost + c
+}
+
 // quality returns what a target costs apart from its load.
 func (d *Desk) quality(now time.Time, t *target, a *Ask) float64 {
 	c := a.failureCost() * t.lost(now)
