--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,284 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package health_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ploverjunction.example/ploverjunction/internal/health"
+)
+
+// start is when all models of these tests begin.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// usual is the time of an answer in these tests.
+const usual = 200 * time.Millisecond
+
+// answered returns a model, a route whose answers take about the usual time, and
+// when that had been learned.
+func answered(t testing.TB) (*health.Model, *health.Route, time.Time) {
+	t.Helper()
+	m := health.NewModel(start)
+	r := m.Route(start, "route")
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		took := usual/2 + time.Duration(rng.Int64N(int64(usual)))
+		if err := r.Answered(took); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return m, r, start
+}
+
+func ExampleTarget_Failing() {
+	m := health.NewModel(start)
+	r := m.Route(start, "lookups")
+	t := health.NewTarget(start, m)
+	fmt.Println("at the start:", t.Failing(start) > 0.1)
+	now := start
+	for range 2 {
+		n := t.Begin(now, r)
+		now = now.Add(3 * time.Millisecond)
+		t.End(now, n, health.Quick)
+	}
+	fmt.Println("after two quick failures:", t.Failing(now) > 0.9)
+	// Output:
+	// at the start: false
+	// after two quick failures: true
+}
+
+// An attempt that waits for its answer speaks against its target as soon as nearly
+// all others would have been answered.
+func TestSilenceIsSeenByItsAge(t *testing.T) {
+	tests := []struct {
+		name        string
+		age         time.Duration
+		least, most float64
+	}{
+		{
+			name: "usual",
+			age:  usual,
+			most: 0.06,
+		},
+		{
+			name:  "twice the usual time",
+			age:   2 * usual,
+			least: 0.2,
+			most:  1,
+		},
+		{
+			name:  "five times the usual time",
+			age:   5 * usual,
+			least: 0.28,
+			most:  1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m, r, now := answered(t)
+			target := health.NewTarget(now, m)
+			target.Begin(now, r)
+			p := target.Failing(now.Add(tt.age))
+			if p < tt.least || p > tt.most {
+				t.Errorf("failing with probability %.3f, want %.2f to %.2f", p, tt.least, tt.most)
+			}
+		})
+	}
+}
+
+// An attempt that was given up, because its caller left or another target was
+// quicker, says as much as it would have said at that age.
+func TestAttemptThatWasGivenUpSpeaksByItsAge(t *testing.T) {
+	m, r, now := answered(t)
+	for _, age := range []time.Duration{20 * time.Millisecond, 3 * usual} {
+		target := health.NewTarget(now, m)
+		n := target.Begin(now, r)
+		end := now.Add(age)
+		running := target.Failing(end)
+		target.End(end, n, health.Open)
+		if p := target.Failing(end); p != running {
+			t.Errorf("given up after %v: %.3f, while it ran %.3f", age, p, running)
+		}
+	}
+}
+
+// What an attempt shows counts at the time at which it was sent: answers to later
+// ones outweigh a time-out that is told after them.
+func TestLaterAnswersOutweighAnOldTimeout(t *testing.T) {
+	m, r, now := answered(t)
+	target := health.NewTarget(now, m)
+	old := target.Begin(now, r)
+	for range 4 {
+		now = now.Add(usual)
+		n := target.Begin(now, r)
+		target.End(now.Add(usual/2), n, health.Good)
+	}
+	now = now.Add(usual)
+	target.End(now, old, health.Silent)
+	if p := target.Failing(now); p > 0.1 {
+		t.Errorf("failing with probability %.3f after four answers to later requests", p)
+	}
+}
+
+// A route whose requests are never answered, whatever their target, makes nobody
+// doubt the targets once that has been learned.
+func TestRouteThatIsNeverAnsweredSaysNothing(t *testing.T) {
+	m, good, now := answered(t)
+	mute := m.Route(now, "mute")
+	target := health.NewTarget(now, m)
+	after := 0.0
+	for i := range 200 {
+		now = now.Add(50 * time.Millisecond)
+		route, kind := good, health.Good
+		if i%4 == 0 {
+			route, kind = mute, health.Silent
+		}
+		n := target.Begin(now, route)
+		now = now.Add(50 * time.Millisecond)
+		target.End(now, n, kind)
+		if i%10 == 0 {
+			m.Advance(now)
+		}
+		if kind == health.Silent {
+			after = target.Failing(now)
+		}
+	}
+	if after > 0.1 {
+		t.Errorf("failing with probability %.3f after one more silent request of that route", after)
+	}
+}
+
+// When all targets become slower, answers are late at first; none is taken for
+// failing once the new times are known.
+func TestAllSlowTogetherIsNotFailing(t *testing.T) {
+	m, r, now := answered(t)
+	target := health.NewTarget(now, m)
+	for i := range 400 {
+		took := 3*usual + time.Duration(i%7)*10*time.Millisecond
+		n := target.Begin(now, r)
+		now = now.Add(took)
+		if err := r.Answered(took); err != nil {
+			t.Fatal(err)
+		}
+		target.End(now, n, r.EndKind(true, took))
+		m.Advance(now)
+	}
+	target.Begin(now, r)
+	if p := target.Failing(now.Add(3 * usual)); p > 0.1 {
+		t.Errorf("failing with probability %.3f after the new usual time", p)
+	}
+}
+
+// channel is a target of which a test knows the state.
+type channel struct {
+	failing bool
+	target  *health.Target
+}
+
+// How often targets begin and end to fail, and what they do then, is learned from
+// what they show.
+func TestRatesAreLearned(t *testing.T) {
+	const (
+		enter, leave = 0.04, 0.1
+		lost         = 0.75
+		step         = 100 * time.Millisecond
+	)
+	tests := []struct {
+		name string
+		kind health.Kind
+		took time.Duration
+	}{
+		{
+			name: "errors at once",
+			kind: health.Quick,
+			took: 2 * time.Millisecond,
+		},
+		{
+			name: "silence",
+			kind: health.Silent,
+			took: 1200 * time.Millisecond,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m, r, now := answered(t)
+			rng := rand.New(rand.NewPCG(5, 6))
+			channels := make([]channel, 12)
+			for i := range channels {
+				channels[i].target = health.NewTarget(now, m)
+			}
+			for range 600 {
+				now = now.Add(step)
+				for i := range channels {
+					c := &channels[i]
+					rate := enter
+					if c.failing {
+						rate = leave
+					}
+					if rng.Float64() < rate*step.Seconds() {
+						c.failing = !c.failing
+					}
+					if rng.IntN(3) != 0 {
+						continue
+					}
+					if c.failing && rng.Float64() < lost {
+						c.target.Saw(now, r, tt.kind, tt.took)
+					} else {
+						c.target.Saw(now, r, health.Good, usual)
+					}
+				}
+				m.Advance(now)
+			}
+			gotEnter, gotLeave := m.Rates()
+			if gotEnter < enter/2.5 || gotEnter > enter*2.5 || gotLeave < leave/2.5 || gotLeave > leave*2.5 {
+				t.Errorf("learned %.3f/s to begin and %.3f/s to end, true are %v and %v", gotEnter, gotLeave, enter, leave)
+			}
+			if got := m.LostFailing(); got < lost-0.2 || got > lost+0.15 {
+				t.Errorf("learned that failing targets lose %.2f, true is %v", got, lost)
+			}
+		})
+	}
+}
+
+// Whatever comes in whatever order, beliefs are probabilities.
+func TestBeliefsAreProbabilities(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("between 0 and 1", prop.ForAll(func(seed uint64) bool {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		m := health.NewModel(start)
+		target := health.NewTarget(start, m)
+		now := start
+		var open []uint64
+		for range 300 {
+			now = now.Add(time.Duration(rng.IntN(400)) * time.Millisecond)
+			r := m.Route(now, fmt.Sprint(rng.IntN(400)))
+			switch rng.IntN(4) {
+			case 0:
+				open = append(open, target.Begin(now, r))
+			case 1:
+				target.Saw(now, r, health.Kind(rng.IntN(int(health.Unreached)+1)), time.Duration(rng.IntN(3000))*time.Millisecond)
+			case 2:
+				if len(open) > 0 {
+					target.End(now, open[0], health.Kind(rng.IntN(int(health.Unreached)+1)))
+					open = open[1:]
+				}
+			default:
+				m.Advance(now)
+			}
+			for _, p := range []float64{target.Failing(now), target.Lost(now), m.Share(), m.LostFailing()} {
+				if !(p >= 0 && p <= 1) {
+					return false
+				}
+			}
+		}
+		return true
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
--- a/internal/health/kind.go
+++ b/internal/health/kind.go
@@ -17,7 +17,6 @@
 	Worked
 	// Silent is no answer in a time in which nearly all others come.
 	Silent
-	learned
 	// Open is no answer yet, or an attempt that was given up before its time was
 	// over: only its age speaks.
 	Open
@@ -27,8 +26,8 @@
 	Unreached
 )
 
-// kinds is the number of kinds whose shares are learned.
-const kinds = int(learned)
+// kinds is the number of kinds whose shares are learned: those before Open.
+const kinds = int(Open)
 
 // Evidence of kinds whose shares are not learned, as odds. A target that sheds may
 // just be full; one node alone may have lost its way to a target, and avoids it
--- a/internal/health/model.go
+++ b/internal/health/model.go
@@ -172,6 +172,9 @@
 	delete(m.routes, oldest.name)
 }
 
+// Answered takes in the time of a good answer.
+func (r *Route) Answered(took time.Duration) error { return r.times.add(took) }
+
 // Usual returns the median time of the route's good answers.
 func (r *Route) Usual() time.Duration { return r.times.usual() }
 
@@ -223,11 +226,9 @@
 // Silent returns the probability that an attempt on a route which has waited for
 // age gets no answer, if its target fails with probability p when it is sent.
 func (m *Model) Silent(r *Route, p float64, age time.Duration) float64 {
-	longer := r.times.longer(age)
 	mute := r.shares[Silent]
-	silent := p * (mute + (1-mute)*m.failingShares[Silent])
-	silent += (1 - p) * mute
-	return silent / (silent + (1-silent)*longer)
+	share := mute + (1-mute)*p*m.failingShares[Silent]
+	return silentAfter(share, r.times.longer(age))
 }
 
 // likelihoods returns how likely a working and a failing target shows a thing.
@@ -238,11 +239,7 @@
 	case Unreached:
 		return 1, oddsUnreached
 	case Open:
-		age := e.age
-		if e.running {
-			age = now.Sub(e.begun)
-		}
-		longer := e.route.times.longer(age)
+		longer := e.route.times.longer(e.waited(now))
 		mute := e.route.shares[Silent]
 		silent := m.failingShares[Silent] + m.failingShares[Late]
 		return mute + (1-mute)*longer, mute + (1-mute)*(silent+(1-silent)*longer)
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -35,6 +35,14 @@
 	age     time.Duration
 }
 
+// waited returns how long the attempt waited for its answer.
+func (e *event) waited(now time.Time) time.Duration {
+	if e.running {
+		return now.Sub(e.begun)
+	}
+	return e.age
+}
+
 // Target is the belief about one target.
 type Target struct {
 	model *Model
@@ -61,7 +69,7 @@
 // Begin notes an attempt and returns its number.
 func (t *Target) Begin(now time.Time, r *Route) uint64 {
 	t.next++
-	t.insert(event{
+	t.insert(now, event{
 		id:      t.next,
 		begun:   now,
 		route:   r,
@@ -88,7 +96,7 @@
 
 // Saw notes an attempt of which only the end is known.
 func (t *Target) Saw(now time.Time, r *Route, k Kind, took time.Duration) {
-	t.insert(event{
+	t.insert(now, event{
 		begun: now.Add(-took),
 		route: r,
 		kind:  k,
@@ -96,7 +104,8 @@
 	})
 }
 
-func (t *Target) insert(e event) {
+// insert adds an event in the order of begin.
+func (t *Target) insert(now time.Time, e event) {
 	at := len(t.events)
 	for at > 0 && e.begun.Before(t.events[at-1].begun) {
 		at--
@@ -104,15 +113,8 @@
 	t.events = slices.Insert(t.events, at, e)
 	t.cachedAt = time.Time{}
 	if len(t.events) > mostEvents {
-		t.evict(later(e.begun.Add(e.age), t.events[mostEvents].begun))
-	}
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+		t.evict(now)
 	}
-	return b
 }
 
 // Failing returns the probability that the target is failing at now.
