--- /dev/null
+++ b/internal/dispatch/choose_test.go
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// halls returns one target of one slot in each of two data halls.
+func halls() []dispatch.Target {
+	return []dispatch.Target{
+		{
+			Key:      "near",
+			DataHall: "a",
+			Slots:    1,
+		},
+		{
+			Key:      "far",
+			DataHall: "b",
+			Slots:    1,
+		},
+	}
+}
+
+// A request of some KiB waits some milliseconds for a slot in its own data hall
+// before it goes to another one.
+func TestWaitsForItsOwnDataHall(t *testing.T) {
+	d, now := practised(halls()...)
+	d.Ask(now, ask(now, 1))
+	a := ask(now, 2)
+	a.Kilobytes = 5
+	if g := d.Ask(now, a); g.Verdict != dispatch.Queued {
+		t.Fatalf("at once: %v %q", g.Verdict, g.Target)
+	}
+	grants := d.Advance(now.Add(100 * time.Millisecond))
+	if len(grants) != 1 || grants[0].Target != "far" {
+		t.Fatalf("after 100 ms: %v", grants)
+	}
+}
+
+// A slot that becomes free goes to a request of its own data hall, though another
+// one has waited longer.
+func TestSlotGoesToItsOwnDataHall(t *testing.T) {
+	d, now := practised(halls()...)
+	var far dispatch.Grant
+	for n, hall := range []string{"b", "a", "a", "b"} {
+		a := ask(now, uint64(n+1))
+		a.DataHall = hall
+		a.Kilobytes = 5
+		if g := d.Ask(now, a); n == 0 {
+			far = g
+		}
+	}
+	grants := d.Done(now.Add(usual), far.ID, far.Target, dispatch.ResultGood, usual)
+	if len(grants) != 1 || grants[0].ID.Number != 4 {
+		t.Fatalf("got %v", grants)
+	}
+}
+
+// Where nothing can be repeated, a target that failed is tried again after some
+// seconds, though the others have free slots.
+func TestTargetIsTriedAgainWhereNothingCanBeRepeated(t *testing.T) {
+	d, now := practised(pool(6)...)
+	for range 3 {
+		d.Note(now, "t0", "", dispatch.ResultBad, time.Millisecond)
+	}
+	tried := time.Duration(0)
+	for n := range uint64(400) {
+		at := now.Add(time.Duration(n) * 20 * time.Millisecond)
+		g := d.Ask(at, ask(at, n))
+		if g.Target == "t0" {
+			tried = at.Sub(now)
+			break
+		}
+		d.Done(at, g.ID, g.Target, dispatch.ResultGood, usual)
+	}
+	if tried < 4*time.Second || tried > 6*time.Second {
+		t.Errorf("tried again after %v, want about 5 s", tried)
+	}
+}
+
+// Targets are tried by what can be repeated; large answers don't cross data halls for
+// it.
+func TestTrialsOfLargeAnswersStayInTheDataHall(t *testing.T) {
+	d, now := practised(pool(6)...)
+	for range 3 {
+		d.Note(now, "t1", "", dispatch.ResultBad, time.Millisecond)
+	}
+	tried := map[int]bool{}
+	for n := range uint64(400) {
+		at := now.Add(time.Duration(n) * 10 * time.Millisecond)
+		a := ask(at, n)
+		a.Repeatable = true
+		if n < 200 {
+			a.Kilobytes = 90
+		}
+		g := d.Ask(at, a)
+		if g.Target == "t1" {
+			tried[a.Kilobytes] = true
+		}
+		d.Done(at, g.ID, g.Target, dispatch.ResultGood, usual)
+	}
+	if tried[90] || !tried[1] {
+		t.Errorf("the target of the other data hall was tried by answers of these sizes in KiB: %v", tried)
+	}
+}
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -48,7 +48,7 @@
 	closedTime = 2 * time.Second
 	// lastPatience is the part of its time that an attempt which no other can follow
 	// waits for a target that isn't failing.
-	lastPatience = 0.6
+	lastPatience = 0.5
 	// coldSlots is the part of its slots that a starting target gets.
 	coldSlots = 0.5
 )
--- /dev/null
+++ b/internal/dispatch/hedge_test.go
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// usual is the time of an answer in these tests.
+const usual = 200 * time.Millisecond
+
+// practised returns a desk of targets that have answered for some time, and when
+// that was. All their answers took between half the usual time and one and a half.
+func practised(targets ...dispatch.Target) (*dispatch.Desk, time.Time) {
+	d := newDesk(targets...)
+	now := start
+	for n := range uint64(400) {
+		now = now.Add(30 * time.Millisecond)
+		a := ask(now, 1_000_000+n)
+		a.DataHall = string(rune('a' + n%2))
+		a.Kilobytes = 5
+		g := d.Ask(now, a)
+		took := usual/2 + time.Duration(n%20)*usual/20
+		d.Done(now, g.ID, g.Target, dispatch.ResultGood, took)
+	}
+	return d, now
+}
+
+// hedge returns an ask for a second target beside one that has been silent for age.
+func hedge(now time.Time, n uint64, age time.Duration, first string) *dispatch.Ask {
+	a := ask(now, n)
+	a.Repeatable, a.Again, a.Hedge, a.Age = true, true, true, age
+	a.Tried = []string{first}
+	return a
+}
+
+// A second target is granted beside a first one that is probably silent, not beside
+// one that has merely not answered yet.
+func TestHedgeNeedsSilence(t *testing.T) {
+	tests := []struct {
+		name string
+		age  time.Duration
+		want dispatch.Verdict
+	}{
+		{
+			name: "not sent yet",
+			want: dispatch.Spent,
+		},
+		{
+			name: "usual time",
+			age:  usual,
+			want: dispatch.Spent,
+		},
+		{
+			name: "three times the usual time",
+			age:  3 * usual,
+			want: dispatch.Granted,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d, now := practised(pool(6)...)
+			first := ask(now, 1)
+			first.Repeatable = true
+			g := d.Ask(now, first)
+			later := now.Add(tt.age)
+			if got := d.Ask(later, hedge(later, 2, tt.age, g.Target)); got.Verdict != tt.want {
+				t.Errorf("got %v, want %v", got.Verdict, tt.want)
+			}
+		})
+	}
+}
+
+// The more of the retry budget is spent, the surer it must be that the first target
+// is silent.
+func TestHedgeIsDearWhenTheBudgetRunsOut(t *testing.T) {
+	d, now := practised(pool(20)...)
+	age := 2 * usual
+	for n := range uint64(200) {
+		a := ask(now, n)
+		a.Repeatable, a.Again = true, true
+		g := d.Ask(now, a)
+		if g.Verdict != dispatch.Granted {
+			t.Fatalf("retry %d: %v", n, g.Verdict)
+		}
+		d.Done(now, g.ID, g.Target, dispatch.ResultGood, usual)
+		h := d.Ask(now, hedge(now, 1000+n, age, "t0"))
+		if h.Verdict == dispatch.Spent {
+			if n == 0 {
+				t.Fatal("no second attempt while the budget was hardly used")
+			}
+			return
+		}
+		d.Done(now, h.ID, h.Target, dispatch.ResultIgnored, 0)
+	}
+	t.Fatal("second attempts were granted until the budget was gone")
+}
+
+// A second attempt waits for a target that isn't failing, also when its answer will
+// be late: after it there is no other.
+func TestHedgeWaitsForATargetThatIsNotFailing(t *testing.T) {
+	d, now := practised(dispatch.Target{
+		Key:      "good",
+		DataHall: "a",
+		Slots:    1,
+	}, dispatch.Target{
+		Key:      "bad",
+		DataHall: "a",
+		Slots:    3,
+	})
+	for range 4 {
+		d.Note(now, "bad", "", dispatch.ResultBad, time.Millisecond)
+	}
+	if g := d.Ask(now, ask(now, 1)); g.Target != "good" {
+		t.Fatalf("first ask got %q", g.Target)
+	}
+	a := hedge(now, 2, 4*usual, "bad")
+	a.Tried = []string{"elsewhere"}
+	a.Aim = now.Add(usual)
+	if g := d.Ask(now, a); g.Verdict != dispatch.Queued {
+		t.Fatalf("second attempt: %v %q", g.Verdict, g.Target)
+	}
+}
+
+// What hardly any answer would come for in the time that is left is refused at once
+// and leaves the slot to others.
+func TestHopelessIsRefused(t *testing.T) {
+	d, now := practised(dispatch.Target{
+		Key:      "only",
+		DataHall: "a",
+		Slots:    1,
+	})
+	first := d.Ask(now, ask(now, 1))
+	waiting, late := ask(now, 2), ask(now, 3)
+	waiting.Deadline = now.Add(2 * usual)
+	late.Deadline = now.Add(usual / 4)
+	if g := d.Ask(now, waiting); g.Verdict != dispatch.Queued {
+		t.Fatalf("with time left: %v", g.Verdict)
+	}
+	if g := d.Ask(now, late); g.Verdict != dispatch.Refused {
+		t.Errorf("with hardly any time left: %v", g.Verdict)
+	}
+	grants := d.Done(now.Add(2*usual-usual/4), first.ID, first.Target, dispatch.ResultGood, usual)
+	if len(grants) != 1 || grants[0].Verdict != dispatch.Refused {
+		t.Errorf("after the wait: %v", grants)
+	}
+}
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -87,6 +87,15 @@
 	within time.Duration
 }
 
+// limit returns within which time a target should get work. One that has answered a
+// trial gets the next one soon.
+func (s spread) limit(t *target) time.Duration {
+	if t.health.Answering() {
+		return min(s.within, spreadTime)
+	}
+	return s.within
+}
+
 // spreadOf returns how far work is spread by an ask.
 func (d *Desk) spreadOf(now time.Time, a *Ask) spread {
 	switch {
@@ -138,7 +147,7 @@
 			continue
 		}
 		all++
-		if now.Sub(t.granted) < s.within {
+		if now.Sub(t.granted) < s.limit(t) {
 			continue
 		}
 		out++
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -15,7 +15,7 @@
 	startFailing = 0.02
 	// trusted is the probability of failing below which targets are all alike: to
 	// prefer those that answered last would leave the others without work.
-	trusted = 0.08
+	trusted = 0.02
 	// leastFailing and mostFailing bound the belief: no evidence is certain.
 	leastFailing = 0.004
 	mostFailing  = 0.985
@@ -133,6 +133,16 @@
 	return t.cached
 }
 
+// Answering tells whether the last attempt that has ended was answered well.
+func (t *Target) Answering() bool {
+	for i := len(t.events) - 1; i >= 0; i-- {
+		if k := t.events[i].kind; k != Open {
+			return k == Good || k == Late
+		}
+	}
+	return true
+}
+
 // update returns the probability of failing after one event.
 func (t *Target) update(p float64, e *event, now time.Time) float64 {
 	working, failing := t.model.likelihoods(e, now)
--- a/internal/node/dispatching_test.go
+++ b/internal/node/dispatching_test.go
@@ -44,7 +44,7 @@
 				Slots:    3,
 			},
 		})
-		d.Note(time.Now(), key, dispatch.ResultBad, 200*time.Millisecond)
+		d.Note(time.Now(), key, "", dispatch.ResultBad, 200*time.Millisecond)
 		if got, want := c.Failing(key), d.Status(time.Now()).Targets[0].Failing; got != want {
 			t.Errorf("belief %.3f after one failure, want %.3f", got, want)
 		}
