--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -30,7 +30,7 @@
 	waitRate = 2.5
 	// waitMost bounds that cost for what no other attempt can follow: waiting makes up
 	// for bytes between data halls then, not for doubt.
-	waitMost = 0.2
+	waitMost = 0.5
 )
 
 // failureCost returns the cost of a failure of this attempt.
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -122,18 +122,9 @@
 	}
 }
 
-// before tells whether one neglected target gets work before another: while few
-// requests fail the one that is less likely to fail, else the one that had none for
-// longer, so that each has its turn.
-func before(now time.Time, one, other *target, calm bool) bool {
-	if calm {
-		return one.failing(now) < other.failing(now)
-	}
-	return one.granted.Before(other.granted)
-}
-
 // neglected returns a target that got no work for a while, if too many targets are
-// left out. Beliefs may be wrong, and leaving out what works would overload the rest.
+// left out: of those the one that is least likely to fail. Beliefs may be wrong, and
+// leaving out what works would overload the rest.
 func (d *Desk) neglected(now time.Time, a *Ask) *target {
 	if a.Again {
 		return nil
@@ -154,7 +145,7 @@
 		if calm && t.DataHall != a.DataHall && crossing*float64(a.Kilobytes) > spreadCrossing {
 			continue
 		}
-		if len(t.flights) < t.Slots && (best == nil || before(now, t, best, calm)) {
+		if len(t.flights) < t.Slots && (best == nil || t.failing(now) < best.failing(now)) {
 			best = t
 		}
 	}
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -13,9 +13,6 @@
 	mostEvents = 10
 	// startFailing is the probability that a target fails that has just started.
 	startFailing = 0.02
-	// trusted is the probability of failing below which targets are all alike: to
-	// prefer those that answered last would leave the others without work.
-	trusted = 0.02
 	// leastFailing and mostFailing bound the belief: no evidence is certain.
 	leastFailing = 0.004
 	mostFailing  = 0.985
@@ -159,8 +156,5 @@
 // Lost returns the probability that a request sent at now is not answered well.
 func (t *Target) Lost(now time.Time) float64 {
 	p := t.Failing(now)
-	if p < trusted {
-		p = leastFailing
-	}
 	return p*t.model.LostFailing() + (1-p)*t.model.LostWorking()
 }
