--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -16,8 +16,10 @@
 	// spreadTime is within which time a target should get work, failingShare how
 	// many of the targets while many requests fail.
 	spreadTime = 1500 * time.Millisecond
-	// trialTime is within which time each target should get work though all that is
+	// trialShare is the share of targets that should get work where all that is asked
+	// for can't be repeated, trialTime within which time each target should get work though all that is
 	// asked for can't be repeated.
+	trialShare   = 0.85
 	trialTime    = 5 * time.Second
 	failingShare = 0.95
 	// repeatableShare and calmShare are the same for a large service while few
@@ -116,7 +118,7 @@
 		}
 	default:
 		return spread{
-			share:  failingShare,
+			share:  trialShare,
 			within: trialTime,
 		}
 	}
