internal/dispatch: waits from the times of routes and the slots of targets that work

Cause: one usual time for a whole service was drawn down by the short requests that only test routes, and slots of silent targets counted as capacity: what could not be served in time was queued.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -33,10 +33,6 @@
 
 // Times and shares of a desk.
 const (
-	// usualStart is the usual time of a request before any was seen.
-	usualStart = 300 * time.Millisecond
-	// usualStep is the part by which one request moves the usual time.
-	usualStep = 0.03
 	// flightSlack is how long after its deadline a granted attempt is forgotten.
 	flightSlack = 500 * time.Millisecond
 	// refusedFrom is the part of the time left that a queue may take.
@@ -63,14 +59,15 @@
 	queue   queue
 	window  window
 	others  elsewhere
-	usual   time.Duration
 	granted map[ID]string
 	// closed are asks that have ended: a repeated datagram of one of them must not
 	// open it again.
 	closed map[ID]time.Time
 	// model is what is learned of the service's targets.
 	model *health.Model
-	ends  ends
+	// unlearned counts times of answers that the histograms did not take.
+	unlearned int
+	ends      ends
 }
 
 // NewDesk returns a desk without targets. random gives numbers from 0 to 1.
@@ -81,7 +78,6 @@
 		random:  random,
 		targets: map[string]*target{},
 		others:  elsewhere{},
-		usual:   usualStart,
 		granted: map[ID]string{},
 		closed:  map[ID]time.Time{},
 		model:   health.NewModel(now),
@@ -126,7 +122,7 @@
 		}
 	}
 	most := time.Duration(refusedFrom * float64(a.Deadline.Sub(now)))
-	if wait := d.queue.wait(now, d, a.Priority); wait > 0 && wait > most {
+	if wait := d.wait(now, a.Priority); wait > most {
 		d.ends.note(now, false)
 		return Grant{
 			ID:         a.ID,
@@ -137,7 +133,7 @@
 	if t := d.neglected(now, a); t != nil {
 		return d.grant(now, t, a)
 	}
-	if d.queue.ahead(now, d.usual, a.Priority) == 0 {
+	if d.queue.ahead(now, a.Priority) == 0 {
 		if t := d.best(now, now, a); t != nil {
 			return d.grant(now, t, a)
 		}
@@ -148,13 +144,29 @@
 			Verdict: Refused,
 		}
 	}
-	d.queue.add(now, a)
+	d.queue.add(now, a, d.model.Route(now, a.Route).Usual())
 	return Grant{
 		ID:      a.ID,
 		Verdict: Queued,
 	}
 }
 
+// wait estimates how long an ask of a priority would wait: the work before it, by the
+// slots of targets that work.
+func (d *Desk) wait(now time.Time, priority int) time.Duration {
+	work := d.queue.ahead(now, priority)
+	if work == 0 {
+		return 0
+	}
+	slots := 0.0
+	for _, t := range d.order {
+		if !t.Leaving {
+			slots += float64(t.Slots) * (1 - t.failing(now))
+		}
+	}
+	return time.Duration(float64(work) / max(slots, 1))
+}
+
 // hopeless tells whether so little time is left that hardly any answer would come.
 // Others make better use of the slot.
 func (d *Desk) hopeless(now time.Time, a *Ask) bool {
@@ -307,14 +319,7 @@
 		return
 	}
 	if err := route.Answered(took); err != nil {
-		return
-	}
-	// The usual time is an estimate of the median.
-	step := time.Duration(float64(d.usual) * usualStep)
-	if took > d.usual {
-		d.usual += step
-	} else {
-		d.usual = max(d.usual-step, time.Millisecond)
+		d.unlearned++
 	}
 }
 
@@ -347,7 +352,7 @@
 		d.ends.note(now, false)
 	}
 	for _, near := range [...]bool{true, false} {
-		d.queue.each(now, d.usual, func(w *waiting) bool {
+		d.queue.each(now, func(w *waiting) bool {
 			t := d.best(now, w.since, w.ask)
 			if t == nil || near && t.DataHall != w.ask.DataHall {
 				return false
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -11,6 +11,8 @@
 type waiting struct {
 	ask   *Ask
 	since time.Time
+	// takes is the usual time of an answer to it.
+	takes time.Duration
 }
 
 // queue holds asks by priority and then by their arrival.
@@ -18,7 +20,7 @@
 	list []*waiting
 }
 
-func (q *queue) add(now time.Time, a *Ask) {
+func (q *queue) add(now time.Time, a *Ask, takes time.Duration) {
 	at := len(q.list)
 	for at > 0 && q.list[at-1].ask.Priority > a.Priority {
 		at--
@@ -26,35 +28,25 @@
 	q.list = slices.Insert(q.list, at, &waiting{
 		ask:   a,
 		since: now,
+		takes: takes,
 	})
 }
 
-// ahead returns how many asks of the same or a more urgent priority wait that can
-// still be answered in time, if a request takes usual.
-func (q *queue) ahead(now time.Time, usual time.Duration, priority int) int {
-	n := 0
+// ahead returns how much work of the same or a more urgent priority waits that can
+// still be answered in time: the sum of its usual times.
+func (q *queue) ahead(now time.Time, priority int) time.Duration {
+	var sum time.Duration
 	for _, w := range q.list {
-		if w.ask.Priority <= priority && w.inTime(now, usual) {
-			n++
+		if w.ask.Priority <= priority && w.inTime(now) {
+			sum += w.takes
 		}
 	}
-	return n
+	return sum
 }
 
 // inTime tells whether an answer can still be worth most.
-func (w *waiting) inTime(now time.Time, usual time.Duration) bool {
-	return now.Add(usual).Before(w.ask.Aim)
-}
-
-// wait estimates how long an ask would wait.
-func (q *queue) wait(now time.Time, d *Desk, priority int) time.Duration {
-	slots := 0
-	for _, t := range d.order {
-		if !t.Leaving {
-			slots += t.Slots
-		}
-	}
-	return time.Duration(float64(q.ahead(now, d.usual, priority)) * float64(d.usual) / float64(max(slots, 1)))
+func (w *waiting) inTime(now time.Time) bool {
+	return now.Add(w.takes).Before(w.ask.Aim)
 }
 
 func (q *queue) has(id ID) bool {
@@ -68,10 +60,10 @@
 // each gives the asks in order and removes those for which taken returns true. Asks
 // that can still be answered in time come first: under overload the others would
 // make all of them late.
-func (q *queue) each(now time.Time, usual time.Duration, taken func(*waiting) bool) {
+func (q *queue) each(now time.Time, taken func(*waiting) bool) {
 	for _, inTime := range [...]bool{true, false} {
 		q.list = slices.DeleteFunc(q.list, func(w *waiting) bool {
-			return w.inTime(now, usual) == inTime && taken(w)
+			return w.inTime(now) == inTime && taken(w)
 		})
 	}
 }
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -10,8 +10,8 @@
 	Waiting  int
 	InFlight int
 	Slots    int
-	// Usual is the usual time of a request.
-	Usual time.Duration
+	// Unlearned counts times of answers that could not be taken in.
+	Unlearned int
 	// Prior is the part of the time that targets of the service are failing.
 	Prior float64
 	// Enter and Leave are how often, in 1/s, targets begin and end to fail.
@@ -42,7 +42,7 @@
 	firsts, repeats := d.window.sums()
 	s := Status{
 		Waiting:     len(d.queue.list),
-		Usual:       d.usual,
+		Unlearned:   d.unlearned,
 		Prior:       d.model.Share(),
 		LostFailing: d.model.LostFailing(),
 		Asked:       int(firsts + repeats),
--- a/internal/health/model.go
+++ b/internal/health/model.go
@@ -178,7 +178,8 @@
 // Usual returns the median time of the route's good answers.
 func (r *Route) Usual() time.Duration { return r.times.usual() }
 
-// Within returns the time within which a share of the route's good answers comes.
+// Within returns the time within which a share of the route's good answers comes, 0
+// while that isn't known.
 func (r *Route) Within(share float64) time.Duration { return r.times.within(share) }
 
 // Longer returns the share of the route's good answers that take longer than age.
--- a/internal/health/survival.go
+++ b/internal/health/survival.go
@@ -88,10 +88,10 @@
 const medianAt = 3
 
 // within returns the time within which a share of the good answers comes, of those
-// in the table the least that is as great.
+// in the table the least that is as great, or 0 before any are known.
 func (t *times) within(share float64) time.Duration {
 	if t.n < timeRenew {
-		return timeStart
+		return 0
 	}
 	for i, q := range quantiles {
 		if q >= 100*share {
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -55,7 +55,7 @@
 			"waiting":      s.Waiting,
 			"in_flight":    s.InFlight,
 			"slots":        s.Slots,
-			"usual_ms":     s.Usual.Milliseconds(),
+			"unlearned":    s.Unlearned,
 			"prior":        math.Round(s.Prior*100) / 100,
 			"enter":        math.Round(s.Enter*1000) / 1000,
 			"leave":        math.Round(s.Leave*1000) / 1000,
