cmd/ploverctl: account of how requests ended, from logs

Counts final answers by service, route and what came of each attempt, with an example of each; trace and account read logs by one piece of code.

--- a/cmd/ploverctl/main.go
+++ b/cmd/ploverctl/main.go
@@ -35,6 +35,7 @@
 	Config  configCommand  `cmd:"" help:"Configuration in force on a node."`
 	Follow  followCommand  `cmd:"" help:"Print the changes on a node as they happen, until interrupted."`
 	Trace   traceCommand   `cmd:"" help:"Tell the story of one request from the logs of the nodes."`
+	Account accountCommand `cmd:"" help:"Count from the logs of the nodes how requests ended, and why."`
 	Drain   drainCommand   `cmd:"" help:"Begin the planned stop of a node."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
--- a/cmd/ploverctl/trace.go
+++ b/cmd/ploverctl/trace.go
@@ -3,11 +3,7 @@
 package main
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 	"slices"
 	"strings"
 )
@@ -18,23 +14,6 @@
 	Files []string `arg:"" optional:"" help:"Logs in JSON; standard input if none is given." type:"existingfile"`
 }
 
-// maxLine bounds a line of a log in bytes.
-const maxLine = 1 << 20
-
-// line is one line of a log that names the request.
-type line struct {
-	fields map[string]any
-	source string
-}
-
-func (l *line) text(key string) string {
-	v, ok := l.fields[key]
-	if !ok {
-		return ""
-	}
-	return fmt.Sprint(v)
-}
-
 // Run reads the logs and prints the lines about the request in their order.
 func (c *traceCommand) Run(out *output) error {
 	lines, err := c.read()
@@ -56,50 +35,15 @@
 	return out.print(fields, "%s", story.String())
 }
 
+// read returns the lines that name the request.
 func (c *traceCommand) read() ([]line, error) {
-	if len(c.Files) == 0 {
-		return c.scan(os.Stdin, "")
-	}
 	var out []line
-	for _, name := range c.Files {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, fmt.Errorf("ploverctl: %w", err)
+	err := scanFiles(c.Files, c.ID, func(l line) {
+		if l.text("request") == c.ID {
+			out = append(out, l)
 		}
-		lines, err := c.scan(f, name)
-		_ = f.Close()
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, lines...)
-	}
-	return out, nil
-}
-
-// scan returns the lines of one log that name the request. Whatever stands before
-// the JSON of a line, such as a host's name, is taken for the source.
-func (c *traceCommand) scan(r io.Reader, source string) ([]line, error) {
-	var out []line
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxLine)
-	for s.Scan() {
-		text := s.Text()
-		if !strings.Contains(text, c.ID) {
-			continue
-		}
-		before, _, found := strings.Cut(text, "{")
-		l := line{
-			source: strings.TrimSpace(source + " " + before),
-		}
-		if !found || json.Unmarshal([]byte(text[len(before):]), &l.fields) != nil || l.text("request") != c.ID {
-			continue
-		}
-		out = append(out, l)
-	}
-	if err := s.Err(); err != nil {
-		return nil, fmt.Errorf("ploverctl: read %s: %w", source, err)
-	}
-	return out, nil
+	})
+	return out, err
 }
 
 // told are the fields of a line that the story begins with; the others follow by
--- a/internal/integration/tool_test.go
+++ b/internal/integration/tool_test.go
@@ -236,6 +236,48 @@
 	}
 }
 
+// The account counts how requests ended, by route, and why those were lost that were
+// not served; requests without a final line are left out.
+func TestAccountSaysWhyRequestsWereLost(t *testing.T) {
+	log := file(t, "node.log", `{"msg":"entry: request answered","request":"a","service":"quotes","route":"r","status":200,"time":"1"}
+{"msg":"entry: request answered","request":"b","service":"quotes","route":"r","status":200,"time":"1"}
+{"msg":"entry: attempt answered","request":"c","status":500,"time":"3"}
+{"msg":"entry: attempt failed","request":"c","kind":"deadline","time":"2"}
+{"msg":"entry: request failed","request":"c","service":"quotes","route":"r","status":504,"time":"4"}
+{"msg":"entry: no target for the attempt","request":"d","error":"entry: no target: retry budget","time":"1"}
+{"msg":"entry: request failed","request":"d","service":"quotes","route":"r","status":503,"time":"2"}
+{"msg":"entry: attempt failed","request":"e","kind":"reset","time":"2"}
+host-2 {"msg":"entry: request refused","request":"f","error":"entry: no-route (not-run)","status":404,"time":"2"}
+`)
+	exit, out := ctl(t, "--output", "json", "account", log)
+	var list []struct {
+		Reason  string  `json:"reason"`
+		Count   int     `json:"count"`
+		Share   float64 `json:"share"`
+		Example string  `json:"example"`
+	}
+	if err := json.Unmarshal([]byte(out), &list); exit != 0 || err != nil {
+		t.Fatalf("exit %d, err %v:\n%s", exit, err, out)
+	}
+	want := map[string]string{
+		"served":                         "a",
+		"deadline, then status 500":      "c",
+		"entry: no target: retry budget": "d",
+		"entry: no-route (not-run)":      "f",
+	}
+	if len(list) != len(want) || list[0].Reason != "served" || list[0].Count != 2 || list[0].Share != 0.4 {
+		t.Errorf("got %+v", list)
+	}
+	for _, e := range list {
+		if want[e.Reason] != e.Example {
+			t.Errorf("reason %q with example %q, want %q", e.Reason, e.Example, want[e.Reason])
+		}
+	}
+	if _, out := ctl(t, "account", log); !strings.Contains(out, "40.00%") {
+		t.Errorf("no share in:\n%s", out)
+	}
+}
+
 // Each request has one line with its final answer, and each failed attempt another.
 func TestEveryRequestHasItsLine(t *testing.T) {
 	s, b, n := oneTarget(t)
