--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// BenchmarkAsk measures one ask and its end on services of several sizes: half of the
+// slots are taken, as under load.
+func BenchmarkAsk(b *testing.B) {
+	for _, targets := range []int{15, 170, 500} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			d := newDesk(pool(targets)...)
+			now := start
+			running := make([]dispatch.Grant, targets)
+			step := usual / time.Duration(targets)
+			b.ReportAllocs()
+			for n := range b.N {
+				now = now.Add(step)
+				old := running[n%targets]
+				if old.Target != "" {
+					d.Done(now, old.ID, old.Target, dispatch.ResultGood, usual)
+				}
+				running[n%targets] = d.Ask(now, ask(now, uint64(n)))
+				if n%targets == 0 {
+					d.Advance(now)
+				}
+			}
+		})
+	}
+}
--- a/internal/dispatch/choose_test.go
+++ b/internal/dispatch/choose_test.go
@@ -107,3 +107,37 @@
 		t.Errorf("the target of the other data hall was tried by answers of these sizes in KiB: %v", tried)
 	}
 }
+
+// The slots of failing targets don't count in what a queue can be served with: what
+// would wait too long is refused at once and told when to come back.
+func TestFailingTargetsServeNoQueue(t *testing.T) {
+	d, now := practised(dispatch.Target{
+		Key:      "good",
+		DataHall: "a",
+		Slots:    1,
+	}, dispatch.Target{
+		Key:      "bad",
+		DataHall: "a",
+		Slots:    2,
+	})
+	for range 4 {
+		d.Note(now, "bad", "", dispatch.ResultBad, time.Millisecond)
+	}
+	queued := 0
+	for n := range uint64(20) {
+		a := ask(now, n)
+		a.Deadline = now.Add(6 * usual)
+		g := d.Ask(now, a)
+		if g.Verdict == dispatch.Refused {
+			if g.RetryAfter < 3*usual || g.RetryAfter > 6*usual {
+				t.Errorf("told to come back after %v", g.RetryAfter)
+			}
+			break
+		}
+		queued++
+	}
+	// One at the target, and what it can do in three fifths of the time.
+	if queued < 4 || queued > 6 {
+		t.Errorf("%d asks were taken, want about 5", queued)
+	}
+}
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -92,6 +92,10 @@
 			if n == 0 {
 				t.Fatal("no second attempt while the budget was hardly used")
 			}
+			sure := d.Ask(now, hedge(now, 2000+n, 8*usual, "t0"))
+			if sure.Verdict != dispatch.Granted {
+				t.Errorf("beside one that is surely silent: %v, with %.0f repeats left", sure.Verdict, d.Status(now).RepeatsLeft)
+			}
 			return
 		}
 		d.Done(now, h.ID, h.Target, dispatch.ResultIgnored, 0)
@@ -123,6 +127,9 @@
 	if g := d.Ask(now, a); g.Verdict != dispatch.Queued {
 		t.Fatalf("second attempt: %v %q", g.Verdict, g.Target)
 	}
+	if grants := d.Advance(now.Add(usual / 2)); len(grants) != 0 {
+		t.Fatalf("after half of the usual time: %v", grants)
+	}
 }
 
 // What hardly any answer would come for in the time that is left is refused at once
@@ -137,12 +144,12 @@
 	waiting, late := ask(now, 2), ask(now, 3)
 	waiting.Deadline = now.Add(2 * usual)
 	late.Deadline = now.Add(usual / 4)
-	if g := d.Ask(now, waiting); g.Verdict != dispatch.Queued {
-		t.Fatalf("with time left: %v", g.Verdict)
-	}
 	if g := d.Ask(now, late); g.Verdict != dispatch.Refused {
 		t.Errorf("with hardly any time left: %v", g.Verdict)
 	}
+	if g := d.Ask(now, waiting); g.Verdict != dispatch.Queued {
+		t.Fatalf("with time left: %v", g.Verdict)
+	}
 	grants := d.Done(now.Add(2*usual-usual/4), first.ID, first.Target, dispatch.ResultGood, usual)
 	if len(grants) != 1 || grants[0].Verdict != dispatch.Refused {
 		t.Errorf("after the wait: %v", grants)
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -145,6 +145,38 @@
 	}
 }
 
+// While many callers leave without an answer, large answers too are used to try the
+// targets of another data hall.
+func TestCallersThatLeaveSpreadLargeAnswers(t *testing.T) {
+	for _, leave := range []bool{false, true} {
+		d := newDesk(pool(8)...)
+		far := map[string]bool{}
+		now := start
+		for n := range uint64(400) {
+			now = now.Add(15 * time.Millisecond)
+			a := ask(now, n)
+			a.Repeatable, a.Kilobytes = true, 90
+			g := d.Ask(now, a)
+			if n >= 100 && g.Target[1]%2 == 1 {
+				far[g.Target] = true
+			}
+			if leave && n%5 == 0 {
+				d.Lost(g.Target, g.ID)
+				d.Done(now, g.ID, g.Target, dispatch.ResultIgnored, 300*time.Millisecond)
+				continue
+			}
+			d.Done(now, g.ID, g.Target, dispatch.ResultGood, 300*time.Millisecond)
+		}
+		want := 0
+		if leave {
+			want = 4
+		}
+		if len(far) != want {
+			t.Errorf("callers leave: %v; %d of 4 targets of the other data hall got work, want %d", leave, len(far), want)
+		}
+	}
+}
+
 // In a large service too nearly all targets get work while many requests fail: the
 // users may take any few of them for sound.
 func TestLargeServiceSpreadsWorkWhileManyRequestsFail(t *testing.T) {
