--- a/internal/integration/joint_test.go
+++ b/internal/integration/joint_test.go
@@ -108,3 +108,26 @@
 		t.Errorf("%d of 120 requests failed", failures)
 	}
 }
+
+// A target that suddenly says nothing costs no repeatable request: a second target is
+// asked for until one is granted, and the silence keeps others away.
+func TestSilentTargetIsOvertaken(t *testing.T) {
+	s := jointSite(t, 3)
+	get := func(i int) reply {
+		n := s.nodes[i%len(s.nodes)]
+		return n.do(http.MethodGet, "/quotes/1", fmt.Sprintf("read-%d", i), "")
+	}
+	for i := range 60 {
+		if r := get(i); r.status != http.StatusOK {
+			t.Fatalf("before: status %d, err %v", r.status, r.err)
+		}
+	}
+	s.targets[0].SetMode(target.Mode{
+		Stall: true,
+	})
+	for i := range 60 {
+		if r := get(60 + i); r.err != nil || r.status != http.StatusOK {
+			t.Errorf("request %d: status %d, outcome %q, err %v", i, r.status, r.outcome, r.err)
+		}
+	}
+}
