--- a/internal/integration/joint_test.go
+++ b/internal/integration/joint_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -122,12 +123,18 @@
 			t.Fatalf("before: status %d, err %v", r.status, r.err)
 		}
 	}
-	s.targets[0].SetMode(target.Mode{
+	// The target with the most requests is the one that is preferred.
+	busiest := slices.MaxFunc(s.targets, func(a, b *backend) int { return int(a.Requests() - b.Requests()) })
+	busiest.SetMode(target.Mode{
 		Stall: true,
 	})
+	before := busiest.Requests()
 	for i := range 60 {
 		if r := get(60 + i); r.err != nil || r.status != http.StatusOK {
 			t.Errorf("request %d: status %d, outcome %q, err %v", i, r.status, r.outcome, r.err)
 		}
 	}
+	if busiest.Requests() == before {
+		t.Fatal("no request met the silent target")
+	}
 }
