internal/node: name the target at which an attempt goes on last

Cause: targets that the node can't reach were named after those that were tried, and the dispatcher took the last one for the target beside which a second attempt is asked for. Test: TestTriedTargetIsNamedLast, which failed first.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -42,8 +42,8 @@
 	// Aim is until when an answer is worth most, Deadline until when it counts.
 	Aim      time.Time
 	Deadline time.Time
-	// Tried are keys of targets that the request was sent to before or that the
-	// node can't reach.
+	// Tried are keys of targets that the node can't reach or that the request was sent
+	// to before; beside a hedge the attempt at the last one goes on.
 	Tried []string
 	// Elsewhere is what the node got from other dispatchers of the service.
 	Elsewhere Spending
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -174,21 +174,21 @@
 	return d.chooseAlone(q)
 }
 
-// avoid returns the targets that this node should not get: those that the request
-// was sent to and those that can't be reached from here.
+// avoid returns the targets that this node should not get: those that can't be reached
+// from here and, after them, those that the request was sent to.
 func (d *dispatching) avoid(q *entry.Query) []string {
 	now := time.Now()
-	out := q.Tried
+	var out []string
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for key, until := range d.lost {
 		if now.After(until) {
 			delete(d.lost, key)
-		} else if q.Service.Target(key) != nil && len(out) < mostTried {
+		} else if q.Service.Target(key) != nil && len(out)+len(q.Tried) < mostTried {
 			out = append(out, key)
 		}
 	}
-	return out
+	return append(out, q.Tried...)
 }
 
 // ended says why a wait for a target was broken off.
--- a/internal/node/dispatching_test.go
+++ b/internal/node/dispatching_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,24 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
+// The target at which the attempt goes on is named last, whatever else the node can't
+// reach: by its silence the dispatcher decides whether a second one is asked.
+func TestTriedTargetIsNamedLast(t *testing.T) {
+	const lost, tried = "192.0.2.10:80", "192.0.2.11:80"
+	c := node.NewChooser("quotes", []*wire.Entry{
+		{
+			Key:      "services",
+			Revision: 1,
+			Value: []byte(`{"services":[{"name":"quotes"}],"targets":[
+				{"service":"quotes","address":"192.0.2.10:80","dataHall":"a","slots":3,"connections":200},
+				{"service":"quotes","address":"192.0.2.11:80","dataHall":"a","slots":3,"connections":200}]}`),
+		},
+	})
+	if got, want := c.Avoid(lost, tried), []string{lost, tried}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // A failure that the dispatcher's own node saw counts once: its belief is that of a
 // desk which was told of it once.
 func TestOwnFailureCountsOnce(t *testing.T) {
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -90,6 +90,16 @@
 	})
 }
 
+// Avoid returns the targets that the node would not take for a request that was sent
+// to tried, while it can't reach lost.
+func (c *Chooser) Avoid(lost string, tried ...string) []string {
+	c.dispatching.lost[lost] = time.Now().Add(lostTime)
+	return c.dispatching.avoid(&entry.Query{
+		Service: c.service,
+		Tried:   tried,
+	})
+}
+
 // Failing returns the belief that a target is failing.
 func (c *Chooser) Failing(key string) float64 {
 	d := c.dispatching
