internal/dispatch: tell how many of the working targets have work

Cause: the logs named the targets believed to fail, not those that may work and get nothing, nor why a target got a request. Change: the probability that a target has worked for four seconds (internal/health), of which the desk makes the expected number of working and of reached targets and the probability that these are too few; in the desk's line, the status and a metric; trials are marked in the lines of requests. No choice is changed.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -81,4 +81,6 @@
 	HedgeAfter time.Duration
 	// Doubt is how likely the target was not to answer well.
 	Doubt float64
+	// Trial is set where the target would have been left out else.
+	Trial bool
 }
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -68,6 +68,8 @@
 	// unlearned counts times of answers that the histograms did not take.
 	unlearned int
 	ends      ends
+	// trials counts grants of targets that would have been left out else.
+	trials int
 }
 
 // NewDesk returns a desk without targets. random gives numbers from 0 to 1.
@@ -131,7 +133,10 @@
 		}
 	}
 	if t := d.neglected(now, a); t != nil {
-		return d.grant(now, t, a)
+		d.trials++
+		g := d.grant(now, t, a)
+		g.Trial = true
+		return g
 	}
 	if d.queue.ahead(now, a.Priority) == 0 {
 		if t := d.best(now, now, a); t != nil {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -22,6 +22,12 @@
 	Asked int
 	// RepeatsLeft is how many repeats the retry budget still pays for.
 	RepeatsLeft float64
+	// Working is the expected number of targets that have worked for some seconds,
+	// Reached how many of them got work lately, Short the probability that these are too
+	// few of them.
+	Working, Reached, Short float64
+	// Trials counts grants of targets that would have been left out else.
+	Trials int
 	// Targets are all targets, in the order of their configuration.
 	Targets []TargetStatus
 }
@@ -47,8 +53,11 @@
 		LostFailing: d.model.LostFailing(),
 		Asked:       int(firsts + repeats),
 		RepeatsLeft: d.left(now, 1),
+		Trials:      d.trials,
 	}
 	s.Enter, s.Leave = d.model.Rates()
+	c := d.coverage(now)
+	s.Working, s.Reached, s.Short = c.working, c.reached, c.short
 	for _, t := range d.order {
 		s.InFlight += len(t.flights)
 		if !t.Leaving {
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -50,6 +50,8 @@
 	HedgeAfter time.Duration
 	// Doubt is how likely the target was not to answer well, by whoever chose it.
 	Doubt float64
+	// Trial is set where the target would have got no request else.
+	Trial bool
 	// Done must be called once, when the attempt has ended.
 	Done func(end outlier.End, took time.Duration)
 }
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -31,6 +31,7 @@
 		"took_ms":   time.Since(t.chosen).Milliseconds(),
 		"again":     t.again,
 		"doubt":     t.choice.Doubt,
+		"trial":     t.choice.Trial,
 	})
 	if err == nil {
 		l.WithField("status", a.Status()).WithField("whole", a.Whole()).Info("attempt answered")
@@ -71,6 +72,7 @@
 			"hall":      x.won.choice.DataHall,
 			"by":        x.won.choice.By,
 			"doubt":     x.won.choice.Doubt,
+			"trial":     x.won.choice.Trial,
 			"waited_ms": x.won.chosen.Sub(x.won.begun).Milliseconds(),
 		})
 	}
--- /dev/null
+++ b/internal/health/steady.go
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// Steady returns the probability that the target has been working all the time from
+// since to now. Of what the model no longer keeps, only what follows counts.
+func (t *Target) Steady(now, since time.Time) float64 {
+	if since.Before(t.at) {
+		since = t.at
+	}
+	p, at, i := t.base, t.at, 0
+	for ; i < len(t.events) && t.events[i].begun.Before(since); i++ {
+		e := &t.events[i]
+		p = t.update(t.model.drift(p, e.begun.Sub(at)), e, now)
+		at = e.begun
+	}
+	p, at = t.model.drift(p, since.Sub(at)), since
+	steady := 1 - p
+	for ; i < len(t.events); i++ {
+		e := &t.events[i]
+		past := e.begun.Sub(at)
+		before := t.model.drift(p, past)
+		p, at = t.update(before, e, now), e.begun
+		// What is seen speaks alike for all ways in which the target works now.
+		steady *= t.model.stay(past) * (1 - p) / (1 - before)
+	}
+	return steady * t.model.stay(now.Sub(at))
+}
+
+// stay returns the probability that a working target doesn't begin to fail for a time.
+func (m *Model) stay(past time.Duration) float64 {
+	return math.Exp(-m.enterRate * max(past, 0).Seconds())
+}
--- /dev/null
+++ b/internal/health/steady_test.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package health_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ploverjunction.example/ploverjunction/internal/health"
+)
+
+func ExampleTarget_Steady() {
+	m := health.NewModel(start)
+	r := m.Route(start, "lookups")
+	t := health.NewTarget(start, m)
+	fail := func(now time.Time) {
+		n := t.Begin(now, r)
+		t.End(now.Add(3*time.Millisecond), n, health.Quick)
+	}
+	fail(start)
+	fail(start.Add(10 * time.Millisecond))
+	now := start.Add(8 * time.Second)
+	fmt.Println("may be working:", t.Failing(now) < 0.6)
+	fmt.Println("hardly for the last six seconds:", t.Steady(now, now.Add(-6*time.Second)) < 0.3)
+	// Output:
+	// may be working: true
+	// hardly for the last six seconds: true
+}
+
+// A target that failed and answers again works, but has not worked since before it
+// failed.
+func TestSteadyTellsRecoveredFromWorking(t *testing.T) {
+	const past = 4 * time.Second
+	tests := []struct {
+		name string
+		// kinds are the ends of attempts, one each half second up to now.
+		kinds       []health.Kind
+		least, most float64
+	}{
+		{
+			name:  "answers all the time",
+			kinds: []health.Kind{health.Good, health.Good, health.Good, health.Good, health.Good, health.Good, health.Good, health.Good, health.Good},
+			least: 0.85,
+			most:  1,
+		},
+		{
+			name:  "failed a second ago, answers since",
+			kinds: []health.Kind{health.Good, health.Good, health.Good, health.Good, health.Quick, health.Quick, health.Quick, health.Good, health.Good},
+			most:  0.05,
+		},
+		{
+			name:  "fails",
+			kinds: []health.Kind{health.Good, health.Good, health.Good, health.Good, health.Good, health.Good, health.Good, health.Quick, health.Quick},
+			most:  0.2,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m, r, at := answered(t)
+			target := health.NewTarget(at, m)
+			for _, k := range tt.kinds {
+				at = at.Add(500 * time.Millisecond)
+				n := target.Begin(at, r)
+				target.End(at.Add(usual), n, k)
+			}
+			now := at.Add(usual)
+			if p := target.Steady(now, now.Add(-past)); p < tt.least || p > tt.most {
+				t.Errorf("steady with probability %.3f, want %.2f to %.2f", p, tt.least, tt.most)
+			}
+		})
+	}
+}
+
+// Whatever was seen, a target is no more likely to have worked all the time than to
+// work now, and the longer the time the less.
+func TestSteadyIsBoundedByWorking(t *testing.T) {
+	const slack = 1e-9
+	properties := gopter.NewProperties(nil)
+	properties.Property("steady", prop.ForAll(func(kinds []uint8, gaps []uint16) bool {
+		m, r, now := answered(t)
+		target := health.NewTarget(now, m)
+		for i := range min(len(kinds), len(gaps)) {
+			now = now.Add(time.Duration(gaps[i]%1500) * time.Millisecond)
+			n := target.Begin(now, r)
+			target.End(now.Add(usual), n, health.Kind(kinds[i]%uint8(health.Unreached+1)))
+		}
+		now = now.Add(usual)
+		before := 1 - target.Failing(now)
+		for past := time.Duration(0); past <= 6*time.Second; past += 500 * time.Millisecond {
+			p := target.Steady(now, now.Add(-past))
+			if p < 0 || p > before+slack {
+				return false
+			}
+			before = p
+		}
+		return true
+	}, gen.SliceOf(gen.UInt8()), gen.SliceOf(gen.UInt16())))
+	properties.TestingRun(t)
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -136,3 +136,8 @@
 
 // Gauge sets a gauge without tags.
 func (m *Metrics) Gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
+
+// ServiceGauge sets the gauge of a service.
+func (m *Metrics) ServiceGauge(name, service string, v float64) {
+	m.scope.Tagged(map[string]string{"service": service}).Gauge(name).Update(v)
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -42,8 +42,15 @@
 	for name, dk := range d.desks {
 		s := dk.Status(now)
 		if s.Asked < reportLeast {
+			if dk.reported {
+				// Another node has the duty now, or nobody asks.
+				dk.reported = false
+				d.short(name, 0)
+			}
 			continue
 		}
+		dk.reported = true
+		d.short(name, s.Short)
 		failing := map[string]float64{}
 		for _, t := range s.Targets {
 			if t.Failing > reportFailing {
@@ -61,6 +68,10 @@
 			"leave":        math.Round(s.Leave*1000) / 1000,
 			"lost_failing": math.Round(s.LostFailing*100) / 100,
 			"repeats_left": math.Round(s.RepeatsLeft),
+			"working":      math.Round(s.Working*10) / 10,
+			"reached":      math.Round(s.Reached*10) / 10,
+			"short":        math.Round(s.Short*1000) / 1000,
+			"trials":       s.Trials,
 			"failing":      failing,
 		}).Info("desk")
 	}
@@ -151,6 +162,7 @@
 		Target:       g.Target,
 		RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
 		Doubt:        uint32(1000 * g.Doubt),
+		Trial:        g.Trial,
 		HedgeAfterMs: uint32(g.HedgeAfter.Milliseconds()),
 	}
 }
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -65,6 +65,9 @@
 	messenger *messenger
 	budget    dispatch.Budget
 	log       *logrus.Entry
+	// short takes the probability that too few working targets of a service got work
+	// lately.
+	short func(service string, p float64)
 
 	mu    sync.Mutex
 	desks map[string]*desk
@@ -84,6 +87,8 @@
 type desk struct {
 	*dispatch.Desk
 	config *fleetconfig.Service
+	// reported is set while the desk has so much work that lines tell of it.
+	reported bool
 }
 
 func newDispatching(board *Board, m *messenger, b dispatch.Budget, log *logrus.Entry) *dispatching {
@@ -92,6 +97,7 @@
 		messenger: m,
 		budget:    b,
 		log:       log,
+		short:     func(string, float64) {},
 		desks:     map[string]*desk{},
 		distrust:  map[string]time.Time{},
 		lost:      map[string]time.Time{},
@@ -334,6 +340,7 @@
 		d.note(peer, q, t.Key(), end, took)
 	})
 	c.Doubt = float64(g.grant.GetDoubt()) / 1000
+	c.Trial = g.grant.GetTrial()
 	c.HedgeAfter = time.Duration(g.grant.GetHedgeAfterMs()) * time.Millisecond
 	return c, true, nil
 }
