internal/settings: the floor of the joint choice

Cause: the desk's floor was a constant, the policies' floor was only kept by nodes that choose alone: two that could disagree. Change: [targets] floor, 0.7 unless set, taken from the users' bounds in platform/settings.ini; a service whose policy has a higher floor keeps that. Test: TestFloorOfPolicyIsAShare, TestTooFew with other floors.

--- a/internal/dispatch/coverage.go
+++ b/internal/dispatch/coverage.go
@@ -5,12 +5,12 @@
 import "time"
 
 // The users judge windows of two seconds in which a tenth of the requests or more was
-// not served: requests must have reached 70% of the targets that worked in the window
-// and the two seconds before it. A loss of power ends a tenth of the requests with no sign
-// before it, so that this must hold at any time.
+// not served: requests must have reached a share of the targets, the floor, of those that
+// worked in the window and the two seconds before it. A loss of power ends a tenth of the
+// requests with no sign before it, so that this must hold at any time.
 const (
-	// coverFloor is the share that must be reached.
-	coverFloor = 0.7
+	// floorDefault is the floor of a desk that was told of none: the users'.
+	floorDefault = 0.7
 	// coverSettled is how long a target must have worked to count: the window and the
 	// time before it.
 	coverSettled = 4 * time.Second
@@ -36,13 +36,17 @@
 	// working is the expected number of targets that count, reached of those that got
 	// work within spreadTime.
 	working, reached float64
-	// short is the probability that fewer than coverFloor were reached.
+	// short is the probability that fewer than the floor were reached.
 	short float64
 	// price is what it is worth that one more gets work that surely counts.
 	price float64
 	at    time.Time
 }
 
+// Keep sets the floor: the share, from 0 to 1, of the working targets that should have
+// had work within the last 1.5 s.
+func (d *Desk) Keep(floor float64) { d.floor = floor }
+
 // coverage returns the coverage at now and notes which targets are missed.
 func (d *Desk) coverage(now time.Time) *coverage {
 	c := &d.covered
@@ -71,20 +75,20 @@
 			t.missed = p
 		}
 	}
-	c.short = tooFew(reached, idle)
+	c.short = tooFew(reached, idle, d.floor)
 	c.price = shortPrice * c.short * d.ease(now, c.working)
 	return c
 }
 
-// ease returns, from 0 to 1, how easily the requests that come reach coverFloor of the
-// targets within spreadTime: 0 where they are too few for it. They are counted over the
+// ease returns, from 0 to 1, how easily the requests that come keep the floor within
+// spreadTime: 0 where they are too few for it. They are counted over the
 // window of the retry budget, so that a new desk learns first how many come.
 func (d *Desk) ease(now time.Time, working float64) float64 {
 	d.window.turn(now, d.begun, d.budget)
 	own, _ := d.window.sums()
 	others, _ := d.others.sums(now, d.budget)
 	come := (own + others) * spreadTime.Seconds() / d.budget.Window.Seconds()
-	return min(max(come/max(coverFloor*working, 1)-1, 0), 1)
+	return min(max(come/max(d.floor*working, 1)-1, 0), 1)
 }
 
 // reachedLately tells whether the target got work within spreadTime.
@@ -110,13 +114,18 @@
 }
 
 // tooFew returns the probability that those of the reached targets that count are fewer
-// than coverFloor of all that count. Both are given by their probabilities to count.
-func tooFew(reached, idle []float64) float64 {
-	most := float64(len(reached)) * (1 - coverFloor) / coverFloor
-	missed := distribution(idle, min(len(idle), int(most)+1))
+// than the floor asks of all that count. Both are given by their probabilities to count.
+func tooFew(reached, idle []float64, floor float64) float64 {
+	if floor <= 0 {
+		return 0
+	}
+	// allowed is how many may be missed for each that was reached.
+	allowed := (1 - floor) / floor
+	most := int(min(float64(len(reached))*allowed, float64(len(idle)))) + 1
+	missed := distribution(idle, min(len(idle), most))
 	few := 0.0
 	for n, p := range distribution(reached, len(reached)) {
-		few += p * above(missed, float64(n)*(1-coverFloor)/coverFloor)
+		few += p * above(missed, float64(n)*allowed)
 	}
 	return few
 }
--- a/internal/dispatch/coverage_test.go
+++ b/internal/dispatch/coverage_test.go
@@ -10,44 +10,62 @@
 	"ploverjunction.example/ploverjunction/internal/dispatch"
 )
 
-// The probability that too few were reached, worked out by hand; the floor is 70%.
+// The probability that too few were reached, worked out by hand.
 func TestTooFew(t *testing.T) {
 	tests := []struct {
 		name          string
 		reached, idle []float64
+		floor         float64
 		want          float64
 	}{
 		{
 			name:    "all reached",
+			floor:   0.7,
 			reached: []float64{1, 0.5},
 		},
 		{
 			name:    "one of four missed",
+			floor:   0.7,
 			reached: []float64{1, 1, 1},
 			idle:    []float64{1},
 		},
 		{
 			name:    "one of three missed if it works",
+			floor:   0.7,
 			reached: []float64{1, 1},
 			idle:    []float64{0.4},
 			want:    0.4,
 		},
 		{
 			name:    "one of three missed if another one doesn't count",
+			floor:   0.7,
 			reached: []float64{1, 1, 0.5},
 			idle:    []float64{0.4},
 			want:    0.2,
 		},
 		{
 			name:    "two of five missed",
+			floor:   0.7,
 			reached: []float64{1, 1, 1},
 			idle:    []float64{0.5, 0.5},
 			want:    0.25,
 		},
+		{
+			name:  "no floor",
+			floor: 0,
+			idle:  []float64{1},
+		},
+		{
+			name:    "all must be reached",
+			floor:   1,
+			reached: []float64{1, 1, 1, 1, 1},
+			idle:    []float64{0.1},
+			want:    0.1,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := dispatch.TooFew(tt.reached, tt.idle); math.Abs(got-tt.want) > 1e-9 {
+			if got := dispatch.TooFew(tt.reached, tt.idle, tt.floor); math.Abs(got-tt.want) > 1e-9 {
 				t.Errorf("got %v, want %v", got, tt.want)
 			}
 		})
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -73,6 +73,7 @@
 	unlearned int
 	ends      ends
 	covered   coverage
+	floor     float64
 	// trials counts grants of targets that would have been left out else.
 	trials int
 }
@@ -82,6 +83,7 @@
 	return &Desk{
 		begun:   now,
 		budget:  b,
+		floor:   floorDefault,
 		random:  random,
 		targets: map[string]*target{},
 		others:  elsewhere{},
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -97,10 +97,23 @@
 	if dk.config != sc {
 		dk.config = sc
 		dk.Configure(now, deskTargets(sc))
+		dk.Keep(max(d.floor, floorOf(sc)))
 	}
 	return dk
 }
 
+// floorOf returns the share of a service's slots that its policy keeps in service.
+func floorOf(sc *fleetconfig.Service) float64 {
+	capacity := 0
+	for _, t := range sc.Targets() {
+		capacity += t.Slots()
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return sc.Policy().Floor(float64(capacity), len(sc.Targets())) / float64(capacity)
+}
+
 func deskTargets(sc *fleetconfig.Service) []dispatch.Target {
 	var out []dispatch.Target
 	for _, t := range sc.Targets() {
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -64,7 +64,9 @@
 	board     *Board
 	messenger *messenger
 	budget    dispatch.Budget
-	log       *logrus.Entry
+	// floor is the share of the working targets of each service that should have work.
+	floor float64
+	log   *logrus.Entry
 	// short takes the probability that too few working targets of a service got work
 	// lately.
 	short func(service string, p float64)
--- a/internal/node/dispatching_test.go
+++ b/internal/node/dispatching_test.go
@@ -73,3 +73,45 @@
 		}
 	})
 }
+
+// The floor of a service's policy, in slots, is a share of its targets for the joint
+// choice.
+func TestFloorOfPolicyIsAShare(t *testing.T) {
+	tests := []struct {
+		name   string
+		policy string
+		want   float64
+	}{
+		{
+			name:   "default",
+			policy: `{}`,
+			want:   0.5,
+		},
+		{
+			name:   "share",
+			policy: `{"floor":"0.9 * capacity"}`,
+			want:   0.9,
+		},
+		{
+			name:   "all but one target",
+			policy: `{"floor":"capacity * double(targets - 1) / double(targets)"}`,
+			want:   0.5,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := node.NewChooser("quotes", []*wire.Entry{
+				{
+					Key:      "services",
+					Revision: 1,
+					Value: []byte(`{"services":[{"name":"quotes","policy":` + tt.policy + `}],"targets":[
+						{"service":"quotes","address":"192.0.2.10:80","dataHall":"a","slots":3,"connections":200},
+						{"service":"quotes","address":"192.0.2.11:80","dataHall":"a","slots":3,"connections":200}]}`),
+				},
+			})
+			if got := c.Floor(); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -113,3 +113,6 @@
 	}
 	return 0
 }
+
+// Floor returns the floor that the policy of the chooser's service sets.
+func (c *Chooser) Floor() float64 { return floorOf(c.service) }
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -40,6 +40,7 @@
 		Reserve: float64(reserve),
 		Window:  window,
 	}, logging.Part(n.log, "dispatch"))
+	d.floor = n.set.Floor()
 	d.short = func(service string, p float64) { n.metrics.ServiceGauge("coverage_short", service, p) }
 	if n.set.Choice() == settings.ChoiceJoint {
 		n.dispatching = d
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,6 +78,7 @@
 	platform  string
 
 	choice       ChoiceMode
+	floor        float64
 	retryShare   float64
 	retryReserve int
 	retryWindow  time.Duration
@@ -161,6 +162,10 @@
 // Choice returns how this process chooses targets.
 func (s *Settings) Choice() ChoiceMode { return s.choice }
 
+// Floor returns the share of the working targets of a service that should have had work
+// within the last 1.5 s, whether or not requests fail.
+func (s *Settings) Floor() float64 { return s.floor }
+
 // Retries returns what the whole fleet may send beyond the first attempt of each
 // request to one service: share of the requests and reserve more in each window.
 func (s *Settings) Retries() (share float64, reserve int, window time.Duration) {
@@ -231,6 +236,7 @@
 		optional("source", "directory", text(&s.directory)),
 		optional("source", "platform", webAddress(&s.platform)),
 		optional("targets", "choice", oneOf(&s.choice, ChoiceAlone, ChoiceJoint)),
+		optional("targets", "floor", share(&s.floor)),
 		optional("targets", "retry_share", share(&s.retryShare)),
 		optional("targets", "retry_reserve", count(&s.retryReserve, 0, maxReserve)),
 		optional("targets", "retry_window", duration(&s.retryWindow, time.Second, maxDeadline)),
@@ -250,6 +256,7 @@
 		stall:            15 * time.Second,
 		weight:           1000,
 		choice:           ChoiceAlone,
+		floor:            0.7,
 		retryShare:       0.1,
 		retryReserve:     10,
 		retryWindow:      10 * time.Second,
