internal/dissemination: tell peers that don't answer what is new

Change: who gets no answer to a comparison sends the small values that it learned in the last 20 s to that peer, once.

--- a/internal/dissemination/dissemination_test.go
+++ b/internal/dissemination/dissemination_test.go
@@ -256,3 +256,29 @@
 		}
 	})
 }
+
+// A node whose answers are lost, and to which nobody has pushed a value, is told of it by
+// the peers that compare with it.
+func TestUnansweredPeerIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const reached = "192.0.2.1:1"
+		f := newFleet(2)
+		f.cut = func(_, to string) bool { return to == reached }
+		ctx, cancel := context.WithCancel(t.Context())
+		g := f.run(ctx)
+		f.peers["192.0.2.0:1"].gossip.Publish([]*wire.Entry{value(1, 10)})
+		// The push is lost; from here on only answers are.
+		time.Sleep(100 * time.Millisecond)
+		f.mu.Lock()
+		f.cut = func(from, _ string) bool { return from == reached }
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if f.have(1) != len(f.peers) {
+			t.Error("the value is not on the node that can only be reached")
+		}
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -47,6 +47,9 @@
 	startCompares = 3
 	// ownHallOdds is how many of ten comparisons stay in the data hall.
 	ownHallOdds = 6
+	// latelyTime is how long a value is told to peers that don't answer comparisons: in
+	// that time some twenty nodes compare with each peer.
+	latelyTime = 20 * time.Second
 	// mentionsMost is how many nodes a reply names to a node that knows few.
 	mentionsMost = 40
 )
@@ -82,8 +85,10 @@
 	differs  chan string
 	mu       sync.Mutex
 	compares map[string]bool
-	recent   [recentCalls]bool
-	calls    int
+	// lately is when this node learned of a value, by key.
+	lately map[string]time.Time
+	recent [recentCalls]bool
+	calls  int
 }
 
 // New returns a gossip about a replica.
@@ -93,6 +98,7 @@
 		replica:  replica,
 		fresh:    make(chan learned, 128),
 		compares: map[string]bool{},
+		lately:   map[string]time.Time{},
 		begun:    time.Now(),
 		differs:  make(chan string, 1),
 	}
@@ -214,6 +220,7 @@
 	if len(entries) == 0 {
 		return
 	}
+	g.remember(entries)
 	select {
 	case g.fresh <- learned{
 		entries: entries,
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -46,7 +46,9 @@
 			tries.Go(ctx, "compare with one", func(ctx context.Context) error {
 				if g.converse(ctx, peer, g.request(), true) {
 					close(answered)
+					return nil
 				}
+				g.tell(ctx, peer)
 				return nil
 			})
 			select {
