internal/dispatch: coverage in place of the spread of large services

Cause: services of 50 targets and more gave three in four targets what can't be repeated each 1.5 s, for the seconds before a loss of power; coverage holds these for services of any size, and asks less of targets that surely fail. Change: that case is gone; the desk's own notes of what others granted leave out what reached nothing; types of a target, results and messages about ends in files of their own.

--- a/internal/dispatch/coverage.go
+++ b/internal/dispatch/coverage.go
@@ -91,9 +91,6 @@
 	return min(max(come/max(d.floor*working, 1)-1, 0), 1)
 }
 
-// reachedLately tells whether the target got work within spreadTime.
-func (t *target) reachedLately(now time.Time) bool { return now.Sub(t.granted) < spreadTime }
-
 // missing returns what it is worth that the target gets this request: the price of too
 // few, by the probability that the target is one of those that should have had work.
 // Second attempts don't pay for it, they are the last ones of their requests.
@@ -105,14 +102,6 @@
 	return price * t.missed
 }
 
-// steady returns the probability that the target counts at now.
-func (t *target) steady(now time.Time) float64 {
-	if now.Before(t.gone) {
-		return 0
-	}
-	return t.health.Steady(now, now.Add(-coverSettled))
-}
-
 // tooFew returns the probability that those of the reached targets that count are fewer
 // than the floor asks of all that count. Both are given by their probabilities to count.
 func tooFew(reached, idle []float64, floor float64) float64 {
--- a/internal/dispatch/coverage_test.go
+++ b/internal/dispatch/coverage_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// Nor does what another desk granted.
+func TestUnreachedTargetOfAnotherDeskLacksWork(t *testing.T) {
+	for _, r := range []dispatch.Result{dispatch.ResultUnreached, dispatch.ResultIgnored} {
+		d, now := practised(pool(3)...)
+		now = now.Add(3 * time.Second)
+		for _, key := range []string{"t1", "t2"} {
+			d.Note(now, key, "", dispatch.ResultGood, usual)
+		}
+		d.Note(now, "t0", "", r, 0)
+		if short := d.Status(now).Short > 0.3; short != (r == dispatch.ResultUnreached) {
+			t.Errorf("%v; short: %v", r, d.Status(now).Short)
+		}
+	}
+}
+
 // The first attempt of a request may go to a target that lacks work; a second one, after
 // which the request is lost, goes where an answer is likeliest.
 func TestSecondAttemptsDoNotPayForCoverage(t *testing.T) {
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -8,33 +8,6 @@
 	"ploverjunction.example/ploverjunction/internal/health"
 )
 
-// flight is one attempt that was granted.
-type flight struct {
-	begun time.Time
-	until time.Time
-	// before is when the target had got work before.
-	before time.Time
-	// last is set where no other attempt can follow a failure.
-	last bool
-	// route is what is known of the request's route, event the number of the attempt
-	// in the target's health.
-	route *health.Route
-	event uint64
-}
-
-type target struct {
-	Target
-	health *health.Target
-	// gone is until when a target that is gone gets no work.
-	gone      time.Time
-	warmUntil time.Time
-	flights   map[ID]flight
-	// granted is when the target last got work.
-	granted time.Time
-	// missed is the probability that the target works and should have had work by now.
-	missed float64
-}
-
 // Times and shares of a desk.
 const (
 	// flightSlack is how long after its deadline a granted attempt is forgotten.
@@ -332,7 +305,9 @@
 func (d *Desk) Note(now time.Time, key, route string, r Result, took time.Duration) {
 	rt := d.model.Route(now, route)
 	if t := d.targets[key]; t != nil {
-		t.granted = now
+		if r != ResultUnreached {
+			t.granted = now
+		}
 		t.health.Saw(now, rt, kindOf(r, rt, took, true), took)
 		t.noteGone(now, r)
 	}
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -93,6 +93,7 @@
 	desk    *dispatch.Desk
 	rng     *rand.Rand
 	targets []*modelTarget
+	list    []dispatch.Target
 	byKey   map[string]*modelTarget
 	hallOf  map[string]string
 	steps   steps
@@ -132,13 +133,22 @@
 			})
 		}
 	}
-	p.desk = dispatch.NewDesk(start, dispatch.Budget{
+	p.list = list
+	p.begin()
+	return p
+}
+
+// begin gives the duty to a new desk, which knows nothing of what was before.
+func (p *play) begin() {
+	p.desk = dispatch.NewDesk(p.clock(), dispatch.Budget{
 		Share:   0.2,
 		Reserve: 50,
 		Window:  10 * time.Second,
 	}, p.rng.Float64)
-	p.desk.Configure(start, list)
-	return p
+	p.desk.Configure(p.clock(), p.list)
+	if p.s.moves > 0 {
+		p.after(p.s.moves, p.begin)
+	}
 }
 
 func hallName(i int) string { return string(rune('a' + i)) }
@@ -197,14 +207,14 @@
 	for _, g := range grants {
 		switch g.Verdict {
 		case dispatch.Granted:
-			p.begin(g, p.asks[g.ID.Number])
+			p.attempt(g, p.asks[g.ID.Number])
 		case dispatch.Refused, dispatch.Spent:
 			p.lost++
 		}
 	}
 }
 
-func (p *play) begin(g dispatch.Grant, a *dispatch.Ask) {
+func (p *play) attempt(g dispatch.Grant, a *dispatch.Ask) {
 	m := p.byKey[g.Target]
 	m.reached = append(m.reached, p.now)
 	if p.hallOf[g.Target] != a.DataHall {
@@ -221,11 +231,12 @@
 	case p.rng.Float64() < p.s.errors:
 		result = dispatch.ResultBad
 	}
-	p.after(took, func() { p.end(g, a, result, took) })
+	by := p.desk
+	p.after(took, func() { p.end(by, g, a, result, took) })
 }
 
-func (p *play) end(g dispatch.Grant, a *dispatch.Ask, r dispatch.Result, took time.Duration) {
-	p.take(p.desk.Done(p.clock(), g.ID, g.Target, r, took))
+func (p *play) end(by *dispatch.Desk, g dispatch.Grant, a *dispatch.Ask, r dispatch.Result, took time.Duration) {
+	p.take(by.Done(p.clock(), g.ID, g.Target, r, took))
 	if r == dispatch.ResultGood {
 		return
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/result.go
@@ -32,32 +32,6 @@
 	return [...]string{"good", "bad", "shed", "unreached", "ignored", "gone"}[r]
 }
 
-// goneTime is how long a target that is gone gets no work; its registration ends
-// meanwhile.
-const goneTime = 5 * time.Second
-
-func (t *target) noteGone(now time.Time, r Result) {
-	if r == ResultGone {
-		t.gone = now.Add(goneTime)
-	}
-}
-
-// failing returns the probability that the target is failing at now.
-func (t *target) failing(now time.Time) float64 {
-	if now.Before(t.gone) {
-		return 1
-	}
-	return t.health.Failing(now)
-}
-
-// lost returns the probability that a request sent at now is not answered well.
-func (t *target) lost(now time.Time) float64 {
-	if now.Before(t.gone) {
-		return 1
-	}
-	return t.health.Lost(now)
-}
-
 // kindOf returns what the end of an attempt shows. idle is set when the target had
 // free slots.
 func kindOf(r Result, route *health.Route, took time.Duration, idle bool) health.Kind {
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -25,9 +25,13 @@
 	// slow is the share of targets that work slowFactor times as long from slowFrom
 	// on; they are harmed and don't count.
 	slow float64
+	// moves is after how long the duty goes to another desk, 0 for never.
+	moves time.Duration
 	// mostLost is the share of requests that may be lost: that of a choice which doesn't
 	// look at coverage, and a tenth of it for chance.
 	mostLost float64
+	// seeds is how many plays there are.
+	seeds uint64
 }
 
 const (
@@ -49,6 +53,7 @@
 		lost:      0.75,
 		errors:    0.012,
 		mostLost:  0.03,
+		seeds:     40,
 	},
 	{
 		name:      "slow",
@@ -63,6 +68,7 @@
 		errors:    0.012,
 		slow:      0.4,
 		mostLost:  0.038,
+		seeds:     40,
 	},
 	{
 		name:      "receipts",
@@ -76,6 +82,7 @@
 		lost:      0.9,
 		errors:    0.012,
 		mostLost:  0.028,
+		seeds:     40,
 	},
 	{
 		name:       "quotes",
@@ -90,6 +97,7 @@
 		lost:       0.75,
 		errors:     0.012,
 		mostLost:   0.004,
+		seeds:      40,
 	},
 	{
 		name:       "documents",
@@ -104,6 +112,7 @@
 		lost:       0.75,
 		errors:     0.012,
 		mostLost:   0.022,
+		seeds:      40,
 	},
 	{
 		name:       "exports",
@@ -118,5 +127,35 @@
 		lost:       0.9,
 		errors:     0.012,
 		mostLost:   0.029,
+		seeds:      40,
+	},
+	{
+		name:      "large",
+		halls:     []int{24, 24, 24, 24},
+		slots:     4,
+		perSecond: 400,
+		work:      310 * time.Millisecond,
+		kilobytes: 1,
+		period:    12 * time.Second,
+		failing:   0.3,
+		lost:      0.9,
+		errors:    0.012,
+		mostLost:  0.03,
+		seeds:     8,
+	},
+	{
+		name:      "moving",
+		halls:     []int{6, 5, 5},
+		slots:     3,
+		perSecond: 63,
+		work:      240 * time.Millisecond,
+		kilobytes: 1,
+		period:    9 * time.Second,
+		failing:   0.3,
+		lost:      0.75,
+		errors:    0.012,
+		moves:     3 * time.Second,
+		mostLost:  0.06,
+		seeds:     40,
 	},
 }
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -21,14 +21,9 @@
 	// fail: such a request costs little where the target fails, and what it shows keeps
 	// the others away.
 	repeatableShare = 0.9
-	// calmShare is the same by requests that can't be repeated in a service of
-	// largeService targets or more: the death of nodes can end a tenth of them at any
-	// moment, and the targets of the seconds before it count then.
-	calmShare    = 0.75
-	largeService = 50
-	// trialShare and trialTime are the same in a smaller service, where it costs more:
-	// trials of nineteen in twenty each 5 s lost 0.8% of the requests of quiet days on
-	// the users' bench, where others could have made them.
+	// trialShare and trialTime are the same by requests that can't be repeated, which
+	// cost more: trials of nineteen in twenty each 5 s lost 0.8% of the requests of quiet
+	// days on the users' bench, where others could have made them.
 	trialShare = 0.85
 	trialTime  = 5 * time.Second
 	// spreadWithin is within which time all targets that lack work should get some,
@@ -80,13 +75,12 @@
 	return all >= spreadLeast && float64(bad) >= spreadFrom*float64(all)
 }
 
-func (d *Desk) calm(now time.Time) bool { return !d.ends.many(now) }
-
 // spread is how far work is spread: the part of the targets that should have had
-// some within a time.
+// some within a time. It is calm while few requests fail.
 type spread struct {
 	share  float64
 	within time.Duration
+	calm   bool
 }
 
 // limit returns within which time a target should get work. One that has answered a
@@ -110,16 +104,13 @@
 		return spread{
 			share:  repeatableShare,
 			within: spreadTime,
-		}
-	case len(d.order) >= largeService:
-		return spread{
-			share:  calmShare,
-			within: spreadTime,
+			calm:   true,
 		}
 	default:
 		return spread{
 			share:  trialShare,
 			within: trialTime,
+			calm:   true,
 		}
 	}
 }
@@ -132,7 +123,6 @@
 		return nil
 	}
 	s := d.spreadOf(now, a)
-	calm := !d.ends.many(now)
 	var best *target
 	out, all := 0, 0
 	for _, t := range d.order {
@@ -144,7 +134,7 @@
 			continue
 		}
 		out++
-		if calm && t.DataHall != a.DataHall && crossing*float64(a.Kilobytes) > spreadCrossing {
+		if s.calm && t.DataHall != a.DataHall && crossing*float64(a.Kilobytes) > spreadCrossing {
 			continue
 		}
 		if len(t.flights) < t.Slots && (best == nil || t.failing(now) < best.failing(now)) {
--- /dev/null
+++ b/internal/dispatch/target.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/health"
+)
+
+// flight is one attempt that was granted.
+type flight struct {
+	begun time.Time
+	until time.Time
+	// before is when the target had got work before.
+	before time.Time
+	// last is set where no other attempt can follow a failure.
+	last bool
+	// route is what is known of the request's route, event the number of the attempt
+	// in the target's health.
+	route *health.Route
+	event uint64
+}
+
+// target is what a desk knows of one target.
+type target struct {
+	Target
+	health *health.Target
+	// gone is until when a target that is gone gets no work.
+	gone      time.Time
+	warmUntil time.Time
+	flights   map[ID]flight
+	// granted is when the target last got work.
+	granted time.Time
+	// missed is the probability that the target works and should have had work by now.
+	missed float64
+}
+
+// goneTime is how long a target that is gone gets no work; its registration ends
+// meanwhile.
+const goneTime = 5 * time.Second
+
+func (t *target) noteGone(now time.Time, r Result) {
+	if r == ResultGone {
+		t.gone = now.Add(goneTime)
+	}
+}
+
+// failing returns the probability that the target is failing at now.
+func (t *target) failing(now time.Time) float64 {
+	if now.Before(t.gone) {
+		return 1
+	}
+	return t.health.Failing(now)
+}
+
+// lost returns the probability that a request sent at now is not answered well.
+func (t *target) lost(now time.Time) float64 {
+	if now.Before(t.gone) {
+		return 1
+	}
+	return t.health.Lost(now)
+}
+
+// reachedLately tells whether the target got work within spreadTime.
+func (t *target) reachedLately(now time.Time) bool { return now.Sub(t.granted) < spreadTime }
+
+// steady returns the probability that the target counts at now.
+func (t *target) steady(now time.Time) float64 {
+	if now.Before(t.gone) {
+		return 0
+	}
+	return t.health.Steady(now, now.Add(-coverSettled))
+}
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -355,33 +355,6 @@
 	return s.Target(key)
 }
 
-func doneOf(service string, g granted, r wire.Done_Result, took time.Duration) *wire.Done {
-	return &wire.Done{
-		Service: service,
-		Request: g.number,
-		Target:  g.grant.GetTarget(),
-		Result:  r,
-		TookMs:  uint32(took.Milliseconds()),
-	}
-}
-
-func resultOf(end outlier.End) wire.Done_Result {
-	switch {
-	case end.Other:
-		return wire.Done_GONE
-	case end.Shed:
-		return wire.Done_SHED
-	case end.Unreached:
-		return wire.Done_UNREACHED
-	case end.Ignored:
-		return wire.Done_IGNORED
-	case end.Failed:
-		return wire.Done_BAD
-	default:
-		return wire.Done_GOOD
-	}
-}
-
 // note keeps what this node saw itself of a target that a dispatcher chose, for when
 // it must choose alone. Its own desk has been told already.
 func (d *dispatching) note(dispatcher string, q *entry.Query, key string, end outlier.End, took time.Duration) {
--- /dev/null
+++ b/internal/node/done.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// doneOf returns the message that tells a dispatcher of an attempt's end.
+func doneOf(service string, g granted, r wire.Done_Result, took time.Duration) *wire.Done {
+	return &wire.Done{
+		Service: service,
+		Request: g.number,
+		Target:  g.grant.GetTarget(),
+		Result:  r,
+		TookMs:  uint32(took.Milliseconds()),
+	}
+}
+
+// resultOf returns what an end says of its target.
+func resultOf(end outlier.End) wire.Done_Result {
+	switch {
+	case end.Other:
+		return wire.Done_GONE
+	case end.Shed:
+		return wire.Done_SHED
+	case end.Unreached:
+		return wire.Done_UNREACHED
+	case end.Ignored:
+		return wire.Done_IGNORED
+	case end.Failed:
+		return wire.Done_BAD
+	default:
+		return wire.Done_GOOD
+	}
+}
