--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -146,12 +146,11 @@
 }
 
 // Large answers reach enough of the targets of another data hall as well, but hardly
-// more than that: each costs bytes. While many callers leave without an answer all of these
-// targets are tried.
+// more than that: each costs bytes. While many callers leave without an answer all targets
+// get work.
 func TestLargeAnswersReachOtherDataHalls(t *testing.T) {
 	const (
 		targets = 8
-		far     = 4
 		// farMost is how many requests may cross in the play of six seconds: two of the
 		// four targets each 1.5 s, and one more at the start.
 		farMost = 9
@@ -159,7 +158,6 @@
 	for _, leave := range []bool{false, true} {
 		d := newDesk(pool(targets)...)
 		last := map[string]time.Time{}
-		reached := map[string]bool{}
 		now, crossed, least := start, 0, targets
 		for n := range uint64(400) {
 			now = now.Add(15 * time.Millisecond)
@@ -169,7 +167,6 @@
 			last[g.Target] = now
 			if g.Target[1]%2 == 1 {
 				crossed++
-				reached[g.Target] = true
 			}
 			if n > 200 {
 				least = min(least, fresh(last, now))
@@ -181,8 +178,8 @@
 			}
 			d.Done(now, g.ID, g.Target, dispatch.ResultGood, 300*time.Millisecond)
 		}
-		if leave && len(reached) != far {
-			t.Errorf("callers leave: %d of %d targets of the other data hall got work", len(reached), far)
+		if leave && least != targets {
+			t.Errorf("callers leave: at times %d of %d targets got work within 2 s", least, targets)
 		}
 		if !leave && (crossed > farMost || least < 6) {
 			t.Errorf("%d of 400 requests crossed, at times %d of %d targets got work within 2 s; want at most %d, at least 6", crossed, least, targets, farMost)
