internal/dissemination: an age grows on its way

Cause: nodes step in for readers whose store is silent once nobody has heard it for 0.95 s. Each message carries the least age that its node knows, and the time that it was under way was not added: busy nodes told each other the same age again and again and held it still (0.97 s believed after 4 s). So a change was in force after 3.8 s where 2.5 s are allowed. Change: an age grows by 25 ms from node to node, some ten times the way between data halls. Counters of the readers instead of ages would be exact and need another message; not built. Test: TestAgeIsNotHeldByEchoes fails without it (2.0 s instead of 4 s).

--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -109,7 +109,7 @@
 
 // PlatformHeard notes that this node has just heard the platform.
 func (g *Gossip) PlatformHeard(now time.Time) {
-	g.LearnAge(now, 0)
+	g.heard(now, 0)
 }
 
 // PlatformAge returns how long ago any node that this one knows of has heard the
@@ -125,11 +125,22 @@
 // never is the age of what was not heard at all.
 const never = 1 << 62
 
+// ageOfWay is by how much an age grows on its way from one node to the next, at the least:
+// some ten times the way between data halls, for a message may also wait for a processor.
+// Each node passes on the least age it knows, so that busy nodes tell each other the same
+// age again and again; if it grew by less than the way takes, all of them together would
+// hold it still.
+const ageOfWay = 25 * time.Millisecond
+
 // LearnAge notes that a peer knows of a node that heard the platform age ago.
 func (g *Gossip) LearnAge(now time.Time, age time.Duration) {
-	if age > maxAge {
-		return
+	if age <= maxAge {
+		g.heard(now, age+ageOfWay)
 	}
+}
+
+// heard notes that the platform was heard age ago.
+func (g *Gossip) heard(now time.Time, age time.Duration) {
 	// A node that began later than that still knows that it was heard.
 	at := int64(now.Sub(g.begun) - age)
 	if at == 0 {
