--- /dev/null
+++ b/internal/dispatch/budget_test.go
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// Whatever fails, repeats stay within the share and the reserve.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	d := newDesk(pool(20)...)
+	now := start
+	firsts, repeats := 0, 0
+	for n := range uint64(400) {
+		now = now.Add(20 * time.Millisecond)
+		a := ask(now, 2*n)
+		a.Repeatable = true
+		g := d.Ask(now, a)
+		firsts++
+		d.Done(now, g.ID, g.Target, dispatch.ResultBad, 0)
+		b := ask(now, 2*n+1)
+		b.Repeatable, b.Again = true, true
+		if g := d.Ask(now, b); g.Verdict == dispatch.Granted {
+			repeats++
+			d.Done(now, g.ID, g.Target, dispatch.ResultBad, 0)
+		}
+	}
+	if most := 0.2*float64(firsts) + 50; float64(repeats) > most || repeats < 60 {
+		t.Fatalf("%d repeats of %d requests, at most %v", repeats, firsts, most)
+	}
+}
+
+// Second attempts of slow requests must leave repeats for those that failed.
+func TestHedgesLeaveTheBudgetToFailures(t *testing.T) {
+	d := newDesk(pool(20)...)
+	now := start
+	// The reserve grows with the time for which a node has the duty.
+	for n := range uint64(25) {
+		g := d.Ask(now, ask(now, 2000+n))
+		d.Done(now, g.ID, g.Target, dispatch.ResultGood, 200*time.Millisecond)
+		now = now.Add(500 * time.Millisecond)
+	}
+	hedges := 0
+	for n := range uint64(100) {
+		a := ask(now, n)
+		a.Repeatable, a.Again, a.Hedge, a.Age = true, true, true, 900*time.Millisecond
+		if g := d.Ask(now, a); g.Verdict == dispatch.Granted {
+			hedges++
+			d.Done(now, g.ID, g.Target, dispatch.ResultIgnored, 0)
+		}
+	}
+	a := ask(now, 1000)
+	a.Repeatable, a.Again = true, true
+	if g := d.Ask(now, a); hedges == 0 || g.Verdict != dispatch.Granted {
+		t.Fatalf("after %d hedges the retry of a failed request is %v", hedges, g.Verdict)
+	}
+}
+
+// A duty that moves from node to node must not bring a new reserve each time.
+func TestMovingDutyKeepsTheReserve(t *testing.T) {
+	repeats := 0
+	number := uint64(0)
+	for move := range 6 {
+		now := start.Add(time.Duration(move) * 1500 * time.Millisecond)
+		d := dispatch.NewDesk(now, dispatch.Budget{
+			Share:   0.2,
+			Reserve: 50,
+			Window:  10 * time.Second,
+		}, rand.New(rand.NewPCG(1, 2)).Float64)
+		d.Configure(now, pool(20))
+		for range 60 {
+			number++
+			a := ask(now, number)
+			a.Repeatable, a.Again = true, true
+			if g := d.Ask(now, a); g.Verdict == dispatch.Granted {
+				repeats++
+				d.Done(now, g.ID, g.Target, dispatch.ResultBad, 0)
+			}
+			now = now.Add(20 * time.Millisecond)
+		}
+	}
+	if repeats > 50 {
+		t.Fatalf("%d repeats in 10 s, the reserve is 50", repeats)
+	}
+}
+
+// When the duty moves after quiet seconds while most requests are refused by their
+// targets, all dispatchers together stay within the budget in each window: the
+// first may have spent what the quiet seconds had saved.
+func TestMovingDutyKeepsTheBudget(t *testing.T) {
+	const (
+		nodes = 10
+		moves = 5
+	)
+	budget := dispatch.Budget{
+		Share:   0.2,
+		Reserve: 50,
+		Window:  10 * time.Second,
+	}
+	ledgers := make([]*dispatch.Ledger, nodes)
+	for i := range ledgers {
+		ledgers[i] = dispatch.NewLedger(start, budget)
+	}
+	var firsts, repeats []time.Time
+	now, number := start, uint64(0)
+	for move := range moves {
+		name := fmt.Sprintf("dispatcher-%d", move)
+		d := dispatch.NewDesk(now, budget, rand.New(rand.NewPCG(1, 2)).Float64)
+		d.Configure(now, pool(20))
+		asks := 250
+		if move == 0 {
+			asks = 1200
+		}
+		for n := range asks {
+			now = now.Add(10 * time.Millisecond)
+			result := dispatch.ResultShed
+			if move == 0 && n < 1000 {
+				result = dispatch.ResultGood
+			}
+			ledger := ledgers[number%nodes]
+			for attempt := range 3 {
+				number++
+				a := ask(now, number)
+				a.ID.Node = fmt.Sprintf("node-%d", number%nodes)
+				a.Again = attempt > 0
+				a.Elsewhere = ledger.Elsewhere(now, name)
+				g := d.Ask(now, a)
+				if g.Verdict != dispatch.Granted {
+					break
+				}
+				ledger.Took(now, name, a.Again)
+				d.Done(now, g.ID, g.Target, result, 0)
+				if a.Again {
+					repeats = append(repeats, now)
+				} else {
+					firsts = append(firsts, now)
+				}
+				if result == dispatch.ResultGood {
+					break
+				}
+			}
+		}
+	}
+	within := func(list []time.Time, end time.Time) int {
+		n := 0
+		for _, at := range list {
+			if !at.After(end) && end.Sub(at) < budget.Window {
+				n++
+			}
+		}
+		return n
+	}
+	for _, end := range repeats {
+		most := budget.Share*float64(within(firsts, end)) + budget.Reserve
+		if n := within(repeats, end); float64(n) > most {
+			t.Fatalf("%d repeats in the window before %v, at most %.0f", n, end.Sub(start), most)
+		}
+	}
+}
--- a/internal/dispatch/choose_test.go
+++ b/internal/dispatch/choose_test.go
@@ -111,15 +111,7 @@
 // The slots of failing targets don't count in what a queue can be served with: what
 // would wait too long is refused at once and told when to come back.
 func TestFailingTargetsServeNoQueue(t *testing.T) {
-	d, now := practised(dispatch.Target{
-		Key:      "good",
-		DataHall: "a",
-		Slots:    1,
-	}, dispatch.Target{
-		Key:      "bad",
-		DataHall: "a",
-		Slots:    2,
-	})
+	d, now := practised(goodAndBad(2)...)
 	for range 4 {
 		d.Note(now, "bad", "", dispatch.ResultBad, time.Millisecond)
 	}
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -106,15 +106,7 @@
 // A second attempt waits for a target that isn't failing, also when its answer will
 // be late: after it there is no other.
 func TestHedgeWaitsForATargetThatIsNotFailing(t *testing.T) {
-	d, now := practised(dispatch.Target{
-		Key:      "good",
-		DataHall: "a",
-		Slots:    1,
-	}, dispatch.Target{
-		Key:      "bad",
-		DataHall: "a",
-		Slots:    3,
-	})
+	d, now := practised(goodAndBad(3)...)
 	for range 4 {
 		d.Note(now, "bad", "", dispatch.ResultBad, time.Millisecond)
 	}
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -121,7 +121,7 @@
 				slow:   p.rng.Float64() < s.slow,
 			}
 			for range modelEnd/s.period + 3 {
-				m.states = append(m.states, p.rng.Float64() < s.failing)
+				m.states = append(m.states, p.rng.Float64() < failingShare)
 			}
 			p.targets = append(p.targets, m)
 			p.byKey[m.key] = m
@@ -228,7 +228,7 @@
 	switch {
 	case m.failingAt(p.s, p.now) && p.rng.Float64() < p.s.lost:
 		result, took = dispatch.ResultBad, failsQuick
-	case p.rng.Float64() < p.s.errors:
+	case p.rng.Float64() < errorShare:
 		result = dispatch.ResultBad
 	}
 	by := p.desk
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -16,12 +16,9 @@
 	kilobytes  int
 	repeatable bool
 	// period is after how long a target's state is drawn again: it is failing then
-	// with probability failing, and loses the part lost of its requests.
-	period  time.Duration
-	failing float64
-	lost    float64
-	// errors is the share of requests that working targets fail.
-	errors float64
+	// with probability failingShare, and loses the part lost of its requests.
+	period time.Duration
+	lost   float64
 	// slow is the share of targets that work slowFactor times as long from slowFrom
 	// on; they are harmed and don't count.
 	slow float64
@@ -34,7 +31,13 @@
 	seeds uint64
 }
 
+// What is alike on the users' sites.
 const (
+	// failingShare is the share of the time in which targets fail by themselves,
+	// errorShare that of the requests that working targets fail.
+	failingShare = 0.3
+	errorShare   = 0.012
+	// slowFrom is when slow targets become slow, slowFactor by how much.
 	slowFrom   = 19 * time.Second
 	slowFactor = 12
 )
@@ -49,9 +52,7 @@
 		work:      240 * time.Millisecond,
 		kilobytes: 1,
 		period:    9 * time.Second,
-		failing:   0.3,
 		lost:      0.75,
-		errors:    0.012,
 		mostLost:  0.03,
 		seeds:     40,
 	},
@@ -63,9 +64,7 @@
 		work:      240 * time.Millisecond,
 		kilobytes: 1,
 		period:    9 * time.Second,
-		failing:   0.3,
 		lost:      0.75,
-		errors:    0.012,
 		slow:      0.4,
 		mostLost:  0.038,
 		seeds:     40,
@@ -78,9 +77,7 @@
 		work:      310 * time.Millisecond,
 		kilobytes: 1,
 		period:    12 * time.Second,
-		failing:   0.3,
 		lost:      0.9,
-		errors:    0.012,
 		mostLost:  0.028,
 		seeds:     40,
 	},
@@ -93,9 +90,7 @@
 		kilobytes:  1,
 		repeatable: true,
 		period:     9 * time.Second,
-		failing:    0.3,
 		lost:       0.75,
-		errors:     0.012,
 		mostLost:   0.004,
 		seeds:      40,
 	},
@@ -108,9 +103,7 @@
 		kilobytes:  90,
 		repeatable: true,
 		period:     9 * time.Second,
-		failing:    0.3,
 		lost:       0.75,
-		errors:     0.012,
 		mostLost:   0.022,
 		seeds:      40,
 	},
@@ -123,9 +116,7 @@
 		kilobytes:  90,
 		repeatable: true,
 		period:     12 * time.Second,
-		failing:    0.3,
 		lost:       0.9,
-		errors:     0.012,
 		mostLost:   0.029,
 		seeds:      40,
 	},
@@ -137,9 +128,7 @@
 		work:      310 * time.Millisecond,
 		kilobytes: 1,
 		period:    12 * time.Second,
-		failing:   0.3,
 		lost:      0.9,
-		errors:    0.012,
 		mostLost:  0.03,
 		seeds:     8,
 	},
@@ -151,9 +140,7 @@
 		work:      240 * time.Millisecond,
 		kilobytes: 1,
 		period:    9 * time.Second,
-		failing:   0.3,
 		lost:      0.75,
-		errors:    0.012,
 		moves:     3 * time.Second,
 		mostLost:  0.06,
 		seeds:     40,
