internal/node: pools under the joint choice only when an operator asks

Cause: each change of the configuration or of the number of nodes made pools of all targets, which nothing but status and explain reads under the joint choice: 12% of the processor time of 220 nodes that start, 10% at rest, by profile. Change: they are made on demand.

--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -32,8 +32,9 @@
 type judging struct {
 	board     *Board
 	collector *outlier.Collector
-	// passive is set where a dispatcher judges the targets: this controller then
-	// only publishes what the configuration says of them.
+	// passive is set where a dispatcher judges the targets: pools are then made only
+	// when an operator asks. Made at each change they took an eighth of the processor
+	// time of 220 nodes that started before 720 targets, counted by profile.
 	passive bool
 	// report takes the evidence of each beat.
 	report   func(now time.Time, evidence []outlier.Evidence)
@@ -79,13 +80,31 @@
 	if c := j.board.currentConfig(); c != nil && c != j.config {
 		j.configure(now, c)
 	}
+	j.look()
+	if j.dirty && (!j.passive || j.board.pools.Load() == nil) {
+		j.publish(now)
+	}
+}
+
+// look takes the newest view if it has another number of nodes. j.mu is held.
+func (j *judging) look() {
 	if v := j.board.view.Load(); j.view == nil || v.Nodes() != j.view.Nodes() {
 		j.view = v
 		j.dirty = true
 	}
-	if j.dirty {
-		j.publish(now)
+}
+
+// pools returns the pools as they stand now, or nil before the first ones.
+func (j *judging) pools(now time.Time) *pools {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.passive && j.config != nil {
+		j.look()
+		if j.dirty {
+			j.publish(now)
+		}
 	}
+	return j.board.pools.Load()
 }
 
 func (j *judging) configure(now time.Time, c *fleetconfig.Config) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -46,7 +46,7 @@
 	}
 	s.Members = n.memberStatus()
 	s.Revision = n.replica.InForce()
-	if p := n.board.pools.Load(); p != nil {
+	if p := n.judging.pools(time.Now()); p != nil {
 		for name := range p.services {
 			s.Services = append(s.Services, *n.serviceStatus(name))
 		}
@@ -96,7 +96,7 @@
 
 // serviceStatus describes a service, or gives nil for an unknown one.
 func (n *Node) serviceStatus(name string) *operator.ServiceStatus {
-	all := n.board.pools.Load()
+	all := n.judging.pools(time.Now())
 	if all == nil || all.services[name] == nil {
 		return nil
 	}
