internal/dissemination: no list of revisions for a message that names none

Cause: each comparison sorted all keys, though equal digests left nothing to compare: 6% of the processor time at rest of 220 nodes with 720 targets.

--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -173,6 +173,9 @@
 // beyond this replica. Keys that the peer doesn't name count as lacking only if
 // the list is complete.
 func (r *Replica) Compare(now time.Time, revisions []*wire.KeyRevision, complete bool) (lacks []*wire.Entry, wanted []string) {
+	if len(revisions) == 0 && !complete {
+		return nil, nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	theirs := map[string]uint64{}
