internal/dispatch, internal/node: large services are divided by data hall

Cause: one desk has all targets of a service. Change: a service with 30 targets or more in each of its data halls has a desk in each. A node asks that of its own data hall; where no target is free there, it asks up to two others, which don't queue; then it waits at its own. Where nobody answers for the own part another one does; choosing alone is last. Shares of the retry budget go by each part's own first attempts, the reserve is divided, so that the sum holds. Small services keep one desk. Tests: Divide; passing asks leave no trace; parts keep the budget together; the other data hall serves what the own can't; the other part answers for a silent one.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -45,7 +45,10 @@
 	// Tried are keys of targets that the node can't reach or that the request was sent
 	// to before; beside a hedge the attempt at the last one goes on.
 	Tried []string
-	// Elsewhere is what the node got from other dispatchers of the service.
+	// Passing is set where the node can ask for a target of another data hall: the ask
+	// then isn't queued.
+	Passing bool
+	// Elsewhere is what the node got from other dispatchers of the same targets.
 	Elsewhere Spending
 }
 
@@ -65,10 +68,14 @@
 	Refused
 	// Spent means that the retry budget pays for no other attempt.
 	Spent
+	// Full means that no target is free for a passing ask, which was not counted.
+	Full
 )
 
 // String returns the verdict in words.
-func (v Verdict) String() string { return [...]string{"granted", "queued", "refused", "spent"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"granted", "queued", "refused", "spent", "full"}[v]
+}
 
 // Grant is the answer to an ask.
 type Grant struct {
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -54,8 +54,8 @@
 	}
 }
 
-func (w *window) first()  { w.firsts[w.at%budgetParts]++ }
-func (w *window) repeat() { w.repeats[w.at%budgetParts]++ }
+func (w *window) first(n float64)  { w.firsts[w.at%budgetParts] += n }
+func (w *window) repeat(n float64) { w.repeats[w.at%budgetParts] += n }
 
 // sums returns the first attempts and the repeats in the window.
 func (w *window) sums() (firsts, repeats float64) {
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -100,7 +100,7 @@
 	if g, known := d.before(a.ID); known {
 		return g
 	}
-	if a.Hedge && !d.hedges(now, a) || !d.pays(now, a, 1) {
+	if a.Hedge && !d.hedges(now, a) || !d.affords(now, a, 1) {
 		if !a.Hedge {
 			d.ends.note(now, false)
 		}
@@ -109,14 +109,23 @@
 			Verdict: Spent,
 		}
 	}
+	// The choice counts on the ask itself: it is one of those that keep the floor.
+	d.charge(a, 1)
+	g := d.decide(now, a)
+	switch g.Verdict {
+	case Full:
+		d.charge(a, -1)
+	case Refused:
+		d.ends.note(now, false)
+	}
+	return g
+}
+
+// decide answers an ask that the retry budget pays for.
+func (d *Desk) decide(now time.Time, a *Ask) Grant {
 	most := time.Duration(refusedFrom * float64(a.Deadline.Sub(now)))
 	if wait := d.wait(now, a.Priority); wait > most {
-		d.ends.note(now, false)
-		return Grant{
-			ID:         a.ID,
-			Verdict:    Refused,
-			RetryAfter: wait,
-		}
+		return a.unserved(Refused, wait)
 	}
 	if t := d.neglected(now, a); t != nil {
 		return d.grant(now, t, a, true)
@@ -132,11 +141,8 @@
 			return d.grant(now, t, a, false)
 		}
 	}
-	if d.hopeless(now, a) {
-		return Grant{
-			ID:      a.ID,
-			Verdict: Refused,
-		}
+	if a.Passing || d.hopeless(now, a) {
+		return a.unserved(Refused, 0)
 	}
 	d.queue.add(w)
 	return Grant{
@@ -145,6 +151,19 @@
 	}
 }
 
+// unserved returns the answer to an ask that gets no target. One that can be passed on
+// is not refused.
+func (a *Ask) unserved(v Verdict, wait time.Duration) Grant {
+	if a.Passing {
+		v, wait = Full, 0
+	}
+	return Grant{
+		ID:         a.ID,
+		Verdict:    v,
+		RetryAfter: wait,
+	}
+}
+
 // wait estimates how long an ask of a priority would wait: the work before it, by the
 // slots of targets that work.
 func (d *Desk) wait(now time.Time, priority int) time.Duration {
@@ -170,21 +189,22 @@
 	return d.model.Route(now, a.Route).Within(hopelessShare)
 }
 
-// pays counts an ask in the retry budget, or returns false if it is a repeat and
-// none is left. part is the share of the reserve that may be used.
-func (d *Desk) pays(now time.Time, a *Ask, part float64) bool {
+// affords tells whether the retry budget pays for an ask. part is the share of the
+// reserve that may be used.
+func (d *Desk) affords(now time.Time, a *Ask, part float64) bool {
 	d.window.turn(now, d.begun, d.budget)
 	d.window.asked(now, d.budget)
 	d.others.note(now, a.ID.Node, a.Elsewhere)
-	if !a.Again {
-		d.window.first()
-		return true
-	}
-	if d.left(now, part) < 1 {
-		return false
+	return !a.Again || d.left(now, part) >= 1
+}
+
+// charge counts an ask n times in the retry budget.
+func (d *Desk) charge(a *Ask, n float64) {
+	if a.Again {
+		d.window.repeat(n)
+		return
 	}
-	d.window.repeat()
-	return true
+	d.window.first(n)
 }
 
 // repeats returns how many repeats the budget pays for in the window and how many of
@@ -229,12 +249,13 @@
 // regard to slots, for it doesn't know what others have in flight. part is this
 // node's share of the reserve of the retry budget.
 func (d *Desk) AskAlone(now time.Time, a *Ask, part float64) Grant {
-	if !d.pays(now, a, part) {
+	if !d.affords(now, a, part) {
 		return Grant{
 			ID:      a.ID,
 			Verdict: Spent,
 		}
 	}
+	d.charge(a, 1)
 	if t := d.cheapest(now, a, d.order); t != nil {
 		return d.grant(now, t, a, false)
 	}
@@ -263,8 +284,8 @@
 		until:  a.Deadline.Add(flightSlack),
 		before: before,
 		last:   a.last(),
-		route:  route,
-		event:  t.health.Begin(now, route),
+		route:      route,
+		event:      t.health.Begin(now, route),
 	}
 	d.granted[a.ID] = t.Key
 	return Grant{
--- /dev/null
+++ b/internal/dispatch/divide_test.go
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// spreadOver returns targets in data halls named a, b and so on.
+func spreadOver(counts ...int) []dispatch.Target {
+	var out []dispatch.Target
+	for hall, n := range counts {
+		for range n {
+			out = append(out, dispatch.Target{
+				Key:      fmt.Sprintf("t%d", len(out)),
+				DataHall: hallName(hall),
+				Slots:    3,
+			})
+		}
+	}
+	return out
+}
+
+func ExampleDivide() {
+	fmt.Println(dispatch.Divide(spreadOver(92, 94, 89, 72, 84)))
+	fmt.Println(dispatch.Divide(spreadOver(6, 5, 5)))
+	// Output:
+	// [a b c d e]
+	// []
+}
+
+func TestDivide(t *testing.T) {
+	tests := []struct {
+		name   string
+		counts []int
+		want   []string
+	}{
+		{
+			name: "no targets",
+		},
+		{
+			name:   "one data hall",
+			counts: []int{400},
+		},
+		{
+			name:   "thirty targets in nine data halls",
+			counts: []int{4, 4, 4, 3, 3, 3, 3, 3, 3},
+		},
+		{
+			name:   "one data hall has few",
+			counts: []int{90, 90, 12},
+		},
+		{
+			name:   "enough in each",
+			counts: []int{30, 31},
+			want:   []string{"a", "b"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := dispatch.Divide(spreadOver(tt.counts...)); !slices.Equal(got, tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// An ask that can be passed on leaves no trace at a desk without a free target: not in the
+// queue, not in the retry budget, not among the refusals.
+func TestPassingAskLeavesNoTrace(t *testing.T) {
+	d := newDesk(dispatch.Target{
+		Key:      "only",
+		DataHall: "a",
+		Slots:    1,
+	})
+	// Asks that wait pay for repeats.
+	for n := range uint64(20) {
+		d.Ask(start, ask(start, 100+n))
+	}
+	before := d.Status(start)
+	for n := range uint64(20) {
+		a := ask(start, 200+n)
+		a.Passing = true
+		a.Again = n%2 == 1
+		if g := d.Ask(start, a); g.Verdict != dispatch.Full {
+			t.Fatalf("ask %d: %v", n, g.Verdict)
+		}
+	}
+	after := d.Status(start)
+	if before.Asked != after.Asked || before.RepeatsLeft != after.RepeatsLeft || after.Waiting != before.Waiting {
+		t.Errorf("before %+v, after %+v", before, after)
+	}
+}
+
+// The parts of a divided service together send no more repeats than the service may,
+// whichever of them get the load and the failures.
+func TestPartsKeepTheBudgetTogether(t *testing.T) {
+	const (
+		parts   = 5
+		reserve = 630
+		share   = 0.2
+		window  = 10 * time.Second
+	)
+	tests := []struct {
+		name string
+		// load is the part of the asks that each part gets.
+		load [parts]int
+	}{
+		{
+			name: "even",
+			load: [parts]int{1, 1, 1, 1, 1},
+		},
+		{
+			name: "one part has nearly all",
+			load: [parts]int{16, 1, 1, 1, 1},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			desks := make([]*dispatch.Desk, parts)
+			for i := range desks {
+				desks[i] = dispatch.NewDesk(start, dispatch.Budget{
+					Share:   share,
+					Reserve: reserve / parts,
+					Window:  window,
+				}, func() float64 { return 0 })
+				desks[i].Configure(start, spreadOver(30))
+			}
+			firsts, repeats := 0, 0
+			n := uint64(0)
+			for now := start; now.Before(start.Add(window)); now = now.Add(10 * time.Millisecond) {
+				for i, d := range desks {
+					for range tt.load[i] {
+						n++
+						d.Ask(now, ask(now, n))
+						firsts++
+						for range 3 {
+							n++
+							a := ask(now, n)
+							a.Repeatable, a.Again = true, true
+							if g := d.Ask(now, a); g.Verdict != dispatch.Spent {
+								repeats++
+							}
+						}
+					}
+					d.Advance(now)
+				}
+			}
+			if most := share*float64(firsts) + reserve; float64(repeats) > most {
+				t.Errorf("%d repeats for %d first attempts, want at most %.0f", repeats, firsts, most)
+			}
+			if repeats == 0 {
+				t.Error("no repeats at all")
+			}
+		})
+	}
+}
--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -39,9 +39,9 @@
 	}
 	w.turn(now, l.begun, l.budget)
 	if again {
-		w.repeat()
+		w.repeat(1)
 	} else {
-		w.first()
+		w.first(1)
 	}
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -137,7 +137,8 @@
 // Gauge sets a gauge without tags.
 func (m *Metrics) Gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
 
-// ServiceGauge sets the gauge of a service.
-func (m *Metrics) ServiceGauge(name, service string, v float64) {
-	m.scope.Tagged(map[string]string{"service": service}).Gauge(name).Update(v)
+// PartGauge sets the gauge of the targets of a service in one data hall, or of all of
+// them where hall is empty.
+func (m *Metrics) PartGauge(name, service, hall string, v float64) {
+	m.scope.Tagged(map[string]string{"service": service, "hall": hall}).Gauge(name).Update(v)
 }
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -12,8 +12,8 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// chooseAlone takes a target by what this node knows itself.
-func (d *dispatching) chooseAlone(q *entry.Query) (entry.Choice, error) {
+// chooseAlone takes a target of a part by what this node knows itself.
+func (d *dispatching) chooseAlone(q *entry.Query, p part) (entry.Choice, error) {
 	now := time.Now()
 	self := d.board.view.Load().Self()
 	a := &dispatch.Ask{
@@ -35,9 +35,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ledger := d.ledger(q.Service.Name())
+	ledger := d.ledger(p)
 	a.Elsewhere = ledger.Elsewhere(now, self.Address())
-	dk := d.desk(now, q.Service.Name())
+	dk := d.desk(now, p)
 	if dk == nil {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
@@ -50,15 +50,15 @@
 	if t == nil {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
-	service := q.Service.Name()
 	return choiceOf(t, byItself, func(end outlier.End, took time.Duration) {
 		d.end(a.ID.Node, &wire.Done{
-			Service: service,
-			Request: a.ID.Number,
-			Target:  t.Key(),
-			Result:  resultOf(end),
-			TookMs:  uint32(took.Milliseconds()),
-			Lost:    end.Lost,
+			Service:  p.service,
+			DataHall: p.hall,
+			Request:  a.ID.Number,
+			Target:   t.Key(),
+			Result:   resultOf(end),
+			TookMs:   uint32(took.Milliseconds()),
+			Lost:     end.Lost,
 		})
 	}), nil
 }
--- /dev/null
+++ b/internal/node/asking.go
@@ -0,0 +1,327 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// This file is the side of a node that asks dispatchers for targets.
+
+// dispatcher returns the node that should be asked for a part: the first in rank of
+// those that are trusted.
+func (d *dispatching) dispatcher(p part) (membership.Node, bool) {
+	now := time.Now()
+	view := d.board.view.Load()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, node := range p.holders(view) {
+		if !now.Before(d.distrust[node.Address()]) {
+			return node, true
+		}
+	}
+	return membership.Node{}, false
+}
+
+func (d *dispatching) doubt(peer string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.distrust[peer] = time.Now().Add(distrustTime)
+}
+
+// choose takes a target for an attempt: from the dispatcher of this node's part of the
+// service, from that of another part where no target of the own one is free, else alone.
+func (d *dispatching) choose(ctx context.Context, q *entry.Query) (entry.Choice, error) {
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	q.Tried = d.avoid(q)
+	home, others := d.ways(time.Now(), q)
+	first := d.askPart(ctx, q, home, dispatchers, len(others) > 0 && passes(q))
+	r := first
+	for _, p := range others {
+		if r.settled() {
+			break
+		}
+		r = d.askPart(ctx, q, p, 1, true)
+	}
+	switch {
+	case r.settled():
+		return r.choice, r.err
+	case first.refused():
+		return first.choice, first.err
+	case first.full:
+		if r = d.askPart(ctx, q, home, dispatchers, false); r.usable || r.err != nil {
+			return r.choice, r.err
+		}
+	}
+	return d.chooseAlone(q, home)
+}
+
+// reply is what came of asking for a target of a part. Without any of its values set
+// nobody answered, or this node doesn't know the target.
+type reply struct {
+	choice entry.Choice
+	err    error
+	// usable is set where there is a choice, full where no target is free now.
+	usable bool
+	full   bool
+}
+
+// settled tells whether no other part need be asked.
+func (r reply) settled() bool { return r.usable || r.err != nil && !r.refused() }
+
+// refused tells whether the targets of the part can't take the request in time.
+func (r reply) refused() bool {
+	var none *entry.NoTargetError
+	return errors.As(r.err, &none) && none.Reason() == attempt.ReasonTargets
+}
+
+// askPart asks the dispatcher of a part, and those behind it in rank if it doesn't
+// answer.
+func (d *dispatching) askPart(ctx context.Context, q *entry.Query, p part, tries int, passing bool) reply {
+	for range tries {
+		node, ok := d.dispatcher(p)
+		if !ok {
+			return reply{}
+		}
+		g, answered := d.askOne(ctx, node.Address(), q, p, passing)
+		if ctx.Err() != nil {
+			return reply{
+				err: ended(ctx),
+			}
+		}
+		if answered {
+			return d.answered(node.Address(), q, p, g)
+		}
+		d.doubt(node.Address())
+		d.log.WithField("peer", node.Address()).WithField("service", p.service).WithField("hall", p.hall).Warn("dispatcher did not answer")
+	}
+	return reply{}
+}
+
+// answered takes the last word of a dispatcher.
+func (d *dispatching) answered(peer string, q *entry.Query, p part, g granted) reply {
+	switch g.grant.GetVerdict() {
+	case wire.Grant_FULL:
+		d.noteFull(time.Now(), p)
+		return reply{
+			full: true,
+		}
+	case wire.Grant_BUDGET, wire.Grant_UNKNOWN:
+	default:
+		d.took(peer, q, p)
+	}
+	c, usable, err := d.take(peer, q, p, g)
+	return reply{
+		choice: c,
+		err:    err,
+		usable: usable && err == nil,
+	}
+}
+
+// avoid returns the targets that this node should not get: those that can't be reached
+// from here and, after them, those that the request was sent to.
+func (d *dispatching) avoid(q *entry.Query) []string {
+	now := time.Now()
+	var out []string
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, until := range d.lost {
+		if now.After(until) {
+			delete(d.lost, key)
+		} else if q.Service.Target(key) != nil && len(out)+len(q.Tried) < mostTried {
+			out = append(out, key)
+		}
+	}
+	return append(out, q.Tried...)
+}
+
+// ended says why a wait for a target was broken off.
+func ended(ctx context.Context) error {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return entry.NewNoTargetError(attempt.ReasonDeadline, 0)
+	}
+	return entry.NewNoTargetError(attempt.ReasonCaller, 0)
+}
+
+// granted is an answer with the number of the ask that it answers.
+type granted struct {
+	grant  *wire.Grant
+	number uint64
+}
+
+// askOne asks one dispatcher and waits for its last word.
+func (d *dispatching) askOne(ctx context.Context, peer string, q *entry.Query, p part, passing bool) (granted, bool) {
+	id, answers, end := d.messenger.call()
+	defer end()
+	send := func() { d.sendAsk(peer, id, q, p, passing) }
+	send()
+	heard := time.Now()
+	resend := time.NewTicker(resendAfter)
+	defer resend.Stop()
+	limit := giveUpAfter
+	for {
+		select {
+		case <-ctx.Done():
+			d.cancel(peer, p, id)
+			return granted{}, false
+		case in := <-answers:
+			g := in.GetGrant()
+			if g.GetVerdict() != wire.Grant_QUEUED {
+				return granted{
+					grant:  g,
+					number: id,
+				}, true
+			}
+			heard = time.Now()
+			limit = queuedSilence
+			resend.Reset(queuedBeat)
+		case now := <-resend.C:
+			if now.Sub(heard) >= limit {
+				d.cancel(peer, p, id)
+				return granted{}, false
+			}
+			send()
+		}
+	}
+}
+
+// cancel tells a dispatcher that an ask has ended without an attempt.
+func (d *dispatching) cancel(peer string, p part, id uint64) {
+	d.tell(peer, &wire.Done{
+		Service:  p.service,
+		DataHall: p.hall,
+		Request:  id,
+	})
+}
+
+// took notes what a dispatcher, or this node alone, gave for an attempt.
+func (d *dispatching) took(by string, q *entry.Query, p part) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ledger(p).Took(time.Now(), by, q.Again)
+}
+
+// elsewhere returns what this node got from other dispatchers than the one named.
+func (d *dispatching) elsewhere(by string, p part) dispatch.Spending {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ledger(p).Elsewhere(time.Now(), by)
+}
+
+// ledger returns the ledger of a part. d.mu is held.
+func (d *dispatching) ledger(p part) *dispatch.Ledger {
+	l := d.ledgers[p]
+	if l == nil {
+		l = dispatch.NewLedger(time.Now(), d.budget)
+		d.ledgers[p] = l
+	}
+	return l
+}
+
+func (d *dispatching) sendAsk(peer string, id uint64, q *entry.Query, p part, passing bool) {
+	now := time.Now()
+	spent := d.elsewhere(peer, p)
+	out := &wire.Datagram{
+		Call: id,
+		Body: &wire.Datagram_Ask{
+			Ask: &wire.Ask{
+				Service:    p.service,
+				DataHall:   p.hall,
+				Passing:    passing,
+				Repeatable: q.Repeatable,
+				Again:      q.Again,
+				Hedge:      q.Hedge,
+				AgeMs:      uint32(q.Age.Milliseconds()),
+				Kilobytes:  uint32(q.Kilobytes),
+				Priority:   uint32(q.Priority),
+				AimMs:      uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
+				DeadlineMs: uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
+				Tried:      q.Tried,
+				Route:      q.Route,
+
+				FirstsElsewhere:  uint32(spent.Firsts),
+				RepeatsElsewhere: uint32(spent.Repeats),
+			},
+		},
+	}
+	if peer == d.board.view.Load().Self().Address() {
+		out.From = d.messenger.self()
+		d.asked(out)
+		return
+	}
+	d.messenger.send(peer, out)
+}
+
+// take turns an answer into a choice. It isn't usable if this node doesn't know
+// the target or the dispatcher not the service.
+func (d *dispatching) take(peer string, q *entry.Query, p part, g granted) (c entry.Choice, usable bool, err error) {
+	switch g.grant.GetVerdict() {
+	case wire.Grant_GRANTED:
+	case wire.Grant_REFUSED:
+		return entry.Choice{}, true, entry.NewNoTargetError(attempt.ReasonTargets, time.Duration(g.grant.GetRetryAfterMs())*time.Millisecond)
+	case wire.Grant_BUDGET:
+		return entry.Choice{}, true, entry.NewNoTargetError(attempt.ReasonBudget, 0)
+	default:
+		return entry.Choice{}, false, nil
+	}
+	t := d.target(q.Service, g.grant.GetTarget())
+	if t == nil || t.Leaving() {
+		// One of the two doesn't know yet what the other knows.
+		result := wire.Done_IGNORED
+		if t != nil {
+			result = wire.Done_GONE
+		}
+		d.tell(peer, doneOf(p, g, result, 0))
+		return entry.Choice{}, false, nil
+	}
+	c = choiceOf(t, peer, func(end outlier.End, took time.Duration) {
+		done := doneOf(p, g, resultOf(end), took)
+		done.Lost = end.Lost
+		d.tell(peer, done)
+		d.note(peer, q, p, t.Key(), end, took)
+	})
+	c.Doubt = float64(g.grant.GetDoubt()) / 1000
+	c.Trial = g.grant.GetTrial()
+	c.HedgeAfter = time.Duration(g.grant.GetHedgeAfterMs()) * time.Millisecond
+	return c, true, nil
+}
+
+// target finds a target in the newest configuration, or in that of the request.
+func (d *dispatching) target(s *fleetconfig.Service, key string) *fleetconfig.Target {
+	if c := d.board.currentConfig(); c != nil && c.Service(s.Name()) != nil {
+		s = c.Service(s.Name())
+	}
+	return s.Target(key)
+}
+
+// note keeps what this node saw itself of a target that a dispatcher chose, for when
+// it must choose alone. Its own desk has been told already.
+func (d *dispatching) note(dispatcher string, q *entry.Query, p part, key string, end outlier.End, took time.Duration) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if end.Unreached {
+		d.lost[key] = now.Add(lostTime)
+	}
+	if dispatcher == d.board.view.Load().Self().Address() {
+		return
+	}
+	if home := d.home(q.Service); home != p {
+		// This node chooses alone among the targets of its own part.
+		return
+	}
+	if dk := d.desk(now, p); dk != nil {
+		dk.Note(now, key, q.Route, dispatch.Result(resultOf(end)), took)
+	}
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -19,15 +19,19 @@
 
 func (d *dispatching) advance(now time.Time) {
 	d.mu.Lock()
-	grants := map[string][]dispatch.Grant{}
-	for name := range d.desks {
-		if dk := d.desk(now, name); dk != nil {
-			grants[name] = dk.Advance(now)
+	grants := map[part][]dispatch.Grant{}
+	for p, dk := range d.desks {
+		if now.Sub(dk.used) > deskForget {
+			delete(d.desks, p)
+			continue
+		}
+		if dk := d.current(now, p); dk != nil {
+			grants[p] = dk.Advance(now)
 		}
 	}
 	d.mu.Unlock()
-	for name, list := range grants {
-		d.deliver(name, list)
+	for p, list := range grants {
+		d.deliver(p, list)
 	}
 }
 
@@ -39,18 +43,18 @@
 	d.reported = now
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name, dk := range d.desks {
+	for p, dk := range d.desks {
 		s := dk.Status(now)
 		if s.Asked < reportLeast {
 			if dk.reported {
 				// Another node has the duty now, or nobody asks.
 				dk.reported = false
-				d.short(name, 0)
+				d.short(p, 0)
 			}
 			continue
 		}
 		dk.reported = true
-		d.short(name, s.Short)
+		d.short(p, s.Short)
 		failing := map[string]float64{}
 		for _, t := range s.Targets {
 			if t.Failing > reportFailing {
@@ -58,7 +62,8 @@
 			}
 		}
 		d.log.WithFields(logrus.Fields{
-			"service":      name,
+			"service":      p.service,
+			"hall":         p.hall,
 			"waiting":      s.Waiting,
 			"in_flight":    s.InFlight,
 			"slots":        s.Slots,
@@ -77,31 +82,52 @@
 	}
 }
 
-// desk returns the desk of a service in its newest configuration, or nil if there
-// is no such service. d.mu is held.
-func (d *dispatching) desk(now time.Time, name string) *desk {
+// desk returns the desk of a part for something that is asked or told now, or nil if
+// there is no such service. d.mu is held.
+func (d *dispatching) desk(now time.Time, p part) *desk {
+	dk := d.current(now, p)
+	if dk != nil {
+		dk.used = now
+	}
+	return dk
+}
+
+// current returns the desk of a part in the newest configuration of its service, or nil
+// if there is no such service. d.mu is held.
+func (d *dispatching) current(now time.Time, p part) *desk {
 	c := d.board.currentConfig()
-	if c == nil || c.Service(name) == nil {
-		delete(d.desks, name)
-		delete(d.ledgers, name)
+	if c == nil || c.Service(p.service) == nil {
+		delete(d.desks, p)
+		delete(d.ledgers, p)
 		return nil
 	}
-	sc := c.Service(name)
-	dk := d.desks[name]
+	sc := c.Service(p.service)
+	dk := d.desks[p]
 	if dk == nil {
 		dk = &desk{
-			Desk: dispatch.NewDesk(now, d.budget, rand.Float64),
+			Desk: dispatch.NewDesk(now, d.budgetOf(p, sc), rand.Float64),
+			used: now,
 		}
-		d.desks[name] = dk
+		d.desks[p] = dk
 	}
 	if dk.config != sc {
 		dk.config = sc
-		dk.Configure(now, deskTargets(sc))
+		dk.Configure(now, p.targets(sc))
 		dk.Keep(max(d.floor, floorOf(sc)))
 	}
 	return dk
 }
 
+// budgetOf returns the retry budget of a part. The share goes by the part's own first
+// attempts; the reserve is divided, so that all parts together keep the service's.
+func (d *dispatching) budgetOf(p part, sc *fleetconfig.Service) dispatch.Budget {
+	b := d.budget
+	if p.hall != "" {
+		b.Reserve /= float64(max(len(d.divided.halls(sc)), 2))
+	}
+	return b
+}
+
 // floorOf returns the share of a service's slots that its policy keeps in service.
 func floorOf(sc *fleetconfig.Service) float64 {
 	capacity := 0
@@ -148,13 +174,18 @@
 		Deadline:   now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
 		Tried:      w.GetTried(),
 		Route:      w.GetRoute(),
+		Passing:    w.GetPassing(),
 		Elsewhere: dispatch.Spending{
 			Firsts:  int(w.GetFirstsElsewhere()),
 			Repeats: int(w.GetRepeatsElsewhere()),
 		},
 	}
+	p := part{
+		service: w.GetService(),
+		hall:    w.GetDataHall(),
+	}
 	d.mu.Lock()
-	dk := d.desk(now, w.GetService())
+	dk := d.desk(now, p)
 	var g dispatch.Grant
 	if dk != nil {
 		g = dk.Ask(now, a)
@@ -169,9 +200,18 @@
 	d.answer(a.ID.Node, a.ID.Number, grantOf(g))
 }
 
+// verdicts are the verdicts of desks in messages.
+var verdicts = [...]wire.Grant_Verdict{
+	dispatch.Granted: wire.Grant_GRANTED,
+	dispatch.Queued:  wire.Grant_QUEUED,
+	dispatch.Refused: wire.Grant_REFUSED,
+	dispatch.Spent:   wire.Grant_BUDGET,
+	dispatch.Full:    wire.Grant_FULL,
+}
+
 func grantOf(g dispatch.Grant) *wire.Grant {
 	return &wire.Grant{
-		Verdict:      wire.Grant_Verdict(g.Verdict),
+		Verdict:      verdicts[g.Verdict],
 		Target:       g.Target,
 		RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
 		Doubt:        uint32(1000 * g.Doubt),
@@ -195,10 +235,10 @@
 }
 
 // deliver sends grants that became possible later.
-func (d *dispatching) deliver(service string, grants []dispatch.Grant) {
+func (d *dispatching) deliver(p part, grants []dispatch.Grant) {
 	for _, g := range grants {
 		d.log.WithFields(logrus.Fields{
-			"service": service,
+			"service": p.service,
 			"node":    g.ID.Node,
 			"verdict": g.Verdict.String(),
 			"target":  g.Target,
@@ -226,8 +266,12 @@
 		Node:   node,
 		Number: w.GetRequest(),
 	}
+	p := part{
+		service: w.GetService(),
+		hall:    w.GetDataHall(),
+	}
 	d.mu.Lock()
-	dk := d.desk(now, w.GetService())
+	dk := d.desk(now, p)
 	var out []dispatch.Grant
 	if dk != nil && w.GetTarget() == "" {
 		out = dk.Cancel(now, id)
@@ -238,5 +282,5 @@
 		out = dk.Done(now, id, w.GetTarget(), dispatch.Result(w.GetResult()), time.Duration(w.GetTookMs())*time.Millisecond)
 	}
 	d.mu.Unlock()
-	d.deliver(w.GetService(), out)
+	d.deliver(p, out)
 }
--- a/internal/node/done.go
+++ b/internal/node/done.go
@@ -10,13 +10,14 @@
 )
 
 // doneOf returns the message that tells a dispatcher of an attempt's end.
-func doneOf(service string, g granted, r wire.Done_Result, took time.Duration) *wire.Done {
+func doneOf(p part, g granted, r wire.Done_Result, took time.Duration) *wire.Done {
 	return &wire.Done{
-		Service: service,
-		Request: g.number,
-		Target:  g.grant.GetTarget(),
-		Result:  r,
-		TookMs:  uint32(took.Milliseconds()),
+		Service:  p.service,
+		DataHall: p.hall,
+		Request:  g.number,
+		Target:   g.grant.GetTarget(),
+		Result:   r,
+		TookMs:   uint32(took.Milliseconds()),
 	}
 }
 
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/dissemination"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/logging"
@@ -47,14 +48,21 @@
 type Chooser struct {
 	dispatching *dispatching
 	service     *fleetconfig.Service
+	asked       map[string]int
 }
 
-// NewChooser returns the choice of a node for one service, which published entries
-// describe.
-func NewChooser(service string, entries []*wire.Entry) *Chooser {
+// NewChooser returns the choice of a node in data hall a for one service, which published
+// entries describe. peers are other nodes of the fleet: those in data hall a never answer,
+// the others grant a target of their data hall at once.
+func NewChooser(service string, entries []*wire.Entry, peers ...membership.Node) *Chooser {
 	board := &Board{}
 	self := membership.NewNode("192.0.2.1:1", "a")
-	board.view.Store(membership.NewTable(self).View(time.Now()))
+	members := newMembers(board, self, 0)
+	for _, n := range peers {
+		members.table.Heard(time.Now(), n, 1, false)
+		members.table.Weigh(n.Address(), 10*membership.DefaultWeight)
+	}
+	board.view.Store(members.table.View(time.Now()))
 	store := fleetconfig.NewStore()
 	store.Offer(entries)
 	for _, r := range store.Refusals() {
@@ -64,23 +72,64 @@
 		config: store.Config(),
 	})
 	m := newMessenger()
+	m.members = members
+	m.replica = dissemination.NewReplica(nil)
+	m.gossip = dissemination.New(dissemination.Config{}, m.replica)
 	m.self = func() *wire.Node {
 		return &wire.Node{
 			Address:  self.Address(),
 			DataHall: self.DataHall(),
 		}
 	}
+	c := &Chooser{
+		asked: map[string]int{},
+	}
+	m.transmit = func(peer string, d *wire.Datagram) error {
+		if d.GetAsk() == nil {
+			return nil
+		}
+		c.asked[peer+" "+d.GetAsk().GetDataHall()]++
+		for _, n := range peers {
+			if n.Address() == peer && n.DataHall() != self.DataHall() {
+				m.answered(c.grantOf(d, n.DataHall()))
+			}
+		}
+		return nil
+	}
 	log := logging.Part(logging.New(io.Discard, "error", "text"), "dispatch")
-	return &Chooser{
-		dispatching: newDispatching(board, m, dispatch.Budget{
-			Share:   0.2,
-			Reserve: 10,
-			Window:  10 * time.Second,
-		}, log),
-		service: store.Config().Service(service),
+	c.dispatching = newDispatching(board, m, dispatch.Budget{
+		Share:   0.2,
+		Reserve: 10,
+		Window:  10 * time.Second,
+	}, log)
+	c.service = store.Config().Service(service)
+	return c
+}
+
+// grantOf answers an ask with a target of a data hall.
+func (c *Chooser) grantOf(d *wire.Datagram, hall string) *wire.Datagram {
+	g := &wire.Grant{
+		Verdict: wire.Grant_REFUSED,
+	}
+	for _, t := range c.service.Targets() {
+		if t.DataHall() == hall {
+			g = &wire.Grant{
+				Target: t.Key(),
+			}
+		}
+	}
+	return &wire.Datagram{
+		Call: d.GetCall(),
+		Body: &wire.Datagram_Grant{
+			Grant: g,
+		},
 	}
 }
 
+// Asked returns how often each peer was asked for targets of each data hall, by both,
+// with a space between them.
+func (c *Chooser) Asked() map[string]int { return c.asked }
+
 // Choose takes a target for one attempt.
 func (c *Chooser) Choose(ctx context.Context) (entry.Choice, error) {
 	return c.dispatching.choose(ctx, &entry.Query{
@@ -106,7 +155,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, t := range d.desk(now, c.service.Name()).Status(now).Targets {
+	for _, t := range d.desk(now, d.home(c.service)).Status(now).Targets {
 		if t.Key == key {
 			return t.Failing
 		}
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -27,13 +27,15 @@
 // messenger sends and receives datagrams and puts on each one what this node
 // believes. It may be used concurrently.
 type messenger struct {
-	socket  *link.Socket
-	members *members
-	gossip  *dissemination.Gossip
-	replica *dissemination.Replica
-	self    func() *wire.Node
-	log     *logrus.Entry
-	calls   atomic.Uint64
+	socket *link.Socket
+	// transmit sends one datagram to a peer.
+	transmit func(peer string, d *wire.Datagram) error
+	members  *members
+	gossip   *dissemination.Gossip
+	replica  *dissemination.Replica
+	self     func() *wire.Node
+	log      *logrus.Entry
+	calls    atomic.Uint64
 	// ask and done answer the questions of peers about targets, taken notes the
 	// answer to the end of an attempt.
 	ask   func(*wire.Datagram)
@@ -77,7 +79,7 @@
 			},
 		})
 	}
-	if err := m.socket.Send(peer, d); err != nil {
+	if err := m.transmit(peer, d); err != nil {
 		m.log.WithField("peer", peer).WithError(err).Debug("datagram not sent")
 	}
 }
--- /dev/null
+++ b/internal/node/parts.go
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+)
+
+// Times and counts of parts.
+const (
+	// fullTime is how long a node asks no part again that had no free target: about as
+	// long as it takes until some slots of a loaded part are free again.
+	fullTime = 100 * time.Millisecond
+	// mostOthers is how many other parts are asked for one attempt, a round trip each.
+	mostOthers = 2
+	// passMost is the greatest size, in KiB, of a request and its answer that is passed
+	// on at once; larger ones wait in their own data hall, for bytes between data halls
+	// are dear, and are passed on only when they would be refused there.
+	passMost = 3
+	// deskForget is after how long a desk is dropped that nobody asks or tells anything.
+	deskForget = 30 * time.Second
+)
+
+// part is what one dispatcher has of a service: the targets of a data hall, or all
+// where hall is empty.
+type part struct {
+	service string
+	hall    string
+}
+
+// holders returns the nodes that have the duty for the part, in rank. They are in its
+// data hall, as long as any node of it lives.
+func (p part) holders(view *membership.View) []membership.Node {
+	duty := "dispatcher/" + p.service
+	if p.hall != "" {
+		if nodes := view.Duty(duty+"/"+p.hall, p.hall, 2*dispatchers); len(nodes) > 0 {
+			return nodes
+		}
+	}
+	return view.Duty(duty, "", 2*dispatchers)
+}
+
+// targets returns the targets of the part in a configuration of its service.
+func (p part) targets(sc *fleetconfig.Service) []dispatch.Target {
+	out := deskTargets(sc)
+	if p.hall == "" {
+		return out
+	}
+	return slices.DeleteFunc(out, func(t dispatch.Target) bool { return t.DataHall != p.hall })
+}
+
+// divided is how a service is divided in one of its configurations.
+type divided struct {
+	config *fleetconfig.Service
+	halls  []string
+}
+
+// division holds that of the services in force, by name.
+type division map[string]divided
+
+// halls returns the data halls by which a service is divided, or nil.
+func (d division) halls(sc *fleetconfig.Service) []string {
+	known := d[sc.Name()]
+	if known.config != sc {
+		known = divided{
+			config: sc,
+			halls:  dispatch.Divide(deskTargets(sc)),
+		}
+		d[sc.Name()] = known
+	}
+	return known.halls
+}
+
+// newest returns a service as it is in force now, or as the request knows it.
+func (d *dispatching) newest(s *fleetconfig.Service) *fleetconfig.Service {
+	if c := d.board.currentConfig(); c != nil && c.Service(s.Name()) != nil {
+		return c.Service(s.Name())
+	}
+	return s
+}
+
+// home returns the part of a service that this node asks first. d.mu is held.
+func (d *dispatching) home(s *fleetconfig.Service) part {
+	p := part{
+		service: s.Name(),
+	}
+	halls := d.divided.halls(d.newest(s))
+	if len(halls) == 0 {
+		return p
+	}
+	p.hall = halls[0]
+	if own := d.board.view.Load().Self().DataHall(); slices.Contains(halls, own) {
+		p.hall = own
+	}
+	return p
+}
+
+// ways returns the part to ask first and those that may be asked for a free target after
+// it. A second attempt beside one that goes on is decided where that was.
+func (d *dispatching) ways(now time.Time, q *entry.Query) (home part, others []part) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	home = d.home(q.Service)
+	if home.hall == "" || q.Hedge {
+		return home, nil
+	}
+	for _, hall := range d.divided.halls(d.newest(q.Service)) {
+		p := part{
+			service: home.service,
+			hall:    hall,
+		}
+		if p != home && !now.Before(d.full[p]) {
+			others = append(others, p)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return home, others[:min(len(others), mostOthers)]
+}
+
+// passes tells whether a request may be passed on to another data hall at once.
+func passes(q *entry.Query) bool { return q.Kilobytes <= passMost }
+
+func (d *dispatching) noteFull(now time.Time, p part) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full[p] = now.Add(fullTime)
+}
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -27,6 +27,7 @@
 	}
 	m := n.messenger
 	m.socket, m.members, m.gossip, m.replica, m.self, m.log = socket, n.members, n.gossip, n.replica, n.self, log
+	m.transmit = socket.Send
 	n.pinging = &pinging{
 		messenger: m,
 		members:   n.members,
@@ -41,7 +42,7 @@
 		Window:  window,
 	}, logging.Part(n.log, "dispatch"))
 	d.floor = n.set.Floor()
-	d.short = func(service string, p float64) { n.metrics.ServiceGauge("coverage_short", service, p) }
+	d.short = func(p part, short float64) { n.metrics.PartGauge("coverage_short", p.service, p.hall, short) }
 	if n.set.Choice() == settings.ChoiceJoint {
 		n.dispatching = d
 		n.judging.passive = true
