--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -277,6 +277,7 @@
 	}
 	before := t.granted
 	t.granted = now
+	t.keepers.use(now, a)
 	doubt := t.lost(now)
 	route := d.model.Route(now, a.Route)
 	t.flights[a.ID] = flight{
@@ -284,6 +285,8 @@
 		until:  a.Deadline.Add(flightSlack),
 		before: before,
 		last:   a.last(),
+
+		repeatable: a.Repeatable,
 		route:      route,
 		event:      t.health.Begin(now, route),
 	}
@@ -314,6 +317,9 @@
 		d.ends.note(now, r == ResultGood)
 	}
 	delete(t.flights, id)
+	if ok && r == ResultGood {
+		t.keepers.add(now, id.Node, f.repeatable)
+	}
 	if ok {
 		t.health.End(now, f.event, kindOf(r, f.route, took, idle))
 		d.learn(f.route, r, took)
