--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -3,7 +3,6 @@
 package fleetconfig
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/binary"
 	"slices"
@@ -82,7 +81,11 @@
 // of neither ever falls. It is not safe for concurrent use: one controller owns
 // it.
 type Store struct {
-	records  map[string]*record
+	records map[string]*record
+	// keys are the keys of all records, sorted: each change of one target would sort
+	// them anew else, three times on each node of the fleet.
+	keys     []string
+	digest   uint64
 	policies policyCache
 	config   *Config
 	refusals []Refusal
@@ -131,6 +134,8 @@
 	if r == nil {
 		r = &record{}
 		s.records[e.GetKey()] = r
+		at, _ := slices.BinarySearch(s.keys, e.GetKey())
+		s.keys = slices.Insert(s.keys, at, e.GetKey())
 	}
 	if r.newest != nil && e.GetRevision() <= r.newest.revision() {
 		return e.GetRevision() < r.newest.revision() && e.GetRevision() > r.inForceRevision() && r.keep(parseVersion(e))
@@ -138,10 +143,20 @@
 	if r.newest != nil && r.newest != r.inForce {
 		r.keep(r.newest)
 	}
+	if r.newest != nil {
+		s.digest ^= hashOf(r.newest.entry)
+	}
 	r.newest = parseVersion(e)
+	s.digest ^= hashOf(e)
 	return true
 }
 
+// hashOf returns the part of the digest that a key with its newest revision makes.
+func hashOf(e *wire.Entry) uint64 {
+	b := append([]byte(e.GetKey()), 0)
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(b, e.GetRevision()))
+}
+
 func parseVersion(e *wire.Entry) *version {
 	v := &version{
 		entry: e,
@@ -265,30 +280,24 @@
 }
 
 func (s *Store) inForceDocs() []*wire.Document {
-	keys := make([]string, 0, len(s.records))
-	for k, r := range s.records {
-		if r.inForce != nil {
-			keys = append(keys, k)
+	docs := make([]*wire.Document, 0, len(s.keys))
+	for _, k := range s.keys {
+		if r := s.records[k]; r.inForce != nil {
+			docs = append(docs, r.inForce.doc)
 		}
 	}
-	slices.Sort(keys)
-	docs := make([]*wire.Document, len(keys))
-	for i, k := range keys {
-		docs[i] = s.records[k].inForce.doc
-	}
 	return docs
 }
 
 // Revisions returns the newest revision of each key, by key.
 func (s *Store) Revisions() []*wire.KeyRevision {
 	out := make([]*wire.KeyRevision, 0, len(s.records))
-	for k, r := range s.records {
+	for _, k := range s.keys {
 		out = append(out, &wire.KeyRevision{
 			Key:      k,
-			Revision: r.newest.entry.GetRevision(),
+			Revision: s.records[k].newest.revision(),
 		})
 	}
-	slices.SortFunc(out, func(a, b *wire.KeyRevision) int { return strings.Compare(a.GetKey(), b.GetKey()) })
 	return out
 }
 
@@ -305,12 +314,11 @@
 // Keys returns the keys that have values, sorted.
 func (s *Store) Keys() []string {
 	var out []string
-	for k, r := range s.records {
-		if !r.newest.entry.GetDeleted() {
+	for _, k := range s.keys {
+		if !s.records[k].newest.entry.GetDeleted() {
 			out = append(out, k)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -340,12 +348,4 @@
 
 // Digest returns a hash over all keys with their newest revisions. Two stores
 // with equal digests hold the same newest values.
-func (s *Store) Digest() uint64 {
-	var b bytes.Buffer
-	for _, kr := range s.Revisions() {
-		b.WriteString(kr.GetKey())
-		b.WriteByte(0)
-		b.Write(binary.BigEndian.AppendUint64(nil, kr.GetRevision()))
-	}
-	return xxhash.Sum64(b.Bytes())
-}
+func (s *Store) Digest() uint64 { return s.digest }
