internal/node: a leaving node tells a few peers by datagram

Cause: it opened a connection to each peer, 442 of them at the large size: 196,000 in a rolling restart of all nodes. Change: where datagrams carry news on, it tells the nodes of its data hall and two of each other one; urgent news goes to all from there. Its duties are done until it ends.

--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -192,3 +192,6 @@
 
 // View returns the view that stands on the blackboard.
 func (m *Members) View() *membership.View { return m.members.board.view.Load() }
+
+// LeaveTo returns the peers that a leaving node tells.
+func LeaveTo(view *membership.View) []string { return leaveTo(view) }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -43,11 +45,23 @@
 	return nil
 }
 
-// sayLeaving tells all peers: they must give this node's duties to others.
+// leaveFar is how many nodes of each other data hall a leaving node tells by datagram.
+const leaveFar = 2
+
+// sayLeaving tells peers: they must give this node's duties to others. Where datagrams
+// carry the news on, those of the own data hall and a few others are enough; the duties of
+// a leaving node are still done until it ends. Told by a connection to each peer, a rolling
+// restart of 443 nodes opened 196,000 of them.
 func (n *Node) sayLeaving(ctx context.Context) {
 	if n.peers == nil {
 		return
 	}
+	if n.messenger != nil {
+		for _, peer := range leaveTo(n.board.view.Load()) {
+			n.messenger.pong(peer, 0)
+		}
+		return
+	}
 	var all task.Group
 	for _, p := range n.board.view.Load().Peers() {
 		all.Go(ctx, "leave", func(ctx context.Context) error { return n.sayLeavingTo(ctx, p.Address()) })
@@ -57,6 +71,23 @@
 	}
 }
 
+// leaveTo returns the peers that a leaving node tells.
+func leaveTo(view *membership.View) []string {
+	var out []string
+	near, far := view.Halls()
+	for _, p := range near {
+		out = append(out, p.Address())
+	}
+	told := map[string]int{}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	for _, p := range far {
+		if told[p.DataHall()]++; told[p.DataHall()] <= leaveFar {
+			out = append(out, p.Address())
+		}
+	}
+	return out
+}
+
 func (n *Node) sayLeavingTo(ctx context.Context, peer string) error {
 	var err error
 	for range leaveTimes {
