internal/node, internal/dispatch: desks without work cost nothing

Cause: each node went through all 720 targets of its desks 20 times a second for attempts to forget, 7% of the processor time of 220 nodes under load, by profile, though hardly one of them has any under way. Change: a desk looks at what is under way; without any, and with nothing to confirm, the node looks once a second. Grants of targets that have gone are forgotten too.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -50,9 +50,11 @@
 	model *health.Model
 	// unlearned counts times of answers that the histograms did not take.
 	unlearned int
-	ends      ends
-	covered   coverage
-	floor     float64
+	// advanced is when Advance last did its work.
+	advanced time.Time
+	ends     ends
+	covered  coverage
+	floor    float64
 	// trials counts grants of targets that would have been left out else.
 	trials int
 }
@@ -369,17 +371,32 @@
 	}
 }
 
+// idleBeat is how often a desk without work takes in what was learned. Each node has a
+// desk for each service, most of which have no work.
+const idleBeat = time.Second
+
+// Busy tells whether anything waits or is under way.
+func (d *Desk) Busy() bool { return len(d.granted) > 0 || len(d.queue.list) > 0 }
+
 // Advance forgets attempts whose end was never told and returns the grants and
 // refusals that are due.
 func (d *Desk) Advance(now time.Time) []Grant {
+	if !d.Busy() && now.Sub(d.advanced) < idleBeat {
+		return nil
+	}
+	d.advanced = now
 	d.model.Advance(now)
-	for _, t := range d.order {
-		for id, f := range t.flights {
-			if now.After(f.until) {
-				t.health.End(now, f.event, health.Open)
-				delete(t.flights, id)
-				delete(d.granted, id)
-			}
+	for id, key := range d.granted {
+		t := d.targets[key]
+		if t == nil {
+			// The target is gone, and its attempts with it.
+			delete(d.granted, id)
+			continue
+		}
+		if f := t.flights[id]; now.After(f.until) {
+			t.health.End(now, f.event, health.Open)
+			delete(t.flights, id)
+			delete(d.granted, id)
 		}
 	}
 	for id, at := range d.closed {
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -46,6 +46,7 @@
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonBudget, 0)
 	}
 	ledger.Took(now, self.Address(), q.Again)
+	d.work()
 	t := dk.config.Target(g.Target)
 	if t == nil {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -191,6 +191,7 @@
 		g = dk.Ask(now, a)
 	}
 	d.mu.Unlock()
+	d.work()
 	if dk == nil {
 		d.answer(in.GetFrom().GetAddress(), in.GetCall(), &wire.Grant{
 			Verdict: wire.Grant_UNKNOWN,
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -42,6 +42,8 @@
 	dispatchers = 2
 	// deskBeat is how often the desks look at their queues.
 	deskBeat = 50 * time.Millisecond
+	// restBeat is the same while there is nothing to do.
+	restBeat = time.Second
 	// doneTries is how often the end of an attempt is told, every doneBeat, until
 	// it is confirmed.
 	doneTries = 4
@@ -76,6 +78,8 @@
 	lost map[string]time.Time
 	// ledgers are what this node got from each dispatcher of a part.
 	ledgers map[part]*dispatch.Ledger
+	// wake holds a value when there is something to do.
+	wake chan struct{}
 	// reported is when the desks were last written to the log; only run uses it.
 	reported time.Time
 	// pending are the ends of attempts that were not confirmed.
@@ -102,6 +106,7 @@
 		desks:     map[part]*desk{},
 		divided:   division{},
 		full:      map[part]time.Time{},
+		wake:      make(chan struct{}, 1),
 		distrust:  map[string]time.Time{},
 		lost:      map[string]time.Time{},
 		pending:   map[uint64]*unconfirmed{},
@@ -113,19 +118,55 @@
 	return d
 }
 
-// run serves the queues and repeats what was not confirmed, until the context
-// ends.
+// run serves the queues and repeats what was not confirmed, until the context ends.
+// While there is nothing to do it looks once a second: with a beat of 50 ms all nodes of
+// a fleet of 220 at rest woke up 11,000 times a second in all, counting this beat alone.
 func (d *dispatching) run(ctx context.Context) error {
-	beat := time.NewTicker(deskBeat)
+	beat := time.NewTimer(deskBeat)
 	defer beat.Stop()
+	busy := true
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-d.wake:
+			if !busy {
+				busy = true
+				beat.Reset(deskBeat)
+			}
 		case now := <-beat.C:
 			d.advance(now)
 			d.repeat(now)
 			d.report(now)
+			busy = d.busy()
+			if busy {
+				beat.Reset(deskBeat)
+			} else {
+				beat.Reset(restBeat)
+			}
 		}
 	}
 }
+
+// busy tells whether anything waits, is under way or not confirmed.
+func (d *dispatching) busy() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.pending) > 0 {
+		return true
+	}
+	for _, dk := range d.desks {
+		if dk.Busy() {
+			return true
+		}
+	}
+	return false
+}
+
+// work makes run look at what there is to do now.
+func (d *dispatching) work() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -30,6 +30,7 @@
 	d.mu.Lock()
 	d.pending[id] = u
 	d.mu.Unlock()
+	d.work()
 	d.sendDone(time.Now(), id, u)
 }
 
