internal/dissemination: comparisons find what differs by digests of parts

A change of one target makes digests differ on all nodes for some tenths of a second, and each comparison then listed the revisions of all 720 targets. Change: 64 parts, whose digests take 512 bytes; only keys of parts that differ are named. A node that has just started lists its few keys and gets all, as before. Peers that don't know parts are answered with a whole list.

--- a/internal/dissemination/dissemination_test.go
+++ b/internal/dissemination/dissemination_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ploverjunction.example/ploverjunction/internal/dissemination"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
@@ -32,6 +34,8 @@
 	// cut tells which way messages are lost.
 	cut   func(from, to string) bool
 	calls int
+	// bytes is the size of all messages.
+	bytes int
 }
 
 type lostError struct{}
@@ -80,6 +84,7 @@
 func (f *fleet) call(ctx context.Context, from, to string, in *wire.SyncRequest) (*wire.SyncReply, error) {
 	f.mu.Lock()
 	f.calls++
+	f.bytes += proto.Size(in)
 	lost := f.cut(from, to)
 	f.mu.Unlock()
 	if lost {
@@ -96,6 +101,7 @@
 	}
 	time.Sleep(time.Millisecond)
 	f.mu.Lock()
+	f.bytes += proto.Size(reply)
 	lost = f.cut(to, from)
 	f.mu.Unlock()
 	if lost {
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -274,6 +274,7 @@
 	g.cfg.Heard(in.GetFrom())
 	g.learnAge(in.GetPlatformAgeMs())
 	g.spread(g.replica.Offer(in.GetEntries()), false)
+	parts, revisions := g.replica.differing(in.GetBuckets())
 	lacks, wanted := g.replica.Compare(time.Now(), in.GetRevisions(), in.GetComplete())
 	return &wire.SyncReply{
 		From:          g.cfg.Self(),
@@ -282,6 +283,8 @@
 		Wanted:        wanted,
 		PlatformAgeMs: uint64(g.PlatformAge(time.Now()).Milliseconds()),
 		Nodes:         g.mention(int(in.GetKnown())),
+		Differing:     parts,
+		Revisions:     revisions,
 	}, nil
 }
 
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -95,13 +95,24 @@
 		return nil
 	}
 	// While a value spreads digests differ everywhere: only comparisons look for
-	// the reason. If nothing came of a complete list the rest is left to the next
-	// beat.
-	if !compare || sent.GetComplete() && len(reply.GetEntries()) == 0 {
+	// the reason.
+	if !compare {
 		return nil
 	}
-	next.Revisions = g.replica.Revisions()
-	next.Complete = true
+	if parts := reply.GetDiffering(); len(parts) > 0 {
+		next.Revisions = g.replica.against(parts, reply.GetRevisions())
+		if len(next.Revisions) == 0 {
+			// The peer's news has come by another way meanwhile.
+			return nil
+		}
+		return next
+	}
+	// If nothing came of a list the rest is left to the next beat.
+	named := len(sent.GetRevisions()) > 0 || sent.GetComplete()
+	if named && len(reply.GetEntries()) == 0 {
+		return nil
+	}
+	g.replica.look(sent, next)
 	return next
 }
 
--- /dev/null
+++ b/internal/fleetconfig/digest.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Buckets is into how many parts the keys of a store are divided for comparisons. Their
+// digests take 512 bytes; a list of the revisions of 720 targets takes 18 kB.
+const Buckets = 64
+
+// bucketOf returns the part of a key.
+func bucketOf(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
+
+// hashOf returns what a key with its newest revision adds to a digest.
+func hashOf(e *wire.Entry) uint64 {
+	b := append([]byte(e.GetKey()), 0)
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(b, e.GetRevision()))
+}
+
+// note takes a newer version of a key into the digests; old is nil for a new key.
+func (s *Store) note(old, newest *version) {
+	b := bucketOf(newest.entry.GetKey())
+	if old != nil {
+		s.buckets[b] ^= hashOf(old.entry)
+	}
+	s.buckets[b] ^= hashOf(newest.entry)
+}
+
+// Digest returns a hash over all keys with their newest revisions. Two stores
+// with equal digests hold the same newest values.
+func (s *Store) Digest() uint64 {
+	sum := uint64(0)
+	for _, b := range s.buckets {
+		sum ^= b
+	}
+	return sum
+}
+
+// BucketDigests returns the digests of the parts. The slice is the caller's.
+func (s *Store) BucketDigests() []uint64 { return append([]uint64(nil), s.buckets[:]...) }
+
+// Differing returns the parts whose digests are not the given ones, none if there is
+// another number of digests than Buckets.
+func (s *Store) Differing(digests []uint64) []uint32 {
+	if len(digests) != Buckets {
+		return nil
+	}
+	var out []uint32
+	for b, own := range s.buckets {
+		if digests[b] != own {
+			out = append(out, uint32(b))
+		}
+	}
+	return out
+}
+
+// In returns the newest revisions, by key, in some parts.
+func (s *Store) In(parts []uint32) []*wire.KeyRevision {
+	var wanted [Buckets]bool
+	for _, b := range parts {
+		if b < Buckets {
+			wanted[b] = true
+		}
+	}
+	var out []*wire.KeyRevision
+	for _, k := range s.keys {
+		if wanted[bucketOf(k)] {
+			out = append(out, &wire.KeyRevision{
+				Key:      k,
+				Revision: s.records[k].newest.revision(),
+			})
+		}
+	}
+	return out
+}
--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -4,12 +4,9 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -84,8 +81,9 @@
 	records map[string]*record
 	// keys are the keys of all records, sorted: each change of one target would sort
 	// them anew else, three times on each node of the fleet.
-	keys     []string
-	digest   uint64
+	keys []string
+	// buckets are the digests of the parts into which the keys are divided.
+	buckets  [Buckets]uint64
 	policies policyCache
 	config   *Config
 	refusals []Refusal
@@ -143,20 +141,12 @@
 	if r.newest != nil && r.newest != r.inForce {
 		r.keep(r.newest)
 	}
-	if r.newest != nil {
-		s.digest ^= hashOf(r.newest.entry)
-	}
+	old := r.newest
 	r.newest = parseVersion(e)
-	s.digest ^= hashOf(e)
+	s.note(old, r.newest)
 	return true
 }
 
-// hashOf returns the part of the digest that a key with its newest revision makes.
-func hashOf(e *wire.Entry) uint64 {
-	b := append([]byte(e.GetKey()), 0)
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(b, e.GetRevision()))
-}
-
 func parseVersion(e *wire.Entry) *version {
 	v := &version{
 		entry: e,
@@ -301,6 +291,9 @@
 	return out
 }
 
+// Len returns the number of keys, deleted ones included.
+func (s *Store) Len() int { return len(s.keys) }
+
 // Value returns the newest value of a key, and false if there is none or it is
 // deleted.
 func (s *Store) Value(key string) ([]byte, bool) {
@@ -345,7 +338,3 @@
 	}
 	return []*wire.Entry{r.newest.entry}
 }
-
-// Digest returns a hash over all keys with their newest revisions. Two stores
-// with equal digests hold the same newest values.
-func (s *Store) Digest() uint64 { return s.digest }
