--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -27,7 +27,7 @@
 func (s *Server) admit(r *http.Request, now time.Time) (*admitted, *Error) {
 	cfg := s.cfg.Config()
 	if cfg == nil || len(cfg.Services()) == 0 {
-		cfg = s.await(r.Context())
+		cfg = s.await(r)
 	}
 	if cfg == nil {
 		e := refuse(CodeNotReady, http.StatusServiceUnavailable)
@@ -140,8 +140,17 @@
 }
 
 // await waits a moment for the first configuration of a process that starts.
-func (s *Server) await(ctx context.Context) *fleetconfig.Config {
-	ctx, cancel := context.WithTimeout(ctx, startWait)
+func (s *Server) await(r *http.Request) *fleetconfig.Config {
+	d, err := s.cfg.Contract.CallerWait(r.Header)
+	if err != nil || d == 0 {
+		// What is wrong with the request is told once there is a configuration.
+		d = s.cfg.Deadline
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), startWait(d))
 	defer cancel()
 	return s.cfg.AwaitConfig(ctx)
 }
+
+// startWait returns how long the request of a caller that waits for d waits for the first
+// configuration.
+func startWait(d time.Duration) time.Duration { return min(d/startPart, startMost) }
