--- /dev/null
+++ b/internal/dissemination/mention_test.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dissemination"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// A node that has just started hears at once of the few nodes that are strong enough for
+// duties, whichever others it is told of.
+func TestStrongNodesAreNamedFirst(t *testing.T) {
+	const nodes, strong = 443, 15
+	self := membership.NewNode("192.0.2.1:1", "a")
+	tab := membership.NewTable(self)
+	tab.Weigh(self.Address(), 160)
+	for i := range nodes {
+		n := membership.NewNode(fmt.Sprintf("198.51.%d.%d:1", 100+i/250, i%250), "a")
+		tab.Heard(time.Now(), n, 1, false)
+		weight := uint32(160)
+		if i%30 == 0 {
+			weight = 800
+		}
+		tab.Weigh(n.Address(), weight)
+	}
+	view := tab.View(time.Now())
+	g := dissemination.New(dissemination.Config{
+		Self:  func() *wire.Node { return &wire.Node{} },
+		View:  func() *membership.View { return view },
+		Heard: func(*wire.Node) {},
+	}, dissemination.NewReplica(func(*fleetconfig.Config, []fleetconfig.Refusal) {}))
+	reply, err := g.Sync(context.Background(), &wire.SyncRequest{
+		Known: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := map[string]bool{}
+	for _, n := range reply.GetNodes() {
+		if n.GetWeight() == 800 {
+			named[n.GetAddress()] = true
+		}
+	}
+	if len(named) < strong {
+		t.Errorf("%d strong nodes named, want %d", len(named), strong)
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -176,6 +176,18 @@
 	return most / weakPart
 }
 
+// Capable returns the live nodes that are strong enough for duties.
+func (v *View) Capable() []Node {
+	var out []Node
+	least := v.strong("")
+	for i, node := range v.live {
+		if v.weightAt(i) >= least {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
 // score is the rank of a node by weighted rendezvous hashing: over many duties a
 // node gets as many as its weight says (Schindelhauer and Schomaker, SPAA 2005).
 func score(duty string, node Node, w uint32) float64 {
