--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -72,8 +72,5 @@
 func (d *Desk) cost(now time.Time, t *target, a *Ask) float64 {
 	c := d.quality(now, t, a)
 	c += loadCost * float64(len(t.flights)+1) / float64(max(t.Slots, 1))
-	if len(d.order) >= keepLeast && t.keepers.find(now, a) >= 0 {
-		c -= connectCost
-	}
 	return c + noise*d.random()
 }
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -279,7 +279,6 @@
 	}
 	before := t.granted
 	t.granted = now
-	t.keepers.use(now, a)
 	doubt := t.lost(now)
 	route := d.model.Route(now, a.Route)
 	t.flights[a.ID] = flight{
@@ -287,8 +286,6 @@
 		until:  a.Deadline.Add(flightSlack),
 		before: before,
 		last:   a.last(),
-
-		repeatable: a.Repeatable,
 		route:      route,
 		event:      t.health.Begin(now, route),
 	}
@@ -319,9 +316,6 @@
 		d.ends.note(now, r == ResultGood)
 	}
 	delete(t.flights, id)
-	if ok && r == ResultGood {
-		t.keepers.add(now, id.Node, f.repeatable)
-	}
 	if ok {
 		t.health.End(now, f.event, kindOf(r, f.route, took, idle))
 		d.learn(f.route, r, took)
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -14,8 +14,6 @@
 	until time.Time
 	// before is when the target had got work before.
 	before time.Time
-	// repeatable tells whether the request may run more than once.
-	repeatable bool
 	// last is set where no other attempt can follow a failure.
 	last bool
 	// route is what is known of the request's route, event the number of the attempt
@@ -34,7 +32,6 @@
 	flights   map[ID]flight
 	// granted is when the target last got work.
 	granted time.Time
-	keepers keepers
 	// missed is the probability that the target works and should have had work by now.
 	missed float64
 }
