--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -191,39 +191,6 @@
 	return d.model.Route(now, a.Route).Within(hopelessShare)
 }
 
-// affords tells whether the retry budget pays for an ask. part is the share of the
-// reserve that may be used.
-func (d *Desk) affords(now time.Time, a *Ask, part float64) bool {
-	d.window.turn(now, d.begun, d.budget)
-	d.window.asked(now, d.budget)
-	d.others.note(now, a.ID.Node, a.Elsewhere)
-	return !a.Again || d.left(now, part) >= 1
-}
-
-// charge counts an ask n times in the retry budget.
-func (d *Desk) charge(a *Ask, n float64) {
-	if a.Again {
-		d.window.repeat(n)
-		return
-	}
-	d.window.first(n)
-}
-
-// repeats returns how many repeats the budget pays for in the window and how many of
-// them were made, by others too. part is the share of the reserve that this desk may
-// use.
-func (d *Desk) repeats(now time.Time, part float64) (all, spent float64) {
-	firsts, repeats := d.others.sums(now, d.budget)
-	all, spent = d.window.allowed(now, d.budget, part)
-	return all + shareUsed*d.budget.Share*firsts, spent + repeats
-}
-
-// left returns how many repeats the budget still pays for.
-func (d *Desk) left(now time.Time, part float64) float64 {
-	all, spent := d.repeats(now, part)
-	return all - spent
-}
-
 // before returns the answer that an ask got before.
 func (d *Desk) before(id ID) (Grant, bool) {
 	if key, ok := d.granted[id]; ok {
@@ -286,8 +253,8 @@
 		until:  a.Deadline.Add(flightSlack),
 		before: before,
 		last:   a.last(),
-		route:      route,
-		event:      t.health.Begin(now, route),
+		route:  route,
+		event:  t.health.Begin(now, route),
 	}
 	d.granted[a.ID] = t.Key
 	return Grant{
@@ -301,70 +268,6 @@
 	}
 }
 
-// Done takes in the end of a granted attempt and returns the grants that its slot
-// makes possible.
-func (d *Desk) Done(now time.Time, id ID, key string, r Result, took time.Duration) []Grant {
-	delete(d.granted, id)
-	d.closed[id] = now
-	t := d.targets[key]
-	if t == nil {
-		return nil
-	}
-	idle := len(t.flights) <= t.Slots
-	f, ok := t.flights[id]
-	if ok && (f.last || r == ResultGood) {
-		d.ends.note(now, r == ResultGood)
-	}
-	delete(t.flights, id)
-	if ok {
-		t.health.End(now, f.event, kindOf(r, f.route, took, idle))
-		d.learn(f.route, r, took)
-	}
-	t.noteGone(now, r)
-	if ok && r == ResultUnreached && t.granted.Equal(f.begun) {
-		// Nothing reached the target: it still waits for work.
-		t.granted = f.before
-		d.covered = coverage{}
-	}
-	if now.Before(d.serveAgain) {
-		return d.freed(now, t)
-	}
-	return d.serve(now)
-}
-
-// Lost notes of an attempt, before its end is told, that its request ends with it.
-func (d *Desk) Lost(key string, id ID) {
-	if t := d.targets[key]; t != nil {
-		if f, ok := t.flights[id]; ok {
-			f.last = true
-			t.flights[id] = f
-		}
-	}
-}
-
-// Note takes in what a node saw of a target that another desk granted.
-func (d *Desk) Note(now time.Time, key, route string, r Result, took time.Duration) {
-	rt := d.model.Route(now, route)
-	if t := d.targets[key]; t != nil {
-		if r != ResultUnreached {
-			t.granted = now
-		}
-		t.health.Saw(now, rt, kindOf(r, rt, took, true), took)
-		t.noteGone(now, r)
-	}
-	d.learn(rt, r, took)
-}
-
-// learn takes in how long a good answer took.
-func (d *Desk) learn(route *health.Route, r Result, took time.Duration) {
-	if r != ResultGood {
-		return
-	}
-	if err := route.Answered(took); err != nil {
-		d.unlearned++
-	}
-}
-
 // idleBeat is how often a desk without work takes in what was learned. Each node has a
 // desk for each service, most of which have no work.
 const idleBeat = time.Second
--- /dev/null
+++ b/internal/dispatch/end.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/health"
+)
+
+// Done takes in the end of a granted attempt and returns the grants that its slot
+// makes possible.
+func (d *Desk) Done(now time.Time, id ID, key string, r Result, took time.Duration) []Grant {
+	delete(d.granted, id)
+	d.closed[id] = now
+	t := d.targets[key]
+	if t == nil {
+		return nil
+	}
+	idle := len(t.flights) <= t.Slots
+	f, ok := t.flights[id]
+	if ok && (f.last || r == ResultGood) {
+		d.ends.note(now, r == ResultGood)
+	}
+	delete(t.flights, id)
+	if ok {
+		t.health.End(now, f.event, kindOf(r, f.route, took, idle))
+		d.learn(f.route, r, took)
+	}
+	t.noteGone(now, r)
+	if ok && r == ResultUnreached && t.granted.Equal(f.begun) {
+		// Nothing reached the target: it still waits for work.
+		t.granted = f.before
+		d.covered = coverage{}
+	}
+	if now.Before(d.serveAgain) {
+		return d.freed(now, t)
+	}
+	return d.serve(now)
+}
+
+// Lost notes of an attempt, before its end is told, that its request ends with it.
+func (d *Desk) Lost(key string, id ID) {
+	if t := d.targets[key]; t != nil {
+		if f, ok := t.flights[id]; ok {
+			f.last = true
+			t.flights[id] = f
+		}
+	}
+}
+
+// Note takes in what a node saw of a target that another desk granted.
+func (d *Desk) Note(now time.Time, key, route string, r Result, took time.Duration) {
+	rt := d.model.Route(now, route)
+	if t := d.targets[key]; t != nil {
+		if r != ResultUnreached {
+			t.granted = now
+		}
+		t.health.Saw(now, rt, kindOf(r, rt, took, true), took)
+		t.noteGone(now, r)
+	}
+	d.learn(rt, r, took)
+}
+
+// learn takes in how long a good answer took.
+func (d *Desk) learn(route *health.Route, r Result, took time.Duration) {
+	if r != ResultGood {
+		return
+	}
+	if err := route.Answered(took); err != nil {
+		d.unlearned++
+	}
+}
--- /dev/null
+++ b/internal/dispatch/pay.go
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// affords tells whether the retry budget pays for an ask. part is the share of the
+// reserve that may be used.
+func (d *Desk) affords(now time.Time, a *Ask, part float64) bool {
+	d.window.turn(now, d.begun, d.budget)
+	d.window.asked(now, d.budget)
+	d.others.note(now, a.ID.Node, a.Elsewhere)
+	return !a.Again || d.left(now, part) >= 1
+}
+
+// charge counts an ask n times in the retry budget.
+func (d *Desk) charge(a *Ask, n float64) {
+	if a.Again {
+		d.window.repeat(n)
+		return
+	}
+	d.window.first(n)
+}
+
+// repeats returns how many repeats the budget pays for in the window and how many of
+// them were made, by others too. part is the share of the reserve that this desk may
+// use.
+func (d *Desk) repeats(now time.Time, part float64) (all, spent float64) {
+	firsts, repeats := d.others.sums(now, d.budget)
+	all, spent = d.window.allowed(now, d.budget, part)
+	return all + shareUsed*d.budget.Share*firsts, spent + repeats
+}
+
+// left returns how many repeats the budget still pays for.
+func (d *Desk) left(now time.Time, part float64) float64 {
+	all, spent := d.repeats(now, part)
+	return all - spent
+}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -18,8 +18,8 @@
 // a twentieth of a processor; a service of 14 targets is looked at with each end.
 const lookPause = time.Microsecond
 
-// kind is what the choices for several asks have in common.
-type kind struct {
+// traits are what the choices for several asks have in common.
+type traits struct {
 	dataHall   string
 	route      string
 	repeatable bool
@@ -29,9 +29,9 @@
 	late bool
 }
 
-func (w *waiting) kind(now time.Time) kind {
+func (w *waiting) traits(now time.Time) traits {
 	a := w.ask
-	return kind{
+	return traits{
 		dataHall:   a.DataHall,
 		route:      a.Route,
 		repeatable: a.Repeatable,
@@ -52,11 +52,11 @@
 			break
 		}
 		free := d.free(now)
-		// declined are kinds of asks of which one takes none of the free targets: those
+		// declined are the traits of asks of which one takes none of the free targets: those
 		// behind it have waited less, and take no worse ones.
-		declined := map[kind]bool{}
+		declined := map[traits]bool{}
 		d.queue.each(now, func(w *waiting) bool {
-			k := w.kind(now)
+			k := w.traits(now)
 			if len(free) == 0 || declined[k] {
 				return false
 			}
@@ -95,10 +95,10 @@
 		if t.Leaving || len(d.queue.list) == 0 {
 			break
 		}
-		declined := map[kind]bool{}
+		declined := map[traits]bool{}
 		d.queue.each(now, func(w *waiting) bool {
 			a := w.ask
-			k := w.kind(now)
+			k := w.traits(now)
 			if len(t.flights) >= d.slots(now, t) || near && t.DataHall != a.DataHall ||
 				slices.Contains(a.Tried, t.Key) || declined[k] {
 				return false
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -288,40 +288,6 @@
 	}, nil
 }
 
-// mention names a few random nodes, so that nodes find each other where the
-// platform gives no list; more of them to a peer that knows few, and first of all those
-// that can have duties: until nodes that start know them they ask nodes for targets that
-// are too weak for it.
-func (g *Gossip) mention(known int) []*wire.Node {
-	view := g.cfg.View()
-	live := view.Live()
-	n := min(max(mentions, len(live)-known), mentionsMost)
-	var list []membership.Node
-	if n > mentions {
-		list = someNodes(view.Capable(), n/2)
-	}
-	list = append(list, someNodes(live, n-len(list))...)
-	out := make([]*wire.Node, 0, len(list))
-	for _, m := range list {
-		out = append(out, &wire.Node{
-			Address:  m.Address(),
-			DataHall: m.DataHall(),
-			Weight:   view.Weight(m),
-		})
-	}
-	return out
-}
-
-// someNodes returns up to n nodes of a list, from a random place on.
-func someNodes(list []membership.Node, n int) []membership.Node {
-	var out []membership.Node
-	from := rand.IntN(max(len(list), 1))
-	for i := range min(n, len(list)) {
-		out = append(out, list[(from+i)%len(list)])
-	}
-	return out
-}
-
 // learnAge takes the age that a message carries in milliseconds.
 func (g *Gossip) learnAge(ms uint64) {
 	g.LearnAge(time.Now(), time.Duration(min(ms, uint64(never/time.Millisecond)))*time.Millisecond)
--- /dev/null
+++ b/internal/dissemination/mention.go
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination
+
+import (
+	"math/rand/v2"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// mention names a few random nodes, so that nodes find each other where the
+// platform gives no list; more of them to a peer that knows few, and first of all those
+// that can have duties: until nodes that start know them they ask nodes for targets that
+// are too weak for it.
+func (g *Gossip) mention(known int) []*wire.Node {
+	view := g.cfg.View()
+	live := view.Live()
+	n := min(max(mentions, len(live)-known), mentionsMost)
+	var list []membership.Node
+	if n > mentions {
+		list = someNodes(view.Capable(), n/2)
+	}
+	list = append(list, someNodes(live, n-len(list))...)
+	out := make([]*wire.Node, 0, len(list))
+	for _, m := range list {
+		out = append(out, &wire.Node{
+			Address:  m.Address(),
+			DataHall: m.DataHall(),
+			Weight:   view.Weight(m),
+		})
+	}
+	return out
+}
+
+// someNodes returns up to n nodes of a list, from a random place on.
+func someNodes(list []membership.Node, n int) []membership.Node {
+	var out []membership.Node
+	from := rand.IntN(max(len(list), 1))
+	for i := range min(n, len(list)) {
+		out = append(out, list[(from+i)%len(list)])
+	}
+	return out
+}
