internal/node: nodes without targets in their data hall are shared out over the parts

Seen in reading the code: all nodes of such a data hall asked the first part by name and went on only when it was full. No deployment at hand has such a data hall.

--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -55,8 +55,12 @@
 // entries describe. peers are other nodes of the fleet: those in data hall a never answer,
 // the others grant a target of their data hall at once.
 func NewChooser(service string, entries []*wire.Entry, peers ...membership.Node) *Chooser {
+	return NewChooserOf(membership.NewNode("192.0.2.1:1", "a"), service, entries, peers...)
+}
+
+// NewChooserOf returns the same of another node.
+func NewChooserOf(self membership.Node, service string, entries []*wire.Entry, peers ...membership.Node) *Chooser {
 	board := &Board{}
-	self := membership.NewNode("192.0.2.1:1", "a")
 	members := newMembers(board, self, 0)
 	for _, n := range peers {
 		members.table.Heard(time.Now(), n, 1, false)
@@ -126,6 +130,9 @@
 	}
 }
 
+// Home returns the data hall whose targets the node asks for first.
+func (c *Chooser) Home() string { return c.dispatching.home(c.service).hall }
+
 // Asked returns how often each peer was asked for targets of each data hall, by both,
 // with a space between them.
 func (c *Chooser) Asked() map[string]int { return c.asked }
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
@@ -95,10 +97,13 @@
 	if len(halls) == 0 {
 		return p
 	}
-	p.hall = halls[0]
-	if own := d.board.view.Load().Self().DataHall(); slices.Contains(halls, own) {
-		p.hall = own
+	self := d.board.view.Load().Self()
+	if slices.Contains(halls, self.DataHall()) {
+		p.hall = self.DataHall()
+		return p
 	}
+	// Nodes without targets in their own data hall are shared out over the others.
+	p.hall = halls[xxhash.Sum64String(self.Address())%uint64(len(halls))]
 	return p
 }
 
--- a/internal/node/parts_test.go
+++ b/internal/node/parts_test.go
@@ -88,3 +88,15 @@
 		}
 	})
 }
+
+// Nodes whose data hall has no targets are shared out over those that have.
+func TestNodesWithoutTargetsNearAreSharedOut(t *testing.T) {
+	homes := map[string]int{}
+	for i := range 100 {
+		self := membership.NewNode(fmt.Sprintf("192.0.2.%d:1", i), "c")
+		homes[node.NewChooserOf(self, "quotes", twoHalls(40)).Home()]++
+	}
+	if homes["a"] < 30 || homes["b"] < 30 {
+		t.Errorf("nodes by the data hall that they ask first: %v", homes)
+	}
+}
