internal/settings: figures of the platform may be fractions, and none of them ends the program

Cause: [targets] retry_reserve had to be a whole number. Change: figures that the platform fills in (processors, floor, retry_*, and the new section [workspaces]) take any number in their range; one that can't be understood is logged, shown by ploverctl check, and a safe value is taken in its place: no repeats, no tolerance, the usual window. Addresses and what has no safe value stay errors. The table of keys and the loading have files of their own. Before: the program ended.

--- a/cmd/ploverctl/check.go
+++ b/cmd/ploverctl/check.go
@@ -23,17 +23,14 @@
 	Services   int `json:"services"`
 	Routes     int `json:"routes"`
 	Workspaces int `json:"workspaces"`
+	// Warnings are faults in place of which a node takes a safe value.
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 // Run checks and prints what was found.
 func (c *checkCommand) Run(out *output) error {
 	if filepath.Ext(c.Path) == ".ini" {
-		if _, err := settings.Load(c.Path); err != nil {
-			return err
-		}
-		return out.print(checkResult{
-			Files: 1,
-		}, "good: settings\n")
+		return checkSettings(out, c.Path)
 	}
 	files, err := valueFiles(c.Path)
 	if err != nil {
@@ -52,6 +49,22 @@
 	return out.print(r, "good: %d files, %d services, %d routes, %d workspaces\n", r.Files, r.Services, r.Routes, r.Workspaces)
 }
 
+func checkSettings(out *output, path string) error {
+	set, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	r := checkResult{
+		Files: 1,
+	}
+	text := "good: settings\n"
+	for _, w := range set.Warnings() {
+		r.Warnings = append(r.Warnings, w.Error())
+		text += "warning: " + w.Error() + "\n"
+	}
+	return out.print(r, "%s", text)
+}
+
 // valueFiles returns the files that hold published values.
 func valueFiles(path string) ([]string, error) {
 	info, err := os.Stat(path)
--- a/cmd/ploverd/main.go
+++ b/cmd/ploverd/main.go
@@ -51,11 +51,17 @@
 		return exitSettings
 	}
 	if args.Check {
+		for _, w := range set.Warnings() {
+			fmt.Fprintln(os.Stderr, "warning:", w)
+		}
 		return 0
 	}
 	out := logging.NewBuffer(os.Stdout)
 	defer out.Close()
 	log := logging.New(out, set.LogLevel(), set.LogFormat())
+	for _, w := range set.Warnings() {
+		logging.Part(log, "settings").WithError(w).Warn("a safe value is taken in place of a wrong one")
+	}
 	n, err := node.New(set, log, adapter(set))
 	if err != nil {
 		logging.Part(log, "node").WithError(err).Error("not started")
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -19,6 +19,9 @@
 		log.WithError(err).Error("settings not reloaded, the old ones stay in force")
 		return
 	}
+	for _, w := range set.Warnings() {
+		log.WithError(w).Warn("a safe value is taken in place of a wrong one")
+	}
 	old := n.live.Swap(set)
 	if level, err := logrus.ParseLevel(set.LogLevel()); err == nil {
 		n.log.SetLevel(level)
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -38,7 +38,7 @@
 	share, reserve, window := n.set.Retries()
 	d := newDispatching(n.board, m, dispatch.Budget{
 		Share:   share,
-		Reserve: float64(reserve),
+		Reserve: reserve,
 		Window:  window,
 	}, logging.Part(n.log, "dispatch"))
 	d.floor = n.set.Floor()
--- /dev/null
+++ b/internal/settings/fields.go
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import "time"
+
+// Bounds of settings, both included.
+const (
+	minBody       = 0
+	maxBody       = 16 << 30
+	minHeader     = 4 << 10
+	maxHeader     = 1 << 20
+	maxDrainWait  = 10 * time.Minute
+	maxDeadline   = 24 * time.Hour
+	maxWorkspaces = 10000
+	maxReserve    = 1_000_000
+	maxRetryShare = 10
+	minWindow     = 100 * time.Millisecond
+)
+
+// field is one key that a settings file may hold.
+type field struct {
+	section  string
+	key      string
+	required bool
+	// set takes the value, or says what is wrong with it.
+	set func(text string) string
+	// safe takes the value that harms nobody in place of one that is wrong; nil means
+	// that there is none.
+	safe func()
+}
+
+func optional(section, key string, set func(text string) string) field {
+	return field{
+		section: section,
+		key:     key,
+		set:     set,
+	}
+}
+
+func required(section, key string, set func(text string) string) field {
+	fd := optional(section, key, set)
+	fd.required = true
+	return fd
+}
+
+// given is a figure that comes from the platform, not from whoever writes the file: a
+// node that refused to start because of it would leave a fleet without any service.
+func given(section, key string, set func(text string) string, safe func()) field {
+	fd := optional(section, key, set)
+	fd.safe = safe
+	return fd
+}
+
+func (s *Settings) fields() []field {
+	return []field{
+		required("node", "data_hall", text(&s.dataHall)),
+		optional("node", "outgoing", ip(&s.outgoing)),
+		given("node", "processors", processors(&s.weight), func() {}),
+		required("entry", "listen", address(&s.entryListen)),
+		optional("entry", "max_body", size(&s.maxBody, minBody, maxBody)),
+		optional("entry", "max_header", size(&s.maxHeader, minHeader, maxHeader)),
+		optional("entry", "hold_body", size(&s.holdBody, 0, maxBody)),
+		optional("entry", "deadline", duration(&s.deadline, time.Millisecond, maxDeadline)),
+		optional("entry", "stall", duration(&s.stall, 10*time.Millisecond, maxDeadline)),
+		optional("entry", "workspace_header", text(&s.workspaceHeader)),
+		optional("entry", "drain_wait", duration(&s.drainWait, 0, maxDrainWait)),
+		required("operator", "listen", address(&s.operatorListen)),
+		optional("peers", "listen", address(&s.peerListen)),
+		optional("peers", "advertise", address(&s.advertise)),
+		optional("peers", "seeds", addresses(&s.seeds)),
+		optional("peers", "certificate", text(&s.peerCert)),
+		optional("peers", "key", text(&s.peerKey)),
+		optional("peers", "authority", text(&s.peerCA)),
+		optional("peers", "secret", text(&s.peerSecret)),
+		required("source", "kind", oneOf(&s.source, SourceDirectory, SourcePlatform, SourceStore)),
+		optional("source", "directory", text(&s.directory)),
+		optional("source", "platform", webAddress(&s.platform)),
+		optional("targets", "choice", oneOf(&s.choice, ChoiceAlone, ChoiceJoint)),
+		given("targets", "floor", share(&s.floor), func() {}),
+		given("targets", "retry_share", decimal(&s.retryShare, 0, maxRetryShare), func() { s.retryShare = 0 }),
+		given("targets", "retry_reserve", decimal(&s.retryReserve, 0, maxReserve), func() { s.retryReserve = 0 }),
+		given("targets", "retry_window", duration(&s.retryWindow, minWindow, maxDeadline), func() {}),
+		optional("workspaces", "identity", oneOf(&s.workspaces.identity, IdentityHeader, IdentityKey)),
+		given("workspaces", "strict", truth(&s.workspaces.strict), func() { s.workspaces.strict = true }),
+		given("workspaces", "key_age", duration(&s.workspaces.keyAge, minWindow, maxDeadline), func() {}),
+		given("workspaces", "window", duration(&s.workspaces.window, minWindow, maxDeadline), func() {}),
+		given("workspaces", "excess", share(&s.workspaces.excess), func() { s.workspaces.excess = 0 }),
+		given("workspaces", "slack", decimal(&s.workspaces.slack, 0, maxReserve), func() { s.workspaces.slack = 0 }),
+		optional("log", "level", oneOf(&s.logLevel, "debug", "info", "warning", "error")),
+		optional("log", "format", oneOf(&s.logFormat, "text", "json")),
+		optional("metrics", "listen", address(&s.metricsListen)),
+		optional("metrics", "workspaces", count(&s.metricWorkspaces, 0, maxWorkspaces)),
+	}
+}
+
+func defaults() *Settings {
+	return &Settings{
+		maxBody:          32 << 20,
+		maxHeader:        64 << 10,
+		holdBody:         64 << 10,
+		deadline:         10 * time.Second,
+		stall:            15 * time.Second,
+		weight:           1000,
+		choice:           ChoiceAlone,
+		floor:            0.7,
+		retryShare:       0.1,
+		retryReserve:     10,
+		retryWindow:      10 * time.Second,
+		workspaceHeader:  "Plover-Workspace",
+		drainWait:        5 * time.Second,
+		logLevel:         "info",
+		logFormat:        "text",
+		metricWorkspaces: 100,
+		workspaces: Workspaces{
+			identity: IdentityHeader,
+			keyAge:   5 * time.Second,
+			window:   5 * time.Second,
+			excess:   0.25,
+			slack:    20,
+		},
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -191,3 +191,93 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+// Figures that a platform fills in may take any form that a number can have, and one
+// that can't be understood must not end the program: no node would start.
+func TestFiguresOfThePlatform(t *testing.T) {
+	cases := []struct {
+		name     string
+		text     string
+		reserve  float64
+		share    float64
+		warnings int
+	}{
+		{
+			name:    "fraction",
+			text:    "retry_reserve = 23.456790123456788\nretry_share = 0.25\n",
+			reserve: 23.456790123456788,
+			share:   0.25,
+		},
+		{
+			name:    "exponent",
+			text:    "retry_reserve = 1e2\nretry_share = 1.5\n",
+			reserve: 100,
+			share:   1.5,
+		},
+		{
+			name:     "no number",
+			text:     "retry_reserve = many\nretry_share = NaN\n",
+			warnings: 2,
+		},
+		{
+			name:     "impossible",
+			text:     "retry_reserve = -1\nretry_share = -0.1\nretry_window = 0s\nfloor = 7\n",
+			warnings: 4,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, err := load(t, good+"[targets]\n"+c.text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			share, reserve, window := s.Retries()
+			if share != c.share || reserve != c.reserve || window != 10*time.Second || s.Floor() != 0.7 {
+				t.Errorf("share %v, reserve %v, window %v, floor %v", share, reserve, window, s.Floor())
+			}
+			if len(s.Warnings()) != c.warnings {
+				t.Errorf("warnings: %v", s.Warnings())
+			}
+		})
+	}
+}
+
+func TestWorkspaces(t *testing.T) {
+	s, err := load(t, good+"[workspaces]\nidentity = key\nstrict = true\nkey_age = 4s\nwindow = 2s\nexcess = 0.1\nslack = 7.5\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, strict := s.Workspaces().Strict()
+	window, excess, slack := s.Workspaces().Tolerance()
+	if s.Workspaces().Identity() != settings.IdentityKey || !strict || after != 4*time.Second ||
+		window != 2*time.Second || excess != 0.1 || slack != 7.5 {
+		t.Errorf("got %+v", s.Workspaces())
+	}
+	s, err = load(t, good+"[workspaces]\nstrict = perhaps\nexcess = 2\nslack = -3\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, strict = s.Workspaces().Strict()
+	_, excess, slack = s.Workspaces().Tolerance()
+	if !strict || excess != 0 || slack != 0 || len(s.Warnings()) != 3 {
+		t.Errorf("got %+v, warnings %v", s.Workspaces(), s.Warnings())
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add(good)
+	f.Add(good + "[targets]\nretry_reserve = 23.5\n")
+	f.Add(good + "[workspaces]\nstrict = maybe\nslack = 1e400\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := load(t, text)
+		if err != nil {
+			return
+		}
+		if share, reserve, window := s.Retries(); !(share >= 0 && reserve >= 0) || window <= 0 {
+			t.Errorf("share %v, reserve %v, window %v", share, reserve, window)
+		}
+		if window, excess, slack := s.Workspaces().Tolerance(); window <= 0 || !(excess >= 0 && slack >= 0) {
+			t.Errorf("window %v, excess %v, slack %v", window, excess, slack)
+		}
+	})
+}
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -135,10 +135,10 @@
 	return f, ""
 }
 
-// share reads a number from 0 to 1.
-func share(dst *float64) func(string) string {
+// decimal reads a number from low to high.
+func decimal(dst *float64, low, high float64) func(string) string {
 	return func(v string) string {
-		f, fault := number(v, 0, 1)
+		f, fault := number(v, low, high)
 		if fault == "" {
 			*dst = f
 		}
@@ -146,6 +146,24 @@
 	}
 }
 
+// share reads a number from 0 to 1.
+func share(dst *float64) func(string) string { return decimal(dst, 0, 1) }
+
+// truth reads true or false.
+func truth(dst *bool) func(string) string {
+	return func(v string) string {
+		switch v {
+		case "true":
+			*dst = true
+		case "false":
+			*dst = false
+		default:
+			return "want true or false, got " + strconv.Quote(v)
+		}
+		return ""
+	}
+}
+
 // processors reads how many processors a process can use, from 0.001 to 1000, into
 // thousandths.
 func processors(dst *uint32) func(string) string {
