internal/entry: callers show keys of their workspaces

Cause: a workspace was whoever a header names; nothing read Authorization. Change: a workspace publishes digests of its keys. Route, public, key (401), limit (429) are checked in this order with each request; the target is told the workspace in place of what the caller wrote, in odd spellings too, and no Authorization. 401 is said only by a node that can know the newest configuration: the fleet heard the platform lately and a peer has the same values; else it asks peers for a sixth of the caller's time, then 503. [workspaces] strict has a node refuse keys when it lost the platform. The rank of a workspace goes before that of the route. Ruled out: 401 by what a node knows at once (a key given out while a node is cut off is refused for good, for callers don't come back after 401).

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -44,6 +44,9 @@
 	Reserved []string
 	// CallerWait returns how long the caller waits, 0 if it doesn't say.
 	CallerWait func(h http.Header) (time.Duration, error)
+	// Credential returns the key that a request shows of its caller's workspace.
+	// shown is set where it shows one, however malformed; a malformed key is "".
+	Credential func(h http.Header) (key string, shown bool)
 	// SetDeadline tells a target until when it may work.
 	SetDeadline func(h http.Header, deadline, now time.Time)
 	// Refused tells whether an answer proves that the target has not run the
@@ -90,6 +93,7 @@
 			HeaderExpect,
 		},
 		CallerWait:  callerWait,
+		Credential:  Credential("Bearer"),
 		SetDeadline: setDeadline,
 		Refused:     refused,
 		Leaving:     func(h http.Header) bool { return h.Get(HeaderState) == stateLeaving },
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -82,7 +82,11 @@
 	fresh    chan learned
 	begun    time.Time
 	platform atomic.Int64
-	differs  chan string
+	// agreed is when a peer last had the same values, as the time since begun.
+	agreed  atomic.Int64
+	differs chan string
+	// wanted holds a value when a request waits for news.
+	wanted   chan struct{}
 	mu       sync.Mutex
 	compares map[string]bool
 	// lately is when this node learned of a value, by key.
@@ -101,62 +105,10 @@
 		lately:   map[string]time.Time{},
 		begun:    time.Now(),
 		differs:  make(chan string, 1),
+		wanted:   make(chan struct{}, 1),
 	}
 }
 
-// The time at which the platform was heard is kept as the time since begun: the
-// time of day may jump.
-
-// PlatformHeard notes that this node has just heard the platform.
-func (g *Gossip) PlatformHeard(now time.Time) {
-	g.heard(now, 0)
-}
-
-// PlatformAge returns how long ago any node that this one knows of has heard the
-// platform.
-func (g *Gossip) PlatformAge(now time.Time) time.Duration {
-	at := g.platform.Load()
-	if at == 0 {
-		return never
-	}
-	return now.Sub(g.begun) - time.Duration(at)
-}
-
-// never is the age of what was not heard at all.
-const never = 1 << 62
-
-// ageOfWay is by how much an age grows on its way from one node to the next, at the least:
-// some ten times the way between data halls, for a message may also wait for a processor.
-// Each node passes on the least age it knows, so that busy nodes tell each other the same
-// age again and again; if it grew by less than the way takes, all of them together would
-// hold it still.
-const ageOfWay = 25 * time.Millisecond
-
-// LearnAge notes that a peer knows of a node that heard the platform age ago.
-func (g *Gossip) LearnAge(now time.Time, age time.Duration) {
-	if age <= maxAge {
-		g.heard(now, age+ageOfWay)
-	}
-}
-
-// heard notes that the platform was heard age ago.
-func (g *Gossip) heard(now time.Time, age time.Duration) {
-	// A node that began later than that still knows that it was heard.
-	at := int64(now.Sub(g.begun) - age)
-	if at == 0 {
-		at = 1
-	}
-	for {
-		old := g.platform.Load()
-		if old != 0 && old >= at || g.platform.CompareAndSwap(old, at) {
-			return
-		}
-	}
-}
-
-// maxAge bounds the ages that are passed on.
-const maxAge = 100 * 24 * time.Hour
-
 // Differs notes that a peer has another digest than this node. The two compare
 // unless a comparison began a moment ago.
 func (g *Gossip) Differs(peer string) {
@@ -166,6 +118,14 @@
 	}
 }
 
+// Ask has this node compare with peers soon, unless it did so a moment ago.
+func (g *Gossip) Ask() {
+	select {
+	case g.wanted <- struct{}{}:
+	default:
+	}
+}
+
 // Compared returns with how many different peers this node has compared all its
 // values to the end.
 func (g *Gossip) Compared() int {
@@ -211,6 +171,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.compares[peer] = true
+	g.Agrees(time.Now())
 }
 
 // Publish offers values that this node has learned by itself.
@@ -259,6 +220,11 @@
 				asked = time.Now()
 				g.compare(ctx, &talks, []string{peer})
 			}
+		case <-g.wanted:
+			if time.Since(asked) >= differsPause {
+				asked = time.Now()
+				g.compare(ctx, &talks, g.choose(compareTries))
+			}
 		case <-next.C:
 			g.compare(ctx, &talks, g.choose(compareTries))
 			next.Reset(Beat/2 + rand.N(Beat))
@@ -288,11 +254,6 @@
 	}, nil
 }
 
-// learnAge takes the age that a message carries in milliseconds.
-func (g *Gossip) learnAge(ms uint64) {
-	g.LearnAge(time.Now(), time.Duration(min(ms, uint64(never/time.Millisecond)))*time.Millisecond)
-}
-
 // addresses returns the addresses of nodes.
 func addresses(nodes []membership.Node) []string {
 	var out []string
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -12,18 +12,30 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 )
 
-// admitted is a request that passed all checks.
+// admitted is a request that passed all checks, or of a refused one what is known.
 type admitted struct {
-	config    *fleetconfig.Config
-	route     *fleetconfig.Route
+	config *fleetconfig.Config
+	route  *fleetconfig.Route
+	// workspace is the identity of the caller's workspace; it may be empty.
 	workspace string
+	// rank is the rank under overload; 0 is served first.
+	rank int
 	// wait is the time to the first byte of an answer.
 	wait     time.Duration
 	deadline time.Time
 	maxBody  int64
 }
 
-// admit checks a request before any work is done for it.
+// of returns the workspace of a request, "" where it isn't known.
+func (a *admitted) of() string {
+	if a == nil {
+		return ""
+	}
+	return a.workspace
+}
+
+// admit checks a request before any work is done for it. What is known of a refused
+// one may be nil.
 func (s *Server) admit(r *http.Request, now time.Time) (*admitted, *Error) {
 	cfg := s.cfg.Config()
 	if cfg == nil || len(cfg.Services()) == 0 {
@@ -34,6 +46,18 @@
 		e.retryAfter = comeBack
 		return nil, e
 	}
+	a, fail := s.check(cfg, r, now)
+	if fail == nil || !fail.hingesOnNews() || s.cfg.Current() {
+		return a, fail
+	}
+	if !s.awaitNews(r) {
+		return a, unsure(fail)
+	}
+	return s.check(s.cfg.Config(), r, now)
+}
+
+// check checks a request by a configuration.
+func (s *Server) check(cfg *fleetconfig.Config, r *http.Request, now time.Time) (*admitted, *Error) {
 	if err := checkForm(r); err != nil {
 		return nil, err
 	}
@@ -45,11 +69,15 @@
 		return nil, refuse(CodeMethod, http.StatusMethodNotAllowed)
 	}
 	a := &admitted{
-		config:    cfg,
-		route:     route,
-		workspace: r.Header.Get(s.cfg.WorkspaceHeader),
-		maxBody:   s.cfg.MaxBody,
+		config:  cfg,
+		route:   route,
+		maxBody: s.cfg.MaxBody,
+	}
+	owner, fail := s.owner(r, a)
+	if fail != nil {
+		return a, fail
 	}
+	a.rank = rank(cfg, owner, route)
 	if most := cfg.Limits().MaxBody(); most > 0 {
 		a.maxBody = most
 	}
@@ -57,15 +85,14 @@
 		a.maxBody = route.MaxBody()
 	}
 	if r.ContentLength > a.maxBody {
-		return nil, refuse(CodeBodySize, http.StatusRequestEntityTooLarge)
+		return a, refuse(CodeBodySize, http.StatusRequestEntityTooLarge)
 	}
-	wait, err := s.callerWait(r, route)
-	if err != nil {
-		return nil, err
+	a.wait, fail = s.callerWait(r, route)
+	if fail != nil {
+		return a, fail
 	}
-	a.wait = wait
-	a.deadline = now.Add(wait)
-	return a, s.checkWorkspace(a, now)
+	a.deadline = now.Add(a.wait)
+	return a, s.checkLimit(owner, now)
 }
 
 // checkForm refuses requests whose meaning a target may read otherwise.
@@ -122,33 +149,21 @@
 	return min(d, longest), nil
 }
 
-func (s *Server) checkWorkspace(a *admitted, now time.Time) *Error {
-	if a.config.Workspaces() == 0 {
-		return nil
-	}
-	w := a.config.Workspace(a.workspace)
-	if w == nil {
-		return refuse(CodeWorkspace, http.StatusForbidden)
-	}
-	wait := s.limiter.Admit(now, w.ID(), w.Rate(), w.Burst(), s.cfg.Nodes())
-	if wait > 0 {
-		e := refuse(CodeRate, http.StatusTooManyRequests)
-		e.retryAfter = wait
-		return e
-	}
-	return nil
-}
-
 // await waits a moment for the first configuration of a process that starts.
 func (s *Server) await(r *http.Request) *fleetconfig.Config {
+	ctx, cancel := context.WithTimeout(r.Context(), startWait(s.callerTime(r)))
+	defer cancel()
+	return s.cfg.AwaitConfig(ctx)
+}
+
+// callerTime returns how long a caller waits. What is wrong with its request is told
+// once there is a configuration.
+func (s *Server) callerTime(r *http.Request) time.Duration {
 	d, err := s.cfg.Contract.CallerWait(r.Header)
 	if err != nil || d == 0 {
-		// What is wrong with the request is told once there is a configuration.
-		d = s.cfg.Deadline
+		return s.cfg.Deadline
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), startWait(d))
-	defer cancel()
-	return s.cfg.AwaitConfig(ctx)
+	return d
 }
 
 // startWait returns how long the request of a caller that waits for d waits for the first
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -44,10 +44,32 @@
 	return out
 }
 
+// identify writes the identity of a request whose caller shows a key into the header
+// that a target gets: the name of the workspace, "" for none, in place of whatever the
+// caller wrote there and of the key.
+func identify(h http.Header, header, workspace string, keyed bool) {
+	if keyed {
+		h.Del(contract.HeaderAuthorization)
+	}
+	for name := range h {
+		// Targets behind gateway interfaces can't tell "_" from "-".
+		if strings.EqualFold(strings.ReplaceAll(name, "_", "-"), header) {
+			delete(h, name)
+		}
+	}
+	if workspace != "" {
+		h.Set(header, workspace)
+	}
+}
+
 // towardsTarget returns the header that a target gets.
-func towardsTarget(c *contract.Contract, r *http.Request) http.Header {
+func (s *Server) towardsTarget(r *http.Request, in *admitted) http.Header {
+	c := s.cfg.Contract
 	h := endToEnd(c, r.Header)
 	h.Del("Expect")
+	if s.cfg.Keyed {
+		identify(h, s.cfg.WorkspaceHeader, in.workspace, in.config.Workspaces() > 0)
+	}
 	if !c.Forwarded {
 		return h
 	}
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -66,6 +66,9 @@
 		"attempts": x.launched,
 		"took_ms":  time.Since(x.begun).Milliseconds(),
 	})
+	if x.in.workspace != "" {
+		l = l.WithField("workspace", x.in.workspace)
+	}
 	if x.won != nil {
 		l = l.WithFields(logrus.Fields{
 			"target":    x.won.choice.Key,
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/sirupsen/logrus"
+
 	"ploverjunction.example/ploverjunction/internal/attempt"
 )
 
@@ -18,8 +20,21 @@
 }
 
 // refuse answers a request that got no attempt.
-func (s *Server) refuse(w http.ResponseWriter, id string, e *Error) {
-	s.log.WithField("request", id).WithField("status", e.status).WithError(e).Warn("request refused")
+func (s *Server) refuse(w http.ResponseWriter, id string, in *admitted, e *Error) {
+	l := s.log.WithField("request", id).WithField("status", e.status)
+	if in != nil {
+		l = l.WithFields(logrus.Fields{
+			"route":    in.route.Name(),
+			"revision": in.config.Revision(),
+		})
+		if in.workspace != "" {
+			l = l.WithField("workspace", in.workspace)
+		}
+	}
+	if e.retryAfter > 0 {
+		l = l.WithField("retry_after_ms", e.retryAfter.Milliseconds())
+	}
+	l.WithError(e).Warn("request refused")
 	s.answer(w, id, e)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,14 +31,24 @@
 // Config holds the values and seams of a Server. All functions may be called
 // concurrently.
 type Config struct {
-	Listen          netip.AddrPort
-	MaxBody         int64
-	MaxHeader       int64
-	HoldBody        int64
-	Deadline        time.Duration
-	Stall           time.Duration
-	Outgoing        netip.Addr
+	Listen    netip.AddrPort
+	MaxBody   int64
+	MaxHeader int64
+	HoldBody  int64
+	Deadline  time.Duration
+	Stall     time.Duration
+	Outgoing  netip.Addr
+	// WorkspaceHeader names the workspace of a request: callers write it, or where Keyed
+	// is set the server does so for targets.
 	WorkspaceHeader string
+	// Keyed is set where callers show keys of their workspaces.
+	Keyed bool
+	// Trusted tells whether keys that are known may still be believed; nil means always.
+	Trusted func() bool
+	// Current tells whether this node can know the newest configuration, AwaitCurrent
+	// waits until it can, or the context ends, and returns whether it does.
+	Current      func() bool
+	AwaitCurrent func(ctx context.Context) bool
 	// Config returns the configuration in force, or nil before the first one.
 	Config func() *fleetconfig.Config
 	// AwaitConfig waits for the first configuration until the context ends; it
@@ -92,8 +102,10 @@
 	inFlight atomic.Int64
 	closing  atomic.Bool
 	trials   atomic.Int32
-	tasks    chan *task.Task
-	buffers  sync.Pool
+	// asking counts the requests that wait for news of their key.
+	asking  atomic.Int32
+	tasks   chan *task.Task
+	buffers sync.Pool
 }
 
 // New returns a server that listens already but does not serve yet.
@@ -198,8 +210,8 @@
 	}
 	in, fail := s.admit(r, begun)
 	if fail != nil {
-		s.refuse(w, id, fail)
-		s.cfg.Served("refused", "", fail.status, fail.outcome.String(), time.Since(begun))
+		s.refuse(w, id, in, fail)
+		s.cfg.Served("refused", in.of(), fail.status, fail.outcome.String(), time.Since(begun))
 		return
 	}
 	status, outcome := s.forward(w, r, id, begun, in)
@@ -219,7 +231,7 @@
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, begun time.Time, in *admitted) (int, attempt.Outcome) {
 	b, fail := readBody(w, r, in.maxBody, s.cfg.HoldBody)
 	if fail != nil {
-		s.refuse(w, id, fail)
+		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
 	}
 	x := &relay{
@@ -231,7 +243,7 @@
 		begun:   begun,
 		body:    b,
 		life:    attempt.NewLife(in.route.Repeatable(), in.deadline),
-		header:  towardsTarget(s.cfg.Contract, r),
+		header:  s.towardsTarget(r, in),
 		results: make(chan result, maxTries),
 		granted: make(chan grant, maxTries),
 	}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -84,7 +84,7 @@
 		Service:    x.service,
 		Repeatable: r.Repeatable(),
 		Kilobytes:  x.server.sizes.expected(r) + int(x.body.length>>10),
-		Priority:   r.Priority(),
+		Priority:   x.in.rank,
 		Route:      r.Name(),
 		Aim:        x.aim(),
 		Deadline:   x.life.Deadline(),
--- /dev/null
+++ b/internal/entry/workspace.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+)
+
+// Bounds of requests whose key is not known yet.
+const (
+	// maxAsking is how many requests of a node wait for news at a time. Anyone can send
+	// keys that don't exist: they must not fill its memory.
+	maxAsking = 64
+	// rankSpan is how many ranks of routes lie between two of workspaces.
+	rankSpan = 1 << 8
+)
+
+// owner finds the workspace of a request, or says why it may not go on. It is nil
+// where none is needed.
+func (s *Server) owner(r *http.Request, a *admitted) (*fleetconfig.Workspace, *Error) {
+	if a.config.Workspaces() == 0 {
+		return nil, nil
+	}
+	if !s.cfg.Keyed {
+		a.workspace = r.Header.Get(s.cfg.WorkspaceHeader)
+		owner := a.config.Workspace(a.workspace)
+		if owner == nil {
+			return nil, refuse(CodeWorkspace, http.StatusForbidden)
+		}
+		return owner, nil
+	}
+	key, shown := s.cfg.Contract.Credential(r.Header)
+	if !shown {
+		if a.route.Public() {
+			return nil, nil
+		}
+		return nil, refuse(CodeNoKey, http.StatusUnauthorized)
+	}
+	owner := a.config.Owner(fleetconfig.DigestKey(key))
+	if owner == nil {
+		return nil, refuse(CodeKey, http.StatusUnauthorized)
+	}
+	a.workspace = owner.ID()
+	if s.cfg.Trusted != nil && !s.cfg.Trusted() {
+		return nil, unsure(refuse(CodeKey, http.StatusUnauthorized))
+	}
+	return owner, nil
+}
+
+// rank returns the rank of a request under overload: that of its workspace, and that
+// of its route among requests of workspaces with the same one. Callers who don't say
+// who they are come with the least urgent workspaces.
+func rank(cfg *fleetconfig.Config, owner *fleetconfig.Workspace, route *fleetconfig.Route) int {
+	of := cfg.LeastUrgent()
+	if owner != nil {
+		of = owner.Priority()
+	}
+	return of*rankSpan + min(route.Priority(), rankSpan-1)
+}
+
+// hingesOnNews tells whether a newer configuration may allow what was refused: a key
+// that is not known may be one that was just given out.
+func (e *Error) hingesOnNews() bool { return e.code == CodeKey || e.code == CodeNoKey }
+
+// unsure returns the answer to a request of which this node can't know whether the
+// newest configuration allows it.
+func unsure(cause *Error) *Error {
+	e := refuse(CodeKeyUnsure, http.StatusServiceUnavailable)
+	e.retryAfter = unsureRetry
+	e.cause = cause
+	return e
+}
+
+// unsureRetry is when a caller whose key could not be checked may come back. Nodes that
+// lost the platform are back in touch within seconds, and another one may be.
+const unsureRetry = time.Second
+
+// awaitNews waits until this node can know the newest configuration, for the part of the
+// caller's time that a request of a starting node waits for the first one.
+func (s *Server) awaitNews(r *http.Request) bool {
+	if s.asking.Add(1) > maxAsking {
+		s.asking.Add(-1)
+		return false
+	}
+	defer s.asking.Add(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), startWait(s.callerTime(r)))
+	defer cancel()
+	return s.cfg.AwaitCurrent(ctx)
+}
+
+// checkLimit takes a request into account of its workspace's limit.
+func (s *Server) checkLimit(owner *fleetconfig.Workspace, now time.Time) *Error {
+	if owner == nil {
+		return nil
+	}
+	wait := s.limiter.Admit(now, owner.ID(), owner.Rate(), owner.Burst(), s.cfg.Nodes())
+	if wait > 0 {
+		e := refuse(CodeRate, http.StatusTooManyRequests)
+		e.retryAfter = wait
+		return e
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/workspace_test.go
@@ -0,0 +1,517 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/contract"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+const (
+	keyBrokers = "ta828m82thhkmgjqnirt"
+	keyClinics = "h5mgjy5rcpihhacrudde"
+	// header names the workspace towards targets.
+	header = "Plover-Workspace"
+)
+
+func digest(key string) []byte {
+	d := fleetconfig.DigestKey(key)
+	return d[:]
+}
+
+// document is a service with an ordinary and a public route and two workspaces.
+func document() *wire.Document {
+	return &wire.Document{
+		Services: []*wire.Service{
+			{
+				Name: "quotes",
+			},
+		},
+		Routes: []*wire.Route{
+			{
+				Name:       "quotes",
+				PathPrefix: "/quotes",
+				Service:    "quotes",
+				Repeatable: true,
+				Priority:   2,
+			},
+			{
+				Name:       "open",
+				PathPrefix: "/open",
+				Service:    "quotes",
+				Public:     true,
+			},
+		},
+		Workspaces: []*wire.Workspace{
+			{
+				Id:       "brokers",
+				Keys:     [][]byte{digest(keyBrokers)},
+				Priority: 1,
+			},
+			{
+				Id:   "clinics",
+				Keys: [][]byte{digest(keyClinics)},
+			},
+		},
+	}
+}
+
+func build(t *testing.T, d *wire.Document) *fleetconfig.Config {
+	t.Helper()
+	c, err := fleetconfig.Build([]*wire.Document{d})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// site is a server in front of one target that keeps the requests it gets.
+type site struct {
+	url     string
+	config  atomic.Pointer[fleetconfig.Config]
+	current atomic.Bool
+	trusted atomic.Bool
+	// await answers for AwaitCurrent.
+	await func(ctx context.Context) bool
+	// trial is set where a target is on trial.
+	trial atomic.Bool
+	// arrived holds a value for each request that reached the target.
+	arrived chan struct{}
+
+	mu      sync.Mutex
+	seen    []*http.Request
+	queries []*entry.Query
+	log     bytes.Buffer
+}
+
+func (s *site) took(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, r.Clone(context.Background()))
+	s.arrived <- struct{}{}
+}
+
+// last returns the newest request that reached the target, and how many did.
+func (s *site) last() (*http.Request, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.seen) == 0 {
+		return nil, 0
+	}
+	return s.seen[len(s.seen)-1], len(s.seen)
+}
+
+// Write takes what the server logs.
+func (s *site) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.Write(p)
+}
+
+func (s *site) logged() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.String()
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{
+		await:   func(context.Context) bool { return false },
+		arrived: make(chan struct{}, 100),
+	}
+	s.current.Store(true)
+	s.trusted.Store(true)
+	s.config.Store(build(t, document()))
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.took(r)
+		_, _ = io.WriteString(w, "answer")
+	}))
+	t.Cleanup(target.Close)
+	log := logrus.New()
+	log.SetOutput(s)
+	log.SetLevel(logrus.DebugLevel)
+	choice := entry.Choice{
+		Address: target.Listener.Addr().String(),
+		Key:     "t",
+		Done:    func(outlier.End, time.Duration) {},
+	}
+	srv, err := entry.New(entry.Config{
+		Listen:          netip.MustParseAddrPort("127.0.0.1:0"),
+		MaxBody:         1 << 20,
+		MaxHeader:       64 << 10,
+		HoldBody:        64 << 10,
+		Deadline:        5 * time.Second,
+		Stall:           5 * time.Second,
+		WorkspaceHeader: header,
+		Keyed:           true,
+		Trusted:         s.trusted.Load,
+		Current:         s.current.Load,
+		AwaitCurrent:    func(ctx context.Context) bool { return s.await(ctx) },
+		Config:          s.config.Load,
+		AwaitConfig:     func(context.Context) *fleetconfig.Config { return s.config.Load() },
+		Contract:        contract.Plover(),
+		Choose: func(_ context.Context, q *entry.Query) (entry.Choice, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.queries = append(s.queries, q)
+			return choice, nil
+		},
+		Trial:     func(*fleetconfig.Service) (entry.Choice, bool) { return choice, s.trial.Load() },
+		First:     func(string) {},
+		Retry:     func(string) bool { return true },
+		Nodes:     func() int { return 1 },
+		Collector: outlier.NewCollector(time.Second),
+		Served:    func(string, string, int, string, time.Duration) {},
+		Log:       logrus.NewEntry(log),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.url = "http://" + srv.Addr()
+	serving := task.Go(context.Background(), "serve", srv.Serve)
+	t.Cleanup(func() {
+		if err := srv.Close(); err != nil {
+			t.Error(err)
+		}
+		<-serving.Done()
+	})
+	return s
+}
+
+// get sends a request with some lines of its header and returns the status.
+func (s *site) get(t *testing.T, client *http.Client, path string, lines http.Header) int {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, s.url+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, values := range lines {
+		r.Header[name] = values
+	}
+	res, err := client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	return res.StatusCode
+}
+
+func TestKeys(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		lines  http.Header
+		status int
+		// workspace is what the target is told, where the request reaches it.
+		workspace string
+	}{
+		{
+			name:   "no key",
+			path:   "/quotes/1",
+			status: http.StatusUnauthorized,
+		},
+		{
+			name: "unknown key",
+			path: "/quotes/1",
+			lines: http.Header{
+				"Authorization": {"Bearer nobody"},
+			},
+			status: http.StatusUnauthorized,
+		},
+		{
+			name: "another scheme",
+			path: "/quotes/1",
+			lines: http.Header{
+				"Authorization": {"Basic " + keyBrokers},
+			},
+			status: http.StatusUnauthorized,
+		},
+		{
+			name: "two keys",
+			path: "/quotes/1",
+			lines: http.Header{
+				"Authorization": {"Bearer " + keyBrokers, "Bearer " + keyClinics},
+			},
+			status: http.StatusUnauthorized,
+		},
+		{
+			name: "good key",
+			path: "/quotes/1",
+			lines: http.Header{
+				"Authorization": {"Bearer " + keyBrokers},
+			},
+			status:    http.StatusOK,
+			workspace: "brokers",
+		},
+		{
+			name: "the caller names another workspace, in odd spellings too",
+			path: "/quotes/1",
+			lines: http.Header{
+				"Authorization":    {"bearer  " + keyClinics},
+				"Plover-Workspace": {"brokers", "brokers"},
+				"plover-workspace": {"brokers"},
+				"Plover_Workspace": {"brokers"},
+				"plover_WORKSPACE": {"brokers"},
+				"Connection":       {"Plover-Workspace, Authorization"},
+			},
+			status:    http.StatusOK,
+			workspace: "clinics",
+		},
+		{
+			name:   "public route",
+			path:   "/open/1",
+			status: http.StatusOK,
+		},
+		{
+			name: "public route, the caller names a workspace",
+			path: "/open/1",
+			lines: http.Header{
+				"Plover-Workspace": {"brokers"},
+				"Authorization":    {"Basic Zm9vOmJhcg=="},
+			},
+			status: http.StatusOK,
+		},
+		{
+			name: "public route with a key",
+			path: "/open/1",
+			lines: http.Header{
+				"Authorization": {"Bearer " + keyBrokers},
+			},
+			status:    http.StatusOK,
+			workspace: "brokers",
+		},
+		{
+			name: "public route with an unknown key",
+			path: "/open/1",
+			lines: http.Header{
+				"Authorization": {"Bearer nobody"},
+			},
+			status: http.StatusUnauthorized,
+		},
+		{
+			name:   "no route goes before no key",
+			path:   "/nowhere",
+			status: http.StatusNotFound,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			if got := s.get(t, &http.Client{}, c.path, c.lines); got != c.status {
+				t.Fatalf("status %d, want %d", got, c.status)
+			}
+			r, n := s.last()
+			if c.status != http.StatusOK {
+				if n > 0 {
+					t.Error("a refused request reached the target")
+				}
+				return
+			}
+			told := r.Header.Values(header)
+			if c.workspace == "" && len(told) > 0 || c.workspace != "" && (len(told) != 1 || told[0] != c.workspace) {
+				t.Errorf("the target was told %q, want %q", told, c.workspace)
+			}
+			for name, values := range r.Header {
+				if strings.Contains(name, "_") || strings.Contains(strings.Join(values, " "), keyBrokers) || name == "Authorization" {
+					t.Errorf("the target got %s: %q", name, values)
+				}
+			}
+		})
+	}
+}
+
+// A key is in no line of the log, whatever becomes of its request.
+func TestKeysAreNotLogged(t *testing.T) {
+	s := newSite(t)
+	for _, key := range []string{keyBrokers, "unknown-" + keyClinics} {
+		s.get(t, &http.Client{}, "/quotes/1", http.Header{
+			"Authorization": {"Bearer " + key},
+		})
+	}
+	out := s.logged()
+	if strings.Contains(out, keyBrokers) || strings.Contains(out, keyClinics) {
+		t.Errorf("a key is in the log:\n%s", out)
+	}
+	if !strings.Contains(out, "workspace=brokers") || !strings.Contains(out, string(entry.CodeKey)) {
+		t.Errorf("the log doesn't tell the workspace, or why a request was refused:\n%s", out)
+	}
+}
+
+// Without workspaces nobody needs a key, and what callers send under the header of keys
+// is the targets' own.
+func TestNoWorkspaces(t *testing.T) {
+	s := newSite(t)
+	d := document()
+	d.Workspaces = nil
+	s.config.Store(build(t, d))
+	status := s.get(t, &http.Client{}, "/quotes/1", http.Header{
+		"Authorization":    {"Basic Zm9vOmJhcg=="},
+		"Plover-Workspace": {"brokers"},
+	})
+	r, _ := s.last()
+	if status != http.StatusOK || r.Header.Get("Authorization") == "" || r.Header.Get(header) != "" {
+		t.Errorf("status %d, header %v", status, r.Header)
+	}
+}
+
+// A copy for a target on trial tells the workspace and no key either.
+func TestTrialCopies(t *testing.T) {
+	s := newSite(t)
+	s.trial.Store(true)
+	s.get(t, &http.Client{}, "/quotes/1", http.Header{
+		"Authorization": {"Bearer " + keyBrokers},
+	})
+	<-s.arrived
+	<-s.arrived
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.seen) != 2 {
+		t.Fatalf("%d requests reached the targets", len(s.seen))
+	}
+	for _, r := range s.seen {
+		if r.Header.Get(header) != "brokers" || r.Header.Get("Authorization") != "" {
+			t.Errorf("header %v", r.Header)
+		}
+	}
+}
+
+// The rank of a workspace goes before that of a route; callers without a key come with
+// the last ones.
+func TestRanks(t *testing.T) {
+	s := newSite(t)
+	ask := func(path, key string) int {
+		lines := http.Header{}
+		if key != "" {
+			lines.Set("Authorization", "Bearer "+key)
+		}
+		s.get(t, &http.Client{}, path, lines)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.queries[len(s.queries)-1].Priority
+	}
+	order := []int{
+		ask("/open/1", keyClinics),
+		ask("/quotes/1", keyClinics),
+		ask("/open/1", keyBrokers),
+		ask("/quotes/1", keyBrokers),
+	}
+	for i := 1; i < len(order); i++ {
+		if order[i] <= order[i-1] {
+			t.Errorf("ranks %v", order)
+		}
+	}
+	if anonymous := ask("/open/1", ""); anonymous != order[2] {
+		t.Errorf("rank without a key %d, among %v", anonymous, order)
+	}
+}
+
+// A key that was taken away is refused on a connection that was open before.
+func TestKeyTakenAway(t *testing.T) {
+	s := newSite(t)
+	client := &http.Client{}
+	lines := http.Header{
+		"Authorization": {"Bearer " + keyBrokers},
+	}
+	if got := s.get(t, client, "/quotes/1", lines); got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+	d := document()
+	d.Workspaces[0].Keys = nil
+	s.config.Store(build(t, d))
+	if got := s.get(t, client, "/quotes/1", lines); got != http.StatusUnauthorized {
+		t.Errorf("status %d after the key was taken away", got)
+	}
+}
+
+// Who can't know the newest configuration doesn't say that a key is wrong.
+func TestUnsureOfTheNewestConfiguration(t *testing.T) {
+	lines := http.Header{
+		"Authorization": {"Bearer new"},
+	}
+	newer := func(t *testing.T) *fleetconfig.Config {
+		d := document()
+		d.Workspaces[1].Keys = append(d.Workspaces[1].Keys, digest("new"))
+		return build(t, d)
+	}
+	cases := []struct {
+		name   string
+		await  func(t *testing.T, s *site) bool
+		status int
+	}{
+		{
+			name:   "no news",
+			await:  func(*testing.T, *site) bool { return false },
+			status: http.StatusServiceUnavailable,
+		},
+		{
+			name: "the news has the key",
+			await: func(t *testing.T, s *site) bool {
+				s.config.Store(newer(t))
+				return true
+			},
+			status: http.StatusOK,
+		},
+		{
+			name:   "there is no news",
+			await:  func(*testing.T, *site) bool { return true },
+			status: http.StatusUnauthorized,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSite(t)
+			s.current.Store(false)
+			s.await = func(ctx context.Context) bool {
+				if _, ok := ctx.Deadline(); !ok {
+					t.Error("a request waits for news without end")
+				}
+				return c.await(t, s)
+			}
+			if got := s.get(t, &http.Client{}, "/quotes/1", lines); got != c.status {
+				t.Errorf("status %d, want %d", got, c.status)
+			}
+			if got := s.get(t, &http.Client{}, "/quotes/1", http.Header{
+				"Authorization": {"Bearer " + keyBrokers},
+			}); got != http.StatusOK {
+				t.Errorf("status %d for a key that is known", got)
+			}
+		})
+	}
+}
+
+// Where the settings ask for it, a node that lost the platform serves no key, however
+// well it knows it, and still what needs none.
+func TestStrict(t *testing.T) {
+	s := newSite(t)
+	s.trusted.Store(false)
+	if got := s.get(t, &http.Client{}, "/quotes/1", http.Header{
+		"Authorization": {"Bearer " + keyBrokers},
+	}); got != http.StatusServiceUnavailable {
+		t.Errorf("status %d", got)
+	}
+	if got := s.get(t, &http.Client{}, "/open/1", nil); got != http.StatusOK {
+		t.Errorf("status %d for a public route", got)
+	}
+}
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -26,6 +26,7 @@
 	id          string
 	leaving     bool
 	warmup      time.Duration
+	key         string
 }
 
 // Service returns the name of the service.
@@ -43,16 +44,13 @@
 // Connections returns how many connections the target accepts, at least 1.
 func (t *Target) Connections() int { return t.connections }
 
-// ID names one life of the target's process; it is empty where none is published.
+// ID names the target; it is empty where none is published. A target may start again
+// under the ID that it had.
 func (t *Target) ID() string { return t.id }
 
-// Key names the target among those of its service: its ID, else its address.
-func (t *Target) Key() string {
-	if t.id != "" {
-		return t.id
-	}
-	return t.address
-}
+// Key names one life of the target among those of its service: its ID and when that
+// life began, else its address.
+func (t *Target) Key() string { return t.key }
 
 // Leaving tells whether the target takes no new work.
 func (t *Target) Leaving() bool { return t.leaving }
@@ -112,6 +110,7 @@
 	priority      int
 	maxAttempts   int
 	bulk          bool
+	public        bool
 	parts         []part
 }
 
@@ -158,6 +157,9 @@
 // Bulk tells whether answers are large.
 func (r *Route) Bulk() bool { return r.bulk }
 
+// Public tells whether callers need no key.
+func (r *Route) Public() bool { return r.public }
+
 // Class returns the class of the route, its service's name where none is given.
 func (r *Route) Class() string { return r.class }
 
@@ -172,23 +174,6 @@
 // the process.
 func (r *Route) MaxBody() int64 { return r.maxBody }
 
-// Workspace is one identity with its limits.
-type Workspace struct {
-	id    string
-	rate  float64
-	burst float64
-}
-
-// ID returns the identity.
-func (w *Workspace) ID() string { return w.id }
-
-// Rate returns the requests a second of the whole fleet; 0 means unlimited.
-func (w *Workspace) Rate() float64 { return w.rate }
-
-// Burst returns the requests that may come at once, at least 1 where a rate is
-// given.
-func (w *Workspace) Burst() float64 { return w.burst }
-
 // Instance is one entry of the platform's list of instances.
 type Instance struct {
 	address  string
@@ -215,9 +200,13 @@
 	services   map[string]*Service
 	routes     *routeTable
 	workspaces map[string]*Workspace
-	instances  map[string]*Instance
-	revision   uint64
-	limits     *Limits
+	// byKey are the workspaces by the digests of their keys.
+	byKey map[KeyDigest]*Workspace
+	// leastUrgent is the greatest rank of a workspace.
+	leastUrgent int
+	instances   map[string]*Instance
+	revision    uint64
+	limits      *Limits
 }
 
 // Limits bound what callers may send. Zero values leave the settings of the
@@ -250,12 +239,6 @@
 // Services returns all services by name. The map must not be changed.
 func (c *Config) Services() map[string]*Service { return c.services }
 
-// Workspace returns a workspace by identity, or nil.
-func (c *Config) Workspace(id string) *Workspace { return c.workspaces[id] }
-
-// Workspaces returns the number of workspaces.
-func (c *Config) Workspaces() int { return len(c.workspaces) }
-
 // Instances returns the listed instances by address. The map must not be
 // changed.
 func (c *Config) Instances() map[string]*Instance { return c.instances }
--- a/internal/fleetconfig/validate.go
+++ b/internal/fleetconfig/validate.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,6 +27,7 @@
 	maxDeadline  = 24 * time.Hour
 	maxThreshold = 100
 	maxName      = 200
+	maxPriority  = 1_000_000
 )
 
 // Parse reads one published value. Unknown fields are faults.
@@ -71,6 +73,7 @@
 		services:   map[string]*Service{},
 		routes:     newRouteTable(),
 		workspaces: map[string]*Workspace{},
+		byKey:      map[KeyDigest]*Workspace{},
 		instances:  map[string]*Instance{},
 		limits:     &Limits{},
 	}
@@ -195,6 +198,19 @@
 	return nil
 }
 
+// targetKey returns the key of a target. A process that starts again under its ID holds
+// and knows nothing of what it did before: it is another target.
+func targetKey(w *wire.Target) string {
+	switch {
+	case w.GetId() == "":
+		return w.GetAddress()
+	case w.GetBorn() == 0:
+		return w.GetId()
+	default:
+		return w.GetId() + "/" + strconv.FormatUint(w.GetBorn(), 36)
+	}
+}
+
 func newTarget(w *wire.Target, s *Service) (*Target, error) {
 	t := &Target{
 		service:     s.name,
@@ -205,6 +221,7 @@
 		id:          w.GetId(),
 		leaving:     w.GetLeaving(),
 		warmup:      w.GetWarmup().AsDuration(),
+		key:         targetKey(w),
 	}
 	if t.connections == 0 {
 		t.connections = s.connections
@@ -218,31 +235,6 @@
 	return t, nil
 }
 
-func (c *Config) addWorkspaces(d *wire.Document) error {
-	for _, w := range d.GetWorkspaces() {
-		if err := checkName("workspace", w.GetId()); err != nil {
-			return err
-		}
-		if c.workspaces[w.GetId()] != nil {
-			return fault(KindDuplicate, "", "workspace %s", w.GetId())
-		}
-		rate := w.GetRate()
-		if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-			return fault(KindRange, "rate", "workspace %s", w.GetId())
-		}
-		burst := float64(w.GetBurst())
-		if burst == 0 {
-			burst = math.Max(rate, 1)
-		}
-		c.workspaces[w.GetId()] = &Workspace{
-			id:    w.GetId(),
-			rate:  rate,
-			burst: burst,
-		}
-	}
-	return nil
-}
-
 func (c *Config) addInstances(d *wire.Document) error {
 	for _, w := range d.GetInstances() {
 		if err := checkAddress("instance", w.GetAddress()); err != nil {
--- a/internal/fleetconfig/validate_route.go
+++ b/internal/fleetconfig/validate_route.go
@@ -101,6 +101,7 @@
 		priority:      int(w.GetPriority()),
 		maxAttempts:   int(w.GetMaxAttempts()),
 		bulk:          w.GetBulk(),
+		public:        w.GetPublic(),
 	}
 	if len(parts) > 1 {
 		r.parts = parts
--- /dev/null
+++ b/internal/fleetconfig/workspace.go
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"crypto/sha256"
+	"math"
+
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// digestSize is how many bytes of the SHA-256 of a key are kept. Among 10^6 keys two
+// have the same 16 bytes with a probability of 10^-27.
+const digestSize = 16
+
+// KeyDigest stands for a caller's key wherever the fleet stores or tells it: a
+// configuration, a log or a message that gets into wrong hands opens nothing.
+type KeyDigest [digestSize]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(sum[:digestSize])
+}
+
+// Workspace is one identity with its limits.
+type Workspace struct {
+	id       string
+	rate     float64
+	burst    float64
+	priority int
+}
+
+// ID returns the identity.
+func (w *Workspace) ID() string { return w.id }
+
+// Rate returns the requests a second of the whole fleet; 0 means unlimited.
+func (w *Workspace) Rate() float64 { return w.rate }
+
+// Burst returns the requests that may come at once, at least 1 where a rate is
+// given.
+func (w *Workspace) Burst() float64 { return w.burst }
+
+// Priority returns the rank under overload, which goes before that of the route; 0
+// is served first.
+func (w *Workspace) Priority() int { return w.priority }
+
+// Workspace returns a workspace by identity, or nil.
+func (c *Config) Workspace(id string) *Workspace { return c.workspaces[id] }
+
+// Owner returns the workspace to which a key belongs, or nil.
+func (c *Config) Owner(key KeyDigest) *Workspace { return c.byKey[key] }
+
+// LeastUrgent returns the rank of the workspaces that are served last.
+func (c *Config) LeastUrgent() int { return c.leastUrgent }
+
+// Workspaces returns the number of workspaces.
+func (c *Config) Workspaces() int { return len(c.workspaces) }
+
+func (c *Config) addWorkspaces(d *wire.Document) error {
+	for _, w := range d.GetWorkspaces() {
+		if err := checkName("workspace", w.GetId()); err != nil {
+			return err
+		}
+		if c.workspaces[w.GetId()] != nil {
+			return fault(KindDuplicate, "", "workspace %s", w.GetId())
+		}
+		rate := w.GetRate()
+		if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+			return fault(KindRange, "rate", "workspace %s", w.GetId())
+		}
+		if w.GetPriority() > maxPriority {
+			return fault(KindRange, "priority from 0 to 1000000", "workspace %s", w.GetId())
+		}
+		burst := float64(w.GetBurst())
+		if burst == 0 {
+			burst = math.Max(rate, 1)
+		}
+		owner := &Workspace{
+			id:       w.GetId(),
+			rate:     rate,
+			burst:    burst,
+			priority: int(w.GetPriority()),
+		}
+		c.workspaces[w.GetId()] = owner
+		c.leastUrgent = max(c.leastUrgent, owner.priority)
+		if err := c.addKeys(owner, w.GetKeys()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Config) addKeys(owner *Workspace, keys [][]byte) error {
+	for _, k := range keys {
+		if len(k) != digestSize {
+			return fault(KindRange, "keys are digests of 16 bytes", "workspace %s", owner.id)
+		}
+		if other := c.byKey[KeyDigest(k)]; other != nil && other != owner {
+			return fault(KindDuplicate, "a key of workspace "+other.id, "workspace %s", owner.id)
+		}
+		c.byKey[KeyDigest(k)] = owner
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/current.go
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// currentShare is up to how many times the usual greatest age of the platform's last
+	// word the configuration of a node counts as the newest one.
+	currentShare = 1.5
+	// currentBeat is how often a request that waits for news looks for it.
+	currentBeat = 20 * time.Millisecond
+)
+
+// currency tells how sure a node can be that its configuration is the newest one. It may
+// be used concurrently.
+type currency struct {
+	// most is up to which age the platform's last word counts as new; 0 means that the
+	// source is never stale.
+	most time.Duration
+	// trust is up to which age keys that are known are believed; 0 means always.
+	trust time.Duration
+	// age is how long ago any node known heard the platform, agreed how long ago a peer had
+	// the same values.
+	age    func(now time.Time) time.Duration
+	agreed func(now time.Time) time.Duration
+	// alone tells whether this node has no peers.
+	alone func() bool
+	// ask compares with peers soon.
+	ask func()
+}
+
+// current tells whether this node can know the newest configuration: the fleet heard
+// the platform lately, and what it heard has come here.
+func (c *currency) current() bool {
+	if c.most == 0 {
+		return true
+	}
+	now := time.Now()
+	return c.age(now) <= c.most && (c.alone() || c.agreed(now) <= c.most)
+}
+
+// await asks peers and waits until this node can know the newest configuration. It
+// returns false if the context ended before.
+func (c *currency) await(ctx context.Context) bool {
+	beat := time.NewTicker(currentBeat)
+	defer beat.Stop()
+	for !c.current() {
+		c.ask()
+		select {
+		case <-ctx.Done():
+			return false
+		case <-beat.C:
+		}
+	}
+	return true
+}
+
+// trusted tells whether keys that this node knows may be believed: later it could have
+// missed that one was taken away.
+func (c *currency) trusted() bool { return c.trust == 0 || c.age(time.Now()) <= c.trust }
+
+func (n *Node) currency() *currency {
+	c := &currency{
+		age:    n.gossip.PlatformAge,
+		agreed: n.gossip.AgreedAge,
+		alone:  func() bool { return len(n.board.view.Load().Peers()) == 0 },
+		ask:    n.gossip.Ask,
+	}
+	if n.directory == nil {
+		c.most = time.Duration(currentShare * float64(n.silent()))
+	}
+	if after, strict := n.set.Workspaces().Strict(); strict && n.directory == nil {
+		c.trust = after
+	}
+	return c
+}
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -202,3 +202,33 @@
 
 // LeaveTo returns the peers that a leaving node tells.
 func LeaveTo(view *membership.View) []string { return leaveTo(view) }
+
+// Currency tells how sure a node can be of its configuration.
+type Currency struct {
+	currency *currency
+}
+
+// NewCurrency returns the currency of a node whose platform is usually heard within
+// silent; age and agreed are how long ago the platform was heard and a peer had the same
+// values. trust is up to which age keys are believed, 0 for always.
+func NewCurrency(silent, trust time.Duration, age, agreed func(time.Time) time.Duration, ask func()) *Currency {
+	return &Currency{
+		currency: &currency{
+			most:   time.Duration(currentShare * float64(silent)),
+			trust:  trust,
+			age:    age,
+			agreed: agreed,
+			alone:  func() bool { return false },
+			ask:    ask,
+		},
+	}
+}
+
+// Current tells whether the node can know the newest configuration.
+func (c *Currency) Current() bool { return c.currency.current() }
+
+// Await waits until it can.
+func (c *Currency) Await(ctx context.Context) bool { return c.currency.await(ctx) }
+
+// Trusted tells whether keys may be believed.
+func (c *Currency) Trusted() bool { return c.currency.trusted() }
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -163,7 +163,9 @@
 	}
 	if d.GetDigest() != m.replica.Digest() {
 		m.gossip.Differs(d.GetFrom().GetAddress())
+		return
 	}
+	m.gossip.Agrees(now)
 }
 
 func (m *messenger) answered(d *wire.Datagram) {
--- /dev/null
+++ b/internal/node/open.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"fmt"
+
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/link"
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/operator"
+	"ploverjunction.example/ploverjunction/internal/settings"
+)
+
+// open opens the three listeners.
+func (n *Node) open(keys *link.Keys) error {
+	var err error
+	if err := n.openSocket(); err != nil {
+		return err
+	}
+	a := &alone{
+		board: n.board,
+	}
+	choose, trial, retry := a.choose, a.trial, a.retry
+	if n.dispatching != nil {
+		// The dispatcher holds the retry budget, and targets that failed come back
+		// with requests of callers.
+		choose = n.dispatching.choose
+		trial = func(*fleetconfig.Service) (entry.Choice, bool) { return entry.Choice{}, false }
+		retry = func(string) bool { return true }
+	}
+	currency := n.currency()
+	n.entry, err = entry.New(entry.Config{
+		Listen:          n.set.EntryListen(),
+		MaxBody:         n.set.MaxBody(),
+		MaxHeader:       n.set.MaxHeader(),
+		HoldBody:        n.set.HoldBody(),
+		Deadline:        n.set.Deadline(),
+		Stall:           n.set.Stall(),
+		Outgoing:        n.set.Outgoing(),
+		WorkspaceHeader: n.set.WorkspaceHeader(),
+		Keyed:           n.set.Workspaces().Identity() == settings.IdentityKey,
+		Trusted:         currency.trusted,
+		Current:         currency.current,
+		AwaitCurrent:    currency.await,
+		Config:          n.board.currentConfig,
+		AwaitConfig:     n.board.awaitConfig,
+		Contract:        n.adapter.Contract,
+		Choose:          choose,
+		Trial:           trial,
+		First:           a.first,
+		Retry:           retry,
+		Nodes:           n.board.nodes,
+		Collector:       n.judging.collector,
+		Served:          n.metrics.Served,
+		Log:             logging.Part(n.log, "entry"),
+	})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	n.operator, err = operator.New(operator.Config{
+		Listen:  n.set.OperatorListen(),
+		Ready:   n.ready,
+		Status:  n.status,
+		Explain: n.explain,
+		Drain:   n.Drain,
+		Metrics: n.metrics.Handler(),
+
+		MetricsListen: n.set.MetricsListen(),
+	})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	if !n.set.PeerListen().IsValid() {
+		return nil
+	}
+	log := logging.Part(n.log, "link")
+	n.peers, err = link.Listen(n.set.PeerListen().String(), keys, n.traffic, n, func(err error) {
+		n.metrics.Count("peer_errors", 1)
+		log.WithError(err).Debug("peer connection ended")
+	})
+	if err != nil {
+		return fmt.Errorf("node: %w", err)
+	}
+	return nil
+}
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -57,11 +57,11 @@
 	if len(view.Peers()) == 0 && len(n.set.Seeds()) == 0 {
 		return true
 	}
+	silent := age > n.silent()
 	if n.adapter.Silent == 0 {
 		return hasDuty(view, view.Duty("reader", n.set.DataHall(), readersPerHall)) ||
-			age > platformSilent && up > startSilent && stepsIn(view)
+			silent && up > startSilent && stepsIn(view)
 	}
-	silent := age > n.adapter.Silent
 	if silent && slices.Contains(n.seeds(), n.address()) {
 		// When the whole fleet starts the others ask the seeds.
 		return true
@@ -69,6 +69,15 @@
 	return up > meetTime && (hasDuty(view, fleetReaders(view)) || silent && stepsIn(view))
 }
 
+// silent returns after how long without word of the platform from anyone any node may
+// read it.
+func (n *Node) silent() time.Duration {
+	if n.adapter.Silent > 0 {
+		return n.adapter.Silent
+	}
+	return platformSilent
+}
+
 // stepsIn tells by chance whether this node reads though others have the duty. All
 // nodes come here when the platform is down for long: as many of them ask at a
 // time, on average, however large the fleet is.
