--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -65,10 +65,10 @@
 	// and reports whether there was one.
 	First func(service string)
 	Retry func(service string) bool
-	// Limit takes a request of a workspace into account of its limit. It returns 0 if the
-	// request may go on, else after how long its caller may come back; it may wait some
-	// milliseconds. GiveBack returns what a request took that has not run.
-	Limit    func(ctx context.Context, w *fleetconfig.Workspace) time.Duration
+	// Limit takes a request of a workspace into account of its limit. It returns nil if the
+	// request may go on; it may wait some milliseconds. GiveBack returns what a request took
+	// that has not run.
+	Limit    func(ctx context.Context, w *fleetconfig.Workspace) *LimitError
 	GiveBack func(w *fleetconfig.Workspace)
 	// Collector counts what attempts show of the targets.
 	Collector *outlier.Collector
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -97,10 +98,32 @@
 	if a.owner == nil {
 		return nil
 	}
-	if wait := s.cfg.Limit(ctx, a.owner); wait > 0 {
+	if over := s.cfg.Limit(ctx, a.owner); over != nil {
 		e := refuse(CodeRate, http.StatusTooManyRequests)
-		e.retryAfter = wait
+		e.retryAfter = over.Wait
+		e.cause = over
 		return e
 	}
 	return nil
 }
+
+// LimitError says why a request is beyond the limit of its workspace.
+type LimitError struct {
+	// Wait is when the caller may come back.
+	Wait time.Duration
+	// By says who decided.
+	By string
+	// Rate is the limit in requests a second. Level are the tokens that were left for all
+	// nodes and Kept the part of the rate that is kept back for nodes out of reach, by what
+	// the allocator said Age ago.
+	Rate  float64
+	Level float64
+	Kept  float64
+	Age   time.Duration
+}
+
+// Error says who decided, and by what.
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("entry: refused by %s: limit %.1f a second, %.1f of it kept back, %.1f tokens left %v ago",
+		e.By, e.Rate, e.Kept, e.Level, e.Age.Round(time.Millisecond))
+}
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -108,14 +108,17 @@
 	none   bool
 }
 
-func (s *site) limit(_ context.Context, w *fleetconfig.Workspace) time.Duration {
+func (s *site) limit(_ context.Context, w *fleetconfig.Workspace) *entry.LimitError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.full {
-		return 1500 * time.Millisecond
+		return &entry.LimitError{
+			Wait: 1500 * time.Millisecond,
+			By:   "allocator",
+		}
 	}
 	s.tokens[w.ID()]++
-	return 0
+	return nil
 }
 
 func (s *site) giveBack(w *fleetconfig.Workspace) {
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -144,7 +144,10 @@
 
 // Admit takes a request of a workspace; it returns 0 if it may go on.
 func (n *LimitedNode) Admit(ctx context.Context, workspace string) time.Duration {
-	return n.limiting.admit(ctx, n.limiting.board.currentConfig().Workspace(workspace))
+	if over := n.limiting.admit(ctx, n.limiting.board.currentConfig().Workspace(workspace)); over != nil {
+		return over.Wait
+	}
+	return 0
 }
 
 // GiveBack returns what a request took.
--- a/internal/node/limiting.go
+++ b/internal/node/limiting.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ploverjunction.example/ploverjunction/internal/admission"
+	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/ratelimit"
@@ -104,24 +105,51 @@
 	}, w.Rate() > 0
 }
 
-// admit takes a request of a workspace. It returns 0 if the request may go on, else after
-// how long its caller may come back. One that went on and has not run must be given back.
-func (l *limiting) admit(ctx context.Context, w *fleetconfig.Workspace) time.Duration {
+// admit takes a request of a workspace. It returns nil if the request may go on, which must
+// be given back if it has not run.
+func (l *limiting) admit(ctx context.Context, w *fleetconfig.Workspace) *entry.LimitError {
 	limit, limited := limitOf(w)
 	if !limited {
-		return 0
+		return nil
 	}
 	if l.messenger == nil {
-		return l.equal.Admit(time.Now(), w.ID(), limit.Rate, limit.Burst, l.board.nodes())
+		if wait := l.equal.Admit(time.Now(), w.ID(), limit.Rate, limit.Burst, l.board.nodes()); wait > 0 {
+			return l.limitError(w, limit, wait, byEqualParts)
+		}
+		return nil
 	}
 	v, wait := l.limiter.Take(time.Now(), w.ID(), limit)
+	by := byLastWord
 	if v == ratelimit.Ask {
-		v, wait = l.ask(ctx, w.ID(), limit)
+		v, wait, by = l.ask(ctx, w.ID(), limit)
 	}
 	if v == ratelimit.Admitted {
-		return 0
+		return nil
+	}
+	return l.limitError(w, limit, wait, by)
+}
+
+// Who refused a request beyond a limit.
+const (
+	byAllocator  = "allocator"
+	byLastWord   = "last word of the allocator"
+	byItselfOnly = "this node alone"
+	byEqualParts = "equal parts"
+)
+
+func (l *limiting) limitError(w *fleetconfig.Workspace, limit ratelimit.Limit, wait time.Duration, by string) *entry.LimitError {
+	told, at := l.limiter.Told(w.ID())
+	e := &entry.LimitError{
+		Wait:  wait,
+		By:    by,
+		Rate:  limit.Rate,
+		Level: told.Level,
+		Kept:  told.Kept,
+	}
+	if !at.IsZero() {
+		e.Age = time.Since(at)
 	}
-	return wait
+	return e
 }
 
 // giveBack returns what a request took that has not run.
@@ -131,17 +159,19 @@
 	}
 }
 
-// ask asks the allocator for a token, and decides alone if it doesn't answer.
-func (l *limiting) ask(ctx context.Context, workspace string, limit ratelimit.Limit) (ratelimit.Verdict, time.Duration) {
+// ask asks the allocator for a token, and decides alone if it doesn't answer. by says who
+// decided.
+func (l *limiting) ask(ctx context.Context, workspace string, limit ratelimit.Limit) (v ratelimit.Verdict, wait time.Duration, by string) {
 	admitted, answered := l.draw(ctx, l.holder(workspace), []string{workspace}, 1)
 	now := time.Now()
 	switch {
 	case admitted > 0:
-		return ratelimit.Admitted, 0
+		return ratelimit.Admitted, 0, byAllocator
 	case answered:
-		return ratelimit.Refused, l.limiter.Refuse(now, workspace)
+		return ratelimit.Refused, l.limiter.Refuse(now, workspace), byAllocator
 	default:
-		return l.limiter.Alone(now, workspace, limit, l.board.nodes())
+		v, wait = l.limiter.Alone(now, workspace, limit, l.board.nodes())
+		return v, wait, byItselfOnly
 	}
 }
 
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -59,6 +59,7 @@
 	a.Rate = float32(s.Rate)
 	a.Depth = float32(s.Depth)
 	a.Total = float32(s.Total)
+	a.Kept = float32(s.Kept)
 }
 
 func shareOf(by uint64, a *wire.Allotment) ratelimit.Share {
@@ -72,5 +73,6 @@
 		Rate:     float64(a.GetRate()),
 		Depth:    float64(a.GetDepth()),
 		Total:    float64(a.GetTotal()),
+		Kept:     float64(a.GetKept()),
 	}
 }
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -94,6 +94,8 @@
 	Rate  float64
 	Depth float64
 	Total float64
+	// Kept is the rate that is kept back for nodes out of reach.
+	Kept float64
 }
 
 // Allocator has the buckets of workspaces. It isn't safe for concurrent use.
@@ -134,6 +136,7 @@
 	b.level -= float64(s.Admitted)
 	s.Reserve = b.reserve(l, a.tolerance, m, r.Want)
 	s.Level = b.level
+	s.Kept = b.kept
 	b.share(l, a.tolerance, m, r, &s)
 	return s
 }
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -276,6 +276,17 @@
 	return min(pause, pauseMost)
 }
 
+// Told returns what the allocator of a workspace last answered, and when; the zero time
+// means never.
+func (l *Limiter) Told(workspace string) (Share, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.accounts[workspace]; a != nil {
+		return a.told, a.toldAt
+	}
+	return Share{}, time.Time{}
+}
+
 // Len returns the number of workspaces that are known.
 func (l *Limiter) Len() int {
 	l.mu.Lock()
