internal/ratelimit: what former allocators told of counts once

Cause: an allocator passes on what the one before it told of; one that nodes of several former ones come to added these up. Change: the most of them counts.

--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -98,13 +98,14 @@
 }
 
 // elsewhere returns what nodes may admit that former allocators told of and that have not
-// come here.
+// come here. An allocator passes on what the one before it told of, so that of several it
+// is the most that counts, not the sum.
 func (b *bucket) elsewhere() float64 {
-	sum := 0.0
+	most := 0.0
 	for _, f := range b.former {
-		sum += max(f.told-f.came, 0)
+		most = max(most, f.told-f.came)
 	}
-	return sum
+	return most
 }
 
 // drop takes a node out of the sums.
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -37,8 +37,9 @@
 // meter measures a rate of events by an exponentially weighted average.
 type meter struct {
 	begun time.Time
-	at    time.Time
-	sum   float64
+	// at is when the last event came.
+	at  time.Time
+	sum float64
 }
 
 // add counts an event.
@@ -46,15 +47,14 @@
 	if m.begun.IsZero() {
 		m.begun = now
 	}
-	m.fade(now)
-	m.sum += 1 / meterTime.Seconds()
+	m.sum = m.faded(now) + 1/meterTime.Seconds()
+	m.at = now
 }
 
-func (m *meter) fade(now time.Time) {
-	if past := now.Sub(m.at); past > 0 {
-		m.sum *= math.Exp(-past.Seconds() / meterTime.Seconds())
-		m.at = now
-	}
+// faded returns what is left of the sum.
+func (m *meter) faded(now time.Time) float64 {
+	past := max(now.Sub(m.at), 0)
+	return m.sum * math.Exp(-past.Seconds()/meterTime.Seconds())
 }
 
 // rate returns the events a second. A meter that began a moment ago has seen less than
@@ -63,7 +63,6 @@
 	if m.begun.IsZero() {
 		return 0
 	}
-	m.fade(now)
 	age := max(now.Sub(m.begun), meterTime/4)
-	return m.sum / (1 - math.Exp(-age.Seconds()/meterTime.Seconds()))
+	return m.faded(now) / (1 - math.Exp(-age.Seconds()/meterTime.Seconds()))
 }
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -68,16 +68,15 @@
 	// admitted counts the requests that were admitted without an allocator.
 	admitted int64
 	demand   meter
-	// asked is when the last request came, reported when the allocator was last told.
-	asked    time.Time
+	// reported is when the allocator was last told.
 	reported time.Time
 	// told is the allocator's last answer, toldAt when it came, the zero time for never.
 	told   Share
 	toldAt time.Time
 	// pause is until when requests are refused without asking.
 	pause time.Time
-	// alone bounds what is admitted without an allocator.
-	alone small
+	// alone bounds what is admitted without an allocator; nil while none was.
+	alone *small
 	// next is when the last refused caller was told to come back.
 	next time.Time
 }
@@ -100,7 +99,6 @@
 		l.accounts[workspace] = a
 	}
 	a.limit = limit
-	a.asked = now
 	a.demand.add(now)
 	switch {
 	case a.held > 0:
@@ -157,6 +155,9 @@
 		}
 		rate, depth = untoldPart*limit.Rate/float64(nodes), untoldPart*limit.Burst/float64(nodes)
 	}
+	if a.alone == nil {
+		a.alone = &small{}
+	}
 	if wait := a.alone.take(now, rate, depth); wait > 0 {
 		return Refused, wait
 	}
@@ -194,11 +195,11 @@
 	every := l.every()
 	var out []string
 	for workspace, a := range l.accounts {
-		idle := now.Sub(a.asked)
+		idle := now.Sub(a.demand.at)
 		switch {
 		case idle > accountForget:
 			delete(l.accounts, workspace)
-		case a.reported.Sub(a.asked) > quietAfter:
+		case a.reported.Sub(a.demand.at) > quietAfter:
 		case now.Sub(a.reported) >= every:
 			out = append(out, workspace)
 		}
@@ -220,7 +221,7 @@
 	a.reported = now
 	demand := a.demand.rate(now)
 	want := 1 + int(math.Ceil(demand*every.Seconds()))
-	switch idle := now.Sub(a.asked); {
+	switch idle := now.Sub(a.demand.at); {
 	case idle > quietAfter:
 		want, demand = 0, 0
 	case idle > idleAfter:
