internal/ratelimit: only a lost part of the fleet is kept back for long

Change: 1.5 s after the duty moved no more is kept back for nodes that have not come than the part of the fleet that membership knows to be lost.

--- a/internal/node/limiting.go
+++ b/internal/node/limiting.go
@@ -377,7 +377,7 @@
 			return draws.Wait()
 		case now := <-beat.C:
 			l.report(ctx, &draws, now)
-			l.forget(now, now.Sub(forgot) > forgetBeat)
+			l.renew(now, now.Sub(forgot) > forgetBeat)
 			if now.Sub(forgot) > forgetBeat {
 				forgot = now
 			}
@@ -420,10 +420,13 @@
 	return len(workspaces)
 }
 
-// forget drops what is out of use; buckets only now and then.
-func (l *limiting) forget(now time.Time, buckets bool) {
+// renew tells the allocator which part of the fleet is lost and drops what is out of use;
+// buckets only now and then.
+func (l *limiting) renew(now time.Time, buckets bool) {
+	view := l.board.view.Load()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.allocator.Lost(1 - float64(len(view.Live()))/float64(view.Nodes()))
 	for key, a := range l.answered {
 		if now.Sub(a.at) > time.Second {
 			delete(l.answered, key)
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -44,6 +44,11 @@
 	// that have not come: longer than a window. With each move of the duty the next one is told
 	// of them again.
 	formerTime = 6 * time.Second
+	// movingTime is how long after a node of another allocator came more of them are on their
+	// way. Later those that have not come are out of reach, and the part of the fleet that
+	// is bounds what is kept back for them: lostMore times that part of the limit.
+	movingTime = 1500 * time.Millisecond
+	lostMore   = 1.2
 	// reviewBeat is how often the silent nodes of a workspace are looked for.
 	reviewBeat = 250 * time.Millisecond
 	// bucketForget is how long a bucket without reports is kept: longer than any takes to
@@ -103,7 +108,9 @@
 	life      uint64
 	begun     time.Time
 	tolerance Tolerance
-	buckets   map[string]*bucket
+	// lost is the part of the fleet's nodes that are out of reach.
+	lost    float64
+	buckets map[string]*bucket
 }
 
 // NewAllocator returns an allocator of a process that began at the time given; life tells
@@ -120,7 +127,7 @@
 // Report takes the report of a node in one of its lives and answers it.
 func (a *Allocator) Report(now time.Time, workspace string, l Limit, node string, life uint64, r Report) Share {
 	b := a.bucket(now, workspace, l)
-	b.review(now)
+	b.review(now, l, a.lost)
 	b.refill(now, l)
 	m := b.heard(now, node, life, r)
 	if r.Age > 0 && r.Age < a.tolerance.Window && r.By != a.life {
@@ -173,6 +180,9 @@
 	}
 }
 
+// Lost takes the part of the fleet's nodes, from 0 to 1, that are out of reach.
+func (a *Allocator) Lost(part float64) { a.lost = part }
+
 // Forget drops the buckets that nobody uses.
 func (a *Allocator) Forget(now time.Time) {
 	for workspace, b := range a.buckets {
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -20,9 +20,11 @@
 	held   int
 	demand float64
 	told   float64
-	// kept is the rate that is kept back for silent nodes, since reviewed.
-	kept     float64
-	reviewed time.Time
+	// kept is the rate that is kept back since reviewed: for silent nodes, and elsewhere for
+	// those of former allocators.
+	kept      float64
+	elsewhere float64
+	reviewed  time.Time
 }
 
 // former is what an allocator before this one told nodes. Those that it told of and that
@@ -31,6 +33,8 @@
 	// told is the sum of the rates of its nodes, came that of those which have come here.
 	told float64
 	came float64
+	// at is when it told that.
+	at time.Time
 	// since is when the first of them came.
 	since time.Time
 }
@@ -70,7 +74,7 @@
 
 // review keeps back what silent nodes admit alone, and forgets those that have been
 // silent for long.
-func (b *bucket) review(now time.Time) {
+func (b *bucket) review(now time.Time, l Limit, lost float64) {
 	if now.Sub(b.reviewed) < reviewBeat {
 		return
 	}
@@ -90,20 +94,25 @@
 			delete(b.former, life)
 		}
 	}
-	b.kept += b.elsewhere()
+	b.elsewhere = b.away(now, l, lost)
+	b.kept += b.elsewhere
 	if len(b.nodes) == 0 {
 		// What rounding left of the sums.
 		b.demand, b.told = 0, 0
 	}
 }
 
-// elsewhere returns what nodes may admit that former allocators told of and that have not
-// come here. An allocator passes on what the one before it told of, so that of several it
-// is the most that counts, not the sum.
-func (b *bucket) elsewhere() float64 {
+// away returns what nodes may admit that former allocators told of and that have not come
+// here. Nodes may have come by way of a third one, so that of several it is the most that
+// counts, not the sum.
+func (b *bucket) away(now time.Time, l Limit, lost float64) float64 {
 	most := 0.0
 	for _, f := range b.former {
-		most = max(most, f.told-f.came)
+		left := f.told - f.came
+		if now.Sub(f.since) > movingTime {
+			left = min(left, lostMore*lost*l.Rate)
+		}
+		most = max(most, left)
 	}
 	return most
 }
@@ -155,7 +164,9 @@
 		// Until the next review nobody else of that one's nodes is known.
 		b.reviewed = time.Time{}
 	}
-	f.told = max(f.told, r.Total)
+	if at := now.Add(-r.Age); at.After(f.at) {
+		f.told, f.at = r.Total, at
+	}
 	f.came += r.Rate
 }
 
@@ -183,13 +194,12 @@
 		// Not all nodes may have come yet, so that each seems to have a large part.
 		m.rate = min(m.rate, max(r.Rate, m.demand))
 	}
-	elsewhere := b.elsewhere()
-	if sum := b.told + m.rate + elsewhere; sum > l.Rate {
+	if sum := b.told + m.rate + b.elsewhere; sum > l.Rate {
 		m.rate *= l.Rate / sum
 	}
 	b.told += m.rate
 	s.Rate = m.rate
-	s.Total = b.told + elsewhere
+	s.Total = b.told + b.elsewhere
 	s.Depth = tightTolerance * t.of(l) * part
 	if b.level+float64(b.held) >= reserveFrom*l.Burst {
 		s.Depth = min(aloneMore, aloneMost*t.of(l)/float64(len(b.nodes))) + aloneTolerance*t.of(l)*part
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -79,8 +79,9 @@
 	// allocator is this node's, for when it has the duty.
 	allocator *ratelimit.Allocator
 	down      bool
-	// cut is set while the node reaches no other one.
+	// cut is set while the node reaches no other one, away since when it is cut or down.
 	cut     bool
+	away    time.Time
 	believe time.Time
 	// holder is the node that it takes for the allocator.
 	holder int
@@ -148,6 +149,10 @@
 		m.begin(m.nodes[i], start.Add(-time.Minute))
 	}
 	m.every(beat, func(now time.Time) {
+		lost := m.lost(now)
+		for _, n := range m.nodes {
+			n.allocator.Lost(lost)
+		}
 		for i := range m.nodes {
 			m.report(now, i)
 		}
@@ -343,7 +348,8 @@
 // fail takes a node away from one time to another: killed, or cut off from the others.
 func (m *model) fail(i int, kill bool, from, to time.Duration) {
 	n := m.nodes[i]
-	m.at(start.Add(from), func(time.Time) {
+	m.at(start.Add(from), func(now time.Time) {
+		n.away = now
 		if kill {
 			n.down = true
 		} else {
@@ -373,6 +379,17 @@
 	}
 }
 
+// lost returns the part of the nodes that are known to be out of reach.
+func (m *model) lost(now time.Time) float64 {
+	n := 0
+	for _, node := range m.nodes {
+		if (node.down || node.cut) && now.Sub(node.away) > detection {
+			n++
+		}
+	}
+	return float64(n) / float64(len(m.nodes))
+}
+
 // alive returns a node that others reach, or -1.
 func (m *model) alive() int {
 	for range 10 * len(m.nodes) {
