--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -45,10 +45,14 @@
 	// of them again.
 	formerTime = 6 * time.Second
 	// movingTime is how long after a node of another allocator came more of them are on their
-	// way. Later those that have not come are out of reach, and the part of the fleet that
-	// is bounds what is kept back for them: lostMore times that part of the limit.
+	// way: what is kept back for them is bounded by movingPart of the limit. Later those that
+	// have not come are out of reach, and the part of the fleet that is bounds it: lostMore
+	// times that part of the limit, and lostFew for a workspace with a single node, less by
+	// the root of their number with more: the part of a few nodes may be any.
 	movingTime = 1500 * time.Millisecond
+	movingPart = 0.6
 	lostMore   = 1.2
+	lostFew    = 0.6
 	// reviewBeat is how often the silent nodes of a workspace are looked for.
 	reviewBeat = 250 * time.Millisecond
 	// bucketForget is how long a bucket without reports is kept: longer than any takes to
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -106,13 +106,17 @@
 // here. Nodes may have come by way of a third one, so that of several it is the most that
 // counts, not the sum.
 func (b *bucket) away(now time.Time, l Limit, lost float64) float64 {
+	out := 0.0
+	if lost > 0 {
+		out = lostMore*lost + lostFew/math.Sqrt(float64(max(len(b.nodes), 1)))
+	}
 	most := 0.0
 	for _, f := range b.former {
-		left := f.told - f.came
-		if now.Sub(f.since) > movingTime {
-			left = min(left, lostMore*lost*l.Rate)
+		part := out
+		if now.Sub(f.since) <= movingTime {
+			part = max(out, movingPart)
 		}
-		most = max(most, left)
+		most = max(most, min(f.told-f.came, part*l.Rate))
 	}
 	return most
 }
--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -418,6 +418,10 @@
 			seed:  14062110097941572667,
 			cause: "the duty moved twice while nodes were cut off: the third allocator was told nothing of them",
 		},
+		{
+			seed:  8617675912744631306,
+			cause: "two of the four nodes of a workspace were among the quarter of the fleet that was cut off",
+		},
 		{
 			seed:  16843925177621939102,
 			cause: "the same",
