--- a/cmd/ploverctl/account.go
+++ b/cmd/ploverctl/account.go
@@ -13,7 +13,9 @@
 // accountCommand counts how requests ended, by service and route, and why those that
 // were not served were lost.
 type accountCommand struct {
-	Files []string `arg:"" optional:"" help:"Logs in JSON; standard input if none is given." type:"existingfile"`
+	Files      []string `arg:"" optional:"" help:"Logs in JSON; standard input if none is given." type:"existingfile"`
+	Workspaces bool     `help:"Count each workspace apart."`
+	Workspace  string   `help:"Count the requests of one workspace only." placeholder:"NAME"`
 }
 
 // Final lines about a request begin with these words.
@@ -33,11 +35,12 @@
 
 // ending counts the requests of one route that ended for one reason.
 type ending struct {
-	Service string  `json:"service"`
-	Route   string  `json:"route"`
-	Reason  string  `json:"reason"`
-	Count   int     `json:"count"`
-	Share   float64 `json:"share"`
+	Workspace string  `json:"workspace,omitempty"`
+	Service   string  `json:"service"`
+	Route     string  `json:"route"`
+	Reason    string  `json:"reason"`
+	Count     int     `json:"count"`
+	Share     float64 `json:"share"`
 	// Example is the id of the first of them.
 	Example string `json:"example"`
 }
@@ -65,8 +68,8 @@
 	if err != nil {
 		return err
 	}
-	list := account(requests, order)
-	return out.print(list, "%s", table(list))
+	list := c.account(requests, order)
+	return out.print(list, "%s", table(list, c.Workspaces))
 }
 
 // add takes in one line about the request.
@@ -91,11 +94,19 @@
 		parts = append(parts, h.attempts[i].outcome())
 	}
 	if len(parts) == 0 {
-		return cmp.Or(h.final.text("error"), "status "+h.final.text("status"))
+		return cmp.Or(h.final.refusal(), h.final.text("error"), "status "+h.final.text("status"))
 	}
 	return strings.Join(parts, ", then ")
 }
 
+// refusal says why a request was refused before any attempt, "" where the line doesn't tell.
+func (l *line) refusal() string {
+	if by := l.text("by"); by != "" {
+		return l.text("code") + " by " + by
+	}
+	return l.text("code")
+}
+
 // outcome says what came of one attempt.
 func (l *line) outcome() string {
 	switch {
@@ -109,13 +120,13 @@
 }
 
 // account counts the endings of all requests whose final line is in the logs.
-func account(requests map[string]*history, order []string) []*ending {
-	type key struct{ service, route, reason string }
+func (c *accountCommand) account(requests map[string]*history, order []string) []*ending {
+	type key struct{ workspace, service, route, reason string }
 	by := map[key]*ending{}
 	all := 0
 	for _, id := range order {
 		h := requests[id]
-		if h.final == nil {
+		if h.final == nil || c.Workspace != "" && h.final.text("workspace") != c.Workspace {
 			continue
 		}
 		all++
@@ -124,12 +135,16 @@
 			route:   h.final.text("route"),
 			reason:  h.reason(),
 		}
+		if c.Workspaces {
+			k.workspace = h.final.text("workspace")
+		}
 		if by[k] == nil {
 			by[k] = &ending{
-				Service: k.service,
-				Route:   k.route,
-				Reason:  k.reason,
-				Example: id,
+				Workspace: k.workspace,
+				Service:   k.service,
+				Route:     k.route,
+				Reason:    k.reason,
+				Example:   id,
 			}
 		}
 		by[k].Count++
@@ -140,18 +155,26 @@
 		list = append(list, e)
 	}
 	slices.SortFunc(list, func(a, b *ending) int {
-		return cmp.Or(b.Count-a.Count, strings.Compare(a.Service+a.Route+a.Reason, b.Service+b.Route+b.Reason))
+		return cmp.Or(b.Count-a.Count, strings.Compare(a.Workspace+a.Service+a.Route+a.Reason, b.Workspace+b.Service+b.Route+b.Reason))
 	})
 	return list
 }
 
-// table returns the account in columns.
-func table(list []*ending) string {
+// table returns the account in columns, with that of workspaces if they are counted apart.
+func table(list []*ending, workspaces bool) string {
 	var text strings.Builder
 	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "requests\tshare\tservice\troute\treason\texample")
+	head := "requests\tshare\t"
+	if workspaces {
+		head += "workspace\t"
+	}
+	fmt.Fprintln(w, head+"service\troute\treason\texample")
 	for _, e := range list {
-		fmt.Fprintf(w, "%d\t%.2f%%\t%s\t%s\t%s\t%s\n", e.Count, 100*e.Share, e.Service, e.Route, e.Reason, e.Example)
+		fmt.Fprintf(w, "%d\t%.2f%%\t", e.Count, 100*e.Share)
+		if workspaces {
+			fmt.Fprintf(w, "%s\t", e.Workspace)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", e.Service, e.Route, e.Reason, e.Example)
 	}
 	_ = w.Flush()
 	return text.String()
--- a/cmd/ploverctl/main.go
+++ b/cmd/ploverctl/main.go
@@ -36,6 +36,7 @@
 	Follow  followCommand  `cmd:"" help:"Print the changes on a node as they happen, until interrupted."`
 	Trace   traceCommand   `cmd:"" help:"Tell the story of one request from the logs of the nodes."`
 	Account accountCommand `cmd:"" help:"Count from the logs of the nodes how requests ended, and why."`
+	Key     keyCommand     `cmd:"" help:"Print the digests of keys, one a line of standard input, for a workspace's published value."`
 	Drain   drainCommand   `cmd:"" help:"Begin the planned stop of a node."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -21,7 +23,11 @@
 
 // refuse answers a request that got no attempt.
 func (s *Server) refuse(w http.ResponseWriter, id string, in *admitted, e *Error) {
-	l := s.log.WithField("request", id).WithField("status", e.status)
+	l := s.log.WithFields(logrus.Fields{
+		"request": id,
+		"status":  e.status,
+		"code":    string(e.code),
+	})
 	if in != nil {
 		l = l.WithFields(logrus.Fields{
 			"route":    in.route.Name(),
@@ -34,6 +40,16 @@
 	if e.retryAfter > 0 {
 		l = l.WithField("retry_after_ms", e.retryAfter.Milliseconds())
 	}
+	var over *LimitError
+	if errors.As(e, &over) {
+		l = l.WithFields(logrus.Fields{
+			"by":     over.By,
+			"limit":  over.Rate,
+			"kept":   math.Round(10*over.Kept) / 10,
+			"tokens": math.Round(10*over.Level) / 10,
+			"age_ms": over.Age.Milliseconds(),
+		})
+	}
 	l.WithError(e).Warn("request refused")
 	s.answer(w, id, e)
 }
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -122,8 +121,5 @@
 	Age   time.Duration
 }
 
-// Error says who decided, and by what.
-func (e *LimitError) Error() string {
-	return fmt.Sprintf("entry: refused by %s: limit %.1f a second, %.1f of it kept back, %.1f tokens left %v ago",
-		e.By, e.Rate, e.Kept, e.Level, e.Age.Round(time.Millisecond))
-}
+// Error says who decided.
+func (e *LimitError) Error() string { return "entry: beyond the limit, by " + e.By }
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -5,11 +5,35 @@
 import (
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/operator"
 	"ploverjunction.example/ploverjunction/internal/ratelimit"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// This file translates between reports about limits and their messages.
+// This file translates reports about limits into messages and for operators.
+
+// status tells operators of the limits of the workspaces that have callers here.
+func (l *limiting) status(now time.Time) []operator.LimitStatus {
+	var out []operator.LimitStatus
+	for _, s := range l.limiter.Standings(now) {
+		w := operator.LimitStatus{
+			Workspace: s.Workspace,
+			Rate:      s.Limit.Rate,
+			Burst:     s.Limit.Burst,
+			Asked:     s.Demand,
+			Reserve:   s.Held,
+			Allocator: l.holder(s.Workspace).Address(),
+			Tokens:    s.Told.Level,
+			Kept:      s.Told.Kept,
+			AgeMS:     -1,
+		}
+		if !s.At.IsZero() {
+			w.AgeMS = now.Sub(s.At).Milliseconds()
+		}
+		out = append(out, w)
+	}
+	return out
+}
 
 func usageOf(workspace string, r ratelimit.Report) *wire.Usage {
 	u := &wire.Usage{
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -13,6 +13,7 @@
 	Config   ConfigStatus      `json:"config"`
 	Members  []MemberStatus    `json:"members"`
 	Services []ServiceStatus   `json:"services"`
+	Limits   []LimitStatus     `json:"limits"`
 	Control  ControlStatus     `json:"control"`
 	Revision map[string]uint64 `json:"revisions"`
 }
@@ -74,6 +75,25 @@
 	PlatformCalls int64 `json:"platform_calls"`
 }
 
+// LimitStatus is the limit of one workspace as this node has it.
+type LimitStatus struct {
+	Workspace string `json:"workspace"`
+	// Rate and Burst are the limit of the whole fleet, in requests a second and at once.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+	// Asked is how many requests a second come to this node, Reserve how many it may admit
+	// without asking.
+	Asked   float64 `json:"asked"`
+	Reserve int     `json:"reserve"`
+	// Allocator is the node that has the workspace's bucket. Tokens are those left in it,
+	// Kept the part of the rate that is kept back for nodes out of reach, by what it said
+	// AgeMS milliseconds ago; -1 means never.
+	Allocator string  `json:"allocator"`
+	Tokens    float64 `json:"tokens"`
+	Kept      float64 `json:"kept"`
+	AgeMS     int64   `json:"age_ms"`
+}
+
 // Question asks where a request would go.
 type Question struct {
 	Host   string
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -288,6 +289,37 @@
 	return Share{}, time.Time{}
 }
 
+// Standing is what a node has of the limit of one workspace.
+type Standing struct {
+	Workspace string
+	Limit     Limit
+	// Demand is how many requests a second come to the node, Held its tokens in reserve.
+	Demand float64
+	Held   int
+	// Told is what the allocator last answered, At when; the zero time means never.
+	Told Share
+	At   time.Time
+}
+
+// Standings returns what the node has of the limits of all workspaces, by name.
+func (l *Limiter) Standings(now time.Time) []Standing {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Standing, 0, len(l.accounts))
+	for workspace, a := range l.accounts {
+		out = append(out, Standing{
+			Workspace: workspace,
+			Limit:     a.limit,
+			Demand:    a.demand.rate(now),
+			Held:      a.held,
+			Told:      a.told,
+			At:        a.toldAt,
+		})
+	}
+	slices.SortFunc(out, func(a, b Standing) int { return strings.Compare(a.Workspace, b.Workspace) })
+	return out
+}
+
 // Len returns the number of workspaces that are known.
 func (l *Limiter) Len() int {
 	l.mu.Lock()
