--- /dev/null
+++ b/internal/node/allotting.go
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// This file is the side of an allocator: what a node does for the limits of others.
+
+// holder returns the node that should allocate the limit of a workspace.
+func (l *limiting) holder(workspace string) membership.Node {
+	view := l.board.view.Load()
+	part := uint64(0)
+	if view.Nodes() > limitWhole {
+		part = xxhash.Sum64String(workspace) % limitParts
+	}
+	if nodes := view.Duty(limitDuties[part], "", 1); len(nodes) > 0 {
+		return nodes[0]
+	}
+	return view.Self()
+}
+
+// limitDuties are the names of the allocators' duties.
+var limitDuties = func() (out [limitParts]string) {
+	for i := range out {
+		out[i] = "limits/" + string(rune('A'+i))
+	}
+	return out
+}()
+
+// allot answers the draw of a node in one of its lives.
+func (l *limiting) allot(now time.Time, node string, life uint64, in *wire.Draw) *wire.Allot {
+	out := &wire.Allot{
+		By: l.life,
+	}
+	c := l.board.currentConfig()
+	able := c != nil && l.able(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, u := range in.GetUsages() {
+		a := &wire.Allotment{
+			Declined: true,
+		}
+		if able {
+			if w := c.Workspace(u.GetWorkspace()); w != nil && w.Rate() > 0 {
+				limit, _ := limitOf(w)
+				fillAllotment(a, l.allocator.Report(now, w.ID(), limit, node, life, reportOf(u)))
+			}
+		}
+		out.Allotments = append(out.Allotments, a)
+	}
+	return out
+}
+
+// able tells whether this node may allocate: a part of the fleet that lost most of the
+// others must not give out the whole limit once more.
+func (l *limiting) able(now time.Time) bool {
+	view := l.board.view.Load()
+	if len(view.Peers()) == 0 {
+		return l.seeds == 0
+	}
+	if now.Sub(l.begun)-time.Duration(l.heard.Load()) > contactTime {
+		return false
+	}
+	return 2*len(view.Live()) > view.Nodes()
+}
+
+// drawn answers the draw of a peer.
+func (l *limiting) drawn(in *wire.Datagram) {
+	now := time.Now()
+	key := drawKey{
+		node: in.GetFrom().GetAddress(),
+		call: in.GetCall(),
+	}
+	l.mu.Lock()
+	known := l.answered[key]
+	l.mu.Unlock()
+	if known == nil {
+		known = &answeredDraw{
+			at:    now,
+			allot: l.allot(now, key.node, in.GetFrom().GetIncarnation(), in.GetDraw()),
+		}
+		l.mu.Lock()
+		l.answered[key] = known
+		l.mu.Unlock()
+	}
+	l.messenger.send(key.node, &wire.Datagram{
+		Call: in.GetCall(),
+		Body: &wire.Datagram_Allot{
+			Allot: known.allot,
+		},
+	})
+}
+
+// touched notes that a peer was heard.
+func (l *limiting) touched(now time.Time) { l.heard.Store(int64(now.Sub(l.begun))) }
+
+// began notes a node's incarnation. With a new one it holds nothing of what it had.
+func (l *limiting) began(node string, incarnation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation <= l.lives[node] {
+		return
+	}
+	if l.lives[node] > 0 {
+		l.allocator.Began(node, incarnation)
+		delete(l.allocators, node)
+	}
+	l.lives[node] = incarnation
+}
+
+// renew tells the allocator which part of the fleet is lost and drops what is out of use;
+// buckets only now and then.
+func (l *limiting) renew(now time.Time, buckets bool) {
+	view := l.board.view.Load()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allocator.Lost(1 - float64(len(view.Live()))/float64(view.Nodes()))
+	for key, a := range l.answered {
+		if now.Sub(a.at) > time.Second {
+			delete(l.answered, key)
+		}
+	}
+	if buckets {
+		l.allocator.Forget(now)
+	}
+}
--- /dev/null
+++ b/internal/node/drawing.go
@@ -0,0 +1,198 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// This file is the side of a node that asks allocators for tokens.
+
+// with returns a workspace together with others that the same allocator should be told of
+// soon.
+func (l *limiting) with(workspace string, holder membership.Node) []string {
+	out := []string{workspace}
+	if l.limiter.Len() > withMost {
+		return out
+	}
+	for _, w := range l.limiter.Due(time.Now().Add(dueSoon)) {
+		if w != workspace && l.holder(w) == holder {
+			out = append(out, w)
+		}
+	}
+	return out[:fitting(out)]
+}
+
+// draw reports some workspaces to a node and takes its answer. waiting is how many
+// requests wait for a token of the first one; it returns how many of them may go on, and
+// whether the node allocates.
+func (l *limiting) draw(ctx context.Context, holder membership.Node, workspaces []string, waiting int) (admitted int, answered bool) {
+	now := time.Now()
+	if holder == l.board.view.Load().Self() {
+		out := l.usages(now, workspaces, waiting, l.life)
+		return l.take(now, out, l.allot(now, holder.Address(), l.life, out), waiting)
+	}
+	if l.distrusted(now, holder.Address()) {
+		return 0, false
+	}
+	out := l.usages(now, workspaces, waiting, l.known(holder.Address()))
+	in := l.call(ctx, holder.Address(), out)
+	if in == nil {
+		if ctx.Err() == nil {
+			l.doubt(holder.Address())
+		}
+		return 0, false
+	}
+	l.know(holder.Address(), in.GetBy())
+	return l.take(time.Now(), out, in, waiting)
+}
+
+// known returns the life of a node as an allocator, 0 if it isn't known.
+func (l *limiting) known(peer string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.allocators[peer]
+}
+
+func (l *limiting) know(peer string, life uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allocators[peer] = life
+}
+
+// call sends a draw until it is answered, and returns nil if it is not.
+func (l *limiting) call(ctx context.Context, peer string, out *wire.Draw) *wire.Allot {
+	id, answers, end := l.messenger.call()
+	defer end()
+	send := func() {
+		l.messenger.send(peer, &wire.Datagram{
+			Call: id,
+			Body: &wire.Datagram_Draw{
+				Draw: out,
+			},
+		})
+	}
+	send()
+	again := time.NewTicker(drawAgain)
+	defer again.Stop()
+	limit := time.NewTimer(drawGiveUp)
+	defer limit.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case in := <-answers:
+			return in.GetAllot()
+		case <-again.C:
+			send()
+		case <-limit.C:
+			l.log.WithField("peer", peer).Debug("allocator did not answer")
+			return nil
+		}
+	}
+}
+
+func (l *limiting) distrusted(now time.Time, peer string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.distrust[peer])
+}
+
+func (l *limiting) doubt(peer string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.distrust[peer] = time.Now().Add(drawDistrust)
+}
+
+// usages returns the reports of workspaces to the allocator whose life is to.
+func (l *limiting) usages(now time.Time, workspaces []string, waiting int, to uint64) *wire.Draw {
+	out := &wire.Draw{}
+	for _, w := range workspaces {
+		if r, _, known := l.limiter.Report(now, w, waiting); known {
+			out.Usages = append(out.Usages, usageOf(w, r, to))
+		}
+		waiting = 0
+	}
+	return out
+}
+
+// take takes an allocator's answer to a draw, of whose first workspace some requests wait.
+func (l *limiting) take(now time.Time, out *wire.Draw, in *wire.Allot, waiting int) (admitted int, answered bool) {
+	if len(in.GetAllotments()) != len(out.GetUsages()) {
+		return 0, false
+	}
+	for i, a := range in.GetAllotments() {
+		asked := 0
+		if i == 0 {
+			asked = waiting
+		}
+		if a.GetDeclined() {
+			continue
+		}
+		n := l.limiter.Answer(now, out.GetUsages()[i].GetWorkspace(), shareOf(in.GetBy(), a), asked, asked)
+		if i == 0 {
+			admitted, answered = n, true
+		}
+	}
+	return admitted, answered
+}
+
+// run reports to allocators until the context ends.
+func (l *limiting) run(ctx context.Context) error {
+	var draws task.Group
+	beat := time.NewTicker(limitBeat)
+	defer beat.Stop()
+	forgot := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return draws.Wait()
+		case now := <-beat.C:
+			l.report(ctx, &draws, now)
+			l.renew(now, now.Sub(forgot) > forgetBeat)
+			if now.Sub(forgot) > forgetBeat {
+				forgot = now
+			}
+			if err := draws.Reap(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// report tells allocators of the workspaces that are due, several in one datagram.
+func (l *limiting) report(ctx context.Context, draws *task.Group, now time.Time) {
+	byHolder := map[membership.Node][]string{}
+	for _, w := range l.limiter.Due(now) {
+		h := l.holder(w)
+		byHolder[h] = append(byHolder[h], w)
+	}
+	for holder, workspaces := range byHolder {
+		for len(workspaces) > 0 {
+			n := fitting(workspaces)
+			some := workspaces[:n]
+			workspaces = workspaces[n:]
+			draws.Go(ctx, "report limits", func(ctx context.Context) error {
+				_, _ = l.draw(ctx, holder, some, 0)
+				return nil
+			})
+		}
+	}
+}
+
+// fitting returns how many of some workspaces, at least one, fit into a datagram.
+func fitting(workspaces []string) int {
+	size := 0
+	for i, w := range workspaces {
+		size += len(w) + drawBytes/drawMost
+		if i > 0 && size > 2*drawBytes || i >= drawMost {
+			return i
+		}
+	}
+	return len(workspaces)
+}
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -69,6 +69,10 @@
 // send fills in what travels on each datagram and sends it. Failures show as
 // answers that don't come.
 func (m *messenger) send(peer string, d *wire.Datagram) {
+	if short(d) {
+		m.hand(peer, d)
+		return
+	}
 	d.From = m.self()
 	d.Digest = m.replica.Digest()
 	if age := m.gossip.PlatformAge(time.Now()); age < time.Hour {
@@ -87,11 +91,36 @@
 			},
 		})
 	}
+	m.hand(peer, d)
+}
+
+// hand sends a datagram with what it holds.
+func (m *messenger) hand(peer string, d *wire.Datagram) {
+	if d.From == nil {
+		self := m.self()
+		d.From = &wire.Node{
+			Address:     self.GetAddress(),
+			Incarnation: self.GetIncarnation(),
+			Leaving:     self.GetLeaving(),
+		}
+	}
 	if err := m.transmit(peer, d); err != nil {
 		m.log.WithField("peer", peer).WithError(err).Debug("datagram not sent")
 	}
 }
 
+// short tells whether a datagram says only who sent it. Those about limits come beside the
+// others of each request: with all that a node believes on them they took 10 MB between
+// data halls in 40 s of 113 nodes and 744 requests a second, without it 6 MB.
+func short(d *wire.Datagram) bool {
+	switch d.GetBody().(type) {
+	case *wire.Datagram_Draw, *wire.Datagram_Allot:
+		return true
+	default:
+		return false
+	}
+}
+
 // probes tells whether a datagram asks or tells whether a node lives.
 func probes(d *wire.Datagram) bool {
 	switch d.GetBody().(type) {
@@ -171,6 +200,9 @@
 			Weight:      n.GetNode().GetWeight(),
 		})
 	}
+	if short(d) {
+		return
+	}
 	if age := d.GetSourceAgeMs(); age > 0 {
 		m.gossip.LearnAge(now, time.Duration(age-1)*time.Millisecond)
 	}
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -35,7 +35,9 @@
 	return out
 }
 
-func usageOf(workspace string, r ratelimit.Report) *wire.Usage {
+// usageOf returns the report of a workspace to the allocator whose life is known as to, 0
+// if it isn't.
+func usageOf(workspace string, r ratelimit.Report, to uint64) *wire.Usage {
 	u := &wire.Usage{
 		Workspace: workspace,
 		Returned:  r.Returned,
@@ -46,7 +48,7 @@
 		Demand:    float32(r.Demand),
 		EveryMs:   uint32(r.Every.Milliseconds()),
 	}
-	if r.Age > 0 {
+	if r.Age > 0 && r.By != to {
 		u.AgeMs = uint32(r.Age.Milliseconds()) + 1
 		u.By = r.By
 		u.Level = float32(r.Level)
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -221,7 +221,7 @@
 	every := l.every()
 	a.reported = now
 	demand := a.demand.rate(now)
-	want := 1 + int(math.Ceil(demand*every.Seconds()))
+	want := int(math.Ceil(demand * every.Seconds()))
 	switch idle := now.Sub(a.demand.at); {
 	case idle > quietAfter:
 		want, demand = 0, 0
