internal/dispatch: what can't be in time is refused at once while nothing else is served

Cause: under overload asks that can't be in time any more stand behind all others and were refused 2.8 s after they came, shortly before their deadline. Change: once no slot has been free for them for as long as they could wait, they are refused at once, as are those that would come to wait so long. The times that callers are told to come back differ by up to the expected wait.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -53,8 +53,10 @@
 	// advanced is when Advance last did its work.
 	advanced time.Time
 	ends     ends
-	covered  coverage
-	floor    float64
+	// room is when a slot was last free for which nothing waited that can be in time.
+	room    time.Time
+	covered coverage
+	floor   float64
 	// trials counts grants of targets that would have been left out else.
 	trials int
 }
@@ -63,6 +65,7 @@
 func NewDesk(now time.Time, b Budget, random func() float64) *Desk {
 	return &Desk{
 		begun:   now,
+		room:    now,
 		budget:  b,
 		floor:   floorDefault,
 		random:  random,
@@ -125,9 +128,8 @@
 
 // decide answers an ask that the retry budget pays for.
 func (d *Desk) decide(now time.Time, a *Ask) Grant {
-	most := time.Duration(refusedFrom * float64(a.Deadline.Sub(now)))
-	if wait := d.wait(now, a.Priority); wait > most {
-		return a.unserved(Refused, wait)
+	if wait := d.wait(now, a.Priority); wait > d.longest(now, a) {
+		return a.unserved(Refused, d.comeBack(wait))
 	}
 	if t := d.neglected(now, a); t != nil {
 		return d.grant(now, t, a, true)
@@ -142,6 +144,7 @@
 	}
 	if d.queue.ahead(now, a.Priority) == 0 {
 		if t := d.best(now, w, d.free(now)); t != nil {
+			d.room = now
 			return d.grant(now, t, a, false)
 		}
 	}
--- /dev/null
+++ b/internal/dispatch/overload.go
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// This file says what is refused when more comes than the targets can do. What can be in
+// time goes first then (queue.each); what can't be would be held until its deadline, and
+// its caller with it, to be refused after all.
+
+// comeBackSpread is by which part the times differ that refused callers are told, so that
+// they don't all return at once.
+const comeBackSpread = 1.0
+
+// overloaded tells whether an ask that can't be in time will hardly be served: for as long as
+// it could wait no slot was free that nothing wanted which can be. A burst that is over
+// sooner is worked off, for a late answer is worth more than none.
+func (d *Desk) overloaded(now time.Time, a *Ask) bool { return now.Sub(d.room) > a.Deadline.Sub(a.Aim) }
+
+// longest returns the longest wait that an ask may expect and still be queued.
+func (d *Desk) longest(now time.Time, a *Ask) time.Duration {
+	if d.overloaded(now, a) {
+		return a.Aim.Sub(now) - d.margin(now, a)
+	}
+	return time.Duration(refusedFrom * float64(a.Deadline.Sub(now)))
+}
+
+// comeBack returns when a refused caller may come back: after what waits now.
+func (d *Desk) comeBack(wait time.Duration) time.Duration {
+	return wait + time.Duration(comeBackSpread*d.random()*float64(wait))
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -47,9 +47,7 @@
 	return sum
 }
 
-// inTime tells whether an answer will nearly surely still be worth most. By the usual time
-// half of what went first came too late: of a service that gets 1.2 to 2 times what it can
-// do 0.53 to 0.60 was in aim, 0.90 to 0.94 with the margin (TestOverload).
+// inTime tells whether an answer will nearly surely still be worth most.
 func (w *waiting) inTime(now time.Time) bool {
 	return now.Add(w.margin).Before(w.ask.Aim)
 }
@@ -73,11 +71,12 @@
 	}
 }
 
-// expire refuses what can't be served any more.
-func (q *queue) expire(now time.Time) []Grant {
+// expire refuses what can't be served any more; overloaded tells of an ask whether that is
+// so as soon as it can't be in time.
+func (q *queue) expire(now time.Time, overloaded func(*Ask) bool) []Grant {
 	var out []Grant
 	q.list = slices.DeleteFunc(q.list, func(w *waiting) bool {
-		if w.ask.Deadline.Sub(now) >= w.needs {
+		if w.ask.Deadline.Sub(now) >= w.needs && (w.inTime(now) || !overloaded(w.ask)) {
 			return false
 		}
 		out = append(out, Grant{
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -68,6 +68,9 @@
 			if near && t.DataHall != w.ask.DataHall {
 				return false
 			}
+			if k.late {
+				d.room = now
+			}
 			out = append(out, d.grant(now, t, w.ask, false))
 			if len(t.flights) >= d.slots(now, t) {
 				free = slices.DeleteFunc(free, func(o *target) bool { return o == t })
@@ -80,7 +83,7 @@
 
 // expire refuses the asks that wait in vain.
 func (d *Desk) expire(now time.Time) []Grant {
-	out := d.queue.expire(now)
+	out := d.queue.expire(now, func(a *Ask) bool { return d.overloaded(now, a) })
 	for range out {
 		d.ends.note(now, false)
 	}
@@ -107,6 +110,9 @@
 				declined[k] = true
 				return false
 			}
+			if k.late {
+				d.room = now
+			}
 			out = append(out, d.grant(now, t, a, false))
 			return true
 		})
