--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -8,9 +8,9 @@
 // time goes first then (queue.each); what can't be would be held until its deadline, and
 // its caller with it, to be refused after all.
 
-// comeBackSpread is by which part the times differ that refused callers are told, so that
-// they don't all return at once.
-const comeBackSpread = 1.0
+// comeBackSpread is by which part of the wait the times differ that refused callers are
+// told, so that they don't all return at once.
+const comeBackSpread = 0.4
 
 // overloaded tells whether an ask that can't be in time will hardly be served: for as long as
 // it could wait no slot was free that nothing wanted which can be. A burst that is over
@@ -25,7 +25,7 @@
 	return time.Duration(refusedFrom * float64(a.Deadline.Sub(now)))
 }
 
-// comeBack returns when a refused caller may come back: after what waits now.
+// comeBack returns when a refused caller may come back: when about what waits now is done.
 func (d *Desk) comeBack(wait time.Duration) time.Duration {
-	return wait + time.Duration(comeBackSpread*d.random()*float64(wait))
+	return wait + time.Duration(comeBackSpread*(d.random()-0.5)*float64(wait))
 }
