--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GENGO    = google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 GENDRPC  = storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
 
-.PHONY: run test race check generate build capacity detection soak
+.PHONY: run test race check generate build capacity detection soak fuzz
 
 run:
 	./examples/quickstart/run
@@ -49,6 +49,15 @@
 soak:
 	go test ./internal/soak -run 'TestSoak$$' -count=1 -v -timeout 2h -seeds $(SEEDS) -first $(FIRST) -nodes $(NODES) -beside $(BESIDE)
 
+# Random input for what comes from outside, FUZZ of them for each target; the kept
+# corpora are played by "make test" as well.
+FUZZ = 3000x
+
+fuzz:
+	go test ./platform -run '^$$' -fuzz '^FuzzEntries$$' -fuzztime $(FUZZ)
+	go test ./internal/contract -run '^$$' -fuzz '^FuzzCredential$$' -fuzztime $(FUZZ)
+	go test ./internal/settings -run '^$$' -fuzz '^FuzzLoad$$' -fuzztime $(FUZZ)
+
 # Measures the cost of control and writes docs/CAPACITY.md; about 20 minutes.
 capacity:
 	go run ./internal/capacity
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -49,7 +49,8 @@
 	err     error
 }
 
-func call(ctx context.Context, c *http.Client, method, url, key string) reply {
+// call sends one request; key names it, and shown is the key of its workspace, "" for none.
+func call(ctx context.Context, c *http.Client, method, url, key, shown string) reply {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(""))
@@ -59,6 +60,9 @@
 		}
 	}
 	req.Header.Set(target.HeaderKey, key)
+	if shown != "" {
+		req.Header.Set("Authorization", "Bearer "+shown)
+	}
 	res, err := c.Do(req)
 	if err != nil {
 		return reply{
@@ -110,7 +114,7 @@
 	l := n.life.Load()
 	path := "/quotes/1"
 	begun := time.Since(f.begun)
-	r := call(context.Background(), c, method, "http://"+l.proc.Entry()+path, key)
+	r := call(context.Background(), c, method, "http://"+l.proc.Entry()+path, key, f.key())
 	return record{
 		Call: history.Call{
 			Key:        key,
@@ -144,7 +148,7 @@
 	l := n.life.Load()
 	newest, published := f.newest()
 	begun := time.Since(f.begun)
-	r := call(ctx, c, http.MethodGet, fmt.Sprintf("http://%s/mark-%d", l.proc.Entry(), newest), fmt.Sprintf("look-%d-%d", n.index, i))
+	r := call(ctx, c, http.MethodGet, fmt.Sprintf("http://%s/mark-%d", l.proc.Entry(), newest), fmt.Sprintf("look-%d-%d", n.index, i), f.key())
 	switch {
 	case r.err != nil:
 	case r.status == http.StatusOK:
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -40,6 +40,10 @@
 		f.publishRoute()
 	case KindLeave:
 		f.leave(s.Index)
+	case KindKeys:
+		f.changeKeys()
+	case KindReborn:
+		f.reborn(s.Index)
 	default:
 		f.targetStep(f.targets[s.Index], s)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -35,6 +35,8 @@
 	server  *httptest.Server
 	proxy   *faultproxy.Proxy
 	leaving atomic.Bool
+	// lives counts the lives of the target under its ID.
+	lives atomic.Int64
 }
 
 // fleet is everything that takes part in one run.
@@ -53,6 +55,10 @@
 	routes    int
 	published time.Time
 	faults    []string
+	// keys counts the keys of the workspace of most callers; taken is when the one before
+	// the newest was taken away.
+	keys  int
+	taken time.Time
 	// active counts the steps under way.
 	active atomic.Int64
 	// platformTouched is as node.touched for steps that act on the platform.
@@ -97,6 +103,9 @@
 	}
 	f.publishTargets()
 	f.publishRoute()
+	if plan.Keyed {
+		f.changeKeys()
+	}
 	for i := range plan.Nodes {
 		n := &node{
 			fleet: f,
@@ -151,8 +160,12 @@
 func (f *fleet) publishTargets() {
 	var list []string
 	for i, b := range f.targets {
-		list = append(list, fmt.Sprintf(`{"service":"quotes","address":%q,"dataHall":%q,"slots":%d,"connections":200,"leaving":%t}`,
-			b.proxy.Addr(), hall(i), targetSlots, b.leaving.Load()))
+		life := ""
+		if f.plan.Keyed {
+			life = fmt.Sprintf(`"id":"id-%d","born":"%d",`, i, 1700000000000+b.lives.Load())
+		}
+		list = append(list, fmt.Sprintf(`{"service":"quotes",%s"address":%q,"dataHall":%q,"slots":%d,"connections":200,"leaving":%t}`,
+			life, b.proxy.Addr(), hall(i), targetSlots, b.leaving.Load()))
 	}
 	f.platform.Publish("services", `{"services":[{"name":"quotes"}],"targets":[`+strings.Join(list, ",")+`]}`)
 }
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -53,6 +53,10 @@
 	if len(seeds) > 0 {
 		peers += "\nseeds = " + strings.Join(seeds, ", ")
 	}
+	identity := "header"
+	if n.fleet.plan.Keyed {
+		identity = "key"
+	}
 	return fmt.Sprintf(`
 [node]
 data_hall = %s
@@ -70,7 +74,9 @@
 drain_wait = 500ms
 [targets]
 choice = %s
-`, hall(n.index), peers, n.fleet.toPlatform.Addr(), choice)
+[workspaces]
+identity = %s
+`, hall(n.index), peers, n.fleet.toPlatform.Addr(), choice, identity)
 }
 
 // start starts a process; n.mu is held.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -79,6 +79,10 @@
 	for _, n := range f.nodes {
 		group.Go(func() { f.look(ctx, n) })
 	}
+	if f.plan.Keyed {
+		group.Go(func() { f.hot(ctx) })
+		group.Go(func() { f.takenAway(ctx) })
+	}
 	go func() {
 		group.Wait()
 		out <- all
@@ -159,6 +163,7 @@
 		Counts: map[string]int{},
 	}
 	runs := map[string][]history.Run{}
+	f.judgeWorkspaces()
 	for _, b := range f.targets {
 		for _, r := range b.Runs() {
 			report.Runs++
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -42,6 +42,10 @@
 	KindTargetAborts Kind = "target aborts"
 	KindTargetShort  Kind = "target cuts bodies"
 	KindTargetSwaps  Kind = "target swaps ids"
+	// The next ones are of keyed plans. KindKeys takes a key away and gives out another one,
+	// KindReborn says that a target has begun a new life under its ID.
+	KindKeys   Kind = "keys change"
+	KindReborn Kind = "target starts again"
 )
 
 // kinds are all kinds, those that act on processes more than once: they are drawn
@@ -65,8 +69,10 @@
 
 // Plan is a series of steps for a fleet.
 type Plan struct {
-	Seed    uint64
-	Joint   bool
+	Seed  uint64
+	Joint bool
+	// Keyed is set where callers show keys of their workspaces.
+	Keyed   bool
 	Nodes   int
 	Targets int
 	Steps   []Step
@@ -110,6 +116,31 @@
 		}
 		p.Steps = append(p.Steps, s)
 	}
+	p.addKeyed()
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p
 }
+
+// keyedSteps is how many steps a keyed plan has besides the others.
+const keyedSteps = 6
+
+// addKeyed makes half of the plans keyed ones. It draws from a source of its own, so that
+// the other steps of a seed stay what they are.
+func (p *Plan) addKeyed() {
+	rng := rand.New(rand.NewPCG(p.Seed, 0x6e79))
+	p.Keyed = rng.IntN(2) == 0
+	if !p.Keyed {
+		return
+	}
+	for range keyedSteps {
+		kind := KindKeys
+		if rng.IntN(2) == 0 {
+			kind = KindReborn
+		}
+		p.Steps = append(p.Steps, Step{
+			At:    time.Duration(rng.Int64N(int64(faultTime))),
+			Kind:  kind,
+			Index: rng.IntN(p.Targets),
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/workspaces.go
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+)
+
+// This file is about callers who show keys: that these get nowhere, that those taken away
+// are refused, and that limits hold.
+
+// The workspace with a limit, and what of it may run in a window: the defaults of
+// [workspaces].
+const (
+	hotKey    = "hot-key"
+	hotRate   = 20
+	hotPrefix = "hot-"
+	hotWindow = 5 * time.Second
+	hotMost   = (hotRate*5+hotRate)*5/4 + 20
+	// hotPause is the pause between two calls of the caller that sends more than that.
+	hotPause = 8 * time.Millisecond
+)
+
+// key returns the key that most callers show, "" where plans have none.
+func (f *fleet) key() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.plan.Keyed {
+		return ""
+	}
+	return keyName(f.keys)
+}
+
+func keyName(n int) string { return fmt.Sprintf("key-number-%d", n) }
+
+func digest(key string) string {
+	d := fleetconfig.DigestKey(key)
+	return base64.StdEncoding.EncodeToString(d[:])
+}
+
+// changeKeys takes the newest key away and gives out another one.
+func (f *fleet) changeKeys() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.keys++
+	f.taken = time.Now()
+	f.platform.Publish("workspaces", fmt.Sprintf(`{"workspaces":[{"id":"usual","keys":[%q]},{"id":"hot","rate":%d,"burst":%d,"keys":[%q]}]}`,
+		digest(keyName(f.keys)), hotRate, hotRate, digest(hotKey)))
+}
+
+// reborn publishes another life of a target, whose connections are gone.
+func (f *fleet) reborn(index int) {
+	f.targets[index].lives.Add(1)
+	f.targets[index].proxy.Reset()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publishTargets()
+}
+
+// hot sends more than its workspace's limit until the context ends.
+func (f *fleet) hot(ctx context.Context) {
+	c := newClient()
+	defer c.CloseIdleConnections()
+	rng := rand.New(rand.NewPCG(f.plan.Seed, 0x407))
+	for i := 0; ctx.Err() == nil; i++ {
+		l := f.nodes[rng.IntN(len(f.nodes))].life.Load()
+		// What came of it shows at the targets.
+		_ = call(ctx, c, http.MethodPost, "http://"+l.proc.Entry()+"/quotes/1", fmt.Sprint(hotPrefix, i), hotKey)
+		time.Sleep(hotPause)
+	}
+}
+
+// takenAway shows keys that were taken away: nodes that nothing harms refuse them.
+func (f *fleet) takenAway(ctx context.Context) {
+	c := newClient()
+	defer c.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		n := f.nodes[i%len(f.nodes)]
+		f.mu.Lock()
+		old, taken := f.keys-1, f.taken
+		f.mu.Unlock()
+		begun := time.Since(f.begun)
+		r := call(ctx, c, http.MethodGet, "http://"+n.life.Load().proc.Entry()+"/quotes/1", fmt.Sprint("old-", i), keyName(old))
+		f.mu.Lock()
+		same := old == f.keys-1
+		f.mu.Unlock()
+		if old > 0 && same && r.status == http.StatusOK && begun-taken.Sub(f.begun) > forceTime && f.calmSince(n, begun-forceTime) {
+			f.broken("node %d: served a key %v after it was taken away", n.index, time.Since(taken).Round(time.Millisecond))
+		}
+		time.Sleep(lookBeat)
+	}
+}
+
+// judgeWorkspaces checks what targets were told, and the limit.
+func (f *fleet) judgeWorkspaces() {
+	var hot []time.Time
+	for _, b := range f.targets {
+		for _, r := range b.Runs() {
+			if !f.plan.Keyed {
+				continue
+			}
+			want := "usual"
+			if strings.HasPrefix(r.Key, hotPrefix) {
+				want = "hot"
+				hot = append(hot, r.At)
+			}
+			if r.Authorized || r.Workspace != want {
+				f.broken("%s: %s was told workspace %q, with a key: %t", b.Name(), r.Key, r.Workspace, r.Authorized)
+			}
+		}
+	}
+	slices.SortFunc(hot, time.Time.Compare)
+	first := 0
+	for i, at := range hot {
+		for at.Sub(hot[first]) >= hotWindow {
+			first++
+		}
+		if i-first+1 > hotMost {
+			f.broken("%d requests of the limited workspace ran in %v, at most %d may", i-first+1, hotWindow, hotMost)
+			return
+		}
+	}
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -23,6 +23,7 @@
 	headerOutcome   = "Plover-Outcome"
 	headerDeadline  = "Plover-Deadline"
 	headerState     = "Plover-State"
+	headerWorkspace = "Plover-Workspace"
 	// HeaderKey names a request in the record of runs; tests set it.
 	HeaderKey = "Test-Key"
 )
@@ -64,6 +65,10 @@
 	At   time.Time `json:"at"`
 	// Deadline is the time limit that came with the request; zero means none.
 	Deadline time.Time `json:"deadline"`
+	// Workspace is the one that the request came for, Authorized whether it brought a key,
+	// which none may.
+	Workspace  string `json:"workspace"`
+	Authorized bool   `json:"authorized"`
 }
 
 // Target is the stand-in. It may be used concurrently.
@@ -205,11 +210,13 @@
 	defer t.mu.Unlock()
 	t.header = r.Header.Clone()
 	t.runs = append(t.runs, Run{
-		Key:      r.Header.Get(HeaderKey),
-		ID:       r.Header.Get(headerRequestID),
-		Path:     r.URL.Path,
-		At:       time.Now(),
-		Deadline: deadline(r),
+		Workspace:  r.Header.Get(headerWorkspace),
+		Authorized: r.Header.Get("Authorization") != "",
+		Key:        r.Header.Get(HeaderKey),
+		ID:         r.Header.Get(headerRequestID),
+		Path:       r.URL.Path,
+		At:         time.Now(),
+		Deadline:   deadline(r),
 	})
 }
 
