--- a/internal/node/limiting_test.go
+++ b/internal/node/limiting_test.go
@@ -244,3 +244,41 @@
 		}
 	})
 }
+
+// A draw that comes twice takes its tokens once.
+func TestRepeatedDrawTakesNoTokensTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimited(t.Context(), t, 3, 20)
+		f.start(t)
+		time.Sleep(6 * time.Second)
+		holder := f.nodes[f.order[0]].Holder(brokers)
+		draw := func(call uint64) *wire.Datagram {
+			return &wire.Datagram{
+				From: &wire.Node{
+					Address:     f.order[0],
+					Incarnation: 1,
+				},
+				Call: call,
+				Body: &wire.Datagram_Draw{
+					Draw: &wire.Draw{
+						Usages: []*wire.Usage{
+							{
+								Workspace: brokers,
+								Waiting:   15,
+								Demand:    10,
+								EveryMs:   1000,
+							},
+						},
+					},
+				},
+			}
+		}
+		for range 10 {
+			f.nodes[holder].Receive(f.ctx, draw(1<<40))
+		}
+		admitted, requests, _ := f.ask([]string{holder}, 100, 50*time.Millisecond)
+		if admitted < min(requests, 4) {
+			t.Errorf("%d of %d requests admitted after 15 tokens of 20 were taken", admitted, requests)
+		}
+	})
+}
--- /dev/null
+++ b/internal/ratelimit/allocator_test.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/ratelimit"
+)
+
+// report is that of a node with some requests that wait.
+func report(waiting int) ratelimit.Report {
+	return ratelimit.Report{
+		Waiting: waiting,
+		Demand:  1,
+		Every:   time.Second,
+	}
+}
+
+func newAllocator(life uint64) *ratelimit.Allocator {
+	return ratelimit.NewAllocator(life, start.Add(-time.Minute), tolerance)
+}
+
+// The duty takes the level of the bucket along.
+func TestMovedDutyKeepsTheLevel(t *testing.T) {
+	one, two := newAllocator(1), newAllocator(2)
+	s := one.Report(start, "w", ten, "n", 1, report(100))
+	if s.Admitted != 10 {
+		t.Fatalf("%d admitted of a burst of 10", s.Admitted)
+	}
+	r := report(100)
+	r.Level, r.Rate, r.Total, r.By, r.Age = s.Level, s.Rate, s.Total, s.By, time.Millisecond
+	if s := two.Report(start.Add(time.Millisecond), "w", ten, "n", 1, r); s.Admitted > 0 {
+		t.Errorf("%d admitted by the second allocator, right after the whole burst", s.Admitted)
+	}
+}
+
+// What a node admitted alone for a moment is taken out of the bucket.
+func TestAloneIsCharged(t *testing.T) {
+	a := newAllocator(1)
+	a.Report(start, "w", ten, "n", 1, report(0))
+	r := report(100)
+	r.Alone = 8
+	if s := a.Report(start.Add(100*time.Millisecond), "w", ten, "n", 1, r); s.Admitted > 2 {
+		t.Errorf("%d admitted of a burst of 10, 8 of which the node used alone", s.Admitted)
+	}
+}
+
+// A node that is silent gets its part kept back, until it has begun anew.
+func TestSilentNodesHaveTheirPartKeptBack(t *testing.T) {
+	a := newAllocator(1)
+	r := report(0)
+	r.Demand = 5
+	a.Report(start, "w", ten, "silent", 1, r)
+	a.Report(start, "w", ten, "n", 1, r)
+	later := start.Add(3 * time.Second)
+	if s := a.Report(later, "w", ten, "n", 1, r); s.Kept < 3 {
+		t.Errorf("%.1f of 10 requests a second kept back for a silent node that had half", s.Kept)
+	}
+	a.Began("silent", 2)
+	if s := a.Report(later, "w", ten, "n", 1, r); s.Kept > 0 {
+		t.Errorf("%.1f kept back for a node that has begun anew", s.Kept)
+	}
+}
