internal/dispatch: the order under overload leaves last attempts their place

Change: slots count as short when no slot of a target that works was left over for 0.5 s; only then asks go by the margin, and only those that another attempt can follow. Nodes without limited workspaces look once a second instead of five times.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -105,6 +105,7 @@
 	if g, known := d.before(a.ID); known {
 		return g
 	}
+	d.queue.short = d.short(now)
 	if a.Hedge && !d.hedges(now, a) || !d.affords(now, a, 1) {
 		if !a.Hedge {
 			d.ends.note(now, false)
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -8,13 +8,34 @@
 // time goes first then (queue.each); what can't be would be held until its deadline, and
 // its caller with it, to be refused after all.
 
-// comeBackSpread is by which part of the wait the times differ that refused callers are
-// told, so that they don't all return at once.
-const comeBackSpread = 0.4
+const (
+	// shortAfter is for how long no good slot may have been free until slots count as short.
+	shortAfter = 500 * time.Millisecond
+	// goodFrom is the probability of failing below which a target's free slot is a good one:
+	// failing targets always have some.
+	goodFrom = 0.5
+	// comeBackSpread is by which part of the wait the times differ that refused callers are
+	// told, so that they don't all return at once.
+	comeBackSpread = 0.4
+)
+
+// look notes whether there is a good slot that nothing took.
+func (d *Desk) look(now time.Time, free []*target) {
+	for _, t := range free {
+		if t.failing(now) < goodFrom {
+			d.room = now
+			break
+		}
+	}
+	d.queue.short = d.short(now)
+}
+
+// short tells whether asks wait for slots, and not for better targets than are free.
+func (d *Desk) short(now time.Time) bool { return now.Sub(d.room) > shortAfter }
 
 // overloaded tells whether an ask that can't be in time will hardly be served: for as long as
-// it could wait no slot was free that nothing wanted which can be. A burst that is over
-// sooner is worked off, for a late answer is worth more than none.
+// it could wait no good slot was left over by what can. A burst that is over sooner is worked
+// off, for a late answer is worth more than none.
 func (d *Desk) overloaded(now time.Time, a *Ask) bool { return now.Sub(d.room) > a.Deadline.Sub(a.Aim) }
 
 // longest returns the longest wait that an ask may expect and still be queued.
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -25,6 +25,8 @@
 // queue holds asks by priority and then by their arrival.
 type queue struct {
 	list []*waiting
+	// short is set while slots are what asks wait for.
+	short bool
 }
 
 func (q *queue) add(w *waiting) {
@@ -40,16 +42,23 @@
 func (q *queue) ahead(now time.Time, priority int) time.Duration {
 	var sum time.Duration
 	for _, w := range q.list {
-		if w.ask.Priority <= priority && w.inTime(now) {
+		if w.ask.Priority <= priority && q.inTime(now, w) {
 			sum += w.takes
 		}
 	}
 	return sum
 }
 
-// inTime tells whether an answer will nearly surely still be worth most.
-func (w *waiting) inTime(now time.Time) bool {
-	return now.Add(w.margin).Before(w.ask.Aim)
+// inTime tells whether an answer to an ask that waits can still be worth most. While slots
+// are short nearly all answers must be, where another attempt can follow: by the usual time
+// half of what went first came too late. Of a service that gets 1.2 to 2 times what it can
+// do 0.53 to 0.60 was in aim, 0.89 to 0.95 by the margin (TestOverload). A last attempt
+// keeps its place: behind the others it ends at a target that fails.
+func (q *queue) inTime(now time.Time, w *waiting) bool {
+	if q.short && !w.ask.last() {
+		return now.Add(w.margin).Before(w.ask.Aim)
+	}
+	return now.Add(w.takes).Before(w.ask.Aim)
 }
 
 func (q *queue) has(id ID) bool {
@@ -66,7 +75,7 @@
 func (q *queue) each(now time.Time, taken func(*waiting) bool) {
 	for _, inTime := range [...]bool{true, false} {
 		q.list = slices.DeleteFunc(q.list, func(w *waiting) bool {
-			return w.inTime(now) == inTime && taken(w)
+			return q.inTime(now, w) == inTime && taken(w)
 		})
 	}
 }
@@ -76,7 +85,7 @@
 func (q *queue) expire(now time.Time, overloaded func(*Ask) bool) []Grant {
 	var out []Grant
 	q.list = slices.DeleteFunc(q.list, func(w *waiting) bool {
-		if w.ask.Deadline.Sub(now) >= w.needs && (w.inTime(now) || !overloaded(w.ask)) {
+		if w.ask.Deadline.Sub(now) >= w.needs && (q.inTime(now, w) || !overloaded(w.ask)) {
 			return false
 		}
 		out = append(out, Grant{
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -29,7 +29,7 @@
 	late bool
 }
 
-func (w *waiting) traits(now time.Time) traits {
+func (q *queue) traits(now time.Time, w *waiting) traits {
 	a := w.ask
 	return traits{
 		dataHall:   a.DataHall,
@@ -37,7 +37,7 @@
 		repeatable: a.Repeatable,
 		again:      a.Again,
 		kilobytes:  a.Kilobytes,
-		late:       !w.inTime(now),
+		late:       !q.inTime(now, w),
 	}
 }
 
@@ -45,6 +45,7 @@
 // A slot goes to an ask of its own data hall first.
 func (d *Desk) serve(now time.Time) []Grant {
 	out := d.expire(now)
+	defer func() { d.look(now, d.free(now)) }()
 	looks := d.looks
 	defer func() { d.serveAgain = now.Add(lookPause * time.Duration(d.looks-looks)) }()
 	for _, near := range [...]bool{true, false} {
@@ -56,7 +57,7 @@
 		// behind it have waited less, and take no worse ones.
 		declined := map[traits]bool{}
 		d.queue.each(now, func(w *waiting) bool {
-			k := w.traits(now)
+			k := d.queue.traits(now, w)
 			if len(free) == 0 || declined[k] {
 				return false
 			}
@@ -94,6 +95,11 @@
 // other targets.
 func (d *Desk) freed(now time.Time, t *target) []Grant {
 	out := d.expire(now)
+	defer func() {
+		if len(t.flights) < d.slots(now, t) {
+			d.look(now, []*target{t})
+		}
+	}()
 	for _, near := range [...]bool{true, false} {
 		if t.Leaving || len(d.queue.list) == 0 {
 			break
@@ -101,7 +107,7 @@
 		declined := map[traits]bool{}
 		d.queue.each(now, func(w *waiting) bool {
 			a := w.ask
-			k := w.traits(now)
+			k := d.queue.traits(now, w)
 			if len(t.flights) >= d.slots(now, t) || near && t.DataHall != a.DataHall ||
 				slices.Contains(a.Tried, t.Key) || declined[k] {
 				return false
--- a/internal/node/drawing.go
+++ b/internal/node/drawing.go
@@ -142,10 +142,11 @@
 	return admitted, answered
 }
 
-// run reports to allocators until the context ends.
+// run reports to allocators until the context ends. Where nothing is limited it looks
+// once a second, as a dispatcher without work does.
 func (l *limiting) run(ctx context.Context) error {
 	var draws task.Group
-	beat := time.NewTicker(limitBeat)
+	beat := time.NewTimer(limitBeat)
 	defer beat.Stop()
 	forgot := time.Now()
 	for {
@@ -161,10 +162,22 @@
 			if err := draws.Reap(); err != nil {
 				return err
 			}
+			if l.idle() {
+				beat.Reset(restBeat)
+			} else {
+				beat.Reset(limitBeat)
+			}
 		}
 	}
 }
 
+// idle tells whether no workspace with a limit has callers here or its bucket.
+func (l *limiting) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limiter.Len() == 0 && l.allocator.Len() == 0
+}
+
 // report tells allocators of the workspaces that are due, several in one datagram.
 func (l *limiting) report(ctx context.Context, draws *task.Group, now time.Time) {
 	byHolder := map[membership.Node][]string{}
