internal/ratelimit, internal/node: what a newcomer would stumble over in the limits

Answer takes the waiting requests once; how many workspaces fit into a datagram is counted by bytes; a node that is its own only seed allocates.

--- a/internal/node/drawing.go
+++ b/internal/node/drawing.go
@@ -127,17 +127,16 @@
 		return 0, false
 	}
 	for i, a := range in.GetAllotments() {
-		asked := 0
-		if i == 0 {
-			asked = waiting
-		}
 		if a.GetDeclined() {
 			continue
 		}
-		n := l.limiter.Answer(now, out.GetUsages()[i].GetWorkspace(), shareOf(in.GetBy(), a), asked, asked)
-		if i == 0 {
-			admitted, answered = n, true
+		workspace, share := out.GetUsages()[i].GetWorkspace(), shareOf(in.GetBy(), a)
+		if i > 0 {
+			l.limiter.Answer(now, workspace, share, 0)
+			continue
 		}
+		admitted = l.limiter.Answer(now, workspace, share, waiting)
+		answered = true
 	}
 	return admitted, answered
 }
@@ -202,8 +201,8 @@
 func fitting(workspaces []string) int {
 	size := 0
 	for i, w := range workspaces {
-		size += len(w) + drawBytes/drawMost
-		if i > 0 && size > 2*drawBytes || i >= drawMost {
+		size += usageBytes + len(w)
+		if i > 0 && size > drawBytes {
 			return i
 		}
 	}
--- a/internal/node/limiting.go
+++ b/internal/node/limiting.go
@@ -36,10 +36,10 @@
 	// contactTime is how long after the last word of any peer a node counts as cut off:
 	// each is pinged several times a second.
 	contactTime = time.Second
-	// drawMost is how many workspaces one datagram tells of, some 60 bytes each with names
-	// of usual length; drawBytes bounds their size.
-	drawMost  = 12
-	drawBytes = 1000
+	// drawBytes bounds what one datagram tells of workspaces, usageBytes is what it takes for
+	// one of them beside its name.
+	drawBytes  = 1100
+	usageBytes = 65
 	// dueSoon is how long before its time a workspace is reported beside another one.
 	dueSoon = 500 * time.Millisecond
 	// withMost is up to how many workspaces a node looks through them with each ask.
@@ -56,7 +56,7 @@
 	limiter   *ratelimit.Limiter
 	// equal gives each node the same part of a limit, where nodes exchange no datagrams.
 	equal *admission.Limiter
-	// seeds is how many nodes the settings name.
+	// seeds is how many other nodes the settings name.
 	seeds int
 	life  uint64
 	log   *logrus.Entry
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -184,7 +185,7 @@
 		Excess: excess,
 		Slack:  slack,
 	}, logging.Part(n.log, "limits"))
-	n.limiting.seeds = len(n.set.Seeds())
+	n.limiting.seeds = len(slices.DeleteFunc(n.seeds(), func(s string) bool { return s == n.address() }))
 	switch {
 	case n.adapter.Read != nil:
 	case n.set.Source() == settings.SourcePlatform:
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -7,8 +7,8 @@
 // Parts of what a limit allows.
 const (
 	// reserveBurst and reserveTolerance are the parts of the burst and of the tolerance
-	// that all nodes together may hold in reserve. With a quarter of each, half of the
-	// tolerance is left for nodes that reach no allocator when reserves are spent twice.
+	// that all nodes together may hold in reserve: most of the tolerance is left for nodes
+	// that reach no allocator.
 	reserveBurst     = 0.25
 	reserveTolerance = 0.2
 	// reserveFrom is the part of the burst that must be left in the bucket, beside all
@@ -55,8 +55,7 @@
 	lostFew    = 0.6
 	// reviewBeat is how often the silent nodes of a workspace are looked for.
 	reviewBeat = 250 * time.Millisecond
-	// bucketForget is how long a bucket without reports is kept: longer than any takes to
-	// be full again that is of use.
+	// bucketForget is how long a bucket without reports is kept; it is full again by then.
 	bucketForget = time.Minute
 )
 
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -240,7 +240,7 @@
 		s := m.nodes[to].allocator.Report(now, "w", l, n.name, life, r)
 		m.at(now.Add(oneWay), func(now time.Time) {
 			if n.life == life {
-				done(now, n.limiter.Answer(now, "w", s, waiting, waiting), true)
+				done(now, n.limiter.Answer(now, "w", s, waiting), true)
 			}
 		})
 	})
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -28,8 +28,10 @@
 	reserveMost = 4
 	// pauseMost is the longest time for which requests are refused without asking again.
 	pauseMost = 200 * time.Millisecond
-	// retryMost bounds what a refused caller is told to wait.
-	retryMost = time.Minute
+	// retryMost bounds what a refused caller is told to wait, aloneRetry the same on a node
+	// that reaches no allocator: it may do so again soon, and other nodes may now.
+	retryMost  = time.Minute
+	aloneRetry = time.Second
 	// retryLeast is the same from below: a shorter time could round to 0.
 	retryLeast = time.Millisecond
 	// untoldPart is the part of a limit that all nodes together admit that were told
@@ -171,7 +173,7 @@
 		a.alone = &small{}
 	}
 	if wait := a.alone.take(now, rate, depth); wait > 0 {
-		return Refused, wait
+		return Refused, min(wait, aloneRetry)
 	}
 	a.admitted++
 	return Admitted, 0
@@ -259,10 +261,9 @@
 	return r, a.limit, true
 }
 
-// Answer takes an allocator's answer to a report for which some requests waited. It
-// returns how many of them are admitted; waiting is how many still wait. Tokens of those
-// that gave up go into the reserve.
-func (l *Limiter) Answer(now time.Time, workspace string, s Share, asked, waiting int) int {
+// Answer takes an allocator's answer to a report for which some requests wait, and returns
+// how many of them are admitted.
+func (l *Limiter) Answer(now time.Time, workspace string, s Share, waiting int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accounts[workspace]
@@ -272,8 +273,7 @@
 	a.told = s
 	a.toldAt = now
 	a.held += s.Reserve
-	a.held += max(s.Admitted-waiting, 0)
-	if s.Admitted < asked {
+	if s.Admitted < waiting {
 		a.pause = now.Add(a.pauseFor(now))
 	}
 	return min(s.Admitted, waiting)
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -37,7 +37,7 @@
 	}
 	r, l, _ := p.limiter.Report(now, workspace, 1)
 	s := p.allocator.Report(now, workspace, l, "n", 1, r)
-	if p.limiter.Answer(now, workspace, s, 1, 1) == 1 {
+	if p.limiter.Answer(now, workspace, s, 1) == 1 {
 		return true, 0
 	}
 	return false, p.limiter.Refuse(now, workspace)
