internal/ratelimit: what nodes admit between two allocators is charged

Cause: an allocator that takes the duty over charged nothing of what nodes had admitted since they last heard the one before it. A schedule in which nobody reached the allocator for 0.8 s while the load grew sevenfold, and in which half of the nodes were cut off two seconds later, ran 741 requests in 5 s where 715 may.

Change: a node tells an allocator that is new to it how many it admitted since it was last answered; what of these is beyond its rate since then is taken out of the bucket. The level told is learnt before that, not after.

--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -54,6 +54,7 @@
 		u.Level = float32(r.Level)
 		u.Rate = float32(r.Rate)
 		u.Total = float32(r.Total)
+		u.Lately = r.Lately
 	}
 	return u
 }
@@ -72,6 +73,7 @@
 		Total:    float64(u.GetTotal()),
 		By:       u.GetBy(),
 		Age:      time.Duration(u.GetAgeMs()) * time.Millisecond,
+		Lately:   u.GetLately(),
 	}
 }
 
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -75,12 +75,13 @@
 	// Every is how often the node reports at least.
 	Every time.Duration
 	// Level, Rate and Total are what the allocator By last told, Age how long ago, 0 if none
-	// did.
-	Level float64
-	Rate  float64
-	Total float64
-	By    uint64
-	Age   time.Duration
+	// did; Lately are those of Alone that came since.
+	Level  float64
+	Rate   float64
+	Total  float64
+	By     uint64
+	Age    time.Duration
+	Lately int64
 }
 
 // Share is what an allocator answers.
@@ -132,10 +133,10 @@
 	b := a.bucket(now, workspace, l)
 	b.review(now, l, a.lost)
 	b.refill(now, l)
-	m := b.heard(now, node, life, r)
 	if r.Age > 0 && r.Age < a.tolerance.Window && r.By != a.life {
 		b.learn(now, r)
 	}
+	m := b.heard(now, node, life, r)
 	m.heard = now
 	// What the nodes hold may lie there unused: one that has none must not be refused
 	// because of that.
--- a/internal/ratelimit/allocator_test.go
+++ b/internal/ratelimit/allocator_test.go
@@ -47,6 +47,20 @@
 	}
 }
 
+// An allocator that takes the duty over takes out what nodes admitted since they heard the
+// one before it, beyond what came in meanwhile.
+func TestAloneBetweenAllocatorsIsCharged(t *testing.T) {
+	one, two := newAllocator(1), newAllocator(2)
+	s := one.Report(start, "w", ten, "n", 1, report(0))
+	r := report(100)
+	r.Alone = 9
+	r.Lately = 8
+	r.Level, r.Rate, r.Total, r.By, r.Age = s.Level, 1, s.Total, s.By, time.Second
+	if s := two.Report(start.Add(time.Second), "w", ten, "n", 1, r); s.Admitted > 3 {
+		t.Errorf("%d admitted of a burst of 10, 8 of which the node used alone and 1 of which came in", s.Admitted)
+	}
+}
+
 // A node that is silent gets its part kept back, until it has begun anew.
 func TestSilentNodesHaveTheirPartKeptBack(t *testing.T) {
 	a := newAllocator(1)
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -63,6 +63,10 @@
 	return max(float64(r.Alone-m.alone)-m.rate*silence.Seconds(), 0)
 }
 
+// unfilled returns how many requests a node admitted alone since another allocator told it
+// of the bucket, beyond what may have come in for it meanwhile: learn does not add that.
+func (r Report) unfilled() float64 { return max(float64(r.Lately)-r.Rate*r.Age.Seconds(), 0) }
+
 // refill adds what has come in since the last report.
 func (b *bucket) refill(now time.Time, l Limit) {
 	if past := now.Sub(b.at).Seconds(); past > 0 {
@@ -145,6 +149,8 @@
 		if r.Age == 0 {
 			// It has admitted these while it met nobody.
 			m.alone = 0
+		} else {
+			b.level -= r.unfilled()
 		}
 		b.nodes[node] = m
 	}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -77,7 +77,9 @@
 	returned int64
 	// admitted counts the requests that were admitted without an allocator.
 	admitted int64
-	demand   meter
+	// before are those of them that came before the allocator's last answer.
+	before int64
+	demand meter
 	// reported is when the allocator was last told.
 	reported time.Time
 	// told is the allocator's last answer, toldAt when it came, the zero time for never.
@@ -257,6 +259,7 @@
 		r.Total = a.told.Total
 		r.By = a.told.By
 		r.Age = max(now.Sub(a.toldAt), 1)
+		r.Lately = a.admitted - a.before
 	}
 	return r, a.limit, true
 }
@@ -272,6 +275,7 @@
 	}
 	a.told = s
 	a.toldAt = now
+	a.before = a.admitted
 	a.held += s.Reserve
 	if s.Admitted < waiting {
 		a.pause = now.Add(a.pauseFor(now))
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -56,6 +56,24 @@
 	// Output: admitted: 109
 }
 
+// Of the requests that were admitted alone a report tells which came since the last answer.
+func TestLately(t *testing.T) {
+	p := newPair()
+	alone := func(at time.Duration) {
+		p.limiter.Take(start.Add(at), "w", ten)
+		if v, _ := p.limiter.Alone(start.Add(at), "w", ten, 2); v != ratelimit.Admitted {
+			t.Fatalf("%v after the start: not admitted", at)
+		}
+	}
+	alone(0)
+	r, l, _ := p.limiter.Report(start, "w", 0)
+	p.limiter.Answer(start, "w", p.allocator.Report(start, "w", l, "n", 1, r), 0)
+	alone(time.Second)
+	if r, _, _ := p.limiter.Report(start.Add(time.Second), "w", 0); r.Alone != 2 || r.Lately != 1 {
+		t.Errorf("of 2 requests admitted alone, one of them since the last answer, %d and %d are told", r.Alone, r.Lately)
+	}
+}
+
 // What didn't run is given back: the next request can have it.
 func TestGiveBack(t *testing.T) {
 	p := newPair()
--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -440,6 +440,10 @@
 			seed:  16843925177621939102,
 			cause: "the same",
 		},
+		{
+			seed:  11264488150609043883,
+			cause: "nobody reached the allocator for 0.8 s while the load grew; the next one charged nothing of that, and two seconds later half of the nodes were cut off",
+		},
 	}
 	for _, c := range cases {
 		m := randomPlay(c.seed).play(reserving, c.seed)
