internal/ratelimit: a new allocator gives the part of those that have come

Cause: while nodes disagree on the allocator, the old one goes on giving and the new one knows the level of a moment ago.

Change: for 1.5 s after the first node of another allocator came, as much of the level that this one told is left to it as its nodes that have not come have of the rates.

--- a/internal/ratelimit/allocator_test.go
+++ b/internal/ratelimit/allocator_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// While the allocator before it may still answer nodes that have not come, a new one gives
+// those that have their part only.
+func TestTwoAllocatorsShareTheBurst(t *testing.T) {
+	one, two := newAllocator(1), newAllocator(2)
+	one.Report(start, "w", ten, "stays", 1, report(0))
+	s := one.Report(start, "w", ten, "n", 1, report(0))
+	r := report(100)
+	r.Level, r.Rate, r.Total, r.By, r.Age = s.Level, s.Rate, s.Total, s.By, time.Millisecond
+	if s := two.Report(start.Add(time.Millisecond), "w", ten, "n", 1, r); s.Admitted < 4 || s.Admitted > 6 {
+		t.Errorf("%d admitted of a burst of 10 for one of two nodes", s.Admitted)
+	}
+	if s := two.Report(start.Add(3*time.Second), "w", ten, "n", 1, report(100)); s.Admitted < 8 {
+		t.Errorf("%d admitted 3 s later", s.Admitted)
+	}
+}
+
 // A node that is silent gets its part kept back, until it has begun anew.
 func TestSilentNodesHaveTheirPartKeptBack(t *testing.T) {
 	a := newAllocator(1)
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -33,6 +33,8 @@
 	// told is the sum of the rates of its nodes, came that of those which have come here.
 	told float64
 	came float64
+	// level is the least that it told of its bucket.
+	level float64
 	// at is when it told that.
 	at time.Time
 	// since is when the first of them came.
@@ -125,6 +127,18 @@
 	return most
 }
 
+// elsewhereLeft returns how many tokens an allocator before this one may still give to its
+// nodes that have not come: their part of what it told last.
+func (b *bucket) elsewhereLeft(now time.Time) float64 {
+	most := 0.0
+	for _, f := range b.former {
+		if now.Sub(f.since) <= movingTime && f.told > 0 {
+			most = max(most, f.level*max(1-f.came/f.told, 0))
+		}
+	}
+	return most
+}
+
 // drop takes a node out of the sums.
 func (b *bucket) drop(m *member) {
 	b.held -= m.held
@@ -173,6 +187,7 @@
 	f := b.former[r.By]
 	if f == nil {
 		f = &former{
+			level: r.Level,
 			since: now,
 		}
 		b.former[r.By] = f
@@ -183,6 +198,7 @@
 		f.told, f.at = r.Total, at
 	}
 	f.came += r.Rate
+	f.level = min(f.level, r.Level)
 }
 
 // reserve gives a node tokens to hold, up to as many as it wants.
--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -444,6 +444,10 @@
 			seed:  11264488150609043883,
 			cause: "nobody reached the allocator for 0.8 s while the load grew; the next one charged nothing of that, and two seconds later half of the nodes were cut off",
 		},
+		{
+			seed:  16808133188926828126,
+			cause: "two allocators had the duty for a second, and each gave the whole burst",
+		},
 	}
 	for _, c := range cases {
 		m := randomPlay(c.seed).play(reserving, c.seed)
