internal/ratelimit: a node that comes from another allocator counts once

Cause: a node says whose answer it had last in each report until an answer has come to it.

Change: a member remembers from which allocator it came.

--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -133,10 +133,15 @@
 	b := a.bucket(now, workspace, l)
 	b.review(now, l, a.lost)
 	b.refill(now, l)
-	if r.Age > 0 && r.Age < a.tolerance.Window && r.By != a.life {
-		b.learn(now, r)
+	m := b.member(node, life, r)
+	switch {
+	case r.Age == 0 || r.Age >= a.tolerance.Window:
+	case r.By == a.life:
+		m.from = 0
+	default:
+		b.learn(now, m, r)
 	}
-	m := b.heard(now, node, life, r)
+	b.heard(now, m, r)
 	m.heard = now
 	// What the nodes hold may lie there unused: one that has none must not be refused
 	// because of that.
--- a/internal/ratelimit/allocator_test.go
+++ b/internal/ratelimit/allocator_test.go
@@ -62,13 +62,17 @@
 }
 
 // While the allocator before it may still answer nodes that have not come, a new one gives
-// those that have their part only.
+// those that have their part only, however often they report before they are answered.
 func TestTwoAllocatorsShareTheBurst(t *testing.T) {
 	one, two := newAllocator(1), newAllocator(2)
 	one.Report(start, "w", ten, "stays", 1, report(0))
 	s := one.Report(start, "w", ten, "n", 1, report(0))
 	r := report(100)
 	r.Level, r.Rate, r.Total, r.By, r.Age = s.Level, s.Rate, s.Total, s.By, time.Millisecond
+	r.Waiting = 0
+	two.Report(start.Add(time.Millisecond), "w", ten, "n", 1, r)
+	two.Report(start.Add(time.Millisecond), "w", ten, "n", 1, r)
+	r.Waiting = 100
 	if s := two.Report(start.Add(time.Millisecond), "w", ten, "n", 1, r); s.Admitted < 4 || s.Admitted > 6 {
 		t.Errorf("%d admitted of a burst of 10 for one of two nodes", s.Admitted)
 	}
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -50,6 +50,9 @@
 	demand   float64
 	// rate is what the node may admit alone.
 	rate float64
+	// from is the allocator from which it came last, until it says that it has been answered
+	// by this one.
+	from uint64
 	// every is how often it reports, heard when it last did.
 	every time.Duration
 	heard time.Time
@@ -146,27 +149,36 @@
 	b.told -= m.rate
 }
 
-// heard takes in what a node tells of itself. A node that was not known, or has begun
-// anew, has not been heard before.
-func (b *bucket) heard(now time.Time, node string, life uint64, r Report) *member {
+// member returns a node in one of its lives. One that was not known, or has begun anew,
+// has not been heard before.
+func (b *bucket) member(node string, life uint64, r Report) *member {
 	m := b.nodes[node]
-	if m == nil || m.life != life {
-		if m != nil {
-			b.drop(m)
-		}
-		m = &member{
-			life:     life,
-			returned: r.Returned,
-			alone:    r.Alone,
-			heard:    now,
-		}
-		if r.Age == 0 {
-			// It has admitted these while it met nobody.
-			m.alone = 0
-		} else {
+	if m != nil && m.life == life {
+		return m
+	}
+	if m != nil {
+		b.drop(m)
+	}
+	m = &member{
+		life:     life,
+		returned: r.Returned,
+		alone:    r.Alone,
+	}
+	if r.Age == 0 {
+		// It has admitted these while it met nobody.
+		m.alone = 0
+	}
+	b.nodes[node] = m
+	return m
+}
+
+// heard takes in what a node tells of itself.
+func (b *bucket) heard(now time.Time, m *member, r Report) {
+	if m.heard.IsZero() {
+		m.heard = now
+		if r.Age > 0 {
 			b.level -= r.unfilled()
 		}
-		b.nodes[node] = m
 	}
 	b.level += float64(r.Returned - m.returned)
 	b.level -= m.uncovered(now, r)
@@ -177,12 +189,11 @@
 	m.held = r.Held
 	m.demand = r.Demand
 	m.every = r.Every
-	return m
 }
 
 // learn takes what another allocator told a node. The level is lowered to the one told;
 // what has come in since was used up by nodes that reached none.
-func (b *bucket) learn(now time.Time, r Report) {
+func (b *bucket) learn(now time.Time, m *member, r Report) {
 	b.level = min(b.level, r.Level)
 	f := b.former[r.By]
 	if f == nil {
@@ -197,8 +208,12 @@
 	if at := now.Add(-r.Age); at.After(f.at) {
 		f.told, f.at = r.Total, at
 	}
-	f.came += r.Rate
 	f.level = min(f.level, r.Level)
+	if m.from != r.By {
+		// It says so in each of its reports until an answer has come to it.
+		m.from = r.By
+		f.came += r.Rate
+	}
 }
 
 // reserve gives a node tokens to hold, up to as many as it wants.
--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -452,6 +452,10 @@
 			seed:  10351649816035511048,
 			cause: "all nodes were killed, and each admitted two requests before it met the others",
 		},
+		{
+			seed:  14458407777275000294,
+			cause: "a node that came counted several times, so that nothing was kept back for those that had not",
+		},
 	}
 	for _, c := range cases {
 		m := randomPlay(c.seed).play(reserving, c.seed)
