internal/ratelimit: what cut-off nodes may admit is kept back for as long as they do

And where the allocator itself had told them it forgot them after 15 s, while they went on for ever.

Change: both last 15 s, and a node that was told nothing for 14 s goes on as one that was never told.

Cost: callers of nodes that are cut off for longer than 14 s are refused up to the part of a node that was told nothing.

--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -99,7 +99,7 @@
 		}
 	}
 	for life, f := range b.former {
-		if now.Sub(f.since) > formerTime {
+		if now.Sub(f.since) > forgetAfter {
 			delete(b.former, life)
 		}
 	}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -35,7 +35,7 @@
 	// retryLeast is the same from below: a shorter time could round to 0.
 	retryLeast = time.Millisecond
 	// untoldPart is the part of a limit that all nodes together admit that were told
-	// nothing and reach no allocator. Nothing is kept back for them.
+	// nothing, or nothing lately, and reach no allocator. Nothing is kept back for them.
 	untoldPart = 0.25
 	// newTime is how long after its begin a node may reach no allocator because it hasn't
 	// met the others: requests wait for one then. After a loss of power 113 nodes took 0.6 s
@@ -161,7 +161,7 @@
 		return Refused, pauseMost
 	}
 	rate, depth := a.told.Rate, a.told.Depth
-	if a.toldAt.IsZero() {
+	if now.Sub(a.toldAt) > aloneTime {
 		if nodes < 2 {
 			nodes = fleetUnknown
 		}
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -74,6 +74,30 @@
 	}
 }
 
+// A node that reaches no allocator for long admits less than is kept back for it.
+func TestAloneForLong(t *testing.T) {
+	for _, c := range []struct {
+		after    time.Duration
+		admitted bool
+	}{
+		{
+			after:    10 * time.Second,
+			admitted: true,
+		},
+		{
+			after: 15 * time.Second,
+		},
+	} {
+		p := newPair()
+		p.limiter.Take(start, "w", ten)
+		r, l, _ := p.limiter.Report(start, "w", 0)
+		p.limiter.Answer(start, "w", p.allocator.Report(start, "w", l, "n", 1, r), 0)
+		if v, _ := p.limiter.Alone(start.Add(c.after), "w", ten, 100); (v == ratelimit.Admitted) != c.admitted {
+			t.Errorf("%v after an answer a request of a node of a hundred is admitted: %v", c.after, v == ratelimit.Admitted)
+		}
+	}
+}
+
 // What didn't run is given back: the next request can have it.
 func TestGiveBack(t *testing.T) {
 	p := newPair()
--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -143,6 +143,16 @@
 			hot:     4.7,
 			faults:  cutThird(10*time.Second, 22*time.Second),
 		},
+		{
+			name:    "a third of the nodes cut off for long before it gets hot",
+			limit:   middle,
+			nodes:   113,
+			callers: 40,
+			spread:  113,
+			usual:   0.625,
+			hot:     4.7,
+			faults:  cutThird(time.Second, 30*time.Second),
+		},
 		{
 			name:    "a third of the nodes cut off as it gets hot",
 			limit:   middle,
@@ -456,6 +466,10 @@
 			seed:  14458407777275000294,
 			cause: "a node that came counted several times, so that nothing was kept back for those that had not",
 		},
+		{
+			seed:  16476342405244761277,
+			cause: "nodes were cut off for longer than was kept back for them after a move of the duty",
+		},
 	}
 	for _, c := range cases {
 		m := randomPlay(c.seed).play(reserving, c.seed)
