--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -124,6 +124,9 @@
 // Name returns the name of the route.
 func (r *Route) Name() string { return r.name }
 
+// Host returns the host whose requests the route is for, "" for any.
+func (r *Route) Host() string { return r.host }
+
 // Service returns the service of the route, the first one of a route that splits
 // its traffic. It is never nil.
 func (r *Route) Service() *Service { return r.service }
