internal/integration: a request that ends each target it is sent to, failing

Test: four real nodes before eight targets that end when a request asks for it and come back after a second. The fault proxy can stand for a process that has ended: connections are reset, new ones refused, and its port stays taken.

--- /dev/null
+++ b/internal/integration/ends_test.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/standin/target"
+)
+
+// Users saw a service lose twenty targets in sixteen seconds, with two in three of its
+// requests unserved, though none of its targets had a fault: one request ended each
+// target that began to run it. First it ended two targets within a tenth of a second, for a
+// try that breaks is sent to a second target; each end took with it what else the target
+// was working on. Then its caller came again, to other nodes, and each sent it on as if it
+// were new; targets that had just come back were ended again. The cause: evidence was kept
+// of targets only, and nothing of requests.
+//
+// What proved it: requests that were on two targets at their ends were seen on nodes of
+// three data halls, each time with another name.
+
+// endsSite starts nodes in two data halls before targets that end when a request asks for it
+// and come back after a time.
+func endsSite(t *testing.T, targets int, back time.Duration) (*site, *atomic.Int64) {
+	t.Helper()
+	s := newSite(t)
+	ends := &atomic.Int64{}
+	for i := range targets {
+		b := s.target("quotes", string(rune('a'+i%2)), 3)
+		b.SetMode(target.Mode{
+			Latency: 20 * time.Millisecond,
+		})
+		b.SetEnd(func() {
+			ends.Add(1)
+			b.proxy.Down()
+			time.AfterFunc(back, func() {
+				if err := b.proxy.Up(); err != nil {
+					t.Errorf("target at %s can't come back: %v", b.proxy.Addr(), err)
+				}
+			})
+		})
+	}
+	s.publishTargets(nil)
+	s.standardRoutes("quotes")
+	for i := range 4 {
+		s.node(string(rune('a'+i%2)),
+			withPeersAt(fmt.Sprintf("127.0.4.%d:7950", i+1)),
+			withExtra("[targets]\nchoice = joint\n"))
+	}
+	s.allReady()
+	for _, n := range s.nodes {
+		eventually(t, "all members live", func() bool { return liveMembers(n) == len(s.nodes) })
+	}
+	return s, ends
+}
+
+// send sends requests to one node after another for a time, by the paths that path gives for
+// their numbers. It returns how many were sent and how many were not served.
+func (s *site) send(method string, path func(i int) string, gap, during time.Duration) (sent, failed int) {
+	next := time.NewTicker(gap)
+	defer next.Stop()
+	var (
+		all    sync.WaitGroup
+		counts sync.Mutex
+	)
+	for begun := time.Now(); time.Since(begun) < during; sent++ {
+		n := s.nodes[sent%len(s.nodes)]
+		at := path(sent)
+		all.Go(func() {
+			r := n.do(method, at, "", "")
+			if r.err != nil || r.status != http.StatusOK {
+				counts.Lock()
+				defer counts.Unlock()
+				failed++
+			}
+		})
+		<-next.C
+	}
+	all.Wait()
+	return sent, failed
+}
+
+// A request that ends each target which begins to run it, and comes again at all nodes, ends
+// a handful of them; who asks for anything else is served.
+func TestRequestThatEndsTargets(t *testing.T) {
+	const (
+		// mostEnds is three ends until it is known and three more tries.
+		mostEnds = 6
+		during   = 6 * time.Second
+	)
+	tests := []struct {
+		name   string
+		method string
+	}{
+		{
+			name:   "one that may be repeated",
+			method: http.MethodGet,
+		},
+		{
+			name:   "one that may not",
+			method: http.MethodPost,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, ends := endsSite(t, 8, time.Second)
+			harmful := func(int) string { return "/quotes/7?ends" }
+			harmless := func(i int) string { return fmt.Sprintf("/quotes/%d", i) }
+			var harm sync.WaitGroup
+			harm.Go(func() { s.send(tt.method, harmful, 50*time.Millisecond, during) })
+			sent, failed := s.send(http.MethodGet, harmless, 20*time.Millisecond, during)
+			harm.Wait()
+			t.Logf("%d targets ended; of %d other requests %d were not served", ends.Load(), sent, failed)
+			if got := ends.Load(); got > mostEnds {
+				t.Errorf("%d targets ended under one request, want at most %d", got, mostEnds)
+			}
+			// What is in flight with it at an end is lost.
+			if most := sent / 20; failed > most {
+				t.Errorf("%d of %d other requests were not served, want at most %d", failed, sent, most)
+			}
+		})
+	}
+}
--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -22,7 +22,7 @@
 
 // Proxy forwards connections to one address. It may be used concurrently.
 type Proxy struct {
-	listener net.Listener
+	port     *port
 	upstream atomic.Pointer[string]
 	forward  direction
 	backward direction
@@ -31,7 +31,10 @@
 	refuse atomic.Bool
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
-	done   sync.WaitGroup
+	// listener is nil while the proxy is down.
+	listener net.Listener
+	closed   bool
+	done     sync.WaitGroup
 }
 
 // direction is the way from the callers to the upstream, or back.
@@ -63,21 +66,52 @@
 
 // New returns a proxy that listens on loopback and forwards to upstream.
 func New(upstream string) (*Proxy, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	at, err := takePort()
 	if err != nil {
 		return nil, err
 	}
 	p := &Proxy{
-		listener: lis,
-		conns:    map[net.Conn]struct{}{},
+		port:  at,
+		conns: map[net.Conn]struct{}{},
 	}
 	p.SetUpstream(upstream)
-	p.done.Go(p.accept)
+	if err := p.Up(); err != nil {
+		at.release()
+		return nil, err
+	}
 	return p, nil
 }
 
 // Addr returns the address on which the proxy listens.
-func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+func (p *Proxy) Addr() string { return p.port.address.String() }
+
+// Down ends all connections with a TCP reset and has new ones refused, as the machine of a
+// process that has ended does. More than one call does no harm.
+func (p *Proxy) Down() {
+	p.mu.Lock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.mu.Unlock()
+	p.Reset()
+}
+
+// Up takes connections, again at the same address.
+func (p *Proxy) Up() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.listener != nil {
+		return nil
+	}
+	lis, err := p.port.listen()
+	if err != nil {
+		return err
+	}
+	p.listener = lis
+	p.done.Go(func() { p.accept(lis) })
+	return nil
+}
 
 // links are the two directions of connections from one IP number.
 type links struct {
@@ -134,7 +168,10 @@
 
 // Close ends the proxy and all its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Down()
 	p.Forward(Fault{})
 	p.Backward(Fault{})
 	p.from.Range(func(ip, _ any) bool {
@@ -143,11 +180,12 @@
 	})
 	p.Reset()
 	p.done.Wait()
+	p.port.release()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(lis net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := lis.Accept()
 		if err != nil {
 			return
 		}
@@ -165,8 +203,10 @@
 		_ = caller.Close()
 		return
 	}
-	p.keep(caller, upstream)
 	defer p.drop(caller, upstream)
+	if !p.keep(caller, upstream) {
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var both sync.WaitGroup
@@ -177,12 +217,15 @@
 	both.Wait()
 }
 
-func (p *Proxy) keep(conns ...net.Conn) {
+// keep notes connections, and returns false if the proxy has gone down since they were
+// accepted.
+func (p *Proxy) keep(conns ...net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range conns {
 		p.conns[c] = struct{}{}
 	}
+	return p.listener != nil
 }
 
 func (p *Proxy) drop(conns ...net.Conn) {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -76,6 +76,7 @@
 	name     string
 	slots    chan struct{}
 	mode     atomic.Pointer[Mode]
+	end      atomic.Pointer[func()]
 	inFlight atomic.Int64
 	requests atomic.Int64
 	mu       sync.Mutex
@@ -99,6 +100,10 @@
 // SetMode changes how the target works from the next request on.
 func (t *Target) SetMode(m Mode) { t.mode.Store(&m) }
 
+// SetEnd sets what ends the target's process: a request whose query has "ends" calls it
+// as soon as it runs.
+func (t *Target) SetEnd(end func()) { t.end.Store(&end) }
+
 // Requests returns how many requests came in, run or not.
 func (t *Target) Requests() int64 { return t.requests.Load() }
 
@@ -178,6 +183,10 @@
 		return
 	}
 	t.record(r)
+	if end := t.end.Load(); end != nil && r.URL.Query().Has("ends") {
+		(*end)()
+		panic(http.ErrAbortHandler)
+	}
 	if m.Stall {
 		<-r.Context().Done()
 		return
