--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -50,11 +50,13 @@
 	ReasonCaller
 	// ReasonTargets means that no target can take the request.
 	ReasonTargets
+	// ReasonQuarantine means that targets end under the request.
+	ReasonQuarantine
 )
 
 // String returns the reason in words.
 func (r Reason) String() string {
-	return [...]string{"none", "deadline", "may have run", "policy", "retry budget", "caller gone", "no target"}[r]
+	return [...]string{"none", "deadline", "may have run", "policy", "retry budget", "caller gone", "no target", "targets end under it"}[r]
 }
 
 // Life is one request from its arrival to its final answer. It isn't safe for
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -10,13 +10,16 @@
 	"sync/atomic"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/quarantine"
 )
 
 // body is the body of a caller's request. A small one is held, so that another
 // attempt can send it again; a larger one can be sent while nobody has read it.
 type body struct {
-	held    []byte
-	stream  io.Reader
+	held   []byte
+	stream io.Reader
+	// head is the beginning of a body that is not held.
+	head    []byte
 	length  int64
 	touched atomic.Bool
 	failed  atomic.Pointer[error]
@@ -37,10 +40,7 @@
 	}
 	limited := http.MaxBytesReader(w, r.Body, maxBody)
 	if r.ContentLength > hold {
-		return &body{
-			stream: limited,
-			length: r.ContentLength,
-		}, nil
+		return readHead(limited, r.ContentLength)
 	}
 	first, err := io.ReadAll(io.LimitReader(limited, hold+1))
 	if err != nil {
@@ -54,10 +54,32 @@
 	}
 	return &body{
 		stream: io.MultiReader(bytes.NewReader(first), limited),
+		head:   first,
 		length: r.ContentLength,
 	}, nil
 }
 
+// readHead takes the beginning of a large body, which is sent with the rest.
+func readHead(from io.Reader, length int64) (*body, *Error) {
+	head := make([]byte, min(length, quarantine.PrintBody))
+	if _, err := io.ReadFull(from, head); err != nil {
+		return nil, bodyError(err)
+	}
+	return &body{
+		stream: io.MultiReader(bytes.NewReader(head), from),
+		head:   head,
+		length: length,
+	}, nil
+}
+
+// first returns the body, or its beginning.
+func (b *body) first() []byte {
+	if b.stream != nil {
+		return b.head
+	}
+	return b.held
+}
+
 func bodyError(err error) *Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -63,6 +63,7 @@
 			return err
 		}
 		x.broke(x.key(a.Target()))
+		x.settle(x.won, err)
 		x.life.Ended(attempt.OutcomeUnknown)
 		if !resumable || resumes == maxResumes {
 			return err
--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/forward"
-	"ploverjunction.example/ploverjunction/internal/quarantine"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
 
@@ -17,61 +15,62 @@
 // link breaks, many attempts break with it.
 const maxLooks = 16
 
-// look finds out whether the target of an attempt that broke has ended, and writes a line
-// about the request under which it did. Nobody waits for that.
-func (x *relay) look(t *try, err error) {
+// none is a channel that has nothing to wait for.
+var none = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// settle finds out whether the target of an attempt that broke has ended. Where one has ended
+// under the request before, it waits until that is known: another attempt could end a third.
+func (x *relay) settle(t *try, err error) {
+	known := x.look(t, err)
+	if x.suspect.Load() || t.again {
+		<-known
+	}
+}
+
+// look finds out whether the target of an attempt that broke has ended: a connection can
+// break for many reasons, and three in ten of a service's may, while its targets live. It
+// returns a channel that is closed when that is known.
+func (x *relay) look(t *try, err error) <-chan struct{} {
 	var fe *forward.Error
 	if !errors.As(err, &fe) || !fe.Broke() {
-		return
+		return none
 	}
 	if fe.Refused() {
 		x.ended(t)
-		return
+		return none
 	}
 	if x.server.looks.Add(1) > maxLooks {
 		x.server.looks.Add(-1)
-		return
+		x.server.log.WithField("request", x.id).WithField("target", t.choice.Key).Debug("too many targets to ask whether they have ended")
+		return none
 	}
+	known := make(chan struct{})
 	ctx := context.WithoutCancel(x.req.Context())
 	x.server.own(task.Go(ctx, "look", func(ctx context.Context) error {
+		defer close(known)
 		defer x.server.looks.Add(-1)
 		if x.server.client.Ended(ctx, t.choice.Address) {
 			x.ended(t)
 		}
 		return nil
 	}))
+	return known
 }
 
 // ended notes that the target of an attempt has ended under the request.
 func (x *relay) ended(t *try) {
+	s := x.server.cfg.Ended(x.prints, t.choice.Key)
+	x.suspect.Store(s.Suspect())
+	x.held.Store(int64(s.Wait))
 	x.server.log.WithField("request", x.id).
-		WithField("fingerprint", x.print().String()).
-		WithField("caller", x.caller()).
+		WithField("fingerprint", x.prints.Content().String()).
+		WithField("caller", callerOf(x.req, x.in)).
 		WithField("target", t.choice.Key).
 		WithField("ran_ms", time.Since(t.chosen).Milliseconds()).
+		WithField("ends", s.Ends).
 		Warn("target ended under a request")
 }
-
-// print returns what the request asks for, whoever asks. The host is the route's: callers
-// of a route for any host may reach each node by another one.
-func (x *relay) print() quarantine.Print {
-	return quarantine.NewPrint(quarantine.Request{
-		Method: x.req.Method,
-		Host:   x.in.route.Host(),
-		URI:    x.req.URL.RequestURI(),
-		Body:   x.body.held,
-		Length: x.body.length,
-	})
-}
-
-// caller names who asks: the workspace, or the address where there is none.
-func (x *relay) caller() string {
-	if x.in.workspace != "" {
-		return x.in.workspace
-	}
-	ip, _, err := net.SplitHostPort(x.req.RemoteAddr)
-	if err != nil {
-		return x.req.RemoteAddr
-	}
-	return ip
-}
--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -31,6 +31,7 @@
 	CodeDeadline      Code = "deadline"
 	CodeFailed        Code = "target-failed"
 	CodeOutcomeUnsure Code = "outcome-unknown"
+	CodeQuarantine    Code = "targets-end"
 )
 
 // Error is the final answer to a request that gets no answer of a target.
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -35,10 +35,10 @@
 }
 
 // hedgeable tells whether the request may be sent to a second target while the first
-// works on it.
+// works on it. One under which a target has ended could end two more.
 func (x *relay) hedgeable() bool {
 	r := x.in.route
-	return r.Repeatable() && x.body.stream == nil && r.MaxAttempts() != 1
+	return r.Repeatable() && x.body.stream == nil && r.MaxAttempts() != 1 && !x.suspect.Load()
 }
 
 // spent tells whether there was no target because the retry budget doesn't pay for
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -80,7 +80,7 @@
 		})
 	}
 	if fail != nil {
-		l = l.WithField("fingerprint", x.print().String()).WithField("caller", x.caller())
+		l = l.WithField("fingerprint", x.prints.Content().String()).WithField("caller", callerOf(x.req, x.in))
 		l.WithError(fail).Warn("request failed")
 		return
 	}
--- /dev/null
+++ b/internal/entry/quarantine.go
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"ploverjunction.example/ploverjunction/internal/quarantine"
+)
+
+// QuarantineError says that targets ended under a request.
+type QuarantineError struct {
+	standing quarantine.Standing
+}
+
+// Error says how many did.
+func (e *QuarantineError) Error() string {
+	return fmt.Sprintf("entry: %d targets ended under the request %s", e.standing.Ends, e.standing.Print)
+}
+
+// quarantined returns the answer to a request under which targets ended. It has not run this
+// time, and its caller learns when it may.
+func quarantined(s quarantine.Standing) *Error {
+	e := refuse(CodeQuarantine, http.StatusServiceUnavailable)
+	e.retryAfter = s.Wait
+	e.cause = &QuarantineError{
+		standing: s,
+	}
+	return e
+}
+
+// printsOf returns what names a request by what it asks for. The host is the route's: callers
+// of a route for any host may reach each node by another one.
+func printsOf(r *http.Request, in *admitted, b *body) quarantine.Prints {
+	return quarantine.NewPrints(quarantine.Request{
+		Method: r.Method,
+		Host:   in.route.Host(),
+		URI:    r.URL.RequestURI(),
+		Caller: callerOf(r, in),
+		Body:   b.first(),
+		Length: b.length,
+	})
+}
+
+// callerOf names who asks: the workspace, or the address where there is none.
+func callerOf(r *http.Request, in *admitted) string {
+	if in.workspace != "" {
+		return in.workspace
+	}
+	ip, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return ip
+}
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -50,6 +51,14 @@
 			"age_ms": over.Age.Milliseconds(),
 		})
 	}
+	var held *QuarantineError
+	if errors.As(e, &held) {
+		l = l.WithFields(logrus.Fields{
+			"fingerprint": held.standing.Print.String(),
+			"ends":        held.standing.Ends,
+			"age_ms":      time.Since(held.standing.Last).Milliseconds(),
+		})
+	}
 	l.WithError(e).Warn("request refused")
 	s.answer(w, id, e)
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -17,6 +17,7 @@
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/policy"
+	"ploverjunction.example/ploverjunction/internal/quarantine"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
 
@@ -46,6 +47,11 @@
 	granted chan grant
 	// sent is when the attempt that may need a hedge was sent.
 	sent time.Time
+	// prints name what is asked for. suspect is set once a target is known to have ended under
+	// the request, held is for how long it is refused then.
+	prints  quarantine.Prints
+	suspect atomic.Bool
+	held    atomic.Int64
 	// won is the try whose answer is delivered; settled is set once there is one.
 	won     *try
 	settled atomic.Bool
@@ -220,6 +226,10 @@
 	if x.body.broken() != nil {
 		return attempt.ReasonCaller
 	}
+	if held := x.held.Load(); held > 0 {
+		x.comeBack = time.Duration(held)
+		return attempt.ReasonQuarantine
+	}
 	return x.life.May(time.Now(),
 		func() bool {
 			if most := x.in.route.MaxAttempts(); most > 0 && x.life.Runs() >= most {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,6 +24,7 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/quarantine"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
 
@@ -70,6 +71,12 @@
 	// starts. GiveBack returns what a request took that has not run.
 	Limit    func(ctx context.Context, w *fleetconfig.Workspace, patience time.Duration) *LimitError
 	GiveBack func(w *fleetconfig.Workspace)
+	// Quarantined returns what the fleet knows of a request under which targets ended.
+	// Ended notes that a target ended under one, and returns the same; Answered notes that a
+	// target answered one.
+	Quarantined func(prints quarantine.Prints) quarantine.Standing
+	Ended       func(prints quarantine.Prints, target string) quarantine.Standing
+	Answered    func(prints quarantine.Prints)
 	// Collector counts what attempts show of the targets.
 	Collector *outlier.Collector
 	// Served notes the final answer to a request.
@@ -239,6 +246,13 @@
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
 	}
+	prints := printsOf(r, in, b)
+	standing := s.cfg.Quarantined(prints)
+	if standing.Held() {
+		fail := quarantined(standing)
+		s.refuse(w, id, in, fail)
+		return fail.status, fail.outcome
+	}
 	x := &relay{
 		server:  s,
 		id:      id,
@@ -249,9 +263,11 @@
 		body:    b,
 		life:    attempt.NewLife(in.route.Repeatable(), in.deadline),
 		header:  s.towardsTarget(r, in),
+		prints:  prints,
 		results: make(chan result, maxTries),
 		granted: make(chan grant, maxTries),
 	}
+	x.suspect.Store(standing.Suspect())
 	a, release, fail := x.answer()
 	if fail != nil {
 		x.logEnd(fail.status, fail.outcome, fail)
@@ -260,6 +276,9 @@
 	}
 	x.logEnd(a.Status(), attempt.OutcomeDone, nil)
 	x.deliver(w, a, release)
+	if a.Status() < http.StatusInternalServerError {
+		s.cfg.Answered(prints)
+	}
 	return a.Status(), attempt.OutcomeDone
 }
 
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -60,7 +60,7 @@
 	t.end.Lost = err != nil && x.lost()
 	flight.End(time.Now(), t.end)
 	x.logTry(t, a, err)
-	x.look(t, err)
+	x.settle(t, err)
 	if err != nil || a.Whole() {
 		t.release()
 	}
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -22,6 +22,7 @@
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/quarantine"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -204,14 +205,17 @@
 			}
 			return choice, nil
 		},
-		Trial:     func(*fleetconfig.Service) (entry.Choice, bool) { return choice, s.trial.Load() },
-		First:     func(string) {},
-		Retry:     func(string) bool { return true },
-		Limit:     s.limit,
-		GiveBack:  s.giveBack,
-		Collector: outlier.NewCollector(time.Second),
-		Served:    func(string, string, int, string, time.Duration) {},
-		Log:       logrus.NewEntry(log),
+		Trial:    func(*fleetconfig.Service) (entry.Choice, bool) { return choice, s.trial.Load() },
+		First:    func(string) {},
+		Retry:    func(string) bool { return true },
+		Limit:    s.limit,
+		GiveBack: s.giveBack,
+
+		Quarantined: func(quarantine.Prints) quarantine.Standing { return quarantine.Standing{} },
+		Answered:    func(quarantine.Prints) {},
+		Collector:   outlier.NewCollector(time.Second),
+		Served:      func(string, string, int, string, time.Duration) {},
+		Log:         logrus.NewEntry(log),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/integration/ends_test.go
+++ b/internal/integration/ends_test.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -126,3 +128,61 @@
 		})
 	}
 }
+
+// The caller of such a request hears at once that it has not run, and when it may come again.
+func TestRefusalOfARequestThatEndsTargets(t *testing.T) {
+	s, ends := endsSite(t, 8, time.Second)
+	s.send(http.MethodGet, func(int) string { return "/quotes/7?ends" }, 50*time.Millisecond, 2*time.Second)
+	before := ends.Load()
+	for _, n := range s.nodes {
+		r := n.do(http.MethodGet, "/quotes/7?ends", "", "")
+		if r.err != nil || r.status != http.StatusServiceUnavailable || r.outcome != "not-run" {
+			t.Errorf("status %d, outcome %q, err %v", r.status, r.outcome, r.err)
+		}
+		if !strings.Contains(string(r.body), `"targets-end"`) {
+			t.Errorf("body %s", r.body)
+		}
+		wait, err := strconv.Atoi(r.header.Get("Retry-After"))
+		if err != nil || wait < 50 || wait > 120 {
+			t.Errorf("Retry-After %q, want one to two minutes", r.header.Get("Retry-After"))
+		}
+		if r.took > 200*time.Millisecond {
+			t.Errorf("refused after %v", r.took)
+		}
+	}
+	if got := ends.Load(); got != before {
+		t.Errorf("%d more targets ended", got-before)
+	}
+}
+
+// Targets that end for other reasons have nobody refused: not those who ask for what many
+// ask for, and not those who come again with what has failed.
+func TestEndsOfTargetsRefuseNobody(t *testing.T) {
+	s, _ := endsSite(t, 8, time.Second)
+	const during = 5 * time.Second
+	var crashes sync.WaitGroup
+	crashes.Go(func() {
+		next := time.NewTicker(400 * time.Millisecond)
+		defer next.Stop()
+		for i := range int(during / (400 * time.Millisecond)) {
+			<-next.C
+			b := s.targets[i%len(s.targets)]
+			b.proxy.Down()
+			time.AfterFunc(time.Second, func() {
+				if err := b.proxy.Up(); err != nil {
+					t.Errorf("target at %s can't come back: %v", b.proxy.Addr(), err)
+				}
+			})
+		}
+	})
+	sent, failed := s.send(http.MethodGet, func(i int) string { return fmt.Sprintf("/quotes/%d", i%3) }, 5*time.Millisecond, during)
+	crashes.Wait()
+	t.Logf("%d of %d requests were not served", failed, sent)
+	refused := 0
+	for _, n := range s.nodes {
+		refused += strings.Count(n.proc.Load().Log(), `"code":"targets-end"`)
+	}
+	if refused > 0 {
+		t.Errorf("%d requests were refused as if they ended targets", refused)
+	}
+}
--- /dev/null
+++ b/internal/node/export_quarantine_test.go
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dissemination"
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/quarantine"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// QuarantineNode is the part of a node that keeps requests away from targets that end under
+// them, with a network that a test makes.
+type QuarantineNode struct {
+	quarantining *quarantining
+	messenger    *messenger
+}
+
+// NewQuarantineNode returns such a node, which knows others. send hands a datagram to a peer.
+func NewQuarantineNode(self membership.Node, others []membership.Node, send func(peer string, d *wire.Datagram)) *QuarantineNode {
+	board := &Board{}
+	members := newMembers(board, self, membership.DefaultWeight)
+	for _, o := range others {
+		members.heard(&wire.Node{
+			Address:     o.Address(),
+			Incarnation: 1,
+			Weight:      membership.DefaultWeight,
+		})
+	}
+	members.renew()
+	q := newQuarantining(board, time.Now(), logging.Part(logging.New(io.Discard, "error", "text"), "quarantine"))
+	m := newMessenger()
+	m.members = members
+	m.replica = dissemination.NewReplica(nil)
+	m.gossip = dissemination.New(dissemination.Config{
+		View: board.view.Load,
+	}, m.replica)
+	m.self = func() *wire.Node {
+		return &wire.Node{
+			Address:     self.Address(),
+			Incarnation: 1,
+		}
+	}
+	m.transmit = func(peer string, d *wire.Datagram) error {
+		send(peer, d)
+		return nil
+	}
+	m.quarantined, m.quarantine, m.compare = q.digest.Load, q.learn, q.compare
+	q.messenger = m
+	return &QuarantineNode{
+		quarantining: q,
+		messenger:    m,
+	}
+}
+
+// Receive takes a datagram.
+func (n *QuarantineNode) Receive(ctx context.Context, d *wire.Datagram) { n.messenger.handle(ctx, d) }
+
+// Ping sends a ping to a peer.
+func (n *QuarantineNode) Ping(peer string) {
+	n.messenger.send(peer, &wire.Datagram{
+		Body: &wire.Datagram_Ping{
+			Ping: &wire.Ping{},
+		},
+	})
+}
+
+// Check returns what the node knows of a request.
+func (n *QuarantineNode) Check(p quarantine.Prints) quarantine.Standing {
+	return n.quarantining.check(p)
+}
+
+// Ended notes that a target ended under a request.
+func (n *QuarantineNode) Ended(p quarantine.Prints, target string) quarantine.Standing {
+	return n.quarantining.ended(p, target)
+}
+
+// Answered notes that a target answered a request.
+func (n *QuarantineNode) Answered(p quarantine.Prints) { n.quarantining.answered(p) }
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -46,6 +46,11 @@
 	touched func(now time.Time)
 	// began is told of each node's incarnation that a datagram names.
 	began func(node string, incarnation uint64)
+	// quarantined returns the digest of the requests that this node knows to end targets,
+	// quarantine and compare take what peers know of them and the digests of theirs.
+	quarantined func() uint64
+	quarantine  func(peer string, in *wire.Quarantine)
+	compare     func(peer string, digest uint64)
 	// helping are the pings on behalf of peers; only run uses it.
 	helping task.Group
 
@@ -60,6 +65,10 @@
 		draw:    func(*wire.Datagram) {},
 		touched: func(time.Time) {},
 		began:   func(string, uint64) {},
+
+		quarantined: func() uint64 { return 0 },
+		quarantine:  func(string, *wire.Quarantine) {},
+		compare:     func(string, uint64) {},
 	}
 	// Calls of two lives of a process must not be taken for one another.
 	m.calls.Store(rand.Uint64() >> 1)
@@ -75,6 +84,7 @@
 	}
 	d.From = m.self()
 	d.Digest = m.replica.Digest()
+	d.Quarantine = m.quarantined()
 	if age := m.gossip.PlatformAge(time.Now()); age < time.Hour {
 		d.SourceAgeMs = uint64(max(age.Milliseconds(), 0)) + 1
 	}
@@ -178,6 +188,8 @@
 		m.done(d)
 	case *wire.Datagram_Draw:
 		m.draw(d)
+	case *wire.Datagram_QuarantineNews:
+		m.quarantine(d.GetFrom().GetAddress(), b.QuarantineNews)
 	case *wire.Datagram_Taken:
 		m.taken(d.GetCall())
 	default:
@@ -203,6 +215,7 @@
 	if short(d) {
 		return
 	}
+	m.compare(d.GetFrom().GetAddress(), d.GetQuarantine())
 	if age := d.GetSourceAgeMs(); age > 0 {
 		m.gossip.LearnAge(now, time.Duration(age-1)*time.Millisecond)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,11 +69,13 @@
 	observing   *observing
 	probing     *probing
 	limiting    *limiting
-	lifecycle   *lifecycle
-	metrics     *metrics.Metrics
-	entry       *entry.Server
-	operator    *operator.Server
-	drain       chan struct{}
+	// quarantining keeps requests away from targets that end under them.
+	quarantining *quarantining
+	lifecycle    *lifecycle
+	metrics      *metrics.Metrics
+	entry        *entry.Server
+	operator     *operator.Server
+	drain        chan struct{}
 	// live are the settings as they were last read; set those of the start.
 	live atomic.Pointer[settings.Settings]
 }
@@ -186,6 +188,7 @@
 		Slack:  slack,
 	}, logging.Part(n.log, "limits"))
 	n.limiting.seeds = len(slices.DeleteFunc(n.seeds(), func(s string) bool { return s == n.address() }))
+	n.quarantining = newQuarantining(n.board, n.begun, logging.Part(n.log, "quarantine"))
 	switch {
 	case n.adapter.Read != nil:
 	case n.set.Source() == settings.SourcePlatform:
--- /dev/null
+++ b/internal/node/quarantining.go
@@ -0,0 +1,247 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/quarantine"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Times and counts of requests under which targets end.
+const (
+	// quarantineParts is over how many nodes the adding up of ends is spread: when a data
+	// hall of 1,000 targets is lost, each has some hundred records to take in.
+	quarantineParts = 64
+	// quarantineHolders is how many nodes add up what is known of a request. One of them may
+	// be lost.
+	quarantineHolders = 2
+	// quarantineFan is to how many nodes news is passed on by each that learns it: all but a
+	// few in a hundred learn it so, the rest by comparing.
+	quarantineFan = 4
+	// compareBeat is the least time between two lists that a node sends because a peer knows
+	// other than it does: 1.3 kB each time, at the most, while they differ.
+	compareBeat = 200 * time.Millisecond
+	// quarantineList is how many records travel on one datagram, of some 70 bytes each.
+	quarantineList = 14
+	// forgetEvery is how often records that are of no use any more are looked for.
+	forgetEvery = 10 * time.Second
+)
+
+// quarantining keeps requests away from targets that end under them, together with the other
+// nodes. It may be used concurrently.
+type quarantining struct {
+	board *Board
+	// messenger is nil where nodes exchange no datagrams: each one goes by what it saw itself.
+	messenger *messenger
+	answers   *quarantine.Answers
+	log       *logrus.Entry
+	// known tells of how many requests records are kept: most of the time none.
+	known  atomic.Int32
+	digest atomic.Uint64
+
+	mu     sync.Mutex
+	ledger *quarantine.Ledger
+	// compared is when a list was last sent, forgot when records were last forgotten.
+	compared time.Time
+	forgot   time.Time
+}
+
+func newQuarantining(board *Board, begun time.Time, log *logrus.Entry) *quarantining {
+	return &quarantining{
+		board:   board,
+		answers: quarantine.NewAnswers(begun),
+		log:     log,
+		ledger:  quarantine.NewLedger(rand.Uint64()),
+	}
+}
+
+// check returns what is known of a request.
+func (q *quarantining) check(prints quarantine.Prints) quarantine.Standing {
+	if q.known.Load() == 0 {
+		return quarantine.Standing{}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.ledger.Check(time.Now(), prints)
+}
+
+// ended notes that a target ended under a request, and returns what is known of it then.
+func (q *quarantining) ended(prints quarantine.Prints, target string) quarantine.Standing {
+	now := time.Now()
+	for _, p := range prints.All() {
+		if q.answers.Lately(now, p) {
+			continue
+		}
+		q.change(now, "", func() []quarantine.Record { return q.ledger.Ended(now, p, target) })
+	}
+	return q.check(prints)
+}
+
+// answered notes that a target answered a request.
+func (q *quarantining) answered(prints quarantine.Prints) {
+	now := time.Now()
+	q.answers.Note(now, prints)
+	if q.known.Load() == 0 {
+		return
+	}
+	for _, p := range prints.All() {
+		q.change(now, "", func() []quarantine.Record { return q.ledger.Answered(p) })
+	}
+}
+
+// change applies fn to the ledger and tells the others of the records that changed. from is
+// the peer that told of them, "" where this node saw it itself.
+func (q *quarantining) change(now time.Time, from string, fn func() []quarantine.Record) {
+	q.mu.Lock()
+	changed := fn()
+	if now.Sub(q.forgot) >= forgetEvery {
+		q.forgot = now
+		q.ledger.Forget(now)
+	}
+	q.known.Store(int32(q.ledger.Len()))
+	q.digest.Store(q.ledger.Digest())
+	q.mu.Unlock()
+	for _, r := range changed {
+		q.logChange(now, &r, from)
+		q.tell(now, r, from)
+	}
+}
+
+// tell takes a record that changed to whom it concerns: one that all should know to some
+// nodes, which pass it on, another one to those that add up.
+func (q *quarantining) tell(now time.Time, r quarantine.Record, from string) {
+	if q.messenger == nil {
+		return
+	}
+	to := q.holders(r.Print)
+	if r.Shared() {
+		to = q.some()
+	} else if from != "" {
+		return
+	}
+	view := q.board.view.Load()
+	for _, n := range to {
+		if n != view.Self() && n.Address() != from {
+			q.send(now, n.Address(), []quarantine.Record{r})
+		}
+	}
+}
+
+// holders returns the nodes that add up what is known of a request.
+func (q *quarantining) holders(p quarantine.Print) []membership.Node {
+	duty := "quarantine/" + strconv.Itoa(int(p[0])%quarantineParts)
+	return q.board.view.Load().Duty(duty, "", quarantineHolders)
+}
+
+// some returns a few live nodes at random.
+func (q *quarantining) some() []membership.Node {
+	live := q.board.view.Load().Live()
+	if len(live) <= quarantineFan+1 {
+		return live
+	}
+	out := make([]membership.Node, 0, quarantineFan)
+	for range quarantineFan {
+		out = append(out, live[rand.IntN(len(live))])
+	}
+	return out
+}
+
+// compare looks at the digest of a peer: if it knows other than this node, it gets what this
+// one knows.
+func (q *quarantining) compare(peer string, digest uint64) {
+	if digest == q.digest.Load() {
+		return
+	}
+	now := time.Now()
+	q.mu.Lock()
+	list := q.ledger.Shared()
+	due := now.Sub(q.compared) >= compareBeat && len(list) > 0
+	if due {
+		q.compared = now
+	}
+	q.mu.Unlock()
+	if due {
+		q.send(now, peer, list[:min(len(list), quarantineList)])
+	}
+}
+
+func (q *quarantining) send(now time.Time, peer string, records []quarantine.Record) {
+	out := &wire.Quarantine{}
+	for _, r := range records {
+		w := &wire.QuarantineRecord{
+			Print: r.Print[:],
+		}
+		for _, e := range r.Ends {
+			w.Ends = append(w.Ends, &wire.TargetEnd{
+				Target:   e.Target,
+				AgeMs:    uint32(max(now.Sub(e.At), 0).Milliseconds()),
+				Answered: e.Answered,
+			})
+		}
+		out.Records = append(out.Records, w)
+	}
+	q.messenger.send(peer, &wire.Datagram{
+		Body: &wire.Datagram_QuarantineNews{
+			QuarantineNews: out,
+		},
+	})
+}
+
+// learn takes in what a peer knows.
+func (q *quarantining) learn(peer string, in *wire.Quarantine) {
+	now := time.Now()
+	for _, w := range in.GetRecords() {
+		r, ok := recordOf(now, w)
+		if !ok {
+			q.log.WithField("peer", peer).Warn("record of a request not understood")
+			continue
+		}
+		q.change(now, peer, func() []quarantine.Record { return q.ledger.Learn(now, r) })
+		if q.answers.Lately(now, r.Print) {
+			q.change(now, "", func() []quarantine.Record { return q.ledger.Answered(r.Print) })
+		}
+	}
+}
+
+// recordOf reads a record of a peer.
+func recordOf(now time.Time, w *wire.QuarantineRecord) (quarantine.Record, bool) {
+	var r quarantine.Record
+	if len(w.GetPrint()) != len(r.Print) {
+		return r, false
+	}
+	copy(r.Print[:], w.GetPrint())
+	for _, e := range w.GetEnds() {
+		r.Ends = append(r.Ends, quarantine.End{
+			Target:   e.GetTarget(),
+			At:       now.Add(-time.Duration(e.GetAgeMs()) * time.Millisecond),
+			Answered: e.GetAnswered(),
+		})
+	}
+	return r, true
+}
+
+// logChange writes a line about what this node believes of a request now.
+func (q *quarantining) logChange(now time.Time, r *quarantine.Record, from string) {
+	l := q.log.WithFields(logrus.Fields{
+		"fingerprint": r.Print.String(),
+		"ends":        r.Count(),
+		"age_ms":      now.Sub(r.Ends[len(r.Ends)-1].At).Milliseconds(),
+	})
+	if from != "" {
+		l = l.WithField("from", from)
+	}
+	if !r.Shared() {
+		l.Debug("target ended under a request")
+		return
+	}
+	l.Warn("targets ended under a request")
+}
--- /dev/null
+++ b/internal/node/quarantining_test.go
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/node"
+	"ploverjunction.example/ploverjunction/internal/quarantine"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// quarantined is a fleet whose nodes tell each other of requests under which targets ended.
+type quarantined struct {
+	ctx   context.Context
+	all   []membership.Node
+	nodes map[string]*node.QuarantineNode
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// loss is the share of lost datagrams, dead are nodes that receive nothing.
+	loss float64
+	dead map[string]bool
+	// told and bytes count the datagrams about requests, and their size.
+	told  int
+	bytes int
+}
+
+func newQuarantined(ctx context.Context, nodes int) *quarantined {
+	f := &quarantined{
+		ctx:    ctx,
+		nodes:  map[string]*node.QuarantineNode{},
+		random: rand.New(rand.NewPCG(3, 4)),
+		dead:   map[string]bool{},
+	}
+	for i := range nodes {
+		f.all = append(f.all, membership.NewNode(fmt.Sprintf("192.0.%d.%d:1", i/200, i%200+1), "a"))
+	}
+	for _, n := range f.all {
+		f.begin(n)
+	}
+	return f
+}
+
+// begin starts a node anew.
+func (f *quarantined) begin(n membership.Node) *node.QuarantineNode {
+	q := node.NewQuarantineNode(n, f.all, func(peer string, d *wire.Datagram) { f.send(peer, d) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[n.Address()] = q
+	return q
+}
+
+// send carries a datagram in a millisecond, unless it is lost.
+func (f *quarantined) send(to string, d *wire.Datagram) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d.GetQuarantineNews() != nil {
+		f.told++
+		f.bytes += proto.Size(d)
+	}
+	if f.dead[to] || f.random.Float64() < f.loss {
+		return
+	}
+	time.AfterFunc(time.Millisecond, func() { f.at(to).Receive(f.ctx, d) })
+}
+
+func (f *quarantined) at(address string) *node.QuarantineNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[address]
+}
+
+// pings has each node ping another one each 200 ms, for a time.
+func (f *quarantined) pings(during time.Duration) {
+	for begun := time.Now(); time.Since(begun) < during; time.Sleep(200 * time.Millisecond) {
+		for _, n := range f.all {
+			f.mu.Lock()
+			peer := f.all[f.random.IntN(len(f.all))]
+			f.mu.Unlock()
+			if peer != n && !f.dead[n.Address()] {
+				f.at(n.Address()).Ping(peer.Address())
+			}
+		}
+	}
+}
+
+// holding counts the nodes that refuse a request.
+func (f *quarantined) holding(p quarantine.Prints) int {
+	n := 0
+	for _, m := range f.all {
+		if f.at(m.Address()).Check(p).Held() {
+			n++
+		}
+	}
+	return n
+}
+
+func harmful() quarantine.Prints {
+	return quarantine.NewPrints(quarantine.Request{
+		Method: "GET",
+		URI:    "/drafts/7f3d5a",
+		Caller: "198.51.100.7",
+	})
+}
+
+// Three ends that three nodes saw, one each, are known to all nodes within a moment; to those
+// that missed the news within the time of some pings.
+func TestAllNodesLearnOfEnds(t *testing.T) {
+	tests := []struct {
+		name   string
+		nodes  int
+		loss   float64
+		within time.Duration
+	}{
+		{
+			name:   "a few nodes",
+			nodes:  4,
+			within: 100 * time.Millisecond,
+		},
+		{
+			name:   "a small fleet",
+			nodes:  40,
+			within: time.Second,
+		},
+		{
+			name:   "links that lose one datagram in ten",
+			nodes:  40,
+			loss:   0.1,
+			within: 2 * time.Second,
+		},
+		{
+			name:   "a large fleet",
+			nodes:  300,
+			loss:   0.01,
+			within: 2 * time.Second,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newQuarantined(t.Context(), tt.nodes)
+				f.loss = tt.loss
+				p := harmful()
+				for i := range 3 {
+					f.at(f.all[i].Address()).Ended(p, fmt.Sprint(i))
+					f.pings(300 * time.Millisecond)
+				}
+				f.pings(tt.within)
+				if got := f.holding(p); got != tt.nodes {
+					t.Errorf("%d of %d nodes refuse it after %v", got, tt.nodes, tt.within)
+				}
+				each := float64(f.bytes) / float64(tt.nodes)
+				t.Logf("%.1f datagrams and %.0f bytes a node", float64(f.told)/float64(tt.nodes), each)
+				// What a node may send for control in a second.
+				if each > 6000 {
+					t.Errorf("%.0f bytes a node for one request", each)
+				}
+			})
+		})
+	}
+}
+
+// A node that begins anew knows what the others know before anyone may blame it.
+func TestNewNodeLearnsOfEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newQuarantined(t.Context(), 40)
+		p := harmful()
+		for i := range 3 {
+			f.at(f.all[i].Address()).Ended(p, fmt.Sprint(i))
+		}
+		f.pings(time.Second)
+		for _, n := range f.all {
+			q := f.begin(n)
+			f.pings(time.Second)
+			if !q.Check(p).Held() {
+				t.Fatalf("%s doesn't refuse it a second after its start", n.Address())
+			}
+		}
+	})
+}
+
+// The loss of a node that adds up costs nothing: two do.
+func TestLossOfWhoAddsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newQuarantined(t.Context(), 10)
+		p := harmful()
+		for _, lost := range f.all {
+			f.mu.Lock()
+			f.dead = map[string]bool{
+				lost.Address(): true,
+			}
+			f.mu.Unlock()
+			var seen []*node.QuarantineNode
+			for _, n := range f.all {
+				q := f.begin(n)
+				if n != lost {
+					seen = append(seen, q)
+				}
+			}
+			for i := range 3 {
+				seen[i].Ended(p, fmt.Sprint(i))
+				f.pings(200 * time.Millisecond)
+			}
+			f.pings(time.Second)
+			if got := f.holding(p); got < len(f.all)-1 {
+				t.Errorf("without %s: %d of %d nodes refuse it", lost.Address(), got, len(f.all)-1)
+			}
+		}
+	})
+}
+
+// What is answered anywhere is let go everywhere, and what many ask for isn't refused at all.
+func TestAnswersLetRequestsGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newQuarantined(t.Context(), 40)
+		p := harmful()
+		for i := range 3 {
+			f.at(f.all[i].Address()).Ended(p, fmt.Sprint(i))
+		}
+		f.pings(time.Second)
+		if f.holding(p) != len(f.all) {
+			t.Fatal("it isn't refused")
+		}
+		// One that was on its way when the third target ended.
+		f.at(f.all[17].Address()).Answered(p)
+		f.pings(time.Second)
+		if got := f.holding(p); got > 0 {
+			t.Errorf("%d nodes still refuse what was answered", got)
+		}
+		other := quarantine.NewPrints(quarantine.Request{
+			Method: "GET",
+			URI:    "/forms",
+		})
+		f.at(f.all[30].Address()).Answered(other)
+		for i := range 3 {
+			f.at(f.all[i].Address()).Ended(other, fmt.Sprint(i))
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.pings(200 * time.Millisecond)
+		if got := f.holding(other); got > 0 {
+			t.Errorf("%d nodes refuse what was answered a moment before", got)
+		}
+	})
+}
+
+// The loss of a data hall ends many targets with as many requests on each as they have slots.
+// No node has to hear of all of them.
+func TestLossOfADataHallIsCheap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, requests = 100, 3000
+		f := newQuarantined(t.Context(), nodes)
+		for i := range requests {
+			f.at(f.all[i%nodes].Address()).Ended(quarantine.NewPrints(quarantine.Request{
+				Method: "GET",
+				URI:    fmt.Sprint(i),
+			}), fmt.Sprint(i/3))
+		}
+		f.pings(time.Second)
+		if each := f.bytes / nodes; each > 16_000 {
+			t.Errorf("%d bytes a node for %d requests", each, requests)
+		} else {
+			t.Logf("%d bytes a node", each)
+		}
+	})
+}
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -37,6 +37,8 @@
 	}
 	n.limiting.messenger = m
 	m.draw, m.touched, m.began = n.limiting.drawn, n.limiting.touched, n.limiting.began
+	n.quarantining.messenger = m
+	m.quarantined, m.quarantine, m.compare = n.quarantining.digest.Load, n.quarantining.learn, n.quarantining.compare
 	share, reserve, window := n.set.Retries()
 	d := newDispatching(n.board, m, dispatch.Budget{
 		Share:   share,
--- /dev/null
+++ b/internal/quarantine/answers.go
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"encoding/binary"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of Answers.
+const (
+	// answerSlots is how many answered requests are kept in mind, 8 bytes each. At 210
+	// requests a second, with two Prints each, they last for AnswerMemory.
+	answerSlots = 1 << 14
+	// AnswerMemory is how long an answer speaks for a request.
+	AnswerMemory = 30 * time.Second
+	// answerTick is the unit in which the age of an answer is kept.
+	answerTick = time.Second
+	// tickBits is how many bits of a slot hold the tick.
+	tickBits = 24
+)
+
+// Answers are the requests that targets answered lately: what many ask for is often in
+// flight where a target ends, and is no worse for it. A request that is answered later
+// may take the place of another one. Answers may be used concurrently.
+type Answers struct {
+	begun time.Time
+	slots [answerSlots]atomic.Uint64
+}
+
+// NewAnswers returns an empty memory.
+func NewAnswers(now time.Time) *Answers {
+	return &Answers{
+		begun: now,
+	}
+}
+
+// Note notes that a request was answered.
+func (a *Answers) Note(now time.Time, prints Prints) {
+	for _, p := range prints.All() {
+		slot, tag := a.place(p)
+		slot.Store(tag<<tickBits | a.tick(now))
+	}
+}
+
+// Lately tells whether a request with a Print was answered within AnswerMemory.
+func (a *Answers) Lately(now time.Time, p Print) bool {
+	slot, tag := a.place(p)
+	v := slot.Load()
+	if v>>tickBits != tag {
+		return false
+	}
+	const mask = 1<<tickBits - 1
+	return (a.tick(now)-v)&mask <= uint64(AnswerMemory/answerTick)
+}
+
+// place returns the slot of a Print and what tells it from others in the slot.
+func (a *Answers) place(p Print) (*atomic.Uint64, uint64) {
+	n := binary.BigEndian.Uint64(p[:])
+	return &a.slots[n%answerSlots], n >> tickBits
+}
+
+// tick returns the time since the memory began, from 1 on.
+func (a *Answers) tick(now time.Time) uint64 {
+	const mask = 1<<tickBits - 1
+	return uint64(now.Sub(a.begun)/answerTick+1) & mask
+}
--- /dev/null
+++ b/internal/quarantine/answers_test.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/quarantine"
+)
+
+// An answer speaks for a request for AnswerMemory, and for no other request.
+func TestAnswers(t *testing.T) {
+	a := quarantine.NewAnswers(begun)
+	at := begun.Add(time.Hour)
+	p := printsOf("/7")
+	a.Note(at, p)
+	tests := []struct {
+		name  string
+		print quarantine.Print
+		after time.Duration
+		want  bool
+	}{
+		{
+			name:  "at once",
+			print: p.Content(),
+			want:  true,
+		},
+		{
+			name:  "by the same caller",
+			print: p.Caller(),
+			want:  true,
+		},
+		{
+			name:  "a while later",
+			print: p.Content(),
+			after: quarantine.AnswerMemory - time.Second,
+			want:  true,
+		},
+		{
+			name:  "too late",
+			print: p.Content(),
+			after: quarantine.AnswerMemory + 2*time.Second,
+		},
+		{
+			name:  "another request",
+			print: printsOf("/8").Content(),
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := a.Lately(at.Add(tt.after), tt.print); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// At the load of the target size nearly all that was answered within the time is kept.
+func TestAnswersLast(t *testing.T) {
+	const perSecond = 210
+	a := quarantine.NewAnswers(begun)
+	n := int(quarantine.AnswerMemory/time.Second) * perSecond
+	at := func(i int) time.Time { return begun.Add(time.Duration(i) * time.Second / perSecond) }
+	for i := range n {
+		a.Note(at(i), printsOf(fmt.Sprint(i)))
+	}
+	kept := 0
+	for i := range n {
+		if a.Lately(at(n), printsOf(fmt.Sprint(i)).Content()) {
+			kept++
+		}
+	}
+	if share := float64(kept) / float64(n); share < 0.6 {
+		t.Errorf("%.2f of what was answered is kept, want 0.6 or more", share)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/export_test.go
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import "time"
+
+// RefuseFrom has the ledger refuse requests from another number of ends on.
+func (l *Ledger) RefuseFrom(ends int) {
+	h := usualHolds
+	for n := range h {
+		switch {
+		case n < ends:
+			h[n] = 0
+		case h[n] == 0:
+			h[n] = time.Minute
+		}
+	}
+	l.holds = &h
+}
--- /dev/null
+++ b/internal/quarantine/ledger_test.go
@@ -0,0 +1,285 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ploverjunction.example/ploverjunction/internal/quarantine"
+)
+
+var begun = time.Unix(1_000_000, 0)
+
+func printsOf(uri string) quarantine.Prints {
+	return quarantine.NewPrints(quarantine.Request{
+		Method: "GET",
+		URI:    uri,
+		Caller: "192.0.2.7",
+	})
+}
+
+// ended notes an end under all that names a request.
+func ended(l *quarantine.Ledger, at time.Time, p quarantine.Prints, target string) {
+	for _, one := range p.All() {
+		l.Ended(at, one, target)
+	}
+}
+
+func answered(l *quarantine.Ledger, p quarantine.Prints) {
+	for _, one := range p.All() {
+		l.Answered(one)
+	}
+}
+
+// Each further end keeps a request away for longer; after that it may run once more.
+func TestEndsHoldRequest(t *testing.T) {
+	tests := []struct {
+		name string
+		ends int
+		// least and most are when the request may run again, after the last end.
+		least time.Duration
+		most  time.Duration
+	}{
+		{
+			name: "one: each request beside it has it too",
+			ends: 1,
+		},
+		{
+			name: "two: some have both",
+			ends: 2,
+		},
+		{
+			name:  "three",
+			ends:  3,
+			least: time.Minute,
+			most:  2 * time.Minute,
+		},
+		{
+			name:  "it ended one after a minute",
+			ends:  4,
+			least: 10 * time.Minute,
+			most:  20 * time.Minute,
+		},
+		{
+			name:  "and another one",
+			ends:  5,
+			least: time.Hour,
+			most:  2 * time.Hour,
+		},
+		{
+			name:  "three more in a day at most",
+			ends:  6,
+			least: 24 * time.Hour,
+			most:  48 * time.Hour,
+		},
+		{
+			name:  "as many as are counted",
+			ends:  9,
+			least: 24 * time.Hour,
+			most:  48 * time.Hour,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := quarantine.NewLedger(7)
+			p := printsOf("/7")
+			now := begun
+			for i := range tt.ends {
+				now = begun.Add(time.Duration(i) * time.Second)
+				ended(l, now, p, fmt.Sprint(i))
+			}
+			s := l.Check(now, p)
+			if !s.Suspect() {
+				t.Error("not suspected")
+			}
+			if s.Wait < tt.least || s.Wait > tt.most {
+				t.Errorf("refused for %v, want %v to %v", s.Wait, tt.least, tt.most)
+			}
+			if after := l.Check(now.Add(tt.most), p); after.Held() {
+				t.Errorf("still refused after %v", tt.most)
+			}
+			if other := l.Check(now, printsOf("/8")); other.Suspect() {
+				t.Error("another request is suspected")
+			}
+		})
+	}
+}
+
+// What counts as another end, and what speaks for a request.
+func TestWhatCounts(t *testing.T) {
+	p := printsOf("/7")
+	tests := []struct {
+		name string
+		do   func(l *quarantine.Ledger)
+		want int
+	}{
+		{
+			name: "nodes that saw the same end",
+			do: func(l *quarantine.Ledger) {
+				ended(l, begun, p, "a")
+				ended(l, begun.Add(300*time.Millisecond), p, "a")
+			},
+			want: 1,
+		},
+		{
+			name: "a target that came back and ended again",
+			do: func(l *quarantine.Ledger) {
+				ended(l, begun, p, "a")
+				ended(l, begun.Add(4*time.Second), p, "a")
+			},
+			want: 2,
+		},
+		{
+			name: "an answer between",
+			do: func(l *quarantine.Ledger) {
+				ended(l, begun, p, "a")
+				ended(l, begun.Add(time.Second), p, "b")
+				answered(l, p)
+				ended(l, begun.Add(2*time.Second), p, "c")
+			},
+			want: 1,
+		},
+		{
+			name: "a late word of an end before the answer",
+			do: func(l *quarantine.Ledger) {
+				ended(l, begun, p, "a")
+				answered(l, p)
+				ended(l, begun.Add(50*time.Millisecond), p, "a")
+			},
+			want: 0,
+		},
+		{
+			name: "an end of long ago",
+			do: func(l *quarantine.Ledger) {
+				ended(l, begun.Add(-11*time.Minute), p, "a")
+				l.Forget(begun)
+				ended(l, begun, p, "b")
+			},
+			want: 1,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := quarantine.NewLedger(7)
+			tt.do(l)
+			if got := l.Check(begun.Add(4*time.Second), p).Ends; got != tt.want {
+				t.Errorf("%d ends, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// One caller's request can be held while others who ask for the same are answered.
+func TestRequestThatHarmsForOneCaller(t *testing.T) {
+	l := quarantine.NewLedger(7)
+	ask := func(caller string) quarantine.Prints {
+		return quarantine.NewPrints(quarantine.Request{
+			Method: "GET",
+			URI:    "/forms",
+			Caller: caller,
+		})
+	}
+	harmful, harmless := ask("192.0.2.7"), ask("192.0.2.8")
+	for i := range 3 {
+		now := begun.Add(time.Duration(i) * time.Second)
+		ended(l, now, harmful, fmt.Sprint(i))
+		answered(l, harmless)
+	}
+	now := begun.Add(3 * time.Second)
+	if !l.Check(now, harmful).Held() {
+		t.Error("the harmful request is not refused")
+	}
+	if l.Check(now, harmless).Suspect() {
+		t.Error("the harmless one is suspected")
+	}
+}
+
+// Nodes let a request run again one after another, so that all others learn from the first.
+func TestNodesTryAgainOneAfterAnother(t *testing.T) {
+	const nodes = 200
+	p := printsOf("/7")
+	soon := 0
+	for salt := range uint64(nodes) {
+		l := quarantine.NewLedger(salt)
+		for i := range 3 {
+			ended(l, begun, p, fmt.Sprint(i))
+		}
+		if !l.Check(begun.Add(66*time.Second), p).Held() {
+			soon++
+		}
+	}
+	// A tenth of the second minute.
+	if soon < nodes/20 || soon > nodes/5 {
+		t.Errorf("%d of %d nodes let it run after 66 s, want about %d", soon, nodes, nodes/10)
+	}
+}
+
+// A ledger stays within its bounds, and keeps what ended targets last.
+func TestLedgerIsBounded(t *testing.T) {
+	const most = 64 + 512
+	l := quarantine.NewLedger(7)
+	for i := range 5000 {
+		p := printsOf(fmt.Sprint(i))
+		now := begun.Add(time.Duration(i) * time.Millisecond)
+		ended(l, now, p, "a")
+		if i%3 == 0 {
+			ended(l, now, p, "b")
+		}
+	}
+	if l.Len() > most {
+		t.Errorf("%d records, want at most %d", l.Len(), most)
+	}
+	if got := l.Check(begun.Add(5*time.Second), printsOf("4999")).Ends; got != 1 {
+		t.Errorf("%d ends of the last request, want 1", got)
+	}
+	l.Forget(begun.Add(time.Hour))
+	if l.Len() != 0 || l.Digest() != 0 {
+		t.Errorf("after an hour: %d records, digest %x", l.Len(), l.Digest())
+	}
+}
+
+// Whatever the order in which nodes hear of ends and answers, and how often, they come to
+// know the same.
+func TestRecordsAddUpInAnyOrder(t *testing.T) {
+	p := printsOf("/7").Content()
+	record := func(n int64) quarantine.Record {
+		return quarantine.Record{
+			Print: p,
+			Ends: []quarantine.End{
+				{
+					Target:   uint32(n % 5),
+					At:       begun.Add(time.Duration(n/5%6) * 2 * time.Second),
+					Answered: n%7 == 0,
+				},
+			},
+		}
+	}
+	learn := func(ns []int64, order []int) *quarantine.Ledger {
+		l := quarantine.NewLedger(1)
+		for _, i := range order {
+			l.Learn(begun.Add(time.Minute), record(ns[i]))
+		}
+		return l
+	}
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 2000
+	properties := gopter.NewProperties(parameters)
+	properties.Property("same digest", prop.ForAll(func(ns []int64, seed uint64) bool {
+		if len(ns) > 6 {
+			ns = ns[:6]
+		}
+		random := rand.New(rand.NewPCG(seed, 1))
+		first, second := random.Perm(len(ns)), random.Perm(len(ns))
+		second = append(second, random.Perm(len(ns))...)
+		a, b := learn(ns, first), learn(ns, second)
+		return a.Digest() == b.Digest() && a.Len() == b.Len()
+	}, gen.SliceOf(gen.Int64Range(0, 210)), gen.UInt64()))
+	properties.TestingRun(t)
+}
--- /dev/null
+++ b/internal/quarantine/model_nodes_test.go
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine_test
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/quarantine"
+)
+
+// This file is what the nodes of the model tell each other.
+
+// note has a node note that a target ended under a request.
+func (m *model) note(t *modelTry, life string) {
+	n := m.nodes[t.node]
+	for _, p := range t.of.prints.All() {
+		if m.way.answers && n.answers.Lately(m.now, p) {
+			continue
+		}
+		m.tell(n.ledger.Ended(m.now, p, life))
+	}
+}
+
+// answered is a request that was answered.
+func (m *model) answered(t *modelTry) {
+	n := m.nodes[t.node]
+	n.answers.Note(m.now, t.of.prints)
+	for _, p := range t.of.prints.All() {
+		m.tell(n.ledger.Answered(p))
+	}
+}
+
+// tell takes records that changed to whom they concern: to all nodes if they are shared,
+// else to the two that add up what is known of the request.
+func (m *model) tell(records []quarantine.Record) {
+	if !m.way.tells {
+		return
+	}
+	for _, r := range records {
+		if r.Shared() {
+			for i := range m.nodes {
+				m.carry(i, r)
+			}
+			continue
+		}
+		first := int(r.Print[0]) % len(m.nodes)
+		m.carry(first, r)
+		m.carry((first+1)%len(m.nodes), r)
+	}
+}
+
+// carry takes a record to a node.
+func (m *model) carry(to int, r quarantine.Record) {
+	way := m.spread(2 * wayTime)
+	if m.random.Float64() < lostWay {
+		way += time.Duration(m.random.Float64() * float64(lateTime))
+	}
+	m.after(way, func() {
+		n := m.nodes[to]
+		news := n.ledger.Learn(m.now, r)
+		if m.way.answers && len(news) > 0 && n.answers.Lately(m.now, r.Print) {
+			m.tell(n.ledger.Answered(r.Print))
+			return
+		}
+		// Who adds up tells all when that makes a record one for all.
+		for _, changed := range news {
+			if changed.Shared() && !r.Shared() {
+				m.tell([]quarantine.Record{changed})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/quarantine/model_test.go
@@ -0,0 +1,391 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/quarantine"
+)
+
+// way is one way to deal with requests under which targets end.
+type way struct {
+	name string
+	// remembers is set where nodes keep what ended, tells where they tell each other.
+	remembers bool
+	tells     bool
+	// from is from how many ends on a request is refused.
+	from int
+	// answers is set where what was answered lately is kept in mind, looks where a target
+	// whose connection broke is asked whether it has ended.
+	answers bool
+	looks   bool
+	// built is set on the way that the fleet goes.
+	built bool
+}
+
+// load is what happens to a service.
+type load struct {
+	name string
+	// harmful is how many requests a second end each target that runs them, for harmFor.
+	harmful float64
+	harmFor time.Duration
+	// crashes is how many targets a second end for other reasons, losses the moments at which
+	// a part of all ends at once.
+	crashes float64
+	losses  []time.Duration
+	part    float64
+	// amnesia are the moments at which all nodes forget what they know.
+	amnesia []time.Duration
+	// broken is the share of requests whose connection breaks though the target lives.
+	broken float64
+	// targets, slots and rate are the size of the service: requests a second that harm nobody.
+	targets int
+	slots   int
+	rate    float64
+	nodes   int
+}
+
+// Times and shares of the model, those of the smaller deployments.
+const (
+	modelTime  = 60 * time.Second
+	modelBegin = 5 * time.Second
+	// contact is how long after the third end nobody may blame a node for not knowing.
+	contact  = 3 * time.Second
+	workTime = 400 * time.Millisecond
+	harmTime = 130 * time.Millisecond
+	backTime = 3 * time.Second
+	// wayTime is one way between two nodes, lateTime until what was lost is told again.
+	wayTime  = 3 * time.Millisecond
+	lateTime = 300 * time.Millisecond
+	lostWay  = 0.03
+	// popular is the share of requests that ask for one of popularOnes.
+	popular     = 0.3
+	popularOnes = 20
+	tries       = 2
+	comeBack    = 300 * time.Millisecond
+	comebacks   = 2
+)
+
+// outcome counts what came of a play.
+type outcome struct {
+	harmless int
+	// refused counts harmless requests that were refused, lost those not served for whatever
+	// reason.
+	refused int
+	lost    int
+	// ends counts targets that ended under harmful requests, late how often one was sent on
+	// more than contact after the third, and after the nodes began.
+	ends int
+	late int
+}
+
+func (o *outcome) add(p outcome) {
+	o.harmless += p.harmless
+	o.refused += p.refused
+	o.lost += p.lost
+	o.ends += p.ends
+	o.late += p.late
+}
+
+// event is something that happens at a time.
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// modelNode is a node of the model.
+type modelNode struct {
+	ledger  *quarantine.Ledger
+	answers *quarantine.Answers
+}
+
+// modelTarget is a target, with the attempts at it.
+type modelTarget struct {
+	name    string
+	life    int
+	up      bool
+	flights map[*modelTry]bool
+}
+
+// modelTry is an attempt of a request.
+type modelTry struct {
+	of    *modelRequest
+	node  int
+	tries int
+}
+
+// modelRequest is what a caller asks for.
+type modelRequest struct {
+	prints  quarantine.Prints
+	harmful bool
+	came    int
+}
+
+// model plays one way under one load.
+type model struct {
+	way  way
+	load load
+	// random is drawn from by what the way does, chance by what happens to the service: that
+	// is the same for all ways.
+	random  *rand.Rand
+	chance  *rand.Rand
+	now     time.Time
+	begun   time.Time
+	queue   events
+	nodes   []modelNode
+	targets []*modelTarget
+	third   time.Time
+	started time.Time
+	out     outcome
+	unique  int
+}
+
+// play plays a way under a load.
+func play(w way, l load, seed uint64) outcome {
+	m := &model{
+		way:    w,
+		load:   l,
+		random: rand.New(rand.NewPCG(seed, 7)),
+		chance: rand.New(rand.NewPCG(seed, 8)),
+		begun:  time.Unix(1_000_000, 0),
+	}
+	m.now = m.begun
+	m.nodes = make([]modelNode, l.nodes)
+	m.start()
+	for i := range l.targets {
+		m.targets = append(m.targets, &modelTarget{
+			name:    fmt.Sprintf("target-%d", i),
+			up:      true,
+			flights: map[*modelTry]bool{},
+		})
+	}
+	m.schedule()
+	for len(m.queue) > 0 {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		if m.now.Sub(m.begun) > modelTime {
+			break
+		}
+		e.do()
+	}
+	return m.out
+}
+
+// start has all nodes begin, without any memory.
+func (m *model) start() {
+	m.started = m.now
+	for i := range m.nodes {
+		m.nodes[i] = modelNode{
+			ledger:  quarantine.NewLedger(m.random.Uint64()),
+			answers: quarantine.NewAnswers(m.now),
+		}
+		m.nodes[i].ledger.RefuseFrom(m.way.from)
+	}
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	heap.Push(&m.queue, event{
+		at: m.now.Add(d),
+		do: do,
+	})
+}
+
+// spread returns a time that is d in the mean.
+func (m *model) spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * math.Exp(0.4*m.random.NormFloat64()-0.08))
+}
+
+// every does something rate times a second, at random, between two moments.
+func (m *model) every(rate float64, from, to time.Duration, do func()) {
+	for at := from; rate > 0; {
+		at += time.Duration(m.chance.ExpFloat64() / rate * float64(time.Second))
+		if at >= to {
+			return
+		}
+		m.after(at, do)
+	}
+}
+
+func (m *model) schedule() {
+	l := m.load
+	m.every(l.rate, 0, modelTime, m.harmless)
+	harm := &modelRequest{
+		prints:  m.prints("harm"),
+		harmful: true,
+	}
+	m.every(l.harmful, modelBegin, modelBegin+l.harmFor, func() { m.arrive(harm) })
+	for _, at := range l.amnesia {
+		m.after(at, m.start)
+	}
+	m.every(l.crashes, modelBegin, modelTime, func() { m.end(m.targets[m.chance.IntN(l.targets)]) })
+	for _, at := range l.losses {
+		m.after(at, func() {
+			for _, t := range m.targets {
+				if m.chance.Float64() < l.part {
+					m.end(t)
+				}
+			}
+		})
+	}
+}
+
+func (m *model) prints(uri string) quarantine.Prints {
+	return quarantine.NewPrints(quarantine.Request{
+		Method: "GET",
+		URI:    uri,
+		// Callers come by some addresses.
+		Caller: fmt.Sprint(m.chance.IntN(4)),
+	})
+}
+
+// harmless is a request that ends nothing: of its own, or one that many ask for.
+func (m *model) harmless() {
+	m.out.harmless++
+	m.unique++
+	uri := fmt.Sprintf("unique-%d", m.unique)
+	if m.chance.Float64() < popular {
+		uri = fmt.Sprintf("popular-%d", m.chance.IntN(popularOnes))
+	}
+	m.arrive(&modelRequest{
+		prints: m.prints(uri),
+	})
+}
+
+// arrive brings a request to a node.
+func (m *model) arrive(r *modelRequest) {
+	t := &modelTry{
+		of:   r,
+		node: m.random.IntN(len(m.nodes)),
+	}
+	if m.way.remembers && m.nodes[t.node].ledger.Check(m.now, r.prints).Held() {
+		if !r.harmful {
+			m.out.refused++
+			m.out.lost++
+		}
+		return
+	}
+	m.send(t)
+}
+
+// send sends an attempt to a target with a free slot.
+func (m *model) send(t *modelTry) {
+	var free []*modelTarget
+	for _, target := range m.targets {
+		if target.up && len(target.flights) < m.load.slots {
+			free = append(free, target)
+		}
+	}
+	if len(free) == 0 {
+		m.failed(t)
+		return
+	}
+	t.tries++
+	target := free[m.random.IntN(len(free))]
+	target.flights[t] = true
+	if t.of.harmful {
+		if !m.third.IsZero() && m.now.Sub(m.third) > contact && m.now.Sub(m.started) > contact {
+			m.out.late++
+		}
+		m.after(m.spread(harmTime), func() { m.harm(target, t) })
+		return
+	}
+	m.after(m.spread(workTime), func() {
+		if !target.flights[t] {
+			return
+		}
+		delete(target.flights, t)
+		if m.random.Float64() < m.load.broken {
+			m.broke(t, target, false)
+			return
+		}
+		m.answered(t)
+	})
+}
+
+// harm ends a target that still works on a harmful request.
+func (m *model) harm(target *modelTarget, t *modelTry) {
+	if !target.flights[t] {
+		return
+	}
+	m.out.ends++
+	if m.out.ends == 3 {
+		m.third = m.now
+	}
+	m.end(target)
+}
+
+// end ends a target; it comes back.
+func (m *model) end(target *modelTarget) {
+	if !target.up {
+		return
+	}
+	target.up = false
+	flights := target.flights
+	target.flights = map[*modelTry]bool{}
+	for t := range flights {
+		m.broke(t, target, true)
+	}
+	target.life++
+	m.after(backTime, func() { target.up = true })
+}
+
+// broke is an attempt whose connection broke.
+func (m *model) broke(t *modelTry, target *modelTarget, ended bool) {
+	suspect := false
+	if m.way.remembers {
+		suspect = m.nodes[t.node].ledger.Check(m.now, t.of.prints).Suspect()
+	}
+	life := fmt.Sprintf("%s/%d", target.name, target.life)
+	look := 2 * wayTime
+	m.after(look, func() {
+		if m.way.remembers && (ended || !m.way.looks) {
+			m.note(t, life)
+		}
+		if suspect {
+			m.again(t)
+		}
+	})
+	if !suspect {
+		m.again(t)
+	}
+}
+
+// again sends a request to a second target.
+func (m *model) again(t *modelTry) {
+	held := m.way.remembers && m.nodes[t.node].ledger.Check(m.now, t.of.prints).Held()
+	if t.tries >= tries || held {
+		m.failed(t)
+		return
+	}
+	m.send(t)
+}
+
+// failed is a request that was not served: its caller comes again.
+func (m *model) failed(t *modelTry) {
+	if t.of.harmful {
+		return
+	}
+	if t.of.came >= comebacks {
+		m.out.lost++
+		return
+	}
+	t.of.came++
+	m.after(comeBack, func() { m.arrive(t.of) })
+}
--- a/internal/quarantine/print.go
+++ b/internal/quarantine/print.go
@@ -1,7 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package quarantine knows requests by what they ask for, so that one that comes again is
-// recognised whatever its name is and wherever it comes in.
 package quarantine
 
 import (
@@ -15,6 +13,10 @@
 // nobody can make one that has the Print of another.
 const printSize = 16
 
+// PrintBody is how many bytes of a body count for a Print: more than most have, and hashed
+// in some ten microseconds.
+const PrintBody = 16 << 10
+
 // Print names what a request asks for: two requests with the same Print ask for the same.
 type Print [printSize]byte
 
@@ -22,34 +24,68 @@
 // the logs of a fleet.
 func (p Print) String() string { return hex.EncodeToString(p[:printSize/2]) }
 
+// Prints are those of one request: of what it asks for, whoever asks, and of the same asked
+// by its caller. A request that harms for one caller only is known by the second; one that
+// harms for all, or whose caller comes by many addresses, by the first.
+type Prints struct {
+	content Print
+	caller  Print
+}
+
 // Request is what tells requests apart.
 type Request struct {
 	Method string
 	Host   string
 	// URI is the path with the query.
 	URI string
-	// Caller is the workspace of the caller or its address, "" for whoever asks.
+	// Caller is the workspace of the caller, or its address where there is none.
 	Caller string
-	// Body is the body, or the beginning of one of Length bytes.
+	// Body is the body, or the beginning of one of Length bytes. At most PrintBody bytes
+	// of it count.
 	Body   []byte
 	Length int64
 }
 
-// NewPrint returns the Print of a request.
-func NewPrint(r Request) Print {
+// NewPrints returns the Prints of a request.
+func NewPrints(r Request) Prints {
 	h := sha256.New()
-	for _, s := range [...]string{r.Method, r.Host, r.URI, r.Caller} {
-		number(h, int64(len(s)))
-		h.Write([]byte(s))
+	for _, s := range [...]string{r.Method, r.Host, r.URI} {
+		part(h, s)
 	}
 	number(h, r.Length)
-	h.Write(r.Body)
-	var sum [sha256.Size]byte
-	return Print(h.Sum(sum[:0])[:printSize])
+	h.Write(r.Body[:min(len(r.Body), PrintBody)])
+	p := Prints{
+		content: sum(h),
+	}
+	h.Reset()
+	h.Write(p.content[:])
+	part(h, r.Caller)
+	p.caller = sum(h)
+	return p
+}
+
+// Content returns the Print of what is asked for, whoever asks.
+func (p Prints) Content() Print { return p.content }
+
+// Caller returns the Print of what is asked for by the caller.
+func (p Prints) Caller() Print { return p.caller }
+
+// All returns both.
+func (p Prints) All() [2]Print { return [...]Print{p.content, p.caller} }
+
+// part writes a text that doesn't run into the next one.
+func part(h hash.Hash, s string) {
+	number(h, int64(len(s)))
+	h.Write([]byte(s))
 }
 
-// number writes a number that keeps the parts of a request apart.
 func number(h hash.Hash, n int64) {
 	var b [8]byte
-	h.Write(binary.BigEndian.AppendUint64(b[:0], uint64(n)))
+	binary.BigEndian.PutUint64(b[:], uint64(n))
+	h.Write(b[:])
+}
+
+func sum(h hash.Hash) Print {
+	var b [sha256.Size]byte
+	return Print(h.Sum(b[:0])[:printSize])
 }
--- /dev/null
+++ b/internal/quarantine/record.go
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times and counts of records.
+const (
+	// sharedFrom is from how many ends on all nodes know of a request: any of them may have
+	// seen it answered.
+	sharedFrom = 2
+	// mostEnds bounds the ends that a record keeps.
+	mostEnds = 6
+	// sameEnd is within which two reports of the same target are of one end: a process takes
+	// longer to come back.
+	sameEnd = time.Second
+	// endMemory is how long an end counts: requests that come again each few minutes are
+	// found too.
+	endMemory = 10 * time.Minute
+)
+
+// holds are how long a request is refused after its last end, by the number of ends; it isn't
+// where that is 0. After each it may run once more: that costs a target and what that works
+// on, and frees those that were harmless. No request has more than three such runs in a day.
+type holds [mostEnds + 1]time.Duration
+
+// usualHolds refuse from three ends on. Two come to four in a thousand harmless requests
+// while two targets a second crash for other reasons, three to none in five thousand; the
+// third end costs a target more (TestWays).
+var usualHolds = holds{
+	3: time.Minute,
+	4: 10 * time.Minute,
+	5: time.Hour,
+	6: 24 * time.Hour,
+}
+
+// End is the end of a target under a request.
+type End struct {
+	// Target is a hash of the target's key.
+	Target uint32
+	At     time.Time
+	// Answered is set where a target answered the request since.
+	Answered bool
+}
+
+// TargetHash returns what names a target in an End.
+func TargetHash(key string) uint32 { return uint32(xxhash.Sum64String(key)) }
+
+// Record is what is known of one request. Records of one request add up in any order.
+type Record struct {
+	Print Print
+	// Ends are in the order of time.
+	Ends []End
+}
+
+// Count returns how many targets ended under the request since it was last answered.
+func (r *Record) Count() int {
+	n := 0
+	for _, e := range r.Ends {
+		if !e.Answered {
+			n++
+		}
+	}
+	return n
+}
+
+// Shared tells whether all nodes should know the record.
+func (r *Record) Shared() bool { return len(r.Ends) >= sharedFrom }
+
+// last returns when the last target ended under the request.
+func (r *Record) last() time.Time { return r.Ends[len(r.Ends)-1].At }
+
+// until returns until when the request is refused; late is from 0 to 1.
+func (r *Record) until(h *holds, late float64) time.Time {
+	hold := h[r.Count()]
+	return r.last().Add(hold + time.Duration(late*float64(hold)))
+}
+
+// forget returns when the record is of no use any more.
+func (r *Record) forget(h *holds) time.Time { return r.until(h, 1).Add(endMemory) }
+
+// add takes an end in, and reports whether it says anything new.
+func (r *Record) add(e End) bool {
+	for i := range r.Ends {
+		known := &r.Ends[i]
+		if known.Target == e.Target && e.At.Sub(known.At).Abs() < sameEnd {
+			news := e.Answered && !known.Answered
+			known.Answered = known.Answered || e.Answered
+			return news
+		}
+	}
+	if len(r.Ends) == mostEnds && e.At.Before(r.Ends[0].At) {
+		return false
+	}
+	at, _ := slices.BinarySearchFunc(r.Ends, e, func(a, b End) int { return a.At.Compare(b.At) })
+	r.Ends = slices.Insert(r.Ends, at, e)
+	if len(r.Ends) > mostEnds {
+		r.Ends = slices.Delete(r.Ends, 0, 1)
+	}
+	return true
+}
+
+// answered notes that a target answered the request, and reports whether that is new.
+func (r *Record) answered() bool {
+	news := false
+	for i := range r.Ends {
+		news = news || !r.Ends[i].Answered
+		r.Ends[i].Answered = true
+	}
+	return news
+}
+
+// digest returns a hash of what the record says; times, which differ by the ways that news
+// take, don't count.
+func (r *Record) digest() uint64 {
+	ends := make([]uint64, 0, mostEnds)
+	for _, e := range r.Ends {
+		n := uint64(e.Target) << 1
+		if e.Answered {
+			n |= 1
+		}
+		ends = append(ends, n)
+	}
+	slices.Sort(ends)
+	b := append(make([]byte, 0, printSize+8*mostEnds), r.Print[:]...)
+	for _, n := range ends {
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	return xxhash.Sum64(b)
+}
+
+// clone returns a copy that shares nothing with the record.
+func (r *Record) clone() Record {
+	return Record{
+		Print: r.Print,
+		Ends:  slices.Clone(r.Ends),
+	}
+}
