internal/suspend: time for which the machine was suspended counts for ages

Cause: the clock by which a process measures ages stands still while its machine is suspended. A node that wakes after it takes what it heard before for new: it believes keys that were taken away meanwhile where a deployment asks that it doesn't (strict), says 401 by an old configuration, tells its peers that the platform was heard just now, and takes the peer of a ping for the silent one.

Not covered: datagrams that wait in the socket while it is suspended are taken for new, as with a process that stands still.

--- a/internal/dissemination/age.go
+++ b/internal/dissemination/age.go
@@ -5,7 +5,14 @@
 import "time"
 
 // The time at which the platform was heard is kept as the time since begun: the
-// time of day may jump.
+// time of day may jump. Time for which the machine was suspended counts: a node that wakes
+// after it would believe keys that were taken away meanwhile, and tell peers that the
+// platform was heard just now.
+
+// since returns the time since this node began.
+func (g *Gossip) since(now time.Time) time.Duration {
+	return now.Sub(g.begun) + g.cfg.Suspended(now)
+}
 
 // PlatformHeard notes that this node has just heard the platform.
 func (g *Gossip) PlatformHeard(now time.Time) {
@@ -19,7 +26,7 @@
 	if at == 0 {
 		return never
 	}
-	return now.Sub(g.begun) - time.Duration(at)
+	return g.since(now) - time.Duration(at)
 }
 
 // never is the age of what was not heard at all.
@@ -42,7 +49,7 @@
 // heard notes that the platform was heard age ago.
 func (g *Gossip) heard(now time.Time, age time.Duration) {
 	// A node that began later than that still knows that it was heard.
-	at := int64(now.Sub(g.begun) - age)
+	at := int64(g.since(now) - age)
 	if at == 0 {
 		at = 1
 	}
@@ -63,7 +70,7 @@
 }
 
 // Agrees notes that a peer has the same values as this node.
-func (g *Gossip) Agrees(now time.Time) { g.agreed.Store(max(int64(now.Sub(g.begun)), 1)) }
+func (g *Gossip) Agrees(now time.Time) { g.agreed.Store(max(int64(g.since(now)), 1)) }
 
 // AgreedAge returns how long ago a peer had the same values as this node.
 func (g *Gossip) AgreedAge(now time.Time) time.Duration {
@@ -71,5 +78,5 @@
 	if at == 0 {
 		return never
 	}
-	return now.Sub(g.begun) - time.Duration(at)
+	return g.since(now) - time.Duration(at)
 }
--- a/internal/dissemination/age_test.go
+++ b/internal/dissemination/age_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dissemination"
 )
 
 // Nodes that tell each other all the time how long ago the platform was heard don't keep
@@ -39,3 +41,30 @@
 		}
 	})
 }
+
+// A machine that was suspended wakes with what it heard before: that is as old as for any
+// other node, though the clock by which it measures ages stood still.
+func TestSuspendedTimeCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		g := dissemination.New(dissemination.Config{
+			Suspended: func(time.Time) time.Duration { return suspended },
+		}, dissemination.NewReplica(nil))
+		time.Sleep(time.Second)
+		g.PlatformHeard(time.Now())
+		g.Agrees(time.Now())
+		time.Sleep(time.Second)
+		suspended = 5 * time.Second
+		if got := g.PlatformAge(time.Now()); got != 6*time.Second {
+			t.Errorf("the platform was heard %v ago, it was 6 s", got)
+		}
+		if got := g.AgreedAge(time.Now()); got != 6*time.Second {
+			t.Errorf("a peer agreed %v ago, it was 6 s", got)
+		}
+		// What is heard after it is new.
+		g.PlatformHeard(time.Now())
+		if got := g.PlatformAge(time.Now()); got != 0 {
+			t.Errorf("heard %v ago, it was just now", got)
+		}
+	})
+}
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -73,6 +73,9 @@
 	Heard     func(*wire.Node)
 	Mentioned func(*wire.Node)
 	Failed    func(peer string)
+	// Suspended returns for how long this machine was suspended since the node began; nil
+	// means never.
+	Suspended func(now time.Time) time.Duration
 }
 
 // Gossip spreads the values of a replica. It may be used concurrently.
@@ -97,6 +100,9 @@
 
 // New returns a gossip about a replica.
 func New(cfg Config, replica *Replica) *Gossip {
+	if cfg.Suspended == nil {
+		cfg.Suspended = func(time.Time) time.Duration { return 0 }
+	}
 	return &Gossip{
 		cfg:      cfg,
 		replica:  replica,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"ploverjunction.example/ploverjunction/internal/ratelimit"
 	"ploverjunction.example/ploverjunction/internal/settings"
 	"ploverjunction.example/ploverjunction/internal/source"
+	"ploverjunction.example/ploverjunction/internal/suspend"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -76,6 +77,8 @@
 	entry        *entry.Server
 	operator     *operator.Server
 	drain        chan struct{}
+	// suspended tells for how long the machine was suspended.
+	suspended *suspend.Clock
 	// live are the settings as they were last read; set those of the start.
 	live atomic.Pointer[settings.Settings]
 }
@@ -100,6 +103,7 @@
 		adapter: adapter,
 	}
 	n.live.Store(set)
+	n.suspended = n.newClock()
 	keys, err := loadKeys(set)
 	if err != nil {
 		return nil, err
@@ -116,6 +120,15 @@
 	return n, nil
 }
 
+// newClock returns the clock that counts the time for which the machine is suspended.
+func (n *Node) newClock() *suspend.Clock {
+	c, err := suspend.NewClock()
+	if err != nil {
+		logging.Part(n.log, "node").WithError(err).Warn("time for which the machine is suspended doesn't count")
+	}
+	return c
+}
+
 func loadKeys(set *settings.Settings) (*link.Keys, error) {
 	cert, key, authority := set.PeerTLS()
 	if cert == "" {
@@ -156,6 +169,7 @@
 		Heard:     n.members.heard,
 		Mentioned: n.members.mentioned,
 		Failed:    n.members.failed,
+		Suspended: n.suspended.Total,
 	}
 }
 
--- a/internal/node/pinging.go
+++ b/internal/node/pinging.go
@@ -44,6 +44,9 @@
 	board     *Board
 	seeds     func() []string
 	log       *logrus.Entry
+	// since returns the time since some moment, suspended time included: a node that was
+	// suspended in the middle of a ping would take its peer for the one that said nothing.
+	since func(now time.Time) time.Duration
 	// unanswered counts the pings in a row that failed directly and by others.
 	unanswered int
 	failed     chan string
@@ -57,7 +60,7 @@
 	var pings task.Group
 	beat := time.NewTicker(pingBeat)
 	defer beat.Stop()
-	last := time.Now()
+	last := p.since(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -67,8 +70,8 @@
 		case peer := <-p.failed:
 			p.noAnswer(peer)
 		case <-beat.C:
-			now := time.Now()
-			p.step(ctx, &pings, now, now.Sub(last) > pingBeat+lateBeat)
+			now := p.since(time.Now())
+			p.step(ctx, &pings, time.Now(), now-last > pingBeat+lateBeat)
 			last = now
 		}
 	}
@@ -101,12 +104,12 @@
 
 // probe pings a peer, and has others ping it if it doesn't answer.
 func (p *pinging) probe(ctx context.Context, peer string) {
-	begun := time.Now()
+	begun := p.since(time.Now())
 	if p.messenger.ping(ctx, peer, pingWait) {
 		p.answered <- struct{}{}
 		return
 	}
-	if time.Since(begun) > pingWait+lateBeat {
+	if p.since(time.Now())-begun > pingWait+lateBeat {
 		// This node slept itself.
 		return
 	}
@@ -114,7 +117,7 @@
 		p.answered <- struct{}{}
 		return
 	}
-	if ctx.Err() == nil && time.Since(begun) <= pingWait+viaWait+2*lateBeat {
+	if ctx.Err() == nil && p.since(time.Now())-begun <= pingWait+viaWait+2*lateBeat {
 		p.failed <- peer
 	}
 }
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -34,6 +34,7 @@
 		board:     n.board,
 		seeds:     n.seeds,
 		log:       logging.Part(n.log, "members"),
+		since:     n.suspended.Since,
 	}
 	n.limiting.messenger = m
 	m.draw, m.touched, m.began = n.limiting.drawn, n.limiting.touched, n.limiting.began
