internal/soak: a request that ends each target it reaches, and what operators see of it

Half of the plans have a request that comes to random nodes ten times a second and ends each target that begins to run it; where nodes tell each other, three targets and one for each process may end, else three for each process.

ploverctl status and the gauge plover_quarantined_requests show the requests that all nodes know of.

--- a/cmd/ploverctl/status.go
+++ b/cmd/ploverctl/status.go
@@ -77,6 +77,18 @@
 	for i := range s.Limits {
 		writeLimit(b, &s.Limits[i])
 	}
+	for i := range s.Quarantine {
+		writeQuarantine(b, &s.Quarantine[i])
+	}
+}
+
+func writeQuarantine(b *strings.Builder, q *operator.QuarantineStatus) {
+	since := (time.Duration(q.AgeMS) * time.Millisecond).Round(time.Second)
+	state := "may run"
+	if q.WaitMS > 0 {
+		state = "refused for " + (time.Duration(q.WaitMS) * time.Millisecond).Round(time.Second).String()
+	}
+	fmt.Fprintf(b, "  request %s: %d targets ended under it, the last %s ago, %s\n", q.Fingerprint, q.Ends, since, state)
 }
 
 func writeLimit(b *strings.Builder, l *operator.LimitStatus) {
--- a/internal/node/quarantining.go
+++ b/internal/node/quarantining.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/operator"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -44,6 +45,8 @@
 	messenger *messenger
 	answers   *quarantine.Answers
 	log       *logrus.Entry
+	// shared is told how many requests all nodes know of.
+	shared func(n int)
 	// known tells of how many requests records are kept: most of the time none.
 	known  atomic.Int32
 	digest atomic.Uint64
@@ -60,6 +63,7 @@
 		board:   board,
 		answers: quarantine.NewAnswers(begun),
 		log:     log,
+		shared:  func(int) {},
 		ledger:  quarantine.NewLedger(rand.Uint64()),
 	}
 }
@@ -109,6 +113,9 @@
 	}
 	q.known.Store(int32(q.ledger.Len()))
 	q.digest.Store(q.ledger.Digest())
+	if len(changed) > 0 {
+		q.shared(len(q.ledger.Shared()))
+	}
 	q.mu.Unlock()
 	for _, r := range changed {
 		q.logChange(now, &r, from)
@@ -229,6 +236,23 @@
 	return r, true
 }
 
+// status tells operators of the requests that all nodes know of.
+func (q *quarantining) status(now time.Time) []operator.QuarantineStatus {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []operator.QuarantineStatus
+	for _, r := range q.ledger.Shared() {
+		s := q.ledger.Standing(now, r.Print)
+		out = append(out, operator.QuarantineStatus{
+			Fingerprint: r.Print.String(),
+			Ends:        s.Ends,
+			AgeMS:       now.Sub(s.Last).Milliseconds(),
+			WaitMS:      s.Wait.Milliseconds(),
+		})
+	}
+	return out
+}
+
 // logChange writes a line about what this node believes of a request now.
 func (q *quarantining) logChange(now time.Time, r *quarantine.Record, from string) {
 	l := q.log.WithFields(logrus.Fields{
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -4,18 +4,20 @@
 
 // Status is what a node says of itself. Field names are stable.
 type Status struct {
-	Node     string            `json:"node"`
-	DataHall string            `json:"data_hall"`
-	Ready    bool              `json:"ready"`
-	Reason   string            `json:"reason,omitempty"`
-	UpFor    string            `json:"up_for"`
-	InFlight int64             `json:"in_flight"`
-	Config   ConfigStatus      `json:"config"`
-	Members  []MemberStatus    `json:"members"`
-	Services []ServiceStatus   `json:"services"`
-	Limits   []LimitStatus     `json:"limits"`
-	Control  ControlStatus     `json:"control"`
-	Revision map[string]uint64 `json:"revisions"`
+	Node     string          `json:"node"`
+	DataHall string          `json:"data_hall"`
+	Ready    bool            `json:"ready"`
+	Reason   string          `json:"reason,omitempty"`
+	UpFor    string          `json:"up_for"`
+	InFlight int64           `json:"in_flight"`
+	Config   ConfigStatus    `json:"config"`
+	Members  []MemberStatus  `json:"members"`
+	Services []ServiceStatus `json:"services"`
+	Limits   []LimitStatus   `json:"limits"`
+	// Quarantine are requests under which targets ended, the latest first.
+	Quarantine []QuarantineStatus `json:"quarantine"`
+	Control    ControlStatus      `json:"control"`
+	Revision   map[string]uint64  `json:"revisions"`
 }
 
 // ConfigStatus describes the configuration in force.
@@ -94,6 +96,18 @@
 	AgeMS     int64   `json:"age_ms"`
 }
 
+// QuarantineStatus is a request under which targets ended.
+type QuarantineStatus struct {
+	// Fingerprint names what is asked for, or what one caller asks for, as in the logs.
+	Fingerprint string `json:"fingerprint"`
+	// Ends is how many targets ended since the request was last answered, AgeMS how long ago
+	// the last one did.
+	Ends  int   `json:"ends"`
+	AgeMS int64 `json:"age_ms"`
+	// WaitMS is for how long this node refuses the request; 0 means that it may run.
+	WaitMS int64 `json:"wait_ms"`
+}
+
 // Question asks where a request would go.
 type Question struct {
 	Host   string
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -68,18 +68,7 @@
 func (l *Ledger) Check(now time.Time, prints Prints) Standing {
 	var worst Standing
 	for _, p := range prints.All() {
-		r := l.records[p]
-		if r == nil {
-			continue
-		}
-		s := Standing{
-			Print: p,
-			Ends:  r.Count(),
-			Last:  r.last(),
-		}
-		if l.holds[s.Ends] > 0 {
-			s.Wait = max(r.until(l.holds, l.late(s.Ends)).Sub(now), 0)
-		}
+		s := l.Standing(now, p)
 		if s.Wait > worst.Wait || s.Wait == worst.Wait && s.Ends > worst.Ends {
 			worst = s
 		}
@@ -87,6 +76,23 @@
 	return worst
 }
 
+// Standing returns what is known of the requests with a Print.
+func (l *Ledger) Standing(now time.Time, p Print) Standing {
+	s := Standing{
+		Print: p,
+	}
+	r := l.records[p]
+	if r == nil {
+		return s
+	}
+	s.Ends = r.Count()
+	s.Last = r.last()
+	if l.holds[s.Ends] > 0 {
+		s.Wait = max(r.until(l.holds, l.late(s.Ends)).Sub(now), 0)
+	}
+	return s
+}
+
 // late returns how late among all nodes this one lets a request run again, from 0 to 1: the
 // others learn from the first one that does.
 func (l *Ledger) late(ends int) float64 {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -17,9 +17,9 @@
 	sharedFrom = 2
 	// mostEnds bounds the ends that a record keeps.
 	mostEnds = 6
-	// sameEnd is within which two reports of the same target are of one end: a process takes
-	// longer to come back.
-	sameEnd = time.Second
+	// sameEnd is within which two reports of the same target are of one end: nodes notice it
+	// within some tens of milliseconds, and a process takes longer to come back.
+	sameEnd = 500 * time.Millisecond
 	// endMemory is how long an end counts: requests that come again each few minutes are
 	// found too.
 	endMemory = 10 * time.Minute
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -59,6 +59,10 @@
 	// the newest was taken away.
 	keys  int
 	taken time.Time
+	// lives counts the processes that were started, ends the targets that ended under the
+	// request which ends them.
+	lives atomic.Int64
+	ends  atomic.Int64
 	// active counts the steps under way.
 	active atomic.Int64
 	// platformTouched is as node.touched for steps that act on the platform.
@@ -95,6 +99,9 @@
 			Target: target.New(fmt.Sprintf("target-%d", i), targetSlots),
 		}
 		b.SetMode(healthy())
+		if plan.Harmful {
+			f.canEnd(b)
+		}
 		b.server = httptest.NewServer(b.Handler())
 		if b.proxy, err = faultproxy.New(address(b.server)); err != nil {
 			return f, err
@@ -134,6 +141,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
+	f.lives.Add(1)
 	return process.Start(f.daemon, dir, settings)
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -83,6 +83,9 @@
 		group.Go(func() { f.hot(ctx) })
 		group.Go(func() { f.takenAway(ctx) })
 	}
+	if f.plan.Harmful {
+		group.Go(func() { f.harm(ctx) })
+	}
 	go func() {
 		group.Wait()
 		out <- all
@@ -164,6 +167,7 @@
 	}
 	runs := map[string][]history.Run{}
 	f.judgeWorkspaces()
+	f.judgeHarm()
 	for _, b := range f.targets {
 		for _, r := range b.Runs() {
 			report.Runs++
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -72,7 +72,9 @@
 	Seed  uint64
 	Joint bool
 	// Keyed is set where callers show keys of their workspaces.
-	Keyed   bool
+	Keyed bool
+	// Harmful is set where a request comes again and again that ends each target.
+	Harmful bool
 	Nodes   int
 	Targets int
 	Steps   []Step
@@ -117,6 +119,8 @@
 		p.Steps = append(p.Steps, s)
 	}
 	p.addKeyed()
+	// From a source of its own, so that the other steps of a seed stay what they are.
+	p.Harmful = rand.New(rand.NewPCG(seed, 0x4a21)).IntN(2) == 0
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p
 }
