--- a/internal/integration/ends_test.go
+++ b/internal/integration/ends_test.go
@@ -186,3 +186,30 @@
 		t.Errorf("%d requests were refused as if they ended targets", refused)
 	}
 }
+
+// A connection that breaks is no end: while targets lose answers and live, the same request is
+// sent on each time, and is answered once they don't.
+func TestBrokenConnectionsRefuseNobody(t *testing.T) {
+	s, ends := endsSite(t, 4, time.Second)
+	for _, b := range s.targets {
+		b.SetMode(target.Mode{
+			ResetAfter: true,
+		})
+	}
+	same := func(int) string { return "/quotes/5" }
+	sent, failed := s.send(http.MethodPost, same, 50*time.Millisecond, 2*time.Second)
+	if failed != sent {
+		t.Fatalf("%d of %d requests failed while no answer came through", failed, sent)
+	}
+	for _, b := range s.targets {
+		b.SetMode(target.Mode{})
+	}
+	for _, n := range s.nodes {
+		if r := n.do(http.MethodPost, "/quotes/5", "", ""); r.err != nil || r.status != http.StatusOK {
+			t.Errorf("status %d, body %s, err %v", r.status, r.body, r.err)
+		}
+	}
+	if ends.Load() > 0 {
+		t.Errorf("%d targets ended", ends.Load())
+	}
+}
