internal/quarantine: nodes whose times differ come to know the same

Found by reading, each with a test that failed first: a peer that sends more than six ends of a request ended the process (TestManyEnds: index out of range); where two ends of one target lie half a second apart, nodes whose times differ by some milliseconds took them for one or two, and would have told each other five times a second for as long as they remember (TestEndsCloseTogether). What a node tells is bounded in bytes, and another choice goes out next time.

--- a/internal/node/quarantining.go
+++ b/internal/node/quarantining.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/operator"
@@ -31,8 +32,8 @@
 	// compareBeat is the least time between two lists that a node sends because a peer knows
 	// other than it does: 1.3 kB each time, at the most, while they differ.
 	compareBeat = 200 * time.Millisecond
-	// quarantineList is how many records travel on one datagram, of some 70 bytes each.
-	quarantineList = 14
+	// quarantineBytes bounds the records on one datagram, which are of 50 to 170 bytes each.
+	quarantineBytes = 1000
 	// forgetEvery is how often records that are of no use any more are looked for.
 	forgetEvery = 10 * time.Second
 )
@@ -187,22 +188,20 @@
 	}
 	q.mu.Unlock()
 	if due {
-		q.send(now, peer, list[:min(len(list), quarantineList)])
+		// Where not all fit another choice goes out next time.
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		q.send(now, peer, list)
 	}
 }
 
+// send sends as many records as fit.
 func (q *quarantining) send(now time.Time, peer string, records []quarantine.Record) {
 	out := &wire.Quarantine{}
-	for _, r := range records {
-		w := &wire.QuarantineRecord{
-			Print: r.Print[:],
-		}
-		for _, e := range r.Ends {
-			w.Ends = append(w.Ends, &wire.TargetEnd{
-				Target:   e.Target,
-				AgeMs:    uint32(max(now.Sub(e.At), 0).Milliseconds()),
-				Answered: e.Answered,
-			})
+	size := 0
+	for i := range records {
+		w := wireOf(now, &records[i])
+		if size += proto.Size(w); size > quarantineBytes {
+			break
 		}
 		out.Records = append(out.Records, w)
 	}
@@ -213,6 +212,21 @@
 	})
 }
 
+// wireOf returns a record as it travels.
+func wireOf(now time.Time, r *quarantine.Record) *wire.QuarantineRecord {
+	w := &wire.QuarantineRecord{
+		Print: r.Print[:],
+	}
+	for _, e := range r.Ends {
+		w.Ends = append(w.Ends, &wire.TargetEnd{
+			Target:   e.Target,
+			AgeMs:    uint32(max(now.Sub(e.At), 0).Milliseconds()),
+			Answered: e.Answered,
+		})
+	}
+	return w
+}
+
 // learn takes in what a peer knows.
 func (q *quarantining) learn(peer string, in *wire.Quarantine) {
 	now := time.Now()
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -87,7 +87,7 @@
 	}
 	s.Ends = r.Count()
 	s.Last = r.last()
-	if l.holds[s.Ends] > 0 {
+	if r.hold(l.holds) > 0 {
 		s.Wait = max(r.until(l.holds, l.late(s.Ends)).Sub(now), 0)
 	}
 	return s
@@ -139,13 +139,7 @@
 		}
 		l.records[of.Print] = r
 	}
-	out := l.change(r, func() bool {
-		news := false
-		for _, e := range of.Ends {
-			news = r.add(e) || news
-		}
-		return news
-	})
+	out := l.change(r, func() bool { return r.merge(of.Ends) })
 	if len(out) > 0 {
 		l.bound(now)
 	}
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -176,6 +176,50 @@
 	}
 }
 
+// Nodes whose times of two ends of one target differ a little come to know the same: what
+// one of them tells apart is two for all.
+func TestEndsCloseTogether(t *testing.T) {
+	p := printsOf("/7").Content()
+	record := func(shift time.Duration, offsets ...time.Duration) quarantine.Record {
+		r := quarantine.Record{
+			Print: p,
+		}
+		for _, o := range offsets {
+			r.Ends = append(r.Ends, quarantine.End{
+				Target: 1,
+				At:     begun.Add(shift + o),
+			})
+		}
+		return r
+	}
+	a, b := quarantine.NewLedger(1), quarantine.NewLedger(2)
+	a.Learn(begun, record(0, 0))
+	a.Learn(begun, record(0, 10*time.Second))
+	b.Learn(begun, record(0, 0, 501*time.Millisecond, 10*time.Second))
+	a.Learn(begun, record(-3*time.Millisecond, 0, 501*time.Millisecond, 10*time.Second))
+	if a.Digest() != b.Digest() {
+		t.Errorf("digests %x and %x", a.Digest(), b.Digest())
+	}
+}
+
+// A peer may send more ends than are kept.
+func TestManyEnds(t *testing.T) {
+	r := quarantine.Record{
+		Print: printsOf("/7").Content(),
+	}
+	for i := range 40 {
+		r.Ends = append(r.Ends, quarantine.End{
+			Target: uint32(i),
+			At:     begun.Add(time.Duration(i) * time.Millisecond),
+		})
+	}
+	l := quarantine.NewLedger(1)
+	l.Learn(begun, r)
+	if s := l.Standing(begun.Add(time.Second), r.Print); !s.Held() || s.Ends > 12 {
+		t.Errorf("%d ends, refused for %v", s.Ends, s.Wait)
+	}
+}
+
 // One caller's request can be held while others who ask for the same are answered.
 func TestRequestThatHarmsForOneCaller(t *testing.T) {
 	l := quarantine.NewLedger(7)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -15,8 +15,11 @@
 	// sharedFrom is from how many ends on all nodes know of a request: any of them may have
 	// seen it answered.
 	sharedFrom = 2
-	// mostEnds bounds the ends that a record keeps.
-	mostEnds = 6
+	// mostEnds bounds the ends that a record keeps: more than come before all nodes know of a
+	// request that comes twenty times a second (TestWays).
+	mostEnds = 12
+	// mostHolds is up to how many ends a further one makes the request be refused for longer.
+	mostHolds = 6
 	// sameEnd is within which two reports of the same target are of one end: nodes notice it
 	// within some tens of milliseconds, and a process takes longer to come back.
 	sameEnd = 500 * time.Millisecond
@@ -28,7 +31,7 @@
 // holds are how long a request is refused after its last end, by the number of ends; it isn't
 // where that is 0. After each it may run once more: that costs a target and what that works
 // on, and frees those that were harmless. No request has more than three such runs in a day.
-type holds [mostEnds + 1]time.Duration
+type holds [mostHolds + 1]time.Duration
 
 // usualHolds refuse from three ends on. Two come to four in a thousand harmless requests
 // while two targets a second crash for other reasons, three to none in five thousand; the
@@ -76,25 +79,54 @@
 // last returns when the last target ended under the request.
 func (r *Record) last() time.Time { return r.Ends[len(r.Ends)-1].At }
 
+// hold returns for how long the request is refused after its last end.
+func (r *Record) hold(h *holds) time.Duration { return h[min(r.Count(), mostHolds)] }
+
 // until returns until when the request is refused; late is from 0 to 1.
 func (r *Record) until(h *holds, late float64) time.Time {
-	hold := h[r.Count()]
+	hold := r.hold(h)
 	return r.last().Add(hold + time.Duration(late*float64(hold)))
 }
 
 // forget returns when the record is of no use any more.
 func (r *Record) forget(h *holds) time.Time { return r.until(h, 1).Add(endMemory) }
 
-// add takes an end in, and reports whether it says anything new.
-func (r *Record) add(e End) bool {
+// merge takes in the ends of another record, and reports whether they say anything new. Two
+// of them are never one: else nodes whose times differ by a few milliseconds would not come
+// to know the same, and tell each other for as long as they remember.
+func (r *Record) merge(ends []End) bool {
+	news := false
+	var taken []End
+	for _, e := range ends {
+		if known := r.same(e, taken); known != nil {
+			news = news || e.Answered && !known.Answered
+			known.Answered = known.Answered || e.Answered
+			taken = append(taken, *known)
+			continue
+		}
+		if r.add(e) {
+			news = true
+			taken = append(taken, e)
+		}
+	}
+	return news
+}
+
+// same returns the known end that e is a report of, or nil; taken are those that others are
+// reports of.
+func (r *Record) same(e End, taken []End) *End {
 	for i := range r.Ends {
 		known := &r.Ends[i]
-		if known.Target == e.Target && e.At.Sub(known.At).Abs() < sameEnd {
-			news := e.Answered && !known.Answered
-			known.Answered = known.Answered || e.Answered
-			return news
+		other := slices.ContainsFunc(taken, func(t End) bool { return t.Target == known.Target && t.At.Equal(known.At) })
+		if !other && known.Target == e.Target && e.At.Sub(known.At).Abs() < sameEnd {
+			return known
 		}
 	}
+	return nil
+}
+
+// add adds an end, and reports false if it is older than all that are kept.
+func (r *Record) add(e End) bool {
 	if len(r.Ends) == mostEnds && e.At.Before(r.Ends[0].At) {
 		return false
 	}
