internal/entry, internal/node: a request's standing in one place, one way to the newest service

What a newcomer would stumble over: the refusal of a request under which targets ended stood in the middle of forward; a variable was called none beside errors of that name; a late word of an earlier end could take back that the request is refused; asking.go found the newest service a second time (parts.go has it). No other change of what the code does.

--- a/internal/entry/ended.go
+++ b/internal/entry/ended.go
@@ -15,8 +15,8 @@
 // link breaks, many attempts break with it.
 const maxLooks = 16
 
-// none is a channel that has nothing to wait for.
-var none = func() <-chan struct{} {
+// alreadyKnown is a channel that has nothing to wait for.
+var alreadyKnown = func() <-chan struct{} {
 	c := make(chan struct{})
 	close(c)
 	return c
@@ -37,16 +37,16 @@
 func (x *relay) look(t *try, err error) <-chan struct{} {
 	var fe *forward.Error
 	if !errors.As(err, &fe) || !fe.Broke() {
-		return none
+		return alreadyKnown
 	}
 	if fe.Refused() {
 		x.ended(t)
-		return none
+		return alreadyKnown
 	}
 	if x.server.looks.Add(1) > maxLooks {
 		x.server.looks.Add(-1)
 		x.server.log.WithField("request", x.id).WithField("target", t.choice.Key).Debug("too many targets to ask whether they have ended")
-		return none
+		return alreadyKnown
 	}
 	known := make(chan struct{})
 	ctx := context.WithoutCancel(x.req.Context())
@@ -65,7 +65,9 @@
 func (x *relay) ended(t *try) {
 	s := x.server.cfg.Ended(x.prints, t.choice.Key)
 	x.suspect.Store(s.Suspect())
-	x.held.Store(int64(s.Wait))
+	if s.Held() {
+		x.held.Store(int64(s.Wait))
+	}
 	x.server.log.WithField("request", x.id).
 		WithField("fingerprint", x.prints.Content().String()).
 		WithField("fingerprint_of_caller", x.prints.Caller().String()).
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -20,9 +20,14 @@
 	return fmt.Sprintf("entry: %d targets ended under the request %s", e.standing.Ends, e.standing.Print)
 }
 
-// quarantined returns the answer to a request under which targets ended. It has not run this
-// time, and its caller learns when it may.
-func quarantined(s quarantine.Standing) *Error {
+// quarantine looks at what the fleet knows of the request. It returns the answer to one under
+// which too many targets ended: it has not run this time, and its caller learns when it may.
+func (x *relay) quarantine() *Error {
+	s := x.server.cfg.Quarantined(x.prints)
+	x.suspect.Store(s.Suspect())
+	if !s.Held() {
+		return nil
+	}
 	e := refuse(CodeQuarantine, http.StatusServiceUnavailable)
 	e.retryAfter = s.Wait
 	e.cause = &QuarantineError{
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -246,13 +246,6 @@
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
 	}
-	prints := printsOf(r, in, b)
-	standing := s.cfg.Quarantined(prints)
-	if standing.Held() {
-		fail := quarantined(standing)
-		s.refuse(w, id, in, fail)
-		return fail.status, fail.outcome
-	}
 	x := &relay{
 		server:  s,
 		id:      id,
@@ -263,11 +256,14 @@
 		body:    b,
 		life:    attempt.NewLife(in.route.Repeatable(), in.deadline),
 		header:  s.towardsTarget(r, in),
-		prints:  prints,
+		prints:  printsOf(r, in, b),
 		results: make(chan result, maxTries),
 		granted: make(chan grant, maxTries),
 	}
-	x.suspect.Store(standing.Suspect())
+	if fail := x.quarantine(); fail != nil {
+		s.refuse(w, id, in, fail)
+		return fail.status, fail.outcome
+	}
 	a, release, fail := x.answer()
 	if fail != nil {
 		x.logEnd(fail.status, fail.outcome, fail)
@@ -277,7 +273,7 @@
 	x.logEnd(a.Status(), attempt.OutcomeDone, nil)
 	x.deliver(w, a, release)
 	if a.Status() < http.StatusInternalServerError {
-		s.cfg.Answered(prints)
+		s.cfg.Answered(x.prints)
 	}
 	return a.Status(), attempt.OutcomeDone
 }
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -10,7 +10,6 @@
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/entry"
-	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/wire"
@@ -275,7 +274,7 @@
 	default:
 		return entry.Choice{}, false, nil
 	}
-	t := d.target(q.Service, g.grant.GetTarget())
+	t := d.newest(q.Service).Target(g.grant.GetTarget())
 	if t == nil || t.Leaving() {
 		// One of the two doesn't know yet what the other knows.
 		result := wire.Done_IGNORED
@@ -297,14 +296,6 @@
 	return c, true, nil
 }
 
-// target finds a target in the newest configuration, or in that of the request.
-func (d *dispatching) target(s *fleetconfig.Service, key string) *fleetconfig.Target {
-	if c := d.board.currentConfig(); c != nil && c.Service(s.Name()) != nil {
-		s = c.Service(s.Name())
-	}
-	return s.Target(key)
-}
-
 // note keeps what this node saw itself of a target that a dispatcher chose, for when
 // it must choose alone. Its own desk has been told already.
 func (d *dispatching) note(dispatcher string, q *entry.Query, p part, key string, end outlier.End, took time.Duration) {
