internal/notice, internal/contract, platform: hear what targets say of themselves

No line told what an answer said of its target, so that nobody could tell whether the words weren't there, weren't read, or didn't reach whoever chooses. The headers are read in each answer of a target, with bounds for values that can't be meant, and each word that is new gets a line. Nothing acts on them.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -54,6 +54,9 @@
 	Refused func(status int, h http.Header) Refusal
 	// Leaving tells whether an answer says that its target is leaving.
 	Leaving func(h http.Header) bool
+	// Rest returns for how long an answer's target wants nothing from this node, as the
+	// function of that name does.
+	Rest func(status int, h http.Header) (time.Duration, error)
 	// RetryAfter formats when a refused caller should come back.
 	RetryAfter func(d time.Duration) string
 }
@@ -97,7 +100,10 @@
 		SetDeadline: setDeadline,
 		Refused:     refused,
 		Leaving:     func(h http.Header) bool { return h.Get(HeaderState) == stateLeaving },
-		RetryAfter:  WholeSeconds,
+		Rest: func(status int, h http.Header) (time.Duration, error) {
+			return Rest(status, refused(status, h) == RefusalShed, h)
+		},
+		RetryAfter: WholeSeconds,
 	}
 }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -15,6 +15,7 @@
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
+	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/policy"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
@@ -310,6 +311,7 @@
 		Body:       reader,
 		Length:     x.body.length,
 		Deadline:   x.life.Deadline(),
+		Heard:      func(n notice.Notice, err error) { x.heard(c, n, err) },
 	}
 }
 
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -21,6 +21,7 @@
 	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
 	"ploverjunction.example/ploverjunction/internal/task"
@@ -182,6 +183,7 @@
 		Done:    func(outlier.End, time.Duration) {},
 	}
 	srv, err := entry.New(entry.Config{
+		Notices:         &notice.Ledger{},
 		Listen:          netip.MustParseAddrPort("127.0.0.1:0"),
 		MaxBody:         1 << 20,
 		MaxHeader:       64 << 10,
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -16,6 +16,7 @@
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/contract"
+	"ploverjunction.example/ploverjunction/internal/notice"
 )
 
 // Bounds of connections to targets.
@@ -115,6 +116,9 @@
 	Body       io.Reader
 	Length     int64
 	Deadline   time.Time
+	// Heard takes what the target says of itself in its answer, however the attempt ends,
+	// and why it can't be read. nil takes nothing.
+	Heard func(n notice.Notice, err error)
 }
 
 // Do makes one attempt. It returns the answer, whose Close must be called, or an
@@ -139,6 +143,7 @@
 		leaving:  c.contract.Leaving(res.Header),
 		contract: c.contract,
 	}
+	c.hear(r, res)
 	if err := a.check(r.ID); err != nil {
 		a.Close()
 		return nil, err
@@ -150,6 +155,19 @@
 	return a, nil
 }
 
+// hear passes on what the answer of a target says of it. An answer of another process at
+// its address says nothing of it; one to another request does.
+func (c *Client) hear(r *Request, res *http.Response) {
+	if r.Heard == nil || c.contract.Refused(res.StatusCode, res.Header) == contract.RefusalOther {
+		return
+	}
+	rest, err := c.contract.Rest(res.StatusCode, res.Header)
+	r.Heard(notice.Notice{
+		Leaving: c.contract.Leaving(res.Header),
+		Rest:    rest,
+	}, err)
+}
+
 func (c *Client) send(ctx context.Context, cl *claim, r *Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -10,6 +10,7 @@
 	"ploverjunction.example/ploverjunction/internal/blackboard"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 )
 
@@ -53,6 +54,8 @@
 	view   blackboard.Section[membership.View]
 	pools  blackboard.Section[pools]
 	ready  blackboard.Section[readiness]
+	// notices is what targets said of themselves in answers to this node.
+	notices notice.Ledger
 }
 
 func (b *Board) currentConfig() *fleetconfig.Config {
--- /dev/null
+++ b/internal/notice/ledger.go
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package notice
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// MostRest bounds the rest that a target gets for one answer. A planned start takes less;
+	// a target that wants more says so again when the next request reaches it. What
+	// can't be meant, such as a time of day in seconds, then costs this long.
+	MostRest = 2 * time.Minute
+	// leavingUnnamed is how long a word of leaving holds for a target without a published ID:
+	// its next life has the same address, and can't be told from this one.
+	leavingUnnamed = time.Minute
+	// keptUnlisted is how long a target that isn't published is remembered: entries of
+	// targets that live may be away while the platform is.
+	keptUnlisted = 10 * time.Minute
+	// mostKept bounds the targets that are remembered, some 100 bytes each: more than the
+	// 8,700 of the largest fleet that is planned for.
+	mostKept = 10_000
+)
+
+// Life names one life of a target: its service and its key in the configuration.
+type Life struct {
+	Service string
+	Key     string
+	// Named is set where the key holds a published ID, so that the next life has another.
+	Named bool
+}
+
+// Notice is what one answer says of its target.
+type Notice struct {
+	// Leaving is set where the target takes no new work.
+	Leaving bool
+	// Rest is for how long the target wants nothing from this node.
+	Rest time.Duration
+}
+
+// Standing is what holds for a target at one time.
+type Standing struct {
+	Leaving bool
+	// Rest is how much longer the target wants nothing from this node, 0 for no rest, and
+	// Whole how long it is in all.
+	Rest  time.Duration
+	Whole time.Duration
+}
+
+// Barred tells whether no request may be sent to the target.
+func (s Standing) Barred() bool { return s.Leaving || s.Rest > 0 }
+
+// record is what is known of one life.
+type record struct {
+	leaving bool
+	// leavingUntil ends the word of leaving; the zero time means never.
+	leavingUntil time.Time
+	restFrom     time.Time
+	restUntil    time.Time
+	heard        time.Time
+}
+
+func (r record) standing(now time.Time) Standing {
+	s := Standing{
+		Leaving: r.leaving && (r.leavingUntil.IsZero() || now.Before(r.leavingUntil)),
+	}
+	if now.Before(r.restUntil) {
+		s.Rest = r.restUntil.Sub(now)
+		s.Whole = r.restUntil.Sub(r.restFrom)
+	}
+	return s
+}
+
+// Ledger holds the notices that this node heard. Its zero value is empty. It may be used
+// concurrently; reading takes no lock, for each attempt reads it before it sends.
+type Ledger struct {
+	mu      sync.Mutex
+	records atomic.Pointer[map[Life]record]
+}
+
+// known returns the records, which must not be changed.
+func (l *Ledger) known() map[Life]record {
+	if m := l.records.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+// Hear takes in what an answer says and tells whether it changed what holds. A rest never
+// shortens one that was asked for before.
+func (l *Ledger) Hear(now time.Time, life Life, n Notice) bool {
+	if !n.Leaving && n.Rest <= 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.known()
+	r := old[life]
+	before := r.standing(now)
+	r.heard = now
+	if n.Leaving {
+		r.leaving = true
+		if !life.Named {
+			r.leavingUntil = now.Add(leavingUnnamed)
+		}
+	}
+	rest := min(n.Rest, MostRest)
+	longer := rest > before.Rest
+	if longer {
+		r.restFrom = now
+		r.restUntil = now.Add(rest)
+	}
+	next := make(map[Life]record, len(old)+1)
+	maps.Copy(next, old)
+	next[life] = r
+	drop(now, next)
+	l.records.Store(&next)
+	return longer || n.Leaving && !before.Leaving
+}
+
+// drop forgets what was heard longest ago where there is too much.
+func drop(now time.Time, records map[Life]record) {
+	if len(records) <= mostKept {
+		return
+	}
+	oldest := now
+	var out Life
+	for life, r := range records {
+		if !r.heard.After(oldest) {
+			oldest, out = r.heard, life
+		}
+	}
+	delete(records, out)
+}
+
+// Standing returns what holds for a target at now.
+func (l *Ledger) Standing(now time.Time, life Life) Standing {
+	return l.known()[life].standing(now)
+}
+
+// Empty tells whether nothing is known of any target, as on most days.
+func (l *Ledger) Empty() bool { return len(l.known()) == 0 }
+
+// Forget drops what holds no more, and lives that aren't published and of which nothing was
+// heard for some minutes.
+func (l *Ledger) Forget(now time.Time, published func(Life) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old := l.known()
+	next := make(map[Life]record, len(old))
+	for life, r := range old {
+		if r.standing(now).Barred() && (published(life) || now.Sub(r.heard) < keptUnlisted) {
+			next[life] = r
+		}
+	}
+	if len(next) < len(old) {
+		l.records.Store(&next)
+	}
+}
+
+// Counts returns how many targets leave and how many rest, by what this node heard.
+func (l *Ledger) Counts(now time.Time) (leaving, resting int) {
+	for _, r := range l.known() {
+		s := r.standing(now)
+		if s.Leaving {
+			leaving++
+		}
+		if s.Rest > 0 {
+			resting++
+		}
+	}
+	return leaving, resting
+}
