--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -38,6 +38,8 @@
 	ErrorShare float64 `json:"error_share"`
 	// Shed refuses requests before running them.
 	Shed bool `json:"shed"`
+	// Rest is the rest that Shed asks for.
+	Rest time.Duration `json:"rest"`
 	// Leaving says so in all answers; the target still works.
 	Leaving bool `json:"leaving"`
 	// ResetBefore closes connections before requests run, ResetAfter after.
@@ -71,6 +73,15 @@
 	Authorized bool   `json:"authorized"`
 }
 
+// Arrival is one request that reached a target, run or not, and what its answer said of the
+// target.
+type Arrival struct {
+	Key     string
+	At      time.Time
+	Leaving bool
+	Rest    time.Duration
+}
+
 // Target is the stand-in. It may be used concurrently.
 type Target struct {
 	name     string
@@ -81,6 +92,7 @@
 	requests atomic.Int64
 	mu       sync.Mutex
 	runs     []Run
+	arrivals []Arrival
 	header   http.Header
 }
 
@@ -114,6 +126,28 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Arrivals returns the record of what reached the target.
+func (t *Target) Arrivals() []Arrival {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Arrival(nil), t.arrivals...)
+}
+
+// arrived notes a request that reached the target.
+func (t *Target) arrived(r *http.Request, m *Mode) {
+	a := Arrival{
+		Key:     r.Header.Get(HeaderKey),
+		At:      time.Now(),
+		Leaving: m.Leaving,
+	}
+	if m.Shed {
+		a.Rest = m.Rest
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.arrivals = append(t.arrivals, a)
+}
+
 // LastHeader returns the header of the request that ran last.
 func (t *Target) LastHeader() http.Header {
 	t.mu.Lock()
@@ -158,12 +192,16 @@
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	m := t.mode.Load()
 	t.requests.Add(1)
+	t.arrived(r, m)
 	t.inFlight.Add(1)
 	defer t.inFlight.Add(-1)
 	t.state(w, m)
 	if m.ResetBefore {
 		panic(http.ErrAbortHandler)
 	}
+	if m.Shed && m.Rest > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(m.Rest.Seconds(), 'f', -1, 64))
+	}
 	if m.Shed || late(r) {
 		refuse(w)
 		return
