--- a/internal/integration/notice_test.go
+++ b/internal/integration/notice_test.go
@@ -214,3 +214,73 @@
 		t.Errorf("node %d sent %d requests later than %v after it was told that the target leaves", node, late, within)
 	}
 }
+
+// Users saw a target turn a node away and ask it for three seconds of rest, and get four
+// requests from it in that time. The target had been well again for two seconds by then and had
+// answered other nodes, so that the dispatcher believed in it again; what it had asked of one
+// node was read nowhere.
+//
+// What proved it: lines of the refusals said for how long, and nothing after them differed.
+func TestTargetsAreLeftAlone(t *testing.T) {
+	const rest = 4 * time.Second
+	for _, tt := range troubles {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := noticeSite(t, &tt)
+			b := s.targets[0]
+			stopped := s.load(tt.stopped()...)
+			stop := s.load(tt.left...)
+			eventually(t, "work at the target", func() bool { return len(b.Arrivals()) > 40 })
+			b.SetMode(target.Mode{
+				Shed: true,
+				Rest: rest,
+			})
+			eventually(t, "a request turned away", func() bool { return turnedAway(b, tt.left) })
+			b.SetMode(target.Mode{
+				Latency: noticeWork,
+			})
+			stopped()
+			tt.strike(s)
+			time.AfterFunc(rest+time.Second, stop)
+			<-time.After(rest + 2*time.Second)
+			for _, i := range tt.left {
+				checkRest(t, b, i)
+			}
+		})
+	}
+}
+
+// turnedAway tells whether the target asked one of the nodes for rest.
+func turnedAway(b *backend, nodes []int) bool {
+	for _, i := range nodes {
+		for _, a := range b.from(i) {
+			if a.Rest > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkRest expects at most two requests from a node between half a second after the target
+// asked it for rest and the end of that.
+func checkRest(t *testing.T, b *backend, node int) {
+	t.Helper()
+	const (
+		slack = 500 * time.Millisecond
+		most  = 2
+	)
+	all := b.from(node)
+	for _, asked := range all {
+		n := 0
+		for _, a := range all {
+			if after := a.At.Sub(asked.At); asked.Rest > 0 && after > slack && after < asked.Rest {
+				n++
+			}
+		}
+		if n > most {
+			t.Errorf("node %d sent %d requests in the %v of rest that it was asked for", node, n, asked.Rest)
+			return
+		}
+	}
+}
