--- a/internal/integration/notice_test.go
+++ b/internal/integration/notice_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -284,3 +285,79 @@
 		}
 	}
 }
+
+// Callers of a service all of whose targets had asked for rest waited for nothing: each request
+// was sent on, turned away and sent on again, and then they were told to come back in a quarter
+// of a second. Now they hear at once when it can be served, and callers of another service pay
+// nothing for it.
+func TestServiceWhoseTargetsAllRest(t *testing.T) {
+	const rest = 4 * time.Second
+	s := newSite(t)
+	for range 3 {
+		s.target("quotes", "a", 3)
+	}
+	for range 2 {
+		s.target("documents", "a", 3)
+	}
+	s.publishTargets(nil)
+	s.platform.Publish("routes", `{"routes":[
+		{"name":"quotes","pathPrefix":"/quotes","methods":["GET"],"service":"quotes","repeatable":true,"deadline":"5s"},
+		{"name":"documents","pathPrefix":"/documents","methods":["POST"],"service":"documents","deadline":"2s"}]}`)
+	for i := range 2 {
+		s.node("a",
+			withPeersAt(fmt.Sprintf("127.0.54.%d:7950", i+1)),
+			withExtra("[targets]\nchoice = joint\n"))
+	}
+	s.allReady()
+	for _, n := range s.nodes {
+		eventually(t, "all members live", func() bool { return liveMembers(n) == len(s.nodes) })
+	}
+	quotes := s.targets[:3]
+	for _, b := range quotes {
+		b.SetMode(target.Mode{
+			Shed: true,
+			Rest: rest,
+		})
+	}
+	ask := func(i int) reply { return s.nodes[i].do(http.MethodGet, "/quotes/1", fmt.Sprintf("%d-q", i), "") }
+	for i := range s.nodes {
+		eventually(t, "all targets to turn the node away", func() bool {
+			ask(i)
+			return !slices.ContainsFunc(quotes, func(b *backend) bool { return !turnedAway(b, []int{i}) })
+		})
+	}
+	for i := range s.nodes {
+		ends := time.Now().Add(rest)
+		for _, b := range quotes {
+			if at := b.from(i)[0].At.Add(rest); at.Before(ends) {
+				ends = at
+			}
+		}
+		r := ask(i)
+		if r.status != http.StatusServiceUnavailable || r.outcome != "not-run" || r.took > 200*time.Millisecond {
+			t.Errorf("node %d: status %d, outcome %q after %v", i, r.status, r.outcome, r.took)
+		}
+		seconds, err := strconv.Atoi(r.header.Get("Retry-After"))
+		back := time.Now().Add(time.Duration(seconds) * time.Second)
+		// Whole seconds are rounded up, and not all callers are to come at once.
+		if err != nil || back.Before(ends) || back.After(ends.Add(rest/2+time.Second)) {
+			t.Errorf("node %d: Retry-After %q, the rest ends in %v", i, r.header.Get("Retry-After"), time.Until(ends))
+		}
+	}
+	for i := range 40 {
+		n := s.nodes[i%2]
+		if r := n.do(http.MethodPost, "/documents/1", fmt.Sprintf("document-%d", i), ""); r.status != http.StatusOK || r.took > time.Second {
+			t.Errorf("document %d: status %d after %v", i, r.status, r.took)
+		}
+		ask(i % 2)
+	}
+	for _, b := range quotes {
+		b.SetMode(target.Mode{})
+	}
+	for i := range s.nodes {
+		eventually(t, "quotes after the rest", func() bool { return ask(i).status == http.StatusOK })
+		for _, b := range quotes {
+			checkRest(t, b, i)
+		}
+	}
+}
