--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -33,7 +33,7 @@
 	list[0].Sick = true
 	list[1].Leaving = true
 	pool := balance.NewPool(list, 1, "node", 1)
-	pick, ok := pool.Pick(rand.Uint64, nil)
+	pick, ok := pool.Pick(rand.Uint64, nil, nil)
 	fmt.Println(pick.Key(), ok)
 	pick.Release()
 	// Output: 192.0.2.2:80 true
@@ -117,7 +117,7 @@
 func TestPickPrefersUntried(t *testing.T) {
 	pool := balance.NewPool(members(2), 0, "n", 1)
 	for range 100 {
-		p, ok := pool.Pick(rand.Uint64, []string{"192.0.2.0:80"})
+		p, ok := pool.Pick(rand.Uint64, []string{"192.0.2.0:80"}, nil)
 		if !ok || p.Key() != "192.0.2.1:80" {
 			t.Fatalf("picked %q", p.Key())
 		}
@@ -133,7 +133,7 @@
 	pool := balance.NewPool(list, 0, "n", 1)
 	taken := 0
 	for {
-		if _, ok := pool.Pick(rand.Uint64, nil); !ok {
+		if _, ok := pool.Pick(rand.Uint64, nil, nil); !ok {
 			break
 		}
 		taken++
@@ -156,7 +156,7 @@
 	var held []balance.Pick
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 300 {
-		p, ok := pool.Pick(rng.Uint64, nil)
+		p, ok := pool.Pick(rng.Uint64, nil, nil)
 		if !ok {
 			t.Fatal("no pick")
 		}
@@ -276,7 +276,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	r := testing.Benchmark(func(b *testing.B) {
 		for range b.N {
-			p, _ := pool.Pick(rng.Uint64, nil)
+			p, _ := pool.Pick(rng.Uint64, nil, nil)
 			p.Release()
 		}
 	})
@@ -287,7 +287,7 @@
 	pool := balance.NewPool(members(300), 0, "n", 1)
 	rng := rand.New(rand.NewPCG(1, 1))
 	allocs := testing.AllocsPerRun(1000, func() {
-		p, _ := pool.Pick(rng.Uint64, nil)
+		p, _ := pool.Pick(rng.Uint64, nil, nil)
 		p.Release()
 	})
 	if allocs != 0 {
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -22,9 +22,9 @@
 // Pick takes a target: the least loaded of a few random ones, the load being
 // what this node has in flight and what the target reported, for each slot.
 // random gives random bits; tried names the targets of earlier attempts, which
-// are taken only when there is no other. It reports false when no target has a
-// connection left. It does not allocate.
-func (p *Pool) Pick(random func() uint64, tried []string) (Pick, bool) {
+// are taken only when there is no other, barred those that are never taken. It
+// reports false when no other target has a connection left. It does not allocate.
+func (p *Pool) Pick(random func() uint64, tried, barred []string) (Pick, bool) {
 	n := len(p.choices)
 	if n == 0 {
 		return Pick{}, false
@@ -33,12 +33,12 @@
 	best := -1
 	for i := range samples {
 		at := int(uint16(bits>>(16*i))) * n >> 16
-		best = p.better(best, at, tried)
+		best = p.better(best, at, tried, barred)
 	}
 	if best >= 0 && p.take(best) {
 		return p.pick(best), true
 	}
-	return p.scan(int(bits>>48)*n>>16, tried)
+	return p.scan(int(bits>>48)*n>>16, tried, barred)
 }
 
 // PickTrial takes a target on trial for a copy of a repeatable request. It
@@ -58,11 +58,11 @@
 	}, true
 }
 
-// better returns the better of two choices; choices without a connection left or
-// tried before are never better than none.
-func (p *Pool) better(best, at int, tried []string) int {
+// better returns the better of two choices; choices without a connection left,
+// tried before or barred are never better than none.
+func (p *Pool) better(best, at int, tried, barred []string) int {
 	c := &p.choices[at]
-	if c.gauge.inFlight.Load() >= c.limit || contains(tried, c.key) {
+	if c.gauge.inFlight.Load() >= c.limit || contains(tried, c.key) || contains(barred, c.key) {
 		return best
 	}
 	if best < 0 || p.load(at) < p.load(best) {
@@ -93,12 +93,13 @@
 }
 
 // scan looks at every target once: first for one not tried, then for any.
-func (p *Pool) scan(from int, tried []string) (Pick, bool) {
+func (p *Pool) scan(from int, tried, barred []string) (Pick, bool) {
 	n := len(p.choices)
 	for _, again := range [...]bool{false, true} {
 		for i := range n {
 			at := (from + i) % n
-			if contains(tried, p.choices[at].key) == again && p.take(at) {
+			key := p.choices[at].key
+			if contains(tried, key) == again && !contains(barred, key) && p.take(at) {
 				return p.pick(at), true
 			}
 		}
--- a/internal/detection/strategy.go
+++ b/internal/detection/strategy.go
@@ -68,7 +68,7 @@
 
 // take picks a target; observe is told how the request ended.
 func (c *chooser) take(observe func(target int) func(now time.Time, ok, shed bool)) (int, func(time.Time, bool, bool), bool) {
-	p, ok := c.pool.Pick(c.w.rng.Uint64, nil)
+	p, ok := c.pool.Pick(c.w.rng.Uint64, nil, nil)
 	if !ok {
 		return 0, nil, false
 	}
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -12,6 +12,8 @@
 	Slots int
 	// Leaving targets get no work.
 	Leaving bool
+	// Named is set where the key names one life of the target, which leaves for good.
+	Named bool
 	// Warmup is how long after its appearance the target works more slowly.
 	Warmup time.Duration
 }
@@ -45,6 +47,11 @@
 	// Tried are keys of targets that the node can't reach or that the request was sent
 	// to before; beside a hedge the attempt at the last one goes on.
 	Tried []string
+	// Barred are keys of targets that told the node that they want no requests from it
+	// now: it sends them none, so that it is never granted one.
+	Barred []string
+	// Leaving are keys of targets that told the node that they leave.
+	Leaving []string
 	// Passing is set where the node can ask for a target of another data hall: the ask
 	// then isn't queued.
 	Passing bool
--- /dev/null
+++ b/internal/dispatch/barred_test.go
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// A target that told any node that it leaves gets nothing more, whoever asks and however: also
+// from a desk that has just begun and hears of it with an ask. Its next life does get work.
+func TestWordOfLeaving(t *testing.T) {
+	said := func(d *dispatch.Desk) { d.Leaves(start, "t0") }
+	tests := []struct {
+		name string
+		tell func(d *dispatch.Desk)
+		ask  func(a *dispatch.Ask)
+	}{
+		{
+			name: "told by the end of an attempt",
+			tell: said,
+			ask:  func(*dispatch.Ask) {},
+		},
+		{
+			name: "told by the ask",
+			tell: func(*dispatch.Desk) {},
+			ask:  func(a *dispatch.Ask) { a.Leaving = []string{"t0"} },
+		},
+		{
+			name: "a request that can be repeated",
+			tell: said,
+			ask:  func(a *dispatch.Ask) { a.Repeatable = true },
+		},
+		{
+			name: "a second attempt",
+			tell: said,
+			ask: func(a *dispatch.Ask) {
+				a.Again = true
+				a.Tried = []string{"t1", "t2"}
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			list := pool(3)
+			for i := range list {
+				list[i].Named = true
+			}
+			d := newDesk(list...)
+			tt.tell(d)
+			now := start
+			for n := range uint64(200) {
+				a := ask(now, n)
+				tt.ask(a)
+				g := d.Ask(now, a)
+				if n%2 == 1 {
+					g = d.AskAlone(now, a, 1)
+				}
+				if g.Target == "t0" {
+					t.Fatalf("ask %d got the target that leaves", n)
+				}
+				now = now.Add(50 * time.Millisecond)
+				for _, later := range d.Done(now, g.ID, g.Target, dispatch.ResultGood, 50*time.Millisecond) {
+					if later.Target == "t0" {
+						t.Fatal("an ask that waited got the target that leaves")
+					}
+				}
+			}
+			list[0].Key = "t0/2"
+			d.Configure(now, list)
+			if got := granted(d, now, 200)["t0/2"]; got == 0 {
+				t.Error("the next life gets nothing")
+			}
+		})
+	}
+}
+
+// granted asks a number of times, one after the other, and counts who got it.
+func granted(d *dispatch.Desk, now time.Time, asks uint64) map[string]int {
+	out := map[string]int{}
+	for n := range asks {
+		g := d.Ask(now, ask(now, 10_000+n))
+		out[g.Target]++
+		now = now.Add(50 * time.Millisecond)
+		d.Done(now, g.ID, g.Target, dispatch.ResultGood, 50*time.Millisecond)
+	}
+	return out
+}
+
+// A target without an ID has the same key in its next life: a word of leaving ends.
+func TestWordOfLeavingWithoutAnID(t *testing.T) {
+	d := newDesk(pool(2)...)
+	d.Leaves(start, "t0")
+	if got := granted(d, start.Add(50*time.Second), 100)["t0"]; got != 0 {
+		t.Errorf("%d requests while it leaves", got)
+	}
+	later := start.Add(61 * time.Second)
+	got := 0
+	for n := range uint64(6) {
+		if d.Ask(later, ask(later, n)).Target == "t0" {
+			got++
+		}
+	}
+	if got == 0 {
+		t.Error("none a minute later")
+	}
+}
+
+// Whatever comes, in whatever order, no ask ever gets a target that it bars, and no other ask
+// pays for that: with three in ten targets barred for half of the nodes all are served.
+func TestBarredTargetsAreNeverGranted(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playBarred(t, rand.New(rand.NewPCG(seed, 5))) })
+	}
+}
+
+func playBarred(t *testing.T, rng *rand.Rand) {
+	const targets, asks = 8, 400
+	d := newDesk(pool(targets)...)
+	open := map[uint64]*dispatch.Ask{}
+	running := map[uint64]string{}
+	now := start
+	take := func(g dispatch.Grant) {
+		if g.Verdict != dispatch.Granted {
+			return
+		}
+		if slices.Contains(open[g.ID.Number].Barred, g.Target) {
+			t.Fatalf("ask %d got %s, which it bars", g.ID.Number, g.Target)
+		}
+		running[g.ID.Number] = g.Target
+	}
+	all := func(grants []dispatch.Grant) {
+		for _, g := range grants {
+			take(g)
+		}
+	}
+	bar := func(a *dispatch.Ask) {
+		a.Barred = nil
+		for i := range targets {
+			if rng.Float64() < 0.3 {
+				a.Barred = append(a.Barred, fmt.Sprintf("t%d", i))
+			}
+		}
+	}
+	for n := range uint64(asks) {
+		now = now.Add(time.Duration(rng.IntN(10)) * time.Millisecond)
+		a := ask(now, n)
+		a.Repeatable = rng.IntN(2) == 0
+		if rng.IntN(2) == 0 {
+			bar(a)
+		}
+		open[n] = a
+		take(d.Ask(now, a))
+		for number, key := range running {
+			if rng.IntN(4) > 0 {
+				continue
+			}
+			delete(running, number)
+			result := dispatch.Result(rng.IntN(4))
+			all(d.Done(now, open[number].ID, key, result, 100*time.Millisecond))
+		}
+		// An ask that waits comes again, with other targets barred by now.
+		if waits := open[n]; running[n] == "" && rng.IntN(2) == 0 {
+			again := *waits
+			bar(&again)
+			open[n] = &again
+			take(d.Ask(now, &again))
+		}
+		all(d.Advance(now))
+	}
+}
+
+// Where all targets that stay are barred for a node its asks are refused at once, also those
+// that wait; other nodes' asks are served.
+func TestAllBarred(t *testing.T) {
+	d := newDesk(pool(2)...)
+	bars := func(n uint64) *dispatch.Ask {
+		a := ask(start, n)
+		a.Barred = []string{"t0", "t1"}
+		return a
+	}
+	if g := d.Ask(start, bars(1)); g.Verdict != dispatch.Refused {
+		t.Errorf("got %v", g.Verdict)
+	}
+	passing := bars(2)
+	passing.Passing = true
+	if g := d.Ask(start, passing); g.Verdict != dispatch.Full {
+		t.Errorf("an ask that can be passed on: got %v", g.Verdict)
+	}
+	for n := range uint64(6) {
+		if g := d.Ask(start, ask(start, 10+n)); g.Verdict != dispatch.Granted {
+			t.Fatalf("another node's ask: got %v", g.Verdict)
+		}
+	}
+	waits := ask(start, 20)
+	if g := d.Ask(start, waits); g.Verdict != dispatch.Queued {
+		t.Fatalf("got %v", g.Verdict)
+	}
+	if g := d.Ask(start, bars(20)); g.Verdict != dispatch.Refused {
+		t.Errorf("an ask that waits: got %v", g.Verdict)
+	}
+	if s := d.Status(start); s.Waiting != 0 {
+		t.Errorf("%d asks wait", s.Waiting)
+	}
+}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -15,7 +15,7 @@
 func (d *Desk) free(now time.Time) []*target {
 	d.spare = d.spare[:0]
 	for _, t := range d.order {
-		if !t.Leaving && len(t.flights) < d.slots(now, t) {
+		if !t.leaves(now) && len(t.flights) < d.slots(now, t) {
 			d.spare = append(d.spare, t)
 		}
 	}
@@ -78,7 +78,7 @@
 	least, bestTried := 0.0, false
 	d.looks += len(some)
 	for _, t := range some {
-		if t.Leaving {
+		if !t.open(now, a) {
 			continue
 		}
 		tried := slices.Contains(a.Tried, t.Key)
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -102,7 +102,13 @@
 
 // Ask answers an ask at once. Asking again with the same ID gives the same answer.
 func (d *Desk) Ask(now time.Time, a *Ask) Grant {
+	for _, key := range a.Leaving {
+		d.Leaves(now, key)
+	}
 	if g, known := d.before(a.ID); known {
+		if g.Verdict == Queued {
+			return d.renew(now, a)
+		}
 		return g
 	}
 	d.queue.short = d.short(now)
@@ -129,6 +135,9 @@
 
 // decide answers an ask that the retry budget pays for.
 func (d *Desk) decide(now time.Time, a *Ask) Grant {
+	if d.barred(now, a) {
+		return a.unserved(Refused, 0)
+	}
 	if wait := d.wait(now, a.Priority); wait > d.longest(now, a) {
 		return a.unserved(Refused, d.comeBack(wait))
 	}
@@ -159,6 +168,53 @@
 	}
 }
 
+// barred tells whether no target that stays may get the ask now. Where all leave, others may
+// appear at any moment.
+func (d *Desk) barred(now time.Time, a *Ask) bool {
+	if len(a.Barred) == 0 {
+		return false
+	}
+	stay := 0
+	for _, t := range d.order {
+		if t.open(now, a) {
+			return false
+		}
+		if !t.leaves(now) {
+			stay++
+		}
+	}
+	return stay > 0
+}
+
+// renew takes in that an ask which waits came again, with the targets that are barred by now.
+func (d *Desk) renew(now time.Time, a *Ask) Grant {
+	if d.barred(now, a) {
+		d.queue.drop(a.ID)
+		d.closed[a.ID] = now
+		d.ends.note(now, false)
+		return a.unserved(Refused, 0)
+	}
+	d.queue.bar(a.ID, a.Barred)
+	return Grant{
+		ID:      a.ID,
+		Verdict: Queued,
+	}
+}
+
+// Leaves takes in that a target told a node that it leaves. It gets no work from then on,
+// whoever asks.
+func (d *Desk) Leaves(now time.Time, key string) {
+	t := d.targets[key]
+	if t == nil {
+		return
+	}
+	t.left = now.Add(leftUnnamed)
+	if t.Named {
+		t.left = now.Add(leftNamed)
+	}
+	d.covered = coverage{}
+}
+
 // unserved returns the answer to an ask that gets no target. One that can be passed on
 // is not refused.
 func (a *Ask) unserved(v Verdict, wait time.Duration) Grant {
@@ -181,7 +237,7 @@
 	}
 	slots := 0.0
 	for _, t := range d.order {
-		if !t.Leaving {
+		if !t.leaves(now) {
 			slots += float64(t.Slots) * (1 - t.failing(now))
 		}
 	}
@@ -231,6 +287,9 @@
 // regard to slots, for it doesn't know what others have in flight. part is this
 // node's share of the reserve of the retry budget.
 func (d *Desk) AskAlone(now time.Time, a *Ask, part float64) Grant {
+	for _, key := range a.Leaving {
+		d.Leaves(now, key)
+	}
 	if !d.affords(now, a, part) {
 		return Grant{
 			ID:      a.ID,
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -65,6 +65,16 @@
 	return slices.ContainsFunc(q.list, func(w *waiting) bool { return w.ask.ID == id })
 }
 
+// bar sets the targets that an ask can't get.
+func (q *queue) bar(id ID, barred []string) {
+	for _, w := range q.list {
+		if w.ask.ID == id && !slices.Equal(w.ask.Barred, barred) {
+			w.ask.Barred = barred
+			w.leastAt = time.Time{}
+		}
+	}
+}
+
 func (q *queue) drop(id ID) {
 	q.list = slices.DeleteFunc(q.list, func(w *waiting) bool { return w.ask.ID == id })
 }
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -25,6 +25,8 @@
 	repeatable bool
 	again      bool
 	kilobytes  int
+	// barred is set where some targets can't be had.
+	barred bool
 	// late is set where an answer can't be worth most any more.
 	late bool
 }
@@ -37,6 +39,7 @@
 		repeatable: a.Repeatable,
 		again:      a.Again,
 		kilobytes:  a.Kilobytes,
+		barred:     len(a.Barred) > 0,
 		late:       !q.inTime(now, w),
 	}
 }
@@ -63,7 +66,7 @@
 			}
 			t := d.best(now, w, free)
 			if t == nil {
-				declined[k] = len(w.ask.Tried) == 0
+				declined[k] = len(w.ask.Tried)+len(w.ask.Barred) == 0
 				return false
 			}
 			if near && t.DataHall != w.ask.DataHall {
@@ -101,7 +104,7 @@
 		}
 	}()
 	for _, near := range [...]bool{true, false} {
-		if t.Leaving || len(d.queue.list) == 0 {
+		if t.leaves(now) || len(d.queue.list) == 0 {
 			break
 		}
 		declined := map[traits]bool{}
@@ -109,11 +112,11 @@
 			a := w.ask
 			k := d.queue.traits(now, w)
 			if len(t.flights) >= d.slots(now, t) || near && t.DataHall != a.DataHall ||
-				slices.Contains(a.Tried, t.Key) || declined[k] {
+				slices.Contains(a.Tried, t.Key) || !t.open(now, a) || declined[k] {
 				return false
 			}
 			if !d.takes(now, w, t) {
-				declined[k] = true
+				declined[k] = !k.barred
 				return false
 			}
 			if k.late {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -60,7 +60,7 @@
 	s.Working, s.Reached, s.Short = c.working, c.reached, c.short
 	for _, t := range d.order {
 		s.InFlight += len(t.flights)
-		if !t.Leaving {
+		if !t.leaves(now) {
 			s.Slots += d.slots(now, t)
 		}
 		s.Targets = append(s.Targets, TargetStatus{
@@ -68,7 +68,7 @@
 			Failing:  t.failing(now),
 			InFlight: len(t.flights),
 			Slots:    t.Slots,
-			Leaving:  t.Leaving,
+			Leaving:  t.leaves(now),
 		})
 	}
 	return s
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/health"
@@ -29,7 +30,10 @@
 	// gone is until when a target that is gone gets no work.
 	gone      time.Time
 	warmUntil time.Time
-	flights   map[ID]flight
+	// left is until when the target leaves by its own word, which any node may have heard;
+	// the zero time means that it said nothing.
+	left    time.Time
+	flights map[ID]flight
 	// granted is when the target last got work.
 	granted time.Time
 	// missed is the probability that the target works and should have had work by now.
@@ -40,6 +44,22 @@
 // meanwhile.
 const goneTime = 5 * time.Second
 
+const (
+	// leftNamed is how long a target that can't begin another life under its key leaves, by
+	// its own word: longer than any takes to end.
+	leftNamed = 24 * time.Hour
+	// leftUnnamed is the same for one whose next life has the same key.
+	leftUnnamed = time.Minute
+)
+
+// leaves tells whether the target takes no new work at now, from any node.
+func (t *target) leaves(now time.Time) bool { return t.Leaving || now.Before(t.left) }
+
+// open tells whether an ask may get the target at now.
+func (t *target) open(now time.Time, a *Ask) bool {
+	return !t.leaves(now) && !slices.Contains(a.Barred, t.Key)
+}
+
 func (t *target) noteGone(now time.Time, r Result) {
 	if r == ResultGone {
 		t.gone = now.Add(goneTime)
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 )
 
@@ -41,6 +42,8 @@
 	Key string
 	// ID is the target's published ID, or "".
 	ID string
+	// Life names the target's life for what it says of itself.
+	Life notice.Life
 	// DataHall is the target's.
 	DataHall string
 	// By names the node that chose, "alone" where this one did.
--- /dev/null
+++ b/internal/entry/notice_test.go
@@ -0,0 +1,294 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+)
+
+// said is a target whose requests are counted, and how it answers.
+type said struct {
+	choice  entry.Choice
+	arrived atomic.Int64
+}
+
+func newSaid(t *testing.T, key string, serve http.HandlerFunc) *said {
+	t.Helper()
+	s := &said{}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.arrived.Add(1)
+		serve(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	s.choice = entry.Choice{
+		Address: srv.Listener.Addr().String(),
+		Key:     key,
+		Life: notice.Life{
+			Service: "quotes",
+			Key:     key,
+			Named:   true,
+		},
+		Done: func(outlier.End, time.Duration) {},
+	}
+	return s
+}
+
+// choices gives targets in turn, and the last one again and again.
+type choices struct {
+	mu   sync.Mutex
+	list []*said
+	// before is called before each choice is given, with its number.
+	before  func(n int)
+	queries []*entry.Query
+}
+
+func (c *choices) choose(_ context.Context, q *entry.Query) (entry.Choice, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.queries)
+	c.queries = append(c.queries, q)
+	c.before(n)
+	return c.list[min(n, len(c.list)-1)].choice, nil
+}
+
+func well(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
+
+func leaves(l *notice.Ledger, s *said) {
+	l.Hear(time.Now(), s.choice.Life, notice.Notice{
+		Leaving: true,
+	})
+}
+
+var brokers = http.Header{
+	"Authorization": {"Bearer " + keyBrokers},
+}
+
+// A target may say that it leaves between the choice and the first byte. Nothing is sent then, and
+// the next target gets the request as if it were the first: no repeat is paid for.
+func TestGrantUnderWayIsNotSent(t *testing.T) {
+	ledger := &notice.Ledger{}
+	left, other := newSaid(t, "left", well), newSaid(t, "other", well)
+	c := &choices{
+		list: []*said{left, other},
+		before: func(n int) {
+			if n == 0 {
+				leaves(ledger, left)
+			}
+		},
+	}
+	s := newSite(t, func(cfg *entry.Config) {
+		cfg.Notices = ledger
+		cfg.Choose = c.choose
+	})
+	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if n := left.arrived.Load(); n != 0 {
+		t.Errorf("%d requests reached the target that leaves", n)
+	}
+	if len(c.queries) != 2 || c.queries[1].Again || len(c.queries[1].Tried) != 0 {
+		t.Errorf("%d choices, the second one a repeat", len(c.queries))
+	}
+}
+
+// A target that all choices name in vain costs the request no more than its tries.
+func TestTargetThatIsChosenInVain(t *testing.T) {
+	ledger := &notice.Ledger{}
+	left := newSaid(t, "left", well)
+	leaves(ledger, left)
+	c := &choices{
+		list:   []*said{left},
+		before: func(int) {},
+	}
+	s := newSite(t, func(cfg *entry.Config) {
+		cfg.Notices = ledger
+		cfg.Choose = c.choose
+	})
+	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", status)
+	}
+	if n := left.arrived.Load(); n != 0 {
+		t.Errorf("%d requests reached the target that leaves", n)
+	}
+}
+
+// The second attempt beside a slow one goes past a target that leaves.
+func TestHedgeIsNotSent(t *testing.T) {
+	ledger := &notice.Ledger{}
+	slow := newSaid(t, "slow", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	left, other := newSaid(t, "left", well), newSaid(t, "other", well)
+	slow.choice.HedgeAfter = time.Millisecond
+	leaves(ledger, left)
+	c := &choices{
+		list:   []*said{slow, left, other},
+		before: func(int) {},
+	}
+	s := newSite(t, func(cfg *entry.Config) {
+		cfg.Notices = ledger
+		cfg.Choose = c.choose
+	})
+	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if n := left.arrived.Load(); n != 0 {
+		t.Errorf("%d requests reached the target that leaves", n)
+	}
+}
+
+// A download whose target breaks off goes on at a target that stays.
+func TestResumedDownloadIsNotSent(t *testing.T) {
+	const size = 200 << 10
+	content := bytes.Repeat([]byte("document"), size/8)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Etag", `"v1"`)
+		http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(content))
+	}
+	ledger := &notice.Ledger{}
+	cut := newSaid(t, "cut", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Etag", `"v1"`)
+		w.Header().Set("Accept-Ranges", "bytes")
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(content[:size/2])
+		panic(http.ErrAbortHandler)
+	})
+	left, other := newSaid(t, "left", serve), newSaid(t, "other", serve)
+	c := &choices{
+		list: []*said{cut, left, other},
+		before: func(n int) {
+			if n == 1 {
+				leaves(ledger, left)
+			}
+		},
+	}
+	s := newSite(t, func(cfg *entry.Config) {
+		cfg.Notices = ledger
+		cfg.Choose = c.choose
+	})
+	r, err := http.NewRequest(http.MethodGet, s.url+"/quotes/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header = brokers.Clone()
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	got, err := io.ReadAll(res.Body)
+	if err != nil || !bytes.Equal(got, content) {
+		t.Errorf("%d bytes, error %v", len(got), err)
+	}
+	if n := left.arrived.Load(); n != 0 || other.arrived.Load() != 1 {
+		t.Errorf("%d requests reached the target that leaves, %d the other", n, other.arrived.Load())
+	}
+}
+
+// A copy for a target on trial isn't sent to one that leaves.
+func TestTrialIsNotSent(t *testing.T) {
+	ledger := &notice.Ledger{}
+	left, other := newSaid(t, "left", well), newSaid(t, "other", well)
+	leaves(ledger, left)
+	done := make(chan outlier.End, 1)
+	left.choice.Done = func(end outlier.End, _ time.Duration) { done <- end }
+	c := &choices{
+		list:   []*said{other},
+		before: func(int) {},
+	}
+	s := newSite(t, func(cfg *entry.Config) {
+		cfg.Notices = ledger
+		cfg.Choose = c.choose
+		cfg.Trial = func(*fleetconfig.Service) (entry.Choice, bool) { return left.choice, true }
+	})
+	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if end := <-done; !end.Ignored {
+		t.Errorf("the copy that wasn't sent counts: %+v", end)
+	}
+	if n := left.arrived.Load(); n != 0 {
+		t.Errorf("%d copies reached the target that leaves", n)
+	}
+}
+
+// Whatever comes of an attempt, what its answer says of the target is heard: also of a failure,
+// a refusal and an answer to another request, but not where another process answers.
+func TestAnyAnswerIsHeard(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		header map[string]string
+		want   bool
+	}{
+		{
+			name:   "good",
+			status: http.StatusOK,
+			want:   true,
+		},
+		{
+			name:   "failure",
+			status: http.StatusInternalServerError,
+			want:   true,
+		},
+		{
+			name:   "turned away",
+			status: http.StatusServiceUnavailable,
+			header: map[string]string{
+				"Plover-Outcome": "not-run",
+			},
+			want: true,
+		},
+		{
+			name:   "to another request",
+			status: http.StatusOK,
+			header: map[string]string{
+				"Plover-Request-Id": "another",
+			},
+			want: true,
+		},
+		{
+			name:   "of another process",
+			status: http.StatusMisdirectedRequest,
+			header: map[string]string{
+				"Plover-Outcome": "not-run",
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ledger := &notice.Ledger{}
+			target := newSaid(t, "t", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Plover-State", "leaving")
+				for name, value := range tt.header {
+					w.Header().Set(name, value)
+				}
+				w.WriteHeader(tt.status)
+			})
+			c := &choices{
+				list:   []*said{target},
+				before: func(int) {},
+			}
+			s := newSite(t, func(cfg *entry.Config) {
+				cfg.Notices = ledger
+				cfg.Choose = c.choose
+			})
+			s.get(t, http.DefaultClient, "/quotes/1", brokers)
+			if got := ledger.Standing(time.Now(), target.choice.Life).Leaving; got != tt.want {
+				t.Errorf("leaving %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -39,8 +39,9 @@
 	tried  []string
 	header http.Header
 	last   error
-	// launched counts the tries that were begun.
+	// launched counts the tries that were begun, but for those that ended unsent.
 	launched int
+	unsent   int
 	// running are the tries whose end hasn't been read from results.
 	running []*try
 	results chan result
@@ -113,7 +114,7 @@
 		return reason
 	}
 	reader, ok := x.body.next()
-	if !ok || x.launched >= maxTries {
+	if !ok || x.launched+x.unsent >= maxTries {
 		return attempt.ReasonPolicy
 	}
 	ctx, cancel := context.WithCancel(x.req.Context())
@@ -151,6 +152,9 @@
 				x.launched--
 				hedge.Reset(hedgeAgain)
 			}
+			if r.try.hedge && unsent(r.err) {
+				hedge.Reset(hedgeAgain)
+			}
 		case g := <-x.granted:
 			if len(x.running) > 1 {
 				continue
@@ -261,6 +265,10 @@
 		x.comeBack = none.retryAfter
 		return
 	}
+	if unsent(r.err) {
+		x.notSent(r.try)
+		return
+	}
 	outcome := attempt.OutcomeUnknown
 	var fe *forward.Error
 	if errors.As(r.err, &fe) {
@@ -270,6 +278,24 @@
 	x.last = r.err
 }
 
+// unsent tells whether nothing was sent because the target wanted no request any more.
+func unsent(err error) bool {
+	var fe *forward.Error
+	return errors.As(err, &fe) && fe.Kind() == forward.KindBarred
+}
+
+// notSent forgets an attempt whose target wanted no request any more when it was to be sent:
+// the next one is no repeat, and the retry budget doesn't pay for it.
+func (x *relay) notSent(t *try) {
+	x.launched--
+	x.unsent++
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if at := slices.Index(x.tried, t.choice.Key); at >= 0 {
+		x.tried = slices.Delete(x.tried, at, at+1)
+	}
+}
+
 // replaceable tells whether another target may give a repeatable request a better
 // answer than this one.
 func (x *relay) replaceable(a *forward.Answer) bool {
@@ -312,6 +338,7 @@
 		Length:     x.body.length,
 		Deadline:   x.life.Deadline(),
 		Heard:      func(n notice.Notice, err error) { x.heard(c, n, err) },
+		Barred:     func(now time.Time) bool { return x.server.cfg.Notices.Standing(now, c.Life).Barred() },
 	}
 }
 
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -33,10 +33,7 @@
 	x.life.Continue(time.Now().Add(x.in.wait))
 	x.header.Set("Range", fmt.Sprintf("bytes=%d-", offset))
 	x.header.Set("If-Range", etag)
-	if x.launch() != attempt.ReasonNone {
-		return nil, nil
-	}
-	r := x.await()
+	r := x.another()
 	if r == nil {
 		return nil, nil
 	}
@@ -55,6 +52,20 @@
 	return a, release
 }
 
+// another makes one more attempt that is sent. It gives nil if none may be made or it failed.
+func (x *relay) another() *result {
+	for unsent := -1; unsent < x.unsent; {
+		unsent = x.unsent
+		if x.launch() != attempt.ReasonNone {
+			return nil
+		}
+		if r := x.await(); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
 // key returns the key of the target at an address, by the choice that led there.
 func (x *relay) key(address string) string {
 	if x.won != nil && x.won.choice.Address == address {
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -159,7 +159,8 @@
 	return s.log.String()
 }
 
-func newSite(t *testing.T) *site {
+// newSite starts the server; change may alter its configuration.
+func newSite(t *testing.T, change ...func(cfg *entry.Config)) *site {
 	t.Helper()
 	s := &site{
 		await:   func(context.Context) bool { return false },
@@ -182,7 +183,7 @@
 		Key:     "t",
 		Done:    func(outlier.End, time.Duration) {},
 	}
-	srv, err := entry.New(entry.Config{
+	cfg := entry.Config{
 		Notices:         &notice.Ledger{},
 		Listen:          netip.MustParseAddrPort("127.0.0.1:0"),
 		MaxBody:         1 << 20,
@@ -218,7 +219,11 @@
 		Collector:   outlier.NewCollector(time.Second),
 		Served:      func(string, string, int, string, time.Duration) {},
 		Log:         logrus.NewEntry(log),
-	})
+	}
+	for _, c := range change {
+		c(&cfg)
+	}
+	srv, err := entry.New(cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -119,14 +119,25 @@
 	// Heard takes what the target says of itself in its answer, however the attempt ends,
 	// and why it can't be read. nil takes nothing.
 	Heard func(n notice.Notice, err error)
+	// Barred tells whether the target has said that it wants no request now. It is asked
+	// last before the first byte is sent. nil means that it never has.
+	Barred func(now time.Time) bool
 }
 
 // Do makes one attempt. It returns the answer, whose Close must be called, or an
 // *Error. ctx is the caller's: its end cancels the attempt and the answer.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
+	if r.Barred != nil && r.Barred(time.Now()) {
+		// The claim would end the connection, which is of use once the target's rest is over.
+		return nil, &Error{
+			kind:    KindBarred,
+			target:  r.Target,
+			outcome: attempt.OutcomeNotRun,
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	watch := newWatchdog(time.Until(r.Deadline), cancel)
-	cl := newClaim(r.Deadline)
+	cl := newClaim(r.Deadline, r.Barred)
 	res, err := c.send(ctx, cl, r)
 	if err != nil {
 		e := failure(ctx, r.Target, cl, watch, err)
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -25,6 +25,9 @@
 	KindReset Kind = "connection broken"
 	// KindShed means that the target refused the request before running it.
 	KindShed Kind = "refused by the target"
+	// KindBarred means that the target had said that it wants no request now, so that
+	// nothing was sent.
+	KindBarred Kind = "target wants no request now"
 	// KindForeign means that the answer belongs to another request.
 	KindForeign Kind = "answer to another request"
 	// KindOther means that another process has the target's address.
@@ -69,7 +72,7 @@
 // health; a late start or a caller that left is not the target's doing.
 func (e *Error) Against() bool {
 	switch e.kind {
-	case KindShed, KindOther, KindLate, KindSealed, KindCaller:
+	case KindShed, KindOther, KindLate, KindSealed, KindCaller, KindBarred:
 		return false
 	default:
 		return true
--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -13,13 +13,14 @@
 	c.dial = dial
 }
 
-// NewGuard returns a connection that writes for an attempt with a time limit,
-// and a function that ends the attempt and tells whether anything was written.
-func NewGuard(conn net.Conn, limit time.Time) (guarded net.Conn, seal func() bool) {
+// NewGuard returns a connection that writes for an attempt with a time limit to a
+// target that may be barred, and a function that ends the attempt and tells whether
+// anything was written.
+func NewGuard(conn net.Conn, limit time.Time, barred func(now time.Time) bool) (guarded net.Conn, seal func() bool) {
 	g := &guard{
 		Conn: conn,
 	}
-	c := newClaim(limit)
+	c := newClaim(limit, barred)
 	g.use(c)
 	return g, c.seal
 }
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -12,16 +12,19 @@
 // claim is the right of one attempt to write to a target. It knows whether any
 // byte was handed to the kernel, which is what "not run" rests on.
 type claim struct {
-	mu      sync.Mutex
-	limit   time.Time
+	mu    sync.Mutex
+	limit time.Time
+	// barred tells whether the target wants no request now; nil means it does.
+	barred  func(now time.Time) bool
 	bound   int
 	written bool
 	sealed  bool
 }
 
-func newClaim(limit time.Time) *claim {
+func newClaim(limit time.Time, barred func(now time.Time) bool) *claim {
 	return &claim{
-		limit: limit,
+		limit:  limit,
+		barred: barred,
 	}
 }
 
@@ -40,7 +43,11 @@
 
 // enter is called immediately before bytes go to the kernel. The time limit is
 // checked there and not earlier: the process may have been frozen between the
-// choice of a target and the write.
+// choice of a target and the write. So is what the target said of itself: an
+// answer to another request may have come since the choice, which another node may
+// have made that doesn't know of it. Four nodes that left it to who chooses sent
+// 97 requests to a target in 2 s that had said for 2 s that it leaves
+// (TestLeavingTargetsGetNothingMore).
 func (c *claim) enter(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,6 +62,12 @@
 			kind: KindLate,
 		}
 	}
+	if !c.written && c.barred != nil && c.barred(now) {
+		c.sealed = true
+		return &Error{
+			kind: KindBarred,
+		}
+	}
 	c.written = true
 	return nil
 }
--- a/internal/forward/guard_test.go
+++ b/internal/forward/guard_test.go
@@ -12,12 +12,23 @@
 	"ploverjunction.example/ploverjunction/internal/forward"
 )
 
+// barredAfter returns a function that bars a target from a time on, none for 0.
+func barredAfter(d time.Duration) func(time.Time) bool {
+	if d == 0 {
+		return nil
+	}
+	from := time.Now().Add(d)
+	return func(now time.Time) bool { return !now.Before(from) }
+}
+
 func TestGuardWritesOnlyForAValidClaim(t *testing.T) {
 	cases := []struct {
-		name  string
-		steps func(c net.Conn, seal func() bool)
-		want  string
-		wrote bool
+		name string
+		// barred is after how long the target wants nothing any more, 0 for never.
+		barred time.Duration
+		steps  func(c net.Conn, seal func() bool)
+		want   string
+		wrote  bool
 	}{
 		{
 			name:  "in time",
@@ -44,6 +55,27 @@
 			want:  "ab",
 			wrote: true,
 		},
+		{
+			name:   "barred since it was chosen",
+			barred: 10 * time.Millisecond,
+			steps: func(c net.Conn, _ func() bool) {
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, "a")
+			},
+			want:  "",
+			wrote: false,
+		},
+		{
+			name:   "barred once it has begun",
+			barred: 10 * time.Millisecond,
+			steps: func(c net.Conn, _ func() bool) {
+				_, _ = io.WriteString(c, "a")
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, "b")
+			},
+			want:  "ab",
+			wrote: true,
+		},
 		{
 			name: "given up before the write",
 			steps: func(c net.Conn, seal func() bool) {
@@ -73,7 +105,7 @@
 					b, _ := io.ReadAll(far)
 					got <- string(b)
 				}()
-				c, seal := forward.NewGuard(near, time.Now().Add(time.Second))
+				c, seal := forward.NewGuard(near, time.Now().Add(time.Second), barredAfter(tc.barred))
 				tc.steps(c, seal)
 				if wrote := seal(); wrote != tc.wrote {
 					t.Errorf("seal says written %t, want %t", wrote, tc.wrote)
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -16,6 +16,7 @@
 func (d *dispatching) chooseAlone(q *entry.Query, p part) (entry.Choice, error) {
 	now := time.Now()
 	self := d.board.view.Load().Self()
+	barred := d.board.barred(now, d.newest(q.Service), p.hall)
 	a := &dispatch.Ask{
 		ID: dispatch.ID{
 			Node:   self.Address(),
@@ -31,6 +32,8 @@
 		Aim:        q.Aim,
 		Deadline:   q.Deadline,
 		Tried:      q.Tried,
+		Barred:     barred.resting,
+		Leaving:    barred.leaving,
 		Route:      q.Route,
 	}
 	d.mu.Lock()
@@ -60,6 +63,7 @@
 			Result:   resultOf(end),
 			TookMs:   uint32(took.Milliseconds()),
 			Lost:     end.Lost,
+			Leaving:  d.board.standing(time.Now(), t).Leaving,
 		})
 	}), nil
 }
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -44,6 +44,17 @@
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
 	q.Tried = d.avoid(q)
+	for range mostBarred {
+		if r := d.chooseJointly(ctx, q); !r.barred {
+			return r.choice, r.err
+		}
+	}
+	return d.chooseAlone(q, d.homeOf(q.Service))
+}
+
+// chooseJointly takes a target that another node may have chosen. Where that one had told this
+// node that it wants no request, the reply is barred: the next ask names the target.
+func (d *dispatching) chooseJointly(ctx context.Context, q *entry.Query) reply {
 	home, others := d.ways(time.Now(), q)
 	first := d.askPart(ctx, q, home, dispatchers, len(others) > 0 && passes(q))
 	r := first
@@ -55,15 +66,24 @@
 	}
 	switch {
 	case r.settled():
-		return r.choice, r.err
+		return r
 	case first.refused():
-		return first.choice, first.err
+		return first
 	case first.full:
 		if r = d.askPart(ctx, q, home, dispatchers, false); r.usable || r.err != nil {
-			return r.choice, r.err
+			return r
+		}
+	}
+	if first.barred || r.barred {
+		return reply{
+			barred: true,
 		}
 	}
-	return d.chooseAlone(q, home)
+	c, err := d.chooseAlone(q, home)
+	return reply{
+		choice: c,
+		err:    err,
+	}
 }
 
 // reply is what came of asking for a target of a part. Without any of its values set
@@ -74,6 +94,8 @@
 	// usable is set where there is a choice, full where no target is free now.
 	usable bool
 	full   bool
+	// barred is set where the target that was granted wants no request from this node.
+	barred bool
 }
 
 // settled tells whether no other part need be asked.
@@ -120,12 +142,7 @@
 	default:
 		d.took(peer, q, p)
 	}
-	c, usable, err := d.take(peer, q, p, g)
-	return reply{
-		choice: c,
-		err:    err,
-		usable: usable && err == nil,
-	}
+	return d.take(peer, q, p, g)
 }
 
 // avoid returns the targets that this node should not get: those that can't be reached
@@ -231,6 +248,7 @@
 func (d *dispatching) sendAsk(peer string, id uint64, q *entry.Query, p part, passing bool) {
 	now := time.Now()
 	spent := d.elsewhere(peer, p)
+	barred := d.board.barred(now, d.newest(q.Service), p.hall)
 	out := &wire.Datagram{
 		Call: id,
 		Body: &wire.Datagram_Ask{
@@ -247,6 +265,8 @@
 				AimMs:      uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
 				DeadlineMs: uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
 				Tried:      q.Tried,
+				Barred:     barred.resting[:min(len(barred.resting), mostTried)],
+				Leaving:    barred.leaving[:min(len(barred.leaving), mostTried)],
 				Route:      q.Route,
 
 				FirstsElsewhere:  uint32(spent.Firsts),
@@ -262,17 +282,21 @@
 	d.messenger.send(peer, out)
 }
 
-// take turns an answer into a choice. It isn't usable if this node doesn't know
-// the target or the dispatcher not the service.
-func (d *dispatching) take(peer string, q *entry.Query, p part, g granted) (c entry.Choice, usable bool, err error) {
+// take turns an answer into a choice. It isn't usable if this node doesn't know the target,
+// may send it nothing, or the dispatcher doesn't know the service.
+func (d *dispatching) take(peer string, q *entry.Query, p part, g granted) reply {
 	switch g.grant.GetVerdict() {
 	case wire.Grant_GRANTED:
 	case wire.Grant_REFUSED:
-		return entry.Choice{}, true, entry.NewNoTargetError(attempt.ReasonTargets, time.Duration(g.grant.GetRetryAfterMs())*time.Millisecond)
+		return reply{
+			err: entry.NewNoTargetError(attempt.ReasonTargets, time.Duration(g.grant.GetRetryAfterMs())*time.Millisecond),
+		}
 	case wire.Grant_BUDGET:
-		return entry.Choice{}, true, entry.NewNoTargetError(attempt.ReasonBudget, 0)
+		return reply{
+			err: entry.NewNoTargetError(attempt.ReasonBudget, 0),
+		}
 	default:
-		return entry.Choice{}, false, nil
+		return reply{}
 	}
 	t := d.newest(q.Service).Target(g.grant.GetTarget())
 	if t == nil || t.Leaving() {
@@ -282,18 +306,33 @@
 			result = wire.Done_GONE
 		}
 		d.tell(peer, doneOf(p, g, result, 0))
-		return entry.Choice{}, false, nil
+		return reply{}
 	}
-	c = choiceOf(t, peer, func(end outlier.End, took time.Duration) {
+	if said := d.board.standing(time.Now(), t); said.Barred() {
+		// The target told this node, and whoever chose may not have heard it.
+		done := doneOf(p, g, wire.Done_IGNORED, 0)
+		done.Leaving = said.Leaving
+		d.tell(peer, done)
+		d.log.WithField("service", p.service).WithField("target", t.Key()).WithField("by", peer).
+			WithField("leaving", said.Leaving).WithField("rest_ms", said.Rest.Milliseconds()).Info("granted target wants no request")
+		return reply{
+			barred: true,
+		}
+	}
+	c := choiceOf(t, peer, func(end outlier.End, took time.Duration) {
 		done := doneOf(p, g, resultOf(end), took)
 		done.Lost = end.Lost
+		done.Leaving = d.board.standing(time.Now(), t).Leaving
 		d.tell(peer, done)
 		d.note(peer, q, p, t.Key(), end, took)
 	})
 	c.Doubt = float64(g.grant.GetDoubt()) / 1000
 	c.Trial = g.grant.GetTrial()
 	c.HedgeAfter = time.Duration(g.grant.GetHedgeAfterMs()) * time.Millisecond
-	return c, true, nil
+	return reply{
+		choice: c,
+		usable: true,
+	}
 }
 
 // note keeps what this node saw itself of a target that a dispatcher chose, for when
--- a/internal/node/choosing.go
+++ b/internal/node/choosing.go
@@ -29,7 +29,8 @@
 	if pool == nil {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
-	pick, ok := pool.Pick(rand.Uint64, q.Tried)
+	barred := a.board.barred(time.Now(), q.Service, "")
+	pick, ok := pool.Pick(rand.Uint64, q.Tried, barred.keys())
 	if !ok {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
@@ -50,7 +51,12 @@
 	if !ok {
 		return entry.Choice{}, false
 	}
-	return picked(s, pick)
+	c, ok := picked(s, pick)
+	if ok && a.board.notices.Standing(time.Now(), c.Life).Barred() {
+		pick.Release()
+		return entry.Choice{}, false
+	}
+	return c, ok
 }
 
 // picked finds the target of a pick. The pool may be of an older configuration
@@ -70,6 +76,7 @@
 		Address:  t.Address(),
 		Key:      t.Key(),
 		ID:       t.ID(),
+		Life:     lifeOf(t),
 		DataHall: t.DataHall(),
 		By:       by,
 		Done:     done,
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -148,6 +148,7 @@
 			DataHall: t.DataHall(),
 			Slots:    t.Slots(),
 			Leaving:  t.Leaving(),
+			Named:    t.ID() != "",
 			Warmup:   t.Warmup(),
 		})
 	}
@@ -173,6 +174,8 @@
 		Aim:        now.Add(time.Duration(w.GetAimMs()) * time.Millisecond),
 		Deadline:   now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
 		Tried:      w.GetTried(),
+		Barred:     w.GetBarred(),
+		Leaving:    w.GetLeaving(),
 		Route:      w.GetRoute(),
 		Passing:    w.GetPassing(),
 		Elsewhere: dispatch.Spending{
@@ -277,6 +280,9 @@
 	if dk != nil && w.GetTarget() == "" {
 		out = dk.Cancel(now, id)
 	} else if dk != nil {
+		if w.GetLeaving() {
+			dk.Leaves(now, w.GetTarget())
+		}
 		if w.GetLost() {
 			dk.Lost(w.GetTarget(), id)
 		}
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -37,6 +37,9 @@
 	lostTime = 4 * time.Second
 	// mostTried bounds the targets that an ask names, in keys of 20 bytes or so.
 	mostTried = 24
+	// mostBarred is how often a target is asked for again because the one that was granted
+	// wants no request: each ask names the targets of which that is known by then.
+	mostBarred = 3
 	// dispatchers is how many nodes are asked, one after another, before a node
 	// chooses alone.
 	dispatchers = 2
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,7 +184,7 @@
 		self:    n.self,
 	}, n.judging.verdict, logging.Part(n.log, "observing"))
 	n.judging.report = n.observing.collect
-	n.probing = newProbing(n.board, n.adapter.Contract.Leaving, n.observing.collect, logging.Part(n.log, "probing"))
+	n.probing = newProbing(n.board, n.adapter.Contract, n.observing.collect, logging.Part(n.log, "probing"))
 	n.lifecycle = &lifecycle{
 		board:       n.board,
 		begun:       n.begun,
@@ -230,6 +230,7 @@
 		refusals: refusals,
 		at:       time.Now(),
 	})
+	n.board.forget(time.Now(), c)
 }
 
 // Sync serves dissemination to peers.
--- /dev/null
+++ b/internal/node/notices_test.go
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/node"
+	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// saying returns a service with two targets in each of some data halls, id-a0, id-a1 and so on.
+func saying(halls string, each int) []*wire.Entry {
+	var targets []string
+	for at, hall := range halls {
+		for i := range each {
+			targets = append(targets, fmt.Sprintf(`{"service":"quotes","id":"id-%c%d","address":"192.0.2.%d:80","dataHall":"%c","slots":3,"connections":200}`,
+				hall, i, 100*at+i+10, hall))
+		}
+	}
+	return []*wire.Entry{
+		{
+			Key:      "services",
+			Revision: 1,
+			Value:    []byte(`{"services":[{"name":"quotes"}],"targets":[` + strings.Join(targets, ",") + `]}`),
+		},
+	}
+}
+
+// A node that was told that a target leaves tells its own desk with the next ask, and gets
+// another one.
+func TestNodeTellsThatATargetLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := node.NewChooser("quotes", saying("a", 2))
+		c.Hear("id-a0", notice.Notice{
+			Leaving: true,
+		})
+		for range 5 {
+			choice, err := c.Choose(context.Background())
+			if err != nil || choice.Key != "id-a1" {
+				t.Fatalf("got %q, error %v", choice.Key, err)
+			}
+			choice.Done(outlier.End{}, 0)
+		}
+		if !c.Leaves("id-a0") {
+			t.Error("the desk doesn't know")
+		}
+	})
+}
+
+// A word of leaving that comes with an answer reaches whoever granted the target.
+func TestEndTellsThatATargetLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := node.NewChooser("quotes", saying("a", 2))
+		choice, err := c.Choose(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Hear(choice.Key, notice.Notice{
+			Leaving: true,
+		})
+		choice.Done(outlier.End{}, 0)
+		if !c.Leaves(choice.Key) {
+			t.Error("the desk doesn't know")
+		}
+		if failing := c.Failing(choice.Key); failing > 0.02 {
+			t.Errorf("the word is held against the target: %v", failing)
+		}
+	})
+}
+
+// A dispatcher that grants a target which the node may not use is asked again, and then the
+// node chooses alone; whatever it says, the target gets nothing.
+func TestGrantOfABarredTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		other := membership.NewNode("192.0.2.2:1", "b")
+		c := node.NewChooserOf(membership.NewNode("192.0.2.1:1", "c"), "quotes", saying("b", 3), other)
+		c.Hear("id-b2", notice.Notice{
+			Leaving: true,
+		})
+		for range 5 {
+			choice, err := c.Choose(context.Background())
+			if err != nil || choice.Key == "id-b2" || choice.Key == "" {
+				t.Fatalf("got %q, error %v", choice.Key, err)
+			}
+			choice.Done(outlier.End{}, 0)
+		}
+		if c.Asked()["192.0.2.2:1 "] == 0 {
+			t.Error("the dispatcher wasn't asked")
+		}
+	})
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -107,6 +107,13 @@
 	return p
 }
 
+// homeOf is home for who doesn't hold d.mu.
+func (d *dispatching) homeOf(s *fleetconfig.Service) part {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.home(s)
+}
+
 // ways returns the part to ask first and those that may be asked for a free target after
 // it. A second attempt beside one that goes on is decided where that was.
 func (d *dispatching) ways(now time.Time, q *entry.Query) (home part, others []part) {
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -10,7 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
@@ -28,20 +30,19 @@
 // clears a target and its failure never condemns one: such endpoints answer
 // while real work stalls.
 type probing struct {
-	board  *Board
-	report func(now time.Time, evidence []outlier.Evidence)
-	// leaving tells whether a probe's answer says that its target is leaving.
-	leaving func(h http.Header) bool
-	client  *http.Client
-	log     *logrus.Entry
+	board    *Board
+	report   func(now time.Time, evidence []outlier.Evidence)
+	contract *contract.Contract
+	client   *http.Client
+	log      *logrus.Entry
 }
 
-func newProbing(board *Board, leaving func(http.Header) bool, report func(time.Time, []outlier.Evidence), log *logrus.Entry) *probing {
+func newProbing(board *Board, c *contract.Contract, report func(time.Time, []outlier.Evidence), log *logrus.Entry) *probing {
 	return &probing{
-		board:   board,
-		report:  report,
-		leaving: leaving,
-		log:     log,
+		board:    board,
+		report:   report,
+		contract: c,
+		log:      log,
 		client: &http.Client{
 			Timeout: probeTimeout,
 			Transport: &http.Transport{
@@ -81,6 +82,9 @@
 			continue
 		}
 		for _, t := range s.Targets() {
+			if p.board.standing(time.Now(), t).Barred() {
+				continue
+			}
 			slots <- struct{}{}
 			all.Go(ctx, "probe", func(ctx context.Context) error {
 				defer func() { <-slots }()
@@ -103,7 +107,19 @@
 		return fmt.Errorf("node: probe: %w", err)
 	}
 	_ = res.Body.Close()
-	if !p.leaving(res.Header) {
+	rest, err := p.contract.Rest(res.StatusCode, res.Header)
+	said := notice.Notice{
+		Leaving: p.contract.Leaving(res.Header),
+		Rest:    rest,
+	}
+	if p.board.notices.Hear(time.Now(), lifeOf(t), said) {
+		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithField("leaving", said.Leaving).
+			WithField("rest_ms", said.Rest.Milliseconds()).Info("target says what it wants")
+	}
+	if err != nil {
+		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithError(err).Warn("target asks for a rest that can't be read")
+	}
+	if !said.Leaving {
 		return nil
 	}
 	p.report(time.Now(), []outlier.Evidence{
--- a/internal/notice/ledger.go
+++ b/internal/notice/ledger.go
@@ -3,7 +3,7 @@
 package notice
 
 import (
-	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +20,8 @@
 	// keptUnlisted is how long a target that isn't published is remembered: entries of
 	// targets that live may be away while the platform is.
 	keptUnlisted = 10 * time.Minute
-	// mostKept bounds the targets that are remembered, some 100 bytes each: more than the
-	// 8,700 of the largest fleet that is planned for.
+	// mostKept bounds the targets that are remembered, some 250 bytes each: more than the
+	// 8,700 of the largest fleet that is planned for. Beyond it the oldest tenth goes.
 	mostKept = 10_000
 )
 
@@ -51,7 +51,7 @@
 }
 
 // Barred tells whether no request may be sent to the target.
-func (s Standing) Barred() bool { return s.Leaving || s.Rest > 0 }
+func (s Standing) Barred() bool { return s.Leaving }
 
 // record is what is known of one life.
 type record struct {
@@ -77,16 +77,22 @@
 // Ledger holds the notices that this node heard. Its zero value is empty. It may be used
 // concurrently; reading takes no lock, for each attempt reads it before it sends.
 type Ledger struct {
-	mu      sync.Mutex
-	records atomic.Pointer[map[Life]record]
+	// mu is held by those who write.
+	mu sync.Mutex
+	// records holds a record by its Life; known is how many there are.
+	records sync.Map
+	known   atomic.Int64
 }
 
-// known returns the records, which must not be changed.
-func (l *Ledger) known() map[Life]record {
-	if m := l.records.Load(); m != nil {
-		return *m
+// record returns what is known of a life.
+func (l *Ledger) record(life Life) record {
+	if l.Empty() {
+		return record{}
 	}
-	return nil
+	if r, ok := l.records.Load(life); ok {
+		return r.(record)
+	}
+	return record{}
 }
 
 // Hear takes in what an answer says and tells whether it changed what holds. A rest never
@@ -97,8 +103,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old := l.known()
-	r := old[life]
+	r := l.record(life)
 	before := r.standing(now)
 	r.heard = now
 	if n.Leaving {
@@ -113,58 +118,53 @@
 		r.restFrom = now
 		r.restUntil = now.Add(rest)
 	}
-	next := make(map[Life]record, len(old)+1)
-	maps.Copy(next, old)
-	next[life] = r
-	drop(now, next)
-	l.records.Store(&next)
+	if _, old := l.records.Swap(life, r); !old && l.known.Add(1) > mostKept {
+		l.dropOldest()
+	}
 	return longer || n.Leaving && !before.Leaving
 }
 
-// drop forgets what was heard longest ago where there is too much.
-func drop(now time.Time, records map[Life]record) {
-	if len(records) <= mostKept {
-		return
+// dropOldest forgets the tenth of all that was heard longest ago. l.mu is held.
+func (l *Ledger) dropOldest() {
+	var lives []Life
+	for life := range l.records.Range {
+		lives = append(lives, life.(Life))
 	}
-	oldest := now
-	var out Life
-	for life, r := range records {
-		if !r.heard.After(oldest) {
-			oldest, out = r.heard, life
-		}
+	slices.SortFunc(lives, func(a, b Life) int { return l.record(a).heard.Compare(l.record(b).heard) })
+	for _, life := range lives[:mostKept/10] {
+		l.drop(life)
 	}
-	delete(records, out)
 }
 
-// Standing returns what holds for a target at now.
-func (l *Ledger) Standing(now time.Time, life Life) Standing {
-	return l.known()[life].standing(now)
+// drop forgets a life. l.mu is held.
+func (l *Ledger) drop(life Life) {
+	l.records.Delete(life)
+	l.known.Add(-1)
 }
 
+// Standing returns what holds for a target at now.
+func (l *Ledger) Standing(now time.Time, life Life) Standing { return l.record(life).standing(now) }
+
 // Empty tells whether nothing is known of any target, as on most days.
-func (l *Ledger) Empty() bool { return len(l.known()) == 0 }
+func (l *Ledger) Empty() bool { return l.known.Load() == 0 }
 
-// Forget drops what holds no more, and lives that aren't published and of which nothing was
-// heard for some minutes.
+// Forget drops what holds no more, and lives that aren't published any more and of which
+// nothing was heard for some minutes.
 func (l *Ledger) Forget(now time.Time, published func(Life) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old := l.known()
-	next := make(map[Life]record, len(old))
-	for life, r := range old {
-		if r.standing(now).Barred() && (published(life) || now.Sub(r.heard) < keptUnlisted) {
-			next[life] = r
+	for key, value := range l.records.Range {
+		life, r := key.(Life), value.(record)
+		if !r.standing(now).Barred() || !published(life) && now.Sub(r.heard) >= keptUnlisted {
+			l.drop(life)
 		}
 	}
-	if len(next) < len(old) {
-		l.records.Store(&next)
-	}
 }
 
 // Counts returns how many targets leave and how many rest, by what this node heard.
 func (l *Ledger) Counts(now time.Time) (leaving, resting int) {
-	for _, r := range l.known() {
-		s := r.standing(now)
+	for _, r := range l.records.Range {
+		s := r.(record).standing(now)
 		if s.Leaving {
 			leaving++
 		}
