internal/notice, internal/node, internal/dispatch: a target that wants rest is left alone

A target that had turned a node away and asked it for three seconds of rest got four more requests from it in that time.

Cause: the rest was read nowhere, and beliefs about a target are shared: once it had answered another node well it was good for all. The node now holds itself to the rest, asked last before the first byte, and names the target in its asks, so that its dispatcher grants it none. The refusal isn't held against the target's health any more.

--- a/internal/dispatch/coverage.go
+++ b/internal/dispatch/coverage.go
@@ -96,7 +96,7 @@
 // Second attempts don't pay for it, they are the last ones of their requests.
 func (d *Desk) missing(now time.Time, t *target, a *Ask) float64 {
 	price := d.coverage(now).price
-	if a.Again || len(t.flights) >= t.Slots {
+	if a.Again || len(t.flights) >= d.slots(now, t) {
 		return 0
 	}
 	return price * t.missed
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -28,6 +28,9 @@
 		d.learn(f.route, r, took)
 	}
 	t.noteGone(now, r)
+	if r == ResultGood || r == ResultBad {
+		t.resting = resting{}
+	}
 	if ok && r == ResultUnreached && t.granted.Equal(f.begun) {
 		// Nothing reached the target: it still waits for work.
 		t.granted = f.before
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -25,11 +25,14 @@
 	ResultIgnored
 	// ResultGone means that the target is gone or another process has its address.
 	ResultGone
+	// ResultResting means that the target refused the request before running it and wants
+	// nothing from the node for a time.
+	ResultResting
 )
 
 // String returns the result in words.
 func (r Result) String() string {
-	return [...]string{"good", "bad", "shed", "unreached", "ignored", "gone"}[r]
+	return [...]string{"good", "bad", "shed", "unreached", "ignored", "gone", "resting"}[r]
 }
 
 // kindOf returns what the end of an attempt shows. idle is set when the target had
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -126,7 +126,7 @@
 	var best *target
 	out, all := 0, 0
 	for _, t := range d.order {
-		if t.leaves(now) {
+		if t.leaves(now) || now.Before(t.resting.until) {
 			continue
 		}
 		all++
@@ -137,7 +137,7 @@
 		if s.calm && t.DataHall != a.DataHall && crossing*float64(a.Kilobytes) > spreadCrossing {
 			continue
 		}
-		if t.open(now, a) && len(t.flights) < t.Slots && (best == nil || t.failing(now) < best.failing(now)) {
+		if t.open(now, a) && len(t.flights) < d.slots(now, t) && (best == nil || t.failing(now) < best.failing(now)) {
 			best = t
 		}
 	}
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -33,6 +33,7 @@
 	// left is until when the target leaves by its own word, which any node may have heard;
 	// the zero time means that it said nothing.
 	left    time.Time
+	resting resting
 	flights map[ID]flight
 	// granted is when the target last got work.
 	granted time.Time
@@ -87,7 +88,7 @@
 
 // steady returns the probability that the target counts at now.
 func (t *target) steady(now time.Time) float64 {
-	if now.Before(t.gone) {
+	if now.Before(t.gone) || t.resting.tried() {
 		return 0
 	}
 	return t.health.Steady(now, now.Add(-coverSettled))
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -54,16 +54,13 @@
 	if t == nil {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
+	own := granted{
+		grant: &wire.Grant{
+			Target: t.Key(),
+		},
+		number: a.ID.Number,
+	}
 	return choiceOf(t, byItself, func(end outlier.End, took time.Duration) {
-		d.end(a.ID.Node, &wire.Done{
-			Service:  p.service,
-			DataHall: p.hall,
-			Request:  a.ID.Number,
-			Target:   t.Key(),
-			Result:   resultOf(end),
-			TookMs:   uint32(took.Milliseconds()),
-			Lost:     end.Lost,
-			Leaving:  d.board.standing(time.Now(), t).Leaving,
-		})
+		d.end(a.ID.Node, endOf(p, own, end, d.board.standing(time.Now(), t), took))
 	}), nil
 }
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -320,11 +320,9 @@
 		}
 	}
 	c := choiceOf(t, peer, func(end outlier.End, took time.Duration) {
-		done := doneOf(p, g, resultOf(end), took)
-		done.Lost = end.Lost
-		done.Leaving = d.board.standing(time.Now(), t).Leaving
+		done := endOf(p, g, end, d.board.standing(time.Now(), t), took)
 		d.tell(peer, done)
-		d.note(peer, q, p, t.Key(), end, took)
+		d.note(peer, q, p, done, end)
 	})
 	c.Doubt = float64(g.grant.GetDoubt()) / 1000
 	c.Trial = g.grant.GetTrial()
@@ -337,12 +335,12 @@
 
 // note keeps what this node saw itself of a target that a dispatcher chose, for when
 // it must choose alone. Its own desk has been told already.
-func (d *dispatching) note(dispatcher string, q *entry.Query, p part, key string, end outlier.End, took time.Duration) {
+func (d *dispatching) note(dispatcher string, q *entry.Query, p part, done *wire.Done, end outlier.End) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if end.Unreached {
-		d.lost[key] = now.Add(lostTime)
+		d.lost[done.GetTarget()] = now.Add(lostTime)
 	}
 	if dispatcher == d.board.view.Load().Self().Address() {
 		return
@@ -352,6 +350,6 @@
 		return
 	}
 	if dk := d.desk(now, p); dk != nil {
-		dk.Note(now, key, q.Route, dispatch.Result(resultOf(end)), took)
+		dk.Note(now, done.GetTarget(), q.Route, dispatch.Result(done.GetResult()), time.Duration(done.GetTookMs())*time.Millisecond)
 	}
 }
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -286,6 +286,9 @@
 		if w.GetLost() {
 			dk.Lost(w.GetTarget(), id)
 		}
+		if rest := w.GetRestMs(); rest > 0 {
+			dk.Rest(now, w.GetTarget(), id, time.Duration(rest)*time.Millisecond)
+		}
 		out = dk.Done(now, id, w.GetTarget(), dispatch.Result(w.GetResult()), time.Duration(w.GetTookMs())*time.Millisecond)
 	}
 	d.mu.Unlock()
--- a/internal/node/done.go
+++ b/internal/node/done.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -21,6 +22,19 @@
 	}
 }
 
+// endOf returns the message about the end of an attempt that was sent, with what its target said
+// of itself to this node. A target that wants rest is well: that isn't held against it.
+func endOf(p part, g granted, end outlier.End, said notice.Standing, took time.Duration) *wire.Done {
+	done := doneOf(p, g, resultOf(end), took)
+	done.Lost = end.Lost
+	done.Leaving = said.Leaving
+	if end.Shed && said.Rest > 0 {
+		done.Result = wire.Done_RESTING
+		done.RestMs = uint32(said.Rest.Milliseconds())
+	}
+	return done
+}
+
 // resultOf returns what an end says of its target.
 func resultOf(end outlier.End) wire.Done_Result {
 	switch {
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/node"
@@ -97,3 +98,40 @@
 		}
 	})
 }
+
+// A target that asked the node for rest gets nothing from it until that is over, isn't held to
+// fail, and works again after it.
+func TestNodeLeavesATargetAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rest = 3 * time.Second
+		c := node.NewChooser("quotes", saying("a", 2))
+		first, err := c.Choose(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Hear(first.Key, notice.Notice{
+			Rest: rest,
+		})
+		begun := time.Now()
+		first.Done(outlier.End{
+			Shed: true,
+		}, time.Millisecond)
+		if failing := c.Failing(first.Key); failing > 0.03 {
+			t.Errorf("the refusal is held against the target: %v", failing)
+		}
+		for time.Since(begun) < 2*rest {
+			choice, err := c.Choose(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if choice.Key == first.Key {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+			choice.Done(outlier.End{}, 20*time.Millisecond)
+		}
+		if back := time.Since(begun); back < rest || back >= 2*rest {
+			t.Errorf("the target got work again after %v", back)
+		}
+	})
+}
--- a/internal/notice/ledger.go
+++ b/internal/notice/ledger.go
@@ -51,7 +51,7 @@
 }
 
 // Barred tells whether no request may be sent to the target.
-func (s Standing) Barred() bool { return s.Leaving }
+func (s Standing) Barred() bool { return s.Leaving || s.Rest > 0 }
 
 // record is what is known of one life.
 type record struct {
