internal/notice, internal/node: callers of a service whose targets all rest hear when it can be served

They were told to come back in a quarter of a second (a second where that is rounded up), four before any target wanted a request, after theirs had been sent to targets that wanted none. Cause: the time that each target told was read nowhere.

The node refuses at once, with the end of the first rest, and spreads the returns over half of that rest: told its end alone they return at 31 times the usual load in a tenth of a second, spread at 3.4 times (TestNoHerdWhenRestEnds).

--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -45,13 +45,29 @@
 	defer cancel()
 	q.Tried = d.avoid(q)
 	for range mostBarred {
-		if r := d.chooseJointly(ctx, q); !r.barred {
+		if err := d.board.refuseRest(time.Now(), d.newest(q.Service)); err != nil {
+			return entry.Choice{}, err
+		}
+		r := d.chooseJointly(ctx, q)
+		switch {
+		case r.refused():
+			return entry.Choice{}, d.whenServed(q, r.err)
+		case !r.barred:
 			return r.choice, r.err
 		}
 	}
 	return d.chooseAlone(q, d.homeOf(q.Service))
 }
 
+// whenServed returns the refusal of a request with the time that this node knows: all targets may
+// have come to rest while it waited.
+func (d *dispatching) whenServed(q *entry.Query, refusal error) error {
+	if err := d.board.refuseRest(time.Now(), d.newest(q.Service)); err != nil {
+		return err
+	}
+	return refusal
+}
+
 // chooseJointly takes a target that another node may have chosen. Where that one had told this
 // node that it wants no request, the reply is barred: the next ask names the target.
 func (d *dispatching) chooseJointly(ctx context.Context, q *entry.Query) reply {
--- a/internal/node/choosing.go
+++ b/internal/node/choosing.go
@@ -29,7 +29,11 @@
 	if pool == nil {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
-	barred := a.board.barred(time.Now(), q.Service, "")
+	now := time.Now()
+	if err := a.board.refuseRest(now, q.Service); err != nil {
+		return entry.Choice{}, err
+	}
+	barred := a.board.barred(now, q.Service, "")
 	pick, ok := pool.Pick(rand.Uint64, q.Tried, barred.keys())
 	if !ok {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -3,8 +3,11 @@
 package node
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/notice"
 )
@@ -57,6 +60,39 @@
 	return out
 }
 
+// allRest returns what holds for the target of a service that may be used first, where none may
+// be now: those that stay rest. It tells nothing of a service all of whose targets leave, for
+// others may appear at any moment.
+func (b *Board) allRest(now time.Time, s *fleetconfig.Service) (first notice.Standing, all bool) {
+	if b.notices.Empty() {
+		return first, false
+	}
+	for _, t := range s.Targets() {
+		if t.Leaving() {
+			continue
+		}
+		said := b.standing(now, t)
+		switch {
+		case said.Leaving:
+		case !said.Barred():
+			return first, false
+		case !all || said.Rest < first.Rest:
+			first, all = said, true
+		}
+	}
+	return first, all
+}
+
+// refuseRest returns the refusal of a request whose service rests, or nil. What surely can't be
+// served is refused at once, with the time from when on it can be.
+func (b *Board) refuseRest(now time.Time, s *fleetconfig.Service) error {
+	first, all := b.allRest(now, s)
+	if !all {
+		return nil
+	}
+	return entry.NewNoTargetError(attempt.ReasonTargets, first.ComeBack(rand.Float64()))
+}
+
 // forget drops what targets said that are gone.
 func (b *Board) forget(now time.Time, c *fleetconfig.Config) {
 	if b.notices.Empty() {
--- /dev/null
+++ b/internal/notice/comeback_test.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package notice_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/notice"
+)
+
+// Callers who come while a service rests are told when to return: none before the rest is over,
+// and not so many at once that the service is overloaded by them. Two ways on the same
+// callers: all at the end, and spread.
+func TestNoHerdWhenRestEnds(t *testing.T) {
+	const (
+		rest   = 3 * time.Second
+		beat   = 100 * time.Millisecond
+		second = 200
+	)
+	tests := []struct {
+		name   string
+		random func(rng *rand.Rand) float64
+		// most is the greatest load in a beat, in times the usual one.
+		most float64
+	}{
+		{
+			name:   "all at the end",
+			random: func(*rand.Rand) float64 { return 0 },
+			most:   31,
+		},
+		{
+			name:   "spread",
+			random: func(rng *rand.Rand) float64 { return rng.Float64() },
+			most:   4,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			var l notice.Ledger
+			l.Hear(start, life("id/1"), notice.Notice{
+				Rest: rest,
+			})
+			// come are the requests of each beat from the end of the rest on: those that
+			// come for the first time, and those that return.
+			come := map[time.Duration]float64{}
+			for at := time.Duration(0); at < 2*rest; at += time.Second / second {
+				s := l.Standing(start.Add(at), life("id/1"))
+				back := at
+				if s.Barred() {
+					back = at + s.ComeBack(tt.random(rng))
+				}
+				if back < rest {
+					t.Fatalf("a caller of %v returns after %v, before the rest is over", at, back)
+				}
+				come[back.Truncate(beat)]++
+			}
+			most := 0.0
+			for _, n := range come {
+				most = max(most, n/second/beat.Seconds())
+			}
+			t.Logf("most in a tenth of a second: %.1f times the usual load", most)
+			if most > tt.most {
+				t.Errorf("%.1f times the usual load, want at most %.1f", most, tt.most)
+			}
+		})
+	}
+}
