internal/notice, internal/fleetconfig: words of a life that isn't known yet are its own

Found by reading: a node cut off from the platform takes what a target says for words of the life that it knows. When it hears of the next one, which may have begun long before it said that it leaves, it would send it requests again. What was said 5 s (by how much clocks may differ) or more after a life began holds for it. Also: ploverctl status and operators' status show what targets said; refusals of a service that rests say so (TestWordsOfALifeNotYetKnown, TestWordsOfALifeThatIsOver failed without it).

Lives of targets begin by a true clock.

--- a/cmd/ploverctl/status.go
+++ b/cmd/ploverctl/status.go
@@ -80,6 +80,17 @@
 	for i := range s.Quarantine {
 		writeQuarantine(b, &s.Quarantine[i])
 	}
+	for i := range s.Notices {
+		writeNotice(b, &s.Notices[i])
+	}
+}
+
+func writeNotice(b *strings.Builder, n *operator.NoticeStatus) {
+	state := "leaves"
+	if !n.Leaving {
+		state = "wants nothing for " + (time.Duration(n.RestMS) * time.Millisecond).String()
+	}
+	fmt.Fprintf(b, "  target %s of %s told this node that it %s\n", n.Target, n.Service, state)
 }
 
 func writeQuarantine(b *strings.Builder, q *operator.QuarantineStatus) {
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -52,11 +52,13 @@
 	ReasonTargets
 	// ReasonQuarantine means that targets end under the request.
 	ReasonQuarantine
+	// ReasonRest means that all targets that stay want no request from this node now.
+	ReasonRest
 )
 
 // String returns the reason in words.
 func (r Reason) String() string {
-	return [...]string{"none", "deadline", "may have run", "policy", "retry budget", "caller gone", "no target", "targets end under it"}[r]
+	return [...]string{"none", "deadline", "may have run", "policy", "retry budget", "caller gone", "no target", "targets end under it", "all targets rest"}[r]
 }
 
 // Life is one request from its arrival to its final answer. It isn't safe for
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -47,6 +47,10 @@
 // logNoTarget writes the line about an attempt that couldn't begin.
 func (x *relay) logNoTarget(err error, hedge bool) {
 	l := x.server.log.WithField("request", x.id).WithField("service", x.service.Name()).WithError(err)
+	var none *NoTargetError
+	if errors.As(err, &none) && none.retryAfter > 0 {
+		l = l.WithField("retry_after_ms", none.retryAfter.Milliseconds())
+	}
 	if hedge {
 		l.Debug("no second target for a slow attempt")
 		return
--- a/internal/entry/notice_test.go
+++ b/internal/entry/notice_test.go
@@ -40,6 +40,7 @@
 		Life: notice.Life{
 			Service: "quotes",
 			Key:     key,
+			Name:    key,
 			Named:   true,
 		},
 		Done: func(outlier.End, time.Duration) {},
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -27,6 +27,7 @@
 	leaving     bool
 	warmup      time.Duration
 	key         string
+	born        time.Time
 }
 
 // Service returns the name of the service.
@@ -52,6 +53,10 @@
 // life began, else its address.
 func (t *Target) Key() string { return t.key }
 
+// Born returns when this life of the target began by its own clock, the zero time where it
+// doesn't say.
+func (t *Target) Born() time.Time { return t.born }
+
 // Leaving tells whether the target takes no new work.
 func (t *Target) Leaving() bool { return t.leaving }
 
--- a/internal/fleetconfig/validate.go
+++ b/internal/fleetconfig/validate.go
@@ -223,6 +223,9 @@
 		warmup:      w.GetWarmup().AsDuration(),
 		key:         targetKey(w),
 	}
+	if born := w.GetBorn(); born != 0 {
+		t.born = time.UnixMilli(int64(min(born, math.MaxInt64)))
+	}
 	if t.connections == 0 {
 		t.connections = s.connections
 	}
--- a/internal/integration/notice_test.go
+++ b/internal/integration/notice_test.go
@@ -344,6 +344,17 @@
 			t.Errorf("node %d: Retry-After %q, the rest ends in %v", i, r.header.Get("Retry-After"), time.Until(ends))
 		}
 	}
+	for i, n := range s.nodes {
+		if got := n.status().Notices; len(got) != len(quotes) || got[0].Service != "quotes" || got[0].RestMS <= 0 {
+			t.Errorf("node %d shows %+v", i, got)
+		}
+		if _, out := ctl(t, "status", "--node", n.proc.Load().Operator()); strings.Count(out, "told this node that it wants nothing") != len(quotes) {
+			t.Errorf("node %d: ploverctl shows\n%s", i, out)
+		}
+		if !strings.Contains(n.proc.Load().Log(), "all targets rest") {
+			t.Errorf("node %d doesn't log why", i)
+		}
+	}
 	for i := range 40 {
 		n := s.nodes[i%2]
 		if r := n.do(http.MethodPost, "/documents/1", fmt.Sprintf("document-%d", i), ""); r.status != http.StatusOK || r.took > time.Second {
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -10,6 +11,7 @@
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/operator"
 )
 
 // This file is about what targets said of themselves in answers to this node. It binds the
@@ -21,7 +23,9 @@
 	return notice.Life{
 		Service: t.Service(),
 		Key:     t.Key(),
+		Name:    cmp.Or(t.ID(), t.Address()),
 		Named:   t.ID() != "",
+		Born:    t.Born(),
 	}
 }
 
@@ -90,7 +94,29 @@
 	if !all {
 		return nil
 	}
-	return entry.NewNoTargetError(attempt.ReasonTargets, first.ComeBack(rand.Float64()))
+	return entry.NewNoTargetError(attempt.ReasonRest, first.ComeBack(rand.Float64()))
+}
+
+// noticeStatus lists what targets said to this node that holds now.
+func (b *Board) noticeStatus(now time.Time) []operator.NoticeStatus {
+	c := b.currentConfig()
+	if c == nil || b.notices.Empty() {
+		return nil
+	}
+	var out []operator.NoticeStatus
+	for _, s := range c.Services() {
+		for _, t := range s.Targets() {
+			if said := b.standing(now, t); said.Barred() {
+				out = append(out, operator.NoticeStatus{
+					Service: s.Name(),
+					Target:  t.Key(),
+					Leaving: said.Leaving,
+					RestMS:  said.Rest.Milliseconds(),
+				})
+			}
+		}
+	}
+	return out
 }
 
 // forget drops what targets said that are gone.
--- a/internal/notice/ledger.go
+++ b/internal/notice/ledger.go
@@ -17,6 +17,9 @@
 	// leavingUnnamed is how long a word of leaving holds for a target without a published ID:
 	// its next life has the same address, and can't be told from this one.
 	leavingUnnamed = time.Minute
+	// clockDoubt is by how much the clocks of a target and of this node are taken to differ at
+	// most: the users' bound on time that is off.
+	clockDoubt = 5 * time.Second
 	// keptUnlisted is how long a target that isn't published is remembered: entries of
 	// targets that live may be away while the platform is.
 	keptUnlisted = 10 * time.Minute
@@ -25,12 +28,30 @@
 	mostKept = 10_000
 )
 
-// Life names one life of a target: its service and its key in the configuration.
+// Life names one life of a target as this node knows it.
 type Life struct {
 	Service string
-	Key     string
-	// Named is set where the key holds a published ID, so that the next life has another.
+	// Key is the life's in the configuration; Name is the published ID, or the address where
+	// there is none, which the target keeps over its lives.
+	Key  string
+	Name string
+	// Named is set where Name is an ID: the next life then has another key.
 	Named bool
+	// Born is when the life began by the target's clock, the zero time where it doesn't say.
+	Born time.Time
+}
+
+// place is what all lives of a target share.
+type place struct {
+	service string
+	name    string
+}
+
+func (l Life) place() place {
+	return place{
+		service: l.Service,
+		name:    l.Name,
+	}
 }
 
 // Notice is what one answer says of its target.
@@ -53,8 +74,9 @@
 // Barred tells whether no request may be sent to the target.
 func (s Standing) Barred() bool { return s.Leaving || s.Rest > 0 }
 
-// record is what is known of one life.
+// record is what is known of a target, and the life that said it as it was known then.
 type record struct {
+	life    Life
 	leaving bool
 	// leavingUntil ends the word of leaving; the zero time means never.
 	leavingUntil time.Time
@@ -63,6 +85,16 @@
 	heard        time.Time
 }
 
+// of tells whether a life said what is recorded. A node that doesn't hear of a new life for a
+// while takes its words for those of the one before: what was said once the new one had
+// begun is its own. Clocks may differ; where that leaves a doubt nothing is held against it.
+func (r record) of(life Life) bool {
+	if r.life.Key == life.Key {
+		return true
+	}
+	return life.Born.After(r.life.Born) && life.Born.Add(clockDoubt).Before(r.heard.Round(0))
+}
+
 func (r record) standing(now time.Time) Standing {
 	s := Standing{
 		Leaving: r.leaving && (r.leavingUntil.IsZero() || now.Before(r.leavingUntil)),
@@ -79,18 +111,20 @@
 type Ledger struct {
 	// mu is held by those who write.
 	mu sync.Mutex
-	// records holds a record by its Life; known is how many there are.
+	// records holds a record by its place; known is how many there are.
 	records sync.Map
 	known   atomic.Int64
 }
 
-// record returns what is known of a life.
+// record returns what a life said.
 func (l *Ledger) record(life Life) record {
 	if l.Empty() {
 		return record{}
 	}
-	if r, ok := l.records.Load(life); ok {
-		return r.(record)
+	if value, ok := l.records.Load(life.place()); ok {
+		if r := value.(record); r.of(life) {
+			return r
+		}
 	}
 	return record{}
 }
@@ -103,8 +137,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if value, ok := l.records.Load(life.place()); ok && value.(record).life.Born.After(life.Born) {
+		// The attempt was begun before the newer life was known; that one has answered.
+		life = value.(record).life
+	}
 	r := l.record(life)
 	before := r.standing(now)
+	r.life = life
 	r.heard = now
 	if n.Leaving {
 		r.leaving = true
@@ -118,7 +157,7 @@
 		r.restFrom = now
 		r.restUntil = now.Add(rest)
 	}
-	if _, old := l.records.Swap(life, r); !old && l.known.Add(1) > mostKept {
+	if _, old := l.records.Swap(life.place(), r); !old && l.known.Add(1) > mostKept {
 		l.dropOldest()
 	}
 	return longer || n.Leaving && !before.Leaving
@@ -126,19 +165,19 @@
 
 // dropOldest forgets the tenth of all that was heard longest ago. l.mu is held.
 func (l *Ledger) dropOldest() {
-	var lives []Life
-	for life := range l.records.Range {
-		lives = append(lives, life.(Life))
+	var all []record
+	for _, r := range l.records.Range {
+		all = append(all, r.(record))
 	}
-	slices.SortFunc(lives, func(a, b Life) int { return l.record(a).heard.Compare(l.record(b).heard) })
-	for _, life := range lives[:mostKept/10] {
-		l.drop(life)
+	slices.SortFunc(all, func(a, b record) int { return a.heard.Compare(b.heard) })
+	for _, r := range all[:mostKept/10] {
+		l.drop(r.life.place())
 	}
 }
 
-// drop forgets a life. l.mu is held.
-func (l *Ledger) drop(life Life) {
-	l.records.Delete(life)
+// drop forgets a target. l.mu is held.
+func (l *Ledger) drop(p place) {
+	l.records.Delete(p)
 	l.known.Add(-1)
 }
 
@@ -153,10 +192,10 @@
 func (l *Ledger) Forget(now time.Time, published func(Life) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for key, value := range l.records.Range {
-		life, r := key.(Life), value.(record)
-		if !r.standing(now).Barred() || !published(life) && now.Sub(r.heard) >= keptUnlisted {
-			l.drop(life)
+	for _, value := range l.records.Range {
+		r := value.(record)
+		if !r.standing(now).Barred() || !published(r.life) && now.Sub(r.heard) >= keptUnlisted {
+			l.drop(r.life.place())
 		}
 	}
 }
--- a/internal/notice/ledger_test.go
+++ b/internal/notice/ledger_test.go
@@ -17,15 +17,28 @@
 	return notice.Life{
 		Service: "quotes",
 		Key:     key,
+		Name:    key,
 		Named:   true,
 	}
 }
 
+// born returns a life of the target id that began some time after start.
+func born(after time.Duration) notice.Life {
+	return notice.Life{
+		Service: "quotes",
+		Key:     fmt.Sprint("id/", after),
+		Name:    "id",
+		Named:   true,
+		Born:    start.Add(after),
+	}
+}
+
 func ExampleLedger() {
 	var l notice.Ledger
 	target := notice.Life{
 		Service: "quotes",
 		Key:     "id-7/k2p",
+		Name:    "id-7",
 		Named:   true,
 	}
 	l.Hear(start, target, notice.Notice{
@@ -44,6 +57,7 @@
 	unnamed := notice.Life{
 		Service: "quotes",
 		Key:     "192.0.2.1:80",
+		Name:    "192.0.2.1:80",
 	}
 	leaving := notice.Notice{
 		Leaving: true,
@@ -80,6 +94,7 @@
 			life: notice.Life{
 				Service: "documents",
 				Key:     "id/1",
+				Name:    "id/1",
 				Named:   true,
 			},
 			after: time.Second,
@@ -105,6 +120,60 @@
 	}
 }
 
+// A node that hears late of a new life takes its words for those of the one before. What was said
+// once the new one had begun is its own; what was said before, or nearly so, isn't.
+func TestWordsOfALifeNotYetKnown(t *testing.T) {
+	const heard = time.Minute
+	tests := []struct {
+		name string
+		next time.Duration
+		want bool
+	}{
+		{
+			name: "it had begun long before",
+			next: 10 * time.Second,
+			want: true,
+		},
+		{
+			name: "it had begun a moment before, by clocks that may differ",
+			next: heard - 4*time.Second,
+		},
+		{
+			name: "it began later",
+			next: heard + time.Second,
+		},
+		{
+			name: "it is older than the one that was known",
+			next: -time.Second,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l notice.Ledger
+			l.Hear(start.Add(heard), born(0), notice.Notice{
+				Leaving: true,
+			})
+			if got := l.Standing(start.Add(2*heard), born(tt.next)).Leaving; got != tt.want {
+				t.Errorf("leaving %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// What comes of an attempt at a life that is known to be over was said by the one after it.
+func TestWordsOfALifeThatIsOver(t *testing.T) {
+	var l notice.Ledger
+	l.Hear(start, born(time.Second), notice.Notice{
+		Leaving: true,
+	})
+	l.Hear(start, born(0), notice.Notice{
+		Rest: time.Second,
+	})
+	if got := l.Standing(start, born(time.Second)); !got.Leaving || got.Rest != time.Second {
+		t.Errorf("%+v", got)
+	}
+}
+
 // Rests are bounded, and none shortens another.
 func TestRest(t *testing.T) {
 	tests := []struct {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -16,8 +16,10 @@
 	Limits   []LimitStatus   `json:"limits"`
 	// Quarantine are requests under which targets ended, the latest first.
 	Quarantine []QuarantineStatus `json:"quarantine"`
-	Control    ControlStatus      `json:"control"`
-	Revision   map[string]uint64  `json:"revisions"`
+	// Notices is what targets said of themselves in answers to this node and holds now.
+	Notices  []NoticeStatus    `json:"notices"`
+	Control  ControlStatus     `json:"control"`
+	Revision map[string]uint64 `json:"revisions"`
 }
 
 // ConfigStatus describes the configuration in force.
@@ -108,6 +110,16 @@
 	WaitMS int64 `json:"wait_ms"`
 }
 
+// NoticeStatus is a target that gets no requests from this node because it said so.
+type NoticeStatus struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// Leaving is set where the target said that it leaves, RestMS is how much longer it
+	// wants nothing from this node.
+	Leaving bool  `json:"leaving"`
+	RestMS  int64 `json:"rest_ms"`
+}
+
 // Question asks where a request would go.
 type Question struct {
 	Host   string
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -36,6 +36,7 @@
 	node  int
 	life  *life
 	begun time.Duration
+	ended time.Duration
 	err   error
 	// refused is set if no connection could be opened, so that nothing was sent.
 	refused bool
@@ -127,6 +128,7 @@
 		node:    n.index,
 		life:    l,
 		begun:   begun,
+		ended:   time.Since(f.begun),
 		err:     r.err,
 		refused: errors.Is(r.err, syscall.ECONNREFUSED),
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,6 +42,8 @@
 		f.leave(s.Index)
 	case KindKeys:
 		f.changeKeys()
+	case KindSaysLeaving:
+		f.sayLeaving(s.Index)
 	case KindReborn:
 		f.reborn(s.Index)
 	default:
@@ -84,20 +86,14 @@
 func (f *fleet) leave(index int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	staying := 0
-	for _, b := range f.targets {
-		if !b.leaving.Load() {
-			staying++
-		}
-	}
-	if staying <= len(f.targets)/2 || f.targets[index].leaving.Swap(true) {
+	if f.staying() <= len(f.targets)/2 || f.targets[index].leaving.Swap(true) {
 		return
 	}
 	f.publishTargets()
 }
 
 func (f *fleet) targetStep(b *backend, s Step) {
-	m := healthy()
+	m := b.usual()
 	switch s.Kind {
 	case KindTargetStall:
 		m.Stall = true
@@ -105,6 +101,9 @@
 		m.ErrorShare = 0.7
 	case KindTargetSheds:
 		m.Shed = true
+	case KindWantsRest:
+		m.Shed = true
+		m.Rest = restAsked
 	case KindTargetAborts:
 		m.ResetAfter = true
 	case KindTargetShort:
@@ -117,5 +116,5 @@
 	}
 	b.SetMode(m)
 	time.Sleep(s.For)
-	b.SetMode(healthy())
+	b.SetMode(b.usual())
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -35,8 +35,12 @@
 	server  *httptest.Server
 	proxy   *faultproxy.Proxy
 	leaving atomic.Bool
-	// lives counts the lives of the target under its ID.
-	lives atomic.Int64
+	// born is when the target's life under its ID began, in milliseconds since 1970, births
+	// when its lives but the first one began, under the fleet's mu.
+	born   atomic.Int64
+	births []time.Duration
+	// says is set where its answers say that it leaves.
+	says atomic.Bool
 }
 
 // fleet is everything that takes part in one run.
@@ -99,6 +103,7 @@
 			Target: target.New(fmt.Sprintf("target-%d", i), targetSlots),
 		}
 		b.SetMode(healthy())
+		b.born.Store(f.begun.UnixMilli())
 		if plan.Harmful {
 			f.canEnd(b)
 		}
@@ -170,7 +175,7 @@
 	for i, b := range f.targets {
 		life := ""
 		if f.plan.Keyed {
-			life = fmt.Sprintf(`"id":"id-%d","born":"%d",`, i, 1700000000000+b.lives.Load())
+			life = fmt.Sprintf(`"id":"id-%d","born":"%d",`, i, b.born.Load())
 		}
 		list = append(list, fmt.Sprintf(`{"service":"quotes",%s"address":%q,"dataHall":%q,"slots":%d,"connections":200,"leaving":%t}`,
 			life, b.proxy.Addr(), hall(i), targetSlots, b.leaving.Load()))
--- /dev/null
+++ b/internal/soak/says.go
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/standin/target"
+)
+
+// This file is about what targets say of themselves in their answers: a process that has
+// passed on such an answer keeps to it, whatever happens beside it.
+
+const (
+	// sayingSteps is how many steps a plan has besides the others in which targets say
+	// something.
+	sayingSteps = 6
+	// restAsked is the rest that targets ask for: longer than most faults last.
+	restAsked = 2 * time.Second
+)
+
+// addSaying gives half of the plans targets that say something. It draws from a source of its
+// own, so that the other steps of a seed stay what they are.
+func (p *Plan) addSaying() {
+	rng := rand.New(rand.NewPCG(p.Seed, 0x5a7))
+	p.Saying = rng.IntN(2) == 0
+	if !p.Saying {
+		return
+	}
+	for i := range sayingSteps {
+		kind := KindWantsRest
+		if i%3 == 0 {
+			kind = KindSaysLeaving
+		}
+		p.Steps = append(p.Steps, Step{
+			At:    time.Duration(rng.Int64N(int64(faultTime))),
+			For:   stepLeast + time.Duration(rng.Int64N(int64(stepMost-stepLeast))),
+			Kind:  kind,
+			Index: rng.IntN(p.Targets),
+		})
+	}
+}
+
+// usual returns how a target works when nothing is wrong.
+func (b *backend) usual() target.Mode {
+	m := healthy()
+	m.Leaving = b.says.Load()
+	return m
+}
+
+// sayLeaving has a target say that it leaves though it is published as staying.
+func (f *fleet) sayLeaving(index int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.staying() <= len(f.targets)/2 {
+		return
+	}
+	b := f.targets[index]
+	b.says.Store(true)
+	b.SetMode(b.usual())
+}
+
+// staying counts the targets that don't leave. f.mu is held.
+func (f *fleet) staying() int {
+	n := 0
+	for _, b := range f.targets {
+		if !b.leaving.Load() && !b.says.Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// heard is a call with the requests of it that reached targets.
+type heard struct {
+	*record
+	arrivals int
+}
+
+// judgeSaying checks that no process sent a request to a target once it had passed on what that
+// said.
+func (f *fleet) judgeSaying(records []record) {
+	calls := map[string]*heard{}
+	for i := range records {
+		calls[records[i].Key] = &heard{
+			record: &records[i],
+		}
+	}
+	for _, b := range f.targets {
+		for _, a := range b.Arrivals() {
+			if c := calls[a.Key]; c != nil {
+				c.arrivals++
+			}
+		}
+	}
+	for _, b := range f.targets {
+		f.judgeLeft(b, calls)
+		f.judgeRested(b, calls)
+	}
+}
+
+// judgeLeft looks for requests to a target that had said that it leaves.
+func (f *fleet) judgeLeft(b *backend, calls map[string]*heard) {
+	told := map[*life]time.Duration{}
+	for _, a := range b.Arrivals() {
+		at := a.At.Sub(f.begun)
+		c := calls[a.Key]
+		if c == nil {
+			continue
+		}
+		if begun := f.bornBefore(b, at); begun > 0 {
+			for l, when := range told {
+				if when < begun {
+					delete(told, l)
+				}
+			}
+		}
+		when, known := told[c.life]
+		switch {
+		case known && c.begun > when:
+			f.broken("%s said that it leaves; node %d passed that on at %.2fs and sent it %s at %.2fs", b.Name(), c.node, when.Seconds(), a.Key, at.Seconds())
+		case !known && a.Leaving && c.arrivals == 1 && c.err == nil && c.Status == http.StatusOK:
+			told[c.life] = c.ended
+		}
+	}
+}
+
+// judgeRested looks for requests to a target in the rest that it had asked for. That a process
+// knows of it shows where a request which can't be repeated went on, or was told not to have run.
+func (f *fleet) judgeRested(b *backend, calls map[string]*heard) {
+	all := b.Arrivals()
+	for i, asked := range all {
+		c := calls[asked.Key]
+		if asked.Rest == 0 || c == nil || c.err != nil || c.Repeatable || c.Status != http.StatusOK && c.Outcome != "not-run" {
+			continue
+		}
+		for _, a := range all[i+1:] {
+			o := calls[a.Key]
+			at := a.At.Sub(f.begun)
+			if o == nil || o.life != c.life || o.begun < c.ended || a.At.Sub(asked.At) >= asked.Rest {
+				continue
+			}
+			if f.bornBefore(b, at) > asked.At.Sub(f.begun) {
+				break
+			}
+			f.broken("%s asked node %d for %v of rest at %.2fs and got %s from it at %.2fs", b.Name(), c.node, asked.Rest, asked.At.Sub(f.begun).Seconds(), a.Key, at.Seconds())
+		}
+	}
+}
+
+// bornBefore returns when the target's last life before a moment began, 0 for the first one.
+func (f *fleet) bornBefore(b *backend, at time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last := time.Duration(0)
+	for _, born := range b.births {
+		if born < at {
+			last = born
+		}
+	}
+	return last
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -46,6 +46,10 @@
 	// KindReborn says that a target has begun a new life under its ID.
 	KindKeys   Kind = "keys change"
 	KindReborn Kind = "target starts again"
+	// The next ones are of plans in which targets say something of themselves in their
+	// answers. KindSaysLeaving lasts until the end, though the target is published as staying.
+	KindSaysLeaving Kind = "target says it leaves"
+	KindWantsRest   Kind = "target wants rest"
 )
 
 // kinds are all kinds, those that act on processes more than once: they are drawn
@@ -75,6 +79,8 @@
 	Keyed bool
 	// Harmful is set where a request comes again and again that ends each target.
 	Harmful bool
+	// Saying is set where targets say in their answers that they leave or want rest.
+	Saying  bool
 	Nodes   int
 	Targets int
 	Steps   []Step
@@ -119,6 +125,7 @@
 		p.Steps = append(p.Steps, s)
 	}
 	p.addKeyed()
+	p.addSaying()
 	// From a source of its own, so that the other steps of a seed stay what they are.
 	p.Harmful = rand.New(rand.NewPCG(seed, 0x4a21)).IntN(2) == 0
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
--- a/internal/soak/workspaces.go
+++ b/internal/soak/workspaces.go
@@ -59,10 +59,14 @@
 
 // reborn publishes another life of a target, whose connections are gone.
 func (f *fleet) reborn(index int) {
-	f.targets[index].lives.Add(1)
-	f.targets[index].proxy.Reset()
+	b := f.targets[index]
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	b.says.Store(false)
+	b.SetMode(b.usual())
+	b.proxy.Reset()
+	b.born.Store(time.Now().UnixMilli())
+	b.births = append(b.births, time.Since(f.begun))
 	f.publishTargets()
 }
 
