internal/node, internal/entry, internal/dispatch: probes go on asking targets that leave

Found by reading: where nodes choose alone the node that probes stopped asking a target once it had said that it leaves; the others, who believe that for a minute, would have given it work again. TestProbesHearWhatTargetsSay failed before. Also: an answer that says nothing of its target costs no log fields, and a word of leaving that is known already no new coverage with each ask.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -206,7 +206,7 @@
 // whoever asks.
 func (d *Desk) Leaves(now time.Time, key string) {
 	t := d.targets[key]
-	if t == nil {
+	if t == nil || t.leaves(now) {
 		return
 	}
 	t.left = now.Add(leftUnnamed)
--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -10,6 +10,9 @@
 
 // heard takes in what an answer says of its target.
 func (x *relay) heard(c Choice, n notice.Notice, err error) {
+	if n == (notice.Notice{}) && err == nil {
+		return
+	}
 	l := x.server.log.WithField("request", x.id).WithField("service", x.service.Name()).WithField("target", c.Key)
 	if err != nil {
 		l.WithError(err).Warn("target asks for a rest that can't be read")
--- a/internal/node/export_notices_test.go
+++ b/internal/node/export_notices_test.go
@@ -3,9 +3,17 @@
 package node
 
 import (
+	"context"
+	"io"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/contract"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
 // Hear takes in what a target says in an answer to the node.
@@ -26,3 +34,37 @@
 	}
 	return false
 }
+
+// Prober is the part of a node that asks the health endpoints of targets, alone in its fleet.
+type Prober struct {
+	probing *probing
+	leaving []string
+}
+
+// NewProber returns the prober of the targets that published entries describe.
+func NewProber(entries []*wire.Entry) *Prober {
+	board := &Board{}
+	members := newMembers(board, membership.NewNode("192.0.2.1:1", "a"), 0)
+	board.view.Store(members.table.View(time.Now()))
+	store := fleetconfig.NewStore()
+	store.Offer(entries)
+	board.config.Store(&configuration{
+		config: store.Config(),
+	})
+	p := &Prober{}
+	p.probing = newProbing(board, contract.Plover(), func(_ time.Time, evidence []outlier.Evidence) {
+		for _, e := range evidence {
+			if e.Counts.Leaving {
+				p.leaving = append(p.leaving, e.Counts.Target)
+			}
+		}
+	}, logging.Part(logging.New(io.Discard, "error", "text"), "probing"))
+	return p
+}
+
+// Probe asks all targets once and returns those that said that they leave.
+func (p *Prober) Probe(ctx context.Context) []string {
+	p.leaving = nil
+	p.probing.probeAll(ctx)
+	return p.leaving
+}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -5,7 +5,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,3 +138,40 @@
 		}
 	})
 }
+
+// Where nodes choose alone the others learn from probes that a target leaves, for as long as it
+// says so. A target that wants rest gets no probes either.
+func TestProbesHearWhatTargetsSay(t *testing.T) {
+	var asked atomic.Int64
+	var wantsRest atomic.Bool
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		if wantsRest.Load() {
+			w.Header().Set("Retry-After", "60")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Plover-State", "leaving")
+	}))
+	defer srv.Close()
+	p := node.NewProber([]*wire.Entry{
+		{
+			Key:      "services",
+			Revision: 1,
+			Value: fmt.Appendf(nil, `{"services":[{"name":"quotes","healthPath":"/health"}],
+				"targets":[{"service":"quotes","id":"id-0","address":%q,"dataHall":"a","slots":3,"connections":200}]}`, srv.Listener.Addr()),
+		},
+	})
+	for range 2 {
+		if got := p.Probe(context.Background()); len(got) != 1 || got[0] != "id-0" {
+			t.Errorf("got %v", got)
+		}
+	}
+	wantsRest.Store(true)
+	p.Probe(context.Background())
+	before := asked.Load()
+	p.Probe(context.Background())
+	if asked.Load() != before {
+		t.Error("a target that wants rest was probed")
+	}
+}
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		for _, t := range s.Targets() {
-			if p.board.standing(time.Now(), t).Barred() {
+			if p.board.standing(time.Now(), t).Rest > 0 {
 				continue
 			}
 			slots <- struct{}{}
