--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -148,11 +147,7 @@
 			if x.accept(r) {
 				return &r
 			}
-			if r.try.hedge && spent(r.err) {
-				x.launched--
-				hedge.Reset(hedgeAgain)
-			}
-			if r.try.hedge && unsent(r.err) {
+			if r.try.hedge && (spent(r.err) || unsent(r.err)) {
 				hedge.Reset(hedgeAgain)
 			}
 		case g := <-x.granted:
@@ -253,73 +248,6 @@
 	)
 }
 
-// failed notes an attempt that failed, or one for which there was no target.
-func (x *relay) failed(r result) {
-	var none *NoTargetError
-	if errors.As(r.err, &none) {
-		if r.try.hedge && none.reason != attempt.ReasonDeadline {
-			// The attempt before it goes on, and may be followed by another if it fails.
-			return
-		}
-		x.blocked = none.reason
-		x.comeBack = none.retryAfter
-		return
-	}
-	if unsent(r.err) {
-		x.notSent(r.try)
-		return
-	}
-	outcome := attempt.OutcomeUnknown
-	var fe *forward.Error
-	if errors.As(r.err, &fe) {
-		outcome = fe.Outcome()
-	}
-	x.count(r.try, outcome)
-	x.last = r.err
-}
-
-// unsent tells whether nothing was sent because the target wanted no request any more.
-func unsent(err error) bool {
-	var fe *forward.Error
-	return errors.As(err, &fe) && fe.Kind() == forward.KindBarred
-}
-
-// notSent forgets an attempt whose target wanted no request any more when it was to be sent:
-// the next one is no repeat, and the retry budget doesn't pay for it.
-func (x *relay) notSent(t *try) {
-	x.launched--
-	x.unsent++
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if at := slices.Index(x.tried, t.choice.Key); at >= 0 {
-		x.tried = slices.Delete(x.tried, at, at+1)
-	}
-}
-
-// replaceable tells whether another target may give a repeatable request a better
-// answer than this one.
-func (x *relay) replaceable(a *forward.Answer) bool {
-	_, again := x.body.next()
-	return x.in.route.Repeatable() && passing(a.Status()) && again
-}
-
-// passing tells whether a failure may not come from another target.
-func passing(status int) bool {
-	switch status {
-	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	default:
-		return false
-	}
-}
-
-func (x *relay) giveUp(reason attempt.Reason) *Error {
-	if f := x.body.fault(x.life.Outcome()); f != nil {
-		return f
-	}
-	return gaveUp(x.life, reason, x.comeBack, x.last)
-}
-
 func (x *relay) begin(target string) *outlier.Flight {
 	return x.server.cfg.Collector.Begin(time.Now(), x.service.Name(), x.in.route.Class(), target)
 }
@@ -341,34 +269,3 @@
 		Barred:     func(now time.Time) bool { return x.server.cfg.Notices.Standing(now, c.Life).Barred() },
 	}
 }
-
-// lost tells whether the request ends unserved with an attempt that failed now: its
-// caller has left, or its time is over.
-func (x *relay) lost() bool {
-	return !x.settled.Load() && (x.req.Context().Err() != nil || time.Until(x.life.Deadline()) <= 0)
-}
-
-// endOf says what an attempt showed of its target.
-func endOf(a *forward.Answer, err error) outlier.End {
-	if a != nil {
-		return outlier.End{
-			Failed:  a.Status() >= http.StatusInternalServerError,
-			Leaving: a.Leaving(),
-		}
-	}
-	var fe *forward.Error
-	if !errors.As(err, &fe) {
-		return outlier.End{
-			Ignored: true,
-		}
-	}
-	return outlier.End{
-		Failed:  true,
-		Ignored: !fe.Against(),
-		Leaving: fe.Leaving(),
-		Shed:    fe.Kind() == forward.KindShed,
-		Other:   fe.Kind() == forward.KindOther,
-
-		Unreached: fe.Kind() == forward.KindConnect,
-	}
-}
--- a/internal/node/quarantining.go
+++ b/internal/node/quarantining.go
@@ -178,20 +178,28 @@
 		return
 	}
 	now := time.Now()
+	if list := q.due(now); len(list) > 0 {
+		// Where not all fit another choice goes out next time.
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		q.send(now, peer, list)
+	}
+}
+
+// due returns what all nodes should know, where it may be sent again. Each datagram of a peer
+// that knows other asks for it.
+func (q *quarantining) due(now time.Time) []quarantine.Record {
 	q.mu.Lock()
+	defer q.mu.Unlock()
 	// Else a node that hasn't forgotten yet would tell one that has, again and again.
 	q.tidy(now)
+	if now.Sub(q.compared) < compareBeat {
+		return nil
+	}
 	list := q.ledger.Shared()
-	due := now.Sub(q.compared) >= compareBeat && len(list) > 0
-	if due {
+	if len(list) > 0 {
 		q.compared = now
 	}
-	q.mu.Unlock()
-	if due {
-		// Where not all fit another choice goes out next time.
-		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-		q.send(now, peer, list)
-	}
+	return list
 }
 
 // send sends as many records as fit.
--- /dev/null
+++ b/internal/node/taking.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// This file is about what a node makes of a dispatcher's answer.
+
+// answered takes the last word of a dispatcher.
+func (d *dispatching) answered(peer string, q *entry.Query, p part, g granted) reply {
+	switch g.grant.GetVerdict() {
+	case wire.Grant_FULL:
+		d.noteFull(time.Now(), p)
+		return reply{
+			full: true,
+		}
+	case wire.Grant_BUDGET, wire.Grant_UNKNOWN:
+	default:
+		d.took(peer, q, p)
+	}
+	return d.take(peer, q, p, g)
+}
+
+// take turns an answer into a choice. It isn't usable if this node doesn't know the target,
+// may send it nothing, or the dispatcher doesn't know the service.
+func (d *dispatching) take(peer string, q *entry.Query, p part, g granted) reply {
+	switch g.grant.GetVerdict() {
+	case wire.Grant_GRANTED:
+	case wire.Grant_REFUSED:
+		return reply{
+			err: entry.NewNoTargetError(attempt.ReasonTargets, time.Duration(g.grant.GetRetryAfterMs())*time.Millisecond),
+		}
+	case wire.Grant_BUDGET:
+		return reply{
+			err: entry.NewNoTargetError(attempt.ReasonBudget, 0),
+		}
+	default:
+		return reply{}
+	}
+	t := d.newest(q.Service).Target(g.grant.GetTarget())
+	if t == nil || t.Leaving() {
+		// One of the two doesn't know yet what the other knows.
+		result := wire.Done_IGNORED
+		if t != nil {
+			result = wire.Done_GONE
+		}
+		d.tell(peer, doneOf(p, g, result, 0))
+		return reply{}
+	}
+	if said := d.board.standing(time.Now(), t); said.Barred() {
+		// The target told this node, and whoever chose may not have heard it.
+		done := doneOf(p, g, wire.Done_IGNORED, 0)
+		done.Leaving = said.Leaving
+		d.tell(peer, done)
+		d.log.WithField("service", p.service).WithField("target", t.Key()).WithField("by", peer).
+			WithField("leaving", said.Leaving).WithField("rest_ms", said.Rest.Milliseconds()).Info("granted target wants no request")
+		return reply{
+			barred: true,
+		}
+	}
+	c := choiceOf(t, peer, func(end outlier.End, took time.Duration) {
+		done := endOf(p, g, end, d.board.standing(time.Now(), t), took)
+		d.tell(peer, done)
+		d.note(peer, q, p, done, end)
+	})
+	c.Doubt = float64(g.grant.GetDoubt()) / 1000
+	c.Trial = g.grant.GetTrial()
+	c.HedgeAfter = time.Duration(g.grant.GetHedgeAfterMs()) * time.Millisecond
+	return reply{
+		choice: c,
+		usable: true,
+	}
+}
+
+// note keeps what this node saw itself of a target that a dispatcher chose, for when
+// it must choose alone. Its own desk has been told already.
+func (d *dispatching) note(dispatcher string, q *entry.Query, p part, done *wire.Done, end outlier.End) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if end.Unreached {
+		d.lost[done.GetTarget()] = now.Add(lostTime)
+	}
+	if dispatcher == d.board.view.Load().Self().Address() {
+		return
+	}
+	if home := d.home(q.Service); home != p {
+		// This node chooses alone among the targets of its own part.
+		return
+	}
+	if dk := d.desk(now, p); dk != nil {
+		dk.Note(now, done.GetTarget(), q.Route, dispatch.Result(done.GetResult()), time.Duration(done.GetTookMs())*time.Millisecond)
+	}
+}
--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -11,7 +11,8 @@
 // Bounds of Answers.
 const (
 	// answerSlots is how many answered requests are kept in mind, 8 bytes each. At 210
-	// requests a second, with two Prints each, they last for AnswerMemory.
+	// requests a second, with two Prints each, seven in ten last for AnswerMemory; the
+	// others give way to later ones.
 	answerSlots = 1 << 14
 	// AnswerMemory is how long an answer speaks for a request.
 	AnswerMemory = 30 * time.Second
