internal/dispatch: while targets rest the floor of the others holds

A test of the model: a third of the targets turn requests away, and in each two seconds requests reach at least seven in ten of the others, at both loads.

--- /dev/null
+++ b/internal/dispatch/rest_model_test.go
@@ -0,0 +1,303 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// This file plays a service some of whose targets turn requests away for a time and ask the
+// node that sent them for rest, and tells what callers get.
+
+// Times and sizes of the service: those of the users' survey drafts.
+const (
+	restNodes    = 40
+	restTargets  = 9
+	restSlots    = 4
+	restWork     = 410 * time.Millisecond
+	restAim      = 1500 * time.Millisecond
+	restDeadline = 4 * time.Second
+	restAttempts = 3
+	// restWarm is from when on requests count, restEnd until when they come.
+	restWarm = 8 * time.Second
+	restEnd  = 60 * time.Second
+	// restPhase is how long a target turns requests away, restApart the time between the
+	// beginnings of two such times of one target.
+	restPhase = 8 * time.Second
+	restApart = 20 * time.Second
+)
+
+// restCase is one kind of day.
+type restCase struct {
+	// load is in requests a second.
+	load float64
+	// share is how many of the targets turn requests away at a time, most the share of
+	// requests that they turn away then.
+	share, most float64
+	rest        time.Duration
+}
+
+// restPlay is one play.
+type restPlay struct {
+	restCase
+	// result is how it is told that a request was turned away, told whether the desk hears
+	// for how long.
+	result dispatch.Result
+	told   bool
+	desk   *dispatch.Desk
+	rng    *rand.Rand
+	steps  steps
+	now    time.Duration
+	next   uint64
+	asks   map[uint64]*restRequest
+	// bars are until when a node sends a target nothing.
+	bars [restNodes]map[string]time.Duration
+	// reached are the times at which requests reached each target.
+	reached map[string][]time.Duration
+	got     restResult
+}
+
+type restRequest struct {
+	ask      *dispatch.Ask
+	came     time.Duration
+	attempts int
+	counts   bool
+}
+
+type restResult struct {
+	all, inAim, late, refused, turnedAway int
+	// held adds up how long those were held that were not served.
+	held time.Duration
+}
+
+func (r restResult) String() string {
+	n := float64(max(r.all, 1))
+	held := r.held / time.Duration(max(r.refused, 1))
+	return fmt.Sprintf("%.4f in aim, %.4f late, %.4f not served after %v, %.3f turned away a request",
+		float64(r.inAim)/n, float64(r.late)/n, float64(r.refused)/n, held.Round(time.Millisecond), float64(r.turnedAway)/n)
+}
+
+func (r *restResult) add(o restResult) {
+	r.all += o.all
+	r.inAim += o.inAim
+	r.late += o.late
+	r.refused += o.refused
+	r.turnedAway += o.turnedAway
+	r.held += o.held
+}
+
+func playRest(c restCase, result dispatch.Result, told bool, seed uint64) restResult {
+	return runRest(c, result, told, seed).got
+}
+
+func runRest(c restCase, result dispatch.Result, told bool, seed uint64) *restPlay {
+	p := &restPlay{
+		restCase: c,
+		result:   result,
+		told:     told,
+		rng:      rand.New(rand.NewPCG(seed, 9)),
+		asks:     map[uint64]*restRequest{},
+		reached:  map[string][]time.Duration{},
+	}
+	for i := range p.bars {
+		p.bars[i] = map[string]time.Duration{}
+	}
+	p.desk = dispatch.NewDesk(start, dispatch.Budget{
+		Share:   0.2,
+		Reserve: 60,
+		Window:  10 * time.Second,
+	}, p.rng.Float64)
+	var list []dispatch.Target
+	for i := range restTargets {
+		list = append(list, dispatch.Target{
+			Key:      fmt.Sprint("t", i),
+			DataHall: "a",
+			Slots:    restSlots,
+			Named:    true,
+		})
+	}
+	p.desk.Configure(start, list)
+	p.arrive()
+	p.beat()
+	for len(p.steps) > 0 && p.steps[0].at < restEnd+restDeadline {
+		s := heap.Pop(&p.steps).(step)
+		p.now = s.at
+		s.do()
+	}
+	return p
+}
+
+func (p *restPlay) clock() time.Time { return start.Add(p.now) }
+
+func (p *restPlay) after(d time.Duration, do func()) {
+	heap.Push(&p.steps, step{
+		at: p.now + d,
+		do: do,
+	})
+}
+
+func (p *restPlay) beat() {
+	p.take(p.desk.Advance(p.clock()))
+	p.after(50*time.Millisecond, p.beat)
+}
+
+// turnsAway tells whether a target turns requests away now: the first ones of the list do so
+// together.
+func (p *restPlay) turnsAway(key string) bool {
+	var i int
+	_, _ = fmt.Sscanf(key, "t%d", &i)
+	if float64(i) >= p.share*restTargets || p.now < restWarm {
+		return false
+	}
+	return (p.now-restWarm)%restApart < restPhase && p.rng.Float64() < p.most
+}
+
+func (p *restPlay) arrive() {
+	if p.now < restEnd {
+		p.after(time.Duration(p.rng.ExpFloat64()/p.load*float64(time.Second)), p.arrive)
+	}
+	r := &restRequest{
+		came:   p.now,
+		counts: p.now >= restWarm,
+		ask: &dispatch.Ask{
+			ID: dispatch.ID{
+				Node: fmt.Sprint(p.rng.IntN(restNodes)),
+			},
+			DataHall:   "a",
+			Route:      "drafts",
+			Repeatable: true,
+			Kilobytes:  1,
+			Aim:        p.clock().Add(restAim),
+			Deadline:   p.clock().Add(restDeadline),
+		},
+	}
+	if r.counts {
+		p.got.all++
+	}
+	p.ask(r)
+}
+
+// node returns the number of the node that a request came to.
+func (r *restRequest) node() int {
+	var i int
+	_, _ = fmt.Sscanf(r.ask.ID.Node, "%d", &i)
+	return i
+}
+
+func (p *restPlay) barred(node int) []string {
+	var out []string
+	for key, until := range p.bars[node] {
+		if p.now < until {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+func (p *restPlay) ask(r *restRequest) {
+	p.next++
+	a := *r.ask
+	a.ID.Number = p.next
+	a.Again = r.attempts > 0
+	a.Barred = p.barred(r.node())
+	r.ask = &a
+	if len(a.Barred) == restTargets {
+		p.refuse(r)
+		return
+	}
+	p.asks[p.next] = r
+	p.take([]dispatch.Grant{p.desk.Ask(p.clock(), &a)})
+}
+
+func (p *restPlay) refuse(r *restRequest) {
+	if r.counts {
+		p.got.refused++
+		p.got.held += p.now - r.came
+	}
+}
+
+func (p *restPlay) take(grants []dispatch.Grant) {
+	for _, g := range grants {
+		r := p.asks[g.ID.Number]
+		switch {
+		case r == nil || g.Verdict == dispatch.Queued:
+		case g.Verdict == dispatch.Granted:
+			p.send(r, g)
+		default:
+			delete(p.asks, g.ID.Number)
+			p.refuse(r)
+		}
+	}
+}
+
+// send is an attempt at the target that was granted, or a new ask where the node may not use it
+// any more.
+func (p *restPlay) send(r *restRequest, g dispatch.Grant) {
+	delete(p.asks, g.ID.Number)
+	if p.now < p.bars[r.node()][g.Target] {
+		p.take(p.desk.Done(p.clock(), g.ID, g.Target, dispatch.ResultIgnored, 0))
+		p.ask(r)
+		return
+	}
+	r.attempts++
+	p.reached[g.Target] = append(p.reached[g.Target], p.now)
+	if p.turnsAway(g.Target) {
+		p.after(3*time.Millisecond, func() { p.turnedAway(r, g) })
+		return
+	}
+	took := time.Duration(float64(restWork) * (0.5 + p.rng.ExpFloat64()/2))
+	p.after(took, func() {
+		p.take(p.desk.Done(p.clock(), g.ID, g.Target, dispatch.ResultGood, took))
+		switch {
+		case !r.counts:
+		case p.now-r.came <= restAim:
+			p.got.inAim++
+		case p.now-r.came <= restDeadline:
+			p.got.late++
+		default:
+			p.got.refused++
+		}
+	})
+}
+
+func (p *restPlay) turnedAway(r *restRequest, g dispatch.Grant) {
+	if r.counts {
+		p.got.turnedAway++
+	}
+	p.bars[r.node()][g.Target] = p.now + p.rest
+	if p.told {
+		p.desk.Rest(p.clock(), g.Target, g.ID, p.rest)
+	}
+	p.take(p.desk.Done(p.clock(), g.ID, g.Target, p.result, 3*time.Millisecond))
+	if r.attempts == restAttempts || p.now-r.came > restDeadline {
+		p.refuse(r)
+		return
+	}
+	p.ask(r)
+}
+
+// restCases returns the days: at a third and at two thirds of what the service can do, a third of
+// its targets or all turn away two in five requests, seven in ten or all.
+func restCases() []restCase {
+	var out []restCase
+	for _, load := range []float64{30, 60} {
+		for _, share := range []float64{0.34, 1} {
+			for _, most := range []float64{0.4, 0.7, 1} {
+				for _, rest := range []time.Duration{time.Second, 3 * time.Second} {
+					out = append(out, restCase{
+						load:  load,
+						share: share,
+						most:  most,
+						rest:  rest,
+					})
+				}
+			}
+		}
+	}
+	return out
+}
