--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 	go test ./platform -run '^$$' -fuzz '^FuzzEntries$$' -fuzztime $(FUZZ)
 	go test ./internal/contract -run '^$$' -fuzz '^FuzzCredential$$' -fuzztime $(FUZZ)
 	go test ./internal/contract -run '^$$' -fuzz '^FuzzRest$$' -fuzztime $(FUZZ)
+	go test ./internal/contract -run '^$$' -fuzz '^FuzzLimit$$' -fuzztime $(FUZZ)
 	go test ./internal/settings -run '^$$' -fuzz '^FuzzLoad$$' -fuzztime $(FUZZ)
 
 # Measures the cost of control and writes docs/CAPACITY.md; about 20 minutes.
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -57,6 +57,9 @@
 	// Rest returns for how long an answer's target wants nothing from this node, as the
 	// function of that name does.
 	Rest func(status int, h http.Header) (time.Duration, error)
+	// Limit returns the requests a second that an answer's target accepts from the whole
+	// fleet, as the function that Limit returns does.
+	Limit func(h http.Header) (rate float64, named bool, err error)
 	// RetryAfter formats when a refused caller should come back.
 	RetryAfter func(d time.Duration) string
 }
@@ -72,6 +75,9 @@
 	HeaderDeadline = "Plover-Deadline"
 	// HeaderState carries "leaving" in the answers of a target that drains.
 	HeaderState = "Plover-State"
+	// HeaderLimit carries, in the answers of a target in need, the requests a second that
+	// it accepts from the whole fleet, as a decimal number.
+	HeaderLimit = "Plover-Limit"
 	// HeaderTimeout carries how long the caller waits, as a Go duration such as
 	// "1500ms". The route's deadline caps it.
 	HeaderTimeout = "Plover-Timeout"
@@ -103,6 +109,7 @@
 		Rest: func(status int, h http.Header) (time.Duration, error) {
 			return Rest(status, refused(status, h) == RefusalShed, h)
 		},
+		Limit:      Limit(HeaderLimit),
 		RetryAfter: WholeSeconds,
 	}
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -172,11 +172,22 @@
 	if r.Heard == nil || c.contract.Refused(res.StatusCode, res.Header) == contract.RefusalOther {
 		return
 	}
-	rest, err := c.contract.Rest(res.StatusCode, res.Header)
-	r.Heard(notice.Notice{
-		Leaving: c.contract.Leaving(res.Header),
+	r.Heard(NoticeOf(c.contract, res))
+}
+
+// NoticeOf returns what an answer says of its target, and why a part of it can't be read.
+func NoticeOf(c *contract.Contract, res *http.Response) (notice.Notice, error) {
+	rest, restErr := c.Rest(res.StatusCode, res.Header)
+	rate, named, limitErr := c.Limit(res.Header)
+	return notice.Notice{
+		Leaving: c.Leaving(res.Header),
 		Rest:    rest,
-	}, err)
+		Limit: notice.Limit{
+			Rate: rate,
+			Set:  named && limitErr == nil,
+		},
+		LimitUnread: limitErr != nil,
+	}, errors.Join(restErr, limitErr)
 }
 
 func (c *Client) send(ctx context.Context, cl *claim, r *Request) (*http.Response, error) {
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -12,7 +12,7 @@
 
 	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
@@ -107,17 +107,13 @@
 		return fmt.Errorf("node: probe: %w", err)
 	}
 	_ = res.Body.Close()
-	rest, err := p.contract.Rest(res.StatusCode, res.Header)
-	said := notice.Notice{
-		Leaving: p.contract.Leaving(res.Header),
-		Rest:    rest,
-	}
+	said, err := forward.NoticeOf(p.contract, res)
 	if p.board.notices.Hear(time.Now(), lifeOf(t), said) {
 		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithField("leaving", said.Leaving).
 			WithField("rest_ms", said.Rest.Milliseconds()).Info("target says what it wants")
 	}
 	if err != nil {
-		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithError(err).Warn("target asks for a rest that can't be read")
+		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithError(err).Warn("target asks for what can't be read")
 	}
 	if !said.Leaving {
 		return nil
--- a/internal/notice/ledger.go
+++ b/internal/notice/ledger.go
@@ -54,8 +54,21 @@
 	}
 }
 
+// Limit is a bound on the requests that a target accepts from the whole fleet. Its zero value
+// is no limit.
+type Limit struct {
+	// Rate is in requests a second; 0 accepts none.
+	Rate float64
+	// Set reports whether there is a limit.
+	Set bool
+}
+
 // Notice is what one answer says of its target.
 type Notice struct {
+	// Limit holds until a later answer names another one, or none.
+	Limit Limit
+	// LimitUnread is set where a limit is named that can't be read: the one before it holds.
+	LimitUnread bool
 	// Leaving is set where the target takes no new work.
 	Leaving bool
 	// Rest is for how long the target wants nothing from this node.
@@ -69,6 +82,10 @@
 	// Whole how long it is in all.
 	Rest  time.Duration
 	Whole time.Duration
+	// Limit is the target's limit, and LimitAt when it answered so; the zero time means that
+	// no answer ever named one.
+	Limit   Limit
+	LimitAt time.Time
 }
 
 // Barred tells whether no request may be sent to the target.
@@ -82,7 +99,11 @@
 	leavingUntil time.Time
 	restFrom     time.Time
 	restUntil    time.Time
-	heard        time.Time
+	limit        Limit
+	limitAt      time.Time
+	// limitUnread is set while the target names a limit that can't be read.
+	limitUnread bool
+	heard       time.Time
 }
 
 // of tells whether a life said what is recorded. A node that doesn't hear of a new life for a
@@ -98,6 +119,8 @@
 func (r record) standing(now time.Time) Standing {
 	s := Standing{
 		Leaving: r.leaving && (r.leavingUntil.IsZero() || now.Before(r.leavingUntil)),
+		Limit:   r.limit,
+		LimitAt: r.limitAt,
 	}
 	if now.Before(r.restUntil) {
 		s.Rest = r.restUntil.Sub(now)
@@ -129,10 +152,15 @@
 	return record{}
 }
 
+// says reports whether a notice can change what holds for a target.
+func (n Notice) says(r record) bool {
+	return n.Leaving || n.Rest > 0 || n.Limit.Set || n.LimitUnread || r.limit.Set || r.limitUnread
+}
+
 // Hear takes in what an answer says and tells whether it changed what holds. A rest never
 // shortens one that was asked for before.
 func (l *Ledger) Hear(now time.Time, life Life, n Notice) bool {
-	if !n.Leaving && n.Rest <= 0 {
+	if !n.says(l.record(life)) {
 		return false
 	}
 	l.mu.Lock()
@@ -157,10 +185,27 @@
 		r.restFrom = now
 		r.restUntil = now.Add(rest)
 	}
+	limited := r.observeLimit(now, n)
 	if _, old := l.records.Swap(life.place(), r); !old && l.known.Add(1) > mostKept {
 		l.dropOldest()
 	}
-	return longer || n.Leaving && !before.Leaving
+	return longer || limited || n.Leaving && !before.Leaving
+}
+
+// observeLimit records the limit that an answer names at now, or that it names none, and
+// reports whether that changed.
+func (r *record) observeLimit(now time.Time, n Notice) bool {
+	changed := r.limitUnread != n.LimitUnread
+	r.limitUnread = n.LimitUnread
+	if n.LimitUnread || now.Before(r.limitAt) {
+		return changed
+	}
+	changed = changed || r.limit != n.Limit
+	if n.Limit.Set || !r.limitAt.IsZero() {
+		r.limitAt = now
+	}
+	r.limit = n.Limit
+	return changed
 }
 
 // dropOldest forgets the tenth of all that was heard longest ago. l.mu is held.
@@ -194,7 +239,7 @@
 	defer l.mu.Unlock()
 	for _, value := range l.records.Range {
 		r := value.(record)
-		if !r.standing(now).Barred() || !published(r.life) && now.Sub(r.heard) >= keptUnlisted {
+		if !r.standing(now).Barred() && !r.limit.Set || !published(r.life) && now.Sub(r.heard) >= keptUnlisted {
 			l.drop(r.life.place())
 		}
 	}
