--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -23,6 +23,7 @@
 	headerOutcome   = "Plover-Outcome"
 	headerDeadline  = "Plover-Deadline"
 	headerState     = "Plover-State"
+	headerLimit     = "Plover-Limit"
 	headerWorkspace = "Plover-Workspace"
 	// HeaderKey names a request in the record of runs; tests set it.
 	HeaderKey = "Test-Key"
@@ -42,6 +43,9 @@
 	Rest time.Duration `json:"rest"`
 	// Leaving says so in all answers; the target still works.
 	Leaving bool `json:"leaving"`
+	// Limit is named in all answers as the requests a second that the target takes from
+	// the whole fleet; "" names none. The target runs what comes beyond it all the same.
+	Limit string `json:"limit"`
 	// ResetBefore closes connections before requests run, ResetAfter after.
 	ResetBefore bool `json:"reset_before"`
 	ResetAfter  bool `json:"reset_after"`
@@ -80,6 +84,7 @@
 	At      time.Time
 	Leaving bool
 	Rest    time.Duration
+	Limit   string
 }
 
 // Target is the stand-in. It may be used concurrently.
@@ -139,6 +144,7 @@
 		Key:     r.Header.Get(HeaderKey),
 		At:      time.Now(),
 		Leaving: m.Leaving,
+		Limit:   m.Limit,
 	}
 	if m.Shed {
 		a.Rest = m.Rest
@@ -177,6 +183,9 @@
 	if m.Leaving {
 		w.Header().Set(headerState, "leaving")
 	}
+	if m.Limit != "" {
+		w.Header().Set(headerLimit, m.Limit)
+	}
 }
 
 func (t *Target) load(w http.ResponseWriter, _ *http.Request) {
