--- a/internal/integration/limit_test.go
+++ b/internal/integration/limit_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -136,3 +137,73 @@
 		t.Errorf("%d requests in %v, the limit allows %v", n, limitWindow, l.rate*limitWindow.Seconds())
 	}
 }
+
+// Where all targets of a service name limits far below what comes, callers beyond it are refused at
+// once with a time, those within it are served, and callers of another service pay nothing.
+func TestServiceWhoseTargetsAreAllLimited(t *testing.T) {
+	const rate = 2
+	s := newSite(t)
+	for range 3 {
+		s.target("quotes", "a", 3)
+	}
+	for range 2 {
+		s.target("documents", "a", 3)
+	}
+	s.publishTargets(nil)
+	s.platform.Publish("routes", `{"routes":[
+		{"name":"quotes","pathPrefix":"/quotes","methods":["GET"],"service":"quotes","repeatable":true,"deadline":"1s","targetLatency":"0.5s"},
+		{"name":"documents","pathPrefix":"/documents","methods":["POST"],"service":"documents","deadline":"2s"}]}`)
+	for i := range 2 {
+		s.node("a",
+			withPeersAt(fmt.Sprintf("127.0.64.%d:7950", i+1)),
+			withExtra("[targets]\nchoice = joint\n"))
+	}
+	s.allReady()
+	for _, n := range s.nodes {
+		eventually(t, "all members live", func() bool { return liveMembers(n) == len(s.nodes) })
+	}
+	quotes := s.targets[:3]
+	for _, b := range quotes {
+		b.SetMode(target.Mode{
+			Latency: noticeWork,
+			Limit:   fmt.Sprint(rate),
+		})
+	}
+	begun := time.Now()
+	stop := s.load(0, 1)
+	time.AfterFunc(limitSettled+2*limitWindow, stop)
+	documents := 0
+	for time.Since(begun) < limitSettled+2*limitWindow {
+		n := s.nodes[documents%2]
+		documents++
+		if r := n.do(http.MethodPost, "/documents/1", fmt.Sprintf("document-%d", documents), ""); r.status != http.StatusOK || r.took > time.Second {
+			t.Errorf("document %d: status %d after %v", documents, r.status, r.took)
+		}
+	}
+	for _, b := range quotes {
+		l := limited{
+			rate:  rate,
+			named: begun,
+		}
+		checkCalm(t, b, l)
+	}
+	stop = s.load(0, 1)
+	defer stop()
+	refused := 0
+	for i := range 100 {
+		r := s.nodes[i%2].do(http.MethodGet, "/quotes/1", fmt.Sprintf("%d-probe-%d", i%2, i), "")
+		if r.status != http.StatusServiceUnavailable {
+			continue
+		}
+		refused++
+		if seconds, err := strconv.Atoi(r.header.Get("Retry-After")); err != nil || seconds < 1 || r.outcome != "not-run" {
+			t.Errorf("Retry-After %q, outcome %q", r.header.Get("Retry-After"), r.outcome)
+		}
+		if r.took > 250*time.Millisecond {
+			t.Errorf("refused after %v", r.took)
+		}
+	}
+	if refused < 50 {
+		t.Errorf("%d of 100 refused, where the limits allow a tenth of what comes", refused)
+	}
+}
