--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -87,7 +87,7 @@
 	// pause is until when requests are refused without asking.
 	pause time.Time
 	// alone bounds what is admitted without an allocator; nil while none was.
-	alone *small
+	alone *Pacer
 	// next is when the last refused caller was told to come back.
 	next time.Time
 }
@@ -168,10 +168,10 @@
 		rate, depth = untoldPart*limit.Rate/float64(nodes), untoldPart*limit.Burst/float64(nodes)
 	}
 	if a.alone == nil {
-		a.alone = &small{}
+		a.alone = NewPacer(now, depth)
 	}
-	if wait := a.alone.take(now, rate, depth); wait > 0 {
-		return Refused, min(wait, aloneRetry)
+	if wait := a.alone.Take(now, rate, depth); wait > 0 {
+		return Refused, min(max(wait, retryLeast), aloneRetry)
 	}
 	a.admitted++
 	return Admitted, 0
--- /dev/null
+++ b/internal/ratelimit/pacer_test.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ratelimit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/ratelimit"
+)
+
+func ExamplePacer() {
+	p := ratelimit.NewPacer(start, 0)
+	fmt.Println(p.Take(start, 2, 1))
+	fmt.Println(p.Take(start.Add(500*time.Millisecond), 2, 1))
+	fmt.Println(p.Take(start.Add(600*time.Millisecond), 2, 1))
+	// Output:
+	// 500ms
+	// 0s
+	// 400ms
+}
+
+// However long nothing comes, no more than the depth is saved up.
+func TestPacerSavesNoMoreThanItsDepth(t *testing.T) {
+	tests := []struct {
+		name  string
+		rate  float64
+		depth float64
+		want  int
+	}{
+		{
+			name:  "less than a token",
+			rate:  10,
+			depth: 0.2,
+			want:  1,
+		},
+		{
+			name:  "three tokens",
+			rate:  10,
+			depth: 3,
+			want:  3,
+		},
+		{
+			name: "no rate",
+			want: 0,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := ratelimit.NewPacer(start, 0)
+			got := 0
+			for p.Take(start.Add(time.Hour), tt.rate, tt.depth) == 0 {
+				got++
+			}
+			if got != tt.want {
+				t.Errorf("%d at once, want %d", got, tt.want)
+			}
+		})
+	}
+}
