--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -108,4 +108,6 @@
 	// answered so.
 	Limit   notice.Limit
 	LimitAt time.Time
+	// Limits are those that the ask didn't name.
+	Limits []TargetLimit
 }
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -113,6 +113,13 @@
 // Ask answers an ask at once. Asking again with the same ID gives the same answer.
 func (d *Desk) Ask(now time.Time, a *Ask) Grant {
 	d.hear(now, a)
+	g := d.answer(now, a)
+	g.Limits = d.unnamed(a)
+	return g
+}
+
+// answer answers an ask, or repeats the answer that it got before.
+func (d *Desk) answer(now time.Time, a *Ask) Grant {
 	if g, known := d.before(a.ID); known {
 		if g.Verdict == Queued {
 			return d.renew(now, a)
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/notice"
@@ -52,6 +53,11 @@
 		return 0
 	}
 	rate := l.rate(part)
+	if part < 1 {
+		// Others may save up as much, to grant it at the same moment.
+		l.pacer.Wait(now, rate, math.Inf(1))
+		l.pacer.Lapse(rate * limitBurst.Seconds())
+	}
 	return l.pacer.Wait(now, rate, 1+rate*limitBurst.Seconds())
 }
 
@@ -112,6 +118,32 @@
 	return before != s.Limit
 }
 
+// maxUnnamed bounds the limits that the answer to one ask tells of.
+const maxUnnamed = 16
+
+// unnamed returns the limits of targets that an ask didn't name, and those lifted that it did.
+// Nodes that may have to choose alone learn of them before they need to.
+func (d *Desk) unnamed(a *Ask) []TargetLimit {
+	if !d.Limited() && len(a.Limits) == 0 {
+		return nil
+	}
+	named := map[string]notice.Limit{}
+	for _, l := range a.Limits {
+		named[l.Target] = l.Limit
+	}
+	var out []TargetLimit
+	for _, t := range d.order {
+		if t.limit.Limit != named[t.Key] && len(out) < maxUnnamed {
+			out = append(out, TargetLimit{
+				Target: t.Key,
+				Limit:  t.limit.Limit,
+				At:     t.limit.at,
+			})
+		}
+	}
+	return out
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -328,3 +328,24 @@
 		t.Errorf("%v, callers may return after %v", g.Verdict, g.RetryAfter)
 	}
 }
+
+// Whoever asks is told of limits that it doesn't name, and of those lifted that it does.
+func TestLimitsAreTold(t *testing.T) {
+	d := newDesk(pool(3)...)
+	d.Observe(start, "n", limitOf("t0", 2, start))
+	d.Observe(start, "n", limitOf("t1", 3, start))
+	d.Observe(start, "n", lifted("t1", start.Add(time.Second)))
+	a := ask(start, 1)
+	a.Limits = []dispatch.TargetLimit{
+		limitOf("t1", 3, start),
+	}
+	told := d.Ask(start, a).Limits
+	if len(told) != 2 || told[0] != limitOf("t0", 2, start) || told[1] != lifted("t1", start.Add(time.Second)) {
+		t.Errorf("told %+v", told)
+	}
+	a = ask(start, 2)
+	a.Limits = told[:1]
+	if told := d.Ask(start, a).Limits; len(told) != 0 {
+		t.Errorf("told again %+v", told)
+	}
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -12,7 +12,6 @@
 
 	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -121,7 +120,7 @@
 	}
 	if dk.Limited() {
 		view := d.board.view.Load()
-		dk.Lead(authority(view, p.holders(view), d.seeds))
+		dk.Lead(d.place(now, view, p.holders(view)).part())
 	}
 	if dk.config != sc {
 		dk.config = sc
@@ -230,8 +229,14 @@
 }
 
 func grantOf(g dispatch.Grant) *wire.Grant {
+	now := time.Now()
+	var limits []*wire.TargetLimit
+	for _, l := range g.Limits {
+		limits = append(limits, limitTo(now, l))
+	}
 	return &wire.Grant{
-		Limit:        limitGranted(time.Now(), g),
+		Limits:       limits,
+		Limit:        limitGranted(now, g),
 		Verdict:      verdicts[g.Verdict],
 		Target:       g.Target,
 		RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
@@ -246,9 +251,10 @@
 	if !g.Limit.Set {
 		return nil
 	}
-	return limitTo(now, g.Target, notice.Standing{
-		Limit:   g.Limit,
-		LimitAt: g.LimitAt,
+	return limitTo(now, dispatch.TargetLimit{
+		Target: g.Target,
+		Limit:  g.Limit,
+		At:     g.LimitAt,
 	})
 }
 
--- a/internal/node/done.go
+++ b/internal/node/done.go
@@ -29,7 +29,7 @@
 	done := doneOf(p, g, resultOf(end), took)
 	done.Lost = end.Lost
 	done.Leaving = said.Leaving
-	done.Limit = limitTo(time.Now(), done.GetTarget(), said)
+	done.Limit = limitTo(time.Now(), limitOfTarget(done.GetTarget(), said))
 	if end.Shed && (said.Rest > 0 || said.Limit.Set) {
 		done.Result = wire.Done_RESTING
 		done.RestMs = uint32(said.Rest.Milliseconds())
--- /dev/null
+++ b/internal/node/export_targetlimits_test.go
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/dissemination"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/logging"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// FleetNode is the part of a node that chooses targets jointly with others, with a network that
+// a test makes.
+type FleetNode struct {
+	board       *Board
+	members     *members
+	messenger   *messenger
+	dispatching *dispatching
+	pinging     *pinging
+	service     *fleetconfig.Service
+}
+
+// FleetNodeConfig describes such a node.
+type FleetNodeConfig struct {
+	Self        membership.Node
+	Incarnation uint64
+	// Seeds are the addresses of other nodes.
+	Seeds []string
+	// Config holds the service named Service.
+	Config  *fleetconfig.Config
+	Service string
+	// Send hands a datagram to a peer.
+	Send func(peer string, d *wire.Datagram)
+}
+
+// NewFleetNode returns a node that knows its seeds only.
+func NewFleetNode(cfg FleetNodeConfig) *FleetNode {
+	n := &FleetNode{
+		board:   &Board{},
+		service: cfg.Config.Service(cfg.Service),
+	}
+	n.board.config.Store(&configuration{
+		config: cfg.Config,
+	})
+	n.board.shares.beside = true
+	n.members = newMembers(n.board, cfg.Self, membership.DefaultWeight)
+	n.members.incarnation.Store(cfg.Incarnation)
+	m := newMessenger()
+	n.messenger = m
+	m.members = n.members
+	m.replica = dissemination.NewReplica(nil)
+	m.gossip = dissemination.New(dissemination.Config{}, m.replica)
+	m.self = func() *wire.Node {
+		return &wire.Node{
+			Address:     cfg.Self.Address(),
+			DataHall:    cfg.Self.DataHall(),
+			Incarnation: n.members.incarnation.Load(),
+			Weight:      membership.DefaultWeight,
+		}
+	}
+	m.transmit = func(peer string, d *wire.Datagram) error {
+		cfg.Send(peer, d)
+		return nil
+	}
+	log := logging.Part(logging.New(io.Discard, "error", "text"), "dispatch")
+	n.dispatching = newDispatching(n.board, m, dispatch.Budget{
+		Share:   0.2,
+		Reserve: 10,
+		Window:  10 * time.Second,
+	}, log)
+	n.dispatching.floor = 0.7
+	n.dispatching.seeds = len(cfg.Seeds)
+	begun := time.Now()
+	n.pinging = &pinging{
+		messenger: m,
+		members:   n.members,
+		board:     n.board,
+		seeds:     func() []string { return cfg.Seeds },
+		log:       log,
+		since:     func(now time.Time) time.Duration { return now.Sub(begun) },
+	}
+	return n
+}
+
+// Run starts the node, which ends with the context.
+func (n *FleetNode) Run(ctx context.Context, tasks *task.Group) {
+	tasks.Go(ctx, "members", n.members.run)
+	tasks.Go(ctx, "pinging", n.pinging.run)
+	tasks.Go(ctx, "dispatching", n.dispatching.run)
+}
+
+// Receive takes a datagram.
+func (n *FleetNode) Receive(ctx context.Context, d *wire.Datagram) { n.messenger.handle(ctx, d) }
+
+// Choose takes a target for an attempt.
+func (n *FleetNode) Choose(ctx context.Context, again bool, tried []string, within time.Duration) (entry.Choice, error) {
+	now := time.Now()
+	return n.dispatching.choose(ctx, &entry.Query{
+		Service:    n.service,
+		Repeatable: true,
+		Again:      again,
+		Tried:      tried,
+		Route:      "read",
+		Aim:        now.Add(within / 3),
+		Deadline:   now.Add(within),
+	})
+}
+
+// Permits reports whether a request may be sent to a chosen target now.
+func (n *FleetNode) Permits(c entry.Choice) bool {
+	now := time.Now()
+	return n.board.notices.Standing(now, c.Life).Permits(now, c.Permit)
+}
+
+// Hear records what an answer of a target says of it.
+func (n *FleetNode) Hear(c entry.Choice, said notice.Notice) {
+	n.board.notices.Hear(time.Now(), c.Life, said)
+}
+
+// Live returns how many nodes this one takes for live.
+func (n *FleetNode) Live() int { return len(n.board.view.Load().Live()) }
+
+// Part returns the part of targets' limits that a node may grant which so many holders of the
+// role rank before, of so many nodes.
+func Part(nodes, live, rank int, alone bool, among time.Duration) float64 {
+	return place{
+		nodes: nodes,
+		live:  live,
+		rank:  rank,
+		alone: alone,
+		among: among,
+	}.part()
+}
+
+// Relayed returns when a target answered with its limit, by a node that another one tells of it.
+func Relayed(sent, received, at time.Time) time.Time {
+	return limitFrom(received, limitTo(sent, dispatch.TargetLimit{
+		At: at,
+	})).At
+}
+
+// Shares are a node's shares of targets' limits.
+type Shares struct {
+	shares shares
+}
+
+// Take reports whether the node may send a request to a target with a limit of a rate.
+func (s *Shares) Take(now time.Time, rate float64, nodes int) bool {
+	return s.shares.take(now, "t", notice.Limit{
+		Rate: rate,
+		Set:  true,
+	}, nodes)
+}
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -36,6 +36,11 @@
 	self     func() *wire.Node
 	log      *logrus.Entry
 	calls    atomic.Uint64
+	// roundTrip is when a peer last answered, joined since when peers do without a pause, as
+	// times since begun; 0 is never.
+	begun     time.Time
+	roundTrip atomic.Int64
+	joined    atomic.Int64
 	// ask and done answer the questions of peers about targets, taken notes the
 	// answer to the end of an attempt.
 	ask   func(*wire.Datagram)
@@ -61,6 +66,7 @@
 
 func newMessenger() *messenger {
 	m := &messenger{
+		begun:   time.Now(),
 		waits:   map[uint64]chan *wire.Datagram{},
 		draw:    func(*wire.Datagram) {},
 		touched: func(time.Time) {},
@@ -191,12 +197,35 @@
 	case *wire.Datagram_QuarantineNews:
 		m.quarantine(d.GetFrom().GetAddress(), b.QuarantineNews)
 	case *wire.Datagram_Taken:
+		m.reached(now)
 		m.taken(d.GetCall())
 	default:
+		m.reached(now)
 		m.answered(d)
 	}
 }
 
+// reached notes that a peer answered: both ways to it work.
+func (m *messenger) reached(now time.Time) {
+	since := int64(now.Sub(m.begun))
+	if m.alone(now) {
+		m.joined.Store(since)
+	}
+	m.roundTrip.Store(since)
+}
+
+// among returns for how long peers have answered without a pause.
+func (m *messenger) among(now time.Time) time.Duration {
+	return now.Sub(m.begun) - time.Duration(m.joined.Load())
+}
+
+// alone reports whether no peer has answered for contactTime: each is pinged several times a
+// second.
+func (m *messenger) alone(now time.Time) bool {
+	last := m.roundTrip.Load()
+	return last == 0 || now.Sub(m.begun)-time.Duration(last) > contactTime
+}
+
 // learn takes what travels on each datagram.
 func (m *messenger) learn(now time.Time, d *wire.Datagram) {
 	m.members.heard(d.GetFrom())
--- a/internal/node/taking.go
+++ b/internal/node/taking.go
@@ -17,6 +17,7 @@
 
 // answered takes the last word of a dispatcher.
 func (d *dispatching) answered(peer string, q *entry.Query, p part, g granted) reply {
+	d.board.learn(time.Now(), d.newest(q.Service), g.grant.GetLimits()...)
 	switch g.grant.GetVerdict() {
 	case wire.Grant_FULL:
 		d.noteFull(time.Now(), p)
@@ -62,7 +63,7 @@
 	}
 	if l := g.grant.GetLimit(); l != nil {
 		permit.Paced = true
-		d.board.notices.Learn(now, limitFrom(now, l).At, lifeOf(t), limitFrom(now, l).Limit)
+		d.board.learn(now, d.newest(q.Service), l)
 	}
 	if said := d.board.standing(now, t); !said.Permits(now, permit) {
 		// The target told this node, and whoever chose may not have heard it.
--- a/internal/node/targetlimits.go
+++ b/internal/node/targetlimits.go
@@ -3,7 +3,9 @@
 package node
 
 import (
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,17 +20,23 @@
 // Parts of a target's limit. Those who may grant it at the same time, without knowing of each
 // other, stay within one and a half times the limit together.
 const (
-	// standbyPart is the part of a dispatcher before which another one ranks.
+	// standbyPart is the part of a dispatcher of that of the one which ranks before it.
 	standbyPart = 0.25
 	// wholeFrom is the part of the fleet that must be lost for the rest to use only its own
 	// part of the limit.
 	wholeFrom = 0.4
-	// strangerPart is the part of a node that has met none of the others yet.
-	strangerPart = 0.05
+	// joinPart is the part of a node that has been among the others for less than joinTime:
+	// some may not know yet that it is back, and ask another one.
+	joinPart = 0.4
+	joinTime = 5 * time.Second
+	// alonePart is the most that a node uses which no other answers: it may know few of them.
+	alonePart = 0.05
 	// aloneBeside is the part of all nodes that choose alone while dispatchers grant,
 	// aloneOnly the same where all nodes choose alone.
-	aloneBeside = 0.4
+	aloneBeside = 0.15
 	aloneOnly   = 0.9
+	// shareTime is how long a node may use its turn to send to a target by itself.
+	shareTime = 2 * time.Second
 	// limitWay is by how much a limit's age grows on its way between nodes: a limit that was
 	// lifted must not be renewed by nodes that tell each other of it.
 	limitWay = 25 * time.Millisecond
@@ -37,15 +45,34 @@
 )
 
 // limitTo returns the message about a target's limit, or nil if none was ever known.
-func limitTo(now time.Time, key string, s notice.Standing) *wire.TargetLimit {
-	if s.LimitAt.IsZero() {
+func limitTo(now time.Time, l dispatch.TargetLimit) *wire.TargetLimit {
+	if l.At.IsZero() {
 		return nil
 	}
 	return &wire.TargetLimit{
+		Target: l.Target,
+		Rate:   l.Rate,
+		Lifted: !l.Set,
+		AgeMs:  uint32(min(max(now.Sub(l.At), 0), time.Hour).Milliseconds()) + 1,
+	}
+}
+
+// limitOfTarget returns the limit of a target as this node knows it.
+func limitOfTarget(key string, s notice.Standing) dispatch.TargetLimit {
+	return dispatch.TargetLimit{
 		Target: key,
-		Rate:   s.Limit.Rate,
-		Lifted: !s.Limit.Set,
-		AgeMs:  uint32(min(max(now.Sub(s.LimitAt), 0), time.Hour).Milliseconds()) + 1,
+		Limit:  s.Limit,
+		At:     s.LimitAt,
+	}
+}
+
+// learn records limits that a dispatcher told of.
+func (b *Board) learn(now time.Time, s *fleetconfig.Service, limits ...*wire.TargetLimit) {
+	for _, in := range limits {
+		if t := s.Target(in.GetTarget()); t != nil {
+			l := limitFrom(now, in)
+			b.notices.Learn(now, l.At, lifeOf(t), l.Limit)
+		}
 	}
 }
 
@@ -75,27 +102,56 @@
 			continue
 		}
 		if said := b.standing(now, t); said.Limit.Set {
-			out = append(out, limitTo(now, t.Key(), said))
+			out = append(out, limitTo(now, limitOfTarget(t.Key(), said)))
 		}
 	}
 	return out
 }
 
-// authority returns the part of targets' limits that this node may grant as a dispatcher.
-func authority(view *membership.View, holders []membership.Node, seeds int) float64 {
-	if len(view.Peers()) == 0 && seeds > 0 {
-		return strangerPart
+// place is that of a node among those that may grant the same targets.
+type place struct {
+	// nodes is how many nodes are known, live how many of them are taken for live.
+	nodes, live int
+	// rank is how many holders of the dispatcher's role come before this node.
+	rank int
+	// alone is set where no other node answers, among is for how long others have.
+	alone bool
+	among time.Duration
+}
+
+// part returns the part of targets' limits that a node may grant as a dispatcher.
+func (p place) part() float64 {
+	if p.alone {
+		return min(alonePart, 1/float64(p.nodes))
 	}
-	part := 1.0
-	if lost := 1 - float64(len(view.Live()))/float64(view.Nodes()); lost > wholeFrom {
-		part = 1 - lost
+	part := math.Pow(standbyPart, float64(p.rank))
+	if p.among < joinTime {
+		part *= joinPart
 	}
-	if len(holders) > 0 && holders[0] != view.Self() {
-		part *= standbyPart
+	if live := float64(p.live) / float64(p.nodes); 1-live > wholeFrom {
+		part *= live
 	}
 	return part
 }
 
+// place returns that of this node among the holders of a dispatcher's role.
+func (d *dispatching) place(now time.Time, view *membership.View, holders []membership.Node) place {
+	p := place{
+		nodes: view.Nodes(),
+		live:  len(view.Live()),
+		rank:  slices.Index(holders, view.Self()),
+		among: joinTime,
+	}
+	if p.rank < 0 {
+		p.rank = len(holders)
+	}
+	if p.nodes > 1 || d.seeds > 0 {
+		p.alone = d.messenger.alone(now)
+		p.among = d.messenger.among(now)
+	}
+	return p
+}
+
 // shares pace what this node sends to targets with a limit where it chooses alone. The zero
 // value is that of a node which always does. They may be used concurrently.
 type shares struct {
@@ -122,7 +178,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pacer(now, key).Wait(now, s.rate(l, nodes), 1)
+	_, wait := s.pacer(now, key, s.rate(l, nodes))
+	return wait
 }
 
 // take pays for a request to a target and reports whether the limit allows it.
@@ -132,12 +189,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pacer(now, key).Take(now, s.rate(l, nodes), 1) == 0
+	p, wait := s.pacer(now, key, s.rate(l, nodes))
+	if wait > 0 {
+		return false
+	}
+	p.Pay()
+	return true
 }
 
-// pacer returns the pacer of a target. Nodes begin with different parts of a token, so that
-// their first requests don't come together. s.mu is held.
-func (s *shares) pacer(now time.Time, key string) *ratelimit.Pacer {
+// pacer returns the pacer of a target and the time until its next token. Nodes begin with
+// different parts of a token, and tokens that aren't used lapse: nodes that lose their
+// dispatcher together would spend all of them at once. s.mu is held.
+func (s *shares) pacer(now time.Time, key string, rate float64) (*ratelimit.Pacer, time.Duration) {
 	p := s.pacers[key]
 	if p == nil {
 		if s.pacers == nil || len(s.pacers) >= maxShares {
@@ -146,7 +209,9 @@
 		p = ratelimit.NewPacer(now, rand.Float64())
 		s.pacers[key] = p
 	}
-	return p
+	p.Wait(now, rate, math.Inf(1))
+	p.Lapse(rate * shareTime.Seconds())
+	return p, p.Wait(now, rate, math.Inf(1))
 }
 
 // shared returns the permit to send a request to a target by this node's own share of its limit.
--- a/internal/notice/limit_test.go
+++ b/internal/notice/limit_test.go
@@ -88,3 +88,77 @@
 		t.Errorf("the next incarnation has the limit %+v", got)
 	}
 }
+
+// A target with a limit gets only requests that the limit paid for, and none that were held up
+// since.
+func TestPermit(t *testing.T) {
+	tests := []struct {
+		name   string
+		notice notice.Notice
+		permit notice.Permit
+		want   bool
+	}{
+		{
+			name: "no limit",
+			want: true,
+		},
+		{
+			name:   "granted without the limit",
+			notice: limitOf(2),
+			permit: notice.Permit{
+				At: start,
+			},
+		},
+		{
+			name:   "paid for",
+			notice: limitOf(2),
+			permit: notice.Permit{
+				Paced: true,
+				At:    start.Add(-400 * time.Millisecond),
+			},
+			want: true,
+		},
+		{
+			name:   "held up",
+			notice: limitOf(2),
+			permit: notice.Permit{
+				Paced: true,
+				At:    start.Add(-600 * time.Millisecond),
+			},
+		},
+		{
+			name: "paid for, and draining",
+			notice: notice.Notice{
+				Leaving: true,
+			},
+			permit: notice.Permit{
+				Paced: true,
+				At:    start,
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l notice.Ledger
+			l.Hear(start, life("t"), tt.notice)
+			if got := l.Standing(start, life("t")).Permits(start, tt.permit); got != tt.want {
+				t.Errorf("permits %v", got)
+			}
+		})
+	}
+}
+
+// What a peer tells of a limit counts unless this node heard the target later.
+func TestLimitsOfPeersAreLearned(t *testing.T) {
+	var l notice.Ledger
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	l.Learn(at(5), at(1), life("t"), limitOf(2).Limit)
+	if got := l.Standing(at(5), life("t")).Limit; got != limitOf(2).Limit {
+		t.Errorf("learned %+v", got)
+	}
+	l.Hear(at(6), life("t"), notice.Notice{})
+	l.Learn(at(7), at(5), life("t"), limitOf(2).Limit)
+	if got := l.Standing(at(7), life("t")).Limit; got.Set {
+		t.Errorf("a lifted limit came back: %+v", got)
+	}
+}
--- a/internal/ratelimit/pacer.go
+++ b/internal/ratelimit/pacer.go
@@ -2,7 +2,10 @@
 
 package ratelimit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // longestPause is what a pacer with a rate of 0 says.
 const longestPause = time.Hour
@@ -50,6 +53,13 @@
 	return wait
 }
 
+// Lapse drops tokens that have been there for longer than it takes to gather keep tokens.
+func (p *Pacer) Lapse(keep float64) {
+	if over := p.tokens - keep; over >= 1 {
+		p.tokens -= math.Floor(over)
+	}
+}
+
 // Pay takes a token, whether there is one or not: the next ones then come later.
 func (p *Pacer) Pay() { p.tokens-- }
 
--- a/internal/ratelimit/pacer_test.go
+++ b/internal/ratelimit/pacer_test.go
@@ -59,3 +59,22 @@
 		})
 	}
 }
+
+// Tokens that lie unused lapse, so that one is there for a part of the time only.
+func TestUnusedTokensLapse(t *testing.T) {
+	const rate, keep, depth = 0.5, 0.2, 100
+	p := ratelimit.NewPacer(start, 0)
+	there := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		p.Wait(now, rate, depth)
+		p.Lapse(keep)
+		if p.Wait(now, rate, depth) == 0 {
+			there++
+		}
+	}
+	// Ten seconds are five tokens, each of which is there for the time of keep.
+	if there < 150 || there > 210 {
+		t.Errorf("a token was there in %d of 1000 steps", there)
+	}
+}
