--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -94,7 +94,7 @@
 // Runs returns the number of attempts that may have run.
 func (l *Life) Runs() int { return l.runs }
 
-// Repeatable tells whether the request may run more than once.
+// Repeatable reports whether the request may run more than once.
 func (l *Life) Repeatable() bool { return l.repeatable }
 
 // Ended takes in the end of an attempt.
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -49,10 +49,10 @@
 	Credential func(h http.Header) (key string, shown bool)
 	// SetDeadline tells a target until when it may work.
 	SetDeadline func(h http.Header, deadline, now time.Time)
-	// Refused tells whether an answer proves that the target has not run the
+	// Refused reports whether an answer proves that the target has not run the
 	// request and never will.
 	Refused func(status int, h http.Header) Refusal
-	// Leaving tells whether an answer says that its target is leaving.
+	// Leaving reports whether an answer says that its target is leaving.
 	Leaving func(h http.Header) bool
 	// Rest returns for how long an answer's target wants nothing from this node, as the
 	// function of that name does.
--- a/internal/detection/measure.go
+++ b/internal/detection/measure.go
@@ -109,7 +109,7 @@
 	name string
 	// begin injects the fault.
 	begin func(w *world)
-	// seen tells whether the fault has been detected; nil if nothing is sick.
+	// seen reports whether the fault has been detected; nil if nothing is sick.
 	seen func(w *world) bool
 	// sick are the targets whose ejection is right.
 	sick []int
--- a/internal/detection/world.go
+++ b/internal/detection/world.go
@@ -117,7 +117,7 @@
 	pick func(now time.Time) (int, func(now time.Time, ok, shed bool), bool)
 	// beat lets time pass, every 250 ms.
 	beat func(now time.Time)
-	// out tells whether the node gives a target no regular work.
+	// out reports whether the node gives a target no regular work.
 	out func(target int) bool
 }
 
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -66,7 +66,7 @@
 	Elsewhere Spending
 }
 
-// last tells whether no other attempt can follow a failure of this one.
+// last reports whether no other attempt can follow a failure of this one.
 func (a *Ask) last() bool { return !a.Repeatable || a.Again && !a.Hedge }
 
 // Verdict answers an ask.
--- a/internal/dispatch/barred.go
+++ b/internal/dispatch/barred.go
@@ -7,7 +7,7 @@
 // This file is about what targets said of themselves to the nodes that ask: that they leave,
 // which binds all, or that they want nothing from the node, which binds its asks.
 
-// barred tells whether no target that stays may get the ask now. Where all leave, others may
+// barred reports whether no target that stays may get the ask now. Where all leave, others may
 // appear at any moment.
 func (d *Desk) barred(now time.Time, a *Ask) bool {
 	if len(a.Barred) == 0 {
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -32,7 +32,7 @@
 	return t
 }
 
-// takes tells whether an ask should take a target now and not wait for a better one.
+// takes reports whether an ask should take a target now and not wait for a better one.
 func (d *Desk) takes(now time.Time, w *waiting, t *target) bool {
 	a := w.ask
 	waited := float64(now.Sub(w.since)) / float64(max(d.patience(w.since, a), 1))
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -225,7 +225,7 @@
 	return time.Duration(float64(work) / max(slots, 1))
 }
 
-// hopeless tells whether so little time is left that hardly any answer would come.
+// hopeless reports whether so little time is left that hardly any answer would come.
 // Others make better use of the slot.
 func (d *Desk) hopeless(now time.Time, a *Ask) bool { return a.Deadline.Sub(now) < d.needs(now, a) }
 
@@ -330,7 +330,7 @@
 // desk for each service, most of which have no work.
 const idleBeat = time.Second
 
-// Busy tells whether anything waits or is under way.
+// Busy reports whether anything waits or is under way.
 func (d *Desk) Busy() bool { return len(d.granted) > 0 || len(d.queue.list) > 0 }
 
 // Advance forgets attempts whose end was never told and returns the grants and
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -19,7 +19,7 @@
 	hedgeKept  = 0.1
 )
 
-// hedges tells whether a second attempt beside one that goes on is worth a repeat:
+// hedges reports whether a second attempt beside one that goes on is worth a repeat:
 // the more of the retry budget is spent, the surer it must be that the first one
 // gets no answer.
 func (d *Desk) hedges(now time.Time, a *Ask) bool {
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -30,10 +30,10 @@
 	d.queue.short = d.short(now)
 }
 
-// short tells whether asks wait for slots, and not for better targets than are free.
+// short reports whether asks wait for slots, and not for better targets than are free.
 func (d *Desk) short(now time.Time) bool { return now.Sub(d.room) > shortAfter }
 
-// overloaded tells whether an ask that can't be in time will hardly be served: for as long as
+// overloaded reports whether an ask that can't be in time will hardly be served: for as long as
 // it could wait no good slot was left over by what can. A burst that is over sooner is worked
 // off, for a late answer is worth more than none.
 func (d *Desk) overloaded(now time.Time, a *Ask) bool { return now.Sub(d.room) > a.Deadline.Sub(a.Aim) }
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// hangs tells whether a target hangs most of its requests now.
+// hangs reports whether a target hangs most of its requests now.
 func (o *overload) hangs(key string) bool {
 	var n int
 	_, _ = fmt.Sscanf(key, "t%d", &n)
--- a/internal/dispatch/pay.go
+++ b/internal/dispatch/pay.go
@@ -4,7 +4,7 @@
 
 import "time"
 
-// affords tells whether the retry budget pays for an ask. part is the share of the
+// affords reports whether the retry budget pays for an ask. part is the share of the
 // reserve that may be used.
 func (d *Desk) affords(now time.Time, a *Ask, part float64) bool {
 	d.window.turn(now, d.begun, d.budget)
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -40,12 +40,12 @@
 	reached []time.Duration
 }
 
-// failingAt tells whether the target is failing at a time since the start.
+// failingAt reports whether the target is failing at a time since the start.
 func (m *modelTarget) failingAt(s *serviceModel, at time.Duration) bool {
 	return m.states[int((at+m.offset)/s.period)]
 }
 
-// counts tells whether the target counts in the window that begins at from.
+// counts reports whether the target counts in the window that begins at from.
 func (m *modelTarget) counts(s *serviceModel, from time.Duration) bool {
 	if m.slow && from+floorWindow > slowFrom {
 		return false
@@ -58,7 +58,7 @@
 	return true
 }
 
-// reachedIn tells whether a request reached the target in the window.
+// reachedIn reports whether a request reached the target in the window.
 func (m *modelTarget) reachedIn(from time.Duration) bool {
 	for _, at := range m.reached {
 		if at >= from && at < from+floorWindow {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -49,7 +49,7 @@
 	return sum, n
 }
 
-// inTime tells whether an answer to an ask that waits can still be worth most. While slots
+// inTime reports whether an answer to an ask that waits can still be worth most. While slots
 // are short nearly all answers must be, where another attempt can follow: by the usual time
 // half of what went first came too late. Of a service that gets 1.2 to 2 times what it can
 // do 0.53 to 0.60 was in aim, 0.89 to 0.95 by the margin (TestOverload). A last attempt
--- a/internal/dispatch/rest.go
+++ b/internal/dispatch/rest.go
@@ -35,7 +35,7 @@
 	until time.Time
 }
 
-// tried tells whether the target gets one request at a time, for it hasn't taken any yet.
+// tried reports whether the target gets one request at a time, for it hasn't taken any yet.
 func (r resting) tried() bool { return !r.since.IsZero() }
 
 // slots returns how many requests the target gets at a time.
@@ -52,7 +52,7 @@
 	any bool
 }
 
-// anyTakes tells whether any target that stays took its last request. Where none did, nothing is
+// anyTakes reports whether any target that stays took its last request. Where none did, nothing is
 // gained by leaving them alone: nodes that were asked nothing try them, and callers hear at once.
 // With all left alone 0.852 of the requests of TestWaysOfRest are in aim and 0.17 a request
 // turned away, but callers who are not served hear so after 0.70 s in the mean, instead of 0.05.
--- a/internal/dispatch/rest_model_test.go
+++ b/internal/dispatch/rest_model_test.go
@@ -146,7 +146,7 @@
 	p.after(50*time.Millisecond, p.beat)
 }
 
-// turnsAway tells whether a target turns requests away now: the first ones of the list do so
+// turnsAway reports whether a target turns requests away now: the first ones of the list do so
 // together.
 func (p *restPlay) turnsAway(key string) bool {
 	var i int
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// many tells whether so many requests fail that work must be spread.
+// many reports whether so many requests fail that work must be spread.
 func (e *ends) many(now time.Time) bool {
 	e.advance(now)
 	all, bad := e.all[0]+e.all[1], e.bad[0]+e.bad[1]
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -54,10 +54,10 @@
 	leftUnnamed = time.Minute
 )
 
-// leaves tells whether the target takes no new work at now, from any node.
+// leaves reports whether the target takes no new work at now, from any node.
 func (t *target) leaves(now time.Time) bool { return t.Leaving || now.Before(t.left) }
 
-// open tells whether an ask may get the target at now.
+// open reports whether an ask may get the target at now.
 func (t *target) open(now time.Time, a *Ask) bool {
 	return !t.leaves(now) && !slices.Contains(a.Barred, t.Key)
 }
@@ -84,7 +84,7 @@
 	return t.health.Lost(now)
 }
 
-// reachedLately tells whether the target got work within spreadTime.
+// reachedLately reports whether the target got work within spreadTime.
 func (t *target) reachedLately(now time.Time) bool { return now.Sub(t.granted) < spreadTime }
 
 // steady returns the probability that the target counts at now.
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -140,7 +140,7 @@
 	return len(g.compares)
 }
 
-// CutOff tells whether most of the recent calls to peers failed. It is false
+// CutOff reports whether most of the recent calls to peers failed. It is false
 // before the first few calls.
 func (g *Gossip) CutOff() bool {
 	g.mu.Lock()
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -199,7 +199,7 @@
 	return r.entries(keys), wanted
 }
 
-// ask tells whether a peer should be asked for a value, and notes that it was.
+// ask reports whether a peer should be asked for a value, and notes that it was.
 func (r *Replica) ask(now time.Time, kr *wire.KeyRevision) bool {
 	q := r.asked[kr.GetKey()]
 	if q.revision >= kr.GetRevision() && now.Sub(q.at) < askAgain {
--- a/internal/entry/capture.go
+++ b/internal/entry/capture.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// bothLengths tells whether a request stated a length and chunks. A chunked
+// bothLengths reports whether a request stated a length and chunks. A chunked
 // request whose header isn't known, for it came right behind another one, is
 // taken for one that did.
 func bothLengths(r *http.Request) bool {
--- a/internal/entry/fail.go
+++ b/internal/entry/fail.go
@@ -44,7 +44,7 @@
 	x.last = r.err
 }
 
-// unsent tells whether nothing was sent because the target wanted no request any more.
+// unsent reports whether nothing was sent because the target wanted no request any more.
 func unsent(err error) bool {
 	var fe *forward.Error
 	return errors.As(err, &fe) && fe.Kind() == forward.KindBarred
@@ -62,14 +62,14 @@
 	}
 }
 
-// replaceable tells whether another target may give a repeatable request a better
+// replaceable reports whether another target may give a repeatable request a better
 // answer than this one.
 func (x *relay) replaceable(a *forward.Answer) bool {
 	_, again := x.body.next()
 	return x.in.route.Repeatable() && passing(a.Status()) && again
 }
 
-// passing tells whether a failure may not come from another target.
+// passing reports whether a failure may not come from another target.
 func passing(status int) bool {
 	switch status {
 	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
@@ -86,7 +86,7 @@
 	return gaveUp(x.life, reason, x.comeBack, x.last)
 }
 
-// lost tells whether the request ends unserved with an attempt that failed now: its
+// lost reports whether the request ends unserved with an attempt that failed now: its
 // caller has left, or its time is over.
 func (x *relay) lost() bool {
 	return !x.settled.Load() && (x.req.Context().Err() != nil || time.Until(x.life.Deadline()) <= 0)
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -34,14 +34,14 @@
 	return max(slow, 0)
 }
 
-// hedgeable tells whether the request may be sent to a second target while the first
+// hedgeable reports whether the request may be sent to a second target while the first
 // works on it. One under which a target has ended could end two more.
 func (x *relay) hedgeable() bool {
 	r := x.in.route
 	return r.Repeatable() && x.body.stream == nil && r.MaxAttempts() != 1 && !x.suspect.Load()
 }
 
-// spent tells whether there was no target because the retry budget doesn't pay for
+// spent reports whether there was no target because the retry budget doesn't pay for
 // it now.
 func spent(err error) bool {
 	var none *NoTargetError
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -173,7 +173,7 @@
 	}
 }
 
-// accept tells whether a result is the answer for the caller. Any other is noted
+// accept reports whether a result is the answer for the caller. Any other is noted
 // and given up, or kept as a spare.
 func (x *relay) accept(r result) bool {
 	if r.err != nil {
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -12,7 +12,7 @@
 	"ploverjunction.example/ploverjunction/internal/forward"
 )
 
-// resumable tells whether the rest of an answer can be had from another target:
+// resumable reports whether the rest of an answer can be had from another target:
 // the route is repeatable and the target offers ranges and a strong validator
 // (RFC 9110, sections 8.8.1 and 14.2).
 func (x *relay) resumable(a *forward.Answer) bool {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -44,9 +44,9 @@
 	WorkspaceHeader string
 	// Keyed is set where callers show keys of their workspaces.
 	Keyed bool
-	// Trusted tells whether keys that are known may still be believed; nil means always.
+	// Trusted reports whether keys that are known may still be believed; nil means always.
 	Trusted func() bool
-	// Current tells whether this node can know the newest configuration, AwaitCurrent
+	// Current reports whether this node can know the newest configuration, AwaitCurrent
 	// waits until it can, or the context ends, and returns whether it does.
 	Current      func() bool
 	AwaitCurrent func(ctx context.Context) bool
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -62,7 +62,7 @@
 	return of*rankSpan + min(route.Priority(), rankSpan-1)
 }
 
-// hingesOnNews tells whether a newer configuration may allow what was refused: a key
+// hingesOnNews reports whether a newer configuration may allow what was refused: a key
 // that is not known may be one that was just given out.
 func (e *Error) hingesOnNews() bool { return e.code == CodeKey || e.code == CodeNoKey }
 
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -57,7 +57,7 @@
 // doesn't say.
 func (t *Target) Born() time.Time { return t.born }
 
-// Leaving tells whether the target takes no new work.
+// Leaving reports whether the target takes no new work.
 func (t *Target) Leaving() bool { return t.leaving }
 
 // Warmup returns how long after its appearance the target works more slowly.
@@ -162,16 +162,16 @@
 // means that only the policy bounds it.
 func (r *Route) MaxAttempts() int { return r.maxAttempts }
 
-// Bulk tells whether answers are large.
+// Bulk reports whether answers are large.
 func (r *Route) Bulk() bool { return r.bulk }
 
-// Public tells whether callers need no key.
+// Public reports whether callers need no key.
 func (r *Route) Public() bool { return r.public }
 
 // Class returns the class of the route, its service's name where none is given.
 func (r *Route) Class() string { return r.class }
 
-// Repeatable tells whether a request may run more than once without harm.
+// Repeatable reports whether a request may run more than once without harm.
 func (r *Route) Repeatable() bool { return r.repeatable }
 
 // Deadline returns the longest time to the first byte of an answer; 0 means the
@@ -196,10 +196,10 @@
 // DataHall returns the data hall; it may be empty.
 func (i *Instance) DataHall() string { return i.dataHall }
 
-// Leaving tells whether the platform has announced the instance's end.
+// Leaving reports whether the platform has announced the instance's end.
 func (i *Instance) Leaving() bool { return i.leaving }
 
-// Entry tells whether the instance runs a process of the fleet, not a target.
+// Entry reports whether the instance runs a process of the fleet, not a target.
 func (i *Instance) Entry() bool { return i.entry }
 
 // Config is one whole, valid configuration. It never changes and may be read
--- a/internal/fleetconfig/route.go
+++ b/internal/fleetconfig/route.go
@@ -92,7 +92,7 @@
 }
 
 // pickMethod returns the route for a method, or whether there is one for the path
-// at least; longer tells whether the path goes on behind the prefix.
+// at least; longer reports whether the path goes on behind the prefix.
 func pickMethod(routes []*Route, method string, longer bool) (*Route, Match) {
 	var open *Route
 	match := MatchNone
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -46,10 +46,10 @@
 // Target returns the address of the target.
 func (a *Answer) Target() string { return a.target }
 
-// Whole tells whether the body was read to its verified end.
+// Whole reports whether the body was read to its verified end.
 func (a *Answer) Whole() bool { return a.whole }
 
-// Leaving tells whether the target said that it is leaving.
+// Leaving reports whether the target said that it is leaving.
 func (a *Answer) Leaving() bool { return a.leaving }
 
 // Close ends the answer. If the body was not read to its end the connection is
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -107,7 +107,7 @@
 	Target string
 	// Expect is the ID of the target that may run the request, or "".
 	Expect string
-	// Repeatable tells whether the request may run more than once.
+	// Repeatable reports whether the request may run more than once.
 	Repeatable bool
 	Method     string
 	Host       string
@@ -119,7 +119,7 @@
 	// Heard takes what the target says of itself in its answer, however the attempt ends,
 	// and why it can't be read. nil takes nothing.
 	Heard func(n notice.Notice, err error)
-	// Barred tells whether the target has said that it wants no request now. It is asked
+	// Barred reports whether the target has said that it wants no request now. It is asked
 	// last before the first byte is sent. nil means that it never has.
 	Barred func(now time.Time) bool
 }
--- a/internal/forward/ended.go
+++ b/internal/forward/ended.go
@@ -10,19 +10,19 @@
 	"ploverjunction.example/ploverjunction/internal/attempt"
 )
 
-// Broke tells whether an attempt broke in a way in which the end of its target shows: the
+// Broke reports whether an attempt broke in a way in which the end of its target shows: the
 // connection ended after bytes of the request were sent. The target may live all the same.
 func (e *Error) Broke() bool {
 	return e.kind == KindReset || e.kind == KindConnect && e.outcome == attempt.OutcomeUnknown
 }
 
-// Refused tells whether a failure shows that nothing listens at the target's address. The
+// Refused reports whether a failure shows that nothing listens at the target's address. The
 // attempt sent its request on a connection that broke, and the next one was refused.
 func (e *Error) Refused() bool { return nothingListens(e.cause) }
 
 func nothingListens(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// Ended tells whether the process of a target has ended: nothing listens at its address. It
+// Ended reports whether the process of a target has ended: nothing listens at its address. It
 // opens a connection for that, and takes up to connectTimeout. A target that can't be
 // reached isn't known to have ended.
 func (c *Client) Ended(ctx context.Context, target string) bool {
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -65,10 +65,10 @@
 // Outcome returns what is known about the request's run.
 func (e *Error) Outcome() attempt.Outcome { return e.outcome }
 
-// Leaving tells whether the target said that it is leaving.
+// Leaving reports whether the target said that it is leaving.
 func (e *Error) Leaving() bool { return e.leaving }
 
-// Against tells whether the failure speaks against the target. Shedding is
+// Against reports whether the failure speaks against the target. Shedding is
 // health; a late start or a caller that left is not the target's doing.
 func (e *Error) Against() bool {
 	switch e.kind {
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -14,7 +14,7 @@
 type claim struct {
 	mu    sync.Mutex
 	limit time.Time
-	// barred tells whether the target wants no request now; nil means it does.
+	// barred reports whether the target wants no request now; nil means it does.
 	barred  func(now time.Time) bool
 	bound   int
 	written bool
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -130,7 +130,7 @@
 	return t.cached
 }
 
-// Answering tells whether the last attempt that has ended was answered well.
+// Answering reports whether the last attempt that has ended was answered well.
 func (t *Target) Answering() bool {
 	for i := len(t.events) - 1; i >= 0; i-- {
 		if k := t.events[i].kind; k != Open {
--- a/internal/integration/notice_test.go
+++ b/internal/integration/notice_test.go
@@ -182,7 +182,7 @@
 	}
 }
 
-// heardLeaving tells whether the target told a node that it leaves.
+// heardLeaving reports whether the target told a node that it leaves.
 func heardLeaving(b *backend, node int) bool {
 	for _, a := range b.from(node) {
 		if a.Leaving {
@@ -192,7 +192,7 @@
 	return false
 }
 
-// quiet tells whether nothing has reached the target for a while.
+// quiet reports whether nothing has reached the target for a while.
 func quiet(b *backend) bool {
 	all := b.Arrivals()
 	return len(all) > 0 && time.Since(all[len(all)-1].At) > time.Second
@@ -251,7 +251,7 @@
 	}
 }
 
-// turnedAway tells whether the target asked one of the nodes for rest.
+// turnedAway reports whether the target asked one of the nodes for rest.
 func turnedAway(b *backend, nodes []int) bool {
 	for _, i := range nodes {
 		for _, a := range b.from(i) {
--- a/internal/membership/rumor.go
+++ b/internal/membership/rumor.go
@@ -13,7 +13,7 @@
 	told int
 }
 
-// before tells whether a rumor should be told before another one.
+// before reports whether a rumor should be told before another one.
 func (r *rumor) before(o *rumor) bool {
 	return cmp.Or(cmp.Compare(r.told, o.told), cmp.Compare(r.news.Node.address, o.news.Node.address)) < 0
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// Changed tells whether anything happened since the last call that can change a
+// Changed reports whether anything happened since the last call that can change a
 // view; the mere end of a suspicion isn't noticed.
 func (t *Table) Changed() bool {
 	c := t.changed
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -33,7 +33,7 @@
 	n        int
 }
 
-// Same tells whether two views hold the same nodes.
+// Same reports whether two views hold the same nodes.
 func (v *View) Same(o *View) bool {
 	return o != nil && v.self == o.self && slices.Equal(v.peers, o.peers) && slices.Equal(v.live, o.live) && slices.Equal(v.weights, o.weights)
 }
--- a/internal/node/allotting.go
+++ b/internal/node/allotting.go
@@ -58,7 +58,7 @@
 	return out
 }
 
-// able tells whether this node may allocate: a part of the fleet that lost most of the
+// able reports whether this node may allocate: a part of the fleet that lost most of the
 // others must not give out the whole limit once more.
 func (l *limiting) able(now time.Time) bool {
 	view := l.board.view.Load()
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -113,10 +113,10 @@
 	barred bool
 }
 
-// settled tells whether no other part need be asked.
+// settled reports whether no other part need be asked.
 func (r reply) settled() bool { return r.usable || r.err != nil && !r.refused() }
 
-// refused tells whether the targets of the part can't take the request in time.
+// refused reports whether the targets of the part can't take the request in time.
 func (r reply) refused() bool {
 	var none *entry.NoTargetError
 	return errors.As(r.err, &none) && none.Reason() == attempt.ReasonTargets
--- a/internal/node/current.go
+++ b/internal/node/current.go
@@ -27,13 +27,13 @@
 	// the same values.
 	age    func(now time.Time) time.Duration
 	agreed func(now time.Time) time.Duration
-	// alone tells whether this node has no peers.
+	// alone reports whether this node has no peers.
 	alone func() bool
 	// ask compares with peers soon.
 	ask func()
 }
 
-// current tells whether this node can know the newest configuration: the fleet heard
+// current reports whether this node can know the newest configuration: the fleet heard
 // the platform lately, and what it heard has come here.
 func (c *currency) current() bool {
 	if c.most == 0 {
@@ -59,7 +59,7 @@
 	return true
 }
 
-// trusted tells whether keys that this node knows may be believed: later it could have
+// trusted reports whether keys that this node knows may be believed: later it could have
 // missed that one was taken away.
 func (c *currency) trusted() bool { return c.trust == 0 || c.age(time.Now()) <= c.trust }
 
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// busy tells whether anything waits, is under way or not confirmed.
+// busy reports whether anything waits, is under way or not confirmed.
 func (d *dispatching) busy() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/node/drawing.go
+++ b/internal/node/drawing.go
@@ -170,7 +170,7 @@
 	}
 }
 
-// idle tells whether no workspace with a limit has callers here or its bucket.
+// idle reports whether no workspace with a limit has callers here or its bucket.
 func (l *limiting) idle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/export_notices_test.go
+++ b/internal/node/export_notices_test.go
@@ -21,7 +21,7 @@
 	c.dispatching.board.notices.Hear(time.Now(), lifeOf(c.service.Target(key)), n)
 }
 
-// Leaves tells whether the node's own desk gives a target no work, by what it was told.
+// Leaves reports whether the node's own desk gives a target no work, by what it was told.
 func (c *Chooser) Leaves(key string) bool {
 	d := c.dispatching
 	d.mu.Lock()
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -324,11 +324,11 @@
 	}
 }
 
-// Current tells whether the node can know the newest configuration.
+// Current reports whether the node can know the newest configuration.
 func (c *Currency) Current() bool { return c.currency.current() }
 
 // Await waits until it can.
 func (c *Currency) Await(ctx context.Context) bool { return c.currency.await(ctx) }
 
-// Trusted tells whether keys may be believed.
+// Trusted reports whether keys may be believed.
 func (c *Currency) Trusted() bool { return c.currency.trusted() }
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// short tells whether a datagram says only who sent it. Those about limits come beside the
+// short reports whether a datagram says only who sent it. Those about limits come beside the
 // others of each request: with all that a node believes on them they took 10 MB between
 // data halls in 40 s of 113 nodes and 744 requests a second, without it 6 MB.
 func short(d *wire.Datagram) bool {
@@ -137,7 +137,7 @@
 	}
 }
 
-// probes tells whether a datagram asks or tells whether a node lives.
+// probes reports whether a datagram asks or reports whether a node lives.
 func probes(d *wire.Datagram) bool {
 	switch d.GetBody().(type) {
 	case *wire.Datagram_Ping, *wire.Datagram_Pong, *wire.Datagram_PingVia:
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -136,7 +136,7 @@
 	return home, others[:min(len(others), mostOthers)]
 }
 
-// passes tells whether a request may be passed on to another data hall at once.
+// passes reports whether a request may be passed on to another data hall at once.
 func passes(q *entry.Query) bool { return q.Kilobytes <= passMost }
 
 func (d *dispatching) noteFull(now time.Time, p part) {
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -48,7 +48,7 @@
 	return age.Milliseconds()
 }
 
-// reader tells whether this node should read the platform: it has the duty, or
+// reader reports whether this node should read the platform: it has the duty, or
 // nobody seems to do it.
 func (n *Node) reader() bool {
 	now := time.Now()
--- a/internal/notice/ledger.go
+++ b/internal/notice/ledger.go
@@ -88,7 +88,7 @@
 	LimitAt time.Time
 }
 
-// Barred tells whether no request may be sent to the target.
+// Barred reports whether no request may be sent to the target.
 func (s Standing) Barred() bool { return s.Leaving || s.Rest > 0 }
 
 // permitTime is how long a permit lasts: requests that were held up after their grant would
@@ -121,7 +121,7 @@
 	heard       time.Time
 }
 
-// of tells whether a life said what is recorded. A node that doesn't hear of a new life for a
+// of reports whether a life said what is recorded. A node that doesn't hear of a new life for a
 // while takes its words for those of the one before: what was said once the new one had
 // begun is its own. Clocks may differ; where that leaves a doubt nothing is held against it.
 func (r record) of(life Life) bool {
@@ -172,7 +172,7 @@
 	return n.Leaving || n.Rest > 0 || n.Limit.Set || n.LimitUnread || r.limit.Set || r.limitUnread
 }
 
-// Hear takes in what an answer says and tells whether it changed what holds. A rest never
+// Hear takes in what an answer says and reports whether it changed what holds. A rest never
 // shortens one that was asked for before.
 func (l *Ledger) Hear(now time.Time, life Life, n Notice) bool {
 	if !n.says(l.record(life)) {
@@ -266,7 +266,7 @@
 // Standing returns what holds for a target at now.
 func (l *Ledger) Standing(now time.Time, life Life) Standing { return l.record(life).standing(now) }
 
-// Empty tells whether nothing is known of any target, as on most days.
+// Empty reports whether nothing is known of any target, as on most days.
 func (l *Ledger) Empty() bool { return l.known.Load() == 0 }
 
 // Forget drops what holds no more, and lives that aren't published any more and of which
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -131,7 +131,7 @@
 	}
 }
 
-// Idle tells whether a beat without counts would change nothing.
+// Idle reports whether a beat without counts would change nothing.
 func (d *Detector) Idle() bool {
 	return len(d.carriers) == 0
 }
--- a/internal/outlier/observer.go
+++ b/internal/outlier/observer.go
@@ -145,7 +145,7 @@
 // other data halls should know at once what mounts up here.
 const urgentShare = 0.25
 
-// Urgent tells whether the next summary should not wait: evidence against a
+// Urgent reports whether the next summary should not wait: evidence against a
 // target mounts up, or a target says that it leaves.
 func (o *Observer) Urgent() bool {
 	for _, c := range o.summary {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -190,7 +190,7 @@
 	DataHalls int
 }
 
-// Sick tells whether a target counts as sick. A failed evaluation counts as not
+// Sick reports whether a target counts as sick. A failed evaluation counts as not
 // sick: a faulty policy must not take targets out of service.
 func (p *Program) Sick(h Health) bool {
 	return truth(p.sick, map[string]any{
@@ -226,7 +226,7 @@
 	Class      string
 }
 
-// Retry tells whether the policy allows another attempt. A failed evaluation
+// Retry reports whether the policy allows another attempt. A failed evaluation
 // counts as no.
 func (p *Program) Retry(t Try) bool {
 	return truth(p.retry, map[string]any{
--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Lately tells whether a request with a Print was answered within AnswerMemory.
+// Lately reports whether a request with a Print was answered within AnswerMemory.
 func (a *Answers) Lately(now time.Time, p Print) bool {
 	slot, tag := a.place(p)
 	v := slot.Load()
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -57,10 +57,10 @@
 	Wait time.Duration
 }
 
-// Suspect tells whether a target ended under the request.
+// Suspect reports whether a target ended under the request.
 func (s Standing) Suspect() bool { return s.Ends > 0 }
 
-// Held tells whether the request is refused.
+// Held reports whether the request is refused.
 func (s Standing) Held() bool { return s.Wait > 0 }
 
 // Check returns what is known of a request: of its Prints the one that speaks most against
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -73,7 +73,7 @@
 	return n
 }
 
-// Shared tells whether all nodes should know the record.
+// Shared reports whether all nodes should know the record.
 func (r *Record) Shared() bool { return len(r.Ends) >= sharedFrom }
 
 // last returns when the last target ended under the request.
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -205,7 +205,7 @@
 	m.now = end
 }
 
-// reach tells whether a message from one node comes to another.
+// reach reports whether a message from one node comes to another.
 func (m *model) reach(from, to int) bool {
 	a, b := m.nodes[from], m.nodes[to]
 	if a.down || b.down || m.now.Sub(a.begun) < meeting || m.now.Sub(b.begun) < meeting {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -177,7 +177,7 @@
 	return Admitted, 0
 }
 
-// Meeting tells whether this node has just begun and no allocator has told it of a
+// Meeting reports whether this node has just begun and no allocator has told it of a
 // workspace: it may meet one soon.
 func (l *Limiter) Meeting(now time.Time, workspace string) bool {
 	if now.Sub(l.begun) >= newTime {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -168,7 +168,7 @@
 // harms: the project's promise.
 const forceTime = 5 * time.Second
 
-// calmSince tells whether nothing that acts on a node or on the platform has
+// calmSince reports whether nothing that acts on a node or on the platform has
 // happened since a moment.
 func (f *fleet) calmSince(n *node, at time.Duration) bool {
 	return f.active.Load() == 0 && time.Duration(n.touched.Load()) < at && time.Duration(f.platformTouched.Load()) < at
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -12,7 +12,7 @@
 
 // Config holds the seams of a platform's run.
 type Config struct {
-	// Reader tells whether this process should read the platform now.
+	// Reader reports whether this process should read the platform now.
 	Reader func() bool
 	// Deliver gets values; heard is called with each good answer.
 	Deliver func([]*wire.Entry)
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -189,7 +189,7 @@
 	return s
 }
 
-// Ready tells whether the process is ready for callers.
+// Ready reports whether the process is ready for callers.
 func (p *Process) Ready() bool {
 	s := p.Status()
 	return s != nil && s.Ready
