--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -164,7 +164,7 @@
 		return a.unserved(Refused, 0)
 	}
 	if wait := d.wait(now, a.Priority); wait > d.longest(now, a) {
-		return a.unserved(Refused, d.comeBack(wait))
+		return a.unserved(Refused, d.retryAfter(wait))
 	}
 	if t := d.neglected(now, a); t != nil {
 		return d.grant(now, t, a, true)
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -14,9 +14,9 @@
 	// goodFrom is the probability of failing below which a target's free slot is a good one:
 	// failing targets always have some.
 	goodFrom = 0.5
-	// comeBackSpread is by which part of the wait the times differ that refused callers are
+	// retryAfterJitter is by which part of the wait the times differ that refused callers are
 	// told, so that they don't all return at once.
-	comeBackSpread = 0.4
+	retryAfterJitter = 0.4
 )
 
 // look notes whether there is a good slot that nothing took.
@@ -46,7 +46,7 @@
 	return time.Duration(refusedFrom * float64(a.Deadline.Sub(now)))
 }
 
-// comeBack returns when a refused caller may come back: when about what waits now is done.
-func (d *Desk) comeBack(wait time.Duration) time.Duration {
-	return wait + time.Duration(comeBackSpread*(d.random()-0.5)*float64(wait))
+// retryAfter returns when a refused caller may come back: when about what waits now is done.
+func (d *Desk) retryAfter(wait time.Duration) time.Duration {
+	return wait + time.Duration(retryAfterJitter*(d.random()-0.5)*float64(wait))
 }
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -92,7 +92,7 @@
 	for i := range out {
 		d.ends.note(now, false)
 		if limited {
-			out[i].RetryAfter = d.comeBack(c.wait(len(d.queue.list)))
+			out[i].RetryAfter = d.retryAfter(c.wait(len(d.queue.list)))
 		}
 	}
 	return out
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -45,7 +45,7 @@
 	}
 	if cfg == nil {
 		e := refuse(CodeNotReady, http.StatusServiceUnavailable)
-		e.retryAfter = comeBack
+		e.retryAfter = retryAfterDefault
 		return nil, e
 	}
 	a, fail := s.check(cfg, r, now)
--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -70,9 +70,9 @@
 	}
 }
 
-// comeBack is when a caller should come back after a failure that passes soon:
+// retryAfterDefault is when a caller should come back after a failure that passes soon:
 // about the time in which a slot of a target becomes free.
-const comeBack = 250 * time.Millisecond
+const retryAfterDefault = 250 * time.Millisecond
 
 // gaveUp returns the final answer of a life that ended without an answer.
 // retryAfter is when the caller may come back; 0 means the usual time.
@@ -85,7 +85,7 @@
 		cause:      cause,
 	}
 	if retryAfter <= 0 {
-		e.retryAfter = comeBack
+		e.retryAfter = retryAfterDefault
 	}
 	switch {
 	case reason == attempt.ReasonDeadline && e.outcome != attempt.OutcomeNotRun:
--- a/internal/entry/fail.go
+++ b/internal/entry/fail.go
@@ -28,7 +28,7 @@
 			return
 		}
 		x.blocked = none.reason
-		x.comeBack = none.retryAfter
+		x.retryAfter = none.retryAfter
 		return
 	}
 	if unsent(r.err) {
@@ -83,7 +83,7 @@
 	if f := x.body.fault(x.life.Outcome()); f != nil {
 		return f
 	}
-	return gaveUp(x.life, reason, x.comeBack, x.last)
+	return gaveUp(x.life, reason, x.retryAfter, x.last)
 }
 
 // lost reports whether the request ends unserved with an attempt that failed now: its
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -58,9 +58,9 @@
 	settled atomic.Bool
 	// spare is an answer that is given only if no better one comes.
 	spare *result
-	// blocked says why no other try may begin, comeBack when the caller may.
+	// blocked says why no other try may begin, retryAfter when the caller may.
 	blocked  attempt.Reason
-	comeBack time.Duration
+	retryAfter time.Duration
 }
 
 // result is the end of a try: an answer or an error.
@@ -227,7 +227,7 @@
 		return attempt.ReasonCaller
 	}
 	if held := x.held.Load(); held > 0 {
-		x.comeBack = time.Duration(held)
+		x.retryAfter = time.Duration(held)
 		return attempt.ReasonQuarantine
 	}
 	return x.life.May(time.Now(),
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -94,7 +94,7 @@
 	if !all {
 		return nil
 	}
-	return entry.NewNoTargetError(attempt.ReasonRest, first.ComeBack(rand.Float64()))
+	return entry.NewNoTargetError(attempt.ReasonRest, first.RetryAfter(rand.Float64()))
 }
 
 // noticeStatus lists what targets said to this node that holds now.
--- a/internal/notice/comeback_test.go
+++ b/internal/notice/retryafter_test.go
@@ -50,7 +50,7 @@
 				s := l.Standing(start.Add(at), life("id/1"))
 				back := at
 				if s.Barred() {
-					back = at + s.ComeBack(tt.random(rng))
+					back = at + s.RetryAfter(tt.random(rng))
 				}
 				if back < rest {
 					t.Fatalf("a caller of %v returns after %v, before the rest is over", at, back)
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -117,15 +117,15 @@
 		a.held--
 		return Admitted, 0
 	case now.Before(a.pause):
-		return Refused, a.comeBack(now)
+		return Refused, a.retryAfter(now)
 	default:
 		return Ask, 0
 	}
 }
 
-// comeBack gives a refused caller its place among those that were refused before it: at
+// retryAfter gives a refused caller its place among those that were refused before it: at
 // the pace at which tokens come, so that they don't all return at once.
-func (a *account) comeBack(now time.Time) time.Duration {
+func (a *account) retryAfter(now time.Time) time.Duration {
 	pace := a.told.Pace
 	if pace <= 0 {
 		pace = a.limit.Rate / fleetUnknown
@@ -148,7 +148,7 @@
 	if a == nil {
 		return retryLeast
 	}
-	return a.comeBack(now)
+	return a.retryAfter(now)
 }
 
 // Alone decides about a request for which no allocator could be asked; nodes is how many
