--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 fuzz:
 	go test ./platform -run '^$$' -fuzz '^FuzzEntries$$' -fuzztime $(FUZZ)
 	go test ./internal/contract -run '^$$' -fuzz '^FuzzCredential$$' -fuzztime $(FUZZ)
-	go test ./internal/contract -run '^$$' -fuzz '^FuzzRest$$' -fuzztime $(FUZZ)
+	go test ./internal/contract -run '^$$' -fuzz '^FuzzBackoff$$' -fuzztime $(FUZZ)
 	go test ./internal/contract -run '^$$' -fuzz '^FuzzLimit$$' -fuzztime $(FUZZ)
 	go test ./internal/settings -run '^$$' -fuzz '^FuzzLoad$$' -fuzztime $(FUZZ)
 
--- a/cmd/ploverctl/status.go
+++ b/cmd/ploverctl/status.go
@@ -80,8 +80,8 @@
 	for i := range s.Quarantine {
 		writeQuarantine(b, &s.Quarantine[i])
 	}
-	for i := range s.Notices {
-		writeNotice(b, &s.Notices[i])
+	for i := range s.Signals {
+		writeSignal(b, &s.Signals[i])
 	}
 	for i := range s.TargetLimits {
 		writeTargetLimit(b, &s.TargetLimits[i])
@@ -97,7 +97,7 @@
 		l.Target, l.Service, l.Rate, l.By, age(l.AgeMS), granted)
 }
 
-func writeNotice(b *strings.Builder, n *operator.NoticeStatus) {
+func writeSignal(b *strings.Builder, n *operator.SignalStatus) {
 	state := "leaves"
 	if !n.Leaving {
 		state = "wants nothing for " + (time.Duration(n.RestMS) * time.Millisecond).String()
--- a/internal/contract/rest.go
+++ b/internal/contract/backoff.go
@@ -12,15 +12,15 @@
 // HeaderRetryAfter tells when to come back (RFC 9110, section 10.2.3).
 const HeaderRetryAfter = "Retry-After"
 
-// longestWait bounds what a header can ask for, so that no number overflows. Whoever obeys
+// maxWait bounds what a header can ask for, so that no number overflows. Whoever obeys
 // it has a bound of its own.
-const longestWait = 24 * time.Hour
+const maxWait = 24 * time.Hour
 
-// Rest returns for how long a target wants no request from this node, by an answer: a 503
+// Backoff returns for how long a target wants no request from this node, by an answer: a 503
 // with Retry-After, or a 429 where the target has not run the request. Any other 429 is
 // meant for the caller. It is 0 where the answer asks for nothing; a *TimeError comes with
 // it where what it asks for can't be read. Of several values the longest one counts.
-func Rest(status int, turnedAway bool, h http.Header) (time.Duration, error) {
+func Backoff(status int, turnedAway bool, h http.Header) (time.Duration, error) {
 	if status != http.StatusServiceUnavailable && !(status == http.StatusTooManyRequests && turnedAway) {
 		return 0, nil
 	}
@@ -63,7 +63,7 @@
 		if err != nil {
 			return 0, false
 		}
-		return min(max(until.Sub(from), 0), longestWait), true
+		return min(max(until.Sub(from), 0), maxWait), true
 	}
 	if strings.Trim(text, "0123456789.") != "" {
 		// ParseFloat takes signs, exponents and names of numbers too.
@@ -73,5 +73,5 @@
 	if err != nil {
 		return 0, false
 	}
-	return time.Duration(min(seconds, longestWait.Seconds()) * float64(time.Second)), true
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second)), true
 }
--- a/internal/contract/rest_test.go
+++ b/internal/contract/backoff_test.go
@@ -12,14 +12,14 @@
 	"ploverjunction.example/ploverjunction/internal/contract"
 )
 
-func ExampleRest() {
+func ExampleBackoff() {
 	h := http.Header{}
 	h.Set("Retry-After", "2.5")
-	fmt.Println(contract.Rest(http.StatusServiceUnavailable, true, h))
+	fmt.Println(contract.Backoff(http.StatusServiceUnavailable, true, h))
 	// Output: 2.5s <nil>
 }
 
-func TestRest(t *testing.T) {
+func TestBackoff(t *testing.T) {
 	const sent = "Thu, 01 Jan 2026 10:00:00 GMT"
 	tests := []struct {
 		name       string
@@ -161,7 +161,7 @@
 			if tt.date != "" {
 				h.Set("Date", tt.date)
 			}
-			got, err := contract.Rest(tt.status, tt.turnedAway, h)
+			got, err := contract.Backoff(tt.status, tt.turnedAway, h)
 			var bad *contract.TimeError
 			if got != tt.want || errors.As(err, &bad) != tt.unreadable {
 				t.Errorf("rest %v, error %v, want %v, unreadable %v", got, err, tt.want, tt.unreadable)
@@ -171,7 +171,7 @@
 }
 
 // Whatever an answer holds, the rest is between none and a day.
-func FuzzRest(f *testing.F) {
+func FuzzBackoff(f *testing.F) {
 	for _, seed := range []string{"", "3", "-3", "0.5", "1e400", "NaN", "999999999999999999999", "3,4", "Thu, 01 Jan 2026 10:00:04 GMT", ".", "1_0", "\x00"} {
 		f.Add(seed, "", "Thu, 01 Jan 2026 10:00:00 GMT")
 		f.Add("2", seed, "")
@@ -181,7 +181,7 @@
 			"Retry-After": {first, second},
 			"Date":        {date},
 		}
-		got, err := contract.Rest(http.StatusServiceUnavailable, true, h)
+		got, err := contract.Backoff(http.StatusServiceUnavailable, true, h)
 		if got < 0 || got > 24*time.Hour || got > 0 && err != nil {
 			t.Errorf("%q, %q, %q: rest %v, error %v", first, second, date, got, err)
 		}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -54,9 +54,9 @@
 	Refused func(status int, h http.Header) Refusal
 	// Leaving reports whether an answer says that its target is leaving.
 	Leaving func(h http.Header) bool
-	// Rest returns for how long an answer's target wants nothing from this node, as the
+	// Backoff returns for how long an answer's target wants nothing from this node, as the
 	// function of that name does.
-	Rest func(status int, h http.Header) (time.Duration, error)
+	Backoff func(status int, h http.Header) (time.Duration, error)
 	// Limit returns the requests a second that an answer's target accepts from the whole
 	// fleet, as the function that Limit returns does.
 	Limit func(h http.Header) (rate float64, named bool, err error)
@@ -106,8 +106,8 @@
 		SetDeadline: setDeadline,
 		Refused:     refused,
 		Leaving:     func(h http.Header) bool { return h.Get(HeaderState) == stateLeaving },
-		Rest: func(status int, h http.Header) (time.Duration, error) {
-			return Rest(status, refused(status, h) == RefusalShed, h)
+		Backoff: func(status int, h http.Header) (time.Duration, error) {
+			return Backoff(status, refused(status, h) == RefusalShed, h)
 		},
 		Limit:      Limit(HeaderLimit),
 		RetryAfter: WholeSeconds,
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // Target is one target that a desk may grant.
@@ -54,8 +54,8 @@
 	// Barred are keys of targets that told the node that they want no requests from it
 	// now: it sends them none, so that it is never granted one.
 	Barred []string
-	// Leaving are keys of targets that told the node that they leave.
-	Leaving []string
+	// Draining are keys of targets that told the node that they leave.
+	Draining []string
 	// Limits are those of targets that the node knows, told by targets themselves or by
 	// other nodes.
 	Limits []TargetLimit
@@ -106,7 +106,7 @@
 	Trial bool
 	// Limit is the target's limit, which pays for the grant, and LimitAt when the target
 	// answered so.
-	Limit   notice.Limit
+	Limit   signal.Limit
 	LimitAt time.Time
 	// Limits are those that the ask didn't name.
 	Limits []TargetLimit
--- a/internal/dispatch/rest_model_test.go
+++ b/internal/dispatch/backoff_model_test.go
@@ -271,7 +271,7 @@
 	}
 	p.bars[r.node()][g.Target] = p.now + p.rest
 	if p.told {
-		p.desk.Rest(p.clock(), g.Target, g.ID, p.rest)
+		p.desk.BackOff(p.clock(), g.Target, g.ID, p.rest)
 	}
 	p.take(p.desk.Done(p.clock(), g.ID, g.Target, p.result, 3*time.Millisecond))
 	if r.attempts == restAttempts || p.now-r.came > restDeadline {
--- a/internal/dispatch/rest_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -23,7 +23,7 @@
 	}{
 		{
 			name:   "only the node keeps away",
-			result: dispatch.ResultResting,
+			result: dispatch.ResultBackoff,
 		},
 		{
 			name:   "held against its health",
@@ -31,7 +31,7 @@
 		},
 		{
 			name:   "left alone by all for a moment",
-			result: dispatch.ResultResting,
+			result: dispatch.ResultBackoff,
 			told:   true,
 		},
 	}
@@ -67,7 +67,7 @@
 			continue
 		}
 		t.Run(fmt.Sprintf("%g a second, %g for %v", c.load, c.most, c.rest), func(t *testing.T) {
-			p := runRest(c, dispatch.ResultResting, true, 1)
+			p := runRest(c, dispatch.ResultBackoff, true, 1)
 			for from := restWarm; from+floorWindow <= restEnd; from += modelBeat {
 				all, got := 0, 0
 				for i := int(math.Ceil(c.share * restTargets)); i < restTargets; i++ {
@@ -91,8 +91,8 @@
 	for n := uint64(0); ; n++ {
 		g := d.Ask(now, ask(now, n))
 		if g.Target == "t0" {
-			d.Rest(now, g.Target, g.ID, 3*time.Second)
-			d.Done(now, g.ID, g.Target, dispatch.ResultResting, time.Millisecond)
+			d.BackOff(now, g.Target, g.ID, 3*time.Second)
+			d.Done(now, g.ID, g.Target, dispatch.ResultBackoff, time.Millisecond)
 			break
 		}
 		if n == 100 {
--- a/internal/dispatch/barred.go
+++ b/internal/dispatch/barred.go
@@ -4,11 +4,8 @@
 
 import "time"
 
-// This file is about what targets said of themselves to the nodes that ask: that they leave,
-// which binds all, or that they want nothing from the node, which binds its asks.
-
-// barred reports whether no target that stays may get the ask now. Where all leave, others may
-// appear at any moment.
+// barred reports whether the node that asks may send to none of the targets that are not draining.
+// Where all are draining, others may appear at any moment.
 func (d *Desk) barred(now time.Time, a *Ask) bool {
 	if len(a.Barred) == 0 {
 		return false
@@ -18,14 +15,14 @@
 		if t.open(now, a) {
 			return false
 		}
-		if !t.leaves(now) {
+		if !t.drains(now) {
 			stay++
 		}
 	}
 	return stay > 0
 }
 
-// renew takes in that an ask which waits came again, with the targets that are barred by now.
+// renew updates the barred targets of a waiting ask that was sent again.
 func (d *Desk) renew(now time.Time, a *Ask) Grant {
 	if d.barred(now, a) {
 		d.queue.drop(a.ID)
@@ -40,16 +37,15 @@
 	}
 }
 
-// Leaves takes in that a target told a node that it leaves. It gets no work from then on,
-// whoever asks.
-func (d *Desk) Leaves(now time.Time, key string) {
+// MarkDraining stops granting the target to any node.
+func (d *Desk) MarkDraining(now time.Time, key string) {
 	t := d.targets[key]
-	if t == nil || t.leaves(now) {
+	if t == nil || t.drains(now) {
 		return
 	}
-	t.left = now.Add(leftUnnamed)
+	t.drainingUntil = now.Add(drainingUnnamed)
 	if t.Named {
-		t.left = now.Add(leftNamed)
+		t.drainingUntil = now.Add(drainingNamed)
 	}
 	d.covered = coverage{}
 }
--- a/internal/dispatch/barred_test.go
+++ b/internal/dispatch/barred_test.go
@@ -15,7 +15,7 @@
 // A target that told any node that it leaves gets nothing more, whoever asks and however: also
 // from a desk that has just begun and hears of it with an ask. Its next life does get work.
 func TestWordOfLeaving(t *testing.T) {
-	said := func(d *dispatch.Desk) { d.Leaves(start, "t0") }
+	said := func(d *dispatch.Desk) { d.MarkDraining(start, "t0") }
 	tests := []struct {
 		name string
 		tell func(d *dispatch.Desk)
@@ -29,7 +29,7 @@
 		{
 			name: "told by the ask",
 			tell: func(*dispatch.Desk) {},
-			ask:  func(a *dispatch.Ask) { a.Leaving = []string{"t0"} },
+			ask:  func(a *dispatch.Ask) { a.Draining = []string{"t0"} },
 		},
 		{
 			name: "a request that can be repeated",
@@ -95,7 +95,7 @@
 // A target without an ID has the same key in its next life: a word of leaving ends.
 func TestWordOfLeavingWithoutAnID(t *testing.T) {
 	d := newDesk(pool(2)...)
-	d.Leaves(start, "t0")
+	d.MarkDraining(start, "t0")
 	if got := granted(d, start.Add(50*time.Second), 100)["t0"]; got != 0 {
 		t.Errorf("%d requests while it leaves", got)
 	}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -15,7 +15,7 @@
 func (d *Desk) free(now time.Time) []*target {
 	d.spare = d.spare[:0]
 	for _, t := range d.order {
-		if !t.leaves(now) && len(t.flights) < d.slots(now, t) {
+		if !t.drains(now) && len(t.flights) < d.slots(now, t) {
 			d.spare = append(d.spare, t)
 		}
 	}
@@ -68,8 +68,8 @@
 	if d.exhausted(now, t) {
 		return 0
 	}
-	if t.resting.tried() && d.anyTakes(now) {
-		return t.resting.slots(now)
+	if t.backoff.tried() && d.anyAccepting(now) {
+		return t.backoff.slots(now)
 	}
 	if now.Before(t.warmUntil) {
 		return max(int(coldSlots*float64(t.Slots)), 1)
--- a/internal/dispatch/coverage.go
+++ b/internal/dispatch/coverage.go
@@ -59,7 +59,7 @@
 	var reached, idle []float64
 	for _, t := range d.order {
 		t.missed = 0
-		if t.leaves(now) {
+		if t.drains(now) {
 			continue
 		}
 		p := t.steady(now)
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -54,10 +54,10 @@
 	advanced time.Time
 	ends     ends
 	// room is when a slot was last free for which nothing waited that can be in time.
-	room    time.Time
-	covered coverage
-	taking  taking
-	floor   float64
+	room      time.Time
+	covered   coverage
+	accepting accepting
+	floor     float64
 	// part is the part of the targets' limits that this desk may use, limits how many
 	// targets have one.
 	part   float64
@@ -150,8 +150,8 @@
 
 // hear records what targets signalled to the node that asks.
 func (d *Desk) hear(now time.Time, a *Ask) {
-	for _, key := range a.Leaving {
-		d.Leaves(now, key)
+	for _, key := range a.Draining {
+		d.MarkDraining(now, key)
 	}
 	for _, l := range a.Limits {
 		d.Observe(now, a.ID.Node, l)
@@ -218,7 +218,7 @@
 	}
 	slots := 0.0
 	for _, t := range d.order {
-		if !t.leaves(now) {
+		if !t.drains(now) {
 			slots += t.limitedSlots(d.part, work/time.Duration(n)) * (1 - t.failing(now))
 		}
 	}
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -29,8 +29,8 @@
 	}
 	t.noteGone(now, r)
 	if r == ResultGood || r == ResultBad {
-		t.resting = resting{}
-		d.taking = taking{}
+		t.backoff = backoff{}
+		d.accepting = accepting{}
 	}
 	if ok && r == ResultUnreached {
 		t.limit.pacer.Return()
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -6,8 +6,8 @@
 	"math"
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/ratelimit"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 const (
@@ -25,13 +25,13 @@
 // TargetLimit is the limit of a target, as it answered a node at a time.
 type TargetLimit struct {
 	Target string
-	notice.Limit
+	signal.Limit
 	At time.Time
 }
 
 // limited is the limit of a target and what was granted of it.
 type limited struct {
-	notice.Limit
+	signal.Limit
 	// at is when the target answered so, by the node that told.
 	at     time.Time
 	by     string
@@ -45,7 +45,7 @@
 func (l *limited) rate(part float64) float64 { return part * LimitRate(l.Limit) }
 
 // LimitRate returns the rate at which a target with a limit is used, in requests a second.
-func LimitRate(l notice.Limit) float64 { return max(l.Rate, limitLeast) }
+func LimitRate(l signal.Limit) float64 { return max(l.Rate, limitLeast) }
 
 // wait returns after how long the target may be granted.
 func (l *limited) wait(now time.Time, part float64) time.Duration {
@@ -127,7 +127,7 @@
 	if !d.Limited() && len(a.Limits) == 0 {
 		return nil
 	}
-	named := map[string]notice.Limit{}
+	named := map[string]signal.Limit{}
 	for _, l := range a.Limits {
 		named[l.Target] = l.Limit
 	}
@@ -168,7 +168,7 @@
 		return c, false
 	}
 	for _, t := range d.order {
-		if t.leaves(now) {
+		if t.drains(now) {
 			continue
 		}
 		if !t.limit.Set {
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -8,14 +8,14 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/dispatch"
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // limitOf returns the limit of a target as it answered at a time.
 func limitOf(key string, rate float64, at time.Time) dispatch.TargetLimit {
 	return dispatch.TargetLimit{
 		Target: key,
-		Limit: notice.Limit{
+		Limit: signal.Limit{
 			Rate: rate,
 			Set:  true,
 		},
@@ -174,7 +174,7 @@
 	steps := []struct {
 		name string
 		told dispatch.TargetLimit
-		want notice.Limit
+		want signal.Limit
 	}{
 		{
 			name: "a limit",
@@ -240,7 +240,7 @@
 		p.now = p.now.Add(2 * time.Second)
 		p.next++
 		if g := d.Ask(p.now, ask(p.now, p.next)); g.Target == "t0" {
-			d.Done(p.now, g.ID, g.Target, dispatch.ResultResting, time.Millisecond)
+			d.Done(p.now, g.ID, g.Target, dispatch.ResultBackoff, time.Millisecond)
 		}
 	}
 	s := d.Status(p.now)
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -25,9 +25,9 @@
 	ResultIgnored
 	// ResultGone means that the target is gone or another process has its address.
 	ResultGone
-	// ResultResting means that the target refused the request before running it and wants
+	// ResultBackoff means that the target refused the request before running it and wants
 	// nothing from the node for a time.
-	ResultResting
+	ResultBackoff
 )
 
 // String returns the result in words.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -108,7 +108,7 @@
 		}
 	}()
 	for _, near := range [...]bool{true, false} {
-		if t.leaves(now) || len(d.queue.list) == 0 {
+		if t.drains(now) || len(d.queue.list) == 0 {
 			break
 		}
 		declined := map[traits]bool{}
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -126,7 +126,7 @@
 	var best *target
 	out, all := 0, 0
 	for _, t := range d.order {
-		if t.leaves(now) || d.slots(now, t) == 0 {
+		if t.drains(now) || d.slots(now, t) == 0 {
 			continue
 		}
 		all++
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // Status describes a desk.
@@ -45,7 +45,7 @@
 	Slots    int
 	Leaving  bool
 	// Limit is the target's limit, by LimitBy, and LimitAt when the target answered so.
-	Limit   notice.Limit
+	Limit   signal.Limit
 	LimitBy string
 	LimitAt time.Time
 	// Granted is how often the target was granted in the last 4 s, for one with a limit.
@@ -70,7 +70,7 @@
 	s.Working, s.Reached, s.Short = c.working, c.reached, c.short
 	for _, t := range d.order {
 		s.InFlight += len(t.flights)
-		if !t.leaves(now) {
+		if !t.drains(now) {
 			s.Slots += d.slots(now, t)
 		}
 		s.Targets = append(s.Targets, TargetStatus{
@@ -78,7 +78,7 @@
 			Failing:  t.failing(now),
 			InFlight: len(t.flights),
 			Slots:    t.Slots,
-			Leaving:  t.leaves(now),
+			Leaving:  t.drains(now),
 			Limit:    t.limit.Limit,
 			LimitBy:  t.limit.by,
 			LimitAt:  t.limit.at,
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -30,12 +30,12 @@
 	// gone is until when a target that is gone gets no work.
 	gone      time.Time
 	warmUntil time.Time
-	// left is until when the target leaves by its own word, which any node may have heard;
+	// drainingUntil is until when the target leaves by its own word, which any node may have heard;
 	// the zero time means that it said nothing.
-	left    time.Time
-	resting resting
-	limit   limited
-	flights map[ID]flight
+	drainingUntil time.Time
+	backoff       backoff
+	limit         limited
+	flights       map[ID]flight
 	// granted is when the target last got work.
 	granted time.Time
 	// missed is the probability that the target works and should have had work by now.
@@ -47,19 +47,19 @@
 const goneTime = 5 * time.Second
 
 const (
-	// leftNamed is how long a target that can't begin another life under its key leaves, by
+	// drainingNamed is how long a target that can't begin another life under its key leaves, by
 	// its own word: longer than any takes to end.
-	leftNamed = 24 * time.Hour
-	// leftUnnamed is the same for one whose next life has the same key.
-	leftUnnamed = time.Minute
+	drainingNamed = 24 * time.Hour
+	// drainingUnnamed is the same for one whose next life has the same key.
+	drainingUnnamed = time.Minute
 )
 
-// leaves reports whether the target takes no new work at now, from any node.
-func (t *target) leaves(now time.Time) bool { return t.Leaving || now.Before(t.left) }
+// drains reports whether the target takes no new work at now, from any node.
+func (t *target) drains(now time.Time) bool { return t.Leaving || now.Before(t.drainingUntil) }
 
 // open reports whether an ask may get the target at now.
 func (t *target) open(now time.Time, a *Ask) bool {
-	return !t.leaves(now) && !slices.Contains(a.Barred, t.Key)
+	return !t.drains(now) && !slices.Contains(a.Barred, t.Key)
 }
 
 func (t *target) noteGone(now time.Time, r Result) {
@@ -89,7 +89,7 @@
 
 // steady returns the probability that the target counts at now.
 func (t *target) steady(now time.Time) float64 {
-	if now.Before(t.gone) || t.resting.tried() || t.limit.Set && t.limit.rate(1)*spreadTime.Seconds() < 1 {
+	if now.Before(t.gone) || t.backoff.tried() || t.limit.Set && t.limit.rate(1)*spreadTime.Seconds() < 1 {
 		return 0
 	}
 	return t.health.Steady(now, now.Add(-coverSettled))
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // Query asks for a target for one attempt.
@@ -42,10 +42,10 @@
 	Key string
 	// ID is the target's published ID, or "".
 	ID string
-	// Life names the target's life for what it says of itself.
-	Life notice.Life
+	// Incarnation names the target's life for what it says of itself.
+	Incarnation signal.Incarnation
 	// Permit is checked when the request is sent.
-	Permit notice.Permit
+	Permit signal.Permit
 	// DataHall is the target's.
 	DataHall string
 	// By names the node that chose, "alone" where this one did.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -14,10 +14,10 @@
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/policy"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
 
@@ -59,7 +59,7 @@
 	// spare is an answer that is given only if no better one comes.
 	spare *result
 	// blocked says why no other try may begin, retryAfter when the caller may.
-	blocked  attempt.Reason
+	blocked    attempt.Reason
 	retryAfter time.Duration
 }
 
@@ -265,7 +265,9 @@
 		Body:       reader,
 		Length:     x.body.length,
 		Deadline:   x.life.Deadline(),
-		Heard:      func(n notice.Notice, err error) { x.heard(c, n, err) },
-		Barred:     func(now time.Time) bool { return !x.server.cfg.Notices.Standing(now, c.Life).Permits(now, c.Permit) },
+		Observe:    func(n signal.Signal, err error) { x.observe(c, n, err) },
+		Barred: func(now time.Time) bool {
+			return !x.server.cfg.Signals.Standing(now, c.Incarnation).Permits(now, c.Permit)
+		},
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -23,9 +23,9 @@
 	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
 
@@ -78,8 +78,8 @@
 	Quarantined func(prints quarantine.Prints) quarantine.Standing
 	Ended       func(prints quarantine.Prints, target string) quarantine.Standing
 	Answered    func(prints quarantine.Prints)
-	// Notices keeps what targets say of themselves in their answers.
-	Notices *notice.Ledger
+	// Signals keeps what targets say of themselves in their answers.
+	Signals *signal.Ledger
 	// Collector counts what attempts show of the targets.
 	Collector *outlier.Collector
 	// Served notes the final answer to a request.
--- a/internal/entry/notice_test.go
+++ b/internal/entry/signal_test.go
@@ -16,8 +16,8 @@
 
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // said is a target whose requests are counted, and how it answers.
@@ -37,7 +37,7 @@
 	s.choice = entry.Choice{
 		Address: srv.Listener.Addr().String(),
 		Key:     key,
-		Life: notice.Life{
+		Incarnation: signal.Incarnation{
 			Service: "quotes",
 			Key:     key,
 			Name:    key,
@@ -68,9 +68,9 @@
 
 func well(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
 
-func leaves(l *notice.Ledger, s *said) {
-	l.Hear(time.Now(), s.choice.Life, notice.Notice{
-		Leaving: true,
+func leaves(l *signal.Ledger, s *said) {
+	l.Observe(time.Now(), s.choice.Incarnation, signal.Signal{
+		Draining: true,
 	})
 }
 
@@ -81,7 +81,7 @@
 // A target may say that it leaves between the choice and the first byte. Nothing is sent then, and
 // the next target gets the request as if it were the first: no repeat is paid for.
 func TestGrantUnderWayIsNotSent(t *testing.T) {
-	ledger := &notice.Ledger{}
+	ledger := &signal.Ledger{}
 	left, other := newSaid(t, "left", well), newSaid(t, "other", well)
 	c := &choices{
 		list: []*said{left, other},
@@ -92,7 +92,7 @@
 		},
 	}
 	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Notices = ledger
+		cfg.Signals = ledger
 		cfg.Choose = c.choose
 	})
 	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
@@ -108,7 +108,7 @@
 
 // A target that all choices name in vain costs the request no more than its tries.
 func TestTargetThatIsChosenInVain(t *testing.T) {
-	ledger := &notice.Ledger{}
+	ledger := &signal.Ledger{}
 	left := newSaid(t, "left", well)
 	leaves(ledger, left)
 	c := &choices{
@@ -116,7 +116,7 @@
 		before: func(int) {},
 	}
 	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Notices = ledger
+		cfg.Signals = ledger
 		cfg.Choose = c.choose
 	})
 	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusServiceUnavailable {
@@ -129,7 +129,7 @@
 
 // The second attempt beside a slow one goes past a target that leaves.
 func TestHedgeIsNotSent(t *testing.T) {
-	ledger := &notice.Ledger{}
+	ledger := &signal.Ledger{}
 	slow := newSaid(t, "slow", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	left, other := newSaid(t, "left", well), newSaid(t, "other", well)
 	slow.choice.HedgeAfter = time.Millisecond
@@ -139,7 +139,7 @@
 		before: func(int) {},
 	}
 	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Notices = ledger
+		cfg.Signals = ledger
 		cfg.Choose = c.choose
 	})
 	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
@@ -158,7 +158,7 @@
 		w.Header().Set("Etag", `"v1"`)
 		http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(content))
 	}
-	ledger := &notice.Ledger{}
+	ledger := &signal.Ledger{}
 	cut := newSaid(t, "cut", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Etag", `"v1"`)
 		w.Header().Set("Accept-Ranges", "bytes")
@@ -176,7 +176,7 @@
 		},
 	}
 	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Notices = ledger
+		cfg.Signals = ledger
 		cfg.Choose = c.choose
 	})
 	r, err := http.NewRequest(http.MethodGet, s.url+"/quotes/1", nil)
@@ -200,7 +200,7 @@
 
 // A copy for a target on trial isn't sent to one that leaves.
 func TestTrialIsNotSent(t *testing.T) {
-	ledger := &notice.Ledger{}
+	ledger := &signal.Ledger{}
 	left, other := newSaid(t, "left", well), newSaid(t, "other", well)
 	leaves(ledger, left)
 	done := make(chan outlier.End, 1)
@@ -210,7 +210,7 @@
 		before: func(int) {},
 	}
 	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Notices = ledger
+		cfg.Signals = ledger
 		cfg.Choose = c.choose
 		cfg.Trial = func(*fleetconfig.Service) (entry.Choice, bool) { return left.choice, true }
 	})
@@ -270,7 +270,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			ledger := &notice.Ledger{}
+			ledger := &signal.Ledger{}
 			target := newSaid(t, "t", func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Plover-State", "leaving")
 				for name, value := range tt.header {
@@ -283,11 +283,11 @@
 				before: func(int) {},
 			}
 			s := newSite(t, func(cfg *entry.Config) {
-				cfg.Notices = ledger
+				cfg.Signals = ledger
 				cfg.Choose = c.choose
 			})
 			s.get(t, http.DefaultClient, "/quotes/1", brokers)
-			if got := ledger.Standing(time.Now(), target.choice.Life).Leaving; got != tt.want {
+			if got := ledger.Standing(time.Now(), target.choice.Incarnation).Draining; got != tt.want {
 				t.Errorf("leaving %v, want %v", got, tt.want)
 			}
 		})
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -21,9 +21,9 @@
 	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -184,7 +184,7 @@
 		Done:    func(outlier.End, time.Duration) {},
 	}
 	cfg := entry.Config{
-		Notices:         &notice.Ledger{},
+		Signals:         &signal.Ledger{},
 		Listen:          netip.MustParseAddrPort("127.0.0.1:0"),
 		MaxBody:         1 << 20,
 		MaxHeader:       64 << 10,
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -16,7 +16,7 @@
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/contract"
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // Bounds of connections to targets.
@@ -116,9 +116,9 @@
 	Body       io.Reader
 	Length     int64
 	Deadline   time.Time
-	// Heard takes what the target says of itself in its answer, however the attempt ends,
+	// Observe takes what the target says of itself in its answer, however the attempt ends,
 	// and why it can't be read. nil takes nothing.
-	Heard func(n notice.Notice, err error)
+	Observe func(n signal.Signal, err error)
 	// Barred reports whether the target has said that it wants no request now. It is asked
 	// last before the first byte is sent. nil means that it never has.
 	Barred func(now time.Time) bool
@@ -154,7 +154,7 @@
 		leaving:  c.contract.Leaving(res.Header),
 		contract: c.contract,
 	}
-	c.hear(r, res)
+	c.observe(r, res)
 	if err := a.check(r.ID); err != nil {
 		a.Close()
 		return nil, err
@@ -166,23 +166,23 @@
 	return a, nil
 }
 
-// hear passes on what the answer of a target says of it. An answer of another process at
+// observe passes on what the answer of a target says of it. An answer of another process at
 // its address says nothing of it; one to another request does.
-func (c *Client) hear(r *Request, res *http.Response) {
-	if r.Heard == nil || c.contract.Refused(res.StatusCode, res.Header) == contract.RefusalOther {
+func (c *Client) observe(r *Request, res *http.Response) {
+	if r.Observe == nil || c.contract.Refused(res.StatusCode, res.Header) == contract.RefusalOther {
 		return
 	}
-	r.Heard(NoticeOf(c.contract, res))
+	r.Observe(SignalOf(c.contract, res))
 }
 
-// NoticeOf returns what an answer says of its target, and why a part of it can't be read.
-func NoticeOf(c *contract.Contract, res *http.Response) (notice.Notice, error) {
-	rest, restErr := c.Rest(res.StatusCode, res.Header)
+// SignalOf returns what an answer says of its target, and why a part of it can't be read.
+func SignalOf(c *contract.Contract, res *http.Response) (signal.Signal, error) {
+	rest, restErr := c.Backoff(res.StatusCode, res.Header)
 	rate, named, limitErr := c.Limit(res.Header)
-	return notice.Notice{
-		Leaving: c.Leaving(res.Header),
-		Rest:    rest,
-		Limit: notice.Limit{
+	return signal.Signal{
+		Draining: c.Leaving(res.Header),
+		Backoff:  rest,
+		Limit: signal.Limit{
 			Rate: rate,
 			Set:  named && limitErr == nil,
 		},
--- a/internal/integration/notice_test.go
+++ b/internal/integration/signal_test.go
@@ -345,7 +345,7 @@
 		}
 	}
 	for i, n := range s.nodes {
-		if got := n.status().Notices; len(got) != len(quotes) || got[0].Service != "quotes" || got[0].RestMS <= 0 {
+		if got := n.status().Signals; len(got) != len(quotes) || got[0].Service != "quotes" || got[0].RestMS <= 0 {
 			t.Errorf("node %d shows %+v", i, got)
 		}
 		if _, out := ctl(t, "status", "--node", n.proc.Load().Operator()); strings.Count(out, "told this node that it wants nothing") != len(quotes) {
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -44,7 +44,7 @@
 	defer cancel()
 	q.Tried = d.avoid(q)
 	for range mostBarred {
-		if err := d.board.refuseRest(time.Now(), d.newest(q.Service)); err != nil {
+		if err := d.board.refuseBackoff(time.Now(), d.newest(q.Service)); err != nil {
 			return entry.Choice{}, err
 		}
 		r := d.chooseJointly(ctx, q)
@@ -61,7 +61,7 @@
 // whenServed returns the refusal of a request with the time that this node knows: all targets may
 // have come to rest while it waited.
 func (d *dispatching) whenServed(q *entry.Query, refusal error) error {
-	if err := d.board.refuseRest(time.Now(), d.newest(q.Service)); err != nil {
+	if err := d.board.refuseBackoff(time.Now(), d.newest(q.Service)); err != nil {
 		return err
 	}
 	return refusal
@@ -248,7 +248,7 @@
 func (d *dispatching) sendAsk(peer string, id uint64, q *entry.Query, p part, passing bool) {
 	now := time.Now()
 	spent := d.elsewhere(peer, p)
-	barred := d.board.barred(now, d.newest(q.Service), p.hall)
+	barred := d.board.unavailable(now, d.newest(q.Service), p.hall)
 	out := &wire.Datagram{
 		Call: id,
 		Body: &wire.Datagram_Ask{
@@ -265,8 +265,8 @@
 				AimMs:      uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
 				DeadlineMs: uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
 				Tried:      q.Tried,
-				Barred:     barred.resting[:min(len(barred.resting), mostTried)],
-				Leaving:    barred.leaving[:min(len(barred.leaving), mostTried)],
+				Barred:     barred.backingOff[:min(len(barred.backingOff), mostTried)],
+				Leaving:    barred.draining[:min(len(barred.draining), mostTried)],
 				Route:      q.Route,
 				Limits:     d.board.limits(now, d.newest(q.Service), p.hall),
 
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -10,8 +10,8 @@
 	"ploverjunction.example/ploverjunction/internal/blackboard"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // configuration is the section written by the replica.
@@ -54,8 +54,8 @@
 	view   blackboard.Section[membership.View]
 	pools  blackboard.Section[pools]
 	ready  blackboard.Section[readiness]
-	// notices is what targets said of themselves in answers to this node.
-	notices notice.Ledger
+	// signals is what targets said of themselves in answers to this node.
+	signals signal.Ledger
 	// shares are this node's parts of targets' limits.
 	shares shares
 }
--- a/internal/node/choosing.go
+++ b/internal/node/choosing.go
@@ -30,10 +30,10 @@
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
 	now := time.Now()
-	if err := a.board.refuseRest(now, q.Service); err != nil {
+	if err := a.board.refuseBackoff(now, q.Service); err != nil {
 		return entry.Choice{}, err
 	}
-	barred := a.board.barred(now, q.Service, "")
+	barred := a.board.unavailable(now, q.Service, "")
 	pick, ok := pool.Pick(rand.Uint64, q.Tried, append(barred.keys(), a.board.overShare(now, q.Service, "")...))
 	if !ok {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, a.board.shareWait(now, q.Service))
@@ -85,13 +85,13 @@
 // choiceOf returns the choice of a target; by names the node that chose.
 func choiceOf(t *fleetconfig.Target, by string, done func(outlier.End, time.Duration)) entry.Choice {
 	return entry.Choice{
-		Address:  t.Address(),
-		Key:      t.Key(),
-		ID:       t.ID(),
-		Life:     lifeOf(t),
-		DataHall: t.DataHall(),
-		By:       by,
-		Done:     done,
+		Address:     t.Address(),
+		Key:         t.Key(),
+		ID:          t.ID(),
+		Incarnation: incarnationOf(t),
+		DataHall:    t.DataHall(),
+		By:          by,
+		Done:        done,
 	}
 }
 
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -187,7 +187,7 @@
 		Deadline:   now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
 		Tried:      w.GetTried(),
 		Barred:     w.GetBarred(),
-		Leaving:    w.GetLeaving(),
+		Draining:   w.GetLeaving(),
 		Route:      w.GetRoute(),
 		Passing:    w.GetPassing(),
 		Elsewhere: dispatch.Spending{
@@ -315,7 +315,7 @@
 		out = dk.Cancel(now, id)
 	} else if dk != nil {
 		if w.GetLeaving() {
-			dk.Leaves(now, w.GetTarget())
+			dk.MarkDraining(now, w.GetTarget())
 		}
 		if w.GetLost() {
 			dk.Lost(w.GetTarget(), id)
@@ -324,7 +324,7 @@
 			dk.Observe(now, node, limitFrom(now, l))
 		}
 		if rest := w.GetRestMs(); rest > 0 {
-			dk.Rest(now, w.GetTarget(), id, time.Duration(rest)*time.Millisecond)
+			dk.BackOff(now, w.GetTarget(), id, time.Duration(rest)*time.Millisecond)
 		}
 		out = dk.Done(now, id, w.GetTarget(), dispatch.Result(w.GetResult()), time.Duration(w.GetTookMs())*time.Millisecond)
 	}
--- a/internal/node/export_notices_test.go
+++ b/internal/node/export_signals_test.go
@@ -11,14 +11,14 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
 // Hear takes in what a target says in an answer to the node.
-func (c *Chooser) Hear(key string, n notice.Notice) {
-	c.dispatching.board.notices.Hear(time.Now(), lifeOf(c.service.Target(key)), n)
+func (c *Chooser) Hear(key string, n signal.Signal) {
+	c.dispatching.board.signals.Observe(time.Now(), incarnationOf(c.service.Target(key)), n)
 }
 
 // Leaves reports whether the node's own desk gives a target no work, by what it was told.
--- a/internal/node/export_targetlimits_test.go
+++ b/internal/node/export_targetlimits_test.go
@@ -13,7 +13,7 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -118,12 +118,12 @@
 // Permits reports whether a request may be sent to a chosen target now.
 func (n *FleetNode) Permits(c entry.Choice) bool {
 	now := time.Now()
-	return n.board.notices.Standing(now, c.Life).Permits(now, c.Permit)
+	return n.board.signals.Standing(now, c.Incarnation).Permits(now, c.Permit)
 }
 
 // Hear records what an answer of a target says of it.
-func (n *FleetNode) Hear(c entry.Choice, said notice.Notice) {
-	n.board.notices.Hear(time.Now(), c.Life, said)
+func (n *FleetNode) Hear(c entry.Choice, said signal.Signal) {
+	n.board.signals.Observe(time.Now(), c.Incarnation, said)
 }
 
 // Live returns how many nodes this one takes for live.
@@ -155,7 +155,7 @@
 
 // Take reports whether the node may send a request to a target with a limit of a rate.
 func (s *Shares) Take(now time.Time, rate float64, nodes int) bool {
-	return s.shares.take(now, "t", notice.Limit{
+	return s.shares.take(now, "t", signal.Limit{
 		Rate: rate,
 		Set:  true,
 	}, nodes)
--- a/internal/node/limitstatus.go
+++ b/internal/node/limitstatus.go
@@ -22,7 +22,7 @@
 		granting[l.Target] = true
 	}
 	c := n.board.currentConfig()
-	if c == nil || n.board.notices.Empty() {
+	if c == nil || n.board.signals.Empty() {
 		return out
 	}
 	for _, s := range c.Services() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,7 +230,7 @@
 		refusals: refusals,
 		at:       time.Now(),
 	})
-	n.board.forget(time.Now(), c)
+	n.board.pruneSignals(time.Now(), c)
 }
 
 // Sync serves dissemination to peers.
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -56,7 +56,7 @@
 		Quarantined:     n.quarantining.check,
 		Ended:           n.quarantining.ended,
 		Answered:        n.quarantining.answered,
-		Notices:         &n.board.notices,
+		Signals:         &n.board.signals,
 		Collector:       n.judging.collector,
 		Served:          n.metrics.Served,
 		Log:             logging.Part(n.log, "entry"),
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -84,7 +84,7 @@
 		for _, t := range s.Targets() {
 			now := time.Now()
 			said := p.board.standing(now, t)
-			if said.Rest > 0 || !p.board.shares.take(now, t.Key(), said.Limit, p.board.nodes()) {
+			if said.Backoff > 0 || !p.board.shares.take(now, t.Key(), said.Limit, p.board.nodes()) {
 				continue
 			}
 			slots <- struct{}{}
@@ -109,15 +109,15 @@
 		return fmt.Errorf("node: probe: %w", err)
 	}
 	_ = res.Body.Close()
-	said, err := forward.NoticeOf(p.contract, res)
-	if p.board.notices.Hear(time.Now(), lifeOf(t), said) {
-		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithField("leaving", said.Leaving).
-			WithField("rest_ms", said.Rest.Milliseconds()).Info("target says what it wants")
+	said, err := forward.SignalOf(p.contract, res)
+	if p.board.signals.Observe(time.Now(), incarnationOf(t), said) {
+		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithField("leaving", said.Draining).
+			WithField("rest_ms", said.Backoff.Milliseconds()).Info("target says what it wants")
 	}
 	if err != nil {
 		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithError(err).Warn("target asks for what can't be read")
 	}
-	if !said.Leaving {
+	if !said.Draining {
 		return nil
 	}
 	p.report(time.Now(), []outlier.Evidence{
--- /dev/null
+++ b/internal/node/signals.go
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/operator"
+	"ploverjunction.example/ploverjunction/internal/signal"
+)
+
+// incarnationOf returns the incarnation of a published target.
+func incarnationOf(t *fleetconfig.Target) signal.Incarnation {
+	return signal.Incarnation{
+		Service: t.Service(),
+		Key:     t.Key(),
+		Name:    cmp.Or(t.ID(), t.Address()),
+		Named:   t.ID() != "",
+		Born:    t.Born(),
+	}
+}
+
+// standing returns the standing of a target by the signals that this node received.
+func (b *Board) standing(now time.Time, t *fleetconfig.Target) signal.Standing {
+	return b.signals.Standing(now, incarnationOf(t))
+}
+
+// unavailable are the keys of targets that this node may not send to, though none of them is
+// published as draining.
+type unavailable struct {
+	draining   []string
+	backingOff []string
+}
+
+// keys returns all of them.
+func (u *unavailable) keys() []string { return append(u.draining, u.backingOff...) }
+
+// unavailable returns the unavailable targets of a data hall, or of all if hall is empty.
+func (b *Board) unavailable(now time.Time, s *fleetconfig.Service, hall string) unavailable {
+	var out unavailable
+	if b.signals.Empty() {
+		return out
+	}
+	for _, t := range s.Targets() {
+		if t.Leaving() || hall != "" && t.DataHall() != hall {
+			continue
+		}
+		switch standing := b.standing(now, t); {
+		case standing.Draining:
+			out.draining = append(out.draining, t.Key())
+		case standing.Barred():
+			out.backingOff = append(out.backingOff, t.Key())
+		}
+	}
+	return out
+}
+
+// allBackingOff reports whether all targets of a service that are not draining back off, and
+// returns the standing of the first to accept requests again. Where all are draining it is false:
+// others may appear at any moment.
+func (b *Board) allBackingOff(now time.Time, s *fleetconfig.Service) (first signal.Standing, all bool) {
+	if b.signals.Empty() {
+		return first, false
+	}
+	for _, t := range s.Targets() {
+		if t.Leaving() {
+			continue
+		}
+		said := b.standing(now, t)
+		switch {
+		case said.Draining:
+		case !said.Barred():
+			return first, false
+		case !all || said.Backoff < first.Backoff:
+			first, all = said, true
+		}
+	}
+	return first, all
+}
+
+// refuseBackoff returns the refusal of a request all of whose targets back off, or nil.
+func (b *Board) refuseBackoff(now time.Time, s *fleetconfig.Service) error {
+	first, all := b.allBackingOff(now, s)
+	if !all {
+		return nil
+	}
+	return entry.NewNoTargetError(attempt.ReasonRest, first.RetryAfter(rand.Float64()))
+}
+
+// signalStatus lists the targets that this node may not send to.
+func (b *Board) signalStatus(now time.Time) []operator.SignalStatus {
+	c := b.currentConfig()
+	if c == nil || b.signals.Empty() {
+		return nil
+	}
+	var out []operator.SignalStatus
+	for _, s := range c.Services() {
+		for _, t := range s.Targets() {
+			if said := b.standing(now, t); said.Barred() {
+				out = append(out, operator.SignalStatus{
+					Service: s.Name(),
+					Target:  t.Key(),
+					Leaving: said.Draining,
+					RestMS:  said.Backoff.Milliseconds(),
+				})
+			}
+		}
+	}
+	return out
+}
+
+// pruneSignals removes the signals of targets that are no longer published.
+func (b *Board) pruneSignals(now time.Time, c *fleetconfig.Config) {
+	if b.signals.Empty() {
+		return
+	}
+	b.signals.Prune(now, func(i signal.Incarnation) bool {
+		s := c.Service(i.Service)
+		return s != nil && s.Target(i.Key) != nil
+	})
+}
--- a/internal/node/notices_test.go
+++ b/internal/node/signals_test.go
@@ -15,8 +15,8 @@
 
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/node"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -43,8 +43,8 @@
 func TestNodeTellsThatATargetLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := node.NewChooser("quotes", saying("a", 2))
-		c.Hear("id-a0", notice.Notice{
-			Leaving: true,
+		c.Hear("id-a0", signal.Signal{
+			Draining: true,
 		})
 		for range 5 {
 			choice, err := c.Choose(context.Background())
@@ -67,8 +67,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.Hear(choice.Key, notice.Notice{
-			Leaving: true,
+		c.Hear(choice.Key, signal.Signal{
+			Draining: true,
 		})
 		choice.Done(outlier.End{}, 0)
 		if !c.Leaves(choice.Key) {
@@ -86,8 +86,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		other := membership.NewNode("192.0.2.2:1", "b")
 		c := node.NewChooserOf(membership.NewNode("192.0.2.1:1", "c"), "quotes", saying("b", 3), other)
-		c.Hear("id-b2", notice.Notice{
-			Leaving: true,
+		c.Hear("id-b2", signal.Signal{
+			Draining: true,
 		})
 		for range 5 {
 			choice, err := c.Choose(context.Background())
@@ -112,8 +112,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.Hear(first.Key, notice.Notice{
-			Rest: rest,
+		c.Hear(first.Key, signal.Signal{
+			Backoff: rest,
 		})
 		begun := time.Now()
 		first.Done(outlier.End{
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -48,7 +48,7 @@
 	s.Revision = n.replica.InForce()
 	s.Limits = n.limiting.status(time.Now())
 	s.Quarantine = n.quarantining.status(time.Now())
-	s.Notices = n.board.noticeStatus(time.Now())
+	s.Signals = n.board.signalStatus(time.Now())
 	s.TargetLimits = n.limitStatus(time.Now())
 	if p := n.judging.pools(time.Now()); p != nil {
 		for name := range p.services {
--- a/internal/node/taking.go
+++ b/internal/node/taking.go
@@ -8,8 +8,8 @@
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/entry"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -58,7 +58,7 @@
 		return reply{}
 	}
 	now := time.Now()
-	permit := notice.Permit{
+	permit := signal.Permit{
 		At: now,
 	}
 	if l := g.grant.GetLimit(); l != nil {
@@ -68,10 +68,10 @@
 	if said := d.board.standing(now, t); !said.Permits(now, permit) {
 		// The target told this node, and whoever chose may not have heard it.
 		done := doneOf(p, g, wire.Done_IGNORED, 0)
-		done.Leaving = said.Leaving
+		done.Leaving = said.Draining
 		d.tell(peer, done)
 		d.log.WithField("service", p.service).WithField("target", t.Key()).WithField("by", peer).
-			WithField("leaving", said.Leaving).WithField("rest_ms", said.Rest.Milliseconds()).
+			WithField("leaving", said.Draining).WithField("rest_ms", said.Backoff.Milliseconds()).
 			WithField("limited", said.Limit.Set).Info("granted target wants no request")
 		return reply{
 			barred: true,
--- a/internal/node/targetlimits.go
+++ b/internal/node/targetlimits.go
@@ -12,8 +12,8 @@
 	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/ratelimit"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -57,8 +57,8 @@
 	}
 }
 
-// limitOfTarget returns the limit of a target as this node knows it.
-func limitOfTarget(key string, s notice.Standing) dispatch.TargetLimit {
+// limitOfStanding returns the limit of a target as this node knows it.
+func limitOfStanding(key string, s signal.Standing) dispatch.TargetLimit {
 	return dispatch.TargetLimit{
 		Target: key,
 		Limit:  s.Limit,
@@ -71,7 +71,7 @@
 	for _, in := range limits {
 		if t := s.Target(in.GetTarget()); t != nil {
 			l := limitFrom(now, in)
-			b.notices.Learn(now, l.At, lifeOf(t), l.Limit)
+			b.signals.Learn(l.At, incarnationOf(t), l.Limit)
 		}
 	}
 }
@@ -83,7 +83,7 @@
 		At:     now.Add(-time.Duration(in.GetAgeMs())*time.Millisecond - limitWay),
 	}
 	if !in.GetLifted() && in.GetRate() >= 0 {
-		l.Limit = notice.Limit{
+		l.Limit = signal.Limit{
 			Rate: in.GetRate(),
 			Set:  true,
 		}
@@ -94,7 +94,7 @@
 // limits returns the limits of a part's targets that this node knows.
 func (b *Board) limits(now time.Time, s *fleetconfig.Service, hall string) []*wire.TargetLimit {
 	var out []*wire.TargetLimit
-	if b.notices.Empty() {
+	if b.signals.Empty() {
 		return out
 	}
 	for _, t := range s.Targets() {
@@ -102,7 +102,7 @@
 			continue
 		}
 		if said := b.standing(now, t); said.Limit.Set {
-			out = append(out, limitTo(now, limitOfTarget(t.Key(), said)))
+			out = append(out, limitTo(now, limitOfStanding(t.Key(), said)))
 		}
 	}
 	return out
@@ -163,7 +163,7 @@
 }
 
 // rate returns the node's part of a limit, in requests a second, among all nodes known.
-func (s *shares) rate(l notice.Limit, nodes int) float64 {
+func (s *shares) rate(l signal.Limit, nodes int) float64 {
 	part := aloneOnly
 	if s.beside {
 		part = aloneBeside
@@ -172,7 +172,7 @@
 }
 
 // wait returns after how long the node may send a request to a target; 0 is now.
-func (s *shares) wait(now time.Time, key string, l notice.Limit, nodes int) time.Duration {
+func (s *shares) wait(now time.Time, key string, l signal.Limit, nodes int) time.Duration {
 	if !l.Set {
 		return 0
 	}
@@ -183,7 +183,7 @@
 }
 
 // take pays for a request to a target and reports whether the limit allows it.
-func (s *shares) take(now time.Time, key string, l notice.Limit, nodes int) bool {
+func (s *shares) take(now time.Time, key string, l signal.Limit, nodes int) bool {
 	if !l.Set {
 		return true
 	}
@@ -215,8 +215,8 @@
 }
 
 // shared returns the permit to send a request to a target by this node's own share of its limit.
-func (b *Board) shared(now time.Time, t *fleetconfig.Target) (notice.Permit, bool) {
-	permit := notice.Permit{
+func (b *Board) shared(now time.Time, t *fleetconfig.Target) (signal.Permit, bool) {
+	permit := signal.Permit{
 		Paced: true,
 		At:    now,
 	}
@@ -227,7 +227,7 @@
 // overShare returns the keys of a part's targets whose limit leaves nothing for this node now.
 func (b *Board) overShare(now time.Time, s *fleetconfig.Service, hall string) []string {
 	var out []string
-	if b.notices.Empty() {
+	if b.signals.Empty() {
 		return out
 	}
 	for _, t := range s.Targets() {
@@ -247,10 +247,10 @@
 	least := time.Duration(0)
 	for _, t := range s.Targets() {
 		said := b.standing(now, t)
-		if t.Leaving() || said.Leaving {
+		if t.Leaving() || said.Draining {
 			continue
 		}
-		wait := max(b.shares.wait(now, t.Key(), said.Limit, b.nodes()), said.Rest)
+		wait := max(b.shares.wait(now, t.Key(), said.Limit, b.nodes()), said.Backoff)
 		if least == 0 || wait < least {
 			least = wait
 		}
--- a/internal/node/targetlimits_test.go
+++ b/internal/node/targetlimits_test.go
@@ -17,8 +17,8 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/node"
-	"ploverjunction.example/ploverjunction/internal/notice"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -419,14 +419,14 @@
 		work = time.Millisecond
 	}
 	time.Sleep(work)
-	var said notice.Notice
+	var said signal.Signal
 	f.mu.Lock()
 	if !full {
 		f.slots[c.Key]--
 	}
 	rate, ok := f.rate(time.Since(f.begun))
 	if ok && limited {
-		said.Limit = notice.Limit{
+		said.Limit = signal.Limit{
 			Rate: rate,
 			Set:  true,
 		}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -16,8 +16,8 @@
 	Limits   []LimitStatus   `json:"limits"`
 	// Quarantine are requests under which targets ended, the latest first.
 	Quarantine []QuarantineStatus `json:"quarantine"`
-	// Notices is what targets said of themselves in answers to this node and holds now.
-	Notices []NoticeStatus `json:"notices"`
+	// Signals is what targets said of themselves in answers to this node and holds now.
+	Signals []SignalStatus `json:"notices"`
 	// TargetLimits are targets that limit what they get from the whole fleet, as this node
 	// knows them.
 	TargetLimits []TargetLimitStatus `json:"target_limits"`
@@ -113,8 +113,8 @@
 	WaitMS int64 `json:"wait_ms"`
 }
 
-// NoticeStatus is a target that gets no requests from this node because it said so.
-type NoticeStatus struct {
+// SignalStatus is a target that gets no requests from this node because it said so.
+type SignalStatus struct {
 	Service string `json:"service"`
 	Target  string `json:"target"`
 	// Leaving is set where the target said that it leaves, RestMS is how much longer it
--- /dev/null
+++ b/internal/signal/export_test.go
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package signal
+
+import "time"
+
+// Counts returns how many targets are draining and how many back off at now.
+func (l *Ledger) Counts(now time.Time) (draining, backingOff int) {
+	for _, r := range l.records.Range {
+		s := r.(record).standing(now)
+		if s.Draining {
+			draining++
+		}
+		if s.Backoff > 0 {
+			backingOff++
+		}
+	}
+	return draining, backingOff
+}
--- /dev/null
+++ b/internal/signal/ledger.go
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package signal
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// MaxBackoff caps the backoff accepted from a single response.
+	MaxBackoff = 2 * time.Minute
+	// drainingUnnamed is how long a target without a published ID counts as draining: its next
+	// incarnation has the same address and can't be distinguished from this one.
+	drainingUnnamed = time.Minute
+	// clockSkew is the most by which the clocks of a target and of this node may differ.
+	clockSkew = 5 * time.Second
+	// unlistedRetention is how long the record of an unpublished target is kept: entries of
+	// live targets may be missing while the platform is down.
+	unlistedRetention = 10 * time.Minute
+	// maxRecords bounds the records, of some 250 bytes each. Beyond it the oldest tenth is
+	// dropped.
+	maxRecords = 10_000
+)
+
+// record is what is known of a target, and the incarnation that it is known of.
+type record struct {
+	incarnation Incarnation
+	draining    bool
+	// drainingUntil ends the draining; the zero time means never.
+	drainingUntil time.Time
+	backoffFrom   time.Time
+	backoffUntil  time.Time
+	limit         Limit
+	limitAt       time.Time
+	// limitUnread is set while the target names a limit that can't be read.
+	limitUnread bool
+	observed    time.Time
+}
+
+// of reports whether the record is of an incarnation. A node that learns late of a new one records
+// its signals as those of the one before; signals received after its start are its own.
+func (r record) of(i Incarnation) bool {
+	if r.incarnation.Key == i.Key {
+		return true
+	}
+	return i.Born.After(r.incarnation.Born) && i.Born.Add(clockSkew).Before(r.observed.Round(0))
+}
+
+func (r record) standing(now time.Time) Standing {
+	s := Standing{
+		Draining: r.draining && (r.drainingUntil.IsZero() || now.Before(r.drainingUntil)),
+		Limit:    r.limit,
+		LimitAt:  r.limitAt,
+	}
+	if now.Before(r.backoffUntil) {
+		s.Backoff = r.backoffUntil.Sub(now)
+		s.BackoffTotal = r.backoffUntil.Sub(r.backoffFrom)
+	}
+	return s
+}
+
+// Ledger keeps the signals that this node received. Its zero value is empty. It may be used
+// concurrently; reads take no lock, as each attempt reads it before it sends.
+type Ledger struct {
+	// mu is held by those who write.
+	mu sync.Mutex
+	// records holds a record by its place; known is how many there are.
+	records sync.Map
+	known   atomic.Int64
+}
+
+// record returns the record of an incarnation.
+func (l *Ledger) record(i Incarnation) record {
+	if l.Empty() {
+		return record{}
+	}
+	if value, ok := l.records.Load(i.place()); ok {
+		if r := value.(record); r.of(i) {
+			return r
+		}
+	}
+	return record{}
+}
+
+// newest returns the newest incarnation of a target that is known. l.mu is held.
+func (l *Ledger) newest(i Incarnation) Incarnation {
+	if value, ok := l.records.Load(i.place()); ok && value.(record).incarnation.Born.After(i.Born) {
+		return value.(record).incarnation
+	}
+	return i
+}
+
+// changes reports whether a signal can change a record.
+func (s Signal) changes(r record) bool {
+	return s.Draining || s.Backoff > 0 || s.Limit.Set || s.LimitUnread || r.limit.Set || r.limitUnread
+}
+
+// Observe records the signal of a response that was received at now, and reports whether it changed
+// the standing of its target. A backoff never shortens an earlier one.
+func (l *Ledger) Observe(now time.Time, i Incarnation, s Signal) bool {
+	if !s.changes(l.record(i)) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// The attempt may have begun before the incarnation that answered was known.
+	i = l.newest(i)
+	r := l.record(i)
+	before := r.standing(now)
+	r.incarnation = i
+	r.observed = now
+	if s.Draining {
+		r.draining = true
+		if !i.Named {
+			r.drainingUntil = now.Add(drainingUnnamed)
+		}
+	}
+	backoff := min(s.Backoff, MaxBackoff)
+	longer := backoff > before.Backoff
+	if longer {
+		r.backoffFrom = now
+		r.backoffUntil = now.Add(backoff)
+	}
+	limited := r.observeLimit(now, s)
+	l.store(r)
+	return longer || limited || s.Draining && !before.Draining
+}
+
+// observeLimit records the limit of a response, or that it has none, and reports whether that
+// changed.
+func (r *record) observeLimit(now time.Time, s Signal) bool {
+	changed := r.limitUnread != s.LimitUnread
+	r.limitUnread = s.LimitUnread
+	if s.LimitUnread || now.Before(r.limitAt) {
+		return changed
+	}
+	changed = changed || r.limit != s.Limit
+	if s.Limit.Set || !r.limitAt.IsZero() {
+		r.limitAt = now
+	}
+	r.limit = s.Limit
+	return changed
+}
+
+// Learn records a limit that a peer reported, which the target named at at. Later responses to this
+// node take precedence.
+func (l *Ledger) Learn(at time.Time, i Incarnation, limit Limit) {
+	if before := l.record(i); !at.After(before.limitAt) || before.limit == limit {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record(i)
+	if !at.After(r.limitAt) || l.newest(i) != i {
+		return
+	}
+	r.incarnation = i
+	if at.After(r.observed) {
+		r.observed = at
+	}
+	r.limit, r.limitAt = limit, at
+	l.store(r)
+}
+
+// store replaces the record of a target. l.mu is held.
+func (l *Ledger) store(r record) {
+	if _, old := l.records.Swap(r.incarnation.place(), r); !old && l.known.Add(1) > maxRecords {
+		l.dropOldest()
+	}
+}
+
+// dropOldest drops the tenth of all records that was observed longest ago. l.mu is held.
+func (l *Ledger) dropOldest() {
+	var all []record
+	for _, r := range l.records.Range {
+		all = append(all, r.(record))
+	}
+	slices.SortFunc(all, func(a, b record) int { return a.observed.Compare(b.observed) })
+	for _, r := range all[:maxRecords/10] {
+		l.drop(r.incarnation.place())
+	}
+}
+
+// drop removes the record of a target. l.mu is held.
+func (l *Ledger) drop(p place) {
+	l.records.Delete(p)
+	l.known.Add(-1)
+}
+
+// Standing returns what holds for a target at now.
+func (l *Ledger) Standing(now time.Time, i Incarnation) Standing { return l.record(i).standing(now) }
+
+// Empty reports whether there is no record.
+func (l *Ledger) Empty() bool { return l.known.Load() == 0 }
+
+// Prune removes records without effect, and those of targets that have not been published for
+// unlistedRetention.
+func (l *Ledger) Prune(now time.Time, published func(Incarnation) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, value := range l.records.Range {
+		r := value.(record)
+		if !r.standing(now).Barred() && !r.limit.Set || !published(r.incarnation) && now.Sub(r.observed) >= unlistedRetention {
+			l.drop(r.incarnation.place())
+		}
+	}
+}
--- a/internal/notice/ledger_test.go
+++ b/internal/signal/ledger_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package notice_test
+package signal_test
 
 import (
 	"fmt"
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func life(key string) notice.Life {
-	return notice.Life{
+func life(key string) signal.Incarnation {
+	return signal.Incarnation{
 		Service: "quotes",
 		Key:     key,
 		Name:    key,
@@ -23,8 +23,8 @@
 }
 
 // born returns a life of the target id that began some time after start.
-func born(after time.Duration) notice.Life {
-	return notice.Life{
+func born(after time.Duration) signal.Incarnation {
+	return signal.Incarnation{
 		Service: "quotes",
 		Key:     fmt.Sprint("id/", after),
 		Name:    "id",
@@ -34,18 +34,18 @@
 }
 
 func ExampleLedger() {
-	var l notice.Ledger
-	target := notice.Life{
+	var l signal.Ledger
+	target := signal.Incarnation{
 		Service: "quotes",
 		Key:     "id-7/k2p",
 		Name:    "id-7",
 		Named:   true,
 	}
-	l.Hear(start, target, notice.Notice{
-		Rest: 3 * time.Second,
+	l.Observe(start, target, signal.Signal{
+		Backoff: 3 * time.Second,
 	})
-	fmt.Println(l.Standing(start.Add(time.Second), target).Rest)
-	fmt.Println(l.Standing(start.Add(3*time.Second), target).Rest)
+	fmt.Println(l.Standing(start.Add(time.Second), target).Backoff)
+	fmt.Println(l.Standing(start.Add(3*time.Second), target).Backoff)
 	// Output:
 	// 2s
 	// 0s
@@ -53,22 +53,22 @@
 
 // A word of leaving holds for the target's life and for no other one.
 func TestLeavingHoldsForOneLife(t *testing.T) {
-	var l notice.Ledger
-	unnamed := notice.Life{
+	var l signal.Ledger
+	unnamed := signal.Incarnation{
 		Service: "quotes",
 		Key:     "192.0.2.1:80",
 		Name:    "192.0.2.1:80",
 	}
-	leaving := notice.Notice{
-		Leaving: true,
+	leaving := signal.Signal{
+		Draining: true,
 	}
-	if !l.Hear(start, life("id/1"), leaving) || l.Hear(start.Add(time.Second), life("id/1"), leaving) {
+	if !l.Observe(start, life("id/1"), leaving) || l.Observe(start.Add(time.Second), life("id/1"), leaving) {
 		t.Error("the same word is news twice, or not once")
 	}
-	l.Hear(start, unnamed, leaving)
+	l.Observe(start, unnamed, leaving)
 	tests := []struct {
 		name  string
-		life  notice.Life
+		life  signal.Incarnation
 		after time.Duration
 		want  bool
 	}{
@@ -91,7 +91,7 @@
 		},
 		{
 			name: "the same key in another service",
-			life: notice.Life{
+			life: signal.Incarnation{
 				Service: "documents",
 				Key:     "id/1",
 				Name:    "id/1",
@@ -113,7 +113,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := l.Standing(start.Add(tt.after), tt.life); got.Leaving != tt.want || got.Barred() != tt.want {
+			if got := l.Standing(start.Add(tt.after), tt.life); got.Draining != tt.want || got.Barred() != tt.want {
 				t.Errorf("%+v", got)
 			}
 		})
@@ -149,11 +149,11 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var l notice.Ledger
-			l.Hear(start.Add(heard), born(0), notice.Notice{
-				Leaving: true,
+			var l signal.Ledger
+			l.Observe(start.Add(heard), born(0), signal.Signal{
+				Draining: true,
 			})
-			if got := l.Standing(start.Add(2*heard), born(tt.next)).Leaving; got != tt.want {
+			if got := l.Standing(start.Add(2*heard), born(tt.next)).Draining; got != tt.want {
 				t.Errorf("leaving %v, want %v", got, tt.want)
 			}
 		})
@@ -162,14 +162,14 @@
 
 // What comes of an attempt at a life that is known to be over was said by the one after it.
 func TestWordsOfALifeThatIsOver(t *testing.T) {
-	var l notice.Ledger
-	l.Hear(start, born(time.Second), notice.Notice{
-		Leaving: true,
+	var l signal.Ledger
+	l.Observe(start, born(time.Second), signal.Signal{
+		Draining: true,
 	})
-	l.Hear(start, born(0), notice.Notice{
-		Rest: time.Second,
+	l.Observe(start, born(0), signal.Signal{
+		Backoff: time.Second,
 	})
-	if got := l.Standing(start, born(time.Second)); !got.Leaving || got.Rest != time.Second {
+	if got := l.Standing(start, born(time.Second)); !got.Draining || got.Backoff != time.Second {
 		t.Errorf("%+v", got)
 	}
 }
@@ -207,18 +207,18 @@
 		{
 			name:  "huge",
 			rests: []time.Duration{1 << 62},
-			want:  notice.MostRest,
+			want:  signal.MaxBackoff,
 		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var l notice.Ledger
+			var l signal.Ledger
 			for _, d := range tt.rests {
-				l.Hear(start, life("id/1"), notice.Notice{
-					Rest: d,
+				l.Observe(start, life("id/1"), signal.Signal{
+					Backoff: d,
 				})
 			}
-			if got := l.Standing(start, life("id/1")); got.Rest != tt.want || got.Whole != tt.want || got.Leaving {
+			if got := l.Standing(start, life("id/1")); got.Backoff != tt.want || got.BackoffTotal != tt.want || got.Draining {
 				t.Errorf("%+v, want %v", got, tt.want)
 			}
 		})
@@ -227,25 +227,25 @@
 
 // What is known of targets that are gone is dropped, but not while their entries may come back.
 func TestForget(t *testing.T) {
-	var l notice.Ledger
-	leaving := notice.Notice{
-		Leaving: true,
+	var l signal.Ledger
+	leaving := signal.Signal{
+		Draining: true,
 	}
-	l.Hear(start, life("published"), leaving)
-	l.Hear(start, life("gone"), leaving)
-	l.Hear(start, life("rested"), notice.Notice{
-		Rest: time.Second,
+	l.Observe(start, life("published"), leaving)
+	l.Observe(start, life("gone"), leaving)
+	l.Observe(start, life("rested"), signal.Signal{
+		Backoff: time.Second,
 	})
-	published := func(l notice.Life) bool { return l.Key != "gone" }
-	l.Forget(start.Add(time.Minute), published)
+	published := func(l signal.Incarnation) bool { return l.Key != "gone" }
+	l.Prune(start.Add(time.Minute), published)
 	if leaving, resting := l.Counts(start.Add(time.Minute)); leaving != 2 || resting != 0 {
 		t.Errorf("%d leave, %d rest", leaving, resting)
 	}
-	l.Forget(start.Add(time.Hour), published)
+	l.Prune(start.Add(time.Hour), published)
 	if leaving, _ := l.Counts(start.Add(time.Hour)); leaving != 1 {
 		t.Errorf("%d leave", leaving)
 	}
-	l.Forget(start.Add(2*time.Hour), func(notice.Life) bool { return false })
+	l.Prune(start.Add(2*time.Hour), func(signal.Incarnation) bool { return false })
 	if !l.Empty() {
 		t.Error("something is known of targets that are gone for long")
 	}
@@ -253,18 +253,18 @@
 
 // Whatever targets say, memory is bounded; the latest words stay.
 func TestLedgerIsBounded(t *testing.T) {
-	var l notice.Ledger
+	var l signal.Ledger
 	const many = 25_000
 	for i := range many {
-		l.Hear(start.Add(time.Duration(i)), life(fmt.Sprint(i)), notice.Notice{
-			Leaving: true,
+		l.Observe(start.Add(time.Duration(i)), life(fmt.Sprint(i)), signal.Signal{
+			Draining: true,
 		})
 	}
 	if leaving, _ := l.Counts(start.Add(many)); leaving < 9_000 || leaving > 10_000 {
 		t.Errorf("%d targets are remembered", leaving)
 	}
 	for i := many - 9_000; i < many; i++ {
-		if !l.Standing(start.Add(many), life(fmt.Sprint(i))).Leaving {
+		if !l.Standing(start.Add(many), life(fmt.Sprint(i))).Draining {
 			t.Fatalf("word %d of %d is lost", i, many)
 		}
 	}
@@ -272,13 +272,13 @@
 
 // Words that come at the same time are all kept.
 func TestLedgerAtTheSameTime(t *testing.T) {
-	var l notice.Ledger
+	var l signal.Ledger
 	var all sync.WaitGroup
 	const many = 100
 	for i := range many {
 		all.Go(func() {
-			l.Hear(start, life(fmt.Sprint(i)), notice.Notice{
-				Leaving: true,
+			l.Observe(start, life(fmt.Sprint(i)), signal.Signal{
+				Draining: true,
 			})
 			l.Standing(start, life("0"))
 		})
@@ -294,10 +294,10 @@
 func BenchmarkStanding(b *testing.B) {
 	for _, known := range []int{0, 720} {
 		b.Run(fmt.Sprint(known), func(b *testing.B) {
-			var l notice.Ledger
+			var l signal.Ledger
 			for i := range known {
-				l.Hear(start, life(fmt.Sprint(i)), notice.Notice{
-					Leaving: true,
+				l.Observe(start, life(fmt.Sprint(i)), signal.Signal{
+					Draining: true,
 				})
 			}
 			asked := life("7")
--- a/internal/notice/limit_test.go
+++ b/internal/signal/limit_test.go
@@ -1,17 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package notice_test
+package signal_test
 
 import (
 	"testing"
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
-func limitOf(rate float64) notice.Notice {
-	return notice.Notice{
-		Limit: notice.Limit{
+func limitOf(rate float64) signal.Signal {
+	return signal.Signal{
+		Limit: signal.Limit{
 			Rate: rate,
 			Set:  true,
 		},
@@ -23,9 +23,9 @@
 func TestLimitHoldsUntilTheNextAnswer(t *testing.T) {
 	steps := []struct {
 		name    string
-		notice  notice.Notice
+		notice  signal.Signal
 		changed bool
-		want    notice.Limit
+		want    signal.Limit
 	}{
 		{
 			name: "none",
@@ -43,7 +43,7 @@
 		},
 		{
 			name: "unreadable",
-			notice: notice.Notice{
+			notice: signal.Signal{
 				LimitUnread: true,
 			},
 			changed: true,
@@ -51,7 +51,7 @@
 		},
 		{
 			name: "unreadable again",
-			notice: notice.Notice{
+			notice: signal.Signal{
 				LimitUnread: true,
 			},
 			want: limitOf(1.6).Limit,
@@ -67,11 +67,11 @@
 			changed: true,
 		},
 	}
-	var l notice.Ledger
+	var l signal.Ledger
 	target := born(0)
 	for i, s := range steps {
 		now := start.Add(time.Duration(i) * time.Second)
-		if changed := l.Hear(now, target, s.notice); changed != s.changed {
+		if changed := l.Observe(now, target, s.notice); changed != s.changed {
 			t.Errorf("%s: changed %v", s.name, changed)
 		}
 		if got := l.Standing(now, target); got.Limit != s.want || got.Barred() {
@@ -82,8 +82,8 @@
 
 // A limit is of one incarnation: the next one has none until it names its own.
 func TestLimitIsOfOneIncarnation(t *testing.T) {
-	var l notice.Ledger
-	l.Hear(start, born(0), limitOf(1.6))
+	var l signal.Ledger
+	l.Observe(start, born(0), limitOf(1.6))
 	if got := l.Standing(start, born(time.Minute)).Limit; got.Set {
 		t.Errorf("the next incarnation has the limit %+v", got)
 	}
@@ -94,8 +94,8 @@
 func TestPermit(t *testing.T) {
 	tests := []struct {
 		name   string
-		notice notice.Notice
-		permit notice.Permit
+		notice signal.Signal
+		permit signal.Permit
 		want   bool
 	}{
 		{
@@ -105,14 +105,14 @@
 		{
 			name:   "granted without the limit",
 			notice: limitOf(2),
-			permit: notice.Permit{
+			permit: signal.Permit{
 				At: start,
 			},
 		},
 		{
 			name:   "paid for",
 			notice: limitOf(2),
-			permit: notice.Permit{
+			permit: signal.Permit{
 				Paced: true,
 				At:    start.Add(-400 * time.Millisecond),
 			},
@@ -121,17 +121,17 @@
 		{
 			name:   "held up",
 			notice: limitOf(2),
-			permit: notice.Permit{
+			permit: signal.Permit{
 				Paced: true,
 				At:    start.Add(-600 * time.Millisecond),
 			},
 		},
 		{
 			name: "paid for, and draining",
-			notice: notice.Notice{
-				Leaving: true,
+			notice: signal.Signal{
+				Draining: true,
 			},
-			permit: notice.Permit{
+			permit: signal.Permit{
 				Paced: true,
 				At:    start,
 			},
@@ -139,8 +139,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var l notice.Ledger
-			l.Hear(start, life("t"), tt.notice)
+			var l signal.Ledger
+			l.Observe(start, life("t"), tt.notice)
 			if got := l.Standing(start, life("t")).Permits(start, tt.permit); got != tt.want {
 				t.Errorf("permits %v", got)
 			}
@@ -150,14 +150,14 @@
 
 // What a peer tells of a limit counts unless this node heard the target later.
 func TestLimitsOfPeersAreLearned(t *testing.T) {
-	var l notice.Ledger
+	var l signal.Ledger
 	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
-	l.Learn(at(5), at(1), life("t"), limitOf(2).Limit)
+	l.Learn(at(1), life("t"), limitOf(2).Limit)
 	if got := l.Standing(at(5), life("t")).Limit; got != limitOf(2).Limit {
 		t.Errorf("learned %+v", got)
 	}
-	l.Hear(at(6), life("t"), notice.Notice{})
-	l.Learn(at(7), at(5), life("t"), limitOf(2).Limit)
+	l.Observe(at(6), life("t"), signal.Signal{})
+	l.Learn(at(5), life("t"), limitOf(2).Limit)
 	if got := l.Standing(at(7), life("t")).Limit; got.Set {
 		t.Errorf("a lifted limit came back: %+v", got)
 	}
--- a/internal/notice/retryafter.go
+++ b/internal/signal/retryafter.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package notice
+package signal
 
 import "time"
 
@@ -11,5 +11,5 @@
 // RetryAfter returns after how long a caller may return to a service all of whose targets back
 // off or drain, given the standing of the target that may be used first. random is from 0 to 1.
 func (s Standing) RetryAfter(random float64) time.Duration {
-	return s.Rest + time.Duration(random*retryAfterJitter*float64(s.Whole))
+	return s.Backoff + time.Duration(random*retryAfterJitter*float64(s.BackoffTotal))
 }
--- a/internal/notice/retryafter_test.go
+++ b/internal/signal/retryafter_test.go
@@ -1,13 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package notice_test
+package signal_test
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/notice"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // Callers who come while a service rests are told when to return: none before the rest is over,
@@ -39,9 +39,9 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(1, 2))
-			var l notice.Ledger
-			l.Hear(start, life("id/1"), notice.Notice{
-				Rest: rest,
+			var l signal.Ledger
+			l.Observe(start, life("id/1"), signal.Signal{
+				Backoff: rest,
 			})
 			// come are the requests of each beat from the end of the rest on: those that
 			// come for the first time, and those that return.
