--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -46,6 +46,8 @@
 		f.sayLeaving(s.Index)
 	case KindReborn:
 		f.reborn(s.Index)
+	case KindNamesLimit:
+		f.nameLimit(f.targets[s.Index], s)
 	default:
 		f.targetStep(f.targets[s.Index], s)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -41,6 +41,8 @@
 	births []time.Duration
 	// says is set where its answers say that it leaves.
 	says atomic.Bool
+	// limits counts the steps under way in which it names its limit.
+	limits atomic.Int64
 }
 
 // fleet is everything that takes part in one run.
--- a/internal/soak/says.go
+++ b/internal/soak/says.go
@@ -47,6 +47,9 @@
 func (b *backend) usual() target.Mode {
 	m := healthy()
 	m.Leaving = b.says.Load()
+	if b.limits.Load() > 0 {
+		m.Limit = limitText
+	}
 	return m
 }
 
@@ -98,6 +101,7 @@
 	for _, b := range f.targets {
 		f.judgeLeft(b, calls)
 		f.judgeRested(b, calls)
+		f.judgeLimited(b, calls)
 	}
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -50,6 +50,8 @@
 	// answers. KindSaysLeaving lasts until the end, though the target is published as staying.
 	KindSaysLeaving Kind = "target says it leaves"
 	KindWantsRest   Kind = "target wants rest"
+	// KindNamesLimit has a target name a limit for the whole fleet.
+	KindNamesLimit Kind = "target names a limit"
 )
 
 // kinds are all kinds, those that act on processes more than once: they are drawn
@@ -80,10 +82,12 @@
 	// Harmful is set where a request comes again and again that ends each target.
 	Harmful bool
 	// Saying is set where targets say in their answers that they leave or want rest.
-	Saying  bool
-	Nodes   int
-	Targets int
-	Steps   []Step
+	Saying bool
+	// Limiting is set where targets name limits.
+	Limiting bool
+	Nodes    int
+	Targets  int
+	Steps    []Step
 }
 
 // Times and sizes of plans.
@@ -126,6 +130,7 @@
 	}
 	p.addKeyed()
 	p.addSaying()
+	p.addLimits()
 	// From a source of its own, so that the other steps of a seed stay what they are.
 	p.Harmful = rand.New(rand.NewPCG(seed, 0x4a21)).IntN(2) == 0
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
