--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -25,9 +25,7 @@
 	// noise breaks ties by chance.
 	noise = 0.002
 	// waitCost and waitRate, by the second, are what waiting for a better target
-	// costs; a target that is worse by less than that is taken at once. With them a
-	// request of 5 KiB waits some 50 ms for a slot in its own data hall, in which
-	// several become free.
+	// costs; a target that is worse by less than that is taken at once.
 	waitCost = 0.03
 	waitRate = 2.5
 	// waitMost bounds that cost for what no other attempt can follow: waiting makes up
--- a/internal/dispatch/coverage.go
+++ b/internal/dispatch/coverage.go
@@ -21,10 +21,8 @@
 	coverBeat = 20 * time.Millisecond
 )
 
-// shortPrice is what it costs, in the unit of a choice, that too few are reached when
-// a tenth of the requests is lost. At 50, 100 and 200 the model of TestWorkingTargetsAreReached
-// has under 0.2% of its windows with too few, and no more requests lost than without a
-// price; at 20 it has 0.3%.
+// shortPrice is what it costs, in the unit of a choice, that too few targets are reached when a
+// tenth of the requests is lost.
 const shortPrice = 50
 
 // trialFrom is from which worth on a request counts as a trial of its target: more than
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -4,8 +4,7 @@
 
 import "time"
 
-// Parameters of second attempts beside one that goes on. On the users' bench days with
-// a free part of 0.4 and of 0.65 of the budget did not differ beyond noise.
+// Parameters of second attempts beside one that goes on.
 const (
 	// hedgeFrom is the share of good answers that have come when a second target may
 	// be asked for the first time.
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -4,10 +4,6 @@
 
 import "time"
 
-// This file says what is refused when more comes than the targets can do. What can be in
-// time goes first then (queue.each); what can't be would be held until its deadline, and
-// its caller with it, to be refused after all.
-
 const (
 	// shortAfter is for how long no good slot may have been free until slots count as short.
 	shortAfter = 500 * time.Millisecond
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -49,11 +49,9 @@
 	return sum, n
 }
 
-// inTime reports whether an answer to an ask that waits can still be worth most. While slots
-// are short nearly all answers must be, where another attempt can follow: by the usual time
-// half of what went first came too late. Of a service that gets 1.2 to 2 times what it can
-// do 0.53 to 0.60 was in aim, 0.89 to 0.95 by the margin (TestOverload). A last attempt
-// keeps its place: behind the others it ends at a target that fails.
+// inTime reports whether an answer to a waiting ask can still meet its aim. While slots are short,
+// nearly all answers must, not half of them: slots would go to requests that come too late. A last
+// attempt keeps its place: behind the others it would end at a target that fails.
 func (q *queue) inTime(now time.Time, w *waiting) bool {
 	if q.short && !w.ask.last() {
 		return now.Add(w.margin).Before(w.ask.Aim)
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -7,15 +7,9 @@
 	"time"
 )
 
-// This file gives slots to asks that wait. Under overload there are hundreds of them and
-// ends of attempts by the thousand each second: what an end costs must not grow with the
-// asks that wait times the targets. It did, and the one desk of a service with 431
-// targets fell behind for good at 1,900 asks a second: its nodes gave it up, and each
-// chose alone.
-
-// lookPause is how long the next look at all that waits is put off for each target that
-// the last one looked at. A look at one target takes some 50 ns, so that they take at most
-// a twentieth of a processor; a service of 14 targets is looked at with each end.
+// lookPause is how long the next look at all waiting asks is put off for each target that the last
+// one examined. The cost of an attempt's end must not grow with the product of asks and targets:
+// under overload a dispatcher would fall behind for good.
 const lookPause = time.Microsecond
 
 // traits are what the choices for several asks have in common.
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -22,8 +22,7 @@
 	// the others away.
 	repeatableShare = 0.9
 	// trialShare and trialTime are the same by requests that can't be repeated, which
-	// cost more: trials of nineteen in twenty each 5 s lost 0.8% of the requests of quiet
-	// days on the users' bench, where others could have made them.
+	// cost more.
 	trialShare = 0.85
 	trialTime  = 5 * time.Second
 	// spreadWithin is within which time all targets that lack work should get some,
--- a/internal/entry/fail.go
+++ b/internal/entry/fail.go
@@ -13,9 +13,6 @@
 	"ploverjunction.example/ploverjunction/internal/outlier"
 )
 
-// This file is about attempts that failed: what follows for the request, and what they show
-// of their targets.
-
 // failed notes an attempt that failed, or one for which there was no target.
 func (x *relay) failed(r result) {
 	var none *NoTargetError
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -9,10 +9,6 @@
 	"ploverjunction.example/ploverjunction/internal/attempt"
 )
 
-// This file is about second attempts beside one that goes on. Whoever chose the first
-// target says from when a second one may be asked for, and decides each time whether
-// it is worth a repeat.
-
 // grant is a target that a try got.
 type grant struct {
 	at time.Time
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -94,10 +94,8 @@
 	copyBuffer      = 32 << 10
 	maxResumes      = 3
 	requestIDLength = 16
-	// startPart is the part of a caller's time for which its request waits for the first
-	// configuration, startMost bounds it. After a loss of all power 443 nodes know it
-	// within 1.2 s; with a wait of 0.4 s 2,241 requests of the first second, of callers
-	// that wait 6 s and more, were refused.
+	// startPart is the part of a caller's time, one in so many, for which its request waits
+	// for the first configuration; startMost bounds it.
 	startPart = 6
 	startMost = 1300 * time.Millisecond
 )
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -41,13 +41,9 @@
 	}
 }
 
-// enter is called immediately before bytes go to the kernel. The time limit is
-// checked there and not earlier: the process may have been frozen between the
-// choice of a target and the write. So is what the target said of itself: an
-// answer to another request may have come since the choice, which another node may
-// have made that doesn't know of it. Four nodes that left it to who chooses sent
-// 97 requests to a target in 2 s that had said for 2 s that it leaves
-// (TestLeavingTargetsGetNothingMore).
+// enter is called immediately before bytes go to the kernel. The deadline is checked there and not
+// earlier, as the process may have been frozen since the target was chosen. So are the target's
+// signals: one may have arrived since, and the node that chose the target may not know it.
 func (c *claim) enter(now time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -126,9 +126,8 @@
 	return d
 }
 
-// run serves the queues and repeats what was not confirmed, until the context ends.
-// While there is nothing to do it looks once a second: with a beat of 50 ms all nodes of
-// a fleet of 220 at rest woke up 11,000 times a second in all, counting this beat alone.
+// run serves the queues and repeats what was not confirmed, until the context ends. While there
+// is nothing to do it wakes up once a second only.
 func (d *dispatching) run(ctx context.Context) error {
 	beat := time.NewTimer(deskBeat)
 	defer beat.Stop()
--- a/internal/node/export_targetlimits_test.go
+++ b/internal/node/export_targetlimits_test.go
@@ -160,3 +160,11 @@
 		Set:  true,
 	}, nodes)
 }
+
+// Turn returns the time between two turns of any node to send to a target with a limit.
+func (s *Shares) Turn(rate float64) time.Duration {
+	return s.shares.turn(signal.Limit{
+		Rate: rate,
+		Set:  true,
+	})
+}
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -33,8 +33,7 @@
 	board     *Board
 	collector *outlier.Collector
 	// passive is set where a dispatcher judges the targets: pools are then made only
-	// when an operator asks. Made at each change they took an eighth of the processor
-	// time of 220 nodes that started before 720 targets, counted by profile.
+	// when an operator asks.
 	passive bool
 	// report takes the evidence of each beat.
 	report   func(now time.Time, evidence []outlier.Evidence)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -16,10 +16,8 @@
 const (
 	// memberBeat is how often the view is renewed for times that have passed.
 	memberBeat = time.Second
-	// viewPause is the least time between two views. While a fleet starts each node
-	// hears of all others within a second or two; a view for each of them cost a third
-	// of all processor time of 220 nodes that started, counted by profile. Nodes wait
-	// longer than that for each other's answers.
+	// viewPause is the least time between two views: while a fleet starts, a view for each
+	// node heard would cost more than all else. Nodes wait longer for each other's answers.
 	viewPause = 20 * time.Millisecond
 )
 
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -125,9 +125,8 @@
 	}
 }
 
-// short reports whether a datagram says only who sent it. Those about limits come beside the
-// others of each request: with all that a node believes on them they took 10 MB between
-// data halls in 40 s of 113 nodes and 744 requests a second, without it 6 MB.
+// short reports whether a datagram says only who sent it. Those about limits of workspaces are sent
+// beside the others of each request, which carry what a node believes.
 func short(d *wire.Datagram) bool {
 	switch d.GetBody().(type) {
 	case *wire.Datagram_Draw, *wire.Datagram_Allot:
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -48,10 +48,9 @@
 // leaveFar is how many nodes of each other data hall a leaving node tells by datagram.
 const leaveFar = 2
 
-// sayLeaving tells peers: they must give this node's duties to others. Where datagrams
-// carry the news on, those of the own data hall and a few others are enough; the duties of
-// a leaving node are still done until it ends. Told by a connection to each peer, a rolling
-// restart of 443 nodes opened 196,000 of them.
+// sayLeaving tells peers: they must give this node's roles to others. Where datagrams carry the
+// news on, those of the own data hall and a few others are enough; a leaving node still fulfils
+// its roles until it ends.
 func (n *Node) sayLeaving(ctx context.Context) {
 	if n.peers == nil {
 		return
--- a/internal/node/taking.go
+++ b/internal/node/taking.go
@@ -13,8 +13,6 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// This file is about what a node makes of a dispatcher's answer.
-
 // answered takes the last word of a dispatcher.
 func (d *dispatching) answered(peer string, q *entry.Query, p part, g granted) reply {
 	d.board.learn(time.Now(), d.newest(q.Service), g.grant.GetLimits()...)
--- a/internal/node/targetlimits.go
+++ b/internal/node/targetlimits.go
@@ -241,8 +241,17 @@
 	return out
 }
 
-// shareWait returns after how long this node may send to a target of a service by its own share,
-// 0 if that isn't known or no limit is the reason.
+// turn returns the time between two turns of any of the nodes to send to a target.
+func (s *shares) turn(l signal.Limit) time.Duration {
+	if !l.Set {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / s.rate(l, 1))
+}
+
+// shareWait returns after how long a caller may return to a service whose limits leave nothing for
+// this node, 0 if no limit is the reason. The caller may reach another node, whose turn comes
+// before this one's.
 func (b *Board) shareWait(now time.Time, s *fleetconfig.Service) time.Duration {
 	least := time.Duration(0)
 	for _, t := range s.Targets() {
@@ -250,7 +259,8 @@
 		if t.Leaving() || said.Draining {
 			continue
 		}
-		wait := max(b.shares.wait(now, t.Key(), said.Limit, b.nodes()), said.Backoff)
+		wait := min(b.shares.wait(now, t.Key(), said.Limit, b.nodes()), b.shares.turn(said.Limit))
+		wait = max(wait, said.Backoff)
 		if least == 0 || wait < least {
 			least = wait
 		}
--- a/internal/node/targetlimits_test.go
+++ b/internal/node/targetlimits_test.go
@@ -667,3 +667,11 @@
 		t.Errorf("%d requests in %v, allowed %d", got, limitWindow, most)
 	}
 }
+
+// A caller that this node has no turn for may reach another one, whose turn comes before.
+func TestTurnIsThatOfAllNodes(t *testing.T) {
+	var s node.Shares
+	if got := s.Turn(2); got < 500*time.Millisecond || got > 600*time.Millisecond {
+		t.Errorf("a turn each %v of a limit of 2 a second", got)
+	}
+}
