internal/node, internal/dispatch: limits in messages are bounded and checked

A message names eight limits at most, drawn by turns: with two dozen an ask would not fit into a datagram. Rates that make no sense are ignored (TestSenselessLimitsAreIgnored, TestManyLimitsAreToldByTurns).

--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -114,12 +114,16 @@
 		t.warmUntil = later(t.warmUntil, now.Add(liftedTime))
 		d.limits--
 	}
+	if before == s.Limit {
+		return false
+	}
 	d.covered = coverage{}
-	return before != s.Limit
+	return true
 }
 
-// maxUnnamed bounds the limits that the answer to one ask tells of.
-const maxUnnamed = 16
+// MaxLimits bounds the limits in one message, of some 40 bytes each: it must fit into a datagram
+// beside the rest of an ask.
+const MaxLimits = 8
 
 // unnamed returns the limits of targets that an ask didn't name, and those lifted that it did.
 // Nodes that may have to choose alone learn of them before they need to.
@@ -132,8 +136,11 @@
 		named[l.Target] = l.Limit
 	}
 	var out []TargetLimit
-	for _, t := range d.order {
-		if t.limit.Limit != named[t.Key] && len(out) < maxUnnamed {
+	// Begins anywhere, so that each limit is told in time where there are many.
+	from := int(d.random() * float64(len(d.order)))
+	for i := range d.order {
+		t := d.order[(from+i)%len(d.order)]
+		if t.limit.Limit != named[t.Key] && len(out) < MaxLimits {
 			out = append(out, TargetLimit{
 				Target: t.Key,
 				Limit:  t.limit.Limit,
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -349,3 +349,25 @@
 		t.Errorf("told again %+v", told)
 	}
 }
+
+// Of more limits than fit into a message all are told after some asks.
+func TestManyLimitsAreToldByTurns(t *testing.T) {
+	const targets = 30
+	d := newDesk(pool(targets)...)
+	for i := range targets {
+		d.Observe(start, "n", limitOf(fmt.Sprintf("t%d", i), 2, start))
+	}
+	told := map[string]bool{}
+	for i := range uint64(100) {
+		limits := d.Ask(start, ask(start, i)).Limits
+		if len(limits) > dispatch.MaxLimits {
+			t.Fatalf("%d in one message", len(limits))
+		}
+		for _, l := range limits {
+			told[l.Target] = true
+		}
+	}
+	if len(told) != targets {
+		t.Errorf("%d of %d told", len(told), targets)
+	}
+}
--- a/internal/node/export_targetlimits_test.go
+++ b/internal/node/export_targetlimits_test.go
@@ -168,3 +168,10 @@
 		Set:  true,
 	})
 }
+
+// Told returns the time that a message gives a limit of a rate.
+func Told(now time.Time, rate float64) time.Time {
+	return limitFrom(now, &wire.TargetLimit{
+		Rate: rate,
+	}).At
+}
--- a/internal/node/targetlimits.go
+++ b/internal/node/targetlimits.go
@@ -76,35 +76,45 @@
 	}
 }
 
-// limitFrom returns what a message says of a target's limit.
+// limitFrom returns what a message says of a target's limit. Its time is the zero time, which is
+// older than any, where the message makes no sense.
 func limitFrom(now time.Time, in *wire.TargetLimit) dispatch.TargetLimit {
 	l := dispatch.TargetLimit{
 		Target: in.GetTarget(),
 		At:     now.Add(-time.Duration(in.GetAgeMs())*time.Millisecond - limitWay),
 	}
-	if !in.GetLifted() && in.GetRate() >= 0 {
+	switch rate := in.GetRate(); {
+	case in.GetLifted():
+	case rate >= 0 && !math.IsInf(rate, 0):
 		l.Limit = signal.Limit{
-			Rate: in.GetRate(),
+			Rate: rate,
 			Set:  true,
 		}
+	default:
+		l.At = time.Time{}
 	}
 	return l
 }
 
-// limits returns the limits of a part's targets that this node knows.
+// limits returns limits of a part's targets that this node knows: some, drawn by chance, of more
+// than fit into a message.
 func (b *Board) limits(now time.Time, s *fleetconfig.Service, hall string) []*wire.TargetLimit {
 	var out []*wire.TargetLimit
 	if b.signals.Empty() {
 		return out
 	}
 	for _, t := range s.Targets() {
-		if len(out) == mostTried || hall != "" && t.DataHall() != hall {
+		if hall != "" && t.DataHall() != hall {
 			continue
 		}
 		if said := b.standing(now, t); said.Limit.Set {
 			out = append(out, limitTo(now, limitOfStanding(t.Key(), said)))
 		}
 	}
+	if len(out) > dispatch.MaxLimits {
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+		out = out[:dispatch.MaxLimits]
+	}
 	return out
 }
 
--- a/internal/node/targetlimits_test.go
+++ b/internal/node/targetlimits_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -675,3 +676,15 @@
 		t.Errorf("a turn each %v of a limit of 2 a second", got)
 	}
 }
+
+// A message about a limit that makes no sense changes nothing.
+func TestSenselessLimitsAreIgnored(t *testing.T) {
+	for _, rate := range []float64{math.NaN(), math.Inf(1), -1} {
+		if at := node.Told(time.Now(), rate); !at.IsZero() {
+			t.Errorf("rate %v counts", rate)
+		}
+	}
+	if node.Told(time.Now(), 2).IsZero() {
+		t.Error("a rate of 2 doesn't count")
+	}
+}
