--- /dev/null
+++ b/internal/dispatch/limit_ways_test.go
@@ -0,0 +1,250 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/ratelimit"
+)
+
+var wayPlays = flag.Int("limit-plays", 2, "plays of each way to keep to a target's limit")
+
+// Times and sizes of a play of a way: more comes than the targets without a limit can do.
+const (
+	wayNodes  = 40
+	wayLength = 30 * time.Second
+	wayLoad   = 120.0
+	wayStep   = 5 * time.Millisecond
+)
+
+// limitWay decides which requests a target with a limit gets.
+type limitWay interface {
+	// tick lets time pass; ask reports whether a request of a node goes to the target.
+	tick(now time.Time)
+	ask(now time.Time, node int) bool
+	// end tells that a request of the target has ended.
+	end(now time.Time, node int)
+}
+
+// eachAlone has each node keep to a part of the limit by itself.
+type eachAlone struct {
+	rate   float64
+	pacers []*ratelimit.Pacer
+}
+
+func newEachAlone(rate float64, rng *rand.Rand) *eachAlone {
+	w := &eachAlone{
+		rate: rate,
+	}
+	for range wayNodes {
+		w.pacers = append(w.pacers, ratelimit.NewPacer(start, rng.Float64()))
+	}
+	return w
+}
+
+func (w *eachAlone) tick(time.Time) {}
+func (w *eachAlone) ask(now time.Time, node int) bool {
+	return w.pacers[node].Take(now, w.rate, 1) == 0
+}
+func (w *eachAlone) end(time.Time, int) {}
+
+// byAllocator takes the target for the key of the allocator that keeps workspaces' limits.
+type byAllocator struct {
+	limit     ratelimit.Limit
+	allocator *ratelimit.Allocator
+	limiters  []*ratelimit.Limiter
+}
+
+func newByAllocator(rate float64) *byAllocator {
+	w := &byAllocator{
+		limit: ratelimit.Limit{
+			Rate:  rate,
+			Burst: 1,
+		},
+		allocator: ratelimit.NewAllocator(1, start.Add(-time.Minute), ratelimit.Tolerance{
+			Window: 4 * time.Second,
+			Excess: 0.1,
+			Slack:  2,
+		}),
+	}
+	for range wayNodes {
+		w.limiters = append(w.limiters, ratelimit.NewLimiter(start))
+	}
+	return w
+}
+
+const wayKey = "t0"
+
+func (w *byAllocator) report(now time.Time, node, waiting int) int {
+	r, l, ok := w.limiters[node].Report(now, wayKey, waiting)
+	if !ok {
+		return 0
+	}
+	s := w.allocator.Report(now, wayKey, l, fmt.Sprint(node), 1, r)
+	return w.limiters[node].Answer(now, wayKey, s, waiting)
+}
+
+func (w *byAllocator) tick(now time.Time) {
+	for node, l := range w.limiters {
+		for range l.Due(now) {
+			w.report(now, node, 0)
+		}
+	}
+}
+
+func (w *byAllocator) ask(now time.Time, node int) bool {
+	switch v, _ := w.limiters[node].Take(now, wayKey, w.limit); v {
+	case ratelimit.Admitted:
+		return true
+	case ratelimit.Ask:
+		return w.report(now, node, 1) > 0
+	default:
+		return false
+	}
+}
+func (w *byAllocator) end(time.Time, int) {}
+
+// atDispatcher has the dispatcher grant the target: paced, by slots that the limit keeps busy
+// (Little's law), or both.
+type atDispatcher struct {
+	rate   float64
+	paced  bool
+	slots  int
+	pacer  *ratelimit.Pacer
+	flight int
+}
+
+func (w *atDispatcher) tick(time.Time) {}
+func (w *atDispatcher) ask(now time.Time, _ int) bool {
+	if w.slots > 0 && w.flight >= w.slots {
+		return false
+	}
+	if w.paced && w.pacer.Take(now, w.rate, 1+0.2*w.rate) > 0 {
+		return false
+	}
+	w.flight++
+	return true
+}
+func (w *atDispatcher) end(time.Time, int) { w.flight-- }
+
+// wayResult is what a play shows.
+type wayResult struct {
+	// part is the greatest number in 4 s over what is aimed at, used the part of the limit
+	// that was sent.
+	part, used float64
+}
+
+// playWay lets requests come to all nodes, each of which takes the target with the limit if it
+// may, else another one.
+func playWay(w limitWay, rate float64, takes time.Duration, seed uint64) wayResult {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	var sent []time.Time
+	var ends []limitEnd
+	for now := start; now.Before(start.Add(wayLength)); now = now.Add(wayStep) {
+		w.tick(now)
+		for len(ends) > 0 && !now.Before(ends[0].at) {
+			w.end(now, int(ends[0].id.Number))
+			ends = ends[1:]
+		}
+		for n := rng.ExpFloat64(); n < wayLoad*wayStep.Seconds(); n += rng.ExpFloat64() {
+			node := rng.IntN(wayNodes)
+			if !w.ask(now, node) {
+				continue
+			}
+			sent = append(sent, now)
+			ends = append(ends, limitEnd{
+				at: now.Add(takes),
+				id: dispatch.ID{
+					Number: uint64(node),
+				},
+			})
+		}
+	}
+	return wayResult{
+		part: float64(most(sent)) / (1.1*4*rate + 2),
+		used: float64(len(sent)) / (rate * wayLength.Seconds()),
+	}
+}
+
+// The way that is built keeps to what is aimed at and uses the limit, whatever the limit and the
+// time of work; each of the others fails one of the two.
+func TestWaysOfLimits(t *testing.T) {
+	little := func(rate float64, takes time.Duration) int {
+		return max(int(math.Round(rate*takes.Seconds())), 1)
+	}
+	ways := []struct {
+		name string
+		make func(rate float64, takes time.Duration, rng *rand.Rand) limitWay
+		// holds is set where the way must keep to the aim.
+		holds bool
+	}{
+		{
+			name: "each node keeps the limit",
+			make: func(rate float64, _ time.Duration, rng *rand.Rand) limitWay { return newEachAlone(rate, rng) },
+		},
+		{
+			name: "each node an equal part",
+			make: func(rate float64, _ time.Duration, rng *rand.Rand) limitWay {
+				return newEachAlone(rate/wayNodes, rng)
+			},
+		},
+		{
+			name: "allocator of workspaces",
+			make: func(rate float64, _ time.Duration, _ *rand.Rand) limitWay { return newByAllocator(rate) },
+		},
+		{
+			name: "slots by Little's law",
+			make: func(rate float64, takes time.Duration, _ *rand.Rand) limitWay {
+				return &atDispatcher{
+					rate:  rate,
+					slots: little(rate, takes),
+				}
+			},
+		},
+		{
+			name: "paced and slots",
+			make: func(rate float64, takes time.Duration, _ *rand.Rand) limitWay {
+				return &atDispatcher{
+					rate:  rate,
+					paced: true,
+					pacer: ratelimit.NewPacer(start, 0),
+					slots: little(rate, takes),
+				}
+			},
+		},
+		{
+			name: "paced by the dispatcher (built)",
+			make: func(rate float64, _ time.Duration, _ *rand.Rand) limitWay {
+				return &atDispatcher{
+					rate:  rate,
+					paced: true,
+					pacer: ratelimit.NewPacer(start, 0),
+				}
+			},
+			holds: true,
+		},
+	}
+	for _, way := range ways {
+		for _, rate := range []float64{0.5, 1.6, 2.6, 10, 50} {
+			for _, takes := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond} {
+				worst, used := 0.0, 0.0
+				for seed := range uint64(*wayPlays) {
+					r := playWay(way.make(rate, takes, rand.New(rand.NewPCG(seed, 6))), rate, takes, seed)
+					worst = max(worst, r.part)
+					used += r.used / float64(*wayPlays)
+				}
+				t.Logf("%-32s limit %4.1f, work %5v: greatest part of the aim %5.2f, used %4.2f", way.name, rate, takes, worst, used)
+				if way.holds && (worst > 1 || used < 0.9) {
+					t.Errorf("%s: %.2f of the aim, %.2f of the limit used", way.name, worst, used)
+				}
+			}
+		}
+	}
+}
