--- /dev/null
+++ b/internal/node/norace_test.go
@@ -0,0 +1,8 @@
+// SPDX-License-Identifier: Apache-2.0
+
+//go:build !race
+
+package node_test
+
+// raceDetector is set where the tests run with the race detector.
+const raceDetector = false
--- /dev/null
+++ b/internal/node/targetlimits_model_test.go
@@ -0,0 +1,471 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/node"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// Times and bounds of a schedule.
+const (
+	scheduleNodes   = 10
+	scheduleTargets = 3
+	scheduleLength  = 26 * time.Second
+	// namedFrom is when the first target begins to name its limit, at the latest.
+	namedFrom = 4 * time.Second
+	// faultsFrom and faultsTo are when faults begin.
+	faultsFrom = 5 * time.Second
+	faultsTo   = 20 * time.Second
+	// fleetPerSecond is what all callers send, more than the targets without a limit do.
+	fleetPerSecond = 60.0
+	workLeast      = 50 * time.Millisecond
+	workMost       = 200 * time.Millisecond
+
+	limitWindow  = 4 * time.Second
+	limitExcess  = 1.5
+	limitSlack   = 5
+	limitHeard   = 500 * time.Millisecond
+	limitSettled = 2 * time.Second
+	calmExcess   = 1.1
+	calmSlack    = 2
+)
+
+// limitStep is a limit that the target names from a time on; a negative rate is none.
+type limitStep struct {
+	at   time.Duration
+	rate float64
+}
+
+// fleetFault is what happens to some nodes for a time.
+type fleetFault struct {
+	kind  string
+	nodes []int
+	at    time.Duration
+	lasts time.Duration
+}
+
+// limitSchedule is one play.
+type limitSchedule struct {
+	seed   uint64
+	loss   float64
+	limits []limitStep
+	faults []fleetFault
+}
+
+var faultKinds = []string{"kill", "cut", "cut outwards", "cut inwards", "split", "lost"}
+
+// newLimitSchedule draws a schedule. calm ones have one limit and no faults.
+func newLimitSchedule(seed uint64, calm bool) *limitSchedule {
+	rng := rand.New(rand.NewPCG(seed, 0x11))
+	rates := []float64{0, 0.1, 0.5, 1.6, 2.6, 5, 10, 20}
+	s := &limitSchedule{
+		seed: seed,
+		limits: []limitStep{
+			{
+				at:   time.Duration(rng.Int64N(int64(namedFrom))),
+				rate: rates[rng.IntN(len(rates))],
+			},
+		},
+	}
+	if calm {
+		return s
+	}
+	s.loss = 0.1 * rng.Float64() * float64(rng.IntN(2))
+	for at := namedFrom; rng.IntN(2) == 0 && at < faultsTo; {
+		at += time.Duration(rng.Int64N(int64(6 * time.Second)))
+		step := limitStep{
+			at:   at,
+			rate: rates[rng.IntN(len(rates))],
+		}
+		if rng.IntN(3) == 0 {
+			step.rate = -1
+		}
+		s.limits = append(s.limits, step)
+	}
+	for range 1 + rng.IntN(5) {
+		f := fleetFault{
+			kind:  faultKinds[rng.IntN(len(faultKinds))],
+			at:    faultsFrom + time.Duration(rng.Int64N(int64(faultsTo-faultsFrom))),
+			lasts: 200*time.Millisecond + time.Duration(rng.Int64N(int64(5*time.Second))),
+		}
+		many := 1 + rng.IntN(2)
+		if f.kind == "split" || rng.IntN(5) == 0 {
+			many = 1 + rng.IntN(scheduleNodes)
+		}
+		f.nodes = rng.Perm(scheduleNodes)[:many]
+		s.faults = append(s.faults, f)
+	}
+	return s
+}
+
+// rate returns the limit at a time since the start, and whether there is one.
+func (s *limitSchedule) rate(at time.Duration) (float64, bool) {
+	rate := -1.0
+	for _, l := range s.limits {
+		if l.at <= at {
+			rate = l.rate
+		}
+	}
+	return rate, rate >= 0
+}
+
+// allowed returns what the target may get in the window that ends at to, and false where no bound
+// is known: the limit must have stood for limitSettled.
+func (s *limitSchedule) allowed(to time.Duration, excess, slack float64) (float64, bool) {
+	const step = 50 * time.Millisecond
+	sum := 0.0
+	for at := to - limitWindow; at < to; at += step {
+		greatest := 0.0
+		for back := time.Duration(0); back <= limitSettled; back += limitSettled / 4 {
+			rate, ok := s.rate(at - back)
+			if !ok {
+				return 0, false
+			}
+			greatest = max(greatest, rate)
+		}
+		sum += greatest * step.Seconds()
+	}
+	return excess*sum + slack, true
+}
+
+// sent is one request that reached the target with the limit.
+type sent struct {
+	at   time.Duration
+	node int
+	// told is set where the node had passed on an answer with the limit for a while.
+	told bool
+	// by is the node that granted it.
+	by string
+}
+
+// limitFleet is a fleet in play.
+type limitFleet struct {
+	*limitSchedule
+	ctx   context.Context
+	cfg   *fleetconfig.Config
+	rng   *rand.Rand
+	begun time.Time
+	tasks task.Group
+
+	mu    sync.Mutex
+	nodes []*node.FleetNode
+	lives []uint64
+	stops []context.CancelFunc
+	// out and in count the cuts of a node, group is its side of a split.
+	out, in, group []int
+	lossNow        float64
+	told           []time.Duration
+	arrivals       []sent
+	served         int
+	refused        int
+	held           time.Duration
+	requests       int
+	slots          map[string]int
+}
+
+func fleetAddress(i int) string { return fmt.Sprintf("192.0.2.%d:1", i+1) }
+
+func playLimits(t *testing.T, s *limitSchedule) *limitFleet {
+	t.Helper()
+	store := fleetconfig.NewStore()
+	store.Offer(saying("a", scheduleTargets))
+	f := &limitFleet{
+		limitSchedule: s,
+		ctx:           t.Context(),
+		cfg:           store.Config(),
+		rng:           rand.New(rand.NewPCG(s.seed, 0x22)),
+		begun:         time.Now(),
+		nodes:         make([]*node.FleetNode, scheduleNodes),
+		lives:         make([]uint64, scheduleNodes),
+		stops:         make([]context.CancelFunc, scheduleNodes),
+		out:           make([]int, scheduleNodes),
+		in:            make([]int, scheduleNodes),
+		group:         make([]int, scheduleNodes),
+		told:          make([]time.Duration, scheduleNodes),
+		slots:         map[string]int{},
+		lossNow:       s.loss,
+	}
+	for i := range f.nodes {
+		f.start(i)
+	}
+	for _, fault := range s.faults {
+		time.AfterFunc(fault.at, func() { f.strike(fault) })
+	}
+	// Arrivals are drawn apart, so that those of a seed stay what they are.
+	arrivals := rand.New(rand.NewPCG(s.seed, 0x33))
+	var calls sync.WaitGroup
+	for time.Since(f.begun) < scheduleLength {
+		time.Sleep(time.Duration(arrivals.ExpFloat64() / fleetPerSecond * float64(time.Second)))
+		i, work := arrivals.IntN(scheduleNodes), workLeast+time.Duration(arrivals.Int64N(int64(workMost-workLeast)))
+		calls.Go(func() { f.call(i, work) })
+	}
+	calls.Wait()
+	f.mu.Lock()
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.mu.Unlock()
+	if err := f.tasks.Wait(); err != nil {
+		t.Error(err)
+	}
+	return f
+}
+
+// start begins a new incarnation of a node. f.mu must not be held.
+func (f *limitFleet) start(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lives[i]++
+	var seeds []string
+	for s := range 3 {
+		if s != i {
+			seeds = append(seeds, fleetAddress(s))
+		}
+	}
+	ctx, stop := context.WithCancel(f.ctx)
+	n := node.NewFleetNode(node.FleetNodeConfig{
+		Self:        membership.NewNode(fleetAddress(i), "a"),
+		Incarnation: f.lives[i],
+		Seeds:       seeds,
+		Config:      f.cfg,
+		Service:     "quotes",
+		Send:        func(peer string, d *wire.Datagram) { f.send(i, peer, d) },
+	})
+	f.nodes[i], f.stops[i], f.told[i] = n, stop, 0
+	n.Run(ctx, &f.tasks)
+}
+
+// send carries a datagram, unless it is lost.
+func (f *limitFleet) send(from int, peer string, d *wire.Datagram) {
+	to := 0
+	for fleetAddress(to) != peer {
+		to++
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.nodes[to] == nil || f.nodes[from] == nil || f.out[from] > 0 || f.in[to] > 0 || f.group[from] != f.group[to] || f.rng.Float64() < f.lossNow {
+		return
+	}
+	delay := time.Millisecond + time.Duration(f.rng.Int64N(int64(4*time.Millisecond)))
+	if f.rng.IntN(50) == 0 {
+		delay += time.Duration(f.rng.Int64N(int64(100 * time.Millisecond)))
+	}
+	time.AfterFunc(delay, func() {
+		f.mu.Lock()
+		n := f.nodes[to]
+		f.mu.Unlock()
+		if n != nil {
+			n.Receive(f.ctx, d)
+		}
+	})
+}
+
+// strike begins a fault and ends it after its time.
+func (f *limitFleet) strike(x fleetFault) {
+	f.mu.Lock()
+	for _, i := range x.nodes {
+		switch x.kind {
+		case "kill":
+			if f.nodes[i] != nil {
+				f.stops[i]()
+				f.nodes[i] = nil
+			}
+		case "cut":
+			f.out[i]++
+			f.in[i]++
+		case "cut outwards":
+			f.out[i]++
+		case "cut inwards":
+			f.in[i]++
+		case "split":
+			f.group[i] ^= 1
+		}
+	}
+	if x.kind == "lost" {
+		f.lossNow += 0.3
+	}
+	f.mu.Unlock()
+	time.AfterFunc(x.lasts, func() { f.heal(x) })
+}
+
+func (f *limitFleet) heal(x fleetFault) {
+	f.mu.Lock()
+	var begin []int
+	for _, i := range x.nodes {
+		switch x.kind {
+		case "kill":
+			if f.nodes[i] == nil {
+				begin = append(begin, i)
+			}
+		case "cut":
+			f.out[i]--
+			f.in[i]--
+		case "cut outwards":
+			f.out[i]--
+		case "cut inwards":
+			f.in[i]--
+		case "split":
+			f.group[i] ^= 1
+		}
+	}
+	if x.kind == "lost" {
+		f.lossNow -= 0.3
+	}
+	f.mu.Unlock()
+	if time.Since(f.begun) < scheduleLength {
+		for _, i := range begin {
+			f.start(i)
+		}
+	}
+}
+
+// call plays a request that comes to a node, up to three attempts.
+func (f *limitFleet) call(i int, work time.Duration) {
+	f.mu.Lock()
+	n, life := f.nodes[i], f.lives[i]
+	f.requests++
+	f.mu.Unlock()
+	if n == nil {
+		return
+	}
+	begun := time.Now()
+	var tried []string
+	for unsent := 0; len(tried) < 3 && unsent < 8; {
+		c, err := n.Choose(f.ctx, len(tried) > 0, tried, 3*time.Second)
+		if err != nil {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.refused++
+			f.held += time.Since(begun)
+			return
+		}
+		// A connection opens, at times slowly.
+		f.pause()
+		f.mu.Lock()
+		alive := f.lives[i] == life && f.nodes[i] == n
+		f.mu.Unlock()
+		if !alive {
+			return
+		}
+		if !n.Permits(c) {
+			unsent++
+			c.Done(outlier.End{
+				Ignored: true,
+			}, 0)
+			continue
+		}
+		if f.serve(i, life, n, c, work) {
+			return
+		}
+		tried = append(tried, c.Key)
+	}
+}
+
+func (f *limitFleet) pause() {
+	f.mu.Lock()
+	d := time.Duration(f.rng.Int64N(int64(time.Millisecond)))
+	if f.rng.IntN(40) == 0 {
+		d = time.Duration(f.rng.Int64N(int64(300 * time.Millisecond)))
+	}
+	f.mu.Unlock()
+	time.Sleep(d)
+}
+
+// serve has a target work on a request and tells the node what it answered.
+func (f *limitFleet) serve(i int, life uint64, n *node.FleetNode, c entry.Choice, work time.Duration) bool {
+	const slots = 6
+	f.mu.Lock()
+	now := time.Since(f.begun)
+	limited := c.Key == "id-a0"
+	if limited {
+		f.arrivals = append(f.arrivals, sent{
+			at:   now,
+			node: i,
+			told: f.told[i] > 0 && now-f.told[i] >= limitHeard,
+			by:   c.By,
+		})
+	}
+	full := f.slots[c.Key] >= slots
+	if !full {
+		f.slots[c.Key]++
+	}
+	f.mu.Unlock()
+	if full {
+		work = time.Millisecond
+	}
+	time.Sleep(work)
+	var said signal.Signal
+	f.mu.Lock()
+	if !full {
+		f.slots[c.Key]--
+	}
+	rate, ok := f.rate(time.Since(f.begun))
+	if ok && limited {
+		said.Limit = signal.Limit{
+			Rate: rate,
+			Set:  true,
+		}
+	}
+	alive := f.lives[i] == life && f.nodes[i] == n
+	f.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if !alive {
+		return true
+	}
+	n.Hear(c, said)
+	c.Done(outlier.End{
+		Shed:   full,
+		Failed: false,
+	}, work)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if limited && said.Limit.Set && f.told[i] == 0 {
+		f.told[i] = time.Since(f.begun)
+	}
+	if limited && !said.Limit.Set {
+		f.told[i] = 0
+	}
+	if !full {
+		f.served++
+	}
+	return !full
+}
+
+// worst returns the greatest part of what is allowed that the target got in any window, of those
+// arrivals that count.
+func (f *limitFleet) worst(excess, slack float64, counts func(sent) bool) (part float64, at time.Duration, got int) {
+	var window []time.Duration
+	for _, a := range f.arrivals {
+		if !counts(a) {
+			continue
+		}
+		window = append(window, a.at)
+		for a.at-window[0] >= limitWindow {
+			window = window[1:]
+		}
+		allowed, ok := f.allowed(a.at, excess, slack)
+		// Sums of fractions may be off by less than any request.
+		const rounding = 1e-9
+		if ok && float64(len(window))/(allowed+rounding) > part {
+			part, at, got = float64(len(window))/(allowed+rounding), a.at, len(window)
+		}
+	}
+	return part, at, got
+}
+
+func fromTold(a sent) bool { return a.told }
+func fromAny(sent) bool    { return true }
