--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -359,49 +359,6 @@
 	_ = conn.Close()
 }
 
-// faulty is a body that breaks off, stops or comes slowly.
-type faulty struct {
-	http.ResponseWriter
-	request *http.Request
-	mode    *Mode
-	sent    int64
-}
-
-// Write sends b in pieces, up to the fault.
-func (f *faulty) Write(b []byte) (int, error) {
-	const piece = 16 << 10
-	done := 0
-	for done < len(b) {
-		n := min(piece, len(b)-done)
-		limit := f.mode.CutAfter
-		if limit == 0 {
-			limit = f.mode.StallAfter
-		}
-		if limit > 0 {
-			n = min(n, int(limit-f.sent))
-		}
-		if n <= 0 {
-			f.fail()
-		}
-		wrote, err := f.ResponseWriter.Write(b[done : done+n])
-		done += wrote
-		f.sent += int64(wrote)
-		if err != nil {
-			return done, err
-		}
-		_ = http.NewResponseController(f.ResponseWriter).Flush()
-		work(f.request, f.mode.ChunkDelay)
-	}
-	return done, nil
-}
-
-func (f *faulty) fail() {
-	if f.mode.StallAfter > 0 {
-		<-f.request.Context().Done()
-	}
-	panic(http.ErrAbortHandler)
-}
-
 func (t *Target) adminMode(w http.ResponseWriter, r *http.Request) {
 	var m Mode
 	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
