internal/dispatch: a repeated grant says what paid for it

A node whose grant was lost asks again. If the target's limit became known in between, the answer said that the limit had paid for the grant, and a target that could not be reached gave back a token that nobody had taken. Found by reading; TestRepeatedGrantIsNotPaidFor fails without it. The flight keeps what paid for it. The wait for the limits is worked out only where something expires. Without limits nothing differs: both are unset.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -252,7 +252,9 @@
 			HedgeAfter: d.targets[key].hedgeAfter(id),
 		}
 		if t := d.targets[key]; t != nil {
-			g.Limit, g.LimitAt = t.limit.Limit, t.limit.at
+			// The limit may have become known since: it didn't pay for this grant.
+			paid := t.flights[id].paid
+			g.Limit, g.LimitAt = paid.Limit, paid.At
 		}
 		return g, true
 	}
@@ -309,8 +311,13 @@
 		until:  a.Deadline.Add(flightSlack),
 		before: before,
 		last:   a.last(),
-		route:  route,
-		event:  t.health.Begin(now, route),
+		paid: TargetLimit{
+			Target: t.Key,
+			Limit:  t.limit.Limit,
+			At:     t.limit.at,
+		},
+		route: route,
+		event: t.health.Begin(now, route),
 	}
 	d.granted[a.ID] = t.Key
 	return Grant{
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -371,3 +371,22 @@
 		t.Errorf("%d of %d told", len(told), targets)
 	}
 }
+
+// A grant whose answer was lost is told again as it was: a limit that became known meanwhile didn't
+// pay for it.
+func TestRepeatedGrantIsNotPaidFor(t *testing.T) {
+	d := newDesk(pool(1)...)
+	if g := d.Ask(start, ask(start, 1)); g.Verdict != dispatch.Granted || g.Limit.Set {
+		t.Fatalf("%+v", g)
+	}
+	d.Observe(start, "n", limitOf("t0", 2, start))
+	if g := d.Ask(start.Add(25*time.Millisecond), ask(start, 1)); g.Target != "t0" || g.Limit.Set {
+		t.Errorf("%+v", g)
+	}
+	now := start.Add(time.Second)
+	for range 2 {
+		if g := d.Ask(now, ask(now, 2)); g.Target != "t0" || !g.Limit.Set || !g.LimitAt.Equal(start) {
+			t.Errorf("%+v", g)
+		}
+	}
+}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -82,6 +82,9 @@
 // expire refuses the asks that wait in vain.
 func (d *Desk) expire(now time.Time) []Grant {
 	out := d.queue.expire(now, func(a *Ask) bool { return d.overloaded(now, a) })
+	if len(out) == 0 {
+		return nil
+	}
 	c, limited := d.limitedCapacity(now)
 	for i := range out {
 		d.ends.note(now, false)
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -17,6 +17,8 @@
 	before time.Time
 	// last is set where no other attempt can follow a failure.
 	last bool
+	// paid is the target's limit, which paid for the grant.
+	paid TargetLimit
 	// route is what is known of the request's route, event the number of the attempt
 	// in the target's health.
 	route *health.Route
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -62,7 +62,7 @@
 	board     *Board
 	messenger *messenger
 	budget    dispatch.Budget
-	// seeds is how many other nodes the settings name.
+	// seeds is the number of other nodes in the settings.
 	seeds int
 	// floor is the share of the working targets of each service that should have work.
 	floor float64
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// probes reports whether a datagram asks or reports whether a node lives.
+// probes reports whether a datagram asks whether a node is alive, or answers that.
 func probes(d *wire.Datagram) bool {
 	switch d.GetBody().(type) {
 	case *wire.Datagram_Ping, *wire.Datagram_Pong, *wire.Datagram_PingVia:
--- a/internal/node/taking.go
+++ b/internal/node/taking.go
@@ -13,7 +13,7 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// answered takes the last word of a dispatcher.
+// answered handles the final answer of a dispatcher.
 func (d *dispatching) answered(peer string, q *entry.Query, p part, g granted) reply {
 	d.board.learn(time.Now(), d.newest(q.Service), g.grant.GetLimits()...)
 	switch g.grant.GetVerdict() {
--- a/internal/soak/says.go
+++ b/internal/soak/says.go
@@ -10,9 +10,6 @@
 	"ploverjunction.example/ploverjunction/internal/standin/target"
 )
 
-// This file is about what targets say of themselves in their answers: a process that has
-// passed on such an answer keeps to it, whatever happens beside it.
-
 const (
 	// sayingSteps is how many steps a plan has besides the others in which targets say
 	// something.
