--- a/internal/entry/signal_test.go
+++ b/internal/entry/signal_test.go
@@ -66,6 +66,15 @@
 	return c.list[min(n, len(c.list)-1)].choice, nil
 }
 
+// signalSite returns a site that keeps signals in a ledger and takes its targets from choices.
+func signalSite(t *testing.T, ledger *signal.Ledger, c *choices) *site {
+	t.Helper()
+	return newSite(t, func(cfg *entry.Config) {
+		cfg.Signals = ledger
+		cfg.Choose = c.choose
+	})
+}
+
 func well(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }
 
 func leaves(l *signal.Ledger, s *said) {
@@ -91,10 +100,7 @@
 			}
 		},
 	}
-	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Signals = ledger
-		cfg.Choose = c.choose
-	})
+	s := signalSite(t, ledger, c)
 	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
 		t.Errorf("status %d", status)
 	}
@@ -115,10 +121,7 @@
 		list:   []*said{left},
 		before: func(int) {},
 	}
-	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Signals = ledger
-		cfg.Choose = c.choose
-	})
+	s := signalSite(t, ledger, c)
 	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusServiceUnavailable {
 		t.Errorf("status %d", status)
 	}
@@ -138,10 +141,7 @@
 		list:   []*said{slow, left, other},
 		before: func(int) {},
 	}
-	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Signals = ledger
-		cfg.Choose = c.choose
-	})
+	s := signalSite(t, ledger, c)
 	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
 		t.Errorf("status %d", status)
 	}
@@ -175,10 +175,7 @@
 			}
 		},
 	}
-	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Signals = ledger
-		cfg.Choose = c.choose
-	})
+	s := signalSite(t, ledger, c)
 	r, err := http.NewRequest(http.MethodGet, s.url+"/quotes/1", nil)
 	if err != nil {
 		t.Fatal(err)
@@ -282,10 +279,7 @@
 				list:   []*said{target},
 				before: func(int) {},
 			}
-			s := newSite(t, func(cfg *entry.Config) {
-				cfg.Signals = ledger
-				cfg.Choose = c.choose
-			})
+			s := signalSite(t, ledger, c)
 			s.get(t, http.DefaultClient, "/quotes/1", brokers)
 			if got := ledger.Standing(time.Now(), target.choice.Incarnation).Draining; got != tt.want {
 				t.Errorf("leaving %v, want %v", got, tt.want)
