internal/integration: calm begins once dispatchers have been among the others

Traced: its nodes had known each other for less than the 5 s in which a dispatcher that has just joined uses 0.4 of a limit, by design. The test asked for calm within that time, and passed or failed by how fast the nodes started. It and TestTargetsGetNoMoreThanTheirLimit now begin 6 s after all nodes know each other; their bounds are as before. One set-up for the two tests with quotes beside documents.

--- a/internal/integration/limit_test.go
+++ b/internal/integration/limit_test.go
@@ -24,6 +24,9 @@
 	// calmExcess and calmSlack are the same from all nodes while nothing goes wrong.
 	calmExcess = 1.1
 	calmSlack  = 2
+	// calmFrom is how long after all nodes know each other that holds: a dispatcher that has
+	// just joined uses a part of limits.
+	calmFrom = 6 * time.Second
 )
 
 // limited is a target's limit of some requests a second as the test sees it.
@@ -85,6 +88,7 @@
 			t.Parallel()
 			tt.net += 10
 			s := noticeSite(t, &tt)
+			<-time.After(calmFrom)
 			b := s.targets[0]
 			stopped := s.load(tt.stopped()...)
 			stop := s.load(tt.left...)
@@ -151,26 +155,8 @@
 // the dispatcher were refused after 0.97 s in the mean.
 func TestServiceWhoseTargetsAreAllLimited(t *testing.T) {
 	const rate = 2
-	s := newSite(t)
-	for range 3 {
-		s.target("quotes", "a", 3)
-	}
-	for range 2 {
-		s.target("documents", "a", 3)
-	}
-	s.publishTargets(nil)
-	s.platform.Publish("routes", `{"routes":[
-		{"name":"quotes","pathPrefix":"/quotes","methods":["GET"],"service":"quotes","repeatable":true,"deadline":"1s","targetLatency":"0.5s"},
-		{"name":"documents","pathPrefix":"/documents","methods":["POST"],"service":"documents","deadline":"2s"}]}`)
-	for i := range 2 {
-		s.node("a",
-			withPeersAt(fmt.Sprintf("127.0.64.%d:7950", i+1)),
-			withExtra("[targets]\nchoice = joint\n"))
-	}
-	s.allReady()
-	for _, n := range s.nodes {
-		eventually(t, "all members live", func() bool { return liveMembers(n) == len(s.nodes) })
-	}
+	s := quotesBeside(t, 64, `"deadline":"1s","targetLatency":"0.5s"`)
+	<-time.After(calmFrom)
 	quotes := s.targets[:3]
 	for _, b := range quotes {
 		b.SetMode(target.Mode{
--- a/internal/integration/signal_test.go
+++ b/internal/integration/signal_test.go
@@ -292,26 +292,7 @@
 // nothing for it.
 func TestServiceWhoseTargetsAllRest(t *testing.T) {
 	const rest = 4 * time.Second
-	s := newSite(t)
-	for range 3 {
-		s.target("quotes", "a", 3)
-	}
-	for range 2 {
-		s.target("documents", "a", 3)
-	}
-	s.publishTargets(nil)
-	s.platform.Publish("routes", `{"routes":[
-		{"name":"quotes","pathPrefix":"/quotes","methods":["GET"],"service":"quotes","repeatable":true,"deadline":"5s"},
-		{"name":"documents","pathPrefix":"/documents","methods":["POST"],"service":"documents","deadline":"2s"}]}`)
-	for i := range 2 {
-		s.node("a",
-			withPeersAt(fmt.Sprintf("127.0.54.%d:7950", i+1)),
-			withExtra("[targets]\nchoice = joint\n"))
-	}
-	s.allReady()
-	for _, n := range s.nodes {
-		eventually(t, "all members live", func() bool { return liveMembers(n) == len(s.nodes) })
-	}
+	s := quotesBeside(t, 54, `"deadline":"5s"`)
 	quotes := s.targets[:3]
 	for _, b := range quotes {
 		b.SetMode(target.Mode{
@@ -372,3 +353,31 @@
 		}
 	}
 }
+
+// quotesBeside starts two nodes before three targets of quotes and two of documents. times are the
+// fields of the quotes' route that give its times, net is the part of the nodes' addresses that is
+// the test's own.
+func quotesBeside(t *testing.T, net int, times string) *site {
+	t.Helper()
+	s := newSite(t)
+	for range 3 {
+		s.target("quotes", "a", 3)
+	}
+	for range 2 {
+		s.target("documents", "a", 3)
+	}
+	s.publishTargets(nil)
+	s.platform.Publish("routes", fmt.Sprintf(`{"routes":[
+		{"name":"quotes","pathPrefix":"/quotes","methods":["GET"],"service":"quotes","repeatable":true,%s},
+		{"name":"documents","pathPrefix":"/documents","methods":["POST"],"service":"documents","deadline":"2s"}]}`, times))
+	for i := range 2 {
+		s.node("a",
+			withPeersAt(fmt.Sprintf("127.0.%d.%d:7950", net, i+1)),
+			withExtra("[targets]\nchoice = joint\n"))
+	}
+	s.allReady()
+	for _, n := range s.nodes {
+		eventually(t, "all members live", func() bool { return liveMembers(n) == len(s.nodes) })
+	}
+	return s
+}
