internal/node, platform: log reads of all values and values that are not newer

An operator could not tell a store whose revisions went back from a watch that waits in vain: nothing said up to which revision the platform was read, or that a value was read and not taken. Now each read of all values logs its reason, the revision before and after and the store's era, and each value that a reader delivers and the replica drops is one line. Both are rare: reads of all values follow outages, and readers deliver only values that differ from the known ones. No change of behaviour.

--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -17,7 +17,12 @@
 func (n *Node) runSource(ctx context.Context) error {
 	log := logging.Part(n.log, "source")
 	failed := func(err error) { log.WithError(err).Warn("source not read") }
-	deliver := func(entries []*wire.Entry) { n.gossip.Publish(entries) }
+	deliver := func(entries []*wire.Entry) {
+		for _, e := range n.gossip.Publish(entries) {
+			log.WithField("key", e.GetKey()).WithField("revision", e.GetRevision()).WithField("deleted", e.GetDeleted()).
+				Info("value read is not newer than the known one")
+		}
+	}
 	if n.directory != nil {
 		return n.directory.Run(ctx, deliver, failed)
 	}
@@ -37,6 +42,10 @@
 		Age:     func() time.Duration { return n.gossip.PlatformAge(time.Now()) },
 		Heard:   func() { n.gossip.PlatformHeard(time.Now()) },
 		Failed:  failed,
+		Reread: func(r source.Reread) {
+			log.WithField("reason", r.Reason).WithField("before", r.Before).WithField("after", r.After).
+				WithField("era", r.Era).Info("platform read whole")
+		},
 	})
 }
 
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -25,6 +25,19 @@
 	Age func() time.Duration
 	// Failed gets each failure.
 	Failed func(error)
+	// Reread gets each read of all values.
+	Reread func(Reread)
+}
+
+// Reread is a read of all values.
+type Reread struct {
+	// Reason says why changes alone were not enough.
+	Reason string
+	// Before is the revision up to which the source was read until then, After the one
+	// of this read. They count within one Era of the source.
+	Before uint64
+	After  uint64
+	Era    uint64
 }
 
 // Beats are the times of a reader.
