--- a/cmd/ploverctl/follow.go
+++ b/cmd/ploverctl/follow.go
@@ -70,7 +70,7 @@
 func observe(s *operator.Status) map[string]string {
 	out := map[string]string{
 		"node":     fmt.Sprintf("ready %t %s", s.Ready, s.Reason),
-		"revision": fmt.Sprint(s.Config.Revision),
+		"revision": position(&s.Config),
 	}
 	for _, svc := range s.Services {
 		for _, t := range svc.Targets {
--- a/cmd/ploverctl/status.go
+++ b/cmd/ploverctl/status.go
@@ -53,17 +53,28 @@
 	return last
 }
 
+// position names the era only where the platform has been restored.
+func position(c *operator.ConfigStatus) string {
+	if c.Era == 0 {
+		return fmt.Sprintf("revision %d", c.Revision)
+	}
+	return fmt.Sprintf("revision %d of era %d", c.Revision, c.Era)
+}
+
 func writeStatus(b *strings.Builder, s *operator.Status) {
 	ready := "ready"
 	if !s.Ready {
 		ready = "not ready: " + s.Reason
 	}
 	fmt.Fprintf(b, "node %s in %s: %s, up for %s, %d in flight\n", s.Node, s.DataHall, ready, s.UpFor, s.InFlight)
-	fmt.Fprintf(b, "  configuration: revision %d, %d services, %d routes, %d workspaces, platform %s\n",
-		s.Config.Revision, s.Config.Services, s.Config.Routes, s.Config.Workspaces, age(s.Config.PlatformAgeMS))
+	fmt.Fprintf(b, "  configuration: %s, %d services, %d routes, %d workspaces, platform %s\n",
+		position(&s.Config), s.Config.Services, s.Config.Routes, s.Config.Workspaces, age(s.Config.PlatformAgeMS))
 	for _, r := range s.Config.Refused {
 		fmt.Fprintf(b, "  refused: %s at revision %d: %s\n", r.Key, r.Revision, r.Reason)
 	}
+	for _, key := range s.Config.Ahead {
+		fmt.Fprintf(b, "  ahead of the platform, which was restored: %s\n", key)
+	}
 	live := 0
 	for _, m := range s.Members {
 		if m.Live {
--- a/internal/dissemination/buckets.go
+++ b/internal/dissemination/buckets.go
@@ -33,13 +33,10 @@
 func (r *Replica) against(parts []uint32, theirs []*wire.KeyRevision) []*wire.KeyRevision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := map[string]uint64{}
-	for _, kr := range theirs {
-		known[kr.GetKey()] = kr.GetRevision()
-	}
+	known := marks(theirs)
 	var out []*wire.KeyRevision
 	for _, kr := range r.store.In(parts) {
-		if known[kr.GetKey()] != kr.GetRevision() {
+		if known[kr.GetKey()] != fleetconfig.MarkOf(kr) {
 			out = append(out, kr)
 		}
 		delete(known, kr.GetKey())
--- a/internal/dissemination/dissemination_test.go
+++ b/internal/dissemination/dissemination_test.go
@@ -130,7 +130,7 @@
 func (f *fleet) have(rev uint64) int {
 	n := 0
 	for _, p := range f.peers {
-		if p.replica.InForce()["key"] >= rev {
+		if p.replica.InForce()["key"].Revision() >= rev {
 			n++
 		}
 	}
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -180,12 +180,9 @@
 	g.Agrees(time.Now())
 }
 
-// Publish offers values that this node has learned by itself and returns those that
-// were not new.
-func (g *Gossip) Publish(entries []*wire.Entry) []*wire.Entry {
-	fresh := g.replica.Offer(entries)
-	g.spread(fresh, true)
-	return slices.DeleteFunc(slices.Clone(entries), func(e *wire.Entry) bool { return slices.Contains(fresh, e) })
+// Publish offers values that this node has learned by itself.
+func (g *Gossip) Publish(entries []*wire.Entry) {
+	g.spread(g.replica.Offer(entries), true)
 }
 
 // learned are values that are new to this node; first is set if it read them
--- a/internal/dissemination/pack.go
+++ b/internal/dissemination/pack.go
@@ -32,11 +32,7 @@
 	if err := w.Close(); err != nil {
 		return nil, fmt.Errorf("dissemination: pack: %w", err)
 	}
-	return &wire.Entry{
-		Key:      e.GetKey(),
-		Revision: e.GetRevision(),
-		Packed:   b.Bytes(),
-	}, nil
+	return with(e, nil, b.Bytes()), nil
 }
 
 // unpack returns an entry as it is kept. What claims to be larger than a value may
@@ -50,9 +46,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("dissemination: unpack %s: %w", e.GetKey(), err)
 	}
-	return &wire.Entry{
-		Key:      e.GetKey(),
-		Revision: e.GetRevision(),
-		Value:    value,
-	}, nil
+	return with(e, value, nil), nil
+}
+
+// with returns a copy of an entry with another form of its value.
+func with(e *wire.Entry, value, packed []byte) *wire.Entry {
+	out := &wire.Entry{
+		Key:     e.GetKey(),
+		Value:   value,
+		Packed:  packed,
+		Deleted: e.GetDeleted(),
+	}
+	fleetconfig.SetMark(out, fleetconfig.MarkOf(e))
+	return out
 }
--- a/internal/dissemination/pack_test.go
+++ b/internal/dissemination/pack_test.go
@@ -47,7 +47,7 @@
 	if fresh := to.Offer(sent); len(fresh) != 1 {
 		t.Fatalf("%d fresh", len(fresh))
 	}
-	if got, ok := to.Value("config"); !ok || !bytes.Equal(got, value) {
+	if got := to.Newest("config"); !bytes.Equal(got.GetValue(), value) {
 		t.Error("the value has changed on its way")
 	}
 	broken := &wire.Entry{
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -31,8 +32,8 @@
 
 // question is a value that a peer was asked for.
 type question struct {
-	revision uint64
-	at       time.Time
+	mark order.Mark
+	at   time.Time
 }
 
 // Replica is this node's copy of the published values. It may be used
@@ -102,19 +103,39 @@
 	return r.digest
 }
 
-// Revisions returns all newest revisions.
+// Revisions returns the marks of all newest values.
 func (r *Replica) Revisions() []*wire.KeyRevision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.store.Revisions()
 }
 
-// Value returns the newest value of a key, and false if there is none or it is
-// deleted.
-func (r *Replica) Value(key string) ([]byte, bool) {
+// Newest returns the newest entry of a key, which may be a removal, or nil.
+func (r *Replica) Newest(key string) *wire.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.store.Value(key)
+	return r.store.Newest(key)
+}
+
+// Era returns the greatest era of the source that any value is from.
+func (r *Replica) Era() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Era()
+}
+
+// Behind returns the keys whose values are known from earlier eras of the source only.
+func (r *Replica) Behind(era uint64) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Behind(era)
+}
+
+// Ahead returns the keys whose values the source lost when it was restored, sorted.
+func (r *Replica) Ahead() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Ahead()
 }
 
 // Keys returns the keys that have values, sorted.
@@ -124,8 +145,8 @@
 	return r.store.Keys()
 }
 
-// InForce returns the revisions in force by key.
-func (r *Replica) InForce() map[string]uint64 {
+// InForce returns the positions of the values in force by key.
+func (r *Replica) InForce() map[string]order.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.store.InForce()
@@ -155,7 +176,7 @@
 
 // pack returns an entry as it travels; each is compressed once.
 func (r *Replica) pack(e *wire.Entry) *wire.Entry {
-	if p := r.packed[e.GetKey()]; p != nil && p.GetRevision() == e.GetRevision() {
+	if p := r.packed[e.GetKey()]; p != nil && fleetconfig.MarkOf(p) == fleetconfig.MarkOf(e) {
 		return p
 	}
 	p, err := pack(e)
@@ -169,7 +190,7 @@
 	return p
 }
 
-// Compare tells what a peer with the given revisions lacks and what it has
+// Compare tells what a peer with the given marks lacks and what it has
 // beyond this replica. Keys that the peer doesn't name count as lacking only if
 // the list is complete.
 func (r *Replica) Compare(now time.Time, revisions []*wire.KeyRevision, complete bool) (lacks []*wire.Entry, wanted []string) {
@@ -178,36 +199,42 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	theirs := map[string]uint64{}
-	for _, kr := range revisions {
-		theirs[kr.GetKey()] = kr.GetRevision()
-	}
-	ours := map[string]uint64{}
+	theirs := marks(revisions)
+	own := r.store.Revisions()
 	var keys []string
-	for _, kr := range r.store.Revisions() {
-		ours[kr.GetKey()] = kr.GetRevision()
-		rev, named := theirs[kr.GetKey()]
-		if (named || complete) && rev < kr.GetRevision() {
+	for _, kr := range own {
+		mark, named := theirs[kr.GetKey()]
+		if (named || complete) && !mark.Covers(fleetconfig.MarkOf(kr)) {
 			keys = append(keys, kr.GetKey())
 		}
 	}
+	ours := marks(own)
 	for _, kr := range revisions {
-		if ours[kr.GetKey()] < kr.GetRevision() && r.ask(now, kr) {
+		if !ours[kr.GetKey()].Covers(fleetconfig.MarkOf(kr)) && r.ask(now, kr) {
 			wanted = append(wanted, kr.GetKey())
 		}
 	}
 	return r.entries(keys), wanted
 }
 
+// marks returns the marks of a list by key.
+func marks(list []*wire.KeyRevision) map[string]order.Mark {
+	out := make(map[string]order.Mark, len(list))
+	for _, kr := range list {
+		out[kr.GetKey()] = fleetconfig.MarkOf(kr)
+	}
+	return out
+}
+
 // ask reports whether a peer should be asked for a value, and notes that it was.
 func (r *Replica) ask(now time.Time, kr *wire.KeyRevision) bool {
-	q := r.asked[kr.GetKey()]
-	if q.revision >= kr.GetRevision() && now.Sub(q.at) < askAgain {
+	q, mark := r.asked[kr.GetKey()], fleetconfig.MarkOf(kr)
+	if q.mark.Covers(mark) && now.Sub(q.at) < askAgain {
 		return false
 	}
 	r.asked[kr.GetKey()] = question{
-		revision: kr.GetRevision(),
-		at:       now,
+		mark: mark,
+		at:   now,
 	}
 	return true
 }
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -18,10 +19,7 @@
 			req.Entries = append(req.Entries, e)
 			continue
 		}
-		req.Revisions = append(req.Revisions, &wire.KeyRevision{
-			Key:      e.GetKey(),
-			Revision: e.GetRevision(),
-		})
+		req.Revisions = append(req.Revisions, fleetconfig.KeyRevision(e.GetKey(), fleetconfig.MarkOf(e)))
 	}
 	for _, peer := range g.pushTo(l.first) {
 		talks.Go(ctx, "push", func(ctx context.Context) error {
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -63,7 +63,7 @@
 	l := x.server.log.WithFields(logrus.Fields{
 		"request":  x.id,
 		"route":    x.in.route.Name(),
-		"revision": x.in.config.Revision(),
+		"revision": x.in.config.Position().Revision(),
 		"service":  x.service.Name(),
 		"status":   status,
 		"outcome":  outcome.String(),
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -32,7 +32,7 @@
 	if in != nil {
 		l = l.WithFields(logrus.Fields{
 			"route":    in.route.Name(),
-			"revision": in.config.Revision(),
+			"revision": in.config.Position().Revision(),
 		})
 		if in.workspace != "" {
 			l = l.WithField("workspace", in.workspace)
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/policy"
 )
 
@@ -213,7 +214,7 @@
 	// leastUrgent is the greatest rank of a workspace.
 	leastUrgent int
 	instances   map[string]*Instance
-	revision    uint64
+	position    order.Position
 	limits      *Limits
 }
 
@@ -254,5 +255,5 @@
 // Routes returns the number of routes.
 func (c *Config) Routes() int { return c.routes.count }
 
-// Revision returns the greatest revision in force.
-func (c *Config) Revision() uint64 { return c.revision }
+// Position returns the latest position of all that is in force.
+func (c *Config) Position() order.Position { return c.position }
--- a/internal/fleetconfig/digest.go
+++ b/internal/fleetconfig/digest.go
@@ -17,22 +17,33 @@
 // bucketOf returns the part of a key.
 func bucketOf(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
 
-// hashOf returns what a key with its newest revision adds to a digest.
+// hashOf returns what a key with the mark of its newest value adds to a digest.
 func hashOf(e *wire.Entry) uint64 {
+	m := MarkOf(e)
 	b := append([]byte(e.GetKey()), 0)
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(b, e.GetRevision()))
+	for _, n := range []uint64{
+		m.Position().Era(),
+		m.Position().Revision(),
+		m.Stamp().Incarnation(),
+		m.Stamp().Sequence(),
+		m.Written().Era(),
+		m.Written().Revision(),
+	} {
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	return xxhash.Sum64(b)
 }
 
-// note takes a newer version of a key into the digests; old is nil for a new key.
-func (s *Store) note(old, newest *version) {
-	b := bucketOf(newest.entry.GetKey())
+// note takes a newer entry of a key into the digests; old is nil for a new key.
+func (s *Store) note(old, newest *wire.Entry) {
+	b := bucketOf(newest.GetKey())
 	if old != nil {
-		s.buckets[b] ^= hashOf(old.entry)
+		s.buckets[b] ^= hashOf(old)
 	}
-	s.buckets[b] ^= hashOf(newest.entry)
+	s.buckets[b] ^= hashOf(newest)
 }
 
-// Digest returns a hash over all keys with their newest revisions. Two stores
+// Digest returns a hash over the marks of all keys. Two stores
 // with equal digests hold the same newest values.
 func (s *Store) Digest() uint64 {
 	sum := uint64(0)
@@ -60,7 +71,7 @@
 	return out
 }
 
-// In returns the newest revisions, by key, in some parts.
+// In returns the marks of the newest values, by key, in some parts.
 func (s *Store) In(parts []uint32) []*wire.KeyRevision {
 	var wanted [Buckets]bool
 	for _, b := range parts {
@@ -71,10 +82,7 @@
 	var out []*wire.KeyRevision
 	for _, k := range s.keys {
 		if wanted[bucketOf(k)] {
-			out = append(out, &wire.KeyRevision{
-				Key:      k,
-				Revision: s.records[k].newest.revision(),
-			})
+			out = append(out, KeyRevision(k, s.records[k].newest.mark))
 		}
 	}
 	return out
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -14,6 +14,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/policy"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -321,14 +322,14 @@
 	p.Property("no revision in force ever falls", prop.ForAll(
 		func(codes []int) bool {
 			s := fleetconfig.NewStore()
-			last := map[string]uint64{}
+			last := map[string]order.Position{}
 			for _, st := range steps(codes) {
 				s.Offer([]*wire.Entry{st.entry()})
-				for k, rev := range s.InForce() {
-					if rev < last[k] {
+				for k, position := range s.InForce() {
+					if position.Compare(last[k]) < 0 {
 						return false
 					}
-					last[k] = rev
+					last[k] = position
 				}
 			}
 			return true
@@ -352,12 +353,12 @@
 	p.Property("what is in force is the greatest good revision", prop.ForAll(
 		func(codes []int) bool {
 			s := fleetconfig.NewStore()
-			want := map[string]uint64{}
+			want := map[string]order.Position{}
 			for _, st := range steps(codes) {
 				s.Offer([]*wire.Entry{st.entry()})
 				k := fmt.Sprint(st.key)
-				if !st.bad && uint64(st.revision) > want[k] {
-					want[k] = uint64(st.revision)
+				if !st.bad && uint64(st.revision) > want[k].Revision() {
+					want[k] = order.At(0, uint64(st.revision))
 				}
 			}
 			return fmt.Sprint(s.InForce()) == fmt.Sprint(want)
--- /dev/null
+++ b/internal/fleetconfig/restore_test.go
@@ -0,0 +1,247 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/order"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// counted returns a value of a key as a store holds it: at a position, with its writer's count.
+func counted(key string, era, revision, count uint64) *wire.Entry {
+	e := &wire.Entry{
+		Key:   key,
+		Value: fmt.Appendf(nil, `{"workspaces":[{"id":"%s-%d-%d-%d"}]}`, key, era, revision, count),
+	}
+	fleetconfig.SetMark(e, order.MarkOf(order.At(era, revision), order.StampOf(0, count), order.At(era, revision)))
+	return e
+}
+
+func removedAt(key string, era, revision uint64) *wire.Entry {
+	return &wire.Entry{
+		Key:      key,
+		Era:      era,
+		Revision: revision,
+		Deleted:  true,
+	}
+}
+
+// Guards against a value of a later era that is dropped, or that replaces a later one of its writer.
+func TestValuesOfSeveralEras(t *testing.T) {
+	tests := []struct {
+		name    string
+		entries []*wire.Entry
+		// want is the value in force, nil if there is none.
+		want  *wire.Entry
+		ahead bool
+	}{
+		{
+			name: "later era, lower revision",
+			entries: []*wire.Entry{
+				counted("k", 1, 44, 21),
+				counted("k", 2, 41, 25),
+			},
+			want: counted("k", 2, 41, 25),
+		},
+		{
+			name: "copy with an older value",
+			entries: []*wire.Entry{
+				counted("k", 1, 44, 21),
+				counted("k", 2, 40, 19),
+			},
+			want:  counted("k", 1, 44, 21),
+			ahead: true,
+		},
+		{
+			name: "written again after the restore",
+			entries: []*wire.Entry{
+				counted("k", 1, 44, 21),
+				counted("k", 2, 40, 19),
+				counted("k", 2, 41, 21),
+			},
+			want: counted("k", 2, 41, 21),
+		},
+		{
+			name: "value of the former era comes late",
+			entries: []*wire.Entry{
+				counted("k", 2, 41, 25),
+				counted("k", 1, 99, 23),
+			},
+			want: counted("k", 2, 41, 25),
+		},
+		{
+			name: "lost value of a node that was cut off",
+			entries: []*wire.Entry{
+				counted("k", 2, 40, 19),
+				counted("k", 1, 44, 21),
+			},
+			want:  counted("k", 1, 44, 21),
+			ahead: true,
+		},
+		{
+			name: "two restores",
+			entries: []*wire.Entry{
+				counted("k", 1, 44, 21),
+				counted("k", 2, 40, 19),
+				counted("k", 3, 38, 17),
+			},
+			want:  counted("k", 1, 44, 21),
+			ahead: true,
+		},
+		{
+			name: "writer that counts nothing",
+			entries: []*wire.Entry{
+				counted("k", 1, 44, 0),
+				counted("k", 2, 40, 0),
+			},
+			want: counted("k", 2, 40, 0),
+		},
+		{
+			name: "removed after the restore",
+			entries: []*wire.Entry{
+				counted("k", 1, 44, 21),
+				removedAt("k", 2, 41),
+			},
+		},
+		{
+			name: "removal of the former era",
+			entries: []*wire.Entry{
+				removedAt("k", 1, 60),
+				counted("k", 2, 41, 25),
+			},
+			want: counted("k", 2, 41, 25),
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := fleetconfig.NewStore()
+			for _, e := range tt.entries {
+				s.Offer([]*wire.Entry{e})
+			}
+			got := s.Newest("k")
+			switch {
+			case tt.want == nil:
+				if !got.GetDeleted() || s.Config().Workspaces() != 0 {
+					t.Errorf("in force: %s", got.GetValue())
+				}
+			case got.GetDeleted() || string(got.GetValue()) != string(tt.want.GetValue()):
+				t.Errorf("got %s, want %s", got.GetValue(), tt.want.GetValue())
+			}
+			if ahead := len(s.Ahead()) > 0; ahead != tt.ahead {
+				t.Errorf("ahead %t", ahead)
+			}
+			last := order.Position{}
+			for _, e := range tt.entries {
+				last = order.Max(last, fleetconfig.MarkOf(e).Position())
+			}
+			if at := fleetconfig.MarkOf(got).Position(); at != last {
+				t.Errorf("position %v, want %v", at, last)
+			}
+		})
+	}
+}
+
+// history makes entries of three keys, three eras and nine revisions each. One position has one
+// value; half of the writers count.
+func history(codes []int, removals, bad bool) []*wire.Entry {
+	out := make([]*wire.Entry, len(codes))
+	for i, c := range codes {
+		rng := rand.New(rand.NewPCG(uint64(c), 7))
+		key, era, revision := fmt.Sprint(c%3), uint64(c/3%3+1), uint64(c/9+1)
+		count := uint64(0)
+		if c%2 == 0 {
+			count = 1 + rng.Uint64N(12)
+		}
+		out[i] = counted(key, era, revision, count)
+		switch {
+		case removals && rng.IntN(4) == 0:
+			out[i] = removedAt(key, era, revision)
+		case bad && rng.IntN(4) == 0:
+			out[i].Value = []byte("{")
+		}
+	}
+	return out
+}
+
+// state returns all that a store holds and has in force.
+func state(s *fleetconfig.Store) string {
+	text := fmt.Sprint(s.Digest(), s.Config().Position(), s.Ahead())
+	for _, kr := range s.Revisions() {
+		e := s.Newest(kr.GetKey())
+		text += fmt.Sprintf(" %s %v %t %s, %s", kr.GetKey(), fleetconfig.MarkOf(e), e.GetDeleted(), e.GetValue(), s.Entries(kr.GetKey())[0].GetValue())
+	}
+	return text
+}
+
+func TestEntriesOfSeveralErasInAnyOrder(t *testing.T) {
+	params := gopter.DefaultTestParameters()
+	params.MinSuccessfulTests = 2000
+	p := gopter.NewProperties(params)
+	codes := gen.SliceOfN(24, gen.IntRange(0, 80))
+	same := func(codes []int, seed int64, removals, bad bool) bool {
+		a, b := fleetconfig.NewStore(), fleetconfig.NewStore()
+		list := history(codes, removals, bad)
+		for _, e := range list {
+			a.Offer([]*wire.Entry{e})
+		}
+		rng := rand.New(rand.NewPCG(uint64(seed), 1))
+		rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		for len(list) > 0 {
+			n := 1 + rng.IntN(len(list))
+			b.Offer(list[:n])
+			list = list[n:]
+		}
+		return state(a) == state(b)
+	}
+	p.Property("values and removals", prop.ForAll(
+		func(codes []int, seed int64) bool { return same(codes, seed, true, false) }, codes, gen.Int64(),
+	))
+	p.Property("peers that pass on what they joined", prop.ForAll(
+		func(codes []int, cut int) bool {
+			all, left, right := fleetconfig.NewStore(), fleetconfig.NewStore(), fleetconfig.NewStore()
+			list := history(codes, true, false)
+			all.Offer(list)
+			left.Offer(list[:cut])
+			right.Offer(list[cut:])
+			for _, kr := range left.Revisions() {
+				right.Offer(left.Entries(kr.GetKey()))
+			}
+			for _, kr := range right.Revisions() {
+				left.Offer(right.Entries(kr.GetKey()))
+			}
+			return state(all) == state(left) && state(all) == state(right)
+		}, codes, gen.IntRange(0, 24),
+	))
+	p.Property("the greatest good value by its writer's order is in force", prop.ForAll(
+		func(codes []int) bool {
+			s := fleetconfig.NewStore()
+			best := map[string]*wire.Entry{}
+			for _, e := range history(codes, false, true) {
+				s.Offer([]*wire.Entry{e})
+				if string(e.GetValue()) == "{" {
+					continue
+				}
+				k := e.GetKey()
+				if best[k] == nil || fleetconfig.MarkOf(best[k]).CompareValues(fleetconfig.MarkOf(e)) < 0 {
+					best[k] = e
+				}
+			}
+			for k, e := range best {
+				if string(s.Entries(k)[0].GetValue()) != string(e.GetValue()) {
+					return false
+				}
+			}
+			return true
+		}, codes,
+	))
+	p.TestingRun(t)
+}
--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -7,17 +7,34 @@
 	"slices"
 	"strings"
 
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
 // version is one value of a key together with what it parsed to.
 type version struct {
 	entry *wire.Entry
+	mark  order.Mark
 	doc   *wire.Document
 	err   error
 }
 
-func (v *version) revision() uint64 { return v.entry.GetRevision() }
+// after reports whether v replaces w: by their writer's order where both are values, else
+// by the store's.
+func (v *version) after(w *version) bool {
+	if w == nil {
+		return true
+	}
+	if v.entry.GetDeleted() || w.entry.GetDeleted() {
+		return v.mark.Position().Compare(w.mark.Position()) > 0
+	}
+	return v.mark.CompareValues(w.mark) > 0
+}
+
+// shows reports whether the entry says the same as v of the key, at another position.
+func (v *version) shows(e *wire.Entry) bool {
+	return v.entry.GetDeleted() == e.GetDeleted() && v.mark.CompareValues(MarkOf(e)) == 0
+}
 
 // record is all that the store holds of one key. The newest version may be
 // refused; the one in force is then older. fallback is the greatest version
@@ -31,28 +48,18 @@
 
 // keep notes a version that isn't the newest.
 func (r *record) keep(v *version) bool {
-	if v.err != nil || v.revision() <= r.inForceRevision() {
-		return false
-	}
-	if r.fallback != nil && v.revision() <= r.fallback.revision() {
+	if v.err != nil || !r.newest.after(v) || !v.after(r.inForce) || !v.after(r.fallback) {
 		return false
 	}
 	r.fallback = v
 	return true
 }
 
-func (r *record) inForceRevision() uint64 {
-	if r.inForce == nil {
-		return 0
-	}
-	return r.inForce.revision()
-}
-
 // candidates returns the versions that could replace the one in force, the best
 // first.
 func (r *record) candidates() []*version {
 	out := []*version{r.newest}
-	if r.fallback != nil && r.fallback.revision() > r.inForceRevision() {
+	if r.fallback != nil && r.fallback.after(r.inForce) {
 		out = append(out, r.fallback)
 	}
 	return out
@@ -61,21 +68,21 @@
 // Refusal says why the newest value of a key is not in force.
 type Refusal struct {
 	key      string
-	revision uint64
+	position order.Position
 	err      error
 }
 
 // Key returns the key of the refused value.
 func (r Refusal) Key() string { return r.key }
 
-// Revision returns the revision of the refused value.
-func (r Refusal) Revision() uint64 { return r.revision }
+// Position returns the position of the refused value.
+func (r Refusal) Position() order.Position { return r.position }
 
 // Err returns the reason.
 func (r Refusal) Err() error { return r.err }
 
-// Store keeps the newest value and the value in force of each key. The revision
-// of neither ever falls. It is not safe for concurrent use: one controller owns
+// Store keeps the newest value and the value in force of each key. Neither is ever replaced by
+// an older one. It is not safe for concurrent use: one controller owns
 // it.
 type Store struct {
 	records map[string]*record
@@ -108,48 +115,70 @@
 // Refusals returns the values that are newest but refused, by key.
 func (s *Store) Refusals() []Refusal { return slices.Clone(s.refusals) }
 
-// Offer takes values from any source, in any order, and returns those that were
-// new. A value with a revision that is not greater than the known one of its
-// key changes nothing. After the call Config is the newest valid configuration.
+// Offer takes values from any source, in any order, and returns those that told something
+// new, joined with what was known. After the call Config is the newest valid configuration.
 func (s *Store) Offer(entries []*wire.Entry) []*wire.Entry {
 	var fresh []*wire.Entry
+	changed := false
 	for _, e := range entries {
-		if s.take(e) {
-			fresh = append(fresh, e)
+		news, change := s.take(e)
+		if news != nil {
+			fresh = append(fresh, news)
 		}
+		changed = changed || change
 	}
-	if len(fresh) > 0 {
+	switch {
+	case changed:
 		s.settle()
+	case len(fresh) > 0:
+		c := *s.config
+		s.config = &c
+		s.finish()
 	}
 	return fresh
 }
 
-func (s *Store) take(e *wire.Entry) bool {
+// take returns what an entry tells that is new, nil for nothing, and reports whether that can
+// change the configuration.
+func (s *Store) take(e *wire.Entry) (*wire.Entry, bool) {
 	if e.GetKey() == "" || e.GetRevision() == 0 {
-		return false
+		return nil, false
 	}
 	r := s.records[e.GetKey()]
 	if r == nil {
-		r = &record{}
+		r = &record{
+			newest: parseVersion(e),
+		}
 		s.records[e.GetKey()] = r
 		at, _ := slices.BinarySearch(s.keys, e.GetKey())
 		s.keys = slices.Insert(s.keys, at, e.GetKey())
+		s.note(nil, e)
+		return e, true
 	}
-	if r.newest != nil && e.GetRevision() <= r.newest.revision() {
-		return e.GetRevision() < r.newest.revision() && e.GetRevision() > r.inForceRevision() && r.keep(parseVersion(e))
+	old := r.newest
+	if old.mark.Covers(MarkOf(e)) {
+		if r.newest == r.inForce || !r.keep(parseVersion(e)) {
+			return nil, false
+		}
+		return e, true
 	}
-	if r.newest != nil && r.newest != r.inForce {
-		r.keep(r.newest)
+	joined := join(old.entry, e)
+	s.note(old.entry, joined)
+	if old.shows(joined) {
+		old.entry, old.mark = joined, MarkOf(joined)
+		return joined, old != r.inForce && r.keep(parseVersion(e))
 	}
-	old := r.newest
-	r.newest = parseVersion(e)
-	s.note(old, r.newest)
-	return true
+	r.newest = parseVersion(joined)
+	if old != r.inForce {
+		r.keep(old)
+	}
+	return joined, true
 }
 
 func parseVersion(e *wire.Entry) *version {
 	v := &version{
 		entry: e,
+		mark:  MarkOf(e),
 	}
 	if e.GetDeleted() {
 		v.doc = &wire.Document{}
@@ -180,7 +209,7 @@
 		}
 		s.refusals = append(s.refusals, Refusal{
 			key:      r.newest.entry.GetKey(),
-			revision: r.newest.revision(),
+			position: r.newest.mark.Position(),
 			err:      s.try(r, r.newest),
 		})
 	}
@@ -209,7 +238,7 @@
 	}
 	slices.SortFunc(out, func(a, b *record) int {
 		return cmp.Or(
-			cmp.Compare(a.newest.revision(), b.newest.revision()),
+			a.newest.mark.Position().Compare(b.newest.mark.Position()),
 			strings.Compare(a.newest.entry.GetKey(), b.newest.entry.GetKey()),
 		)
 	})
@@ -254,11 +283,13 @@
 	return nil
 }
 
-// finish gives the configuration its revision and drops policies out of use.
+// finish gives the configuration its position and drops policies out of use.
 func (s *Store) finish() {
 	for _, r := range s.records {
-		s.config.revision = max(s.config.revision, r.inForceRevision())
-		if r.fallback != nil && r.fallback.revision() <= r.inForceRevision() {
+		if r.inForce != nil {
+			s.config.position = order.Max(s.config.position, r.inForce.mark.Position())
+		}
+		if r.fallback != nil && !r.fallback.after(r.inForce) {
 			r.fallback = nil
 		}
 	}
@@ -279,14 +310,11 @@
 	return docs
 }
 
-// Revisions returns the newest revision of each key, by key.
+// Revisions returns the mark of the newest value of each key, by key.
 func (s *Store) Revisions() []*wire.KeyRevision {
 	out := make([]*wire.KeyRevision, 0, len(s.records))
 	for _, k := range s.keys {
-		out = append(out, &wire.KeyRevision{
-			Key:      k,
-			Revision: s.records[k].newest.revision(),
-		})
+		out = append(out, KeyRevision(k, s.records[k].newest.mark))
 	}
 	return out
 }
@@ -294,14 +322,46 @@
 // Len returns the number of keys, deleted ones included.
 func (s *Store) Len() int { return len(s.keys) }
 
-// Value returns the newest value of a key, and false if there is none or it is
-// deleted.
-func (s *Store) Value(key string) ([]byte, bool) {
-	r := s.records[key]
-	if r == nil || r.newest.entry.GetDeleted() {
-		return nil, false
+// Newest returns the newest entry of a key, which may be a removal, or nil.
+func (s *Store) Newest(key string) *wire.Entry {
+	if r := s.records[key]; r != nil {
+		return r.newest.entry
+	}
+	return nil
+}
+
+// Era returns the greatest era of the source that any value is from.
+func (s *Store) Era() uint64 {
+	era := uint64(0)
+	for _, r := range s.records {
+		era = max(era, r.newest.mark.Position().Era())
+	}
+	return era
+}
+
+// Behind returns the keys whose values are known from earlier eras of the source only,
+// sorted.
+func (s *Store) Behind(era uint64) []string {
+	var out []string
+	for _, k := range s.keys {
+		if v := s.records[k].newest; !v.entry.GetDeleted() && v.mark.Position().Era() < era {
+			out = append(out, k)
+		}
 	}
-	return r.newest.entry.GetValue(), true
+	return out
+}
+
+// Ahead returns the keys whose values the source does not have, or has only in an older
+// version, since it was restored: sorted.
+func (s *Store) Ahead() []string {
+	era := s.Era()
+	var out []string
+	for _, k := range s.Keys() {
+		if m := s.records[k].newest.mark; m.Position().Era() < era || m.Written() != m.Position() {
+			out = append(out, k)
+		}
+	}
+	return out
 }
 
 // Keys returns the keys that have values, sorted.
@@ -315,12 +375,12 @@
 	return out
 }
 
-// InForce returns the revision in force of each key, by key.
-func (s *Store) InForce() map[string]uint64 {
-	out := map[string]uint64{}
+// InForce returns the position of the value in force of each key, by key.
+func (s *Store) InForce() map[string]order.Position {
+	out := map[string]order.Position{}
 	for k, r := range s.records {
 		if r.inForce != nil {
-			out[k] = r.inForce.entry.GetRevision()
+			out[k] = r.inForce.mark.Position()
 		}
 	}
 	return out
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,12 +218,14 @@
 // accepted takes each new state of the replica.
 func (n *Node) accepted(c *fleetconfig.Config, refusals []fleetconfig.Refusal) {
 	log := logging.Part(n.log, "config")
-	n.metrics.Gauge("config_revision", float64(c.Revision()))
+	n.metrics.Gauge("config_revision", float64(c.Position().Revision()))
+	n.metrics.Gauge("config_era", float64(c.Position().Era()))
 	n.metrics.Gauge("config_refused", float64(len(refusals)))
 	for _, r := range refusals {
-		log.WithField("key", r.Key()).WithField("revision", r.Revision()).WithError(r.Err()).Warn("value refused")
+		log.WithField("key", r.Key()).WithField("era", r.Position().Era()).WithField("revision", r.Position().Revision()).
+			WithError(r.Err()).Warn("value refused")
 	}
-	log.WithField("revision", c.Revision()).WithField("routes", c.Routes()).
+	log.WithField("era", c.Position().Era()).WithField("revision", c.Position().Revision()).WithField("routes", c.Routes()).
 		WithField("services", len(c.Services())).Info("configuration in force")
 	n.board.config.Store(&configuration{
 		config:   c,
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -8,8 +8,12 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/source"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -18,10 +22,8 @@
 	log := logging.Part(n.log, "source")
 	failed := func(err error) { log.WithError(err).Warn("source not read") }
 	deliver := func(entries []*wire.Entry) {
-		for _, e := range n.gossip.Publish(entries) {
-			log.WithField("key", e.GetKey()).WithField("revision", e.GetRevision()).WithField("deleted", e.GetDeleted()).
-				Info("value read is not newer than the known one")
-		}
+		n.gossip.Publish(entries)
+		n.logKept(log, entries)
 	}
 	if n.directory != nil {
 		return n.directory.Run(ctx, deliver, failed)
@@ -37,18 +39,39 @@
 			return reads
 		},
 		Deliver: deliver,
-		Known:   n.replica.Value,
+		Known:   n.replica.Newest,
 		Keys:    n.replica.Keys,
+		Era:     n.replica.Era,
+		Behind:  n.replica.Behind,
 		Age:     func() time.Duration { return n.gossip.PlatformAge(time.Now()) },
 		Heard:   func() { n.gossip.PlatformHeard(time.Now()) },
 		Failed:  failed,
 		Reread: func(r source.Reread) {
-			log.WithField("reason", r.Reason).WithField("before", r.Before).WithField("after", r.After).
-				WithField("era", r.Era).Info("platform read whole")
+			log.WithField("reason", r.Reason).WithField("before", r.Before.String()).WithField("after", r.After.String()).
+				Info("platform read whole")
 		},
 	})
 }
 
+// logKept writes a line for each value that was read and did not replace the known one.
+func (n *Node) logKept(log logrus.FieldLogger, entries []*wire.Entry) {
+	for _, e := range entries {
+		read, kept := fleetconfig.MarkOf(e), fleetconfig.MarkOf(n.replica.Newest(e.GetKey()))
+		switch {
+		case kept.Position().Compare(read.Position()) > 0:
+			logMarks(log, e.GetKey(), read, kept).Info("value read is older than the known one")
+		case !e.GetDeleted() && kept.CompareValues(read) > 0:
+			logMarks(log, e.GetKey(), read, kept).Info("platform has an older value than the fleet")
+		}
+	}
+}
+
+func logMarks(log logrus.FieldLogger, key string, read, kept order.Mark) *logrus.Entry {
+	return log.WithField("key", key).
+		WithField("read", read.Position().String()).WithField("read_sequence", read.Stamp().Sequence()).
+		WithField("kept", kept.Written().String()).WithField("kept_sequence", kept.Stamp().Sequence())
+}
+
 // ageMS returns an age in milliseconds, -1 for what was never heard.
 func ageMS(age time.Duration) int64 {
 	if age > time.Hour {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -45,7 +45,10 @@
 		return s
 	}
 	s.Members = n.memberStatus()
-	s.Revision = n.replica.InForce()
+	s.Revision = map[string]uint64{}
+	for key, position := range n.replica.InForce() {
+		s.Revision[key] = position.Revision()
+	}
 	s.Limits = n.limiting.status(time.Now())
 	s.Quarantine = n.quarantining.status(time.Now())
 	s.Signals = n.board.signalStatus(time.Now())
@@ -71,14 +74,15 @@
 	if cur == nil {
 		return c
 	}
-	c.Revision = cur.config.Revision()
+	c.Era, c.Revision = cur.config.Position().Era(), cur.config.Position().Revision()
+	c.Ahead = n.replica.Ahead()
 	c.Services = len(cur.config.Services())
 	c.Routes = cur.config.Routes()
 	c.Workspaces = cur.config.Workspaces()
 	for _, r := range cur.refusals {
 		c.Refused = append(c.Refused, operator.RefusedStatus{
 			Key:      r.Key(),
-			Revision: r.Revision(),
+			Revision: r.Position().Revision(),
 			Reason:   r.Err().Error(),
 		})
 	}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -27,6 +27,12 @@
 
 // ConfigStatus describes the configuration in force.
 type ConfigStatus struct {
+	// Era counts how often the platform was restored from a copy. Revisions of different
+	// eras are not related.
+	Era uint64 `json:"era"`
+	// Ahead are keys whose values the platform lost when it was restored: they hold until
+	// they are written again.
+	Ahead      []string        `json:"ahead,omitempty"`
 	Revision   uint64          `json:"revision"`
 	Services   int             `json:"services"`
 	Routes     int             `json:"routes"`
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package order compares published values. There are two orders, and they are kept
+// apart: a Position says how far a store has come, a Stamp which of two values their writer
+// wrote later. A store that is restored from a copy gives out revisions again, in a new
+// era; what writers count survives that.
+package order
+
+import (
+	"cmp"
+	"fmt"
+)
+
+// Position is a place in the history of a store. The zero value is before all others.
+type Position struct {
+	era      uint64
+	revision uint64
+}
+
+// At returns the position of a revision in an era. Revisions of two eras are not related.
+func At(era, revision uint64) Position {
+	return Position{
+		era:      era,
+		revision: revision,
+	}
+}
+
+// Era returns the store's era, which grows each time that the store is restored; 0 is that of a
+// store that names none.
+func (p Position) Era() uint64 { return p.era }
+
+// Revision returns the revision within the era.
+func (p Position) Revision() uint64 { return p.revision }
+
+// Compare returns -1, 0 or 1 as p is before, at or after q.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.era, q.era), cmp.Compare(p.revision, q.revision))
+}
+
+// String returns the era and the revision, such as "2/1017".
+func (p Position) String() string { return fmt.Sprintf("%d/%d", p.era, p.revision) }
+
+// Max returns the later of two positions.
+func Max(p, q Position) Position {
+	if p.Compare(q) < 0 {
+		return q
+	}
+	return p
+}
+
+// Stamp is a writer's own count of its values. The zero value is that of a writer that
+// counts nothing.
+type Stamp struct {
+	incarnation uint64
+	sequence    uint64
+}
+
+// StampOf returns the stamp of a value: the incarnation of its writer, 0 if there is only one, and
+// the writer's count within it.
+func StampOf(incarnation, sequence uint64) Stamp {
+	return Stamp{
+		incarnation: incarnation,
+		sequence:    sequence,
+	}
+}
+
+// Incarnation returns the writer's incarnation.
+func (s Stamp) Incarnation() uint64 { return s.incarnation }
+
+// Sequence returns the count within the incarnation.
+func (s Stamp) Sequence() uint64 { return s.sequence }
+
+// Next returns the least stamp after s.
+func (s Stamp) Next() Stamp { return StampOf(s.incarnation, s.sequence+1) }
+
+// Compare returns -1, 0 or 1 as s is before, equal to or after t.
+func (s Stamp) Compare(t Stamp) int {
+	return cmp.Or(cmp.Compare(s.incarnation, t.incarnation), cmp.Compare(s.sequence, t.sequence))
+}
+
+// Mark is what orders one value of a key: where the store told of the key last, and which
+// of its values the writer wrote last.
+type Mark struct {
+	// position is where the store last held a value of the key, or removed it.
+	position Position
+	stamp    Stamp
+	// written is where the store held the writer's last value.
+	written Position
+}
+
+// MarkOf returns the mark of the writer's last value, which the store held at written, at a position.
+func MarkOf(position Position, stamp Stamp, written Position) Mark {
+	return Mark{
+		position: position,
+		stamp:    stamp,
+		written:  written,
+	}
+}
+
+// Position returns where the store told of the key last.
+func (m Mark) Position() Position { return m.position }
+
+// Stamp returns the stamp of the writer's last value.
+func (m Mark) Stamp() Stamp { return m.stamp }
+
+// Written returns where the store held the writer's last value.
+func (m Mark) Written() Position { return m.written }
+
+// CompareValues returns -1, 0 or 1 as the writer wrote the value of m before, with or after
+// that of n. Values with equal stamps are ordered by where the store held them.
+func (m Mark) CompareValues(n Mark) int {
+	return cmp.Or(m.stamp.Compare(n.stamp), m.written.Compare(n.written))
+}
+
+// Covers reports whether n tells nothing that m doesn't tell too.
+func (m Mark) Covers(n Mark) bool {
+	return m.position.Compare(n.position) >= 0 && m.CompareValues(n) >= 0
+}
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -17,10 +18,14 @@
 	// Deliver gets values; heard is called with each good answer.
 	Deliver func([]*wire.Entry)
 	Heard   func()
-	// Known returns the newest value of a key that the fleet has, and false if it
-	// has none or it is deleted. Keys returns the keys with values.
-	Known func(key string) ([]byte, bool)
+	// Known returns the newest entry of a key that the fleet has, which may be a removal,
+	// or nil. Keys returns the keys with values.
+	Known func(key string) *wire.Entry
 	Keys  func() []string
+	// Era returns the greatest era of the source that the fleet knows, Behind the keys whose
+	// values it knows from earlier eras only.
+	Era    func() uint64
+	Behind func(era uint64) []string
 	// Age returns how long ago any process of the fleet heard the source.
 	Age func() time.Duration
 	// Failed gets each failure.
@@ -33,11 +38,9 @@
 type Reread struct {
 	// Reason says why changes alone were not enough.
 	Reason string
-	// Before is the revision up to which the source was read until then, After the one
-	// of this read. They count within one Era of the source.
-	Before uint64
-	After  uint64
-	Era    uint64
+	// Before is up to where the source was read until then, After up to where it is now.
+	Before order.Position
+	After  order.Position
 }
 
 // Beats are the times of a reader.
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -32,13 +33,13 @@
 )
 
 // Platform reads values from the platform's configuration service: GET
-// /v1/values for all of them and GET /v1/watch?after=REVISION for changes, both
+// /v1/values for all of them and GET /v1/watch?era=ERA&after=REVISION for changes, both
 // answered by a wire.ValueList in JSON. Run may be called once; Calls
 // concurrently with it.
 type Platform struct {
 	base     string
 	client   *http.Client
-	revision uint64
+	position order.Position
 	calls    atomic.Int64
 }
 
@@ -65,7 +66,7 @@
 		RetryFirst: retryFirst,
 		RetryMost:  retryMost,
 	}, func(ctx context.Context) error {
-		entries, err := p.next(ctx)
+		entries, err := p.next(ctx, cfg)
 		if err != nil {
 			return err
 		}
@@ -77,34 +78,70 @@
 
 // next makes one call: a read at first, then watches. An answer older than one
 // before it comes from a stale replica: its values are still handed on, for each
-// counts by its own revision, but the watch doesn't go back.
-func (p *Platform) next(ctx context.Context) ([]*wire.Entry, error) {
-	url, limit := p.base+"/v1/values", readTime
-	if p.revision > 0 {
-		url = fmt.Sprintf("%s/v1/watch?after=%d&wait=%s", p.base, p.revision, watchTime)
-		limit = watchTime + watchGrace
+// counts by its own position, but the watch doesn't go back. Where the platform was restored
+// all is read again at once: a watch leaves out what was changed before its revision.
+func (p *Platform) next(ctx context.Context, cfg Config) ([]*wire.Entry, error) {
+	if p.position == (order.Position{}) {
+		return p.read(ctx, cfg, reasonFirst)
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	list, err := p.get(ctx, url)
+	url := fmt.Sprintf("%s/v1/watch?era=%d&after=%d&wait=%s", p.base, p.position.Era(), p.position.Revision(), watchTime)
+	list, err := p.get(ctx, url, watchTime+watchGrace)
+	if err != nil {
+		return nil, err
+	}
+	if list.GetEra() > p.position.Era() {
+		return p.read(ctx, cfg, reasonRestored)
+	}
+	return p.take(list), nil
+}
+
+// Reasons to read all values.
+const (
+	reasonFirst    = "first read"
+	reasonRestored = "platform was restored"
+)
+
+func (p *Platform) read(ctx context.Context, cfg Config, reason string) ([]*wire.Entry, error) {
+	list, err := p.get(ctx, p.base+"/v1/values", readTime)
 	if err != nil {
 		return nil, err
 	}
-	p.revision = max(p.revision, list.GetRevision())
+	before := p.position
+	out := p.take(list)
+	cfg.Reread(Reread{
+		Reason: reason,
+		Before: before,
+		After:  p.position,
+	})
+	return out, nil
+}
+
+// take returns the values of an answer and notes up to where it goes.
+func (p *Platform) take(list *wire.ValueList) []*wire.Entry {
+	p.position = order.Max(p.position, order.At(list.GetEra(), list.GetRevision()))
 	out := make([]*wire.Entry, 0, len(list.GetValues()))
 	for _, v := range list.GetValues() {
-		out = append(out, &wire.Entry{
+		e := &wire.Entry{
 			Key:      v.GetKey(),
 			Revision: v.GetRevision(),
 			Value:    []byte(v.GetValue()),
 			Deleted:  v.GetDeleted(),
-		})
+			Era:      list.GetEra(),
+		}
+		if v.GetVersion() > 0 {
+			e.Stamp = &wire.Stamp{
+				Sequence: v.GetVersion(),
+			}
+		}
+		out = append(out, e)
 	}
-	return out, nil
+	return out
 }
 
-func (p *Platform) get(ctx context.Context, url string) (*wire.ValueList, error) {
+func (p *Platform) get(ctx context.Context, url string, limit time.Duration) (*wire.ValueList, error) {
 	p.calls.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, p.fault(KindConnect, err)
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/source"
 	"ploverjunction.example/ploverjunction/internal/standin/platform"
 	"ploverjunction.example/ploverjunction/internal/task"
@@ -101,6 +102,7 @@
 			Deliver: f.deliver,
 			Heard:   func() {},
 			Failed:  f.fail,
+			Reread:  func(source.Reread) {},
 		})
 	})
 	t.Cleanup(func() {
@@ -115,7 +117,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range entries {
-		if old := f.entries[e.GetKey()]; old == nil || old.GetRevision() < e.GetRevision() {
+		if old := f.entries[e.GetKey()]; fleetconfig.MarkOf(old).Position().Compare(fleetconfig.MarkOf(e).Position()) < 0 {
 			f.entries[e.GetKey()] = e
 		}
 	}
@@ -174,3 +176,27 @@
 	third := p.Delete("a")
 	f.until(t, func() bool { return f.entries["a"].GetRevision() == third && f.entries["a"].GetDeleted() })
 }
+
+// Guards against a watch that waits for revisions of a former era.
+func TestPlatformIsReadWholeAfterARestore(t *testing.T) {
+	p := platform.New()
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(func() {
+		p.SetMode(platform.ModeDown)
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	p.Publish("a", "1")
+	copied := p.Copy()
+	p.Publish("b", "1")
+	last := p.Publish("a", "2")
+	f := follow(t, srv.URL)
+	f.until(t, func() bool { return f.entries["a"].GetRevision() == last })
+	p.Restore(copied)
+	f.until(t, func() bool { return f.entries["a"].GetEra() == 1 && string(f.entries["a"].GetValue()) == "1" })
+	p.Publish("a", "3")
+	f.until(t, func() bool {
+		a := f.entries["a"]
+		return string(a.GetValue()) == "3" && a.GetRevision() < last && a.GetStamp().GetSequence() == 3
+	})
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -6,6 +6,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -53,21 +54,75 @@
 	frozen   uint64
 	lag      time.Duration
 	calls    atomic.Int64
+	// era counts restores; versions are the operators' own counts by key, which no restore
+	// takes back.
+	era      uint64
+	versions map[string]uint64
 }
 
 // New returns a platform without values.
 func New() *Platform {
 	return &Platform{
-		mode:    ModeGood,
-		changed: make(chan struct{}),
+		mode:     ModeGood,
+		changed:  make(chan struct{}),
+		versions: map[string]uint64{},
 	}
 }
 
 // Publish sets the value of a key, as operators do, and returns its revision.
 func (p *Platform) Publish(key, value string) uint64 {
+	p.mu.Lock()
+	p.versions[key]++
+	version := p.versions[key]
+	p.mu.Unlock()
+	return p.add(&wire.Value{
+		Key:     key,
+		Value:   value,
+		Version: version,
+	})
+}
+
+// Copy is what a platform held at one moment.
+type Copy struct {
+	revision uint64
+	changes  []change
+}
+
+// Copy returns a copy of all values.
+func (p *Platform) Copy() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{
+		revision: p.revision,
+		changes:  slices.Clone(p.changes),
+	}
+}
+
+// Restore has the platform go on from a copy in a new era: what was published since is lost,
+// and its revisions are given out again. Waiting watches end. It returns what was lost: the last
+// value of each key, which operators publish again.
+func (p *Platform) Restore(c Copy) []*wire.Value {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var lost []*wire.Value
+	for _, ch := range p.changes[len(c.changes):] {
+		lost = slices.DeleteFunc(lost, func(v *wire.Value) bool { return v.GetKey() == ch.value.GetKey() })
+		lost = append(lost, ch.value)
+	}
+	p.era++
+	p.revision = c.revision
+	p.changes = slices.Clone(c.changes)
+	p.wake()
+	return lost
+}
+
+// PublishAgain writes a value that was lost, with the operators' count of it.
+func (p *Platform) PublishAgain(v *wire.Value) uint64 {
 	return p.add(&wire.Value{
-		Key:   key,
-		Value: value,
+		Key:     v.GetKey(),
+		Value:   v.GetValue(),
+		Deleted: v.GetDeleted(),
+		Version: v.GetVersion(),
 	})
 }
 
@@ -129,7 +184,9 @@
 func (p *Platform) visible(after uint64) (*wire.ValueList, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := &wire.ValueList{}
+	list := &wire.ValueList{
+		Era: p.era,
+	}
 	newest := map[string]*wire.Value{}
 	for _, c := range p.changes {
 		if p.mode == ModeStale && c.value.GetRevision() > p.frozen || time.Since(c.at) < p.lag {
@@ -192,6 +249,12 @@
 		http.Error(w, "after: want a revision", http.StatusBadRequest)
 		return
 	}
+	// A reader of a former era is answered at once.
+	era, err := strconv.ParseUint(cmp.Or(r.URL.Query().Get("era"), "0"), 10, 64)
+	if err != nil {
+		http.Error(w, "era: want a number", http.StatusBadRequest)
+		return
+	}
 	wait, err := time.ParseDuration(r.URL.Query().Get("wait"))
 	if err != nil {
 		wait = defaultWait
@@ -201,7 +264,7 @@
 	defer end.Stop()
 	for {
 		list, changed := p.visible(after)
-		if len(list.GetValues()) > 0 {
+		if len(list.GetValues()) > 0 || list.GetEra() != era {
 			answer(w, list)
 			return
 		}
