internal/fleetconfig, platform: what was removed before a restore stays removed

A removal now has the stamp of the value that it removes and is ordered with the writer's values, after that one.

--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -131,6 +131,14 @@
 	return r.store.Behind(era)
 }
 
+// Withheld returns the keys that the source has though their values were removed before it was
+// restored.
+func (r *Replica) Withheld() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Withheld()
+}
+
 // Ahead returns the keys whose values the source lost when it was restored, sorted.
 func (r *Replica) Ahead() []string {
 	r.mu.Lock()
--- a/internal/fleetconfig/digest.go
+++ b/internal/fleetconfig/digest.go
@@ -31,6 +31,9 @@
 	} {
 		b = binary.BigEndian.AppendUint64(b, n)
 	}
+	if m.Gone() {
+		b = append(b, 1)
+	}
 	return xxhash.Sum64(b)
 }
 
--- a/internal/fleetconfig/mark.go
+++ b/internal/fleetconfig/mark.go
@@ -13,6 +13,7 @@
 	GetRevision() uint64
 	GetStamp() *wire.Stamp
 	GetWritten() *wire.Position
+	GetGone() bool
 }
 
 // MarkOf returns the mark that an Entry or a KeyRevision carries.
@@ -22,13 +23,17 @@
 	if w := m.GetWritten(); w != nil {
 		written = order.At(w.GetEra(), w.GetRevision())
 	}
-	return order.MarkOf(position, order.StampOf(m.GetStamp().GetIncarnation(), m.GetStamp().GetSequence()), written)
+	mark := order.MarkOf(position, order.StampOf(m.GetStamp().GetIncarnation(), m.GetStamp().GetSequence()), written)
+	if m.GetGone() {
+		mark = mark.Remove()
+	}
+	return mark
 }
 
 // SetMark writes a mark into an entry.
 func SetMark(e *wire.Entry, m order.Mark) {
 	e.Era, e.Revision = m.Position().Era(), m.Position().Revision()
-	e.Stamp, e.Written = stampOf(m), writtenOf(m)
+	e.Stamp, e.Written, e.Gone = stampOf(m), writtenOf(m), m.Gone()
 }
 
 // KeyRevision returns a key with a mark.
@@ -39,6 +44,7 @@
 		Revision: m.Position().Revision(),
 		Stamp:    stampOf(m),
 		Written:  writtenOf(m),
+		Gone:     m.Gone(),
 	}
 }
 
@@ -62,14 +68,32 @@
 	}
 }
 
+// Removed reports whether a key has no value.
+func Removed(e *wire.Entry) bool { return e.GetDeleted() || e.GetGone() }
+
+// Removal returns the entry that removes the value with a stamp at a position. A store that is
+// restored may have that value again: only a later one of the writer undoes the removal. Where
+// writers count nothing any value of a later position does.
+func Removal(key string, position order.Position, stamp order.Stamp) *wire.Entry {
+	e := &wire.Entry{
+		Key:     key,
+		Deleted: true,
+	}
+	mark := order.MarkOf(position, stamp, position)
+	if stamp != (order.Stamp{}) {
+		mark = mark.Remove()
+	}
+	SetMark(e, mark)
+	return e
+}
+
 // join returns what two entries of a key tell together: the store's last word of the
-// key, and the last value of its writer. A removal keeps the value that it removed: a store that
-// is restored may bring an older one back. The result doesn't depend on the order in which
+// key, and the last one of its writer. The result doesn't depend on the order in which
 // entries are joined.
 func join(a, b *wire.Entry) *wire.Entry {
 	ma, mb := MarkOf(a), MarkOf(b)
 	last := a
-	if c := ma.Position().Compare(mb.Position()); c < 0 || c == 0 && b.GetDeleted() {
+	if ma.Position().Compare(mb.Position()) < 0 {
 		last = b
 	}
 	value := a
@@ -85,6 +109,10 @@
 		Value:   value.GetValue(),
 		Deleted: last.GetDeleted(),
 	}
-	SetMark(out, order.MarkOf(ml.Position(), mv.Stamp(), mv.Written()))
+	joined := order.MarkOf(ml.Position(), mv.Stamp(), mv.Written())
+	if mv.Gone() {
+		joined = joined.Remove()
+	}
+	SetMark(out, joined)
 	return out
 }
--- a/internal/fleetconfig/restore_test.go
+++ b/internal/fleetconfig/restore_test.go
@@ -26,13 +26,8 @@
 	return e
 }
 
-func removedAt(key string, era, revision uint64) *wire.Entry {
-	return &wire.Entry{
-		Key:      key,
-		Era:      era,
-		Revision: revision,
-		Deleted:  true,
-	}
+func removedAt(key string, era, revision, count uint64) *wire.Entry {
+	return fleetconfig.Removal(key, order.At(era, revision), order.StampOf(0, count))
 }
 
 // Guards against a value of a later era that is dropped, or that replaces a later one of its writer.
@@ -109,13 +104,20 @@
 			name: "removed after the restore",
 			entries: []*wire.Entry{
 				counted("k", 1, 44, 21),
-				removedAt("k", 2, 41),
+				removedAt("k", 2, 41, 21),
+			},
+		},
+		{
+			name: "copy of what was removed",
+			entries: []*wire.Entry{
+				removedAt("k", 1, 60, 21),
+				counted("k", 2, 41, 19),
 			},
 		},
 		{
-			name: "removal of the former era",
+			name: "removal of a former era",
 			entries: []*wire.Entry{
-				removedAt("k", 1, 60),
+				removedAt("k", 1, 60, 21),
 				counted("k", 2, 41, 25),
 			},
 			want: counted("k", 2, 41, 25),
@@ -130,10 +132,10 @@
 			got := s.Newest("k")
 			switch {
 			case tt.want == nil:
-				if !got.GetDeleted() || s.Config().Workspaces() != 0 {
+				if !fleetconfig.Removed(got) || s.Config().Workspaces() != 0 {
 					t.Errorf("in force: %s", got.GetValue())
 				}
-			case got.GetDeleted() || string(got.GetValue()) != string(tt.want.GetValue()):
+			case fleetconfig.Removed(got) || string(got.GetValue()) != string(tt.want.GetValue()):
 				t.Errorf("got %s, want %s", got.GetValue(), tt.want.GetValue())
 			}
 			if ahead := len(s.Ahead()) > 0; ahead != tt.ahead {
@@ -164,7 +166,7 @@
 		out[i] = counted(key, era, revision, count)
 		switch {
 		case removals && rng.IntN(4) == 0:
-			out[i] = removedAt(key, era, revision)
+			out[i] = removedAt(key, era, revision, count)
 		case bad && rng.IntN(4) == 0:
 			out[i].Value = []byte("{")
 		}
--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -25,7 +25,7 @@
 	if w == nil {
 		return true
 	}
-	if v.entry.GetDeleted() || w.entry.GetDeleted() {
+	if Removed(v.entry) || Removed(w.entry) {
 		return v.mark.Position().Compare(w.mark.Position()) > 0
 	}
 	return v.mark.CompareValues(w.mark) > 0
@@ -180,7 +180,7 @@
 		entry: e,
 		mark:  MarkOf(e),
 	}
-	if e.GetDeleted() {
+	if Removed(e) {
 		v.doc = &wire.Document{}
 		return v
 	}
@@ -344,7 +344,19 @@
 func (s *Store) Behind(era uint64) []string {
 	var out []string
 	for _, k := range s.keys {
-		if v := s.records[k].newest; !v.entry.GetDeleted() && v.mark.Position().Era() < era {
+		if v := s.records[k].newest; !Removed(v.entry) && v.mark.Position().Era() < era {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// Withheld returns the keys that the source has though their values were removed before it was
+// restored, sorted.
+func (s *Store) Withheld() []string {
+	var out []string
+	for _, k := range s.keys {
+		if e := s.records[k].newest.entry; e.GetGone() && !e.GetDeleted() {
 			out = append(out, k)
 		}
 	}
@@ -368,7 +380,7 @@
 func (s *Store) Keys() []string {
 	var out []string
 	for _, k := range s.keys {
-		if !s.records[k].newest.entry.GetDeleted() {
+		if !Removed(s.records[k].newest.entry) {
 			out = append(out, k)
 		}
 	}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -84,7 +84,9 @@
 	// position is where the store last held a value of the key, or removed it.
 	position Position
 	stamp    Stamp
-	// written is where the store held the writer's last value.
+	// gone is set where that value was removed.
+	gone bool
+	// written is where the store held the writer's last value, or removed it.
 	written Position
 }
 
@@ -97,6 +99,15 @@
 	}
 }
 
+// Remove returns the mark of the removal of the value.
+func (m Mark) Remove() Mark {
+	m.gone = true
+	return m
+}
+
+// Gone reports whether the writer's last value was removed.
+func (m Mark) Gone() bool { return m.gone }
+
 // Position returns where the store told of the key last.
 func (m Mark) Position() Position { return m.position }
 
@@ -107,9 +118,17 @@
 func (m Mark) Written() Position { return m.written }
 
 // CompareValues returns -1, 0 or 1 as the writer wrote the value of m before, with or after
-// that of n. Values with equal stamps are ordered by where the store held them.
+// that of n. A removal comes after the value that it removed. Values with equal stamps are ordered
+// by where the store held them.
 func (m Mark) CompareValues(n Mark) int {
-	return cmp.Or(m.stamp.Compare(n.stamp), m.written.Compare(n.written))
+	return cmp.Or(m.stamp.Compare(n.stamp), cmp.Compare(rank(m.gone), rank(n.gone)), m.written.Compare(n.written))
+}
+
+func rank(gone bool) int {
+	if gone {
+		return 1
+	}
+	return 0
 }
 
 // Covers reports whether n tells nothing that m doesn't tell too.
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -22,10 +22,12 @@
 	// or nil. Keys returns the keys with values.
 	Known func(key string) *wire.Entry
 	Keys  func() []string
-	// Era returns the greatest era of the source that the fleet knows, Behind the keys whose
-	// values it knows from earlier eras only.
-	Era    func() uint64
-	Behind func(era uint64) []string
+	// Era returns the greatest era of the source that the fleet knows.
+	Era func() uint64
+	// Behind returns the keys whose values the fleet knows from earlier eras only, Withheld
+	// those that the source has though they were removed before it was restored.
+	Behind   func(era uint64) []string
+	Withheld func() []string
 	// Age returns how long ago any process of the fleet heard the source.
 	Age func() time.Duration
 	// Failed gets each failure.
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -121,18 +122,16 @@
 	p.position = order.Max(p.position, order.At(list.GetEra(), list.GetRevision()))
 	out := make([]*wire.Entry, 0, len(list.GetValues()))
 	for _, v := range list.GetValues() {
-		e := &wire.Entry{
-			Key:      v.GetKey(),
-			Revision: v.GetRevision(),
-			Value:    []byte(v.GetValue()),
-			Deleted:  v.GetDeleted(),
-			Era:      list.GetEra(),
+		position, stamp := order.At(list.GetEra(), v.GetRevision()), order.StampOf(0, v.GetVersion())
+		if v.GetDeleted() {
+			out = append(out, fleetconfig.Removal(v.GetKey(), position, stamp))
+			continue
 		}
-		if v.GetVersion() > 0 {
-			e.Stamp = &wire.Stamp{
-				Sequence: v.GetVersion(),
-			}
+		e := &wire.Entry{
+			Key:   v.GetKey(),
+			Value: []byte(v.GetValue()),
 		}
+		fleetconfig.SetMark(e, order.MarkOf(position, stamp, position))
 		out = append(out, e)
 	}
 	return out
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -71,17 +71,20 @@
 
 // Publish sets the value of a key, as operators do, and returns its revision.
 func (p *Platform) Publish(key, value string) uint64 {
-	p.mu.Lock()
-	p.versions[key]++
-	version := p.versions[key]
-	p.mu.Unlock()
 	return p.add(&wire.Value{
 		Key:     key,
 		Value:   value,
-		Version: version,
+		Version: p.nextVersion(key),
 	})
 }
 
+func (p *Platform) nextVersion(key string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.versions[key]++
+	return p.versions[key]
+}
+
 // Copy is what a platform held at one moment.
 type Copy struct {
 	revision uint64
@@ -131,6 +134,7 @@
 	return p.add(&wire.Value{
 		Key:     key,
 		Deleted: true,
+		Version: p.nextVersion(key),
 	})
 }
 
