--- /dev/null
+++ b/internal/dissemination/export_test.go
@@ -0,0 +1,14 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination
+
+import (
+	"context"
+
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// SetCall replaces the way to peers.
+func (g *Gossip) SetCall(call func(ctx context.Context, peer string, in *wire.SyncRequest) (*wire.SyncReply, error)) {
+	g.cfg.Call = call
+}
