internal/soak: the platform is restored from copies while other faults go on

Half of the plans get three restores, which may overlap: a copy is made, what is published since is lost, the platform is away 0.3 s and comes back in a new era; operators publish again 0.7 s later what has not been replaced since.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,6 +36,8 @@
 	case KindPlatformCut, KindPlatformDeaf, KindPlatformSlow, KindPlatformReset, KindPlatformDown:
 		f.platformStep(s)
 		f.platformTouched.Store(int64(time.Since(f.begun)))
+	case KindPlatformRestore:
+		f.restore(s)
 	case KindPublish:
 		f.publishRoute()
 	case KindLeave:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -28,6 +28,8 @@
 	KindPlatformSlow  Kind = "platform slow"
 	KindPlatformReset Kind = "platform reset"
 	KindPlatformDown  Kind = "platform down"
+	// KindPlatformRestore has the platform come back from a copy made at the step's begin.
+	KindPlatformRestore Kind = "platform restored"
 	// KindPublish publishes one more route, KindLeave says that a target leaves.
 	KindPublish Kind = "publish"
 	KindLeave   Kind = "leave"
@@ -85,9 +87,11 @@
 	Saying bool
 	// Limiting is set where targets name limits.
 	Limiting bool
-	Nodes    int
-	Targets  int
-	Steps    []Step
+	// Restoring is set where the platform is restored from copies.
+	Restoring bool
+	Nodes     int
+	Targets   int
+	Steps     []Step
 }
 
 // Times and sizes of plans.
@@ -131,6 +135,7 @@
 	p.addKeyed()
 	p.addSaying()
 	p.addLimits()
+	p.addRestores()
 	// From a source of its own, so that the other steps of a seed stay what they are.
 	p.Harmful = rand.New(rand.NewPCG(seed, 0x4a21)).IntN(2) == 0
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -108,7 +108,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var lost []*wire.Value
-	for _, ch := range p.changes[len(c.changes):] {
+	for _, ch := range p.changes {
+		if slices.Contains(c.changes, ch) {
+			continue
+		}
 		lost = slices.DeleteFunc(lost, func(v *wire.Value) bool { return v.GetKey() == ch.value.GetKey() })
 		lost = append(lost, ch.value)
 	}
@@ -119,9 +122,18 @@
 	return lost
 }
 
-// PublishAgain writes a value that was lost, with the operators' count of it.
-func (p *Platform) PublishAgain(v *wire.Value) uint64 {
-	return p.add(&wire.Value{
+// PublishAgain writes a value that was lost, with the operators' count of it, unless a later one
+// of its key is there.
+func (p *Platform) PublishAgain(v *wire.Value) {
+	p.mu.Lock()
+	later := slices.ContainsFunc(p.changes, func(c change) bool {
+		return c.value.GetKey() == v.GetKey() && c.value.GetVersion() >= v.GetVersion()
+	})
+	p.mu.Unlock()
+	if later {
+		return
+	}
+	p.add(&wire.Value{
 		Key:     v.GetKey(),
 		Value:   v.GetValue(),
 		Deleted: v.GetDeleted(),
