--- a/cmd/ploverctl/follow.go
+++ b/cmd/ploverctl/follow.go
@@ -15,7 +15,7 @@
 
 type followCommand struct {
 	Node string        `required:"" placeholder:"IP:PORT" help:"Operators' address of a node."`
-	Beat time.Duration `default:"500ms" help:"Time between two looks."`
+	Interval time.Duration `default:"500ms" help:"Time between two looks."`
 }
 
 // event is one change on a node.
@@ -30,8 +30,8 @@
 func (c *followCommand) Run(out *output) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
-	beat := time.NewTicker(c.Beat)
-	defer beat.Stop()
+	tick := time.NewTicker(c.Interval)
+	defer tick.Stop()
 	old := map[string]string{}
 	for {
 		s := &operator.Status{}
@@ -48,7 +48,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-beat.C:
+		case <-tick.C:
 		}
 	}
 }
--- a/cmd/ploverd/reload.go
+++ b/cmd/ploverd/reload.go
@@ -12,9 +12,9 @@
 	"ploverjunction.example/ploverjunction/internal/settings"
 )
 
-// settingsBeat is how often the settings file is looked at: a change takes effect
+// settingsInterval is how often the settings file is looked at: a change takes effect
 // without a signal too, a moment later.
-const settingsBeat = 2 * time.Second
+const settingsInterval = 2 * time.Second
 
 // followSettings reads the settings again after SIGHUP and when the file has
 // changed, and hands them or the fault in them to reload, until the context ends.
@@ -22,15 +22,15 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	beat := time.NewTicker(settingsBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(settingsInterval)
+	defer tick.Stop()
 	known := changed(file)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-hangups:
-		case <-beat.C:
+		case <-tick.C:
 			if changed(file) == known {
 				continue
 			}
--- a/internal/capacity/bench.go
+++ b/internal/capacity/bench.go
@@ -268,8 +268,8 @@
 	for i, p := range f.procs {
 		all.Go(func() {
 			gap := time.Duration(float64(time.Second) * float64(len(f.procs)) / f.point.requests)
-			beat := time.NewTicker(gap)
-			defer beat.Stop()
+			tick := time.NewTicker(gap)
+			defer tick.Stop()
 			client := &http.Client{
 				Timeout: 5 * time.Second,
 			}
@@ -277,7 +277,7 @@
 				select {
 				case <-stop:
 					return
-				case <-beat.C:
+				case <-tick.C:
 				}
 				sentCount.Add(1)
 				if !ask(client, p, n%f.point.services) {
--- a/internal/capacity/sample.go
+++ b/internal/capacity/sample.go
@@ -90,13 +90,13 @@
 		return nil
 	}
 	if f.point.changes > 0 {
-		beat := time.NewTicker(time.Duration(float64(time.Second) / f.point.changes))
-		defer beat.Stop()
+		tick := time.NewTicker(time.Duration(float64(time.Second) / f.point.changes))
+		defer tick.Stop()
 		for version := 0; ; version++ {
 			select {
 			case <-stop:
 				return nil
-			case <-beat.C:
+			case <-tick.C:
 				f.change(version, f.point.changeSize)
 			}
 		}
--- a/internal/detection/strategy.go
+++ b/internal/detection/strategy.go
@@ -120,13 +120,13 @@
 			halls[n.hall].nodes = append(halls[n.hall].nodes, s)
 		}
 		for i, h := range halls {
-			w.every(beat, func(now time.Time) { h.beat(now, i, halls) })
+			w.every(tick, func(now time.Time) { h.tick(now, i, halls) })
 		}
 	}
 }
 
-// slowBeat is how often evidence goes out that is not urgent.
-const slowBeat = 2 * time.Second
+// slowInterval is how often evidence goes out that is not urgent.
+const slowInterval = 2 * time.Second
 
 // hallFake is a data hall with its observer.
 type hallFake struct {
@@ -135,12 +135,12 @@
 	summed   time.Time
 }
 
-// beat passes the nodes' evidence on, as the observing controller does.
-func (h *hallFake) beat(now time.Time, self int, halls []*hallFake) {
+// tick passes the nodes' evidence on, as the observing controller does.
+func (h *hallFake) tick(now time.Time, self int, halls []*hallFake) {
 	for _, n := range h.nodes {
 		n.report(now, h.observer)
 	}
-	if h.observer.Urgent() || now.Sub(h.summed) >= slowBeat {
+	if h.observer.Urgent() || now.Sub(h.summed) >= slowInterval {
 		h.summed = now
 		for _, c := range h.observer.TakeSummary() {
 			for i, other := range halls {
@@ -177,7 +177,7 @@
 		w:         w,
 		node:      n,
 		info:      info,
-		collector: outlier.NewCollector(beat),
+		collector: outlier.NewCollector(tick),
 		detector:  outlier.NewDetector(info.Threshold),
 		judge:     outlier.NewJudge(),
 		pending:   map[string]outlier.Counts{},
@@ -197,7 +197,7 @@
 			}
 			return s.take(func(target int) func(time.Time, bool, bool) { return s.observe(now, target) })
 		},
-		beat: s.beat,
+		tick: s.tick,
 		out:  func(target int) bool { return s.isOut[target] },
 	}
 }
@@ -224,7 +224,7 @@
 	s.w.send(r)
 }
 
-func (s *sharing) beat(now time.Time) {
+func (s *sharing) tick(now time.Time) {
 	changed := false
 	var counts []outlier.Counts
 	for _, e := range s.collector.Drain(now) {
@@ -255,7 +255,7 @@
 }
 
 func (s *sharing) report(now time.Time, o *outlier.Observer) {
-	if len(s.pending) == 0 || !s.urgent && now.Sub(s.sent) < slowBeat {
+	if len(s.pending) == 0 || !s.urgent && now.Sub(s.sent) < slowInterval {
 		return
 	}
 	for _, c := range s.pending {
@@ -298,7 +298,7 @@
 			a.chooser = newChooser(w, n, a.stateOf)
 			n.strategy = strategy{
 				pick: func(time.Time) (int, func(time.Time, bool, bool), bool) { return a.take(a.observe) },
-				beat: a.beat,
+				tick: a.tick,
 				out:  func(target int) bool { return a.isOut[target] },
 			}
 		}
@@ -341,7 +341,7 @@
 	}
 }
 
-func (a *alone) beat(now time.Time) {
+func (a *alone) tick(now time.Time) {
 	for i := range a.until {
 		if a.isOut[i] && !now.Before(a.until[i]) {
 			a.rebuild(now)
--- a/internal/detection/world.go
+++ b/internal/detection/world.go
@@ -42,7 +42,7 @@
 	kindArrive kind = iota
 	kindFinish
 	kindExpire
-	kindBeat
+	kindInterval
 	kindFault
 )
 
@@ -115,8 +115,8 @@
 type strategy struct {
 	// pick returns the index of a target and the function that ends its use.
 	pick func(now time.Time) (int, func(now time.Time, ok, shed bool), bool)
-	// beat lets time pass, every 250 ms.
-	beat func(now time.Time)
+	// tick lets time pass, every 250 ms.
+	tick func(now time.Time)
 	// out reports whether the node gives a target no regular work.
 	out func(target int) bool
 }
@@ -160,21 +160,21 @@
 	build(w)
 	w.at(0, kindArrive, nil, nil)
 	for _, n := range w.nodes {
-		w.every(beat, n.strategy.beat)
+		w.every(tick, n.strategy.tick)
 	}
 	return w
 }
 
-const beat = 250 * time.Millisecond
+const tick = 250 * time.Millisecond
 
-// every calls fn at each beat, from a random moment on.
+// every calls fn at each tick, from a random moment on.
 func (w *world) every(d time.Duration, fn func(now time.Time)) {
 	var again func()
 	again = func() {
 		fn(w.clock())
-		w.at(w.now+d, kindBeat, nil, again)
+		w.at(w.now+d, kindInterval, nil, again)
 	}
-	w.at(w.now+time.Duration(w.rng.Int64N(int64(d))), kindBeat, nil, again)
+	w.at(w.now+time.Duration(w.rng.Int64N(int64(d))), kindInterval, nil, again)
 }
 
 func (w *world) at(at time.Duration, k kind, r *request, do func()) {
--- a/internal/dispatch/backoff_model_test.go
+++ b/internal/dispatch/backoff_model_test.go
@@ -123,7 +123,7 @@
 	}
 	p.desk.Configure(start, list)
 	p.arrive()
-	p.beat()
+	p.tick()
 	for len(p.steps) > 0 && p.steps[0].at < restEnd+restDeadline {
 		s := heap.Pop(&p.steps).(step)
 		p.now = s.at
@@ -141,9 +141,9 @@
 	})
 }
 
-func (p *restPlay) beat() {
+func (p *restPlay) tick() {
 	p.take(p.desk.Advance(p.clock()))
-	p.after(50*time.Millisecond, p.beat)
+	p.after(50*time.Millisecond, p.tick)
 }
 
 // turnsAway reports whether a target turns requests away now: the first ones of the list do so
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// leastBeat is how long the quality of the best target is used again for an ask that
+// leastInterval is how long the quality of the best target is used again for an ask that
 // waits. It changes as beliefs do, within some hundreds of milliseconds.
-const leastBeat = 50 * time.Millisecond
+const leastInterval = 50 * time.Millisecond
 
 // free returns the targets that have a free slot.
 func (d *Desk) free(now time.Time) []*target {
@@ -39,7 +39,7 @@
 	if waited >= 1 {
 		return true
 	}
-	if now.Sub(w.leastAt) >= leastBeat {
+	if now.Sub(w.leastAt) >= leastInterval {
 		w.least = d.quality(now, d.cheapest(now, a, d.order), a)
 		w.leastAt = now
 	}
--- a/internal/dispatch/coverage.go
+++ b/internal/dispatch/coverage.go
@@ -17,8 +17,8 @@
 	// coverLeast is the probability of counting below which a target is left out of the
 	// sum: many that surely fail would cost time and change nothing.
 	coverLeast = 0.005
-	// coverBeat is how long a coverage is used again while no idle target got work.
-	coverBeat = 20 * time.Millisecond
+	// coverInterval is how long a coverage is used again while no idle target got work.
+	coverInterval = 20 * time.Millisecond
 )
 
 // shortPrice is what it costs, in the unit of a choice, that too few targets are reached when a
@@ -48,7 +48,7 @@
 // coverage returns the coverage at now and notes which targets are missed.
 func (d *Desk) coverage(now time.Time) *coverage {
 	c := &d.covered
-	if past := now.Sub(c.at); past >= 0 && past < coverBeat {
+	if past := now.Sub(c.at); past >= 0 && past < coverInterval {
 		return c
 	}
 	*c = coverage{
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -333,9 +333,9 @@
 	}
 }
 
-// idleBeat is how often a desk without work takes in what was learned. Each node has a
+// idleInterval is how often a desk without work takes in what was learned. Each node has a
 // desk for each service, most of which have no work.
-const idleBeat = time.Second
+const idleInterval = time.Second
 
 // Busy reports whether anything waits or is under way.
 func (d *Desk) Busy() bool { return len(d.granted) > 0 || len(d.queue.list) > 0 }
@@ -343,7 +343,7 @@
 // Advance forgets attempts whose end was never told and returns the grants and
 // refusals that are due.
 func (d *Desk) Advance(now time.Time) []Grant {
-	if !d.Busy() && now.Sub(d.advanced) < idleBeat {
+	if !d.Busy() && now.Sub(d.advanced) < idleInterval {
 		return nil
 	}
 	d.advanced = now
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -89,7 +89,7 @@
 	}
 	o.desk.Configure(start, list)
 	o.arrive()
-	o.beat()
+	o.tick()
 	for len(o.steps) > 0 && o.steps[0].at < overEnd+overDeadline {
 		s := heap.Pop(&o.steps).(step)
 		o.now = s.at
@@ -107,9 +107,9 @@
 	})
 }
 
-func (o *overload) beat() {
+func (o *overload) tick() {
 	o.take(o.desk.Advance(o.clock()))
-	o.after(50*time.Millisecond, o.beat)
+	o.after(50*time.Millisecond, o.tick)
 }
 
 func (o *overload) arrive() {
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -20,8 +20,8 @@
 	// modelWarm is when the windows begin that count, modelEnd when a play ends.
 	modelWarm = 8 * time.Second
 	modelEnd  = 40 * time.Second
-	// modelBeat is the time between two windows, floorWindow their length.
-	modelBeat   = 250 * time.Millisecond
+	// modelInterval is the time between two windows, floorWindow their length.
+	modelInterval   = 250 * time.Millisecond
 	floorWindow = 2 * time.Second
 	// floorShare is the users' floor. A target counts that has worked for floorSettled
 	// before the window and in it.
@@ -50,7 +50,7 @@
 	if m.slow && from+floorWindow > slowFrom {
 		return false
 	}
-	for at := from - floorSettled; at <= from+floorWindow; at += modelBeat {
+	for at := from - floorSettled; at <= from+floorWindow; at += modelInterval {
 		if m.failingAt(s, at) {
 			return false
 		}
@@ -255,7 +255,7 @@
 // windows returns how many windows were judged and how many of them had too few of
 // the targets that count.
 func (p *play) windows() (all, low int) {
-	for from := modelWarm; from+floorWindow <= modelEnd; from += modelBeat {
+	for from := modelWarm; from+floorWindow <= modelEnd; from += modelInterval {
 		working, reached := 0, 0
 		for _, m := range p.targets {
 			if !m.counts(p.s, from) {
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -26,10 +26,10 @@
 	trialShare = 0.85
 	trialTime  = 5 * time.Second
 	// spreadWithin is within which time all targets that lack work should get some,
-	// so that they have it before two seconds are over; spreadBeat is the greatest
+	// so that they have it before two seconds are over; spreadInterval is the greatest
 	// time between two requests that go to a target for this reason.
 	spreadWithin = 200 * time.Millisecond
-	spreadBeat   = 100 * time.Millisecond
+	spreadInterval   = 100 * time.Millisecond
 	// spreadCrossing is the greatest cost of bytes between data halls for which a
 	// request is used to spread work while few fail: that of a few KiB.
 	spreadCrossing = 0.1
@@ -140,7 +140,7 @@
 			best = t
 		}
 	}
-	if float64(out) <= (1-s.share)*float64(all) || now.Sub(d.ends.spread) < min(spreadBeat, spreadWithin/time.Duration(out)) {
+	if float64(out) <= (1-s.share)*float64(all) || now.Sub(d.ends.spread) < min(spreadInterval, spreadWithin/time.Duration(out)) {
 		return nil
 	}
 	d.ends.spread = now
--- a/internal/dissemination/dissemination_test.go
+++ b/internal/dissemination/dissemination_test.go
@@ -212,7 +212,7 @@
 	})
 }
 
-// A quiet fleet costs about one call a node and beat, however large it is.
+// A quiet fleet costs about one call a node and tick, however large it is.
 func TestQuietCost(t *testing.T) {
 	for _, n := range []int{10, 40, 160} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -15,10 +15,10 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// Beats and fan-outs.
+// Intervals and fan-outs.
 const (
-	// Beat is the time between two comparisons with a random peer.
-	Beat = time.Second
+	// Interval is the time between two comparisons with a random peer.
+	Interval = time.Second
 	// fanout is how many peers learn of a new value from one node. With 4, a
 	// rumor reaches 1,000 nodes in about 6 rounds and misses about 1 in 50; the
 	// comparisons find those.
@@ -208,7 +208,7 @@
 	}
 }
 
-// Run pushes new values and compares at each beat until the context ends. No
+// Run pushes new values and compares at each tick until the context ends. No
 // conversation waits for another: a peer that hangs must not delay the rest.
 func (g *Gossip) Run(ctx context.Context) error {
 	var talks task.Group
@@ -233,7 +233,7 @@
 			}
 		case <-next.C:
 			g.compare(ctx, &talks, g.choose(compareTries))
-			next.Reset(Beat/2 + rand.N(Beat))
+			next.Reset(Interval/2 + rand.N(Interval))
 		}
 		if err := talks.Reap(); err != nil {
 			return err
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -2,7 +2,7 @@
 
 // Package dissemination spreads published values between the nodes: each new
 // revision is pushed or announced to a few random peers at once, and each node
-// compares digests with one random peer at a steady beat to find what it missed.
+// compares digests with one random peer at a steady interval to find what it missed.
 // See "Epidemic algorithms for replicated database maintenance" (Demers et al.,
 // PODC 1987).
 package dissemination
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -105,7 +105,7 @@
 		}
 		return next
 	}
-	// If nothing came of a list the rest is left to the next beat.
+	// If nothing came of a list the rest is left to the next tick.
 	named := len(sent.GetRevisions()) > 0 || sent.GetComplete()
 	if named && len(reply.GetEntries()) == 0 {
 		return nil
--- a/internal/integration/stop_test.go
+++ b/internal/integration/stop_test.go
@@ -37,13 +37,13 @@
 	}
 	b.look()
 	b.all.Go(func() {
-		beat := time.NewTicker(balancerLag)
-		defer beat.Stop()
+		tick := time.NewTicker(balancerLag)
+		defer tick.Stop()
 		for {
 			select {
 			case <-b.done:
 				return
-			case <-beat.C:
+			case <-tick.C:
 				b.look()
 			}
 		}
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -32,7 +32,7 @@
 // Times and counts of news.
 const (
 	// RefuteTime is how long a suspected node has to refute a suspicion: some
-	// beats of the probes, so that news reaches it and its word comes back.
+	// ticks of the probes, so that news reaches it and its word comes back.
 	RefuteTime = 500 * time.Millisecond
 	// tellFactor is how often urgent news is passed on, in times the logarithm of the
 	// number of nodes (Das, Gupta and Motivala, "SWIM", DSN 2002).
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -16,8 +16,8 @@
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
 
-// reportBeat is how often tally hands its values to the reporter.
-const reportBeat = time.Second
+// reportInterval is how often tally hands its values to the reporter.
+const reportInterval = time.Second
 
 // otherWorkspaces is the name under which the workspaces beyond the bound are
 // counted together.
@@ -60,7 +60,7 @@
 		Prefix:         "plover",
 		CachedReporter: reporter,
 		Separator:      promreporter.DefaultSeparator,
-	}, reportBeat)
+	}, reportInterval)
 	return &Metrics{
 		scope:      scope,
 		closer:     closer,
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -201,7 +201,7 @@
 			}
 			heard = time.Now()
 			limit = queuedSilence
-			resend.Reset(queuedBeat)
+			resend.Reset(queuedInterval)
 		case now := <-resend.C:
 			if now.Sub(heard) >= limit {
 				d.cancel(peer, p, id)
--- a/internal/node/current.go
+++ b/internal/node/current.go
@@ -11,8 +11,8 @@
 	// currentShare is up to how many times the usual greatest age of the platform's last
 	// word the configuration of a node counts as the newest one.
 	currentShare = 1.5
-	// currentBeat is how often a request that waits for news looks for it.
-	currentBeat = 20 * time.Millisecond
+	// currentInterval is how often a request that waits for news looks for it.
+	currentInterval = 20 * time.Millisecond
 )
 
 // currency tells how sure a node can be that its configuration is the newest one. It may
@@ -46,14 +46,14 @@
 // await asks peers and waits until this node can know the newest configuration. It
 // returns false if the context ended before.
 func (c *currency) await(ctx context.Context) bool {
-	beat := time.NewTicker(currentBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(currentInterval)
+	defer tick.Stop()
 	for !c.current() {
 		c.ask()
 		select {
 		case <-ctx.Done():
 			return false
-		case <-beat.C:
+		case <-tick.C:
 		}
 	}
 	return true
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -36,9 +36,9 @@
 	}
 }
 
-// report writes a line about each desk that has work, at a slow beat.
+// report writes a line about each desk that has work, at a slow tick.
 func (d *dispatching) report(now time.Time) {
-	if now.Sub(d.reported) < reportBeat {
+	if now.Sub(d.reported) < reportInterval {
 		return
 	}
 	d.reported = now
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -20,16 +20,16 @@
 	resendAfter = 25 * time.Millisecond
 	// giveUpAfter is after how long without an answer another dispatcher is asked.
 	giveUpAfter = 70 * time.Millisecond
-	// queuedBeat is how often an ask that waits is repeated, queuedSilence after
+	// queuedInterval is how often an ask that waits is repeated, queuedSilence after
 	// how long without an answer its dispatcher counts as lost.
-	queuedBeat    = 100 * time.Millisecond
+	queuedInterval    = 100 * time.Millisecond
 	queuedSilence = 350 * time.Millisecond
 	// distrustTime is how long a dispatcher that did not answer isn't asked.
 	distrustTime = time.Second
-	// reportBeat is how often a dispatcher writes a line about each of its desks,
+	// reportInterval is how often a dispatcher writes a line about each of its desks,
 	// reportLeast how many asks in the window of the retry budget make that worth
 	// it, and reportFailing from which belief on a failing target is named.
-	reportBeat    = time.Second
+	reportInterval    = time.Second
 	reportLeast   = 10
 	reportFailing = 0.1
 	// lostTime is how long a node doesn't use a target to which it could open no
@@ -43,14 +43,14 @@
 	// dispatchers is how many nodes are asked, one after another, before a node
 	// chooses alone.
 	dispatchers = 2
-	// deskBeat is how often the desks look at their queues.
-	deskBeat = 50 * time.Millisecond
-	// restBeat is the same while there is nothing to do.
-	restBeat = time.Second
-	// doneTries is how often the end of an attempt is told, every doneBeat, until
+	// deskInterval is how often the desks look at their queues.
+	deskInterval = 50 * time.Millisecond
+	// restInterval is the same while there is nothing to do.
+	restInterval = time.Second
+	// doneTries is how often the end of an attempt is told, every doneInterval, until
 	// it is confirmed.
 	doneTries = 4
-	doneBeat  = 60 * time.Millisecond
+	doneInterval  = 60 * time.Millisecond
 )
 
 // byItself names a choice that a node made without a dispatcher.
@@ -129,8 +129,8 @@
 // run serves the queues and repeats what was not confirmed, until the context ends. While there
 // is nothing to do it wakes up once a second only.
 func (d *dispatching) run(ctx context.Context) error {
-	beat := time.NewTimer(deskBeat)
-	defer beat.Stop()
+	tick := time.NewTimer(deskInterval)
+	defer tick.Stop()
 	busy := true
 	for {
 		select {
@@ -139,17 +139,17 @@
 		case <-d.wake:
 			if !busy {
 				busy = true
-				beat.Reset(deskBeat)
+				tick.Reset(deskInterval)
 			}
-		case now := <-beat.C:
+		case now := <-tick.C:
 			d.advance(now)
 			d.repeat(now)
 			d.report(now)
 			busy = d.busy()
 			if busy {
-				beat.Reset(deskBeat)
+				tick.Reset(deskInterval)
 			} else {
-				beat.Reset(restBeat)
+				tick.Reset(restInterval)
 			}
 		}
 	}
--- a/internal/node/drawing.go
+++ b/internal/node/drawing.go
@@ -145,26 +145,26 @@
 // once a second, as a dispatcher without work does.
 func (l *limiting) run(ctx context.Context) error {
 	var draws task.Group
-	beat := time.NewTimer(limitBeat)
-	defer beat.Stop()
+	tick := time.NewTimer(limitInterval)
+	defer tick.Stop()
 	forgot := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return draws.Wait()
-		case now := <-beat.C:
+		case now := <-tick.C:
 			l.report(ctx, &draws, now)
-			l.renew(now, now.Sub(forgot) > forgetBeat)
-			if now.Sub(forgot) > forgetBeat {
+			l.renew(now, now.Sub(forgot) > forgetInterval)
+			if now.Sub(forgot) > forgetInterval {
 				forgot = now
 			}
 			if err := draws.Reap(); err != nil {
 				return err
 			}
 			if l.idle() {
-				beat.Reset(restBeat)
+				tick.Reset(restInterval)
 			} else {
-				beat.Reset(limitBeat)
+				tick.Reset(limitInterval)
 			}
 		}
 	}
--- a/internal/node/duty.go
+++ b/internal/node/duty.go
@@ -104,7 +104,7 @@
 			delete(o.served, name)
 			continue
 		}
-		if r := s.summary(now, slowBeat(view.Nodes())); r != nil {
+		if r := s.summary(now, slowInterval(view.Nodes())); r != nil {
 			for _, h := range halls {
 				if h == view.Self().DataHall() {
 					continue
@@ -120,7 +120,7 @@
 }
 
 // summary returns what the other data halls should know, or nil if that can wait
-// for the slow beat.
+// for the slow tick.
 func (s *observed) summary(now time.Time, slow time.Duration) *wire.Report {
 	if !s.observer.Urgent() && now.Sub(s.summed) < slow {
 		return nil
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Collect takes the evidence of one beat.
+// Collect takes the evidence of one tick.
 func (r *Reporter) Collect(now time.Time, evidence []outlier.Evidence) {
 	r.observing.collect(now, evidence)
 }
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -15,8 +15,8 @@
 	"ploverjunction.example/ploverjunction/internal/outlier"
 )
 
-// judgeBeat is how often a node judges its targets.
-const judgeBeat = 250 * time.Millisecond
+// judgeInterval is how often a node judges its targets.
+const judgeInterval = 250 * time.Millisecond
 
 // service is what the judging controller holds of one service.
 type service struct {
@@ -35,7 +35,7 @@
 	// passive is set where a dispatcher judges the targets: pools are then made only
 	// when an operator asks.
 	passive bool
-	// report takes the evidence of each beat.
+	// report takes the evidence of each tick.
 	report   func(now time.Time, evidence []outlier.Evidence)
 	log      *logrus.Entry
 	mu       sync.Mutex
@@ -54,10 +54,10 @@
 	}
 }
 
-// run judges at each beat and at each change of the configuration.
+// run judges at each tick and at each change of the configuration.
 func (j *judging) run(ctx context.Context) error {
-	beat := time.NewTicker(judgeBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(judgeInterval)
+	defer tick.Stop()
 	for {
 		changed := j.board.config.Watch()
 		j.refresh(time.Now())
@@ -65,8 +65,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
-		case <-beat.C:
-			j.beat(time.Now())
+		case <-tick.C:
+			j.tick(time.Now())
 		}
 	}
 }
@@ -161,8 +161,8 @@
 	}
 }
 
-// beat takes in the evidence of the last beat.
-func (j *judging) beat(now time.Time) {
+// tick takes in the evidence of the last tick.
+func (j *judging) tick(now time.Time) {
 	evidence := j.collector.Drain(now)
 	if j.passive {
 		return
@@ -179,7 +179,7 @@
 }
 
 func (j *judging) evidence(now time.Time, evidence []outlier.Evidence) {
-	beats := map[string][]outlier.Counts{}
+	ticks := map[string][]outlier.Counts{}
 	for _, e := range evidence {
 		s := j.services[e.Service]
 		if s == nil {
@@ -190,13 +190,13 @@
 			j.dirty = true
 		}
 		s.judge.Evidence(now, e.Counts)
-		beats[e.Service] = append(beats[e.Service], e.Counts)
+		ticks[e.Service] = append(ticks[e.Service], e.Counts)
 	}
 	for name, s := range j.services {
-		if len(beats[name]) == 0 && s.detector.Idle() {
+		if len(ticks[name]) == 0 && s.detector.Idle() {
 			continue
 		}
-		s.detector.Update(now, beats[name])
+		s.detector.Update(now, ticks[name])
 		for _, t := range s.config.Targets() {
 			j.judge(now, s, t.Key())
 		}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -10,7 +10,7 @@
 
 // Times of readiness.
 const (
-	readyBeat = 100 * time.Millisecond
+	readyInterval = 100 * time.Millisecond
 	// enoughPeers is how many peers a starting node compares its configuration
 	// with before it serves: a stale platform alone could give it an old one.
 	enoughPeers = 3
@@ -45,16 +45,16 @@
 	settled     bool
 }
 
-// run renews readiness at each beat until the context ends.
+// run renews readiness at each tick until the context ends.
 func (l *lifecycle) run(ctx context.Context) error {
-	beat := time.NewTicker(readyBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(readyInterval)
+	defer tick.Stop()
 	for {
 		l.renew(time.Now())
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-beat.C:
+		case <-tick.C:
 		}
 	}
 }
--- a/internal/node/limiting.go
+++ b/internal/node/limiting.go
@@ -25,8 +25,8 @@
 	// datagram.
 	limitParts = 32
 	limitWhole = 256
-	// limitBeat is how often a node looks which workspaces it should report.
-	limitBeat = 200 * time.Millisecond
+	// limitInterval is how often a node looks which workspaces it should report.
+	limitInterval = 200 * time.Millisecond
 	// drawAgain is after how long an ask is sent again, drawGiveUp after how long without an
 	// answer the node decides alone. A way between data halls takes a few milliseconds.
 	drawAgain  = 25 * time.Millisecond
@@ -49,8 +49,8 @@
 	dueSoon = 500 * time.Millisecond
 	// withMost is up to how many workspaces a node looks through them with each ask.
 	withMost = 300
-	// forgetBeat is how often allocators forget what is out of use.
-	forgetBeat = 10 * time.Second
+	// forgetInterval is how often allocators forget what is out of use.
+	forgetInterval = 10 * time.Second
 )
 
 // limiting keeps the limits of workspaces together with the other nodes. It may be used
--- a/internal/node/limiting_test.go
+++ b/internal/node/limiting_test.go
@@ -90,13 +90,13 @@
 		tasks.Go(ctx, "limits of "+i, n.Run)
 	}
 	tasks.Go(ctx, "words", func(ctx context.Context) error {
-		beat := time.NewTicker(200 * time.Millisecond)
-		defer beat.Stop()
+		tick := time.NewTicker(200 * time.Millisecond)
+		defer tick.Stop()
 		for {
 			select {
 			case <-ctx.Done():
 				return nil
-			case <-beat.C:
+			case <-tick.C:
 			}
 			for i, to := range f.order {
 				from := f.order[(i+1)%len(f.order)]
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// memberBeat is how often the view is renewed for times that have passed.
-	memberBeat = time.Second
+	// memberInterval is how often the view is renewed for times that have passed.
+	memberInterval = time.Second
 	// viewPause is the least time between two views: while a fleet starts, a view for each
 	// node heard would cost more than all else. Nodes wait longer for each other's answers.
 	viewPause = 20 * time.Millisecond
@@ -157,8 +157,8 @@
 
 // run follows the configuration until the context ends.
 func (m *members) run(ctx context.Context) error {
-	beat := time.NewTicker(memberBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(memberInterval)
+	defer tick.Stop()
 	held := time.NewTimer(viewPause)
 	defer held.Stop()
 	for {
@@ -176,7 +176,7 @@
 				held.Reset(viewPause)
 			case <-held.C:
 				m.renew()
-			case <-beat.C:
+			case <-tick.C:
 				m.renew()
 			}
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,7 @@
 	startSilent = 2 * time.Second
 	// leaveTimes is how often a leaving node says so.
 	leaveTimes = 3
-	idleBeat   = 10 * time.Second
+	idleInterval   = 10 * time.Second
 )
 
 // Node is one process of the fleet. Make it with New and run it once.
@@ -175,7 +175,7 @@
 
 // control makes the controllers.
 func (n *Node) control() {
-	collector := outlier.NewCollector(judgeBeat)
+	collector := outlier.NewCollector(judgeInterval)
 	n.judging = newJudging(n.board, collector, logging.Part(n.log, "judging"))
 	n.observing = newObserving(n.board, peerLink{
 		observe: n.dialer.Observe,
@@ -324,13 +324,13 @@
 }
 
 func (n *Node) closeIdle(ctx context.Context) error {
-	beat := time.NewTicker(idleBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(idleInterval)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-beat.C:
+		case now := <-tick.C:
 			n.dialer.CloseIdle(now)
 		}
 	}
--- a/internal/node/observing.go
+++ b/internal/node/observing.go
@@ -17,11 +17,11 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// Beats of reports.
+// Intervals of reports.
 const (
-	// observeBeat is how often an observer judges.
-	observeBeat = judgeBeat
-	// A node reports good requests at a slower beat that grows with the fleet,
+	// observeInterval is how often an observer judges.
+	observeInterval = judgeInterval
+	// A node reports good requests at a slower tick that grows with the fleet,
 	// so that the cost for each node stays flat; bad ones it reports at once.
 	slowLeast   = 2 * time.Second
 	slowMost    = 30 * time.Second
@@ -77,7 +77,7 @@
 	}
 }
 
-// collect takes the evidence of one beat of this node.
+// collect takes the evidence of one tick of this node.
 func (o *observing) collect(_ time.Time, evidence []outlier.Evidence) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -126,16 +126,16 @@
 	}
 }
 
-// run reports and judges at each beat until the context ends.
+// run reports and judges at each tick until the context ends.
 func (o *observing) run(ctx context.Context) error {
 	var talks task.Group
-	beat := time.NewTicker(observeBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(observeInterval)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return talks.Wait()
-		case <-beat.C:
+		case <-tick.C:
 		}
 		now := time.Now()
 		o.send(ctx, &talks, o.due(now), false)
@@ -151,7 +151,7 @@
 // due returns the reports that should go out now, by observer.
 func (o *observing) due(now time.Time) map[string][]*wire.Report {
 	view := o.board.view.Load()
-	slow := slowBeat(view.Nodes())
+	slow := slowInterval(view.Nodes())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	out := map[string][]*wire.Report{}
@@ -203,8 +203,8 @@
 	return r
 }
 
-// slowBeat is how often evidence goes out that is not urgent.
-func slowBeat(nodes int) time.Duration {
+// slowInterval is how often evidence goes out that is not urgent.
+func slowInterval(nodes int) time.Duration {
 	return min(max(slowPerNode*time.Duration(nodes), slowLeast), slowMost)
 }
 
--- a/internal/node/observing_test.go
+++ b/internal/node/observing_test.go
@@ -30,13 +30,13 @@
 	}
 	r := node.NewReporter(list[0], list)
 	rng := rand.New(rand.NewPCG(1, 2))
-	const beat = 250 * time.Millisecond
+	const tick = 250 * time.Millisecond
 	var c cost
 	start := time.Unix(1_000_000, 0)
-	steps := minutes * int(time.Minute/beat)
+	steps := minutes * int(time.Minute/tick)
 	for i := range steps {
-		now := start.Add(time.Duration(i) * beat)
-		for range int(rate * beat.Seconds()) {
+		now := start.Add(time.Duration(i) * tick)
+		for range int(rate * tick.Seconds()) {
 			counts := outlier.Counts{
 				Target: fmt.Sprint("target", rng.IntN(perService)),
 				Good:   1,
@@ -65,7 +65,7 @@
 			}
 		}
 	}
-	seconds := float64(steps) * beat.Seconds()
+	seconds := float64(steps) * tick.Seconds()
 	c.bytes /= seconds
 	c.calls /= seconds
 	return c
--- a/internal/node/pinging.go
+++ b/internal/node/pinging.go
@@ -13,11 +13,11 @@
 )
 
 // Times and counts of probes between nodes. A node that dies is pinged by one of
-// the others of its data hall within a beat or two, and is taken for dead everywhere
+// the others of its data hall within a tick or two, and is taken for dead everywhere
 // after pingWait, viaWait, the time to refute and the spread of the news: under a
 // second and a half, most of it under one.
 const (
-	pingBeat = 200 * time.Millisecond
+	pingInterval = 200 * time.Millisecond
 	// pingWait is some ten round trips inside a region.
 	pingWait = 100 * time.Millisecond
 	// viaWait is the same for two round trips.
@@ -28,10 +28,10 @@
 	farPings = 4
 	// deadPings is one of how many pings goes to a node that is taken for dead.
 	deadPings = 8
-	// lateBeat is how late a beat may be before this node distrusts itself: it
+	// lateInterval is how late a tick may be before this node distrusts itself: it
 	// was slow then, not its peers (Dadgar, Phillips and Currey, "Lifeguard", DSN
 	// 2018).
-	lateBeat = 60 * time.Millisecond
+	lateInterval = 60 * time.Millisecond
 	// doubts is how many pings in a row without an answer from different peers
 	// make a node suspect its own link.
 	doubts = 3
@@ -53,13 +53,13 @@
 	answered   chan struct{}
 }
 
-// run pings a peer at each beat until the context ends.
+// run pings a peer at each tick until the context ends.
 func (p *pinging) run(ctx context.Context) error {
 	p.failed = make(chan string, 8)
 	p.answered = make(chan struct{}, 8)
 	var pings task.Group
-	beat := time.NewTicker(pingBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(pingInterval)
+	defer tick.Stop()
 	last := p.since(time.Now())
 	for {
 		select {
@@ -69,9 +69,9 @@
 			p.unanswered = 0
 		case peer := <-p.failed:
 			p.noAnswer(peer)
-		case <-beat.C:
+		case <-tick.C:
 			now := p.since(time.Now())
-			p.step(ctx, &pings, time.Now(), now-last > pingBeat+lateBeat)
+			p.step(ctx, &pings, time.Now(), now-last > pingInterval+lateInterval)
 			last = now
 		}
 	}
@@ -109,7 +109,7 @@
 		p.answered <- struct{}{}
 		return
 	}
-	if p.since(time.Now())-begun > pingWait+lateBeat {
+	if p.since(time.Now())-begun > pingWait+lateInterval {
 		// This node slept itself.
 		return
 	}
@@ -117,7 +117,7 @@
 		p.answered <- struct{}{}
 		return
 	}
-	if ctx.Err() == nil && p.since(time.Now())-begun <= pingWait+viaWait+2*lateBeat {
+	if ctx.Err() == nil && p.since(time.Now())-begun <= pingWait+viaWait+2*lateInterval {
 		p.failed <- peer
 	}
 }
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -19,7 +19,7 @@
 
 // Times and bounds of probes.
 const (
-	probeBeat     = time.Second
+	probeInterval     = time.Second
 	probeTimeout  = 900 * time.Millisecond
 	probesAtOnce  = 32
 	probesPerHost = 1
@@ -53,16 +53,16 @@
 	}
 }
 
-// run probes at each beat until the context ends.
+// run probes at each tick until the context ends.
 func (p *probing) run(ctx context.Context) error {
 	defer p.client.CloseIdleConnections()
-	beat := time.NewTicker(probeBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-beat.C:
+		case <-tick.C:
 			p.probeAll(ctx)
 		}
 	}
--- a/internal/node/quarantining.go
+++ b/internal/node/quarantining.go
@@ -29,9 +29,9 @@
 	// quarantineFan is to how many nodes news is passed on by each that learns it: all but a
 	// few in a hundred learn it so, the rest by comparing.
 	quarantineFan = 4
-	// compareBeat is the least time between two lists that a node sends because a peer knows
+	// compareInterval is the least time between two lists that a node sends because a peer knows
 	// other than it does: 1.3 kB each time, at the most, while they differ.
-	compareBeat = 200 * time.Millisecond
+	compareInterval = 200 * time.Millisecond
 	// quarantineBytes bounds the records on one datagram, which are of 50 to 170 bytes each.
 	quarantineBytes = 1000
 	// forgetEvery is how often records that are of no use any more are looked for.
@@ -192,7 +192,7 @@
 	defer q.mu.Unlock()
 	// Else a node that hasn't forgotten yet would tell one that has, again and again.
 	q.tidy(now)
-	if now.Sub(q.compared) < compareBeat {
+	if now.Sub(q.compared) < compareInterval {
 		return nil
 	}
 	list := q.ledger.Shared()
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -52,7 +52,7 @@
 	due := map[uint64]*unconfirmed{}
 	for id, u := range d.pending {
 		switch {
-		case now.Sub(u.at) < doneBeat:
+		case now.Sub(u.at) < doneInterval:
 		case u.tries >= doneTries:
 			delete(d.pending, id)
 		default:
--- a/internal/outlier/collector.go
+++ b/internal/outlier/collector.go
@@ -19,7 +19,7 @@
 	usualStep = 0.05
 	// usualNeeds is how many requests make the usual latency known.
 	usualNeeds = 8
-	// pauseFactor is how many beats late a drain shows that the process stood
+	// pauseFactor is how many ticks late a drain shows that the process stood
 	// still.
 	pauseFactor = 4
 	// countAge is how often an attempt in flight may count as bad, ageStep the
@@ -83,17 +83,17 @@
 
 // Collector counts the attempts of one node. It may be used concurrently.
 type Collector struct {
-	beat  time.Duration
+	tick  time.Duration
 	mu    sync.Mutex
 	cells map[cellKey]*cell
 	usual map[usualKey]*usual
 	at    time.Time
 }
 
-// NewCollector returns a collector that is drained every beat.
-func NewCollector(beat time.Duration) *Collector {
+// NewCollector returns a collector that is drained every tick.
+func NewCollector(tick time.Duration) *Collector {
 	return &Collector{
-		beat:  beat,
+		tick:  tick,
 		cells: map[cellKey]*cell{},
 		usual: map[usualKey]*usual{},
 	}
@@ -206,7 +206,7 @@
 func (c *Collector) Drain(now time.Time) []Evidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	paused := !c.at.IsZero() && now.Sub(c.at) > pauseFactor*c.beat
+	paused := !c.at.IsZero() && now.Sub(c.at) > pauseFactor*c.tick
 	c.at = now
 	var out []Evidence
 	for k, v := range c.cells {
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -38,14 +38,14 @@
 	// leastHealthy stands for.
 	poolPrior   = 10
 	recentPrior = 4
-	// beatShare is the part of the threshold that one beat may add. Requests of
-	// one beat often share one short cause, such as a pause of the target.
-	beatShare = 0.45
+	// intervalShare is the part of the threshold that one tick may add. Requests of
+	// one tick often share one short cause, such as a pause of the target.
+	intervalShare = 0.45
 	// ceiling bounds the score in thresholds, so that recovery stays possible.
 	ceiling = 2
 )
 
-// Counts are requests to one target in one beat.
+// Counts are requests to one target in one tick.
 type Counts struct {
 	Target  string
 	Good    float64
@@ -100,9 +100,9 @@
 	usual   tally
 	recent  tally
 	stalled float64
-	// lastBad is set if most requests of the last beat with any were bad.
+	// lastBad is set if most requests of the last tick with any were bad.
 	lastBad bool
-	// carry is evidence beyond what one beat may add. It counts in later beats
+	// carry is evidence beyond what one tick may add. It counts in later ticks
 	// unless the target does good work.
 	carry float64
 }
@@ -111,7 +111,7 @@
 type Detector struct {
 	threshold float64
 	tracks    map[string]*track
-	// carriers are the targets with evidence left for later beats.
+	// carriers are the targets with evidence left for later ticks.
 	carriers map[string]bool
 	usual    tally
 	recent   tally
@@ -131,21 +131,21 @@
 	}
 }
 
-// Idle reports whether a beat without counts would change nothing.
+// Idle reports whether a tick without counts would change nothing.
 func (d *Detector) Idle() bool {
 	return len(d.carriers) == 0
 }
 
-// Update takes the counts of one beat.
-func (d *Detector) Update(now time.Time, beat []Counts) {
+// Update takes the counts of one tick.
+func (d *Detector) Update(now time.Time, tick []Counts) {
 	d.forget(now)
 	silent := maps.Clone(d.carriers)
-	for i := range beat {
-		d.pool(&beat[i])
+	for i := range tick {
+		d.pool(&tick[i])
 	}
-	for i := range beat {
-		delete(silent, beat[i].Target)
-		d.add(&beat[i])
+	for i := range tick {
+		delete(silent, tick[i].Target)
+		d.add(&tick[i])
 	}
 	for target := range silent {
 		d.add(&Counts{
@@ -185,7 +185,7 @@
 		t.carry = 0
 	}
 	gain += t.carry
-	most := beatShare * d.threshold
+	most := intervalShare * d.threshold
 	t.carry = min(max(gain-most, 0), d.threshold)
 	if t.carry > 0 {
 		d.carriers[c.Target] = true
--- a/internal/outlier/judge.go
+++ b/internal/outlier/judge.go
@@ -136,7 +136,7 @@
 	}
 }
 
-// Evidence takes the requests of one beat to a target; those of a trial decide
+// Evidence takes the requests of one tick to a target; those of a trial decide
 // it.
 func (j *Judge) Evidence(now time.Time, c Counts) {
 	t := j.targets[c.Target]
--- a/internal/outlier/merge.go
+++ b/internal/outlier/merge.go
@@ -21,7 +21,7 @@
 
 // merged holds the counts of one target by source.
 type merged struct {
-	beat map[string]Counts
+	tick map[string]Counts
 	bad  map[string]float64
 }
 
@@ -36,15 +36,15 @@
 	t := m.targets[c.Target]
 	if t == nil {
 		t = &merged{
-			beat: map[string]Counts{},
+			tick: map[string]Counts{},
 			bad:  map[string]float64{},
 		}
 		m.targets[c.Target] = t
 	}
-	sum := t.beat[source]
+	sum := t.tick[source]
 	sum.Target = c.Target
 	sum.add(c)
-	t.beat[source] = sum
+	t.tick[source] = sum
 	t.bad[source] += c.Bad
 }
 
@@ -60,7 +60,7 @@
 		if c := t.sum(); c.Good+c.Bad > 0 {
 			out = append(out, c)
 		}
-		clear(t.beat)
+		clear(t.tick)
 		t.fade(keep)
 	}
 	return out
@@ -70,7 +70,7 @@
 func (t *merged) sum() Counts {
 	worst := t.worst()
 	var out Counts
-	for source, c := range t.beat {
+	for source, c := range t.tick {
 		out.Target = c.Target
 		if source == worst {
 			continue
--- a/internal/outlier/observer.go
+++ b/internal/outlier/observer.go
@@ -33,8 +33,8 @@
 	service   Service
 	own       *Detector
 	all       *Detector
-	ownBeat   *merge
-	allBeat   *merge
+	ownInterval   *merge
+	allInterval   *merge
 	summary   map[string]*Counts
 	leaving   map[string]time.Time
 	told      map[string]time.Time
@@ -55,8 +55,8 @@
 		service:   s,
 		own:       NewDetector(s.Threshold),
 		all:       NewDetector(s.Threshold),
-		ownBeat:   newMerge(),
-		allBeat:   newMerge(),
+		ownInterval:   newMerge(),
+		allInterval:   newMerge(),
 		summary:   map[string]*Counts{},
 		leaving:   map[string]time.Time{},
 		told:      map[string]time.Time{},
@@ -75,8 +75,8 @@
 	for _, t := range s.Targets {
 		known[t] = true
 	}
-	o.ownBeat.keep(known)
-	o.allBeat.keep(known)
+	o.ownInterval.keep(known)
+	o.allInterval.keep(known)
 	o.own.Keep(known)
 	o.all.Keep(known)
 	for t := range o.holds {
@@ -93,7 +93,7 @@
 
 // Report takes the evidence of a node of the own data hall.
 func (o *Observer) Report(now time.Time, node, dataHall string, c Counts) {
-	o.ownBeat.add(node, c)
+	o.ownInterval.add(node, c)
 	add(o.summary, c)
 	o.take(now, node, dataHall, c)
 }
@@ -104,7 +104,7 @@
 }
 
 func (o *Observer) take(now time.Time, source, dataHall string, c Counts) {
-	o.allBeat.add(source, c)
+	o.allInterval.add(source, c)
 	if c.Leaving {
 		o.leave(now, c.Target)
 	}
@@ -174,8 +174,8 @@
 
 // Advance judges the evidence since the last call and returns the new verdicts.
 func (o *Observer) Advance(now time.Time) []Verdict {
-	o.own.Update(now, o.ownBeat.take(now))
-	o.all.Update(now, o.allBeat.take(now))
+	o.own.Update(now, o.ownInterval.take(now))
+	o.all.Update(now, o.allInterval.take(now))
 	var out []Verdict
 	for _, t := range o.service.Targets {
 		if v, ok := o.judge(now, t); ok {
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -15,10 +15,10 @@
 
 var start = time.Unix(1_000_000, 0)
 
-// feed gives a detector the same counts for some beats of a second and returns
+// feed gives a detector the same counts for some ticks of a second and returns
 // after how many of them the first target's score reached the threshold, or 0.
-func feed(d *outlier.Detector, beats int, first, others outlier.Counts) int {
-	for i := range beats {
+func feed(d *outlier.Detector, ticks int, first, others outlier.Counts) int {
+	for i := range ticks {
 		counts := []outlier.Counts{first}
 		counts[0].Target = "first"
 		for j := range 5 {
@@ -42,7 +42,7 @@
 		name   string
 		first  outlier.Counts
 		others outlier.Counts
-		// least and most bound the beats until detection; 0 means never.
+		// least and most bound the ticks until detection; 0 means never.
 		least, most int
 	}{
 		{
@@ -138,9 +138,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			beats := feed(outlier.NewDetector(threshold), 20, c.first, c.others)
-			if beats < c.least || beats > c.most {
-				t.Fatalf("detected after %d beats, want %d to %d", beats, c.least, c.most)
+			ticks := feed(outlier.NewDetector(threshold), 20, c.first, c.others)
+			if ticks < c.least || ticks > c.most {
+				t.Fatalf("detected after %d ticks, want %d to %d", ticks, c.least, c.most)
 			}
 		})
 	}
@@ -155,8 +155,8 @@
 	}
 	feed(d, 3, bad, bad)
 	d.Reset("first")
-	if beats := feed(d, 20, bad, bad); beats != 0 {
-		t.Fatalf("ejected after %d beats though the whole pool suffers", beats)
+	if ticks := feed(d, 20, bad, bad); ticks != 0 {
+		t.Fatalf("ejected after %d ticks though the whole pool suffers", ticks)
 	}
 }
 
@@ -169,10 +169,10 @@
 	if n := feed(d, 1, outlier.Counts{
 		Bad: 20,
 	}, good); n != 0 {
-		t.Fatal("one beat was enough")
+		t.Fatal("one tick was enough")
 	}
 	if n := feed(d, 10, good, good); n != 0 {
-		t.Fatalf("detected %d beats after the pause ended", n)
+		t.Fatalf("detected %d ticks after the pause ended", n)
 	}
 }
 
@@ -187,12 +187,12 @@
 	}, good)
 	// All callers wait for their answers: no request ends any more.
 	if n := feed(d, 10, outlier.Counts{}, good); n == 0 {
-		t.Fatal("evidence beyond the first beat is lost")
+		t.Fatal("evidence beyond the first tick is lost")
 	}
 }
 
 func TestCollector(t *testing.T) {
-	const beat = 250 * time.Millisecond
+	const tick = 250 * time.Millisecond
 	cases := []struct {
 		name string
 		// run gets a collector that knows requests of 10 ms.
@@ -203,7 +203,7 @@
 			name: "good",
 			run: func(c *outlier.Collector, now time.Time) time.Time {
 				c.Begin(now, "s", "c", "t").End(now.Add(10*time.Millisecond), outlier.End{})
-				return now.Add(beat)
+				return now.Add(tick)
 			},
 			want: outlier.Counts{
 				Good: 1,
@@ -215,7 +215,7 @@
 				c.Begin(now, "s", "c", "t").End(now, outlier.End{
 					Failed: true,
 				})
-				return now.Add(beat)
+				return now.Add(tick)
 			},
 			want: outlier.Counts{
 				Bad: 1,
@@ -225,7 +225,7 @@
 			name: "slow",
 			run: func(c *outlier.Collector, now time.Time) time.Time {
 				c.Begin(now, "s", "c", "t").End(now.Add(100*time.Millisecond), outlier.End{})
-				return now.Add(beat)
+				return now.Add(tick)
 			},
 			want: outlier.Counts{
 				Bad: 1,
@@ -238,7 +238,7 @@
 					Failed:  true,
 					Ignored: true,
 				})
-				return now.Add(beat)
+				return now.Add(tick)
 			},
 			want: outlier.Counts{},
 		},
@@ -248,7 +248,7 @@
 				c.Begin(now, "s", "c", "t").End(now.Add(time.Second), outlier.End{
 					Ignored: true,
 				})
-				return now.Add(beat)
+				return now.Add(tick)
 			},
 			want: outlier.Counts{
 				Bad: 1,
@@ -258,7 +258,7 @@
 			name: "still in flight",
 			run: func(c *outlier.Collector, now time.Time) time.Time {
 				c.Begin(now, "s", "c", "t")
-				return now.Add(beat)
+				return now.Add(tick)
 			},
 			want: outlier.Counts{
 				Bad:     1,
@@ -279,7 +279,7 @@
 				c.Begin(now, "s", "c", "t").End(now, outlier.End{
 					Leaving: true,
 				})
-				return now.Add(beat)
+				return now.Add(tick)
 			},
 			want: outlier.Counts{
 				Good:    1,
@@ -289,7 +289,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			c := outlier.NewCollector(beat)
+			c := outlier.NewCollector(tick)
 			for range 20 {
 				c.Begin(start, "s", "c", "u").End(start.Add(10*time.Millisecond), outlier.End{})
 			}
@@ -412,10 +412,10 @@
 	})
 }
 
-// report lets nodes report for some beats; bad nodes see target t as bad.
-func report(o *outlier.Observer, nodes, bad, beats int) []outlier.Verdict {
+// report lets nodes report for some ticks; bad nodes see target t as bad.
+func report(o *outlier.Observer, nodes, bad, ticks int) []outlier.Verdict {
 	var out []outlier.Verdict
-	for i := range beats {
+	for i := range ticks {
 		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
 		for n := range nodes {
 			for _, target := range []string{"t", "u", "v"} {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -147,7 +147,7 @@
 }
 
 // The policy of a service is evaluated for each target with evidence at each
-// beat, and for each retry: it must stay a small part of either.
+// tick, and for each retry: it must stay a small part of either.
 func TestEvaluationGuard(t *testing.T) {
 	short, err := policy.Compile(policy.Text{
 		Sick: "score >= threshold",
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -42,10 +42,10 @@
 
 // Times of allocators.
 const (
-	// silentAfter is how many of a node's own beats without a report make it count as out
+	// silentAfter is how many of a node's own ticks without a report make it count as out
 	// of reach; forgetAfter is how long after its last report a node is forgotten, and after
 	// the move of the duty what an allocator told before this one. aloneTime is how long a
-	// node goes on at what it was told last, less than forgetAfter by a beat.
+	// node goes on at what it was told last, less than forgetAfter by a tick.
 	silentAfter = 1.5
 	forgetAfter = 15 * time.Second
 	aloneTime   = 14 * time.Second
@@ -58,8 +58,8 @@
 	movingPart = 0.6
 	lostMore   = 1.2
 	lostFew    = 0.6
-	// reviewBeat is how often the silent nodes of a workspace are looked for.
-	reviewBeat = 250 * time.Millisecond
+	// reviewInterval is how often the silent nodes of a workspace are looked for.
+	reviewInterval = 250 * time.Millisecond
 	// bucketForget is how long a bucket without reports is kept; it is full again by then.
 	bucketForget = time.Minute
 )
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -86,7 +86,7 @@
 // review keeps back what silent nodes admit alone, and forgets those that have been
 // silent for long.
 func (b *bucket) review(now time.Time, l Limit, lost float64) {
-	if now.Sub(b.reviewed) < reviewBeat {
+	if now.Sub(b.reviewed) < reviewInterval {
 		return
 	}
 	b.reviewed = now
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -44,7 +44,7 @@
 	resend   = 25 * time.Millisecond
 	giveUp   = 60 * time.Millisecond
 	distrust = 500 * time.Millisecond
-	beat     = 200 * time.Millisecond
+	tick     = 200 * time.Millisecond
 	// detection is after how long a node is taken for dead, agreement how long it takes until
 	// all know that.
 	detection = 1200 * time.Millisecond
@@ -155,7 +155,7 @@
 		})
 		m.begin(m.nodes[i], start.Add(-time.Minute))
 	}
-	m.every(beat, func(now time.Time) {
+	m.every(tick, func(now time.Time) {
 		lost := m.lost(now)
 		for _, n := range m.nodes {
 			n.allocator.Lost(lost)
@@ -262,7 +262,7 @@
 	return now, false
 }
 
-// report does what a node does at each beat.
+// report does what a node does at each tick.
 func (m *model) report(now time.Time, i int) {
 	n := m.nodes[i]
 	if n.down || m.way == equal {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -12,10 +12,10 @@
 
 // Times and counts of nodes.
 const (
-	// reportBeat is how often a node reports a workspace of which it has callers, as long
+	// reportInterval is how often a node reports a workspace of which it has callers, as long
 	// as that are at most reportsPerSecond; with more of them it reports each less often,
 	// so that its messages don't grow with the workspaces: some 500 bytes a second.
-	reportBeat       = time.Second
+	reportInterval       = time.Second
 	reportsPerSecond = 20
 	// idleAfter is after how long without a request a node gives its reserve back, quietAfter
 	// when it reports no more: a caller with two requests in three seconds is silent for
@@ -206,7 +206,7 @@
 
 // every returns how often a workspace is reported.
 func (l *Limiter) every() time.Duration {
-	return max(reportBeat, time.Duration(len(l.accounts))*time.Second/reportsPerSecond)
+	return max(reportInterval, time.Duration(len(l.accounts))*time.Second/reportsPerSecond)
 }
 
 // Due returns the workspaces that should be reported now, and forgets those that are out
--- a/internal/signal/retryafter_test.go
+++ b/internal/signal/retryafter_test.go
@@ -16,13 +16,13 @@
 func TestNoHerdWhenRestEnds(t *testing.T) {
 	const (
 		rest   = 3 * time.Second
-		beat   = 100 * time.Millisecond
+		tick   = 100 * time.Millisecond
 		second = 200
 	)
 	tests := []struct {
 		name   string
 		random func(rng *rand.Rand) float64
-		// most is the greatest load in a beat, in times the usual one.
+		// most is the greatest load in a tick, in times the usual one.
 		most float64
 	}{
 		{
@@ -43,7 +43,7 @@
 			l.Observe(start, life("id/1"), signal.Signal{
 				Backoff: rest,
 			})
-			// come are the requests of each beat from the end of the rest on: those that
+			// come are the requests of each tick from the end of the rest on: those that
 			// come for the first time, and those that return.
 			come := map[time.Duration]float64{}
 			for at := time.Duration(0); at < 2*rest; at += time.Second / second {
@@ -55,11 +55,11 @@
 				if back < rest {
 					t.Fatalf("a caller of %v returns after %v, before the rest is over", at, back)
 				}
-				come[back.Truncate(beat)]++
+				come[back.Truncate(tick)]++
 			}
 			most := 0.0
 			for _, n := range come {
-				most = max(most, n/second/beat.Seconds())
+				most = max(most, n/second/tick.Seconds())
 			}
 			t.Logf("most in a tenth of a second: %.1f times the usual load", most)
 			if most > tt.most {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -26,8 +26,8 @@
 	writeShare = 0.5
 	// callPause is the greatest pause between two calls of one caller.
 	callPause = 30 * time.Millisecond
-	// lookBeat is how often each node is asked for the published routes.
-	lookBeat = 100 * time.Millisecond
+	// lookInterval is how often each node is asked for the published routes.
+	lookInterval = 100 * time.Millisecond
 )
 
 // record is one call with what is needed to judge how it ended.
@@ -142,7 +142,7 @@
 	defer c.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		f.lookOnce(ctx, c, n, i)
-		time.Sleep(lookBeat)
+		time.Sleep(lookInterval)
 	}
 }
 
--- a/internal/soak/workspaces.go
+++ b/internal/soak/workspaces.go
@@ -100,7 +100,7 @@
 		if old > 0 && same && r.status == http.StatusOK && begun-taken.Sub(f.begun) > forceTime && f.calmSince(n, begun-forceTime) {
 			f.broken("node %d: served a key %v after it was taken away", n.index, time.Since(taken).Round(time.Millisecond))
 		}
-		time.Sleep(lookBeat)
+		time.Sleep(lookInterval)
 	}
 }
 
--- a/internal/source/directory.go
+++ b/internal/source/directory.go
@@ -13,8 +13,8 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// directoryBeat is the time between two looks at a directory.
-const directoryBeat = 500 * time.Millisecond
+// directoryInterval is the time between two looks at a directory.
+const directoryInterval = 500 * time.Millisecond
 
 // fileSuffix marks the files that hold published values.
 const fileSuffix = ".json"
@@ -122,11 +122,11 @@
 	return out
 }
 
-// Run reads the folder at each beat until the context ends. deliver gets the
+// Run reads the folder at each tick until the context ends. deliver gets the
 // changes, failed each new failure.
 func (d *Directory) Run(ctx context.Context, deliver func([]*wire.Entry), failed func(error)) error {
-	beat := time.NewTicker(directoryBeat)
-	defer beat.Stop()
+	tick := time.NewTicker(directoryInterval)
+	defer tick.Stop()
 	for {
 		entries, err := d.Read(time.Now())
 		if err != nil {
@@ -137,7 +137,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-beat.C:
+		case <-tick.C:
 		}
 	}
 }
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -45,8 +45,8 @@
 	After  order.Position
 }
 
-// Beats are the times of a reader.
-type Beats struct {
+// Intervals are the times of a reader.
+type Intervals struct {
 	// Role is how often a process that isn't a reader asks whether it is.
 	Role time.Duration
 	// Pace is the least time from the begin of one step to the next, 0 for none.
@@ -59,7 +59,7 @@
 // Follow makes one step after another while this process is a reader, until the
 // context ends. After failures it waits, ever longer and by chance, so that a
 // platform that comes back isn't met by the whole fleet at once.
-func Follow(ctx context.Context, cfg Config, b Beats, step func(ctx context.Context) error) error {
+func Follow(ctx context.Context, cfg Config, b Intervals, step func(ctx context.Context) error) error {
 	wait := b.RetryFirst
 	for ctx.Err() == nil {
 		if !cfg.Reader() {
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -25,8 +25,8 @@
 	watchGrace = 3 * time.Second
 	// readTime bounds a read of all values.
 	readTime = 10 * time.Second
-	// roleBeat is how often a process that isn't a reader asks whether it is.
-	roleBeat = 500 * time.Millisecond
+	// roleInterval is how often a process that isn't a reader asks whether it is.
+	roleInterval = 500 * time.Millisecond
 	// Times between calls after failures.
 	retryFirst = 250 * time.Millisecond
 	retryMost  = 15 * time.Second
@@ -62,8 +62,8 @@
 
 // Run reads and watches while this process is a reader, until the context ends.
 func (p *Platform) Run(ctx context.Context, cfg Config) error {
-	return Follow(ctx, cfg, Beats{
-		Role:       roleBeat,
+	return Follow(ctx, cfg, Intervals{
+		Role:       roleInterval,
 		RetryFirst: retryFirst,
 		RetryMost:  retryMost,
 	}, func(ctx context.Context) error {
--- a/internal/suspend/clock.go
+++ b/internal/suspend/clock.go
@@ -13,9 +13,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// sampleBeat is how old a sample of the clocks may be: a node looks at ages with each
+// sampleInterval is how old a sample of the clocks may be: a node looks at ages with each
 // datagram, four for each request, and two clocks cost as much as a datagram's encoding.
-const sampleBeat = 10 * time.Millisecond
+const sampleInterval = 10 * time.Millisecond
 
 // Clock measures the time for which the machine was suspended. It may be used concurrently.
 type Clock struct {
@@ -57,7 +57,7 @@
 	}
 	total := time.Duration(c.total.Load())
 	at := int64(now.Sub(c.begun))
-	if last := c.sampled.Load(); last != 0 && at-last < int64(sampleBeat) {
+	if last := c.sampled.Load(); last != 0 && at-last < int64(sampleInterval) {
 		return total
 	}
 	c.sampled.Store(max(at, 1))
