all packages: roles in place of duties

A role is held by the nodes that rank first for it. Names of roles that nodes hash are as before, so that old and new nodes agree on the holders. The log line about the reader's role says role now. No behaviour changes.

--- a/cmd/ploverctl/follow.go
+++ b/cmd/ploverctl/follow.go
@@ -14,7 +14,7 @@
 )
 
 type followCommand struct {
-	Node string        `required:"" placeholder:"IP:PORT" help:"Operators' address of a node."`
+	Node     string        `required:"" placeholder:"IP:PORT" help:"Operators' address of a node."`
 	Interval time.Duration `default:"500ms" help:"Time between two looks."`
 }
 
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -33,7 +33,7 @@
 	last  time.Time
 }
 
-// asked notes an ask. A desk that got none for a while has just taken up the duty.
+// asked notes an ask. A desk that got none for a while has just taken up the role.
 func (w *window) asked(now time.Time, b Budget) {
 	if now.Sub(w.last) > b.Window/2 {
 		w.since = now
@@ -69,7 +69,7 @@
 // allowed returns how many repeats the budget pays for in the window, and spent how
 // many of them were made. part is the share of the reserve that this desk may use.
 func (w *window) allowed(now time.Time, b Budget, part float64) (all, spent float64) {
-	// Whoever had the duty before may have spent what the window allows.
+	// Whoever had the role before may have spent what the window allows.
 	part *= min(now.Sub(w.since).Seconds()/b.Window.Seconds(), 1)
 	firsts, repeats := w.sums()
 	return shareUsed*b.Share*firsts + reserveUsed*b.Reserve*part, repeats
--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -39,7 +39,7 @@
 func TestHedgesLeaveTheBudgetToFailures(t *testing.T) {
 	d := newDesk(pool(20)...)
 	now := start
-	// The reserve grows with the time for which a node has the duty.
+	// The reserve grows with the time for which a node has the role.
 	for n := range uint64(25) {
 		g := d.Ask(now, ask(now, 2000+n))
 		d.Done(now, g.ID, g.Target, dispatch.ResultGood, 200*time.Millisecond)
@@ -61,8 +61,8 @@
 	}
 }
 
-// A duty that moves from node to node must not bring a new reserve each time.
-func TestMovingDutyKeepsTheReserve(t *testing.T) {
+// A role that moves from node to node must not bring a new reserve each time.
+func TestMovingRoleKeepsTheReserve(t *testing.T) {
 	repeats := 0
 	number := uint64(0)
 	for move := range 6 {
@@ -89,10 +89,10 @@
 	}
 }
 
-// When the duty moves after quiet seconds while most requests are refused by their
+// When the role moves after quiet seconds while most requests are refused by their
 // targets, all dispatchers together stay within the budget in each window: the
 // first may have spent what the quiet seconds had saved.
-func TestMovingDutyKeepsTheBudget(t *testing.T) {
+func TestMovingRoleKeepsTheBudget(t *testing.T) {
 	const (
 		nodes = 10
 		moves = 5
--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -13,7 +13,7 @@
 
 // Ledger counts what one node got from each dispatcher of a service in the window
 // of the retry budget. A node tells each dispatcher what it got from the others:
-// the one that takes up the duty then knows what was spent before it. It isn't
+// the one that takes up the role then knows what was spent before it. It isn't
 // safe for concurrent use.
 type Ledger struct {
 	begun  time.Time
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -21,8 +21,8 @@
 	modelWarm = 8 * time.Second
 	modelEnd  = 40 * time.Second
 	// modelInterval is the time between two windows, floorWindow their length.
-	modelInterval   = 250 * time.Millisecond
-	floorWindow = 2 * time.Second
+	modelInterval = 250 * time.Millisecond
+	floorWindow   = 2 * time.Second
 	// floorShare is the users' floor. A target counts that has worked for floorSettled
 	// before the window and in it.
 	floorShare   = 0.7
@@ -138,7 +138,7 @@
 	return p
 }
 
-// begin gives the duty to a new desk, which knows nothing of what was before.
+// begin gives the role to a new desk, which knows nothing of what was before.
 func (p *play) begin() {
 	p.desk = dispatch.NewDesk(p.clock(), dispatch.Budget{
 		Share:   0.2,
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -22,7 +22,7 @@
 	// slow is the share of targets that work slowFactor times as long from slowFrom
 	// on; they are harmed and don't count.
 	slow float64
-	// moves is after how long the duty goes to another desk, 0 for never.
+	// moves is after how long the role goes to another desk, 0 for never.
 	moves time.Duration
 	// mostLost is the share of requests that may be lost: that of a choice which doesn't
 	// look at coverage, and a tenth of it for chance.
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -28,8 +28,8 @@
 	// spreadWithin is within which time all targets that lack work should get some,
 	// so that they have it before two seconds are over; spreadInterval is the greatest
 	// time between two requests that go to a target for this reason.
-	spreadWithin = 200 * time.Millisecond
-	spreadInterval   = 100 * time.Millisecond
+	spreadWithin   = 200 * time.Millisecond
+	spreadInterval = 100 * time.Millisecond
 	// spreadCrossing is the greatest cost of bytes between data halls for which a
 	// request is used to spread work while few fail: that of a few KiB.
 	spreadCrossing = 0.1
--- a/internal/dissemination/mention_test.go
+++ b/internal/dissemination/mention_test.go
@@ -15,7 +15,7 @@
 )
 
 // A node that has just started hears at once of the few nodes that are strong enough for
-// duties, whichever others it is told of.
+// roles, whichever others it is told of.
 func TestStrongNodesAreNamedFirst(t *testing.T) {
 	const nodes, strong = 443, 15
 	self := membership.NewNode("192.0.2.1:1", "a")
--- a/internal/integration/freeze_test.go
+++ b/internal/integration/freeze_test.go
@@ -118,7 +118,7 @@
 	}
 	table := membership.NewTable(list[0])
 	table.List(list, nil)
-	first := table.View(time.Now()).Duty("observer/"+service, hall, 1)[0]
+	first := table.View(time.Now()).Role("observer/"+service, hall, 1)[0]
 	return byAddress[first.Address()]
 }
 
--- a/internal/integration/joint_test.go
+++ b/internal/integration/joint_test.go
@@ -48,7 +48,7 @@
 	return live
 }
 
-// Whichever node holds the duty to choose targets, its sudden death costs the other
+// Whichever node holds the role to choose targets, its sudden death costs the other
 // nodes no request, and nothing runs twice.
 func TestDeathOfTheDispatcherCostsOthersNothing(t *testing.T) {
 	s := jointSite(t, 4)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -31,10 +31,10 @@
 	return t, list
 }
 
-func ExampleView_Duty() {
+func ExampleView_Role() {
 	t, _ := table(9)
 	view := t.View(start)
-	for _, n := range view.Duty("observer/quotes", "b", 2) {
+	for _, n := range view.Role("observer/quotes", "b", 2) {
 		fmt.Println(n.DataHall())
 	}
 	// Output:
@@ -42,21 +42,21 @@
 	// b
 }
 
-func TestDutyPassesOnAndReturns(t *testing.T) {
+func TestRolePassesOnAndReturns(t *testing.T) {
 	tab, _ := table(9)
-	first := tab.View(start).Duty("x", "b", 1)[0]
+	first := tab.View(start).Role("x", "b", 1)[0]
 	tab.Failed(start, first.Address())
-	if got := tab.View(start).Duty("x", "b", 1)[0]; got != first {
+	if got := tab.View(start).Role("x", "b", 1)[0]; got != first {
 		t.Fatal("one failed call was enough")
 	}
 	tab.Failed(start, first.Address())
-	second := tab.View(start).Duty("x", "b", 1)[0]
+	second := tab.View(start).Role("x", "b", 1)[0]
 	if second == first {
-		t.Fatal("a suspected node keeps its duty")
+		t.Fatal("a suspected node keeps its role")
 	}
 	tab.Heard(start, first, 1, false)
-	if got := tab.View(start).Duty("x", "b", 1)[0]; got != first {
-		t.Fatal("a node that is heard again doesn't get its duty back")
+	if got := tab.View(start).Role("x", "b", 1)[0]; got != first {
+		t.Fatal("a node that is heard again doesn't get its role back")
 	}
 }
 
@@ -102,14 +102,14 @@
 	}
 }
 
-// Nodes with different views agree on duties wherever their views agree on the
+// Nodes with different views agree on roles wherever their views agree on the
 // first ranks, and every view names someone.
-func TestDutyProperty(t *testing.T) {
+func TestRoleProperty(t *testing.T) {
 	p := gopter.NewProperties(nil)
-	p.Property("a duty always has a holder, and suspecting others doesn't move it", prop.ForAll(
-		func(suspects []int, duty string) bool {
+	p.Property("a role always has a holder, and suspecting others doesn't move it", prop.ForAll(
+		func(suspects []int, role string) bool {
 			tab, list := table(12)
-			before := tab.View(start).Duty(duty, "", 1)[0]
+			before := tab.View(start).Role(role, "", 1)[0]
 			for _, i := range suspects {
 				if list[i] == before || i == 0 {
 					continue
@@ -117,7 +117,7 @@
 				tab.Failed(start, list[i].Address())
 				tab.Failed(start, list[i].Address())
 			}
-			after := tab.View(start).Duty(duty, "", 1)
+			after := tab.View(start).Role(role, "", 1)
 			return len(after) == 1 && after[0] == before
 		},
 		gen.SliceOfN(5, gen.IntRange(0, 11)),
--- a/internal/membership/news.go
+++ b/internal/membership/news.go
@@ -25,7 +25,7 @@
 	Incarnation uint64
 	Leaving     bool
 	Opinion     Opinion
-	// Weight is how much of the duties the node can carry; 0 if it isn't known.
+	// Weight is how much of the roles the node can carry; 0 if it isn't known.
 	Weight uint32
 }
 
--- a/internal/membership/news_test.go
+++ b/internal/membership/news_test.go
@@ -34,12 +34,12 @@
 	return false
 }
 
-// A suspicion that nobody refutes takes a node out of duty within a second.
+// A suspicion that nobody refutes takes a node out of its roles within a second.
 func TestSilentNodeIsDead(t *testing.T) {
 	tab := heardTable(3)
 	tab.Suspect(begin, peer(1).Address())
 	if !live(tab, begin, peer(1)) {
-		t.Error("a suspected node lost its duties before it could refute")
+		t.Error("a suspected node lost its roles before it could refute")
 	}
 	now := begin.Add(membership.RefuteTime)
 	if dead := tab.Advance(now); len(dead) != 1 || live(tab, now, peer(1)) {
@@ -149,9 +149,9 @@
 	}
 }
 
-// Nodes that can carry more get more of the duties, and weak ones none as long as
+// Nodes that can carry more get more of the roles, and weak ones none as long as
 // there are others.
-func TestDutiesFollowWeights(t *testing.T) {
+func TestRolesFollowWeights(t *testing.T) {
 	tab := heardTable(9)
 	tab.Weigh(peer(0).Address(), 100)
 	for i := 1; i <= 9; i++ {
@@ -163,25 +163,25 @@
 		view := tab.View(begin)
 		out := map[membership.Node]int{}
 		for i := range 2000 {
-			out[view.Duty(fmt.Sprintf("duty-%d", i), "", 1)[0]]++
+			out[view.Role(fmt.Sprintf("role-%d", i), "", 1)[0]]++
 		}
 		return out
 	}
 	if c := count(); len(c) != 2 || c[peer(3)] < 1100 || c[peer(3)] > 1300 {
-		t.Errorf("duties: %v, want three fifths for the strongest", c)
+		t.Errorf("roles: %v, want three fifths for the strongest", c)
 	}
 	for _, strong := range []int{3, 4} {
 		tab.Suspect(begin, peer(strong).Address())
 	}
 	tab.Advance(begin.Add(membership.RefuteTime))
 	if c := count(); len(c) != 8 {
-		t.Errorf("without the strong ones %d nodes get duties, want 8", len(c))
+		t.Errorf("without the strong ones %d nodes get roles, want 8", len(c))
 	}
 }
 
-// Nodes that know a peer only by name give duties as those do that have heard it:
+// Nodes that know a peer only by name give roles as those do that have heard it:
 // a weight that isn't known doesn't make it the strongest.
-func TestUnknownWeightGivesTheSameDuties(t *testing.T) {
+func TestUnknownWeightGivesTheSameRoles(t *testing.T) {
 	heard, mentioned := heardTable(9), membership.NewTable(peer(0))
 	for _, tab := range []*membership.Table{
 		heard,
@@ -200,9 +200,9 @@
 	}
 	a, b := heard.View(begin), mentioned.View(begin)
 	for i := range 100 {
-		duty := fmt.Sprintf("duty-%d", i)
-		if x, y := a.Duty(duty, "", 1)[0], b.Duty(duty, "", 1)[0]; x != y {
-			t.Fatalf("%s: %s or %s", duty, x.Address(), y.Address())
+		role := fmt.Sprintf("role-%d", i)
+		if x, y := a.Role(role, "", 1)[0], b.Role(role, "", 1)[0]; x != y {
+			t.Fatalf("%s: %s or %s", role, x.Address(), y.Address())
 		}
 	}
 }
--- a/internal/membership/rumor.go
+++ b/internal/membership/rumor.go
@@ -46,7 +46,7 @@
 	return out
 }
 
-// news is what this node passes on. Urgent news changes duties at once; a fleet that
+// news is what this node passes on. Urgent news changes roles at once; a fleet that
 // starts has joins of all its nodes, which must not hold up the rest.
 type news struct {
 	urgent rumors
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -3,7 +3,7 @@
 // Package membership knows the nodes of the fleet: those that the platform
 // lists, corrected by what this node hears itself. It is pure: the time is an
 // argument. The list lags and nodes may disagree on it, so membership gives
-// duties and never exclusive rights.
+// roles and never exclusive rights.
 package membership
 
 import (
@@ -14,7 +14,7 @@
 
 // Times of the table.
 const (
-	// SuspectTime is how long a node that didn't answer gets no duty.
+	// SuspectTime is how long a node that didn't answer gets no role.
 	SuspectTime = 10 * time.Second
 	// ForgetTime is after how long an unlisted node that nobody hears is dropped.
 	ForgetTime = time.Minute
@@ -169,7 +169,7 @@
 	s.suspectTill = time.Time{}
 }
 
-// Weigh notes how much of the duties a node, or this one, can carry; 0 says
+// Weigh notes how much of the roles a node, or this one, can carry; 0 says
 // nothing.
 func (t *Table) Weigh(address string, weight uint32) {
 	if address == t.self.address {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -22,13 +22,13 @@
 	weights []uint32
 	// weight is the one of this node.
 	weight uint32
-	// duties are the holders of duties that were asked for before.
-	duties sync.Map
+	// roles are the holders of roles that were asked for before.
+	roles sync.Map
 }
 
-// dutyKey is one question after the holders of a duty.
-type dutyKey struct {
-	duty     string
+// roleKey is one question after the holders of a role.
+type roleKey struct {
+	role     string
 	dataHall string
 	n        int
 }
@@ -77,7 +77,7 @@
 // slice must not be changed.
 func (v *View) Peers() []Node { return v.peers }
 
-// Live returns the nodes that can have a duty, this one too. The slice must not
+// Live returns the nodes that can have a role, this one too. The slice must not
 // be changed.
 func (v *View) Live() []Node { return v.live }
 
@@ -99,25 +99,25 @@
 // Nodes returns how many nodes share the work: all that aren't leaving.
 func (v *View) Nodes() int { return len(v.peers) + 1 }
 
-// Duty returns the n live nodes of a data hall that rank first for a duty by
+// Role returns the n live nodes of a data hall that rank first for a role by
 // rendezvous hashing, or of all data halls if dataHall is empty. The slice must
 // not be changed.
-func (v *View) Duty(duty, dataHall string, n int) []Node {
-	k := dutyKey{
-		duty:     duty,
+func (v *View) Role(role, dataHall string, n int) []Node {
+	k := roleKey{
+		role:     role,
 		dataHall: dataHall,
 		n:        n,
 	}
-	if known, ok := v.duties.Load(k); ok {
+	if known, ok := v.roles.Load(k); ok {
 		return known.([]Node)
 	}
-	out := v.rank(duty, dataHall, n)
-	v.duties.Store(k, out)
+	out := v.rank(role, dataHall, n)
+	v.roles.Store(k, out)
 	return out
 }
 
-// rank gives duties to the strong nodes, as long as there are any in question.
-func (v *View) rank(duty, dataHall string, n int) []Node {
+// rank gives roles to the strong nodes, as long as there are any in question.
+func (v *View) rank(role, dataHall string, n int) []Node {
 	type ranked struct {
 		node Node
 		rank float64
@@ -128,7 +128,7 @@
 		if w := v.weightAt(i); (dataHall == "" || node.dataHall == dataHall) && w >= least {
 			all = append(all, ranked{
 				node: node,
-				rank: score(duty, node, w),
+				rank: score(role, node, w),
 			})
 		}
 	}
@@ -142,7 +142,7 @@
 	return out
 }
 
-// Weight returns how much of the duties a live node can carry, 0 if that isn't
+// Weight returns how much of the roles a live node can carry, 0 if that isn't
 // known.
 func (v *View) Weight(node Node) uint32 {
 	at, ok := slices.BinarySearchFunc(v.live, node.address, func(n Node, a string) int {
@@ -156,16 +156,16 @@
 
 // weightAt returns the same for ranks. A node of which it isn't known counts as one
 // like this: most fleets have instances of one size, and nodes that took it for
-// more than that would give it duties that the others do not.
+// more than that would give it roles that the others do not.
 func (v *View) weightAt(i int) uint32 {
 	return cmp.Or(v.weights[i], v.weight, DefaultWeight)
 }
 
 // weakPart is the part of the strongest node's weight below which a node gets no
-// duty: what it costs would show in the requests that it serves itself.
+// role: what it costs would show in the requests that it serves itself.
 const weakPart = 2
 
-// strong returns the least weight that gets duties.
+// strong returns the least weight that gets roles.
 func (v *View) strong(dataHall string) uint32 {
 	most := uint32(0)
 	for i, node := range v.live {
@@ -176,7 +176,7 @@
 	return most / weakPart
 }
 
-// Capable returns the live nodes that are strong enough for duties.
+// Capable returns the live nodes that are strong enough for roles.
 func (v *View) Capable() []Node {
 	var out []Node
 	least := v.strong("")
@@ -188,10 +188,10 @@
 	return out
 }
 
-// score is the rank of a node by weighted rendezvous hashing: over many duties a
+// score is the rank of a node by weighted rendezvous hashing: over many roles a
 // node gets as many as its weight says (Schindelhauer and Schomaker, SPAA 2005).
-func score(duty string, node Node, w uint32) float64 {
-	u := (float64(xxhash.Sum64String(duty+"|"+node.address)) + 0.5) / (1 << 64)
+func score(role string, node Node, w uint32) float64 {
+	u := (float64(xxhash.Sum64String(role+"|"+node.address)) + 0.5) / (1 << 64)
 	return float64(w) / -math.Log(u)
 }
 
--- a/internal/node/allotting.go
+++ b/internal/node/allotting.go
@@ -20,14 +20,14 @@
 	if view.Nodes() > limitWhole {
 		part = xxhash.Sum64String(workspace) % limitParts
 	}
-	if nodes := view.Duty(limitDuties[part], "", 1); len(nodes) > 0 {
+	if nodes := view.Role(limitRoles[part], "", 1); len(nodes) > 0 {
 		return nodes[0]
 	}
 	return view.Self()
 }
 
-// limitDuties are the names of the allocators' duties.
-var limitDuties = func() (out [limitParts]string) {
+// limitRoles are the names of the allocators' roles.
+var limitRoles = func() (out [limitParts]string) {
 	for i := range out {
 		out[i] = "limits/" + string(rune('A'+i))
 	}
--- a/internal/node/announcing.go
+++ b/internal/node/announcing.go
@@ -54,7 +54,7 @@
 // hall, by this node's own view of the fleet, is believed.
 func (o *observing) judged(now time.Time, in *wire.VerdictBatch) {
 	for _, v := range in.GetVerdicts() {
-		if !o.hasDuty(in.GetFrom(), v.GetService()) {
+		if !o.hasRole(in.GetFrom(), v.GetService()) {
 			continue
 		}
 		o.deliver(now, outlier.Verdict{
@@ -70,9 +70,9 @@
 // differ by the nodes that just one of them suspects.
 const trustedRanks = 3
 
-func (o *observing) hasDuty(from *wire.Node, service string) bool {
+func (o *observing) hasRole(from *wire.Node, service string) bool {
 	view := o.board.view.Load()
-	for _, n := range view.Duty(duty(service), view.Self().DataHall(), trustedRanks) {
+	for _, n := range view.Role(role(service), view.Self().DataHall(), trustedRanks) {
 		if n == membership.NewNode(from.GetAddress(), from.GetDataHall()) {
 			return true
 		}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -48,7 +48,7 @@
 		s := dk.Status(now)
 		if s.Asked < reportLeast {
 			if dk.reported {
-				// Another node has the duty now, or nobody asks.
+				// Another node has the role now, or nobody asks.
 				dk.reported = false
 				d.short(p, 0)
 				d.limited(p, 0)
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -22,16 +22,16 @@
 	giveUpAfter = 70 * time.Millisecond
 	// queuedInterval is how often an ask that waits is repeated, queuedSilence after
 	// how long without an answer its dispatcher counts as lost.
-	queuedInterval    = 100 * time.Millisecond
-	queuedSilence = 350 * time.Millisecond
+	queuedInterval = 100 * time.Millisecond
+	queuedSilence  = 350 * time.Millisecond
 	// distrustTime is how long a dispatcher that did not answer isn't asked.
 	distrustTime = time.Second
 	// reportInterval is how often a dispatcher writes a line about each of its desks,
 	// reportLeast how many asks in the window of the retry budget make that worth
 	// it, and reportFailing from which belief on a failing target is named.
-	reportInterval    = time.Second
-	reportLeast   = 10
-	reportFailing = 0.1
+	reportInterval = time.Second
+	reportLeast    = 10
+	reportFailing  = 0.1
 	// lostTime is how long a node doesn't use a target to which it could open no
 	// connection: paths between two machines come back after some seconds.
 	lostTime = 4 * time.Second
@@ -49,14 +49,14 @@
 	restInterval = time.Second
 	// doneTries is how often the end of an attempt is told, every doneInterval, until
 	// it is confirmed.
-	doneTries = 4
-	doneInterval  = 60 * time.Millisecond
+	doneTries    = 4
+	doneInterval = 60 * time.Millisecond
 )
 
 // byItself names a choice that a node made without a dispatcher.
 const byItself = "alone"
 
-// dispatching chooses targets jointly and does this node's duty as a dispatcher.
+// dispatching chooses targets jointly and plays this node's role as a dispatcher.
 // It may be used concurrently.
 type dispatching struct {
 	board     *Board
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -67,7 +67,7 @@
 }
 
 // publish writes the view unless it is the one that stands there: a view keeps
-// the duties that were worked out on it.
+// the roles that were worked out on it.
 func (m *members) publish(now time.Time) {
 	m.published = now
 	if v := m.table.View(now); !v.Same(m.board.view.Load()) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,7 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// Times and counts of duties.
+// Times and counts of roles.
 const (
 	// readersPerHall is how many nodes of each data hall watch the platform.
 	readersPerHall = 1
@@ -43,8 +43,8 @@
 	// startSilent is the same for a node that has just started.
 	startSilent = 2 * time.Second
 	// leaveTimes is how often a leaving node says so.
-	leaveTimes = 3
-	idleInterval   = 10 * time.Second
+	leaveTimes   = 3
+	idleInterval = 10 * time.Second
 )
 
 // Node is one process of the fleet. Make it with New and run it once.
--- a/internal/node/observing.go
+++ b/internal/node/observing.go
@@ -52,7 +52,7 @@
 }
 
 // observing sends this node's evidence to the observers and does this node's own
-// duty as one. It may be used concurrently.
+// role as one. It may be used concurrently.
 type observing struct {
 	board   *Board
 	link    peerLink
@@ -159,7 +159,7 @@
 		if len(p.targets) == 0 || !p.urgent && now.Sub(p.sent) < slow {
 			continue
 		}
-		observers := view.Duty(duty(name), view.Self().DataHall(), observersPerService)
+		observers := view.Role(role(name), view.Self().DataHall(), observersPerService)
 		if slices.ContainsFunc(observers, func(n membership.Node) bool { return o.busy[n.Address()] }) {
 			// A report that hangs must not hold more than itself up.
 			continue
@@ -208,7 +208,7 @@
 	return min(max(slowPerNode*time.Duration(nodes), slowLeast), slowMost)
 }
 
-func duty(service string) string { return "observer/" + service }
+func role(service string) string { return "observer/" + service }
 
 // send takes reports to their observers and waits for none of them. What is for
 // this node itself takes the short way.
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -37,16 +37,16 @@
 	hall    string
 }
 
-// holders returns the nodes that have the duty for the part, in rank. They are in its
+// holders returns the nodes that have the role for the part, in rank. They are in its
 // data hall, as long as any node of it lives.
 func (p part) holders(view *membership.View) []membership.Node {
-	duty := "dispatcher/" + p.service
+	role := "dispatcher/" + p.service
 	if p.hall != "" {
-		if nodes := view.Duty(duty+"/"+p.hall, p.hall, 2*dispatchers); len(nodes) > 0 {
+		if nodes := view.Role(role+"/"+p.hall, p.hall, 2*dispatchers); len(nodes) > 0 {
 			return nodes
 		}
 	}
-	return view.Duty(duty, "", 2*dispatchers)
+	return view.Role(role, "", 2*dispatchers)
 }
 
 // targets returns the targets of the part in a configuration of its service.
--- a/internal/node/probing.go
+++ b/internal/node/probing.go
@@ -19,7 +19,7 @@
 
 // Times and bounds of probes.
 const (
-	probeInterval     = time.Second
+	probeInterval = time.Second
 	probeTimeout  = 900 * time.Millisecond
 	probesAtOnce  = 32
 	probesPerHost = 1
@@ -77,7 +77,7 @@
 	slots := make(chan struct{}, probesAtOnce)
 	var all task.Group
 	for _, s := range cfg.Services() {
-		first := view.Duty(duty(s.Name()), "", 1)
+		first := view.Role(role(s.Name()), "", 1)
 		if s.HealthPath() == "" || len(first) == 0 || first[0] != view.Self() {
 			continue
 		}
--- a/internal/node/quarantining.go
+++ b/internal/node/quarantining.go
@@ -154,8 +154,8 @@
 
 // holders returns the nodes that add up what is known of a request.
 func (q *quarantining) holders(p quarantine.Print) []membership.Node {
-	duty := "quarantine/" + strconv.Itoa(int(p[0])%quarantineParts)
-	return q.board.view.Load().Duty(duty, "", quarantineHolders)
+	role := "quarantine/" + strconv.Itoa(int(p[0])%quarantineParts)
+	return q.board.view.Load().Role(role, "", quarantineHolders)
 }
 
 // some returns a few live nodes at random.
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -34,7 +34,7 @@
 			now := n.reader()
 			if now != reads {
 				reads = now
-				log.WithField("reads", reads).WithField("age_ms", ageMS(n.gossip.PlatformAge(time.Now()))).Info("duty to read the platform changed")
+				log.WithField("reads", reads).WithField("age_ms", ageMS(n.gossip.PlatformAge(time.Now()))).Info("role to read the platform changed")
 			}
 			return reads
 		},
@@ -81,7 +81,7 @@
 	return age.Milliseconds()
 }
 
-// reader reports whether this node should read the platform: it has the duty, or
+// reader reports whether this node should read the platform: it has the role, or
 // nobody seems to do it.
 func (n *Node) reader() bool {
 	now := time.Now()
@@ -92,14 +92,14 @@
 	}
 	silent := age > n.silent()
 	if n.adapter.Silent == 0 {
-		return hasDuty(view, view.Duty("reader", n.set.DataHall(), readersPerHall)) ||
+		return hasRole(view, view.Role("reader", n.set.DataHall(), readersPerHall)) ||
 			silent && up > startSilent && stepsIn(view)
 	}
 	if silent && slices.Contains(n.seeds(), n.address()) {
 		// When the whole fleet starts the others ask the seeds.
 		return true
 	}
-	return up > meetTime && (hasDuty(view, fleetReaders(view)) || silent && stepsIn(view))
+	return up > meetTime && (hasRole(view, fleetReaders(view)) || silent && stepsIn(view))
 }
 
 // silent returns after how long without word of the platform from anyone any node may
@@ -111,23 +111,23 @@
 	return platformSilent
 }
 
-// stepsIn tells by chance whether this node reads though others have the duty. All
+// stepsIn reports, by chance, whether this node reads though others have the role. All
 // nodes come here when the platform is down for long: as many of them ask at a
 // time, on average, however large the fleet is.
 func stepsIn(view *membership.View) bool { return rand.IntN(len(view.Live())) == 0 }
 
 // meetTime is how long a node that has just started looks for others before it
-// takes up duties or believes that nobody reads.
+// takes up roles or believes that nobody reads.
 const meetTime = 500 * time.Millisecond
 
-func hasDuty(view *membership.View, holders []membership.Node) bool {
+func hasRole(view *membership.View, holders []membership.Node) bool {
 	return slices.Contains(holders, view.Self())
 }
 
 // fleetReaders returns the two nodes that read for the whole fleet: the first in
 // rank and the first of the other data halls.
 func fleetReaders(view *membership.View) []membership.Node {
-	ranked := view.Duty("reader", "", len(view.Live()))
+	ranked := view.Role("reader", "", len(view.Live()))
 	for _, other := range ranked {
 		if other.DataHall() != ranked[0].DataHall() {
 			return []membership.Node{ranked[0], other}
--- a/internal/node/duty.go
+++ b/internal/node/role.go
@@ -109,7 +109,7 @@
 				if h == view.Self().DataHall() {
 					continue
 				}
-				for _, n := range view.Duty(duty(name), h, observersPerService) {
+				for _, n := range view.Role(role(name), h, observersPerService) {
 					summaries[n.Address()] = append(summaries[n.Address()], r)
 				}
 			}
--- a/internal/outlier/observer.go
+++ b/internal/outlier/observer.go
@@ -30,17 +30,17 @@
 // what only this data hall sees, such as a cut; and one from all nodes, which is
 // faster. It isn't safe for concurrent use.
 type Observer struct {
-	service   Service
-	own       *Detector
-	all       *Detector
-	ownInterval   *merge
-	allInterval   *merge
-	summary   map[string]*Counts
-	leaving   map[string]time.Time
-	told      map[string]time.Time
-	holds     map[string]*hold
-	reporters map[string]time.Time
-	halls     map[string]time.Time
+	service     Service
+	own         *Detector
+	all         *Detector
+	ownInterval *merge
+	allInterval *merge
+	summary     map[string]*Counts
+	leaving     map[string]time.Time
+	told        map[string]time.Time
+	holds       map[string]*hold
+	reporters   map[string]time.Time
+	halls       map[string]time.Time
 }
 
 // sourceTime is how long a source of evidence counts as present.
@@ -52,17 +52,17 @@
 // NewObserver returns an observer without evidence.
 func NewObserver(s Service) *Observer {
 	return &Observer{
-		service:   s,
-		own:       NewDetector(s.Threshold),
-		all:       NewDetector(s.Threshold),
-		ownInterval:   newMerge(),
-		allInterval:   newMerge(),
-		summary:   map[string]*Counts{},
-		leaving:   map[string]time.Time{},
-		told:      map[string]time.Time{},
-		holds:     map[string]*hold{},
-		reporters: map[string]time.Time{},
-		halls:     map[string]time.Time{},
+		service:     s,
+		own:         NewDetector(s.Threshold),
+		all:         NewDetector(s.Threshold),
+		ownInterval: newMerge(),
+		allInterval: newMerge(),
+		summary:     map[string]*Counts{},
+		leaving:     map[string]time.Time{},
+		told:        map[string]time.Time{},
+		holds:       map[string]*hold{},
+		reporters:   map[string]time.Time{},
+		halls:       map[string]time.Time{},
 	}
 }
 
--- a/internal/ratelimit/allocator.go
+++ b/internal/ratelimit/allocator.go
@@ -44,7 +44,7 @@
 const (
 	// silentAfter is how many of a node's own ticks without a report make it count as out
 	// of reach; forgetAfter is how long after its last report a node is forgotten, and after
-	// the move of the duty what an allocator told before this one. aloneTime is how long a
+	// the move of the role what an allocator told before this one. aloneTime is how long a
 	// node goes on at what it was told last, less than forgetAfter by a tick.
 	silentAfter = 1.5
 	forgetAfter = 15 * time.Second
--- a/internal/ratelimit/allocator_test.go
+++ b/internal/ratelimit/allocator_test.go
@@ -22,8 +22,8 @@
 	return ratelimit.NewAllocator(life, start.Add(-time.Minute), tolerance)
 }
 
-// The duty takes the level of the bucket along.
-func TestMovedDutyKeepsTheLevel(t *testing.T) {
+// The role takes the level of the bucket along.
+func TestMovedRoleKeepsTheLevel(t *testing.T) {
 	one, two := newAllocator(1), newAllocator(2)
 	s := one.Report(start, "w", ten, "n", 1, report(100))
 	if s.Admitted != 10 {
@@ -47,7 +47,7 @@
 	}
 }
 
-// An allocator that takes the duty over takes out what nodes admitted since they heard the
+// An allocator that takes the role over takes out what nodes admitted since they heard the
 // one before it, beyond what came in meanwhile.
 func TestAloneBetweenAllocatorsIsCharged(t *testing.T) {
 	one, two := newAllocator(1), newAllocator(2)
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -15,7 +15,7 @@
 
 // This file plays a fleet of nodes in front of which a workspace has callers, without
 // a network: messages take some milliseconds and get lost, nodes are cut off, killed and
-// restarted, and the duty of the allocator moves, with what it knew.
+// restarted, and the role of the allocator moves, with what it knew.
 
 var start = time.Unix(1_000_000, 0)
 
@@ -82,7 +82,7 @@
 	life    uint64
 	limiter *ratelimit.Limiter
 	equal   *admission.Limiter
-	// allocator is this node's, for when it has the duty.
+	// allocator is this node's, for when it has the role.
 	allocator *ratelimit.Allocator
 	down      bool
 	begun     time.Time
@@ -103,8 +103,8 @@
 	queue  events
 	nodes  []*modelNode
 	loss   float64
-	// duty is the node that has the allocator's duty.
-	duty int
+	// role is the node that has the allocator's role.
+	role int
 	// messages counts what is sent.
 	messages int
 	result   result
@@ -378,7 +378,7 @@
 		}
 	})
 	m.at(start.Add(from+detection), func(now time.Time) {
-		if next := m.alive(); m.duty == i && (n.down || n.cut) && next >= 0 {
+		if next := m.alive(); m.role == i && (n.down || n.cut) && next >= 0 {
 			m.move(next, now.Sub(start)+1, agreement)
 		}
 	})
@@ -422,11 +422,11 @@
 }
 
 // move has the nodes take another one for the allocator, each at some moment within a
-// time that disagreement lasts, or the one to which the duty has moved on by then.
+// time that disagreement lasts, or the one to which the role has moved on by then.
 func (m *model) move(to int, from, disagree time.Duration) {
-	m.at(start.Add(from-1), func(time.Time) { m.duty = to })
+	m.at(start.Add(from-1), func(time.Time) { m.role = to })
 	for _, n := range m.nodes {
-		m.at(start.Add(from+time.Duration(m.random.Float64()*float64(disagree))), func(time.Time) { n.holder = m.duty })
+		m.at(start.Add(from+time.Duration(m.random.Float64()*float64(disagree))), func(time.Time) { n.holder = m.role })
 	}
 }
 
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -15,7 +15,7 @@
 	// reportInterval is how often a node reports a workspace of which it has callers, as long
 	// as that are at most reportsPerSecond; with more of them it reports each less often,
 	// so that its messages don't grow with the workspaces: some 500 bytes a second.
-	reportInterval       = time.Second
+	reportInterval   = time.Second
 	reportsPerSecond = 20
 	// idleAfter is after how long without a request a node gives its reserve back, quietAfter
 	// when it reports no more: a caller with two requests in three seconds is silent for
--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -388,7 +388,7 @@
 	case 3:
 		m.move(r.IntN(len(m.nodes)), at, time.Duration(r.IntN(2000))*time.Millisecond)
 	default:
-		m.at(start.Add(at), func(now time.Time) { m.fail(m.duty, r.IntN(2) == 0, now.Sub(start)+1, now.Sub(start)+3*time.Second) })
+		m.at(start.Add(at), func(now time.Time) { m.fail(m.role, r.IntN(2) == 0, now.Sub(start)+1, now.Sub(start)+3*time.Second) })
 	}
 }
 
@@ -432,15 +432,15 @@
 		},
 		{
 			seed:  3078590772652911192,
-			cause: "the duty came back to a node whose bucket was full again",
+			cause: "the role came back to a node whose bucket was full again",
 		},
 		{
 			seed:  14226080656114097079,
-			cause: "the duty moved while nodes were cut off of which the new allocator had not heard",
+			cause: "the role moved while nodes were cut off of which the new allocator had not heard",
 		},
 		{
 			seed:  14062110097941572667,
-			cause: "the duty moved twice while nodes were cut off: the third allocator was told nothing of them",
+			cause: "the role moved twice while nodes were cut off: the third allocator was told nothing of them",
 		},
 		{
 			seed:  8617675912744631306,
@@ -456,7 +456,7 @@
 		},
 		{
 			seed:  16808133188926828126,
-			cause: "two allocators had the duty for a second, and each gave the whole burst",
+			cause: "two allocators had the role for a second, and each gave the whole burst",
 		},
 		{
 			seed:  10351649816035511048,
@@ -468,11 +468,11 @@
 		},
 		{
 			seed:  14695942328729045481,
-			cause: "three nodes took the duty within a second of the start of all, and told the first node that came the whole limit",
+			cause: "three nodes took the role within a second of the start of all, and told the first node that came the whole limit",
 		},
 		{
 			seed:  16476342405244761277,
-			cause: "nodes were cut off for longer than was kept back for them after a move of the duty",
+			cause: "nodes were cut off for longer than was kept back for them after a move of the role",
 		},
 	}
 	for _, c := range cases {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,7 +88,7 @@
 func (s *Settings) Outgoing() netip.Addr { return s.outgoing }
 
 // Weight returns what this process can carry, in thousandths of a processor. Nodes
-// that can carry more get more of the fleet's duties.
+// that can carry more get more of the fleet's roles.
 func (s *Settings) Weight() uint32 { return s.weight }
 
 // EntryListen returns the address on which callers are served.
