--- a/cmd/ploverctl/account.go
+++ b/cmd/ploverctl/account.go
@@ -72,7 +72,7 @@
 	return out.print(list, "%s", table(list, c.Workspaces))
 }
 
-// add takes in one line about the request.
+// add adds one line about the request.
 func (h *history) add(l line) {
 	switch msg := l.text("msg"); {
 	case msg == lineAnswered, msg == lineFailed, msg == lineRefused:
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -97,7 +97,7 @@
 // Repeatable reports whether the request may run more than once.
 func (l *Life) Repeatable() bool { return l.repeatable }
 
-// Ended takes in the end of an attempt.
+// Ended records the end of an attempt.
 func (l *Life) Ended(o Outcome) {
 	l.attempts++
 	if o != OutcomeNotRun {
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -333,7 +333,7 @@
 	}
 }
 
-// idleInterval is how often a desk without work takes in what was learned. Each node has a
+// idleInterval is how often a desk without work applies what was learned. Each node has a
 // desk for each service, most of which have no work.
 const idleInterval = time.Second
 
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -8,7 +8,7 @@
 	"ploverjunction.example/ploverjunction/internal/health"
 )
 
-// Done takes in the end of a granted attempt and returns the grants that its slot
+// Done records the end of a granted attempt and returns the grants that its slot
 // makes possible.
 func (d *Desk) Done(now time.Time, id ID, key string, r Result, took time.Duration) []Grant {
 	delete(d.granted, id)
@@ -46,7 +46,7 @@
 	return d.serve(now)
 }
 
-// Lost notes of an attempt, before its end is told, that its request ends with it.
+// Lost notes of an attempt, before its end is reported, that its request ends with it.
 func (d *Desk) Lost(key string, id ID) {
 	if t := d.targets[key]; t != nil {
 		if f, ok := t.flights[id]; ok {
@@ -56,7 +56,7 @@
 	}
 }
 
-// Note takes in what a node saw of a target that another desk granted.
+// Note records what a node saw of a target that another desk granted.
 func (d *Desk) Note(now time.Time, key, route string, r Result, took time.Duration) {
 	rt := d.model.Route(now, route)
 	if t := d.targets[key]; t != nil {
@@ -69,7 +69,7 @@
 	d.learn(rt, r, took)
 }
 
-// learn takes in how long a good answer took.
+// learn records how long a good answer took.
 func (d *Desk) learn(route *health.Route, r Result, took time.Duration) {
 	if r != ResultGood {
 		return
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -136,7 +136,7 @@
 		named[l.Target] = l.Limit
 	}
 	var out []TargetLimit
-	// Begins anywhere, so that each limit is told in time where there are many.
+	// Begins anywhere, so that each limit is sent in time where there are many.
 	from := int(d.random() * float64(len(d.order)))
 	for i := range d.order {
 		t := d.order[(from+i)%len(d.order)]
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -47,7 +47,7 @@
 	startCompares = 3
 	// ownHallOdds is how many of ten comparisons stay in the data hall.
 	ownHallOdds = 6
-	// latelyTime is how long a value is told to peers that don't answer comparisons: in
+	// latelyTime is how long a value is sent to peers that don't answer comparisons: in
 	// that time some twenty nodes compare with each peer.
 	latelyTime = 20 * time.Second
 	// mentionsMost is how many nodes a reply names to a node that knows few.
--- a/internal/fleetconfig/mark.go
+++ b/internal/fleetconfig/mark.go
@@ -87,8 +87,8 @@
 	return e
 }
 
-// join returns what two entries of a key tell together: the store's last word of the
-// key, and the last one of its writer. The result doesn't depend on the order in which
+// join merges two entries of a key: the store's last position and its writer's last
+// value. The result doesn't depend on the order in which
 // entries are joined.
 func join(a, b *wire.Entry) *wire.Entry {
 	ma, mb := MarkOf(a), MarkOf(b)
--- a/internal/health/model.go
+++ b/internal/health/model.go
@@ -126,7 +126,7 @@
 	s[Good] = good
 }
 
-// Advance lets what was learned fade and takes in what was counted since.
+// Advance lets what was learned fade and adds what was counted since.
 func (m *Model) Advance(now time.Time) {
 	past := now.Sub(m.faded)
 	m.faded = now
@@ -172,7 +172,7 @@
 	delete(m.routes, oldest.name)
 }
 
-// Answered takes in the time of a good answer.
+// Answered records the time of a good answer.
 func (r *Route) Answered(took time.Duration) error { return r.times.add(took) }
 
 // Usual returns the median time of the route's good answers.
--- a/internal/health/survival.go
+++ b/internal/health/survival.go
@@ -17,7 +17,7 @@
 	timeDigits = 1
 	// timeStart is the usual time before any answer was seen.
 	timeStart = 300 * time.Millisecond
-	// timeGeneration is how many answers a generation of the histogram takes in. The
+	// timeGeneration is how many answers a generation of the histogram holds. The
 	// last two generations count.
 	timeGeneration = 150
 	// timeRenew is after how many answers the table is made anew.
@@ -48,7 +48,7 @@
 	}
 }
 
-// add takes in the time of a good answer.
+// add records the time of a good answer.
 func (t *times) add(took time.Duration) error {
 	if t.recent.TotalCount() >= timeGeneration {
 		t.recent, t.before = t.before, t.recent
--- a/internal/link/datagram.go
+++ b/internal/link/datagram.go
@@ -41,7 +41,7 @@
 }
 
 // OpenSocket opens the socket. Datagrams carry a hash with the key secret, if it
-// isn't empty, and those without it are refused; refused is told of each one.
+// isn't empty, and those without it are refused; refused gets each one.
 func OpenSocket(address netip.AddrPort, secret string, traffic *Traffic, refused func(error)) (*Socket, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -112,7 +112,7 @@
 }
 
 // Listen opens the listener for peers. keys may be nil: then anyone who reaches
-// the address is believed. refused is told of connections that ended in error.
+// the address is believed. refused gets connections that ended in error.
 func Listen(address string, keys *Keys, traffic *Traffic, handler wire.DRPCPeerServer, refused func(error)) (*Server, error) {
 	lis, err := net.Listen("tcp", address)
 	if err != nil {
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -17,7 +17,7 @@
 	// Read reads published values, and goes on reading, until the context ends;
 	// nil leaves it to the source that the settings name.
 	Read func(ctx context.Context, cfg source.Config) error
-	// Silent is after how long without word of the platform from anyone any node
+	// Silent is after how long without an answer of the platform to any node any node
 	// may read it. 0 means the time that fits the project's own platform, and a
 	// reader in each data hall; else two nodes read for the fleet.
 	Silent time.Duration
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -176,7 +176,7 @@
 	number uint64
 }
 
-// askOne asks one dispatcher and waits for its last word.
+// askOne asks one dispatcher and waits for its final grant.
 func (d *dispatching) askOne(ctx context.Context, peer string, q *entry.Query, p part, passing bool) (granted, bool) {
 	id, answers, end := d.messenger.call()
 	defer end()
--- a/internal/node/current.go
+++ b/internal/node/current.go
@@ -18,7 +18,7 @@
 // currency tells how sure a node can be that its configuration is the newest one. It may
 // be used concurrently.
 type currency struct {
-	// most is up to which age the platform's last word counts as new; 0 means that the
+	// most is up to which age the platform's last answer counts as new; 0 means that the
 	// source is never stale.
 	most time.Duration
 	// trust is up to which age keys that are known are believed; 0 means always.
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -47,7 +47,7 @@
 	deskInterval = 50 * time.Millisecond
 	// restInterval is the same while there is nothing to do.
 	restInterval = time.Second
-	// doneTries is how often the end of an attempt is told, every doneInterval, until
+	// doneTries is how often the end of an attempt is sent, every doneInterval, until
 	// it is confirmed.
 	doneTries    = 4
 	doneInterval = 60 * time.Millisecond
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// tick takes in the evidence of the last tick.
+// tick evaluates the evidence of the last tick.
 func (j *judging) tick(now time.Time) {
 	evidence := j.collector.Drain(now)
 	if j.passive {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -18,7 +18,7 @@
 	// but too few peers serves all the same. Until then it waits: most of its
 	// peers may be alive and ahead of the platform's replica.
 	startPatience = 30 * time.Second
-	// platformFresh is how old the fleet's last word of the platform may be for
+	// platformFresh is how old the fleet's last answer of the platform may be for
 	// a node that hears too few peers.
 	platformFresh = time.Minute
 )
--- a/internal/node/limiting.go
+++ b/internal/node/limiting.go
@@ -38,7 +38,7 @@
 	// usual load in half a second.
 	meetAgain  = 50 * time.Millisecond
 	maxPausing = 64
-	// contactTime is how long after the last word of any peer a node counts as cut off:
+	// contactTime is how long after the last message of any peer a node counts as cut off:
 	// each is pinged several times a second.
 	contactTime = time.Second
 	// drawBytes bounds what one datagram tells of workspaces, usageBytes is what it takes for
--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -49,7 +49,7 @@
 	// draw answers the reports of peers about limits, touched notes that one was heard.
 	draw    func(*wire.Datagram)
 	touched func(now time.Time)
-	// began is told of each node's incarnation that a datagram names.
+	// began gets each node's incarnation that a datagram names.
 	began func(node string, incarnation uint64)
 	// quarantined returns the digest of the requests that this node knows to end targets,
 	// quarantine and compare take what peers know of them and the digests of theirs.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,7 +37,7 @@
 const (
 	// readersPerHall is how many nodes of each data hall watch the platform.
 	readersPerHall = 1
-	// platformSilent is after how long without word of the platform from anyone
+	// platformSilent is after how long without an answer of the platform to any node
 	// any node may read it. A watch without changes answers every 25 s.
 	platformSilent = 35 * time.Second
 	// startSilent is the same for a node that has just started.
--- a/internal/node/quarantining.go
+++ b/internal/node/quarantining.go
@@ -30,7 +30,7 @@
 	// few in a hundred learn it so, the rest by comparing.
 	quarantineFan = 4
 	// compareInterval is the least time between two lists that a node sends because a peer knows
-	// other than it does: 1.3 kB each time, at the most, while they differ.
+	// other than it does: at most 1.3 kB each time while they differ.
 	compareInterval = 200 * time.Millisecond
 	// quarantineBytes bounds the records on one datagram, which are of 50 to 170 bytes each.
 	quarantineBytes = 1000
@@ -46,7 +46,7 @@
 	messenger *messenger
 	answers   *quarantine.Answers
 	log       *logrus.Entry
-	// shared is told how many requests all nodes know of.
+	// shared gets how many requests all nodes know of.
 	shared func(n int)
 	// known tells of how many requests records are kept: most of the time none.
 	known  atomic.Int32
@@ -235,7 +235,7 @@
 	return w
 }
 
-// learn takes in what a peer knows.
+// learn merges what a peer knows.
 func (q *quarantining) learn(peer string, in *wire.Quarantine) {
 	now := time.Now()
 	for _, w := range in.GetRecords() {
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -102,7 +102,7 @@
 	return up > meetTime && (hasRole(view, fleetReaders(view)) || silent && stepsIn(view))
 }
 
-// silent returns after how long without word of the platform from anyone any node may
+// silent returns after how long without an answer of the platform to any node any node may
 // read it.
 func (n *Node) silent() time.Duration {
 	if n.adapter.Silent > 0 {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -126,7 +126,7 @@
 	return l.change(r, r.answered)
 }
 
-// Learn takes in the record of a peer. It returns it with all that is known if that was
+// Learn merges the record of a peer. It returns it with all that is known if that was
 // news, else nothing.
 func (l *Ledger) Learn(now time.Time, of Record) []Record {
 	r := l.records[of.Print]
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -91,7 +91,7 @@
 // forget returns when the record is of no use any more.
 func (r *Record) forget(h *holds) time.Time { return r.until(h, 1).Add(endMemory) }
 
-// merge takes in the ends of another record, and reports whether they say anything new. Two
+// merge adds the ends of another record, and reports whether they say anything new. Two
 // of them are never one: else nodes whose times differ by a few milliseconds would not come
 // to know the same, and tell each other for as long as they remember.
 func (r *Record) merge(ends []End) bool {
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -174,7 +174,7 @@
 	return m
 }
 
-// heard takes in what a node tells of itself.
+// heard records the report of a node.
 func (b *bucket) heard(now time.Time, m *member, r Report) {
 	if m.heard.IsZero() {
 		m.heard = now
--- a/internal/settings/workspaces.go
+++ b/internal/settings/workspaces.go
@@ -30,7 +30,7 @@
 // Identity returns by what the workspace of a request is known.
 func (w *Workspaces) Identity() Identity { return w.identity }
 
-// Strict returns after how long without word of the platform no request with a key is
+// Strict returns after how long without an answer of the platform no request with a key is
 // served any more, for the key may have been taken away; false means never.
 func (w *Workspaces) Strict() (after time.Duration, strict bool) { return w.keyAge, w.strict }
 
