--- a/internal/dissemination/pack_test.go
+++ b/internal/dissemination/pack_test.go
@@ -8,8 +8,6 @@
 	"strings"
 	"testing"
 
-	"ploverjunction.example/ploverjunction/internal/dissemination"
-	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -28,9 +26,6 @@
 }
 
 func TestLargeValuesTravelCompressed(t *testing.T) {
-	newReplica := func() *dissemination.Replica {
-		return dissemination.NewReplica(func(*fleetconfig.Config, []fleetconfig.Refusal) {})
-	}
 	value := manyRoutes()
 	from, to := newReplica(), newReplica()
 	from.Offer([]*wire.Entry{
