--- a/internal/fleetconfig/restore_test.go
+++ b/internal/fleetconfig/restore_test.go
@@ -114,6 +114,13 @@
 				counted("k", 2, 41, 19),
 			},
 		},
+		{
+			name: "copy of just what was removed",
+			entries: []*wire.Entry{
+				removedAt("k", 1, 60, 21),
+				counted("k", 2, 41, 21),
+			},
+		},
 		{
 			name: "removal of a former era",
 			entries: []*wire.Entry{
