--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -150,7 +150,9 @@
 	}
 }
 
-func TestPlatform(t *testing.T) {
+// serve starts a platform and returns it with its address.
+func serve(t *testing.T) (*platform.Platform, string) {
+	t.Helper()
 	p := platform.New()
 	srv := httptest.NewServer(p.Handler())
 	t.Cleanup(func() {
@@ -158,8 +160,13 @@
 		srv.CloseClientConnections()
 		srv.Close()
 	})
+	return p, srv.URL
+}
+
+func TestPlatform(t *testing.T) {
+	p, url := serve(t)
 	first := p.Publish("a", "1")
-	f := follow(t, srv.URL)
+	f := follow(t, url)
 	f.until(t, func() bool { return f.entries["a"].GetRevision() == first })
 	second := p.Publish("a", "2")
 	f.until(t, func() bool { return f.entries["a"].GetRevision() == second })
@@ -179,18 +186,12 @@
 
 // Guards against a watch that waits for revisions of a former era.
 func TestPlatformIsReadWholeAfterARestore(t *testing.T) {
-	p := platform.New()
-	srv := httptest.NewServer(p.Handler())
-	t.Cleanup(func() {
-		p.SetMode(platform.ModeDown)
-		srv.CloseClientConnections()
-		srv.Close()
-	})
+	p, url := serve(t)
 	p.Publish("a", "1")
 	copied := p.Copy()
 	p.Publish("b", "1")
 	last := p.Publish("a", "2")
-	f := follow(t, srv.URL)
+	f := follow(t, url)
 	f.until(t, func() bool { return f.entries["a"].GetRevision() == last })
 	p.Restore(copied)
 	f.until(t, func() bool { return f.entries["a"].GetEra() == 1 && string(f.entries["a"].GetValue()) == "1" })
