--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -11,76 +11,6 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// version is one value of a key together with what it parsed to.
-type version struct {
-	entry *wire.Entry
-	mark  order.Mark
-	doc   *wire.Document
-	err   error
-}
-
-// after reports whether v replaces w: by their writer's order where both are values, else
-// by the store's.
-func (v *version) after(w *version) bool {
-	if w == nil {
-		return true
-	}
-	if Removed(v.entry) || Removed(w.entry) {
-		return v.mark.Position().Compare(w.mark.Position()) > 0
-	}
-	return v.mark.CompareValues(w.mark) > 0
-}
-
-// shows reports whether the entry says the same as v of the key, at another position.
-func (v *version) shows(e *wire.Entry) bool {
-	return v.entry.GetDeleted() == e.GetDeleted() && v.mark.CompareValues(MarkOf(e)) == 0
-}
-
-// record is all that the store holds of one key. The newest version may be
-// refused; the one in force is then older. fallback is the greatest version
-// between the two: a process that starts anew learns from its peers, in any
-// order, the one that they have in force and the one that they refuse.
-type record struct {
-	newest   *version
-	inForce  *version
-	fallback *version
-}
-
-// keep notes a version that isn't the newest.
-func (r *record) keep(v *version) bool {
-	if v.err != nil || !r.newest.after(v) || !v.after(r.inForce) || !v.after(r.fallback) {
-		return false
-	}
-	r.fallback = v
-	return true
-}
-
-// candidates returns the versions that could replace the one in force, the best
-// first.
-func (r *record) candidates() []*version {
-	out := []*version{r.newest}
-	if r.fallback != nil && r.fallback.after(r.inForce) {
-		out = append(out, r.fallback)
-	}
-	return out
-}
-
-// Refusal says why the newest value of a key is not in force.
-type Refusal struct {
-	key      string
-	position order.Position
-	err      error
-}
-
-// Key returns the key of the refused value.
-func (r Refusal) Key() string { return r.key }
-
-// Position returns the position of the refused value.
-func (r Refusal) Position() order.Position { return r.position }
-
-// Err returns the reason.
-func (r Refusal) Err() error { return r.err }
-
 // Store keeps the newest value and the value in force of each key. Neither is ever replaced by
 // an older one. It is not safe for concurrent use: one controller owns
 // it.
@@ -175,19 +105,6 @@
 	return joined, true
 }
 
-func parseVersion(e *wire.Entry) *version {
-	v := &version{
-		entry: e,
-		mark:  MarkOf(e),
-	}
-	if Removed(e) {
-		v.doc = &wire.Document{}
-		return v
-	}
-	v.doc, v.err = Parse(e.GetValue())
-	return v
-}
-
 // settle puts in force as many newest values as are valid together: all of them
 // at once where that works, else one after another in the order of revisions
 // until no more can be added.
--- a/internal/soak/harm.go
+++ b/internal/soak/harm.go
@@ -10,9 +10,6 @@
 	"time"
 )
 
-// This file is about a request that ends each target which begins to run it and comes to all
-// nodes: once it is known it must reach hardly any target, whatever happens beside it.
-
 const (
 	harmPrefix = "harm-"
 	harmPath   = "/quotes/harm?ends"
--- a/internal/soak/workspaces.go
+++ b/internal/soak/workspaces.go
@@ -15,9 +15,6 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 )
 
-// This file is about callers who show keys: that these get nowhere, that those taken away
-// are refused, and that limits hold.
-
 // The workspace with a limit, and what of it may run in a window: the defaults of
 // [workspaces].
 const (
