--- a/internal/signal/ledger_test.go
+++ b/internal/signal/ledger_test.go
@@ -212,6 +212,17 @@
 	}
 }
 
+// Guards against an incarnation that is left out because the one before it drained just before its end.
+func TestDrainingBeforeTheStartOfAnIncarnation(t *testing.T) {
+	var l signal.Ledger
+	l.Observe(start.Add(time.Minute), born(0), signal.Signal{
+		Draining: true,
+	})
+	if got := l.Standing(start.Add(time.Minute+time.Second), born(time.Minute+300*time.Millisecond)); got.Barred() {
+		t.Errorf("%+v", got)
+	}
+}
+
 // What comes of an attempt at a life that is known to be over was said by the one after it.
 func TestWordsOfALifeThatIsOver(t *testing.T) {
 	var l signal.Ledger
