--- a/cmd/ploverctl/follow.go
+++ b/cmd/ploverctl/follow.go
@@ -15,7 +15,7 @@
 
 type followCommand struct {
 	Node     string        `required:"" placeholder:"IP:PORT" help:"Operators' address of a node."`
-	Interval time.Duration `default:"500ms" help:"Time between two looks."`
+	Interval time.Duration `default:"500ms" aliases:"beat" help:"Time between two looks."`
 }
 
 // event is one change on a node.
