internal/admission: a node that begins has the burst of its part again

Traced by reading: the test's nodes may be younger than 2 s when it begins.

Not used where nodes choose jointly.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -16,10 +16,6 @@
 // one could round to 0, which means that the request may enter.
 const leastWait = time.Millisecond
 
-// startTime is how long after the begin of a process a new bucket holds one token: the process
-// before it may have used its part just now, and this one may not know yet with whom it shares.
-const startTime = 2 * time.Second
-
 // bucket is the token bucket of one workspace on this node.
 type bucket struct {
 	tokens float64
@@ -28,16 +24,13 @@
 
 // Limiter bounds the requests of workspaces. It may be used concurrently.
 type Limiter struct {
-	begun   time.Time
 	mu      sync.Mutex
 	buckets map[string]*bucket
 }
 
-// NewLimiter returns a limiter without active workspaces, of a process that began at the time
-// given.
-func NewLimiter(begun time.Time) *Limiter {
+// NewLimiter returns a limiter without active workspaces.
+func NewLimiter() *Limiter {
 	return &Limiter{
-		begun:   begun,
 		buckets: map[string]*bucket{},
 	}
 }
@@ -83,9 +76,6 @@
 		tokens: room,
 		at:     now,
 	}
-	if now.Sub(l.begun) < startTime {
-		b.tokens = math.Min(room, 1)
-	}
 	l.buckets[id] = b
 	return b
 }
--- a/internal/node/limiting.go
+++ b/internal/node/limiting.go
@@ -99,7 +99,7 @@
 	return &limiting{
 		board:     board,
 		limiter:   ratelimit.NewLimiter(begun),
-		equal:     admission.NewLimiter(begun),
+		equal:     admission.NewLimiter(),
 		life:      life,
 		begun:     begun,
 		log:       log,
