internal/fleetconfig, internal/dissemination, internal/order: one walk over keys, marks worked out once

Found in reading: four functions of the store each walked over all keys with a condition of their own (now Store.where), a comparison of two replicas worked the own marks out twice, and join put a mark together that is the last value's at another position (Mark.At). No behaviour changes; the tests of the six packages that use them pass unchanged.

--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -207,16 +207,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	theirs := marks(revisions)
-	own := r.store.Revisions()
+	theirs, own := marks(revisions), r.store.Revisions()
+	ours := marks(own)
 	var keys []string
 	for _, kr := range own {
 		mark, named := theirs[kr.GetKey()]
-		if (named || complete) && !mark.Covers(fleetconfig.MarkOf(kr)) {
+		if (named || complete) && !mark.Covers(ours[kr.GetKey()]) {
 			keys = append(keys, kr.GetKey())
 		}
 	}
-	ours := marks(own)
 	for _, kr := range revisions {
 		if !ours[kr.GetKey()].Covers(fleetconfig.MarkOf(kr)) && r.ask(now, kr) {
 			wanted = append(wanted, kr.GetKey())
--- a/internal/fleetconfig/mark.go
+++ b/internal/fleetconfig/mark.go
@@ -87,9 +87,8 @@
 	return e
 }
 
-// join merges two entries of a key: the store's last position and its writer's last
-// value. The result doesn't depend on the order in which
-// entries are joined.
+// join merges two entries of a key: the store's last position and its writer's last value. The
+// result doesn't depend on the order in which entries are joined.
 func join(a, b *wire.Entry) *wire.Entry {
 	ma, mb := MarkOf(a), MarkOf(b)
 	last := a
@@ -109,10 +108,6 @@
 		Value:   value.GetValue(),
 		Deleted: last.GetDeleted(),
 	}
-	joined := order.MarkOf(ml.Position(), mv.Stamp(), mv.Written())
-	if mv.Gone() {
-		joined = joined.Remove()
-	}
-	SetMark(out, joined)
+	SetMark(out, mv.At(ml.Position()))
 	return out
 }
--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -256,52 +256,41 @@
 	return era
 }
 
-// Behind returns the keys whose values are known from earlier eras of the source only,
-// sorted.
-func (s *Store) Behind(era uint64) []string {
+// where returns the keys whose newest version fits a condition, sorted.
+func (s *Store) where(fits func(*version) bool) []string {
 	var out []string
 	for _, k := range s.keys {
-		if v := s.records[k].newest; !Removed(v.entry) && v.mark.Position().Era() < era {
+		if fits(s.records[k].newest) {
 			out = append(out, k)
 		}
 	}
 	return out
 }
 
+// Keys returns the keys that have values, sorted.
+func (s *Store) Keys() []string {
+	return s.where(func(v *version) bool { return !Removed(v.entry) })
+}
+
+// Behind returns the keys whose values are known from earlier eras of the source only,
+// sorted.
+func (s *Store) Behind(era uint64) []string {
+	return s.where(func(v *version) bool { return !Removed(v.entry) && v.mark.Position().Era() < era })
+}
+
 // Withheld returns the keys that the source has though their values were removed before it was
 // restored, sorted.
 func (s *Store) Withheld() []string {
-	var out []string
-	for _, k := range s.keys {
-		if e := s.records[k].newest.entry; e.GetGone() && !e.GetDeleted() {
-			out = append(out, k)
-		}
-	}
-	return out
+	return s.where(func(v *version) bool { return v.entry.GetGone() && !v.entry.GetDeleted() })
 }
 
 // Ahead returns the keys whose values the source does not have, or has only in an older
 // version, since it was restored: sorted.
 func (s *Store) Ahead() []string {
 	era := s.Era()
-	var out []string
-	for _, k := range s.Keys() {
-		if m := s.records[k].newest.mark; m.Position().Era() < era || m.Written() != m.Position() {
-			out = append(out, k)
-		}
-	}
-	return out
-}
-
-// Keys returns the keys that have values, sorted.
-func (s *Store) Keys() []string {
-	var out []string
-	for _, k := range s.keys {
-		if !Removed(s.records[k].newest.entry) {
-			out = append(out, k)
-		}
-	}
-	return out
+	return s.where(func(v *version) bool {
+		return !Removed(v.entry) && (v.mark.Position().Era() < era || v.mark.Written() != v.mark.Position())
+	})
 }
 
 // InForce returns the position of the value in force of each key, by key.
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -99,6 +99,12 @@
 	}
 }
 
+// At returns the mark where the store told of the key last at p.
+func (m Mark) At(p Position) Mark {
+	m.position = p
+	return m
+}
+
 // Remove returns the mark of the removal of the value.
 func (m Mark) Remove() Mark {
 	m.gone = true
