internal/node, internal/fleetconfig, platform: evacuations of data halls, and regions of routes and workspaces

An evacuation is a published value of its own. If no data hall is left the request is refused at once, not run.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -54,11 +54,14 @@
 	ReasonQuarantine
 	// ReasonRest means that all targets that stay want no request from this node now.
 	ReasonRest
+	// ReasonClosed means that all targets are in data halls that are evacuated, or in regions
+	// where the request may not be served.
+	ReasonClosed
 )
 
 // String returns the reason in words.
 func (r Reason) String() string {
-	return [...]string{"none", "deadline", "may have run", "policy", "retry budget", "caller gone", "no target", "targets end under it", "all targets rest"}[r]
+	return [...]string{"none", "deadline", "may have run", "policy", "retry budget", "caller gone", "no target", "targets end under it", "all targets rest", "no open data hall"}[r]
 }
 
 // Life is one request from its arrival to its final answer. It isn't safe for
--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -56,6 +56,8 @@
 	Barred []string
 	// Draining are keys of targets that told the node that they leave.
 	Draining []string
+	// Closed are data halls whose targets the request must not be sent to.
+	Closed []string
 	// Limits are those of targets that the node knows, told by targets themselves or by
 	// other nodes.
 	Limits []TargetLimit
--- a/internal/dispatch/barred.go
+++ b/internal/dispatch/barred.go
@@ -7,7 +7,7 @@
 // barred reports whether the node that asks may send to none of the targets that are not draining.
 // Where all are draining, others may appear at any moment.
 func (d *Desk) barred(now time.Time, a *Ask) bool {
-	if len(a.Barred) == 0 {
+	if len(a.Barred)+len(a.Closed) == 0 {
 		return false
 	}
 	stay := 0
@@ -30,7 +30,7 @@
 		d.ends.note(now, false)
 		return a.unserved(Refused, 0)
 	}
-	d.queue.bar(a.ID, a.Barred)
+	d.queue.bar(a)
 	return Grant{
 		ID:      a.ID,
 		Verdict: Queued,
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -33,7 +33,7 @@
 		repeatable: a.Repeatable,
 		again:      a.Again,
 		kilobytes:  a.Kilobytes,
-		barred:     len(a.Barred) > 0,
+		barred:     len(a.Barred)+len(a.Closed) > 0,
 		late:       !q.inTime(now, w),
 	}
 }
@@ -60,7 +60,7 @@
 			}
 			t := d.best(now, w, free)
 			if t == nil {
-				declined[k] = len(w.ask.Tried)+len(w.ask.Barred) == 0
+				declined[k] = len(w.ask.Tried)+len(w.ask.Barred)+len(w.ask.Closed) == 0
 				return false
 			}
 			if near && t.DataHall != w.ask.DataHall {
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -61,7 +61,7 @@
 
 // open reports whether an ask may get the target at now.
 func (t *target) open(now time.Time, a *Ask) bool {
-	return !t.drains(now) && !slices.Contains(a.Barred, t.Key)
+	return !t.drains(now) && !slices.Contains(a.Closed, t.DataHall) && !slices.Contains(a.Barred, t.Key)
 }
 
 func (t *target) noteGone(now time.Time, r Result) {
--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -36,6 +36,18 @@
 	return a.workspace
 }
 
+// regions returns what restricts where the request is served: its route and its workspace.
+func (a *admitted) regions() []fleetconfig.Regions {
+	var out []fleetconfig.Regions
+	if r := a.route.Regions(); len(r) > 0 {
+		out = append(out, r)
+	}
+	if a.owner != nil && len(a.owner.Regions()) > 0 {
+		out = append(out, a.owner.Regions())
+	}
+	return out
+}
+
 // admit checks a request before any work is done for it. What is known of a refused
 // one may be nil.
 func (s *Server) admit(r *http.Request, now time.Time) (*admitted, *Error) {
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -24,6 +24,8 @@
 	// Aim is until when an answer is worth most, Deadline until when it counts.
 	Aim      time.Time
 	Deadline time.Time
+	// Regions are those in which the request may be served: all of them must allow it.
+	Regions []fleetconfig.Regions
 	// Tried are the keys of the targets that the request was sent to before.
 	Tried []string
 	// Again is set for attempts after the first one.
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -92,6 +92,7 @@
 		Again:      t.again,
 		Hedge:      t.hedge,
 		Age:        t.age,
+		Regions:    x.in.regions(),
 	}
 	x.mu.Lock()
 	q.Tried = slices.Clone(x.tried)
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -7,6 +7,8 @@
 package fleetconfig
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/order"
@@ -75,6 +77,11 @@
 	byKey      map[string]*Target
 	// connections is what a target accepts that states no number itself.
 	connections int
+	// warmupRate bounds the requests a second to a target that warms up; 0 is no bound.
+	warmupRate float64
+	// halls are the data halls of the targets that stay, sorted.
+	halls     []string
+	evacuated map[string]bool
 }
 
 // Name returns the name of the service.
@@ -96,6 +103,21 @@
 // not be changed.
 func (s *Service) Targets() []*Target { return s.targets }
 
+// WarmupRate returns the requests a second that a target takes from all nodes while it warms
+// up; 0 means no bound.
+func (s *Service) WarmupRate() float64 { return s.warmupRate }
+
+// Halls returns the data halls with targets that are not leaving, sorted. The slice must not
+// be changed.
+func (s *Service) Halls() []string { return s.halls }
+
+// Evacuated reports whether targets in a data hall get no new requests.
+func (s *Service) Evacuated(dataHall string) bool { return s.evacuated[dataHall] }
+
+// Drained reports whether a target gets no new requests: it leaves, or its data hall is
+// evacuated.
+func (s *Service) Drained(t *Target) bool { return t.leaving || s.evacuated[t.dataHall] }
+
 // Target returns a target by its key, or nil.
 func (s *Service) Target(key string) *Target { return s.byKey[key] }
 
@@ -117,6 +139,7 @@
 	maxAttempts   int
 	bulk          bool
 	public        bool
+	regions       Regions
 	parts         []part
 }
 
@@ -166,6 +189,9 @@
 // Bulk reports whether answers are large.
 func (r *Route) Bulk() bool { return r.bulk }
 
+// Regions returns the regions whose targets may serve the route.
+func (r *Route) Regions() Regions { return r.regions }
+
 // Public reports whether callers need no key.
 func (r *Route) Public() bool { return r.public }
 
@@ -216,6 +242,8 @@
 	instances   map[string]*Instance
 	position    order.Position
 	limits      *Limits
+	// evacuated are the data halls whose targets get no new requests.
+	evacuated map[string]bool
 }
 
 // Limits bound what callers may send. Zero values leave the settings of the
@@ -248,6 +276,12 @@
 // Services returns all services by name. The map must not be changed.
 func (c *Config) Services() map[string]*Service { return c.services }
 
+// Evacuated reports whether targets in a data hall get no new requests.
+func (c *Config) Evacuated(dataHall string) bool { return c.evacuated[dataHall] }
+
+// Evacuations returns the evacuated data halls, sorted.
+func (c *Config) Evacuations() []string { return slices.Sorted(maps.Keys(c.evacuated)) }
+
 // Instances returns the listed instances by address. The map must not be
 // changed.
 func (c *Config) Instances() map[string]*Instance { return c.instances }
--- a/internal/fleetconfig/validate.go
+++ b/internal/fleetconfig/validate.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -76,8 +77,10 @@
 		byKey:      map[KeyDigest]*Workspace{},
 		instances:  map[string]*Instance{},
 		limits:     &Limits{},
+		evacuated:  map[string]bool{},
 	}
 	steps := []func(*wire.Document) error{
+		c.addEvacuations,
 		func(d *wire.Document) error { return c.addServices(d, cache) },
 		c.addTargets,
 		c.addRoutes,
@@ -96,10 +99,22 @@
 		slices.SortFunc(s.targets, func(a, b *Target) int {
 			return cmp.Or(strings.Compare(a.address, b.address), strings.Compare(a.id, b.id))
 		})
+		s.halls = hallsOf(s.targets)
 	}
 	return c, nil
 }
 
+// hallsOf returns the data halls of the targets that stay, sorted.
+func hallsOf(targets []*Target) []string {
+	halls := map[string]bool{}
+	for _, t := range targets {
+		if !t.leaving {
+			halls[t.dataHall] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(halls))
+}
+
 func checkName(kind, name string) error {
 	if name == "" {
 		return fault(KindMissing, "name", "%s", kind)
@@ -129,6 +144,7 @@
 		if err != nil {
 			return err
 		}
+		s.evacuated = c.evacuated
 		c.services[s.name] = s
 	}
 	return nil
@@ -156,6 +172,10 @@
 
 		connections: int(w.GetConnections()),
 		byKey:       map[string]*Target{},
+		warmupRate:  w.GetWarmupRate(),
+	}
+	if math.IsNaN(s.warmupRate) || math.IsInf(s.warmupRate, 0) || s.warmupRate < 0 {
+		return nil, fault(KindRange, "warmup_rate from 0", "service %s", s.name)
 	}
 	if math.IsNaN(s.threshold) || s.threshold < 0 || s.threshold > maxThreshold {
 		return nil, fault(KindRange, "threshold from 0 to 100", "service %s", s.name)
--- a/internal/fleetconfig/validate_route.go
+++ b/internal/fleetconfig/validate_route.go
@@ -82,6 +82,9 @@
 			return nil, fault(KindRange, "methods in capitals", "route %s", w.GetName())
 		}
 	}
+	if err := checkRegions("route", w.GetName(), w.GetRegions()); err != nil {
+		return nil, err
+	}
 	class := w.GetClass()
 	if class == "" {
 		class = parts[0].service.name
@@ -102,6 +105,7 @@
 		maxAttempts:   int(w.GetMaxAttempts()),
 		bulk:          w.GetBulk(),
 		public:        w.GetPublic(),
+		regions:       w.GetRegions(),
 	}
 	if len(parts) > 1 {
 		r.parts = parts
--- a/internal/fleetconfig/workspace.go
+++ b/internal/fleetconfig/workspace.go
@@ -29,6 +29,7 @@
 	rate     float64
 	burst    float64
 	priority int
+	regions  Regions
 }
 
 // ID returns the identity.
@@ -45,6 +46,9 @@
 // is served first.
 func (w *Workspace) Priority() int { return w.priority }
 
+// Regions returns the regions whose targets may serve the workspace.
+func (w *Workspace) Regions() Regions { return w.regions }
+
 // Workspace returns a workspace by identity, or nil.
 func (c *Config) Workspace(id string) *Workspace { return c.workspaces[id] }
 
@@ -72,6 +76,9 @@
 		if w.GetPriority() > maxPriority {
 			return fault(KindRange, "priority from 0 to 1000000", "workspace %s", w.GetId())
 		}
+		if err := checkRegions("workspace", w.GetId(), w.GetRegions()); err != nil {
+			return err
+		}
 		burst := float64(w.GetBurst())
 		if burst == 0 {
 			burst = math.Max(rate, 1)
@@ -81,6 +88,7 @@
 			rate:     rate,
 			burst:    burst,
 			priority: int(w.GetPriority()),
+			regions:  w.GetRegions(),
 		}
 		c.workspaces[w.GetId()] = owner
 		c.leastUrgent = max(c.leastUrgent, owner.priority)
--- a/internal/node/alone.go
+++ b/internal/node/alone.go
@@ -34,6 +34,7 @@
 		Tried:      q.Tried,
 		Barred:     append(barred.backingOff, d.board.overShare(now, d.newest(q.Service), p.hall)...),
 		Draining:   barred.draining,
+		Closed:     d.board.closedHalls(q),
 		Route:      q.Route,
 	}
 	d.mu.Lock()
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -44,6 +44,9 @@
 	defer cancel()
 	q.Tried = d.avoid(q)
 	for range mostBarred {
+		if err := d.board.refuseClosed(q); err != nil {
+			return entry.Choice{}, err
+		}
 		if err := d.board.refuseBackoff(time.Now(), d.newest(q.Service)); err != nil {
 			return entry.Choice{}, err
 		}
@@ -55,12 +58,15 @@
 			return r.choice, r.err
 		}
 	}
-	return d.chooseAlone(q, d.homeOf(q.Service))
+	return d.chooseAlone(q, d.homeOf(q))
 }
 
 // whenServed returns the refusal of a request with the time that this node knows: all targets may
 // have come to rest while it waited.
 func (d *dispatching) whenServed(q *entry.Query, refusal error) error {
+	if err := d.board.refuseClosed(q); err != nil {
+		return err
+	}
 	if err := d.board.refuseBackoff(time.Now(), d.newest(q.Service)); err != nil {
 		return err
 	}
@@ -253,22 +259,23 @@
 		Call: id,
 		Body: &wire.Datagram_Ask{
 			Ask: &wire.Ask{
-				Service:    p.service,
-				DataHall:   p.hall,
-				Passing:    passing,
-				Repeatable: q.Repeatable,
-				Again:      q.Again,
-				Hedge:      q.Hedge,
-				AgeMs:      uint32(q.Age.Milliseconds()),
-				Kilobytes:  uint32(q.Kilobytes),
-				Priority:   uint32(q.Priority),
-				AimMs:      uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
-				DeadlineMs: uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
-				Tried:      q.Tried,
-				Barred:     barred.backingOff[:min(len(barred.backingOff), mostTried)],
-				Leaving:    barred.draining[:min(len(barred.draining), mostTried)],
-				Route:      q.Route,
-				Limits:     d.board.limits(now, d.newest(q.Service), p.hall),
+				Service:     p.service,
+				DataHall:    p.hall,
+				Passing:     passing,
+				Repeatable:  q.Repeatable,
+				Again:       q.Again,
+				Hedge:       q.Hedge,
+				AgeMs:       uint32(q.Age.Milliseconds()),
+				Kilobytes:   uint32(q.Kilobytes),
+				Priority:    uint32(q.Priority),
+				AimMs:       uint32(max(q.Aim.Sub(now).Milliseconds(), 0)),
+				DeadlineMs:  uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
+				Tried:       q.Tried,
+				Barred:      barred.backingOff[:min(len(barred.backingOff), mostTried)],
+				Leaving:     barred.draining[:min(len(barred.draining), mostTried)],
+				Route:       q.Route,
+				ClosedHalls: d.board.closedHalls(q),
+				Limits:      d.board.limits(now, d.newest(q.Service), p.hall),
 
 				FirstsElsewhere:  uint32(spent.Firsts),
 				RepeatsElsewhere: uint32(spent.Repeats),
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -58,6 +58,8 @@
 	signals signal.Ledger
 	// shares are this node's parts of targets' limits.
 	shares shares
+	// regions are those of the data halls; they don't change.
+	regions map[string]string
 }
 
 func (b *Board) currentConfig() *fleetconfig.Config {
--- a/internal/node/choosing.go
+++ b/internal/node/choosing.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,11 +31,15 @@
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, 0)
 	}
 	now := time.Now()
+	if err := a.board.refuseClosed(q); err != nil {
+		return entry.Choice{}, err
+	}
 	if err := a.board.refuseBackoff(now, q.Service); err != nil {
 		return entry.Choice{}, err
 	}
-	barred := a.board.unavailable(now, q.Service, "")
-	pick, ok := pool.Pick(rand.Uint64, q.Tried, append(barred.keys(), a.board.overShare(now, q.Service, "")...))
+	unavailable := a.board.unavailable(now, q.Service, "")
+	barred := slices.Concat(unavailable.keys(), a.board.overShare(now, q.Service, ""), a.board.closedTargets(q))
+	pick, ok := pool.Pick(rand.Uint64, q.Tried, barred)
 	if !ok {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonTargets, a.board.shareWait(now, q.Service))
 	}
--- /dev/null
+++ b/internal/node/closed.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"slices"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+)
+
+// closedRetryAfter is when a caller may come back whose request no data hall may serve:
+// operators decide when that ends.
+const closedRetryAfter = time.Second
+
+// newest returns a service as it is in force now, or as the request knows it.
+func (b *Board) newest(s *fleetconfig.Service) *fleetconfig.Service {
+	if c := b.currentConfig(); c != nil && c.Service(s.Name()) != nil {
+		return c.Service(s.Name())
+	}
+	return s
+}
+
+// closedHalls returns the data halls whose targets a request must not be sent to: those that
+// are evacuated, and those outside the regions where it may be served.
+func (b *Board) closedHalls(q *entry.Query) []string {
+	var out []string
+	s := b.newest(q.Service)
+	for _, hall := range s.Halls() {
+		if s.Evacuated(hall) || !b.inRegions(hall, q.Regions) {
+			out = append(out, hall)
+		}
+	}
+	return out
+}
+
+// inRegions reports whether all lists of regions allow a data hall.
+func (b *Board) inRegions(hall string, all []fleetconfig.Regions) bool {
+	return !slices.ContainsFunc(all, func(r fleetconfig.Regions) bool { return !r.Allow(b.regions[hall]) })
+}
+
+// refuseClosed returns the refusal of a request that no data hall may serve, or nil. A service
+// without targets may get some at any moment.
+func (b *Board) refuseClosed(q *entry.Query) error {
+	halls := len(b.newest(q.Service).Halls())
+	if halls == 0 || len(b.closedHalls(q)) < halls {
+		return nil
+	}
+	return entry.NewNoTargetError(attempt.ReasonClosed, closedRetryAfter)
+}
+
+// closedTargets returns the keys of targets in closed data halls.
+func (b *Board) closedTargets(q *entry.Query) []string {
+	closed := b.closedHalls(q)
+	if len(closed) == 0 {
+		return nil
+	}
+	var out []string
+	for _, t := range b.newest(q.Service).Targets() {
+		if slices.Contains(closed, t.DataHall()) {
+			out = append(out, t.Key())
+		}
+	}
+	return out
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -159,7 +159,7 @@
 			Key:      t.Key(),
 			DataHall: t.DataHall(),
 			Slots:    t.Slots(),
-			Leaving:  t.Leaving(),
+			Leaving:  sc.Drained(t),
 			Named:    t.ID() != "",
 			Warmup:   t.Warmup(),
 		})
@@ -188,6 +188,7 @@
 		Tried:      w.GetTried(),
 		Barred:     w.GetBarred(),
 		Draining:   w.GetLeaving(),
+		Closed:     w.GetClosedHalls(),
 		Route:      w.GetRoute(),
 		Passing:    w.GetPassing(),
 		Elsewhere: dispatch.Spending{
--- a/internal/node/export_signals_test.go
+++ b/internal/node/export_signals_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/contract"
+	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
@@ -27,7 +28,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, t := range d.desk(now, d.home(c.service)).Status(now).Targets {
+	for _, t := range d.desk(now, d.home(&entry.Query{Service: c.service})).Status(now).Targets {
 		if t.Key == key {
 			return t.Leaving
 		}
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -51,6 +51,7 @@
 type Chooser struct {
 	dispatching *dispatching
 	service     *fleetconfig.Service
+	store       *fleetconfig.Store
 	asked       map[string]int
 }
 
@@ -210,10 +211,25 @@
 		Reserve: 10,
 		Window:  10 * time.Second,
 	}, log)
+	c.store = store
 	c.service = store.Config().Service(service)
 	return c
 }
 
+// Offer puts entries in force.
+func (c *Chooser) Offer(entries ...*wire.Entry) {
+	c.store.Offer(entries)
+	c.dispatching.board.config.Store(&configuration{
+		config: c.store.Config(),
+	})
+}
+
+// Config returns the configuration in force.
+func (c *Chooser) Config() *fleetconfig.Config { return c.store.Config() }
+
+// SetRegions sets the regions of data halls.
+func (c *Chooser) SetRegions(regions map[string]string) { c.dispatching.board.regions = regions }
+
 // grantOf answers an ask with a target of a data hall.
 func (c *Chooser) grantOf(d *wire.Datagram, hall string) *wire.Datagram {
 	g := &wire.Grant{
@@ -235,16 +251,17 @@
 }
 
 // Home returns the data hall whose targets the node asks for first.
-func (c *Chooser) Home() string { return c.dispatching.home(c.service).hall }
+func (c *Chooser) Home() string { return c.dispatching.home(&entry.Query{Service: c.service}).hall }
 
 // Asked returns how often each peer was asked for targets of each data hall, by both,
 // with a space between them.
 func (c *Chooser) Asked() map[string]int { return c.asked }
 
-// Choose takes a target for one attempt.
-func (c *Chooser) Choose(ctx context.Context) (entry.Choice, error) {
+// Choose takes a target for one attempt, in regions that all lists allow.
+func (c *Chooser) Choose(ctx context.Context, regions ...fleetconfig.Regions) (entry.Choice, error) {
 	return c.dispatching.choose(ctx, &entry.Query{
 		Service:  c.service,
+		Regions:  regions,
 		Aim:      time.Now().Add(time.Second),
 		Deadline: time.Now().Add(time.Second),
 	})
@@ -266,7 +283,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, t := range d.desk(now, d.home(c.service)).Status(now).Targets {
+	for _, t := range d.desk(now, d.home(&entry.Query{Service: c.service})).Status(now).Targets {
 		if t.Key == key {
 			return t.Failing
 		}
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -262,7 +262,7 @@
 	for _, t := range s.config.Targets() {
 		st := s.judge.State(now, t.Key())
 		inst := j.config.Instances()[t.Address()]
-		listed := t.Leaving() || inst != nil && inst.Leaving()
+		listed := s.config.Drained(t) || inst != nil && inst.Leaving()
 		members = append(members, balance.Member{
 			Key:         t.Key(),
 			Slots:       t.Slots(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,9 +93,11 @@
 	}
 	klog.SetLogger(klog.NewFilter(klog.DefaultLogger, klog.FilterLevel(klog.LevelError)))
 	n := &Node{
-		set:     set,
-		log:     log,
-		board:   &Board{},
+		set: set,
+		log: log,
+		board: &Board{
+			regions: set.Regions(),
+		},
 		begun:   time.Now(),
 		traffic: &link.Traffic{},
 		metrics: metrics.New(set.MetricWorkspaces()),
@@ -227,6 +229,7 @@
 	}
 	log.WithField("era", c.Position().Era()).WithField("revision", c.Position().Revision()).WithField("routes", c.Routes()).
 		WithField("services", len(c.Services())).Info("configuration in force")
+	n.logEvacuations(log, c)
 	n.board.config.Store(&configuration{
 		config:   c,
 		refusals: refusals,
@@ -235,6 +238,27 @@
 	n.board.pruneSignals(time.Now(), c)
 }
 
+// logEvacuations writes a line for each data hall whose evacuation begins or ends with a
+// configuration.
+func (n *Node) logEvacuations(log *logrus.Entry, c *fleetconfig.Config) {
+	now := c.Evacuations()
+	var before []string
+	if old := n.board.currentConfig(); old != nil {
+		before = old.Evacuations()
+	}
+	n.metrics.Gauge("evacuated_data_halls", float64(len(now)))
+	for _, hall := range now {
+		if !slices.Contains(before, hall) {
+			log.WithField("data_hall", hall).WithField("age_ms", ageMS(n.gossip.PlatformAge(time.Now()))).Info("data hall evacuated")
+		}
+	}
+	for _, hall := range before {
+		if !slices.Contains(now, hall) {
+			log.WithField("data_hall", hall).WithField("age_ms", ageMS(n.gossip.PlatformAge(time.Now()))).Info("data hall in use again")
+		}
+	}
+}
+
 // Sync serves dissemination to peers.
 func (n *Node) Sync(ctx context.Context, in *wire.SyncRequest) (*wire.SyncReply, error) {
 	return n.gossip.Sync(ctx, in)
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -81,19 +81,29 @@
 }
 
 // newest returns a service as it is in force now, or as the request knows it.
-func (d *dispatching) newest(s *fleetconfig.Service) *fleetconfig.Service {
-	if c := d.board.currentConfig(); c != nil && c.Service(s.Name()) != nil {
-		return c.Service(s.Name())
+func (d *dispatching) newest(s *fleetconfig.Service) *fleetconfig.Service { return d.board.newest(s) }
+
+// open returns the data halls by which the service of a request is divided and that may serve
+// it, or nil if the service isn't divided. d.mu is held.
+func (d *dispatching) open(q *entry.Query) []string {
+	halls := d.divided.halls(d.newest(q.Service))
+	closed := d.board.closedHalls(q)
+	if len(closed) == 0 {
+		return halls
 	}
-	return s
+	open := slices.DeleteFunc(slices.Clone(halls), func(h string) bool { return slices.Contains(closed, h) })
+	if len(open) == 0 {
+		return halls
+	}
+	return open
 }
 
 // home returns the part of a service that this node asks first. d.mu is held.
-func (d *dispatching) home(s *fleetconfig.Service) part {
+func (d *dispatching) home(q *entry.Query) part {
 	p := part{
-		service: s.Name(),
+		service: q.Service.Name(),
 	}
-	halls := d.divided.halls(d.newest(s))
+	halls := d.open(q)
 	if len(halls) == 0 {
 		return p
 	}
@@ -108,10 +118,10 @@
 }
 
 // homeOf is home for who doesn't hold d.mu.
-func (d *dispatching) homeOf(s *fleetconfig.Service) part {
+func (d *dispatching) homeOf(q *entry.Query) part {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.home(s)
+	return d.home(q)
 }
 
 // ways returns the part to ask first and those that may be asked for a free target after
@@ -119,11 +129,11 @@
 func (d *dispatching) ways(now time.Time, q *entry.Query) (home part, others []part) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	home = d.home(q.Service)
+	home = d.home(q)
 	if home.hall == "" || q.Hedge {
 		return home, nil
 	}
-	for _, hall := range d.divided.halls(d.newest(q.Service)) {
+	for _, hall := range d.open(q) {
 		p := part{
 			service: home.service,
 			hall:    hall,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -79,6 +79,7 @@
 	c.Services = len(cur.config.Services())
 	c.Routes = cur.config.Routes()
 	c.Workspaces = cur.config.Workspaces()
+	c.Evacuated = cur.config.Evacuations()
 	for _, r := range cur.refusals {
 		c.Refused = append(c.Refused, operator.RefusedStatus{
 			Key:      r.Key(),
--- a/internal/node/taking.go
+++ b/internal/node/taking.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
@@ -55,6 +56,15 @@
 		d.tell(peer, doneOf(p, g, result, 0))
 		return reply{}
 	}
+	if slices.Contains(d.board.closedHalls(q), t.DataHall()) {
+		// Whoever chose may not know yet that the data hall is evacuated.
+		d.tell(peer, doneOf(p, g, wire.Done_IGNORED, 0))
+		d.log.WithField("service", p.service).WithField("target", t.Key()).WithField("by", peer).
+			WithField("hall", t.DataHall()).Info("granted target is in a closed data hall")
+		return reply{
+			barred: true,
+		}
+	}
 	now := time.Now()
 	permit := signal.Permit{
 		At: now,
@@ -102,7 +112,7 @@
 	if dispatcher == d.board.view.Load().Self().Address() {
 		return
 	}
-	if home := d.home(q.Service); home != p {
+	if home := d.home(q); home != p {
 		// This node chooses alone among the targets of its own part.
 		return
 	}
--- a/internal/node/targetlimits.go
+++ b/internal/node/targetlimits.go
@@ -266,7 +266,7 @@
 	least := time.Duration(0)
 	for _, t := range s.Targets() {
 		said := b.standing(now, t)
-		if t.Leaving() || said.Draining {
+		if s.Drained(t) || said.Draining {
 			continue
 		}
 		wait := min(b.shares.wait(now, t.Key(), said.Limit, b.nodes()), b.shares.turn(said.Limit))
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -32,12 +32,14 @@
 	Era uint64 `json:"era"`
 	// Ahead are keys whose values the platform lost when it was restored: they hold until
 	// they are written again.
-	Ahead      []string        `json:"ahead,omitempty"`
-	Revision   uint64          `json:"revision"`
-	Services   int             `json:"services"`
-	Routes     int             `json:"routes"`
-	Workspaces int             `json:"workspaces"`
-	Refused    []RefusedStatus `json:"refused,omitempty"`
+	Ahead      []string `json:"ahead,omitempty"`
+	Revision   uint64   `json:"revision"`
+	Services   int      `json:"services"`
+	Routes     int      `json:"routes"`
+	Workspaces int      `json:"workspaces"`
+	// Evacuated are the data halls whose targets get no new requests.
+	Evacuated []string        `json:"evacuated,omitempty"`
+	Refused   []RefusedStatus `json:"refused,omitempty"`
 	// PlatformAgeMS is how long ago any known node heard the platform, in
 	// milliseconds; -1 means never.
 	PlatformAgeMS int64 `json:"platform_age_ms"`
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -57,6 +57,7 @@
 		required("node", "data_hall", text(&s.dataHall)),
 		optional("node", "outgoing", ip(&s.outgoing)),
 		given("node", "processors", processors(&s.weight), func() {}),
+		optional("node", "regions", pairs(&s.regions)),
 		required("entry", "listen", address(&s.entryListen)),
 		optional("entry", "max_body", size(&s.maxBody, minBody, maxBody)),
 		optional("entry", "max_header", size(&s.maxHeader, minHeader, maxHeader)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,7 @@
 	dataHall string
 	outgoing netip.Addr
 	weight   uint32
+	regions  map[string]string
 
 	entryListen     netip.AddrPort
 	maxBody         int64
@@ -87,6 +88,9 @@
 // value leaves the choice to the system.
 func (s *Settings) Outgoing() netip.Addr { return s.outgoing }
 
+// Regions returns the regions of data halls by their names. The map must not be changed.
+func (s *Settings) Regions() map[string]string { return s.regions }
+
 // Weight returns what this process can carry, in thousandths of a processor. Nodes
 // that can carry more get more of the fleet's roles.
 func (s *Settings) Weight() uint32 { return s.weight }
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -58,6 +58,22 @@
 	}
 }
 
+// pairs reads NAME=VALUE, separated by commas.
+func pairs(dst *map[string]string) func(string) string {
+	return func(v string) string {
+		out := map[string]string{}
+		for part := range strings.SplitSeq(v, ",") {
+			name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+			if !ok || name == "" || value == "" || out[name] != "" {
+				return "want NAME=VALUE,NAME=VALUE with each name once, got " + strconv.Quote(v)
+			}
+			out[name] = value
+		}
+		*dst = out
+		return ""
+	}
+}
+
 func webAddress(dst *string) func(string) string {
 	return func(v string) string {
 		u, err := url.Parse(v)
