internal/fleetconfig, internal/node, internal/dispatch: one changed target costs what changed

On the whole fleet each node built all of the configuration anew for each batch of changes: 13 builds of 6,000 targets a node in the first five seconds, each followed by a look at all targets in every part of the node that listens.

A target that registers itself is now linked to its service alone; documents that must be valid together are built without the targets. Services copy their sorted lists by the targets that change and count data halls and slots as they go. Dispatchers get the changed targets, the division goes by the counts, the judge of nodes that don't choose alone works when an operator asks, members look at the list of instances when that changed.

--- a/internal/dispatch/coverage.go
+++ b/internal/dispatch/coverage.go
@@ -2,7 +2,10 @@
 
 package dispatch
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // The users judge windows of two seconds in which a tenth of the requests or more was
 // not served: requests must have reached a share of the targets, the floor, of those that
@@ -25,6 +28,10 @@
 // tenth of the requests is lost.
 const shortPrice = 50
 
+// exactMost is up to how many targets the probability of too few is worked out exactly, in a time
+// that goes by their square.
+const exactMost = 150
+
 // trialFrom is from which worth on a request counts as a trial of its target: more than
 // a full target costs more than an empty one.
 const trialFrom = 0.05
@@ -106,6 +113,9 @@
 	if floor <= 0 {
 		return 0
 	}
+	if len(reached)+len(idle) > exactMost {
+		return tooFewOfMany(reached, idle, floor)
+	}
 	// allowed is how many may be missed for each that was reached.
 	allowed := (1 - floor) / floor
 	most := int(min(float64(len(reached))*allowed, float64(len(idle)))) + 1
@@ -117,6 +127,26 @@
 	return few
 }
 
+// tooFewOfMany returns the same in linear time: by the central limit theorem the number of missed
+// targets less those allowed is about normal. With exactMost targets the result is within 0.03 of
+// the exact one.
+func tooFewOfMany(reached, idle []float64, floor float64) float64 {
+	allowed := (1 - floor) / floor
+	mean, variance := 0.0, 0.0
+	for _, p := range idle {
+		mean += p
+		variance += p * (1 - p)
+	}
+	for _, p := range reached {
+		mean -= allowed * p
+		variance += allowed * allowed * p * (1 - p)
+	}
+	if variance == 0 {
+		variance = math.SmallestNonzeroFloat32
+	}
+	return math.Erfc(-mean/math.Sqrt(2*variance)) / 2
+}
+
 // distribution returns the probabilities that 0, 1 and so on up to most of the events
 // occur, which have these probabilities and don't depend on each other.
 func distribution(events []float64, most int) []float64 {
--- a/internal/dispatch/coverage_test.go
+++ b/internal/dispatch/coverage_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -72,6 +73,31 @@
 	}
 }
 
+// Guards against an approximation for many targets that is not the probability it stands for.
+func TestTooFewOfMany(t *testing.T) {
+	const most = 0.03
+	rng := rand.New(rand.NewPCG(1, 42))
+	worst := 0.0
+	for range 300 {
+		var reached, idle []float64
+		good := rng.Float64()
+		for range 100 + rng.IntN(50) {
+			p := 0.98 - 0.5*good*rng.Float64()
+			if rng.Float64() < 0.65+0.15*rng.Float64() {
+				reached = append(reached, p)
+			} else {
+				idle = append(idle, p)
+			}
+		}
+		exact, near := dispatch.TooFew(reached, idle, 0.7), dispatch.TooFewOfMany(reached, idle, 0.7)
+		worst = max(worst, math.Abs(exact-near))
+	}
+	t.Logf("off by %.4f at most", worst)
+	if worst > most {
+		t.Errorf("off by %.4f, want at most %v", worst, most)
+	}
+}
+
 // The status of a desk tells when targets that may work again get nothing: first
 // they surely fail and count for nothing, later they are missed.
 func TestStatusTellsOfMissedTargets(t *testing.T) {
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/health"
@@ -93,10 +94,7 @@
 	for _, c := range list {
 		t := old[c.Key]
 		if t == nil {
-			t = &target{
-				health:  health.NewTarget(now, d.model),
-				flights: map[ID]flight{},
-			}
+			t = d.newTarget(now)
 			if !first {
 				t.warmUntil = now.Add(c.Warmup)
 			}
@@ -110,6 +108,43 @@
 	}
 }
 
+func (d *Desk) newTarget(now time.Time) *target {
+	return &target{
+		health:  health.NewTarget(now, d.model),
+		flights: map[ID]flight{},
+	}
+}
+
+// Change takes targets that are new or changed, and the keys of those that are gone. All others
+// stay as they are.
+func (d *Desk) Change(now time.Time, changed []Target, gone []string) {
+	dropped := false
+	for _, key := range gone {
+		if t := d.targets[key]; t != nil {
+			if t.limit.Set {
+				d.limits--
+			}
+			delete(d.targets, key)
+			dropped = true
+		}
+	}
+	if dropped {
+		d.order = slices.DeleteFunc(d.order, func(t *target) bool { return d.targets[t.Key] != t })
+	}
+	for _, c := range changed {
+		t := d.targets[c.Key]
+		if t == nil {
+			t = d.newTarget(now)
+			t.warmUntil = now.Add(c.Warmup)
+			d.targets[c.Key] = t
+			d.order = append(d.order, t)
+		}
+		t.Target = c
+	}
+	d.covered = coverage{}
+	d.accepting = accepting{}
+}
+
 // Ask answers an ask at once. Asking again with the same ID gives the same answer.
 func (d *Desk) Ask(now time.Time, a *Ask) Grant {
 	d.hear(now, a)
--- a/internal/dispatch/divide.go
+++ b/internal/dispatch/divide.go
@@ -14,12 +14,9 @@
 
 // Divide returns the data halls by which the targets of a service are divided, sorted: each
 // has a desk of its own. It returns nil where one desk should have them all. All nodes
-// must come to the same answer, so that it depends on the published targets alone.
-func Divide(list []Target) []string {
-	count := map[string]int{}
-	for _, t := range list {
-		count[t.DataHall]++
-	}
+// must come to the same answer, so that it depends on the published targets alone, of which
+// count says how many each data hall has.
+func Divide(count map[string]int) []string {
 	if len(count) < 2 {
 		return nil
 	}
--- a/internal/dispatch/divide_test.go
+++ b/internal/dispatch/divide_test.go
@@ -26,9 +26,18 @@
 	return out
 }
 
+// sizes returns how many targets each data hall has.
+func sizes(counts ...int) map[string]int {
+	out := map[string]int{}
+	for _, t := range spreadOver(counts...) {
+		out[t.DataHall]++
+	}
+	return out
+}
+
 func ExampleDivide() {
-	fmt.Println(dispatch.Divide(spreadOver(92, 94, 89, 72, 84)))
-	fmt.Println(dispatch.Divide(spreadOver(6, 5, 5)))
+	fmt.Println(dispatch.Divide(sizes(92, 94, 89, 72, 84)))
+	fmt.Println(dispatch.Divide(sizes(6, 5, 5)))
 	// Output:
 	// [a b c d e]
 	// []
@@ -63,7 +72,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := dispatch.Divide(spreadOver(tt.counts...)); !slices.Equal(got, tt.want) {
+			if got := dispatch.Divide(sizes(tt.counts...)); !slices.Equal(got, tt.want) {
 				t.Errorf("got %v, want %v", got, tt.want)
 			}
 		})
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -52,16 +52,21 @@
 	Granted int
 }
 
-// Status returns the state of the desk.
-func (d *Desk) Status(now time.Time) Status {
+// Asked returns how many asks came in the window of the retry budget.
+func (d *Desk) Asked(now time.Time) int {
 	d.window.turn(now, d.begun, d.budget)
 	firsts, repeats := d.window.sums()
+	return int(firsts + repeats)
+}
+
+// Status returns the state of the desk.
+func (d *Desk) Status(now time.Time) Status {
 	s := Status{
 		Waiting:     len(d.queue.list),
 		Unlearned:   d.unlearned,
 		Prior:       d.model.Share(),
 		LostFailing: d.model.LostFailing(),
-		Asked:       int(firsts + repeats),
+		Asked:       d.Asked(now),
 		RepeatsLeft: d.left(now, 1),
 		Trials:      d.trials,
 	}
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -9,6 +9,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/order"
@@ -73,14 +74,18 @@
 	healthPath string
 	loadPath   string
 	threshold  float64
-	targets    []*Target
-	byKey      map[string]*Target
+	// targets are in the order of their addresses, keyed in that of their keys.
+	targets []*Target
+	keyed   []*Target
+	// documented is how many targets the document of the service, or another one, lists.
+	documented int
 	// connections is what a target accepts that states no number itself.
 	connections int
 	// warmupRate bounds the requests a second to a target that warms up; 0 is no bound.
 	warmupRate float64
-	// halls are the data halls of the targets that stay, sorted.
-	halls     []string
+	// halls are the data halls of the targets, sorted by name, slots all that the targets have.
+	halls     []hall
+	slots     int
 	evacuated map[string]bool
 }
 
@@ -107,19 +112,25 @@
 // up; 0 means no bound.
 func (s *Service) WarmupRate() float64 { return s.warmupRate }
 
-// Halls returns the data halls with targets that are not leaving, sorted. The slice must not
-// be changed.
-func (s *Service) Halls() []string { return s.halls }
-
 // Evacuated reports whether targets in a data hall get no new requests.
 func (s *Service) Evacuated(dataHall string) bool { return s.evacuated[dataHall] }
 
+// SameEvacuations reports whether the same data halls are evacuated as in another configuration
+// of the service.
+func (s *Service) SameEvacuations(o *Service) bool { return maps.Equal(s.evacuated, o.evacuated) }
+
 // Drained reports whether a target gets no new requests: it leaves, or its data hall is
 // evacuated.
 func (s *Service) Drained(t *Target) bool { return t.leaving || s.evacuated[t.dataHall] }
 
 // Target returns a target by its key, or nil.
-func (s *Service) Target(key string) *Target { return s.byKey[key] }
+func (s *Service) Target(key string) *Target {
+	at, ok := slices.BinarySearchFunc(s.keyed, key, func(t *Target, k string) int { return strings.Compare(t.key, k) })
+	if !ok {
+		return nil
+	}
+	return s.keyed[at]
+}
 
 // Route says where matching requests go.
 type Route struct {
@@ -286,6 +297,12 @@
 // changed.
 func (c *Config) Instances() map[string]*Instance { return c.instances }
 
+// SameInstances reports whether the list of instances is that of another configuration, which may
+// be nil.
+func (c *Config) SameInstances(o *Config) bool {
+	return o != nil && maps.Equal(c.instances, o.instances)
+}
+
 // Routes returns the number of routes.
 func (c *Config) Routes() int { return c.routes.count }
 
--- a/internal/fleetconfig/digest.go
+++ b/internal/fleetconfig/digest.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -37,27 +38,46 @@
 	return xxhash.Sum64(b)
 }
 
+// bucket is one part of the keys.
+type bucket struct {
+	digest uint64
+	// keys are sorted.
+	keys []string
+}
+
 // note takes a newer entry of a key into the digests; old is nil for a new key.
 func (s *Store) note(old, newest *wire.Entry) {
-	b := bucketOf(newest.GetKey())
+	b := &s.parts[bucketOf(newest.GetKey())]
 	if old != nil {
-		s.buckets[b] ^= hashOf(old)
+		b.digest ^= hashOf(old)
+	} else {
+		at, _ := slices.BinarySearch(b.keys, newest.GetKey())
+		b.keys = slices.Insert(b.keys, at, newest.GetKey())
 	}
-	s.buckets[b] ^= hashOf(newest)
+	b.digest ^= hashOf(newest)
+	position := MarkOf(newest).Position()
+	s.era = max(s.era, position.Era())
+	s.history.add(position, newest.GetKey())
 }
 
 // Digest returns a hash over the marks of all keys. Two stores
 // with equal digests hold the same newest values.
 func (s *Store) Digest() uint64 {
 	sum := uint64(0)
-	for _, b := range s.buckets {
-		sum ^= b
+	for i := range s.parts {
+		sum ^= s.parts[i].digest
 	}
 	return sum
 }
 
 // BucketDigests returns the digests of the parts. The slice is the caller's.
-func (s *Store) BucketDigests() []uint64 { return append([]uint64(nil), s.buckets[:]...) }
+func (s *Store) BucketDigests() []uint64 {
+	out := make([]uint64, Buckets)
+	for i := range s.parts {
+		out[i] = s.parts[i].digest
+	}
+	return out
+}
 
 // Differing returns the parts whose digests are not the given ones, none if there is
 // another number of digests than Buckets.
@@ -66,9 +86,9 @@
 		return nil
 	}
 	var out []uint32
-	for b, own := range s.buckets {
-		if digests[b] != own {
-			out = append(out, uint32(b))
+	for i := range s.parts {
+		if digests[i] != s.parts[i].digest {
+			out = append(out, uint32(i))
 		}
 	}
 	return out
@@ -76,17 +96,20 @@
 
 // In returns the marks of the newest values, by key, in some parts.
 func (s *Store) In(parts []uint32) []*wire.KeyRevision {
-	var wanted [Buckets]bool
-	for _, b := range parts {
-		if b < Buckets {
-			wanted[b] = true
-		}
-	}
 	var out []*wire.KeyRevision
-	for _, k := range s.keys {
-		if wanted[bucketOf(k)] {
-			out = append(out, KeyRevision(k, s.records[k].newest.mark))
-		}
+	for _, b := range slices.Compact(slices.Sorted(slices.Values(parts))) {
+		out = s.revisions(out, b)
+	}
+	return out
+}
+
+// revisions appends the marks of the newest values in a part.
+func (s *Store) revisions(out []*wire.KeyRevision, part uint32) []*wire.KeyRevision {
+	if part >= Buckets {
+		return out
+	}
+	for _, k := range s.parts[part].keys {
+		out = append(out, KeyRevision(k, s.records[k].newest.mark))
 	}
 	return out
 }
--- /dev/null
+++ b/internal/fleetconfig/history.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"slices"
+
+	"ploverjunction.example/ploverjunction/internal/order"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// historySlack is how many places without effect a history keeps for each key, and at the least.
+const (
+	historySlack = 1
+	historyLeast = 64
+)
+
+// history lists where the source told of keys, by position: what lies behind a position is found
+// without a look at all keys. A key may stand at earlier places too, without effect.
+type history struct {
+	places []place
+}
+
+type place struct {
+	position order.Position
+	key      string
+}
+
+// add notes that the source told of a key. Most places are later than all before them.
+func (h *history) add(p order.Position, key string) {
+	at := len(h.places)
+	for at > 0 && h.places[at-1].position.Compare(p) > 0 {
+		at--
+	}
+	h.places = slices.Insert(h.places, at, place{
+		position: p,
+		key:      key,
+	})
+}
+
+// compact drops the places that have no effect once there are as many of them as keys.
+func (h *history) compact(keys int, effective func(place) bool) {
+	if len(h.places) <= keys*(1+historySlack)+historyLeast {
+		return
+	}
+	h.places = slices.DeleteFunc(h.places, func(p place) bool { return !effective(p) })
+}
+
+// After returns the newest entries of the keys of which the source told behind a position, in the
+// order of positions, until they take most bytes. upTo is up to where nothing is left out; more is set
+// where it isn't the last position.
+func (s *Store) After(p order.Position, most int) (out []*wire.Entry, upTo order.Position, more bool) {
+	effective := func(at place) bool { return s.records[at.key].newest.mark.Position() == at.position }
+	s.history.compact(len(s.records), effective)
+	places := s.history.places
+	from, _ := slices.BinarySearchFunc(places, p, func(at place, p order.Position) int {
+		if at.position.Compare(p) <= 0 {
+			return -1
+		}
+		return 1
+	})
+	size := 0
+	for i := from; i < len(places); i++ {
+		if !effective(places[i]) || i > 0 && places[i-1] == places[i] {
+			continue
+		}
+		entries := s.Entries(places[i].key)
+		for _, e := range entries {
+			size += len(e.GetKey()) + len(e.GetValue())
+		}
+		if size > most && len(out) > 0 && places[i].position != upTo {
+			return out, upTo, true
+		}
+		out = append(out, entries...)
+		upTo = places[i].position
+	}
+	return out, upTo, false
+}
--- /dev/null
+++ b/internal/fleetconfig/link.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// registeredIn returns the services of registrations in force that documents may replace.
+func registeredIn(records map[string]*record) []string {
+	var out []string
+	for _, r := range records {
+		if r.joint() && r.inForce != nil && r.inForce.target != nil {
+			out = append(out, r.inForce.target.service)
+		}
+	}
+	return out
+}
+
+// link makes the configuration in force of the documents and all registrations in force. A service
+// keeps its targets where neither it nor its documents say anything else of them; changed are
+// services where they may.
+func (s *Store) link(changed []string) {
+	c := *s.base
+	c.position = s.config.position
+	c.services = make(map[string]*Service, len(s.base.services))
+	var anew []string
+	for name, svc := range s.base.services {
+		out := *svc
+		old := s.config.services[name]
+		if old != nil && old.connections == svc.connections && old.documented+svc.documented == 0 && !slices.Contains(changed, name) {
+			out.targets, out.keyed, out.halls, out.slots = old.targets, old.keyed, old.halls, old.slots
+		} else {
+			anew = append(anew, name)
+		}
+		c.services[name] = &out
+	}
+	s.config = &c
+	if len(anew) > 0 {
+		s.relink(anew)
+	}
+}
+
+// relink gives some services the targets that are registered for them.
+func (s *Store) relink(services []string) {
+	var list []*record
+	for _, r := range s.records {
+		if r.inForce != nil && r.inForce.target != nil && slices.Contains(services, r.inForce.target.service) {
+			list = append(list, r)
+		}
+	}
+	e := edits{}
+	slices.SortFunc(list, inOrder)
+	for _, r := range list {
+		v := r.inForce
+		r.inForce = nil
+		if r.refusal = e.put(s.config, r, v); r.refusal != nil {
+			s.unsettled[r.newest.entry.GetKey()] = r
+		}
+	}
+	e.apply(s.config)
+}
+
+// settleRegistrations puts in force what can be of the targets that register themselves. Each
+// depends on its service and on the keys of that service's targets only.
+func (s *Store) settleRegistrations() {
+	var pending []*record
+	for _, r := range s.unsettled {
+		if !r.joint() && r.newest != r.inForce {
+			pending = append(pending, r)
+		}
+	}
+	if len(pending) == 0 {
+		return
+	}
+	slices.SortFunc(pending, inOrder)
+	c := *s.config
+	c.services = maps.Clone(s.config.services)
+	s.config = &c
+	e := edits{}
+	for progress := true; progress; {
+		progress = false
+		for _, r := range pending {
+			for _, v := range r.candidates() {
+				if r.newest == r.inForce {
+					break
+				}
+				err := e.put(s.config, r, v)
+				progress = progress || err == nil
+				if v == r.newest {
+					r.refusal = err
+				}
+			}
+		}
+	}
+	e.apply(s.config)
+}
+
+// inOrder orders records by revisions.
+func inOrder(a, b *record) int {
+	return cmp.Or(
+		a.newest.mark.Position().Compare(b.newest.mark.Position()),
+		strings.Compare(a.newest.entry.GetKey(), b.newest.entry.GetKey()),
+	)
+}
+
+// edit is what changes of the targets of one service.
+type edit struct {
+	removed map[*Target]bool
+	added   map[string]*Target
+}
+
+// edits are the changes of services by their names.
+type edits map[string]*edit
+
+func (e edits) of(service string) *edit {
+	if e[service] == nil {
+		e[service] = &edit{
+			removed: map[*Target]bool{},
+			added:   map[string]*Target{},
+		}
+	}
+	return e[service]
+}
+
+// put puts a version of a record in force in place of the one that is.
+func (e edits) put(c *Config, r *record, v *version) error {
+	if v.err != nil {
+		return v.err
+	}
+	var old *Target
+	if r.inForce != nil && r.inForce.target != nil {
+		old = r.inForce.target.target
+	}
+	var t *Target
+	if reg := v.target; reg != nil && c.services[reg.service] != nil {
+		svc, to := c.services[reg.service], e.of(reg.service)
+		var err error
+		if t, err = reg.of(svc); err != nil {
+			return err
+		}
+		holder := svc.Target(t.key)
+		if holder != nil && to.removed[holder] {
+			holder = nil
+		}
+		if added := to.added[t.key]; added != nil {
+			holder = added
+		}
+		if holder != nil && holder != old {
+			return duplicateTarget(t)
+		}
+	}
+	e.remove(c, old)
+	if t != nil {
+		e.of(t.service).added[t.key] = t
+	}
+	r.inForce = v
+	return nil
+}
+
+func (e edits) remove(c *Config, t *Target) {
+	if t == nil || c.services[t.service] == nil {
+		return
+	}
+	from := e.of(t.service)
+	if from.added[t.key] == t {
+		delete(from.added, t.key)
+	} else if c.services[t.service].Target(t.key) == t {
+		from.removed[t] = true
+	}
+}
+
+// apply makes the changed services of a configuration that nobody else has yet.
+func (e edits) apply(c *Config) {
+	for name, change := range e {
+		if len(change.removed)+len(change.added) == 0 {
+			continue
+		}
+		c.services[name] = c.services[name].with(slices.Collect(maps.Keys(change.removed)), slices.Collect(maps.Values(change.added)))
+	}
+}
--- /dev/null
+++ b/internal/fleetconfig/pool.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// hall counts the targets of a service in one data hall.
+type hall struct {
+	name string
+	all  int
+	// staying are those that are not leaving.
+	staying int
+}
+
+// Halls returns the data halls with targets that are not leaving, sorted.
+func (s *Service) Halls() []string {
+	out := make([]string, 0, len(s.halls))
+	for _, h := range s.halls {
+		if h.staying > 0 {
+			out = append(out, h.name)
+		}
+	}
+	return out
+}
+
+// Slots returns how many requests all targets together work on at once.
+func (s *Service) Slots() int { return s.slots }
+
+// HallSizes returns how many targets each data hall has, leaving ones included.
+func (s *Service) HallSizes() map[string]int {
+	out := make(map[string]int, len(s.halls))
+	for _, h := range s.halls {
+		out[h.name] = h.all
+	}
+	return out
+}
+
+func byAddress(a, b *Target) int {
+	return cmp.Or(strings.Compare(a.address, b.address), strings.Compare(a.id, b.id), strings.Compare(a.key, b.key))
+}
+
+func byKey(a, b *Target) int { return strings.Compare(a.key, b.key) }
+
+// setTargets gives the service its targets.
+func (s *Service) setTargets(list []*Target) {
+	s.targets = slices.SortedFunc(slices.Values(list), byAddress)
+	s.keyed = slices.SortedFunc(slices.Values(list), byKey)
+	s.halls, s.slots = nil, 0
+	for _, t := range list {
+		s.count(t, 1)
+	}
+}
+
+// count adds n to the number of targets like t.
+func (s *Service) count(t *Target, n int) {
+	at, ok := slices.BinarySearchFunc(s.halls, t.dataHall, func(h hall, name string) int { return strings.Compare(h.name, name) })
+	if !ok {
+		s.halls = slices.Insert(s.halls, at, hall{
+			name: t.dataHall,
+		})
+	}
+	s.slots += n * t.slots
+	h := &s.halls[at]
+	h.all += n
+	if !t.leaving {
+		h.staying += n
+	}
+	if h.all == 0 {
+		s.halls = slices.Delete(s.halls, at, at+1)
+	}
+}
+
+// with returns a copy of the service without some of its targets and with others. Its cost in
+// comparisons goes by the targets that change.
+func (s *Service) with(removed, added []*Target) *Service {
+	out := *s
+	out.targets = splice(s.targets, removed, added, byAddress)
+	out.keyed = splice(s.keyed, removed, added, byKey)
+	out.halls = slices.Clone(s.halls)
+	for _, t := range removed {
+		out.count(t, -1)
+	}
+	for _, t := range added {
+		out.count(t, 1)
+	}
+	return &out
+}
+
+// splice returns a copy of a sorted list without some of its entries and with others.
+func splice(list, removed, added []*Target, compare func(a, b *Target) int) []*Target {
+	removed, added = slices.Clone(removed), slices.Clone(added)
+	slices.SortFunc(removed, compare)
+	slices.SortFunc(added, compare)
+	out := make([]*Target, 0, len(list)-len(removed)+len(added))
+	from := 0
+	for len(removed)+len(added) > 0 {
+		if len(added) == 0 || len(removed) > 0 && compare(removed[0], added[0]) <= 0 {
+			at, _ := slices.BinarySearchFunc(list, removed[0], compare)
+			out = append(out, list[from:at]...)
+			from, removed = at+1, removed[1:]
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(list, added[0], compare)
+		at = max(at, from)
+		out = append(append(out, list[from:at]...), added[0])
+		from, added = at, added[1:]
+	}
+	return append(out, list[from:]...)
+}
+
+// Changes returns the targets of s that before does not have, and those that only before has. Both
+// are compared by identity: a target that is published unchanged stays the same one.
+func (s *Service) Changes(before *Service) (added, removed []*Target) {
+	a, b := s.keyed, before.keyed
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(a) > 0 && len(b) > 0 && a[0] == b[0]:
+			a, b = a[1:], b[1:]
+		case len(b) == 0 || len(a) > 0 && a[0].key <= b[0].key:
+			added, a = append(added, a[0]), a[1:]
+		default:
+			removed, b = append(removed, b[0]), b[1:]
+		}
+	}
+	return added, removed
+}
--- /dev/null
+++ b/internal/fleetconfig/registration.go
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// registration is a target that registers itself, apart from the configuration of its service:
+// such targets come and go one by one.
+type registration struct {
+	service string
+	target  *Target
+	// connections is what the target states itself, 0 if nothing.
+	connections int
+}
+
+// registers reports whether a document is the registration of a target.
+func registers(d *wire.Document) bool {
+	return len(d.GetTargets()) == 1 && d.GetTargets()[0].GetId() != "" &&
+		len(d.GetServices())+len(d.GetRoutes())+len(d.GetWorkspaces())+len(d.GetInstances())+len(d.GetEvacuations()) == 0 &&
+		d.GetLimits() == nil
+}
+
+func newRegistration(w *wire.Target) (*registration, error) {
+	if err := checkAddress("target", w.GetAddress()); err != nil {
+		return nil, err
+	}
+	t, err := newTarget(w)
+	if err != nil {
+		return nil, err
+	}
+	return &registration{
+		service:     w.GetService(),
+		target:      t,
+		connections: t.connections,
+	}, nil
+}
+
+// of returns the target as one of a service. It is the same as before while the service is.
+func (r *registration) of(s *Service) (*Target, error) {
+	want := r.connections
+	if want == 0 {
+		want = s.connections
+	}
+	if err := checkConnections(want, r.target); err != nil {
+		return nil, err
+	}
+	if r.target.connections != want {
+		t := *r.target
+		t.connections = want
+		r.target = &t
+	}
+	return r.target, nil
+}
--- /dev/null
+++ b/internal/fleetconfig/settle.go
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleetconfig
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"ploverjunction.example/ploverjunction/internal/order"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// settle puts in force as many newest values as are valid. Documents must be valid together; a
+// target that registers itself needs its service only.
+func (s *Store) settle() {
+	if s.pending() != nil {
+		s.settleDocuments(registeredIn(s.unsettled))
+	}
+	s.settleRegistrations()
+	s.finish()
+}
+
+// settleDocuments puts in force as many newest documents as are valid together: all of them
+// at once where that works, else one after another in the order of revisions
+// until no more can be added. changed are services whose registrations it may replace.
+func (s *Store) settleDocuments(changed []string) {
+	pending := s.pending()
+	if s.tryAll(pending) {
+		pending = nil
+	}
+	for progress := true; progress; {
+		progress = false
+		for _, r := range pending {
+			progress = s.advance(r) || progress
+		}
+	}
+	for _, r := range pending {
+		r.refusal = nil
+		if r.newest != r.inForce {
+			r.refusal = s.try(r, r.newest)
+		}
+	}
+	s.link(changed)
+}
+
+// advance puts the best candidate of a key in force that is valid now.
+func (s *Store) advance(r *record) bool {
+	if r.newest == r.inForce {
+		return false
+	}
+	for _, v := range r.candidates() {
+		if s.try(r, v) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// pending returns the records of documents that are not in force, in the order of revisions.
+func (s *Store) pending() []*record {
+	var out []*record
+	for _, r := range s.unsettled {
+		if r.joint() && r.newest != r.inForce {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *record) int {
+		return cmp.Or(
+			a.newest.mark.Position().Compare(b.newest.mark.Position()),
+			strings.Compare(a.newest.entry.GetKey(), b.newest.entry.GetKey()),
+		)
+	})
+	return out
+}
+
+// tryAll puts the newest values of all keys in force if they are valid together.
+func (s *Store) tryAll(pending []*record) bool {
+	old := make([]*version, len(pending))
+	for i, r := range pending {
+		if r.newest.err != nil {
+			return false
+		}
+		old[i] = r.inForce
+	}
+	for _, r := range pending {
+		r.inForce = r.newest
+	}
+	if c, err := build(s.inForceDocs(), s.policies); err == nil {
+		s.base = c
+		return true
+	}
+	for i, r := range pending {
+		r.inForce = old[i]
+	}
+	return false
+}
+
+// try puts one version in force if it is valid with all else that is.
+func (s *Store) try(r *record, v *version) error {
+	if v.err != nil {
+		return v.err
+	}
+	old := r.inForce
+	r.inForce = v
+	c, err := build(s.inForceDocs(), s.policies)
+	if err != nil {
+		r.inForce = old
+		return err
+	}
+	s.base = c
+	return nil
+}
+
+// inForceDocs returns the documents in force in the order of their keys.
+func (s *Store) inForceDocs() []*wire.Document {
+	docs := make([]*wire.Document, 0, len(s.documents))
+	for _, k := range slices.Sorted(maps.Keys(s.documents)) {
+		if v := s.documents[k].inForce; v.joint() {
+			docs = append(docs, v.doc)
+		}
+	}
+	return docs
+}
+
+// finish gives the configuration its position, and drops what is no longer needed of the records
+// that were looked at.
+func (s *Store) finish() {
+	if s.config.position.Compare(s.base.position) < 0 {
+		s.config.position = s.base.position
+	}
+	left := map[string]*record{}
+	for key, r := range s.unsettled {
+		if r.inForce != nil {
+			s.config.position = order.Max(s.config.position, r.inForce.mark.Position())
+		}
+		if r.fallback != nil && !r.fallback.after(r.inForce) {
+			r.fallback = nil
+		}
+		if r.newest == r.inForce {
+			r.refusal = nil
+		} else {
+			left[key] = r
+		}
+		if !r.joint() {
+			delete(s.documents, key)
+		}
+	}
+	// A new map: one that held many keys once stays as large.
+	s.unsettled = left
+	s.refusals = nil
+	for _, key := range slices.Sorted(maps.Keys(s.unsettled)) {
+		r := s.unsettled[key]
+		s.refusals = append(s.refusals, Refusal{
+			key:      key,
+			position: r.newest.mark.Position(),
+			err:      r.refusal,
+		})
+	}
+	used := policyCache{}
+	for _, svc := range s.config.services {
+		used[svc.program.Text()] = svc.program
+	}
+	s.policies = used
+}
+
+// advancePosition notes values that are in force at later positions.
+func (s *Store) advancePosition(fresh []*wire.Entry) {
+	for _, e := range fresh {
+		if r := s.records[e.GetKey()]; r.inForce != nil {
+			s.config.position = order.Max(s.config.position, r.inForce.mark.Position())
+		}
+	}
+}
--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -3,7 +3,6 @@
 package fleetconfig
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 
@@ -16,12 +15,18 @@
 // it.
 type Store struct {
 	records map[string]*record
-	// keys are the keys of all records, sorted: each change of one target would sort
-	// them anew else, three times on each node of the fleet.
-	keys []string
-	// buckets are the digests of the parts into which the keys are divided.
-	buckets  [Buckets]uint64
-	policies policyCache
+	// parts are the keys, divided for comparisons.
+	parts [Buckets]bucket
+	// unsettled are the records whose newest version is not in force.
+	unsettled map[string]*record
+	// documents are the records with versions that must be valid together, base the
+	// configuration that they make without the targets that register themselves.
+	documents map[string]*record
+	base      *Config
+	policies  policyCache
+	// era is the greatest one of any value.
+	era      uint64
+	history  history
 	config   *Config
 	refusals []Refusal
 }
@@ -33,9 +38,12 @@
 		panic("fleetconfig: the empty configuration is valid: " + err.Error())
 	}
 	return &Store{
-		records:  map[string]*record{},
-		policies: policyCache{},
-		config:   c,
+		records:   map[string]*record{},
+		unsettled: map[string]*record{},
+		documents: map[string]*record{},
+		policies:  policyCache{},
+		base:      c,
+		config:    c,
 	}
 }
 
@@ -63,8 +71,8 @@
 	case len(fresh) > 0:
 		c := *s.config
 		s.config = &c
-		s.finish()
 	}
+	s.advancePosition(fresh)
 	return fresh
 }
 
@@ -80,9 +88,8 @@
 			newest: parseVersion(e),
 		}
 		s.records[e.GetKey()] = r
-		at, _ := slices.BinarySearch(s.keys, e.GetKey())
-		s.keys = slices.Insert(s.keys, at, e.GetKey())
 		s.note(nil, e)
+		s.touch(e.GetKey(), r)
 		return e, true
 	}
 	old := r.newest
@@ -90,154 +97,47 @@
 		if r.newest == r.inForce || !r.keep(parseVersion(e)) {
 			return nil, false
 		}
+		s.touch(e.GetKey(), r)
 		return e, true
 	}
 	joined := join(old.entry, e)
 	s.note(old.entry, joined)
 	if old.shows(joined) {
 		old.entry, old.mark = joined, MarkOf(joined)
-		return joined, old != r.inForce && r.keep(parseVersion(e))
+		change := old != r.inForce && r.keep(parseVersion(e))
+		if change {
+			s.touch(e.GetKey(), r)
+		}
+		return joined, change
 	}
 	r.newest = parseVersion(joined)
 	if old != r.inForce {
 		r.keep(old)
 	}
+	s.touch(e.GetKey(), r)
 	return joined, true
 }
 
-// settle puts in force as many newest values as are valid together: all of them
-// at once where that works, else one after another in the order of revisions
-// until no more can be added.
-func (s *Store) settle() {
-	pending := s.pending()
-	if s.tryAll(pending) {
-		pending = nil
-	}
-	for progress := true; progress; {
-		progress = false
-		for _, r := range pending {
-			progress = s.advance(r) || progress
-		}
-	}
-	s.refusals = nil
-	for _, r := range pending {
-		if r.newest == r.inForce {
-			continue
-		}
-		s.refusals = append(s.refusals, Refusal{
-			key:      r.newest.entry.GetKey(),
-			position: r.newest.mark.Position(),
-			err:      s.try(r, r.newest),
-		})
-	}
-	s.finish()
-}
-
-// advance puts the best candidate of a key in force that is valid now.
-func (s *Store) advance(r *record) bool {
-	if r.newest == r.inForce {
-		return false
-	}
-	for _, v := range r.candidates() {
-		if s.try(r, v) == nil {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Store) pending() []*record {
-	var out []*record
-	for _, r := range s.records {
-		if r.newest != r.inForce {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b *record) int {
-		return cmp.Or(
-			a.newest.mark.Position().Compare(b.newest.mark.Position()),
-			strings.Compare(a.newest.entry.GetKey(), b.newest.entry.GetKey()),
-		)
-	})
-	return out
-}
-
-// tryAll puts the newest values of all keys in force if they are valid together.
-func (s *Store) tryAll(pending []*record) bool {
-	old := make([]*version, len(pending))
-	for i, r := range pending {
-		if r.newest.err != nil {
-			return false
-		}
-		old[i] = r.inForce
-	}
-	for _, r := range pending {
-		r.inForce = r.newest
-	}
-	if c, err := build(s.inForceDocs(), s.policies); err == nil {
-		s.config = c
-		return true
-	}
-	for i, r := range pending {
-		r.inForce = old[i]
+// touch notes that the newest version of a key is to be put in force.
+func (s *Store) touch(key string, r *record) {
+	s.unsettled[key] = r
+	if r.joint() {
+		s.documents[key] = r
 	}
-	return false
-}
-
-// try puts one version in force if it is valid with all else that is.
-func (s *Store) try(r *record, v *version) error {
-	if v.err != nil {
-		return v.err
-	}
-	old := r.inForce
-	r.inForce = v
-	c, err := build(s.inForceDocs(), s.policies)
-	if err != nil {
-		r.inForce = old
-		return err
-	}
-	s.config = c
-	return nil
-}
-
-// finish gives the configuration its position and drops policies out of use.
-func (s *Store) finish() {
-	for _, r := range s.records {
-		if r.inForce != nil {
-			s.config.position = order.Max(s.config.position, r.inForce.mark.Position())
-		}
-		if r.fallback != nil && !r.fallback.after(r.inForce) {
-			r.fallback = nil
-		}
-	}
-	used := policyCache{}
-	for _, svc := range s.config.services {
-		used[svc.program.Text()] = svc.program
-	}
-	s.policies = used
-}
-
-func (s *Store) inForceDocs() []*wire.Document {
-	docs := make([]*wire.Document, 0, len(s.keys))
-	for _, k := range s.keys {
-		if r := s.records[k]; r.inForce != nil {
-			docs = append(docs, r.inForce.doc)
-		}
-	}
-	return docs
 }
 
 // Revisions returns the mark of the newest value of each key, by key.
 func (s *Store) Revisions() []*wire.KeyRevision {
 	out := make([]*wire.KeyRevision, 0, len(s.records))
-	for _, k := range s.keys {
-		out = append(out, KeyRevision(k, s.records[k].newest.mark))
+	for i := range s.parts {
+		out = s.revisions(out, uint32(i))
 	}
+	slices.SortFunc(out, func(a, b *wire.KeyRevision) int { return strings.Compare(a.GetKey(), b.GetKey()) })
 	return out
 }
 
 // Len returns the number of keys, deleted ones included.
-func (s *Store) Len() int { return len(s.keys) }
+func (s *Store) Len() int { return len(s.records) }
 
 // Newest returns the newest entry of a key, which may be a removal, or nil.
 func (s *Store) Newest(key string) *wire.Entry {
@@ -247,23 +147,26 @@
 	return nil
 }
 
-// Era returns the greatest era of the source that any value is from.
-func (s *Store) Era() uint64 {
-	era := uint64(0)
-	for _, r := range s.records {
-		era = max(era, r.newest.mark.Position().Era())
+// Mark returns the mark of the newest value of a key, the zero mark for an unknown key.
+func (s *Store) Mark(key string) order.Mark {
+	if r := s.records[key]; r != nil {
+		return r.newest.mark
 	}
-	return era
+	return order.Mark{}
 }
 
+// Era returns the greatest era of the source that any value is from.
+func (s *Store) Era() uint64 { return s.era }
+
 // where returns the keys whose newest version fits a condition, sorted.
 func (s *Store) where(fits func(*version) bool) []string {
 	var out []string
-	for _, k := range s.keys {
-		if fits(s.records[k].newest) {
+	for k, r := range s.records {
+		if fits(r.newest) {
 			out = append(out, k)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
--- a/internal/fleetconfig/validate.go
+++ b/internal/fleetconfig/validate.go
@@ -3,11 +3,8 @@
 package fleetconfig
 
 import (
-	"cmp"
-	"maps"
 	"math"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -79,10 +76,11 @@
 		limits:     &Limits{},
 		evacuated:  map[string]bool{},
 	}
+	keys := map[string]bool{}
 	steps := []func(*wire.Document) error{
 		c.addEvacuations,
 		func(d *wire.Document) error { return c.addServices(d, cache) },
-		c.addTargets,
+		func(d *wire.Document) error { return c.addTargets(d, keys) },
 		c.addRoutes,
 		c.addWorkspaces,
 		c.addInstances,
@@ -96,25 +94,12 @@
 		}
 	}
 	for _, s := range c.services {
-		slices.SortFunc(s.targets, func(a, b *Target) int {
-			return cmp.Or(strings.Compare(a.address, b.address), strings.Compare(a.id, b.id))
-		})
-		s.halls = hallsOf(s.targets)
+		s.setTargets(s.targets)
+		s.documented = len(s.targets)
 	}
 	return c, nil
 }
 
-// hallsOf returns the data halls of the targets that stay, sorted.
-func hallsOf(targets []*Target) []string {
-	halls := map[string]bool{}
-	for _, t := range targets {
-		if !t.leaving {
-			halls[t.dataHall] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(halls))
-}
-
 func checkName(kind, name string) error {
 	if name == "" {
 		return fault(KindMissing, "name", "%s", kind)
@@ -171,7 +156,6 @@
 		threshold:  w.GetThreshold(),
 
 		connections: int(w.GetConnections()),
-		byKey:       map[string]*Target{},
 		warmupRate:  w.GetWarmupRate(),
 	}
 	if math.IsNaN(s.warmupRate) || math.IsInf(s.warmupRate, 0) || s.warmupRate < 0 {
@@ -191,7 +175,9 @@
 	return s, nil
 }
 
-func (c *Config) addTargets(d *wire.Document) error {
+// addTargets adds the targets of a document; keys are those of all targets so far, behind the
+// names of their services.
+func (c *Config) addTargets(d *wire.Document, keys map[string]bool) error {
 	for _, w := range d.GetTargets() {
 		s := c.services[w.GetService()]
 		if s == nil && w.GetId() != "" {
@@ -205,15 +191,32 @@
 		if err := checkAddress("target", w.GetAddress()); err != nil {
 			return err
 		}
-		t, err := newTarget(w, s)
+		t, err := newTarget(w)
 		if err != nil {
 			return err
 		}
-		if s.byKey[t.Key()] != nil {
-			return fault(KindDuplicate, "", "target %s of service %s", t.Key(), s.name)
+		if t.connections == 0 {
+			t.connections = s.connections
+		}
+		if err := checkConnections(t.connections, t); err != nil {
+			return err
+		}
+		if keys[s.name+" "+t.Key()] {
+			return duplicateTarget(t)
 		}
+		keys[s.name+" "+t.Key()] = true
 		s.targets = append(s.targets, t)
-		s.byKey[t.Key()] = t
+	}
+	return nil
+}
+
+func duplicateTarget(t *Target) error {
+	return fault(KindDuplicate, "", "target %s of service %s", t.Key(), t.service)
+}
+
+func checkConnections(n int, t *Target) error {
+	if n < 1 || n > maxSlots {
+		return fault(KindRange, "connections from 1 to 100000", "target %s", t.address)
 	}
 	return nil
 }
@@ -231,9 +234,9 @@
 	}
 }
 
-func newTarget(w *wire.Target, s *Service) (*Target, error) {
+func newTarget(w *wire.Target) (*Target, error) {
 	t := &Target{
-		service:     s.name,
+		service:     w.GetService(),
 		address:     w.GetAddress(),
 		dataHall:    w.GetDataHall(),
 		slots:       int(w.GetSlots()),
@@ -246,11 +249,8 @@
 	if born := w.GetBorn(); born != 0 {
 		t.born = time.UnixMilli(int64(min(born, math.MaxInt64)))
 	}
-	if t.connections == 0 {
-		t.connections = s.connections
-	}
-	if t.slots < 1 || t.slots > maxSlots || t.connections < 1 || t.connections > maxSlots {
-		return nil, fault(KindRange, "slots and connections from 1 to 100000", "target %s", t.address)
+	if t.slots < 1 || t.slots > maxSlots {
+		return nil, fault(KindRange, "slots from 1 to 100000", "target %s", t.address)
 	}
 	if t.warmup < 0 || t.warmup > maxDeadline || len(t.id) > maxName {
 		return nil, fault(KindRange, "warmup from 0s to 24h and id of 200 bytes at most", "target %s", t.address)
--- a/internal/fleetconfig/version.go
+++ b/internal/fleetconfig/version.go
@@ -7,12 +7,14 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// version is one value of a key together with what it parsed to.
+// version is one value of a key together with what it parsed to: nothing, a target that
+// registers itself, or another document.
 type version struct {
-	entry *wire.Entry
-	mark  order.Mark
-	doc   *wire.Document
-	err   error
+	entry  *wire.Entry
+	mark   order.Mark
+	doc    *wire.Document
+	target *registration
+	err    error
 }
 
 // after reports whether v replaces w: by their writer's order where both are values, else
@@ -40,6 +42,8 @@
 	newest   *version
 	inForce  *version
 	fallback *version
+	// refusal says why the newest version is not in force, nil if it is.
+	refusal error
 }
 
 // keep notes a version that isn't the newest.
@@ -67,9 +71,19 @@
 		mark:  MarkOf(e),
 	}
 	if Removed(e) {
-		v.doc = &wire.Document{}
 		return v
 	}
 	v.doc, v.err = Parse(e.GetValue())
+	if v.err == nil && registers(v.doc) {
+		v.target, v.err = newRegistration(v.doc.GetTargets()[0])
+		v.doc = nil
+	}
 	return v
 }
+
+// joint reports whether the version must be valid together with the others.
+func (v *version) joint() bool { return v != nil && v.doc != nil }
+
+// joint reports whether any version of the key that can be in force must be valid together with
+// those of other keys.
+func (r *record) joint() bool { return r.newest.joint() || r.inForce.joint() || r.fallback.joint() }
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -45,8 +45,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for p, dk := range d.desks {
-		s := dk.Status(now)
-		if s.Asked < reportLeast {
+		if dk.Asked(now) < reportLeast {
 			if dk.reported {
 				// Another node has the role now, or nobody asks.
 				dk.reported = false
@@ -56,6 +55,7 @@
 			continue
 		}
 		dk.reported = true
+		s := dk.Status(now)
 		d.short(p, s.Short)
 		failing := map[string]float64{}
 		limits := map[string]string{}
@@ -123,13 +123,30 @@
 		dk.Lead(d.place(now, view, p.holders(view)).part())
 	}
 	if dk.config != sc {
-		dk.config = sc
-		dk.Configure(now, p.targets(sc))
+		p.configure(now, dk, sc)
 		dk.Keep(max(d.floor, floorOf(sc)))
 	}
 	return dk
 }
 
+// configure brings a desk of the part to another configuration of its service.
+func (p part) configure(now time.Time, dk *desk, sc *fleetconfig.Service) {
+	before := dk.config
+	dk.config = sc
+	if before == nil || !sc.SameEvacuations(before) {
+		dk.Configure(now, p.targets(sc, sc.Targets()))
+		return
+	}
+	added, removed := sc.Changes(before)
+	var gone []string
+	for _, t := range removed {
+		if now := sc.Target(t.Key()); now == nil || p.hall != "" && now.DataHall() != p.hall {
+			gone = append(gone, t.Key())
+		}
+	}
+	dk.Change(now, p.targets(sc, added), gone)
+}
+
 // budgetOf returns the retry budget of a part. The share goes by the part's own first
 // attempts; the reserve is divided, so that all parts together keep the service's.
 func (d *dispatching) budgetOf(p part, sc *fleetconfig.Service) dispatch.Budget {
@@ -142,19 +159,19 @@
 
 // floorOf returns the share of a service's slots that its policy keeps in service.
 func floorOf(sc *fleetconfig.Service) float64 {
-	capacity := 0
-	for _, t := range sc.Targets() {
-		capacity += t.Slots()
-	}
-	if capacity == 0 {
+	if sc.Slots() == 0 {
 		return 0
 	}
-	return sc.Policy().Floor(float64(capacity), len(sc.Targets())) / float64(capacity)
+	return sc.Policy().Floor(float64(sc.Slots()), len(sc.Targets())) / float64(sc.Slots())
 }
 
-func deskTargets(sc *fleetconfig.Service) []dispatch.Target {
+// targets returns those of some targets of a service that belong to the part.
+func (p part) targets(sc *fleetconfig.Service, list []*fleetconfig.Target) []dispatch.Target {
 	var out []dispatch.Target
-	for _, t := range sc.Targets() {
+	for _, t := range list {
+		if p.hall != "" && t.DataHall() != p.hall {
+			continue
+		}
 		out = append(out, dispatch.Target{
 			Key:      t.Key(),
 			DataHall: t.DataHall(),
--- a/internal/node/judging.go
+++ b/internal/node/judging.go
@@ -32,7 +32,7 @@
 type judging struct {
 	board     *Board
 	collector *outlier.Collector
-	// passive is set where a dispatcher judges the targets: pools are then made only
+	// passive is set where a dispatcher judges the targets: targets are then looked at only
 	// when an operator asks.
 	passive bool
 	// report takes the evidence of each tick.
@@ -76,11 +76,20 @@
 func (j *judging) refresh(now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if !j.passive {
+		j.renew(now)
+	} else if j.board.currentConfig() != nil && j.board.pools.Load() == nil {
+		j.board.pools.Store(&pools{})
+	}
+}
+
+// renew takes what is new and makes pools of it. j.mu is held.
+func (j *judging) renew(now time.Time) {
 	if c := j.board.currentConfig(); c != nil && c != j.config {
 		j.configure(now, c)
 	}
 	j.look()
-	if j.dirty && (!j.passive || j.board.pools.Load() == nil) {
+	if j.dirty {
 		j.publish(now)
 	}
 }
@@ -97,11 +106,8 @@
 func (j *judging) pools(now time.Time) *pools {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.passive && j.config != nil {
-		j.look()
-		if j.dirty {
-			j.publish(now)
-		}
+	if j.passive && j.board.currentConfig() != nil {
+		j.renew(now)
 	}
 	return j.board.pools.Load()
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -161,10 +161,12 @@
 	defer tick.Stop()
 	held := time.NewTimer(viewPause)
 	defer held.Stop()
+	var listed *fleetconfig.Config
 	for {
 		changed := m.board.config.Watch()
-		if c := m.board.currentConfig(); c != nil {
+		if c := m.board.currentConfig(); c != nil && !c.SameInstances(listed) {
 			m.list(c)
+			listed = c
 		}
 		for waiting := true; waiting; {
 			select {
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -49,15 +49,6 @@
 	return view.Role(role, "", 2*dispatchers)
 }
 
-// targets returns the targets of the part in a configuration of its service.
-func (p part) targets(sc *fleetconfig.Service) []dispatch.Target {
-	out := deskTargets(sc)
-	if p.hall == "" {
-		return out
-	}
-	return slices.DeleteFunc(out, func(t dispatch.Target) bool { return t.DataHall != p.hall })
-}
-
 // divided is how a service is divided in one of its configurations.
 type divided struct {
 	config *fleetconfig.Service
@@ -73,7 +64,7 @@
 	if known.config != sc {
 		known = divided{
 			config: sc,
-			halls:  dispatch.Divide(deskTargets(sc)),
+			halls:  dispatch.Divide(sc.HallSizes()),
 		}
 		d[sc.Name()] = known
 	}
