internal/dissemination: nodes pull what is behind the position up to which they have all

While a fleet starts every new target was pushed whole to four peers by each node, in messages of up to 2 MB, and a node that found another digest listed the marks of all keys in 64 parts: bytes of a start went by targets times copies. Links of 20 Mbit/s were full, pings lost, living nodes taken for dead.

Readers say up to which position of the source they have delivered all. A node that has all up to one asks a peer that is ahead for what lies behind it, in compressed batches of 64 KB before compression, one pull at a time; small news is pushed as before. Who has nothing yet asks nodes of its data hall; other data halls are asked by a few nodes of each, or after a second without progress.

--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -48,8 +49,17 @@
 	// ownHallOdds is how many of ten comparisons stay in the data hall.
 	ownHallOdds = 6
 	// latelyTime is how long a value is sent to peers that don't answer comparisons: in
-	// that time some twenty nodes compare with each peer.
+	// that time some twenty nodes compare with each peer. lateMost bounds such values.
 	latelyTime = 20 * time.Second
+	lateMost   = 32
+	// pushBatch is up to how many bytes of small values are pushed unasked; of more only the
+	// news is, and peers pull them.
+	pushBatch = 4 << 10
+	// farPatience is after how long without progress a node pulls from any peer that is ahead of
+	// it, and not only from those of its data hall.
+	farPatience = time.Second
+	// pullPatience is how long a pull may go without an answer until another one may begin.
+	pullPatience = 500 * time.Millisecond
 	// mentionsMost is how many nodes a reply names to a node that knows few.
 	mentionsMost = 40
 )
@@ -92,10 +102,17 @@
 	wanted   chan struct{}
 	mu       sync.Mutex
 	compares map[string]bool
-	// lately is when this node learned of a value, by key.
-	lately map[string]time.Time
-	recent [recentCalls]bool
-	calls  int
+	// lately are the small values learned last, the oldest first.
+	lately []lately
+	// positions is set once a peer knew up to where it has all that the source told.
+	positions atomic.Bool
+	// pulling is when the pull that goes on last got an answer, the zero time where none does.
+	pulling time.Time
+	// progress is when this node last came to hold more, or as much as a peer, as the time
+	// since begun.
+	progress atomic.Int64
+	recent   [recentCalls]bool
+	calls    int
 }
 
 // New returns a gossip about a replica.
@@ -108,7 +125,6 @@
 		replica:  replica,
 		fresh:    make(chan learned, 128),
 		compares: map[string]bool{},
-		lately:   map[string]time.Time{},
 		begun:    time.Now(),
 		differs:  make(chan string, 1),
 		wanted:   make(chan struct{}, 1),
@@ -116,8 +132,14 @@
 }
 
 // Differs notes that a peer has another digest than this node. The two compare
-// unless a comparison began a moment ago.
+// unless a comparison began a moment ago, or that is left to peers of the own data hall.
 func (g *Gossip) Differs(peer string) {
+	if g.pullsFrom(peer) {
+		g.differ(peer)
+	}
+}
+
+func (g *Gossip) differ(peer string) {
 	select {
 	case g.differs <- peer:
 	default:
@@ -181,8 +203,16 @@
 }
 
 // Publish offers values that this node has learned by itself.
-func (g *Gossip) Publish(entries []*wire.Entry) {
-	g.spread(g.replica.Offer(entries), true)
+func (g *Gossip) Publish(entries []*wire.Entry) { g.PublishTo(entries, order.Position{}) }
+
+// PublishTo offers values that this node has read, with which it has all that the source told up
+// to a position.
+func (g *Gossip) PublishTo(entries []*wire.Entry, upTo order.Position) {
+	fresh := g.replica.Offer(entries)
+	if g.replica.NoteRead(upTo) {
+		g.progressed(time.Now())
+	}
+	g.spread(fresh, true)
 }
 
 // learned are values that are new to this node; first is set if it read them
@@ -245,10 +275,15 @@
 func (g *Gossip) Sync(_ context.Context, in *wire.SyncRequest) (*wire.SyncReply, error) {
 	g.cfg.Heard(in.GetFrom())
 	g.learnAge(in.GetPlatformAgeMs())
+	g.learnReadTo(in.GetReadTo())
 	g.spread(g.replica.Offer(in.GetEntries()), false)
 	parts, revisions := g.replica.differing(in.GetBuckets())
 	lacks, wanted := g.replica.Compare(time.Now(), in.GetRevisions(), in.GetComplete())
-	return &wire.SyncReply{
+	own := g.replica.ReadTo()
+	if in.GetDigest() != g.replica.Digest() && positionOf(in.GetReadTo()).Compare(own) > 0 {
+		g.differ(in.GetFrom().GetAddress())
+	}
+	out := &wire.SyncReply{
 		From:          g.cfg.Self(),
 		Digest:        g.replica.Digest(),
 		Entries:       lacks,
@@ -257,16 +292,12 @@
 		Nodes:         g.mention(int(in.GetKnown())),
 		Differing:     parts,
 		Revisions:     revisions,
-	}, nil
-}
-
-// addresses returns the addresses of nodes.
-func addresses(nodes []membership.Node) []string {
-	var out []string
-	for _, n := range nodes {
-		out = append(out, n.Address())
+		ReadTo:        g.readTo(),
 	}
-	return out
+	if !in.GetPull() {
+		return out, nil
+	}
+	return out, g.answerPull(in, out)
 }
 
 // pushTo returns the peers that learn of a new value from this node; first is
@@ -277,22 +308,26 @@
 		return g.choose(fanout)
 	}
 	near, far := g.cfg.View().Halls()
-	out := some(addresses(near), fanout)
+	out := some(near, fanout)
 	switch {
 	case first:
 		return append(out, eachHall(far, fanoutFar)...)
-	case rand.IntN(len(near)+1) < fanoutFar:
-		return append(out, some(addresses(far), 1)...)
+	case crosses(len(near)):
+		return append(out, some(far, 1)...)
 	default:
 		return out
 	}
 }
 
+// crosses reports by chance whether one of the nodes of a data hall with near others talks to
+// another data hall: about fanoutFar of all do.
+func crosses(near int) bool { return rand.IntN(near+1) < fanoutFar }
+
 // eachHall returns up to n nodes of each data hall among far.
 func eachHall(far []membership.Node, n int) []string {
-	byHall := map[string][]string{}
+	byHall := map[string][]membership.Node{}
 	for _, p := range far {
-		byHall[p.DataHall()] = append(byHall[p.DataHall()], p.Address())
+		byHall[p.DataHall()] = append(byHall[p.DataHall()], p)
 	}
 	var out []string
 	for _, peers := range byHall {
@@ -301,33 +336,47 @@
 	return out
 }
 
-// some returns up to n random ones of a list, which it reorders.
-func some(list []string, n int) []string {
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(n, len(list))]
+// some returns the addresses of up to n different random nodes of a list.
+func some(list []membership.Node, n int) []string {
+	n = min(n, len(list))
+	picked := make([]int, 0, n)
+	out := make([]string, 0, n)
+	for len(out) < n {
+		if i := rand.IntN(len(list)); !slices.Contains(picked, i) {
+			picked = append(picked, i)
+			out = append(out, list[i].Address())
+		}
+	}
+	return out
 }
 
-// choose returns up to n different random peers, mostly of the own data hall.
+// choose returns up to n different random peers, mostly of the own data hall, and only those until
+// this node has compared with some.
 // Seeds count as peers until others are known, and now and then later, so that two
 // parts of the fleet that lost each other meet again.
 func (g *Gossip) choose(n int) []string {
-	all := addresses(g.cfg.View().Peers())
+	from := g.cfg.View().Peers()
 	if g.cfg.Near {
 		near, far := g.cfg.View().Halls()
-		if g.Compared() >= startCompares && rand.IntN(10) < ownHallOdds && len(near) > 0 {
-			return some(addresses(near), n)
+		if len(near) > 0 && (g.Compared() < startCompares || rand.IntN(10) < ownHallOdds) {
+			return some(near, n)
+		}
+		from = far
+		if len(far) < n || rand.IntN(len(near)+len(far)) < len(near) {
+			from = near
 		}
-		all = append(addresses(near), addresses(far)...)
 	}
+	out := some(from, n)
 	const seedOdds = 10
-	if len(all) < n || rand.IntN(seedOdds) == 0 {
+	if len(out) < n || rand.IntN(seedOdds) == 0 {
 		self := g.cfg.Self().GetAddress()
 		for _, s := range g.cfg.Seeds() {
 			if s != self {
-				all = append(all, s)
+				out = append(out, s)
 			}
 		}
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	}
-	slices.Sort(all)
-	return some(slices.Compact(all), n)
+	out = slices.Compact(out)
+	return out[:min(n, len(out))]
 }
--- a/internal/dissemination/lately.go
+++ b/internal/dissemination/lately.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/wire"
@@ -13,21 +14,31 @@
 // message of a comparison holds only a digest. So the peers that get no answer from it
 // tell it what they learned lately.
 
-// remember notes when values were learned, and forgets those learned long ago.
+// lately is a small value that this node learned, and when.
+type lately struct {
+	key string
+	at  time.Time
+}
+
+// remember notes when values were learned, and forgets those learned long ago, or before the
+// last lateMost.
 func (g *Gossip) remember(entries []*wire.Entry) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, e := range entries {
 		if len(e.GetValue()) <= pushWhole {
-			g.lately[e.GetKey()] = now
+			g.lately = append(g.lately, lately{
+				key: e.GetKey(),
+				at:  now,
+			})
 		}
 	}
-	for key, at := range g.lately {
-		if now.Sub(at) > latelyTime {
-			delete(g.lately, key)
-		}
+	first := max(len(g.lately)-lateMost, 0)
+	for first < len(g.lately) && now.Sub(g.lately[first].at) > latelyTime {
+		first++
 	}
+	g.lately = slices.Clone(g.lately[first:])
 }
 
 // learnedLately returns the keys of small values that this node learned lately.
@@ -36,9 +47,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var keys []string
-	for key, at := range g.lately {
-		if now.Sub(at) <= latelyTime {
-			keys = append(keys, key)
+	for _, l := range g.lately {
+		if now.Sub(l.at) <= latelyTime && !slices.Contains(keys, l.key) {
+			keys = append(keys, l.key)
 		}
 	}
 	return keys
--- a/internal/dissemination/pack.go
+++ b/internal/dissemination/pack.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 
+	"google.golang.org/protobuf/proto"
+
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -21,28 +23,86 @@
 	if len(e.GetValue()) < packFrom {
 		return e, nil
 	}
+	packed, err := deflate(e.GetValue())
+	if err != nil {
+		return nil, err
+	}
+	return with(e, nil, packed), nil
+}
+
+func deflate(value []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
 	if err != nil {
 		return nil, fmt.Errorf("dissemination: pack: %w", err)
 	}
-	if _, err := w.Write(e.GetValue()); err != nil {
+	if _, err := w.Write(value); err != nil {
 		return nil, fmt.Errorf("dissemination: pack: %w", err)
 	}
 	if err := w.Close(); err != nil {
 		return nil, fmt.Errorf("dissemination: pack: %w", err)
 	}
-	return with(e, nil, b.Bytes()), nil
+	return b.Bytes(), nil
+}
+
+// inflate returns what was compressed, at most most bytes and one more.
+func inflate(packed []byte, most int64) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), most+1))
 }
 
+// packBatch returns entries as they travel together: those of targets differ in little and
+// shrink to a quarter.
+func packBatch(entries []*wire.Entry) ([]byte, error) {
+	if len(entries) == 0 {
+		return nil, nil
+	}
+	plain, err := proto.Marshal(&wire.EntryList{
+		Entries: entries,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("dissemination: pack: %w", err)
+	}
+	return deflate(plain)
+}
+
+// unpackBatch returns the entries of a batch. What claims to be larger than a batch may be is a
+// fault.
+func unpackBatch(batch []byte) ([]*wire.Entry, error) {
+	if len(batch) == 0 {
+		return nil, nil
+	}
+	const most = maxBatch
+	plain, err := inflate(batch, most)
+	if err != nil {
+		return nil, fmt.Errorf("dissemination: unpack: %w", err)
+	}
+	if len(plain) > most {
+		return nil, &BatchError{}
+	}
+	list := &wire.EntryList{}
+	if err := proto.Unmarshal(plain, list); err != nil {
+		return nil, fmt.Errorf("dissemination: unpack: %w", err)
+	}
+	return list.GetEntries(), nil
+}
+
+// BatchError is a batch that is larger than any may be.
+type BatchError struct{}
+
+// Error says so.
+func (*BatchError) Error() string { return "dissemination: unpack: too large" }
+
+// maxBatch bounds what is unpacked of one batch: the values of one message, one of which may be as
+// large as any, and what else belongs to them.
+const maxBatch = 2*fleetconfig.MaxValue + 4*maxReply
+
 // unpack returns an entry as it is kept. What claims to be larger than a value may
 // be is a fault.
 func unpack(e *wire.Entry) (*wire.Entry, error) {
 	if len(e.GetPacked()) == 0 {
 		return e, nil
 	}
-	r := flate.NewReader(bytes.NewReader(e.GetPacked()))
-	value, err := io.ReadAll(io.LimitReader(r, fleetconfig.MaxValue+1))
+	value, err := inflate(e.GetPacked(), fleetconfig.MaxValue)
 	if err != nil {
 		return nil, fmt.Errorf("dissemination: unpack %s: %w", e.GetKey(), err)
 	}
--- /dev/null
+++ b/internal/dissemination/pull.go
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/order"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+func positionOf(p *wire.Position) order.Position { return order.At(p.GetEra(), p.GetRevision()) }
+
+func wirePosition(p order.Position) *wire.Position {
+	return &wire.Position{
+		Era:      p.Era(),
+		Revision: p.Revision(),
+	}
+}
+
+// readTo returns what messages say of up to where this node has all values: nothing where it asks
+// for none by their positions.
+func (g *Gossip) readTo() *wire.Position {
+	if !g.pulls() {
+		return nil
+	}
+	return wirePosition(g.replica.ReadTo())
+}
+
+// pulls reports whether this node asks for values by their positions: the source gives some, or it
+// has no value yet.
+func (g *Gossip) pulls() bool {
+	return g.positions.Load() || g.replica.ReadTo() != (order.Position{}) || g.replica.Len() == 0
+}
+
+// learnReadTo notes that a peer knows up to where it has all values.
+func (g *Gossip) learnReadTo(p *wire.Position) {
+	if positionOf(p) != (order.Position{}) {
+		g.positions.Store(true)
+	}
+}
+
+// pullsFrom reports whether this node asks a peer for values as soon as it learns that the two
+// differ. Bytes between data halls are dear: a few nodes of each fetch what is new, and the others
+// get it from them.
+func (g *Gossip) pullsFrom(peer string) bool {
+	if !g.cfg.Near {
+		return true
+	}
+	view := g.cfg.View()
+	near, _ := view.Halls()
+	if len(near) == 0 || view.Near(peer) || g.stuck(time.Now()) {
+		return true
+	}
+	// Whoever has nothing yet would fetch all.
+	return g.replica.Len() > 0 && crosses(len(near))
+}
+
+// stuck reports whether this node has come to hold no more, nor as much as a peer, for a while.
+func (g *Gossip) stuck(now time.Time) bool {
+	return g.since(now)-time.Duration(g.progress.Load()) > farPatience
+}
+
+func (g *Gossip) progressed(now time.Time) { g.progress.Store(int64(g.since(now))) }
+
+// answerPull adds to a reply what this node has behind the position that a peer names.
+func (g *Gossip) answerPull(in *wire.SyncRequest, out *wire.SyncReply) error {
+	entries, upTo, more := g.replica.After(positionOf(in.GetSince()))
+	batch, err := packBatch(entries)
+	if err != nil {
+		return err
+	}
+	out.Batch, out.UpTo, out.More = batch, wirePosition(upTo), more
+	return nil
+}
+
+// takeBatch takes the values that a peer sent for a pull. When there are no more of them this node
+// has all that the peer has.
+func (g *Gossip) takeBatch(sent *wire.SyncRequest, reply *wire.SyncReply) error {
+	if !sent.GetPull() || reply.GetReadTo() == nil {
+		return nil
+	}
+	entries, err := unpackBatch(reply.GetBatch())
+	if err != nil {
+		g.replica.broken.Add(1)
+		return err
+	}
+	fresh := g.replica.Offer(entries)
+	if !reply.GetMore() && g.replica.NoteRead(positionOf(reply.GetReadTo())) || len(fresh) > 0 {
+		g.progressed(time.Now())
+	}
+	if !reply.GetMore() {
+		g.spread(fresh, false)
+	}
+	return nil
+}
+
+// begin reports whether a pull may begin: one at a time, for others would bring the same values. One
+// that hangs is not waited for.
+func (g *Gossip) begin(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.pulling.IsZero() && now.Sub(g.pulling) < pullPatience {
+		return false
+	}
+	g.pulling = now
+	return true
+}
+
+// goesOn notes that a pull has got an answer, or with the zero time that it is over.
+func (g *Gossip) goesOn(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pulling = now
+}
+
+// pull has a peer send what it has behind the position up to which this node has all. It returns
+// the peer's last reply, which has no more.
+func (g *Gossip) pull(ctx context.Context, peer string) (*wire.SyncRequest, *wire.SyncReply, error) {
+	defer g.goesOn(time.Time{})
+	since := g.replica.ReadTo()
+	for {
+		g.goesOn(time.Now())
+		req := g.request()
+		req.Pull, req.Since = true, wirePosition(since)
+		reply, err := g.call(ctx, peer, req)
+		if err != nil {
+			return nil, nil, err
+		}
+		if err := g.takeBatch(req, reply); err != nil {
+			return nil, nil, err
+		}
+		upTo := positionOf(reply.GetUpTo())
+		if !reply.GetMore() {
+			return req, reply, nil
+		}
+		if upTo.Compare(since) <= 0 {
+			return nil, nil, fmt.Errorf("dissemination: pull from %s: no progress behind %v", peer, since)
+		}
+		since = upTo
+	}
+}
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -19,8 +19,9 @@
 
 // Bounds of messages.
 const (
-	// maxReply bounds the values in one message, in bytes.
-	maxReply = 2 << 20
+	// maxReply bounds the values in one message, in bytes, unless a single one is larger. Both
+	// ends of a connection keep buffers as large as its greatest message.
+	maxReply = 64 << 10
 	// pushWhole is the greatest value in bytes that is pushed unasked; larger
 	// ones are announced and fetched by those that lack them.
 	pushWhole = 512
@@ -42,6 +43,8 @@
 	mu     sync.Mutex
 	store  *fleetconfig.Store
 	digest uint64
+	// readTo is up to where the replica has all that the source told.
+	readTo order.Position
 	asked  map[string]question
 	packed map[string]*wire.Entry
 	// broken counts compressed values of peers that could not be read.
@@ -96,6 +99,13 @@
 // Broken returns how many compressed values of peers could not be read.
 func (r *Replica) Broken() int64 { return r.broken.Load() }
 
+// Len returns the number of keys, removed ones included.
+func (r *Replica) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.store.Len()
+}
+
 // Digest returns the digest of all newest revisions.
 func (r *Replica) Digest() uint64 {
 	r.mu.Lock()
@@ -117,6 +127,38 @@
 	return r.store.Newest(key)
 }
 
+// ReadTo returns up to where the replica has all that the source told; the zero value means
+// that this isn't known.
+func (r *Replica) ReadTo() order.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readTo
+}
+
+// NoteRead notes that the replica has all that the source told up to a position, and reports
+// whether that is news.
+func (r *Replica) NoteRead(p order.Position) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.readTo.Compare(p) >= 0 {
+		return false
+	}
+	r.readTo = p
+	return true
+}
+
+// After returns what the replica has behind a position, as much as fits into one message, and up to
+// where that goes; more is set where there is more.
+func (r *Replica) After(p order.Position) (entries []*wire.Entry, upTo order.Position, more bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entries, upTo, more = r.store.After(p, maxReply)
+	for i, e := range entries {
+		entries[i] = r.pack(e)
+	}
+	return entries, upTo, more
+}
+
 // Era returns the greatest era of the source that any value is from.
 func (r *Replica) Era() uint64 {
 	r.mu.Lock()
@@ -207,20 +249,24 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	theirs, own := marks(revisions), r.store.Revisions()
-	ours := marks(own)
 	var keys []string
-	for _, kr := range own {
-		mark, named := theirs[kr.GetKey()]
-		if (named || complete) && !mark.Covers(ours[kr.GetKey()]) {
+	for _, kr := range revisions {
+		theirs, ours := fleetconfig.MarkOf(kr), r.store.Mark(kr.GetKey())
+		if ours != (order.Mark{}) && !theirs.Covers(ours) {
 			keys = append(keys, kr.GetKey())
 		}
-	}
-	for _, kr := range revisions {
-		if !ours[kr.GetKey()].Covers(fleetconfig.MarkOf(kr)) && r.ask(now, kr) {
+		if !ours.Covers(theirs) && r.ask(now, kr) {
 			wanted = append(wanted, kr.GetKey())
 		}
 	}
+	if complete {
+		theirs := marks(revisions)
+		for _, kr := range r.store.Revisions() {
+			if _, named := theirs[kr.GetKey()]; !named {
+				keys = append(keys, kr.GetKey())
+			}
+		}
+	}
 	return r.entries(keys), wanted
 }
 
--- /dev/null
+++ b/internal/dissemination/start_test.go
@@ -0,0 +1,233 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"ploverjunction.example/ploverjunction/internal/dissemination"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/order"
+	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// halls is how many data halls the nodes of a hallFleet are divided over.
+const halls = 5
+
+// hallFleet is a fleet whose nodes tell each other their digests, as datagrams do.
+type hallFleet struct {
+	*fleet
+	list []membership.Node
+	// between are the bytes that crossed data halls, largest those of the greatest message.
+	between int
+	largest int
+}
+
+func newHallFleet(n int) *hallFleet {
+	f := &hallFleet{
+		fleet: &fleet{
+			peers: map[string]*peer{},
+			cut:   func(string, string) bool { return false },
+		},
+	}
+	for i := range n {
+		f.list = append(f.list, membership.NewNode(fmt.Sprintf("192.0.2.%d:1", i), fmt.Sprint("hall-", i%halls)))
+	}
+	for _, node := range f.list {
+		f.start(node)
+	}
+	return f
+}
+
+// start begins an incarnation of a node, which knows nothing but the others.
+func (f *hallFleet) start(node membership.Node) *peer {
+	table := membership.NewTable(node)
+	table.List(f.list, nil)
+	p := &peer{
+		name:    node.Address(),
+		replica: dissemination.NewReplica(func(*fleetconfig.Config, []fleetconfig.Refusal) {}),
+		view:    table.View(time.Now()),
+	}
+	p.gossip = dissemination.New(dissemination.Config{
+		Near:  true,
+		Seeds: func() []string { return nil },
+		Self: func() *wire.Node {
+			return &wire.Node{
+				Address:  p.name,
+				DataHall: node.DataHall(),
+			}
+		},
+		View: func() *membership.View { return p.view },
+		Call: func(ctx context.Context, to string, in *wire.SyncRequest) (*wire.SyncReply, error) {
+			reply, err := f.call(ctx, p.name, to, in)
+			f.count(p.view.Near(to), proto.Size(in), proto.Size(reply))
+			return reply, err
+		},
+		Heard:     func(*wire.Node) {},
+		Mentioned: func(*wire.Node) {},
+		Failed:    func(string) {},
+	}, p.replica)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[p.name] = p
+	return p
+}
+
+func (f *hallFleet) count(near bool, sizes ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range sizes {
+		f.largest = max(f.largest, n)
+		if !near {
+			f.between += n
+		}
+	}
+}
+
+// run starts all nodes and the datagrams between them.
+func (f *hallFleet) run(ctx context.Context) *task.Group {
+	g := f.fleet.run(ctx)
+	for _, p := range f.peers {
+		g.Go(ctx, "datagrams", func(ctx context.Context) error { return f.datagrams(ctx, p) })
+	}
+	return g
+}
+
+// datagrams has a node learn the digests of others, mostly of its data hall.
+func (f *hallFleet) datagrams(ctx context.Context, p *peer) error {
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		near, far := p.view.Halls()
+		if rand.IntN(4) == 0 {
+			near = far
+		}
+		f.mu.Lock()
+		other := f.peers[near[rand.IntN(len(near))].Address()]
+		f.mu.Unlock()
+		if other.replica.Digest() != p.replica.Digest() {
+			p.gossip.Differs(other.name)
+		}
+	}
+}
+
+// agreed reports whether all nodes have the same values.
+func (f *hallFleet) agreed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	digest := f.peers[f.list[0].Address()].replica.Digest()
+	for _, p := range f.peers {
+		if p.replica.Digest() != digest || p.replica.Len() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// await waits until all nodes agree, and returns how long that took.
+func (f *hallFleet) await(t *testing.T) time.Duration {
+	t.Helper()
+	begun := time.Now()
+	for !f.agreed() {
+		if time.Since(begun) > time.Minute {
+			t.Fatal("the nodes don't agree")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+// register has two nodes of different data halls read targets from the source, part after part.
+func (f *hallFleet) register(targets int) {
+	const parts = 10
+	entries := manyValues(targets)
+	for i := range parts {
+		part := entries[i*len(entries)/parts : (i+1)*len(entries)/parts]
+		for _, reader := range f.list[:2] {
+			f.peers[reader.Address()].gossip.PublishTo(part, order.At(0, part[len(part)-1].GetRevision()))
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+}
+
+// Guards against a start whose messages, or bytes for each target, grow with the targets: links that
+// are full lose what tells that nodes live.
+func TestBytesOfAStartGoByTheTargets(t *testing.T) {
+	const (
+		nodes = 60
+		// mostEach is the most bytes that a node may exchange for each target, a registration of
+		// some 130 bytes, and mostLarge the most bytes of a message.
+		mostEach  = 120
+		mostLarge = 72 << 10
+		mostTime  = 3 * time.Second
+	)
+	for _, targets := range []int{1500, 3000} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newHallFleet(nodes)
+			ctx, cancel := context.WithCancel(t.Context())
+			g := f.run(ctx)
+			f.register(targets)
+			took := f.await(t)
+			f.mu.Lock()
+			each := float64(f.bytes) / nodes / float64(targets)
+			t.Logf("%d targets: %.0f bytes a node and target, %.0f between data halls, %d the largest message, %v after the last one",
+				targets, each, float64(f.between)/nodes/float64(targets), f.largest, took)
+			if each > mostEach || f.largest > mostLarge || took > mostTime {
+				t.Errorf("%d targets: %.0f bytes a node and target, largest message %d, %v", targets, each, f.largest, took)
+			}
+			f.mu.Unlock()
+			cancel()
+			if err := g.Wait(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Guards against a node that begins anew and fetches all values several times, or from other data halls.
+func TestNodeThatBeginsFetchesOnceFromItsDataHall(t *testing.T) {
+	const (
+		nodes, targets = 30, 3000
+		most           = 200 << 10
+		mostBetween    = 20 << 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newHallFleet(nodes)
+		for _, p := range f.peers {
+			p.replica.Offer(manyValues(targets))
+			p.replica.NoteRead(order.At(0, targets+1))
+		}
+		anew := f.start(f.list[7])
+		ctx, cancel := context.WithCancel(t.Context())
+		g := f.run(ctx)
+		took := f.await(t)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		t.Logf("%d bytes, %d of them between data halls, in %v", f.bytes, f.between, took)
+		if f.bytes > most || f.between > mostBetween {
+			t.Errorf("%d bytes, %d of them between data halls", f.bytes, f.between)
+		}
+		f.mu.Unlock()
+		if anew.gossip.Compared() == 0 {
+			t.Error("the node has compared with nobody")
+		}
+		cancel()
+		if err := g.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -14,12 +14,8 @@
 // push tells a few random peers of new values.
 func (g *Gossip) push(ctx context.Context, talks *task.Group, l learned) {
 	req := g.request()
-	for _, e := range l.entries {
-		if len(e.GetValue()) <= pushWhole {
-			req.Entries = append(req.Entries, e)
-			continue
-		}
-		req.Revisions = append(req.Revisions, fleetconfig.KeyRevision(e.GetKey(), fleetconfig.MarkOf(e)))
+	if !g.pulls() || sizeOf(l.entries) <= pushBatch {
+		g.fill(req, l.entries)
 	}
 	for _, peer := range g.pushTo(l.first) {
 		talks.Go(ctx, "push", func(ctx context.Context) error {
@@ -29,6 +25,28 @@
 	}
 }
 
+// sizeOf returns how many bytes the small values among some take.
+func sizeOf(entries []*wire.Entry) int {
+	size := 0
+	for _, e := range entries {
+		if len(e.GetValue()) <= pushWhole {
+			size += len(e.GetKey()) + len(e.GetValue())
+		}
+	}
+	return size
+}
+
+// fill puts values into a request: small ones whole, the marks of others.
+func (g *Gossip) fill(req *wire.SyncRequest, entries []*wire.Entry) {
+	for _, e := range entries {
+		if len(e.GetValue()) <= pushWhole {
+			req.Entries = append(req.Entries, e)
+			continue
+		}
+		req.Revisions = append(req.Revisions, fleetconfig.KeyRevision(e.GetKey(), fleetconfig.MarkOf(e)))
+	}
+}
+
 // compare exchanges digests with the first of some peers, and with the next one
 // when it doesn't answer soon.
 func (g *Gossip) compare(ctx context.Context, talks *task.Group, peers []string) {
@@ -42,7 +60,7 @@
 		for _, peer := range peers {
 			answered := make(chan struct{})
 			tries.Go(ctx, "compare with one", func(ctx context.Context) error {
-				if g.converse(ctx, peer, g.request(), true) {
+				if g.compareWith(ctx, peer) {
 					close(answered)
 					return nil
 				}
@@ -63,13 +81,10 @@
 // to compare, neither side lacks anything that the other has. It reports whether the peer answered to the end.
 func (g *Gossip) converse(ctx context.Context, peer string, req *wire.SyncRequest, compare bool) bool {
 	for range maxRounds {
-		reply, err := g.cfg.Call(ctx, peer, req)
-		g.called(err == nil)
+		reply, err := g.call(ctx, peer, req)
 		if err != nil {
-			g.cfg.Failed(peer)
 			return false
 		}
-		g.learn(reply)
 		g.spread(g.replica.Offer(reply.GetEntries()), false)
 		req = g.follow(req, reply, compare)
 		if req == nil {
@@ -82,6 +97,45 @@
 	return true
 }
 
+// call makes one call to a peer and learns what each reply tells.
+func (g *Gossip) call(ctx context.Context, peer string, req *wire.SyncRequest) (*wire.SyncReply, error) {
+	reply, err := g.cfg.Call(ctx, peer, req)
+	g.called(err == nil)
+	if err != nil {
+		g.cfg.Failed(peer)
+		return nil, err
+	}
+	g.learn(reply)
+	return reply, nil
+}
+
+// compareWith brings this node to what a peer has, and reports whether the peer answered to the end.
+// Where both know positions what is behind them is pulled, by each from the other; digests of
+// parts find what may still differ.
+func (g *Gossip) compareWith(ctx context.Context, peer string) bool {
+	if !g.pulls() {
+		return g.converse(ctx, peer, g.request(), true)
+	}
+	if !g.begin(time.Now()) {
+		return true
+	}
+	req, reply, err := g.pull(ctx, peer)
+	if err != nil {
+		return false
+	}
+	ahead := g.replica.ReadTo().Compare(positionOf(reply.GetReadTo()))
+	switch {
+	case reply.GetDigest() == g.replica.Digest(), reply.GetReadTo() != nil && ahead > 0:
+		// A peer that is behind pulls what it lacks itself.
+		g.compared(peer)
+		return true
+	}
+	if req = g.follow(req, reply, true); req == nil {
+		return true
+	}
+	return g.converse(ctx, peer, req, true)
+}
+
 // follow returns the next message to a peer, or nil if all is said.
 func (g *Gossip) follow(sent *wire.SyncRequest, reply *wire.SyncReply, compare bool) *wire.SyncRequest {
 	next := g.request()
@@ -116,6 +170,7 @@
 
 func (g *Gossip) learn(reply *wire.SyncReply) {
 	g.learnAge(reply.GetPlatformAgeMs())
+	g.learnReadTo(reply.GetReadTo())
 	g.cfg.Heard(reply.GetFrom())
 	for _, n := range reply.GetNodes() {
 		g.cfg.Mentioned(n)
@@ -128,5 +183,6 @@
 		Digest:        g.replica.Digest(),
 		PlatformAgeMs: uint64(g.PlatformAge(time.Now()).Milliseconds()),
 		Known:         uint32(g.cfg.View().Nodes()),
+		ReadTo:        g.readTo(),
 	}
 }
--- a/internal/dissemination/upgrade_test.go
+++ b/internal/dissemination/upgrade_test.go
@@ -59,11 +59,13 @@
 			if mixed {
 				in = proto.CloneOf(in)
 				in.Entries, in.Revisions = oldEntries(in.GetEntries()), oldList(in.GetRevisions())
+				in.ReadTo, in.Pull, in.Since = nil, false, nil
 			}
 			reply, err := call(ctx, p.name, to, in)
 			if mixed && err == nil {
 				reply = proto.CloneOf(reply)
 				reply.Entries, reply.Revisions = oldEntries(reply.GetEntries()), oldList(reply.GetRevisions())
+				reply.ReadTo, reply.Batch, reply.UpTo, reply.More = nil, nil, nil, false
 			}
 			return reply, err
 		})
@@ -91,13 +93,13 @@
 		for i := range 2 * half {
 			inForce("read by an old node", i, 40)
 		}
-		f.peers[f.name(half)].gossip.Publish([]*wire.Entry{at(1, 44, 21)})
+		f.peers[f.name(half)].gossip.PublishTo([]*wire.Entry{at(1, 44, 21)}, order.At(1, 44))
 		time.Sleep(settle)
 		for i := range 2 * half {
 			inForce("read by a new node", i, 44)
 		}
 		// New nodes follow a restore. Old ones do so when the revisions have passed the lost ones.
-		f.peers[f.name(half)].gossip.Publish([]*wire.Entry{at(2, 41, 25)})
+		f.peers[f.name(half)].gossip.PublishTo([]*wire.Entry{at(2, 41, 25)}, order.At(2, 41))
 		time.Sleep(settle)
 		for i := range 2 * half {
 			want := uint64(44)
@@ -106,7 +108,7 @@
 			}
 			inForce("read by a new node after a restore", i, want)
 		}
-		f.peers[f.name(half)].gossip.Publish([]*wire.Entry{at(2, 45, 28)})
+		f.peers[f.name(half)].gossip.PublishTo([]*wire.Entry{at(2, 45, 28)}, order.At(2, 45))
 		time.Sleep(settle)
 		for i := range 2 * half {
 			inForce("revisions have passed the lost ones", i, 45)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -24,6 +24,10 @@
 	weight uint32
 	// roles are the holders of roles that were asked for before.
 	roles sync.Map
+	// near and far are the other live nodes, divided when first asked for.
+	halls sync.Once
+	near  []Node
+	far   []Node
 }
 
 // roleKey is one question after the holders of a role.
@@ -82,18 +86,33 @@
 func (v *View) Live() []Node { return v.live }
 
 // Halls returns the other live nodes, divided into those of this node's data hall
-// and those of the others.
+// and those of the others. The slices must not be changed.
 func (v *View) Halls() (near, far []Node) {
-	for _, n := range v.live {
-		switch {
-		case n == v.self:
-		case n.dataHall == v.self.dataHall:
-			near = append(near, n)
-		default:
-			far = append(far, n)
+	v.halls.Do(func() {
+		for _, n := range v.live {
+			switch {
+			case n == v.self:
+			case n.dataHall == v.self.dataHall:
+				v.near = append(v.near, n)
+			default:
+				v.far = append(v.far, n)
+			}
 		}
-	}
-	return near, far
+	})
+	return v.near, v.far
+}
+
+// Near reports whether a live node is in this node's data hall.
+func (v *View) Near(address string) bool {
+	at, ok := v.find(address)
+	return ok && v.live[at].dataHall == v.self.dataHall
+}
+
+// find returns where a live node stands.
+func (v *View) find(address string) (int, bool) {
+	return slices.BinarySearchFunc(v.live, address, func(n Node, a string) int {
+		return strings.Compare(n.address, a)
+	})
 }
 
 // Nodes returns how many nodes share the work: all that aren't leaving.
@@ -145,9 +164,7 @@
 // Weight returns how much of the roles a live node can carry, 0 if that isn't
 // known.
 func (v *View) Weight(node Node) uint32 {
-	at, ok := slices.BinarySearchFunc(v.live, node.address, func(n Node, a string) int {
-		return strings.Compare(n.address, a)
-	})
+	at, ok := v.find(node.address)
 	if !ok {
 		return 0
 	}
--- a/internal/node/reading.go
+++ b/internal/node/reading.go
@@ -21,12 +21,12 @@
 func (n *Node) runSource(ctx context.Context) error {
 	log := logging.Part(n.log, "source")
 	failed := func(err error) { log.WithError(err).Warn("source not read") }
-	deliver := func(entries []*wire.Entry) {
-		n.gossip.Publish(entries)
+	deliver := func(entries []*wire.Entry, upTo order.Position) {
+		n.gossip.PublishTo(entries, upTo)
 		n.logKept(log, entries)
 	}
 	if n.directory != nil {
-		return n.directory.Run(ctx, deliver, failed)
+		return n.directory.Run(ctx, func(entries []*wire.Entry) { deliver(entries, order.Position{}) }, failed)
 	}
 	reads := false
 	return n.adapter.Read(ctx, source.Config{
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -15,8 +15,9 @@
 type Config struct {
 	// Reader reports whether this process should read the platform now.
 	Reader func() bool
-	// Deliver gets values; heard is called with each good answer.
-	Deliver func([]*wire.Entry)
+	// Deliver gets values, and up to where all that the source told has been delivered with
+	// them; heard is called with each good answer.
+	Deliver func([]*wire.Entry, order.Position)
 	Heard   func()
 	// Known returns the newest entry of a key that the fleet has, which may be a removal,
 	// or nil. Keys returns the keys with values.
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -72,7 +72,7 @@
 			return err
 		}
 		cfg.Heard()
-		cfg.Deliver(entries)
+		cfg.Deliver(entries, p.position)
 		return nil
 	})
 }
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/source"
 	"ploverjunction.example/ploverjunction/internal/standin/platform"
 	"ploverjunction.example/ploverjunction/internal/task"
@@ -113,7 +114,7 @@
 	return f
 }
 
-func (f *follower) deliver(entries []*wire.Entry) {
+func (f *follower) deliver(entries []*wire.Entry, _ order.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range entries {
