internal/dispatch: where requests are few for the targets, stay with those that answer

Three seconds of the whole fleet: 18% of the reservations failed, nearly all of them 500s of gray targets. A target gets a request in 3.6 s if work is spread, and spreading for the floor took every request, though no choice can keep it there: 1,059 requests a second, 0.7 of 3,592 targets within 1.5 s.

Where the requests that come can't reach the floor of the targets, the choice spends nothing on it and stays with what answered lately, as many targets as the load keeps busy. Targets that join get a first request each, for which up to a quarter of the requests is used.

All 200 that join get a request within 6 s.

--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -59,6 +59,10 @@
 	covered   coverage
 	accepting accepting
 	floor     float64
+	// newcomers are targets that joined and may have got no request yet, draining counts those
+	// that are published as draining.
+	newcomers []string
+	draining  int
 	// part is the part of the targets' limits that this desk may use, limits how many
 	// targets have one.
 	part   float64
@@ -90,16 +94,18 @@
 	first := len(old) == 0
 	d.targets = make(map[string]*target, len(list))
 	d.order = d.order[:0]
-	d.limits = 0
+	d.limits, d.draining = 0, 0
 	for _, c := range list {
 		t := old[c.Key]
 		if t == nil {
 			t = d.newTarget(now)
 			if !first {
 				t.warmUntil = now.Add(c.Warmup)
+				d.newcomers = append(d.newcomers, c.Key)
 			}
 		}
 		t.Target = c
+		d.draining += drainingOf(c)
 		if t.limit.Set {
 			d.limits++
 		}
@@ -108,6 +114,14 @@
 	}
 }
 
+// drainingOf returns 1 for a target that is published as draining, else 0.
+func drainingOf(t Target) int {
+	if t.Leaving {
+		return 1
+	}
+	return 0
+}
+
 func (d *Desk) newTarget(now time.Time) *target {
 	return &target{
 		health:  health.NewTarget(now, d.model),
@@ -124,6 +138,7 @@
 			if t.limit.Set {
 				d.limits--
 			}
+			d.draining -= drainingOf(t.Target)
 			delete(d.targets, key)
 			dropped = true
 		}
@@ -138,7 +153,9 @@
 			t.warmUntil = now.Add(c.Warmup)
 			d.targets[c.Key] = t
 			d.order = append(d.order, t)
+			d.newcomers = append(d.newcomers, c.Key)
 		}
+		d.draining += drainingOf(c) - drainingOf(t.Target)
 		t.Target = c
 	}
 	d.covered = coverage{}
--- /dev/null
+++ b/internal/dispatch/sparse.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "time"
+
+// Where requests are few for the targets, one that is sent to each in turn learns nothing of any: a
+// target that fails part of its requests gets the next one before that is known. The choice then
+// stays with targets that answered lately, as many as the load keeps busy, which is the myopic
+// policy for channels with two states (Zhao, Krishnamachari and Liu, "On myopic sensing for
+// multi-channel opportunistic access", IEEE Trans. Wireless Commun. 2008). Targets that join still
+// get a first request each.
+
+const (
+	// newcomerShare is the greatest share of the requests that goes to targets that joined.
+	newcomerShare = 0.25
+	// countedLeast is how many requests a rate is told by, or countedTime over which time they
+	// are counted.
+	countedLeast = 20
+	countedTime  = time.Second
+)
+
+// come returns how many first attempts come in a second, to all desks of the targets, and whether
+// that is known yet.
+func (d *Desk) come(now time.Time) (rate float64, known bool) {
+	d.window.turn(now, d.begun, d.budget)
+	own, _ := d.window.sums()
+	others, _ := d.others.sums(now, d.budget)
+	counted := min(max(now.Sub(d.begun), time.Millisecond), d.budget.Window)
+	return (own + others) / counted.Seconds(), own+others >= countedLeast || counted >= countedTime
+}
+
+// sparse reports whether the requests that come can't reach the floor of the targets within the
+// time that it asks for, however they are spread.
+func (d *Desk) sparse(now time.Time) bool {
+	staying := float64(len(d.order) - d.draining)
+	rate, known := d.come(now)
+	return known && rate*spreadTime.Seconds() < d.floor*staying
+}
+
+// newcomer returns the target that waits longest for its first request, or nil if none is due.
+func (d *Desk) newcomer(now time.Time, a *Ask) *target {
+	for len(d.newcomers) > 0 {
+		t := d.targets[d.newcomers[0]]
+		if t != nil && t.granted.IsZero() && !t.drains(now) {
+			break
+		}
+		d.newcomers = d.newcomers[1:]
+	}
+	if len(d.newcomers) == 0 {
+		return nil
+	}
+	rate, _ := d.come(now)
+	pause := time.Duration(float64(time.Second) / (newcomerShare * max(rate, 1)))
+	t := d.targets[d.newcomers[0]]
+	if now.Sub(d.ends.spread) < pause || !t.open(now, a) || len(t.flights) >= d.slots(now, t) {
+		return nil
+	}
+	d.ends.spread = now
+	return t
+}
--- /dev/null
+++ b/internal/dispatch/sparse_test.go
@@ -0,0 +1,265 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// sparse is a part of a service with so many targets that the requests which come reach few of them
+// within the time of the floor. Some targets are gray by turns: they fail a part of what they get.
+type sparse struct {
+	targets int
+	// rate is in requests a second.
+	rate float64
+	// gray is the share of targets that are gray at any time, for period each time, and fails
+	// what part of the requests they fail.
+	gray   float64
+	period time.Duration
+	fails  float64
+	// joins is how many targets are added at joinsAt.
+	joins int
+}
+
+// Times of the sparse model.
+const (
+	sparseWarm  = 5 * time.Second
+	sparseEnd   = 25 * time.Second
+	sparseWork  = 230 * time.Millisecond
+	sparseJoins = 12 * time.Second
+)
+
+// played is what came of a play.
+type played struct {
+	served, all int
+	// early are the same of the first seconds.
+	earlyServed, earlyAll int
+	// waited is the mean time for a target, in seconds.
+	waited float64
+	// unused are the targets that joined and got nothing within six seconds.
+	unused int
+}
+
+func (p *played) count(warm, good bool) {
+	all, served := &p.earlyAll, &p.earlyServed
+	if warm {
+		all, served = &p.all, &p.served
+	}
+	*all++
+	if good {
+		*served++
+	}
+}
+
+// pool of the sparse model, with keys from first on.
+func (s *sparse) pool(first, n int) []dispatch.Target {
+	var out []dispatch.Target
+	for i := range n {
+		out = append(out, dispatch.Target{
+			Key:   fmt.Sprintf("t%d", first+i),
+			Slots: 3,
+		})
+	}
+	return out
+}
+
+// grayAt reports whether a target is gray at a time.
+func (s *sparse) grayAt(key string, seed uint64, at time.Duration) bool {
+	phase := uint64(at / s.period)
+	rng := rand.New(rand.NewPCG(seed+phase, uint64(len(key))*1_000_003+hashKey(key)))
+	return rng.Float64() < s.gray
+}
+
+func hashKey(key string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(key) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h
+}
+
+func (s *sparse) play(seed uint64) played {
+	rng := rand.New(rand.NewPCG(seed, 586))
+	d := dispatch.NewDesk(start, dispatch.Budget{
+		Share:   0.2,
+		Reserve: 100,
+		Window:  10 * time.Second,
+	}, rng.Float64)
+	d.Configure(start, s.pool(0, s.targets))
+	d.Keep(floorShare)
+	var out played
+	var events steps
+	begun := map[string]time.Duration{}
+	arrived := map[dispatch.ID]time.Duration{}
+	waits := 0.0
+	number := uint64(0)
+	var granted func(at time.Duration, g dispatch.Grant)
+	all := func(at time.Duration, grants []dispatch.Grant) {
+		for _, g := range grants {
+			granted(at, g)
+		}
+	}
+	// granted plays what becomes of an ask that is answered.
+	granted = func(at time.Duration, g dispatch.Grant) {
+		warm := arrived[g.ID] > sparseWarm
+		switch g.Verdict {
+		case dispatch.Queued:
+			return
+		case dispatch.Granted:
+		default:
+			out.count(warm, false)
+			return
+		}
+		waits += (at - arrived[g.ID]).Seconds()
+		if _, known := begun[g.Target]; !known {
+			begun[g.Target] = at
+		}
+		good := !s.grayAt(g.Target, seed, at) || rng.Float64() >= s.fails
+		out.count(warm, good)
+		took := time.Duration((0.6 + 0.8*rng.Float64()) * float64(sparseWork))
+		heap.Push(&events, step{
+			at: at + took,
+			do: func() {
+				r := dispatch.ResultBad
+				if good {
+					r = dispatch.ResultGood
+				}
+				all(at+took, d.Done(start.Add(at+took), g.ID, g.Target, r, took))
+			},
+		})
+	}
+	var arrive func(at time.Duration)
+	arrive = func(at time.Duration) {
+		number++
+		id := dispatch.ID{
+			Node:   "n",
+			Number: number,
+		}
+		arrived[id] = at
+		granted(at, d.Ask(start.Add(at), &dispatch.Ask{
+			ID:       id,
+			Aim:      start.Add(at + 1200*time.Millisecond),
+			Deadline: start.Add(at + 8*time.Second),
+		}))
+		next := at + time.Duration(rng.ExpFloat64()/s.rate*float64(time.Second))
+		if next < sparseEnd {
+			heap.Push(&events, step{
+				at: next,
+				do: func() { arrive(next) },
+			})
+		}
+	}
+	var advance func(at time.Duration)
+	advance = func(at time.Duration) {
+		all(at, d.Advance(start.Add(at)))
+		if next := at + 50*time.Millisecond; next < sparseEnd+8*time.Second {
+			heap.Push(&events, step{
+				at: next,
+				do: func() { advance(next) },
+			})
+		}
+	}
+	advance(0)
+	heap.Push(&events, step{
+		at: 0,
+		do: func() { arrive(0) },
+	})
+	heap.Push(&events, step{
+		at: sparseJoins,
+		do: func() { d.Change(start.Add(sparseJoins), s.pool(s.targets, s.joins), nil) },
+	})
+	for len(events) > 0 {
+		e := heap.Pop(&events).(step)
+		e.do()
+	}
+	out.waited = waits / float64(number)
+	for _, t := range s.pool(s.targets, s.joins) {
+		if at, used := begun[t.Key]; !used || at > sparseJoins+6*time.Second {
+			out.unused++
+		}
+	}
+	return out
+}
+
+// Guards against work that is spread over more targets than the requests can keep known.
+func TestSparseServiceStaysWithWhatAnswers(t *testing.T) {
+	tests := []struct {
+		name string
+		sparse
+		// early and least are the shares of requests that must be served in the first seconds
+		// and later.
+		early, least float64
+	}{
+		{
+			name: "three in ten gray for good",
+			sparse: sparse{
+				targets: 720,
+				rate:    212,
+				gray:    0.3,
+				period:  time.Hour,
+				fails:   0.5,
+				joins:   200,
+			},
+			early: 0.95,
+			least: 0.97,
+		},
+		{
+			name: "gray by turns",
+			sparse: sparse{
+				targets: 720,
+				rate:    212,
+				gray:    0.3,
+				period:  6 * time.Second,
+				fails:   0.5,
+			},
+			early: 0.95,
+			least: 0.95,
+		},
+		{
+			name: "twice the targets",
+			sparse: sparse{
+				targets: 1440,
+				rate:    212,
+				gray:    0.3,
+				period:  time.Hour,
+				fails:   0.5,
+				joins:   200,
+			},
+			early: 0.95,
+			least: 0.97,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			sum := played{}
+			for seed := range uint64(3) {
+				p := tt.play(seed)
+				sum.served += p.served
+				sum.all += p.all
+				sum.unused += p.unused
+				sum.waited += p.waited
+				sum.earlyAll += p.earlyAll
+				sum.earlyServed += p.earlyServed
+			}
+			share := float64(sum.served) / float64(sum.all)
+			early := float64(sum.earlyServed) / float64(sum.earlyAll)
+			t.Logf("%.3f served, %.3f in the first seconds, waits of %.3f s, %d of %d targets that joined unused", share, early, sum.waited/3, sum.unused, 3*tt.joins)
+			if early < tt.early {
+				t.Errorf("%.3f served in the first seconds, want %.2f", early, tt.early)
+			}
+			if share < tt.least {
+				t.Errorf("%.3f served, want %.2f", share, tt.least)
+			}
+			if sum.unused > 0 {
+				t.Errorf("%d of %d targets that joined got nothing", sum.unused, 3*tt.joins)
+			}
+		})
+	}
+}
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -121,6 +121,9 @@
 	if a.Again {
 		return nil
 	}
+	if d.sparse(now) {
+		return d.newcomer(now, a)
+	}
 	s := d.spreadOf(now, a)
 	var best *target
 	out, all := 0, 0
