internal/dispatch: targets that warm up get what they bear

A cold target bears warmup_per_s requests a second from all nodes and falls over well above that (FAILBACK); nothing kept to it. The dispatcher of its part counts what all nodes send, so the ledger and pacer of limits that targets name keep this one too: from when a target says that it is cold, at any moment, for as long as it says. Nothing is saved up, whoever may not be the only dispatcher uses its part, and a service whose targets are all cold refuses the surplus at once with a time.

Tests: at most 1.1 times the rate and one in any second, 0.9 of it used under demand, for targets known cold, cold again, joining, and told of as it ends. Health responses, which nodes that choose jointly don't ask for, are not read.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -18,8 +18,10 @@
 	Leaving bool
 	// Named is set where the key names one life of the target, which leaves for good.
 	Named bool
-	// Warmup is how long after its appearance the target works more slowly.
-	Warmup time.Duration
+	// Warmup is how much longer the target works more slowly, from when that is published, and
+	// WarmupRate how many requests a second it takes meanwhile from all nodes; 0 is no bound.
+	Warmup     time.Duration
+	WarmupRate float64
 }
 
 // ID names one ask: the node that asks and the number that it gave.
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -59,6 +59,8 @@
 	covered   coverage
 	accepting accepting
 	floor     float64
+	// warmUntil is until when any target has a limit because it warms up.
+	warmUntil time.Time
 	// newcomers are targets that joined and may have got no request yet, draining counts those
 	// that are published as draining.
 	newcomers []string
@@ -104,7 +106,7 @@
 				d.newcomers = append(d.newcomers, c.Key)
 			}
 		}
-		t.Target = c
+		d.take(now, t, c)
 		d.draining += drainingOf(c)
 		if t.limit.Set {
 			d.limits++
@@ -114,6 +116,16 @@
 	}
 }
 
+// take gives a target what is published of it. One that says that it works more slowly, for a time
+// that it did not say before, has just become so.
+func (d *Desk) take(now time.Time, t *target, published Target) {
+	again := published.Warmup != t.Warmup
+	t.Target = published
+	if again {
+		d.warm(now, t)
+	}
+}
+
 // drainingOf returns 1 for a target that is published as draining, else 0.
 func drainingOf(t Target) int {
 	if t.Leaving {
@@ -156,7 +168,7 @@
 			d.newcomers = append(d.newcomers, c.Key)
 		}
 		d.draining += drainingOf(c) - drainingOf(t.Target)
-		t.Target = c
+		d.take(now, t, c)
 	}
 	d.covered = coverage{}
 	d.accepting = accepting{}
@@ -271,7 +283,7 @@
 	slots := 0.0
 	for _, t := range d.order {
 		if !t.drains(now) {
-			slots += t.limitedSlots(d.part, work/time.Duration(n)) * (1 - t.failing(now))
+			slots += t.limitedSlots(now, d.part, work/time.Duration(n)) * (1 - t.failing(now))
 		}
 	}
 	return time.Duration(float64(work) / max(slots, 1))
@@ -353,6 +365,7 @@
 	if !t.reachedLately(now) {
 		d.covered = coverage{}
 	}
+	paced := t.limit.bounded(now)
 	t.limit.take(now, d.part)
 	before := t.granted
 	t.granted = now
@@ -368,6 +381,7 @@
 			Limit:  t.limit.Limit,
 			At:     t.limit.at,
 		},
+		paced: paced,
 		route: route,
 		event: t.health.Begin(now, route),
 	}
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -32,7 +32,7 @@
 		t.backoff = backoff{}
 		d.accepting = accepting{}
 	}
-	if ok && r == ResultUnreached && f.paid.Set {
+	if ok && r == ResultUnreached && f.paced {
 		t.limit.pacer.Return()
 	}
 	if ok && r == ResultUnreached && t.granted.Equal(f.begun) {
--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -29,9 +29,13 @@
 	At time.Time
 }
 
-// limited is the limit of a target and what was granted of it.
+// limited is the limit of a target and what was granted of it. A target that warms up has another
+// one, which its service states.
 type limited struct {
 	signal.Limit
+	// warmup is in requests a second, 0 for none; it holds until warmupUntil.
+	warmup      float64
+	warmupUntil time.Time
 	// at is when the target answered so, by the node that told.
 	at     time.Time
 	by     string
@@ -40,19 +44,54 @@
 	grants window
 }
 
+// warms reports whether the limit of a target that warms up is the one to keep.
+func (l *limited) warms(now time.Time) bool {
+	return l.warmup > 0 && now.Before(l.warmupUntil) && (!l.Set || l.warmup < LimitRate(l.Limit))
+}
+
+// bounded reports whether the target has a limit at now.
+func (l *limited) bounded(now time.Time) bool { return l.Set || l.warms(now) }
+
 // rate returns the rate at which the target is granted, in requests a second. part is the part
 // of the limit that this desk may use.
-func (l *limited) rate(part float64) float64 { return part * LimitRate(l.Limit) }
+func (l *limited) rate(now time.Time, part float64) float64 {
+	if l.warms(now) {
+		return part * l.warmup
+	}
+	return part * LimitRate(l.Limit)
+}
+
+// warm begins or renews the limit of a target that warms up for a time.
+func (l *limited) warm(now time.Time, rate float64, warmup time.Duration) {
+	if rate <= 0 || warmup <= 0 {
+		return
+	}
+	if !l.bounded(now) {
+		l.begin(now)
+	}
+	l.warmup, l.warmupUntil = rate, now.Add(warmup)
+}
+
+// begin begins to count grants: other dispatchers, or this one unaware of the limit, may have granted
+// all of it.
+func (l *limited) begin(now time.Time) {
+	l.pacer = *ratelimit.NewPacer(now, 0)
+	l.begun, l.grants = now, window{}
+}
 
 // LimitRate returns the rate at which a target with a limit is used, in requests a second.
 func LimitRate(l signal.Limit) float64 { return max(l.Rate, limitLeast) }
 
 // wait returns after how long the target may be granted.
 func (l *limited) wait(now time.Time, part float64) time.Duration {
-	if !l.Set {
+	if !l.bounded(now) {
 		return 0
 	}
-	rate := l.rate(part)
+	rate := l.rate(now, part)
+	if l.warms(now) {
+		// A target that warms up falls over by what comes in one second: nothing is saved up.
+		return l.pacer.Wait(now, rate, 1)
+	}
 	if part < 1 {
 		// Others may save up as much, to grant it at the same moment.
 		l.pacer.Wait(now, rate, math.Inf(1))
@@ -63,7 +102,7 @@
 
 // take pays for a grant. A grant that the limit doesn't pay for puts off the next ones.
 func (l *limited) take(now time.Time, part float64) {
-	if !l.Set {
+	if !l.bounded(now) {
 		return
 	}
 	l.wait(now, part)
@@ -74,7 +113,7 @@
 
 // granted returns how often the target was granted in the last limitWindow.
 func (l *limited) granted(now time.Time) int {
-	if !l.Set {
+	if !l.bounded(now) {
 		return 0
 	}
 	l.grants.turn(now, l.begun, limitBudget)
@@ -92,7 +131,19 @@
 func (d *Desk) Lead(part float64) { d.part = part }
 
 // Limited reports whether any target has a limit.
-func (d *Desk) Limited() bool { return d.limits > 0 }
+func (d *Desk) Limited(now time.Time) bool { return d.limits > 0 || now.Before(d.warmUntil) }
+
+// warm notes that a target works more slowly for a time from now on, and how many requests it may
+// get meanwhile.
+func (d *Desk) warm(now time.Time, t *target) {
+	if t.Warmup <= 0 {
+		return
+	}
+	t.limit.warm(now, t.WarmupRate, t.Warmup)
+	if t.WarmupRate > 0 {
+		d.warmUntil = later(d.warmUntil, now.Add(t.Warmup))
+	}
+}
 
 // Observe records the limit of a target as a node told of it. What the target answered later
 // stays. It reports whether the limit changed.
@@ -106,9 +157,7 @@
 	l.Limit, l.at, l.by = s.Limit, s.At, by
 	switch {
 	case s.Set && !before.Set:
-		// Other dispatchers, or this one unaware of the limit, may have granted all of it.
-		l.pacer = *ratelimit.NewPacer(now, 0)
-		l.begun, l.grants = now, window{}
+		l.begin(now)
 		d.limits++
 	case !s.Set && before.Set:
 		t.warmUntil = later(t.warmUntil, now.Add(liftedTime))
@@ -128,7 +177,7 @@
 // unnamed returns the limits of targets that an ask didn't name, and those lifted that it did.
 // Nodes that may have to choose alone learn of them before they need to.
 func (d *Desk) unnamed(a *Ask) []TargetLimit {
-	if !d.Limited() && len(a.Limits) == 0 {
+	if d.limits == 0 && len(a.Limits) == 0 {
 		return nil
 	}
 	named := map[string]signal.Limit{}
@@ -171,21 +220,21 @@
 
 // limitedCapacity returns the capacity of the targets that stay if each of them has a limit.
 func (d *Desk) limitedCapacity(now time.Time) (c capacity, all bool) {
-	if !d.Limited() {
+	if !d.Limited(now) {
 		return c, false
 	}
 	for _, t := range d.order {
 		if t.drains(now) {
 			continue
 		}
-		if !t.limit.Set {
+		if !t.limit.bounded(now) {
 			return capacity{}, false
 		}
 		wait := t.limit.wait(now, d.part)
 		if !all || wait < c.next {
 			c.next = wait
 		}
-		c.rate += t.limit.rate(d.part)
+		c.rate += t.limit.rate(now, d.part)
 		all = true
 	}
 	return c, all
@@ -198,10 +247,10 @@
 
 // limitedSlots returns how many slots the target's limit keeps busy by requests that take so
 // long (Little's law), at most those that it has.
-func (t *target) limitedSlots(part float64, takes time.Duration) float64 {
+func (t *target) limitedSlots(now time.Time, part float64, takes time.Duration) float64 {
 	slots := float64(t.Slots)
-	if t.limit.Set && takes > 0 {
-		slots = min(slots, t.limit.rate(part)*takes.Seconds())
+	if t.limit.bounded(now) && takes > 0 {
+		slots = min(slots, t.limit.rate(now, part)*takes.Seconds())
 	}
 	return slots
 }
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -212,7 +212,7 @@
 			t.Errorf("%s: %+v", s.name, got)
 		}
 	}
-	if d.Limited() {
+	if d.Limited(at(10)) {
 		t.Error("a lifted limit still counts")
 	}
 }
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -17,8 +17,10 @@
 	before time.Time
 	// last is set where no other attempt can follow a failure.
 	last bool
-	// paid is the target's limit, which paid for the grant.
-	paid TargetLimit
+	// paid is the limit that the target named, which paid for the grant; paced is set where any
+	// limit did.
+	paid  TargetLimit
+	paced bool
 	// route is what is known of the request's route, event the number of the attempt
 	// in the target's health.
 	route *health.Route
@@ -91,7 +93,7 @@
 
 // steady returns the probability that the target counts at now.
 func (t *target) steady(now time.Time) float64 {
-	if now.Before(t.gone) || t.backoff.tried() || t.limit.Set && t.limit.rate(1)*spreadTime.Seconds() < 1 {
+	if now.Before(t.gone) || t.backoff.tried() || t.limit.bounded(now) && t.limit.rate(now, 1)*spreadTime.Seconds() < 1 {
 		return 0
 	}
 	return t.health.Steady(now, now.Add(-coverSettled))
--- /dev/null
+++ b/internal/dispatch/warmup_test.go
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// warmRate is how many requests a second the targets of these tests take while they warm up.
+const warmRate = 9.1
+
+// warming returns targets that warm up for a time.
+func warming(n int, left time.Duration) []dispatch.Target {
+	out := pool(n)
+	for i := range out {
+		out[i].Warmup = left
+		out[i].WarmupRate = warmRate
+	}
+	return out
+}
+
+// flood asks a desk every few milliseconds from one time to another; each attempt takes 100 ms. It
+// returns when each target was granted.
+func flood(d *dispatch.Desk, from, to time.Time) map[string][]time.Time {
+	out := map[string][]time.Time{}
+	type running struct {
+		ends time.Time
+		g    dispatch.Grant
+	}
+	var under []running
+	granted := func(now time.Time, list ...dispatch.Grant) {
+		for _, g := range list {
+			if g.Verdict == dispatch.Granted {
+				out[g.Target] = append(out[g.Target], now)
+				under = append(under, running{
+					ends: now.Add(100 * time.Millisecond),
+					g:    g,
+				})
+			}
+		}
+	}
+	number := uint64(from.UnixNano())
+	for now := from; now.Before(to); now = now.Add(5 * time.Millisecond) {
+		for len(under) > 0 && !under[0].ends.After(now) {
+			r := under[0]
+			under = under[1:]
+			granted(now, d.Done(now, r.g.ID, r.g.Target, dispatch.ResultGood, 100*time.Millisecond)...)
+		}
+		granted(now, d.Advance(now)...)
+		number++
+		granted(now, d.Ask(now, ask(now, number)))
+	}
+	return out
+}
+
+// busiest returns the greatest number of times within a second.
+func busiest(times []time.Time) int {
+	out := 0
+	for i := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at.Sub(times[i]) < time.Second {
+				n++
+			}
+		}
+		out = max(out, n)
+	}
+	return out
+}
+
+// Guards against cold targets that fall over by what they get, and such that get less than they bear.
+func TestTargetsThatWarmUpGetWhatTheyBear(t *testing.T) {
+	const left = 3 * time.Second
+	tests := []struct {
+		name string
+		desk func() *dispatch.Desk
+	}{
+		{
+			name: "known so from the start",
+			desk: func() *dispatch.Desk { return newDesk(warming(2, left)...) },
+		},
+		{
+			name: "cold again",
+			desk: func() *dispatch.Desk {
+				d := newDesk(pool(2)...)
+				d.Change(start, warming(2, left), nil)
+				return d
+			},
+		},
+		{
+			name: "a third joins",
+			desk: func() *dispatch.Desk {
+				d := newDesk(warming(2, left)...)
+				d.Change(start, append(warming(3, left)[2:], warming(2, left)...), nil)
+				return d
+			},
+		},
+		{
+			name: "the rest is told as it shrinks",
+			desk: func() *dispatch.Desk {
+				d := newDesk(warming(2, left+time.Second)...)
+				d.Change(start, warming(2, left), nil)
+				return d
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := tt.desk()
+			for key, times := range flood(d, start, start.Add(left)) {
+				if n := busiest(times); float64(n) > 1.1*warmRate+1 {
+					t.Errorf("target %s got %d requests in a second", key, n)
+				}
+				if used := float64(len(times)) / left.Seconds() / warmRate; used < 0.9 {
+					t.Errorf("target %s got %.2f of what it bears", key, used)
+				}
+			}
+			after := flood(d, start.Add(left+2*time.Second), start.Add(left+4*time.Second))
+			if n := len(after["t0"]); float64(n) < 2*2*warmRate {
+				t.Errorf("target t0 got %d requests in the two seconds after it was warm", n)
+			}
+		})
+	}
+}
+
+// Guards against callers who wait for targets that are all cold and can't serve them.
+func TestColdServiceRefusesAtOnce(t *testing.T) {
+	const targets, asks = 4, 600
+	d := newDesk(warming(targets, 10*time.Second)...)
+	refused := 0
+	for n := range uint64(asks) {
+		now := start.Add(time.Duration(n) * 2 * time.Millisecond)
+		g := d.Ask(now, ask(now, n))
+		if g.Verdict == dispatch.Refused {
+			refused++
+			if g.RetryAfter <= 0 {
+				t.Fatal("refused without a time to come back")
+			}
+		}
+	}
+	if refused < asks/2 {
+		t.Errorf("%d of %d refused", refused, asks)
+	}
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -118,7 +118,7 @@
 		}
 		d.desks[p] = dk
 	}
-	if dk.Limited() {
+	if dk.Limited(now) {
 		view := d.board.view.Load()
 		dk.Lead(d.place(now, view, p.holders(view)).part())
 	}
@@ -133,7 +133,7 @@
 func (p part) configure(now time.Time, dk *desk, sc *fleetconfig.Service) {
 	before := dk.config
 	dk.config = sc
-	if before == nil || !sc.SameEvacuations(before) {
+	if before == nil || !sc.SameEvacuations(before) || sc.WarmupRate() != before.WarmupRate() {
 		dk.Configure(now, p.targets(sc, sc.Targets()))
 		return
 	}
@@ -179,6 +179,8 @@
 			Leaving:  sc.Drained(t),
 			Named:    t.ID() != "",
 			Warmup:   t.Warmup(),
+
+			WarmupRate: sc.WarmupRate(),
 		})
 	}
 	return out
--- a/internal/node/limitstatus.go
+++ b/internal/node/limitstatus.go
@@ -49,7 +49,7 @@
 	defer d.mu.Unlock()
 	var out []operator.TargetLimitStatus
 	for p, dk := range d.desks {
-		if !dk.Limited() || now.Sub(dk.used) > reportInterval {
+		if !dk.Limited(now) || now.Sub(dk.used) > reportInterval {
 			continue
 		}
 		for _, t := range dk.Status(now).Targets {
