internal/entry: what a node holds of bodies is bounded by its memory

Callers that send or read slowly made a node hold a buffer each, up to 128 KB a request, without a bound; a weak instance has 136 MB. Each direction gets an eighth of the memory that the settings name. A request whose body or usual answer finds no room is refused before any of it is read, not run, with a time; bodies up to 4 KB always find room, so that nobody else suffers. Status shows both.

--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -32,6 +32,7 @@
 	CodeFailed        Code = "target-failed"
 	CodeOutcomeUnsure Code = "outcome-unknown"
 	CodeQuarantine    Code = "targets-end"
+	CodeMemory        Code = "no-memory"
 )
 
 // Error is the final answer to a request that gets no answer of a target.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,9 +36,11 @@
 	MaxBody   int64
 	MaxHeader int64
 	HoldBody  int64
-	Deadline  time.Duration
-	Stall     time.Duration
-	Outgoing  netip.Addr
+	// Memory bounds the bytes of bodies that are held in each direction; 0 is no bound.
+	Memory   int64
+	Deadline time.Duration
+	Stall    time.Duration
+	Outgoing netip.Addr
 	// WorkspaceHeader names the workspace of a request: callers write it, or where Keyed
 	// is set the server does so for targets.
 	WorkspaceHeader string
@@ -117,6 +119,9 @@
 	asking  atomic.Int32
 	tasks   chan *task.Task
 	buffers sync.Pool
+	// inbound and outbound bound what is held of requests and of answers.
+	inbound  memory
+	outbound memory
 }
 
 // New returns a server that listens already but does not serve yet.
@@ -132,6 +137,12 @@
 		sizes:    newSizes(),
 		log:      cfg.Log,
 		tasks:    make(chan *task.Task, maxTrials),
+		inbound: memory{
+			most: cfg.Memory,
+		},
+		outbound: memory{
+			most: cfg.Memory,
+		},
 	}
 	s.buffers.New = func() any {
 		b := make([]byte, copyBuffer)
@@ -242,6 +253,14 @@
 
 // forward has an admitted request answered.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, begun time.Time, in *admitted) (int, attempt.Outcome) {
+	give, fail := s.reserve(r, in)
+	if fail != nil {
+		// Else net/http reads the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+		s.refuse(w, id, in, fail)
+		return fail.status, fail.outcome
+	}
+	defer give()
 	b, fail := readBody(w, r, in.maxBody, s.cfg.HoldBody)
 	if fail != nil {
 		s.refuse(w, id, in, fail)
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -88,6 +88,7 @@
 
 // site is a server in front of one target that keeps the requests it gets.
 type site struct {
+	server  *entry.Server
 	url     string
 	config  atomic.Pointer[fleetconfig.Config]
 	current atomic.Bool
@@ -227,6 +228,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.server = srv
 	s.url = "http://" + srv.Addr()
 	serving := task.Go(context.Background(), "serve", srv.Serve)
 	t.Cleanup(func() {
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -13,6 +13,10 @@
 	"ploverjunction.example/ploverjunction/internal/settings"
 )
 
+// bodyMemoryPart is which part of its memory a node holds of bodies in each direction: the rest is
+// for the kernel's buffers of the same connections, the tables and the collector's slack.
+const bodyMemoryPart = 8
+
 // open opens the three listeners.
 func (n *Node) open(keys *link.Keys) error {
 	var err error
@@ -36,6 +40,7 @@
 		MaxBody:         n.set.MaxBody(),
 		MaxHeader:       n.set.MaxHeader(),
 		HoldBody:        n.set.HoldBody(),
+		Memory:          n.set.Memory() / bodyMemoryPart,
 		Deadline:        n.set.Deadline(),
 		Stall:           n.set.Stall(),
 		Outgoing:        n.set.Outgoing(),
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -4,16 +4,19 @@
 
 // Status is what a node says of itself. Field names are stable.
 type Status struct {
-	Node     string          `json:"node"`
-	DataHall string          `json:"data_hall"`
-	Ready    bool            `json:"ready"`
-	Reason   string          `json:"reason,omitempty"`
-	UpFor    string          `json:"up_for"`
-	InFlight int64           `json:"in_flight"`
-	Config   ConfigStatus    `json:"config"`
-	Members  []MemberStatus  `json:"members"`
-	Services []ServiceStatus `json:"services"`
-	Limits   []LimitStatus   `json:"limits"`
+	Node     string `json:"node"`
+	DataHall string `json:"data_hall"`
+	Ready    bool   `json:"ready"`
+	Reason   string `json:"reason,omitempty"`
+	UpFor    string `json:"up_for"`
+	InFlight int64  `json:"in_flight"`
+	// HeldRequests and HeldAnswers are the bytes of bodies that are held at most.
+	HeldRequests int64           `json:"held_request_bytes"`
+	HeldAnswers  int64           `json:"held_answer_bytes"`
+	Config       ConfigStatus    `json:"config"`
+	Members      []MemberStatus  `json:"members"`
+	Services     []ServiceStatus `json:"services"`
+	Limits       []LimitStatus   `json:"limits"`
 	// Quarantine are requests under which targets ended, the latest first.
 	Quarantine []QuarantineStatus `json:"quarantine"`
 	// Signals is what targets said of themselves in answers to this node and holds now.
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -15,6 +15,7 @@
 	maxWorkspaces = 10000
 	maxReserve    = 1_000_000
 	maxRetryShare = 10
+	maxMemory     = 1 << 44
 	minWindow     = 100 * time.Millisecond
 )
 
@@ -62,6 +63,7 @@
 		optional("entry", "max_body", size(&s.maxBody, minBody, maxBody)),
 		optional("entry", "max_header", size(&s.maxHeader, minHeader, maxHeader)),
 		optional("entry", "hold_body", size(&s.holdBody, 0, maxBody)),
+		given("entry", "memory", size(&s.memory, 0, maxMemory), func() {}),
 		optional("entry", "deadline", duration(&s.deadline, time.Millisecond, maxDeadline)),
 		optional("entry", "stall", duration(&s.stall, 10*time.Millisecond, maxDeadline)),
 		optional("entry", "workspace_header", text(&s.workspaceHeader)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,7 @@
 	maxBody         int64
 	maxHeader       int64
 	holdBody        int64
+	memory          int64
 	deadline        time.Duration
 	stall           time.Duration
 	workspaceHeader string
@@ -107,6 +108,9 @@
 // HoldBody returns the size in bytes up to which answers are held whole.
 func (s *Settings) HoldBody() int64 { return s.holdBody }
 
+// Memory returns the bytes that this process may use, 0 if no bound is known.
+func (s *Settings) Memory() int64 { return s.memory }
+
 // Deadline returns the deadline of routes that state none.
 func (s *Settings) Deadline() time.Duration { return s.deadline }
 
