--- a/cmd/ploverctl/status.go
+++ b/cmd/ploverctl/status.go
@@ -75,6 +75,9 @@
 	for _, key := range s.Config.Ahead {
 		fmt.Fprintf(b, "  ahead of the platform, which was restored: %s\n", key)
 	}
+	for _, hall := range s.Config.Evacuated {
+		fmt.Fprintf(b, "  evacuated: data hall %s\n", hall)
+	}
 	live := 0
 	for _, m := range s.Members {
 		if m.Live {
