--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -115,6 +115,9 @@
 // Evacuated reports whether targets in a data hall get no new requests.
 func (s *Service) Evacuated(dataHall string) bool { return s.evacuated[dataHall] }
 
+// AnyEvacuated reports whether any data hall is evacuated.
+func (s *Service) AnyEvacuated() bool { return len(s.evacuated) > 0 }
+
 // SameEvacuations reports whether the same data halls are evacuated as in another configuration
 // of the service.
 func (s *Service) SameEvacuations(o *Service) bool { return maps.Equal(s.evacuated, o.evacuated) }
--- a/internal/node/closed.go
+++ b/internal/node/closed.go
@@ -26,8 +26,11 @@
 // closedHalls returns the data halls whose targets a request must not be sent to: those that
 // are evacuated, and those outside the regions where it may be served.
 func (b *Board) closedHalls(q *entry.Query) []string {
-	var out []string
 	s := b.newest(q.Service)
+	if len(q.Regions) == 0 && !s.AnyEvacuated() {
+		return nil
+	}
+	var out []string
 	for _, hall := range s.Halls() {
 		if s.Evacuated(hall) || !b.inRegions(hall, q.Regions) {
 			out = append(out, hall)
@@ -44,8 +47,8 @@
 // refuseClosed returns the refusal of a request that no data hall may serve, or nil. A service
 // without targets may get some at any moment.
 func (b *Board) refuseClosed(q *entry.Query) error {
-	halls := len(b.newest(q.Service).Halls())
-	if halls == 0 || len(b.closedHalls(q)) < halls {
+	closed := len(b.closedHalls(q))
+	if closed == 0 || closed < len(b.newest(q.Service).Halls()) {
 		return nil
 	}
 	return entry.NewNoTargetError(attempt.ReasonClosed, closedRetryAfter)
