internal/dispatch: a dispatcher that takes up its role counts from then on

Looked for the cause: a node that takes up a role has had a desk for long, and the count of requests that tells a sparse service was divided by the desk's age, so that the first 1.2 s after a move counted as sparse and spread no work.

Batches packed for pulls are kept as long as no value changes, for nodes that begin together.

--- a/internal/dispatch/sparse.go
+++ b/internal/dispatch/sparse.go
@@ -20,14 +20,13 @@
 	countedTime  = time.Second
 )
 
-// come returns how many first attempts come in a second, to all desks of the targets, and whether
-// that is known yet.
+// come returns how many first attempts come in a second since this desk has the role, and whether
+// that is known yet. Nodes have desks long before they take it up.
 func (d *Desk) come(now time.Time) (rate float64, known bool) {
 	d.window.turn(now, d.begun, d.budget)
-	own, _ := d.window.sums()
-	others, _ := d.others.sums(now, d.budget)
-	counted := min(max(now.Sub(d.begun), time.Millisecond), d.budget.Window)
-	return (own + others) / counted.Seconds(), own+others >= countedLeast || counted >= countedTime
+	firsts, _ := d.window.sums()
+	counted := min(max(now.Sub(d.window.since), time.Millisecond), d.budget.Window)
+	return firsts / counted.Seconds(), firsts >= countedLeast || counted >= countedTime
 }
 
 // sparse reports whether the requests that come can't reach the floor of the targets within the
--- a/internal/dispatch/sparse_test.go
+++ b/internal/dispatch/sparse_test.go
@@ -263,3 +263,31 @@
 		})
 	}
 }
+
+// Guards against a dispatcher that takes up its role, has counted few requests so far and leaves targets out.
+func TestNewDispatcherOfABusyServiceSpreadsWork(t *testing.T) {
+	const targets = 88
+	d := newDesk(pool(targets)...)
+	d.Keep(floorShare)
+	for i := range targets {
+		d.Note(start, fmt.Sprintf("t%d", i), "", dispatch.ResultGood, 300*time.Millisecond)
+	}
+	last := map[string]time.Time{}
+	from := start.Add(20 * time.Second)
+	for n := range uint64(900) {
+		now := from.Add(time.Duration(n) * 3 * time.Millisecond)
+		g := d.Ask(now, ask(now, n))
+		last[g.Target] = now
+		r := dispatch.ResultGood
+		if n%3 == 0 {
+			r = dispatch.ResultBad
+		}
+		d.Done(now, g.ID, g.Target, r, 3*time.Millisecond)
+		if now.Sub(from) < 1200*time.Millisecond {
+			continue
+		}
+		if len(last) < 80 {
+			t.Fatalf("%v after it took up the role %d of %d targets have got work", now.Sub(from), len(last), targets)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dissemination/batches.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination
+
+import (
+	"sync"
+
+	"ploverjunction.example/ploverjunction/internal/order"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
+
+// mostBatches bounds the batches that are kept, of some ten KB each.
+const mostBatches = 64
+
+// batch is what a pull behind a position brings.
+type batch struct {
+	packed []byte
+	upTo   *wire.Position
+	more   bool
+}
+
+// batches keeps what was packed for pulls: nodes that start together ask for the same. They hold as
+// long as no value changes, and may be used concurrently.
+type batches struct {
+	mu     sync.Mutex
+	digest uint64
+	kept   map[order.Position]batch
+}
+
+func (b *batches) find(digest uint64, since order.Position) (batch, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.digest != digest {
+		return batch{}, false
+	}
+	out, ok := b.kept[since]
+	return out, ok
+}
+
+func (b *batches) keep(digest uint64, since order.Position, packed batch) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.kept == nil || b.digest != digest || len(b.kept) >= mostBatches {
+		b.digest, b.kept = digest, map[order.Position]batch{}
+	}
+	b.kept[since] = packed
+}
--- a/internal/dissemination/export_test.go
+++ b/internal/dissemination/export_test.go
@@ -12,3 +12,6 @@
 func (g *Gossip) SetCall(call func(ctx context.Context, peer string, in *wire.SyncRequest) (*wire.SyncReply, error)) {
 	g.cfg.Call = call
 }
+
+// UnpackBatch returns the entries of a batch.
+func UnpackBatch(b []byte) ([]*wire.Entry, error) { return unpackBatch(b) }
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -107,6 +107,8 @@
 	compares map[string]bool
 	// lately are the small values learned last, the oldest first.
 	lately []lately
+	// batches are those packed for peers.
+	batches batches
 	// positions is set once a peer knew up to where it has all that the source told.
 	positions atomic.Bool
 	// pulling is when the pull that goes on last got an answer, the zero time where none does.
--- a/internal/dissemination/pull.go
+++ b/internal/dissemination/pull.go
@@ -67,12 +67,25 @@
 
 // answerPull adds to a reply what this node has behind the position that a peer names.
 func (g *Gossip) answerPull(in *wire.SyncRequest, out *wire.SyncReply) error {
-	entries, upTo, more := g.replica.After(positionOf(in.GetSince()))
-	batch, err := packBatch(entries)
+	since := positionOf(in.GetSince())
+	if b, ok := g.batches.find(out.GetDigest(), since); ok {
+		out.Batch, out.UpTo, out.More = b.packed, b.upTo, b.more
+		return nil
+	}
+	entries, upTo, more := g.replica.After(since)
+	packed, err := packBatch(entries)
 	if err != nil {
 		return err
 	}
-	out.Batch, out.UpTo, out.More = batch, wirePosition(upTo), more
+	out.Batch, out.UpTo, out.More = packed, wirePosition(upTo), more
+	// Values may have come since the digest was taken.
+	if out.GetDigest() == g.replica.Digest() {
+		g.batches.keep(out.GetDigest(), since, batch{
+			packed: packed,
+			upTo:   out.GetUpTo(),
+			more:   more,
+		})
+	}
 	return nil
 }
 
