--- /dev/null
+++ b/internal/detection/fault.go
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"time"
+)
+
+// fault is a scenario. Target 0 is the sick one where there is one.
+type fault struct {
+	name string
+	// begin injects the fault.
+	begin func(w *world)
+	// seen reports whether the fault has been detected; nil if nothing is sick.
+	seen func(w *world) bool
+	// sick are the targets whose ejection is right.
+	sick []int
+	// cut is the number of nodes whose ejections are right, the first ones.
+	cut func(w *world) []int
+}
+
+// seenShare is the share of nodes that must have taken the target out.
+const seenShare = 0.9
+
+func seenByAll(w *world) bool { return w.outShare(0) >= seenShare }
+
+func flap(period time.Duration) func(w *world) {
+	return func(w *world) {
+		t := w.targets[0]
+		var turn func()
+		turn = func() {
+			t.stall = !t.stall
+			w.at(w.now+period/2, kindFault, nil, turn)
+		}
+		turn()
+	}
+}
+
+func cutOff(nodes func(w *world) []int) func(w *world) {
+	return func(w *world) {
+		for _, n := range nodes(w) {
+			w.targets[0].cut[n] = true
+		}
+	}
+}
+
+func cutSeen(nodes func(w *world) []int) func(w *world) bool {
+	return func(w *world) bool {
+		for _, n := range nodes(w) {
+			if !w.nodes[n].strategy.out(0) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func firstNode(*world) []int { return []int{0} }
+
+func firstHall(w *world) []int {
+	var out []int
+	for _, n := range w.nodes {
+		if n.hall == 0 {
+			out = append(out, n.index)
+		}
+	}
+	return out
+}
+
+// each applies a change to all targets.
+func each(fn func(t *fakeTarget)) func(w *world) {
+	return func(w *world) {
+		for _, t := range w.targets {
+			fn(t)
+		}
+	}
+}
+
+func faults() []fault {
+	one := []int{0}
+	return []fault{
+		{
+			name:  "hard stall, probes fine",
+			sick:  one,
+			seen:  seenByAll,
+			begin: func(w *world) { w.targets[0].stall = true },
+		},
+		{
+			name:  "10 times slow",
+			sick:  one,
+			seen:  seenByAll,
+			begin: func(w *world) { w.targets[0].slow = 10 },
+		},
+		{
+			name:  "30% errors",
+			sick:  one,
+			seen:  seenByAll,
+			begin: func(w *world) { w.targets[0].errors = 0.3 },
+		},
+		{
+			name:  "flapping, period 4 s",
+			sick:  one,
+			seen:  seenByAll,
+			begin: flap(4 * time.Second),
+		},
+		{
+			name:  "flapping, period 20 s",
+			sick:  one,
+			seen:  seenByAll,
+			begin: flap(20 * time.Second),
+		},
+		{
+			name:  "flapping, period 120 s",
+			sick:  one,
+			seen:  seenByAll,
+			begin: flap(120 * time.Second),
+		},
+		{
+			name:  "cut from one node",
+			cut:   firstNode,
+			seen:  cutSeen(firstNode),
+			begin: cutOff(firstNode),
+		},
+		{
+			name:  "cut from one data hall",
+			cut:   firstHall,
+			seen:  cutSeen(firstHall),
+			begin: cutOff(firstHall),
+		},
+		{
+			name:  "whole pool 10 times slow",
+			begin: each(func(t *fakeTarget) { t.slow = 10 }),
+		},
+		{
+			name:  "overload, half is shed",
+			begin: each(func(t *fakeTarget) { t.shed = 0.5 }),
+		},
+		{
+			name:  "cold start, 3 times slow for 10 s",
+			begin: coldStart,
+		},
+	}
+}
+
+func coldStart(w *world) {
+	t := w.targets[0]
+	t.slow = 3
+	w.at(w.now+10*time.Second, kindFault, nil, func() { t.slow = 1 })
+}
--- /dev/null
+++ b/internal/dispatch/configure.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/health"
+)
+
+// Configure takes the targets in force. What is known of those that stay is kept.
+func (d *Desk) Configure(now time.Time, list []Target) {
+	old := d.targets
+	first := len(old) == 0
+	d.targets = make(map[string]*target, len(list))
+	d.order = d.order[:0]
+	d.limits, d.draining = 0, 0
+	for _, c := range list {
+		t := old[c.Key]
+		if t == nil {
+			t = d.newTarget(now)
+			if !first {
+				t.warmUntil = now.Add(c.Warmup)
+				d.newcomers = append(d.newcomers, c.Key)
+			}
+		}
+		d.take(now, t, c)
+		d.draining += drainingOf(c)
+		if t.limit.Set {
+			d.limits++
+		}
+		d.targets[c.Key] = t
+		d.order = append(d.order, t)
+	}
+}
+
+// take gives a target what is published of it. One that says that it works more slowly, for a time
+// that it did not say before, has just become so.
+func (d *Desk) take(now time.Time, t *target, published Target) {
+	again := published.Warmup != t.Warmup
+	t.Target = published
+	if again {
+		d.warm(now, t)
+	}
+}
+
+// drainingOf returns 1 for a target that is published as draining, else 0.
+func drainingOf(t Target) int {
+	if t.Leaving {
+		return 1
+	}
+	return 0
+}
+
+func (d *Desk) newTarget(now time.Time) *target {
+	return &target{
+		health:  health.NewTarget(now, d.model),
+		flights: map[ID]flight{},
+	}
+}
+
+// Change takes targets that are new or changed, and the keys of those that are gone. All others
+// stay as they are.
+func (d *Desk) Change(now time.Time, changed []Target, gone []string) {
+	dropped := false
+	for _, key := range gone {
+		if t := d.targets[key]; t != nil {
+			if t.limit.Set {
+				d.limits--
+			}
+			d.draining -= drainingOf(t.Target)
+			delete(d.targets, key)
+			dropped = true
+		}
+	}
+	if dropped {
+		d.order = slices.DeleteFunc(d.order, func(t *target) bool { return d.targets[t.Key] != t })
+	}
+	for _, c := range changed {
+		t := d.targets[c.Key]
+		if t == nil {
+			t = d.newTarget(now)
+			t.warmUntil = now.Add(c.Warmup)
+			d.targets[c.Key] = t
+			d.order = append(d.order, t)
+			d.newcomers = append(d.newcomers, c.Key)
+		}
+		d.draining += drainingOf(c) - drainingOf(t.Target)
+		d.take(now, t, c)
+	}
+	d.covered = coverage{}
+	d.accepting = accepting{}
+}
