internal/dispatch, internal/node, internal/entry: requests refused for limits count among those not served

The dispatcher spreads work over nearly all targets while many requests fail, but never hears of those refused before a target is asked for. Each ask now tells how many of them its node had since the last one.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -60,6 +60,9 @@
 	Draining []string
 	// Closed are data halls whose targets the request must not be sent to.
 	Closed []string
+	// Refused is how many requests for the service the node refused since its last ask, before
+	// it asked for a target.
+	Refused int
 	// Limits are those of targets that the node knows, told by targets themselves or by
 	// other nodes.
 	Limits []TargetLimit
--- a/internal/dispatch/desk.go
+++ b/internal/dispatch/desk.go
@@ -105,6 +105,7 @@
 		}
 		return g
 	}
+	d.ends.refused(now, min(a.Refused, maxRefused))
 	d.queue.short = d.short(now)
 	if a.Hedge && !d.hedges(now, a) || !d.affords(now, a, 1) {
 		if !a.Hedge {
--- a/internal/dispatch/spread.go
+++ b/internal/dispatch/spread.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// maxRefused bounds the refusals that one ask tells of.
+const maxRefused = 1000
+
+// refused counts requests that were refused before a target was asked for: for limits of workspaces,
+// say. Callers whose requests are not served are as many, whatever the reason.
+func (e *ends) refused(now time.Time, n int) {
+	e.advance(now)
+	e.all[0] += n
+	e.bad[0] += n
+}
+
 // many reports whether so many requests fail that work must be spread.
 func (e *ends) many(now time.Time) bool {
 	e.advance(now)
--- a/internal/dispatch/spread_test.go
+++ b/internal/dispatch/spread_test.go
@@ -221,3 +221,31 @@
 		}
 	}
 }
+
+// Guards against targets left out while limits of workspaces have many requests refused, none of which a dispatcher sees.
+func TestRequestsRefusedForLimitsSpreadWork(t *testing.T) {
+	const targets = 40
+	d := newDesk(pool(targets)...)
+	d.Keep(0)
+	last := map[string]time.Time{}
+	for n := range uint64(2000) {
+		now := start.Add(time.Duration(n) * 5 * time.Millisecond)
+		a := ask(now, n)
+		if n%5 == 0 {
+			a.Refused = 1
+		}
+		g := d.Ask(now, a)
+		last[g.Target] = now
+		r := dispatch.ResultGood
+		if g.Target > "t2" && n < 400 {
+			r = dispatch.ResultBad
+		}
+		d.Done(now, g.ID, g.Target, r, 3*time.Millisecond)
+		if n < 1200 {
+			continue
+		}
+		if got := fresh(last, now); got < 35 {
+			t.Fatalf("ask %d: %d of %d targets got work within 2 s", n, got, targets)
+		}
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -36,6 +36,8 @@
 	MaxBody   int64
 	MaxHeader int64
 	HoldBody  int64
+	// Unserved gets the service of each request that is refused for a limit; nil gets none.
+	Unserved func(service string)
 	// Memory bounds the bytes of bodies that are held in each direction; 0 is no bound.
 	Memory   int64
 	Deadline time.Duration
@@ -233,6 +235,7 @@
 	if fail != nil {
 		s.refuse(w, id, in, fail)
 		s.cfg.Served("refused", in.of(), fail.status, fail.outcome.String(), time.Since(begun))
+		s.unserved(in, fail)
 		return
 	}
 	status, outcome := s.forward(w, r, id, begun, in)
@@ -242,6 +245,13 @@
 	s.cfg.Served(in.route.Class(), in.workspace, status, outcome.String(), time.Since(begun))
 }
 
+// unserved tells of a request that would be served but for a limit.
+func (s *Server) unserved(in *admitted, fail *Error) {
+	if fail.code == CodeRate && s.cfg.Unserved != nil {
+		s.cfg.Unserved(in.route.Service().Name())
+	}
+}
+
 // requestID returns the name of a request: the caller's where the contract says
 // so, else a new one.
 func (s *Server) requestID(r *http.Request) string {
--- a/internal/node/asking.go
+++ b/internal/node/asking.go
@@ -186,7 +186,8 @@
 func (d *dispatching) askOne(ctx context.Context, peer string, q *entry.Query, p part, passing bool) (granted, bool) {
 	id, answers, end := d.messenger.call()
 	defer end()
-	send := func() { d.sendAsk(peer, id, q, p, passing) }
+	refused := d.takeRefused(p.service)
+	send := func() { d.sendAsk(peer, id, q, p, passing, refused) }
 	send()
 	heard := time.Now()
 	resend := time.NewTicker(resendAfter)
@@ -251,7 +252,7 @@
 	return l
 }
 
-func (d *dispatching) sendAsk(peer string, id uint64, q *entry.Query, p part, passing bool) {
+func (d *dispatching) sendAsk(peer string, id uint64, q *entry.Query, p part, passing bool, refused int) {
 	now := time.Now()
 	spent := d.elsewhere(peer, p)
 	barred := d.board.unavailable(now, d.newest(q.Service), p.hall)
@@ -274,6 +275,7 @@
 				Barred:      barred.backingOff[:min(len(barred.backingOff), mostTried)],
 				Leaving:     barred.draining[:min(len(barred.draining), mostTried)],
 				Route:       q.Route,
+				Refused:     uint32(refused),
 				ClosedHalls: d.board.closedHalls(q),
 				Limits:      d.board.limits(now, d.newest(q.Service), p.hall),
 
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -208,6 +208,7 @@
 		Barred:     w.GetBarred(),
 		Draining:   w.GetLeaving(),
 		Closed:     w.GetClosedHalls(),
+		Refused:    int(w.GetRefused()),
 		Route:      w.GetRoute(),
 		Passing:    w.GetPassing(),
 		Elsewhere: dispatch.Spending{
--- a/internal/node/dispatching.go
+++ b/internal/node/dispatching.go
@@ -85,6 +85,8 @@
 	lost map[string]time.Time
 	// ledgers are what this node got from each dispatcher of a part.
 	ledgers map[part]*dispatch.Ledger
+	// refused counts the requests of each service that were refused since the last ask.
+	refused map[string]int
 	// wake holds a value when there is something to do.
 	wake chan struct{}
 	// reported is when the desks were last written to the log; only run uses it.
@@ -119,6 +121,7 @@
 		lost:      map[string]time.Time{},
 		pending:   map[uint64]*unconfirmed{},
 		ledgers:   map[part]*dispatch.Ledger{},
+		refused:   map[string]int{},
 	}
 	m.ask = d.asked
 	m.done = d.told
@@ -170,6 +173,22 @@
 	return false
 }
 
+// unserved notes that a request for a service was refused before a target was asked for.
+func (d *dispatching) unserved(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refused[service]++
+}
+
+// takeRefused returns how many such requests there were since the last call.
+func (d *dispatching) takeRefused(service string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.refused[service]
+	delete(d.refused, service)
+	return n
+}
+
 // work makes run look at what there is to do now.
 func (d *dispatching) work() {
 	select {
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -27,12 +27,14 @@
 		board: n.board,
 	}
 	choose, trial, retry := a.choose, a.trial, a.retry
+	unserved := func(string) {}
 	if n.dispatching != nil {
 		// The dispatcher holds the retry budget, and targets that failed come back
 		// with requests of callers.
 		choose = n.dispatching.choose
 		trial = func(*fleetconfig.Service) (entry.Choice, bool) { return entry.Choice{}, false }
 		retry = func(string) bool { return true }
+		unserved = n.dispatching.unserved
 	}
 	currency := n.currency()
 	n.entry, err = entry.New(entry.Config{
@@ -54,6 +56,7 @@
 		Contract:        n.adapter.Contract,
 		Choose:          choose,
 		Trial:           trial,
+		Unserved:        unserved,
 		First:           a.first,
 		Retry:           retry,
 		Limit:           n.limiting.admit,
