internal/dissemination, internal/fleetconfig: a reply never says more than its digest covers; the history of places is bounded

Both read in the code, not seen. A reply took its digest before it looked up to where the node has all values: what came between the two could be passed over until digests of parts found it.

--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -287,10 +287,11 @@
 	g.spread(learned{
 		entries: g.replica.Offer(in.GetEntries()),
 	})
+	// Read before the digest: what is said of up to where this node has all must not be newer.
+	readTo := g.ReadTo()
 	parts, revisions := g.replica.differing(in.GetBuckets())
 	lacks, wanted := g.replica.Compare(time.Now(), in.GetRevisions(), in.GetComplete())
-	own := g.replica.ReadTo()
-	if in.GetDigest() != g.replica.Digest() && positionOf(in.GetReadTo()).Compare(own) > 0 {
+	if in.GetDigest() != g.replica.Digest() && positionOf(in.GetReadTo()).Compare(positionOf(readTo)) > 0 {
 		g.differ(in.GetFrom().GetAddress())
 	}
 	out := &wire.SyncReply{
@@ -302,7 +303,7 @@
 		Nodes:         g.mention(int(in.GetKnown())),
 		Differing:     parts,
 		Revisions:     revisions,
-		ReadTo:        g.ReadTo(),
+		ReadTo:        readTo,
 	}
 	if !in.GetPull() {
 		return out, nil
--- a/internal/dissemination/pull.go
+++ b/internal/dissemination/pull.go
@@ -113,9 +113,9 @@
 	return nil
 }
 
-// begin reports whether a pull may begin: one at a time, for others would bring the same values. One
-// that hangs is not waited for.
-func (g *Gossip) begin(now time.Time) bool {
+// claimPull reports whether a pull may begin: one at a time, for others would bring the same values.
+// One that hangs is not waited for.
+func (g *Gossip) claimPull(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.pulling.IsZero() && now.Sub(g.pulling) < pullPatience {
@@ -125,20 +125,31 @@
 	return true
 }
 
-// goesOn notes that a pull has got an answer, or with the zero time that it is over.
-func (g *Gossip) goesOn(now time.Time) {
+// renewPull notes that a pull has got an answer, or with the zero time that it is over.
+func (g *Gossip) renewPull(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pulling = now
 }
 
+// PullError is a peer that has more values behind a position and sends none.
+type PullError struct {
+	peer  string
+	since order.Position
+}
+
+// Error names the peer and the position.
+func (e *PullError) Error() string {
+	return fmt.Sprintf("dissemination: pull from %s: no progress behind %v", e.peer, e.since)
+}
+
 // pull has a peer send what it has behind the position up to which this node has all. It returns
 // the peer's last reply, which has no more.
 func (g *Gossip) pull(ctx context.Context, peer string) (*wire.SyncRequest, *wire.SyncReply, error) {
-	defer g.goesOn(time.Time{})
+	defer g.renewPull(time.Time{})
 	since := g.replica.ReadTo()
 	for {
-		g.goesOn(time.Now())
+		g.renewPull(time.Now())
 		req := g.request()
 		req.Pull, req.Since = true, wirePosition(since)
 		reply, err := g.call(ctx, peer, req)
@@ -153,7 +164,10 @@
 			return req, reply, nil
 		}
 		if upTo.Compare(since) <= 0 {
-			return nil, nil, fmt.Errorf("dissemination: pull from %s: no progress behind %v", peer, since)
+			return nil, nil, &PullError{
+				peer:  peer,
+				since: since,
+			}
 		}
 		since = upTo
 	}
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -127,7 +127,7 @@
 	if !g.pulls() {
 		return g.converse(ctx, peer, g.request(), true)
 	}
-	if !g.begin(time.Now()) {
+	if !g.claimPull(time.Now()) {
 		return true
 	}
 	req, reply, err := g.pull(ctx, peer)
--- a/internal/fleetconfig/history.go
+++ b/internal/fleetconfig/history.go
@@ -46,12 +46,15 @@
 	h.places = slices.DeleteFunc(h.places, func(p place) bool { return !effective(p) })
 }
 
+// effective reports whether a place is the last one at which the source told of its key.
+func (s *Store) effective(at place) bool {
+	return s.records[at.key].newest.mark.Position() == at.position
+}
+
 // After returns the newest entries of the keys of which the source told behind a position, in the
 // order of positions, until they take most bytes. upTo is up to where nothing is left out; more is set
 // where it isn't the last position.
 func (s *Store) After(p order.Position, most int) (out []*wire.Entry, upTo order.Position, more bool) {
-	effective := func(at place) bool { return s.records[at.key].newest.mark.Position() == at.position }
-	s.history.compact(len(s.records), effective)
 	places := s.history.places
 	from, _ := slices.BinarySearchFunc(places, p, func(at place, p order.Position) int {
 		if at.position.Compare(p) <= 0 {
@@ -61,7 +64,7 @@
 	})
 	size := 0
 	for i := from; i < len(places); i++ {
-		if !effective(places[i]) || i > 0 && places[i-1] == places[i] {
+		if !s.effective(places[i]) || i > 0 && places[i-1] == places[i] {
 			continue
 		}
 		entries := s.Entries(places[i].key)
--- a/internal/fleetconfig/registration_test.go
+++ b/internal/fleetconfig/registration_test.go
@@ -123,3 +123,18 @@
 		t.Error("what was read by parts is not all")
 	}
 }
+
+// Guards against a history that grows with each change of the same targets.
+func TestHistoryIsBounded(t *testing.T) {
+	const targets = 50
+	s := largeFleet(targets, 3)
+	for n := range uint64(5000) {
+		s.Offer([]*wire.Entry{registration(int(n%targets), 1000+n)})
+	}
+	if n, most := s.HistoryLen(), 2*(targets+1)+64; n > most {
+		t.Errorf("%d places of %d targets, want at most %d", n, targets, most)
+	}
+	if got, _, _ := s.After(order.Position{}, 1<<20); len(got) != targets+1 {
+		t.Errorf("%d values behind the first position", len(got))
+	}
+}
