--- /dev/null
+++ b/internal/dissemination/peers.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dissemination
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"ploverjunction.example/ploverjunction/internal/membership"
+)
+
+// pushTo returns the peers of the own data hall and of others that learn of a new value from this
+// node; first is set on the node that read it. In each data hall a few others carry it on to
+// other data halls, in case that the first one's messages were lost.
+func (g *Gossip) pushTo(first bool) (near, far []string) {
+	if !g.cfg.Near {
+		return nil, g.choose(fanout)
+	}
+	ours, others := g.cfg.View().Halls()
+	near = some(ours, fanout)
+	switch {
+	case first:
+		return near, eachHall(others, fanoutFar)
+	case crosses(len(ours)):
+		return near, some(others, 1)
+	default:
+		return near, nil
+	}
+}
+
+// crosses reports by chance whether one of the nodes of a data hall with near others talks to
+// another data hall: about fanoutFar of all do.
+func crosses(near int) bool { return rand.IntN(near+1) < fanoutFar }
+
+// eachHall returns up to n nodes of each data hall among far.
+func eachHall(far []membership.Node, n int) []string {
+	byHall := map[string][]membership.Node{}
+	for _, p := range far {
+		byHall[p.DataHall()] = append(byHall[p.DataHall()], p)
+	}
+	var out []string
+	for _, peers := range byHall {
+		out = append(out, some(peers, n)...)
+	}
+	return out
+}
+
+// some returns the addresses of up to n different random nodes of a list.
+func some(list []membership.Node, n int) []string {
+	n = min(n, len(list))
+	picked := make([]int, 0, n)
+	out := make([]string, 0, n)
+	for len(out) < n {
+		if i := rand.IntN(len(list)); !slices.Contains(picked, i) {
+			picked = append(picked, i)
+			out = append(out, list[i].Address())
+		}
+	}
+	return out
+}
+
+// strangers returns the nodes of a list with which this node has not compared yet.
+func (g *Gossip) strangers(list []membership.Node) []membership.Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []membership.Node
+	for _, n := range list {
+		if !g.compares[n.Address()] {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// choose returns up to n different random peers, mostly of the own data hall. Until this node has
+// compared with some it takes only others than those, of its data hall first.
+// Seeds count as peers until others are known, and now and then later, so that two
+// parts of the fleet that lost each other meet again.
+func (g *Gossip) choose(n int) []string {
+	from := g.cfg.View().Peers()
+	if g.cfg.Near {
+		near, far := g.cfg.View().Halls()
+		if g.Compared() < startCompares {
+			near, far = g.strangers(near), g.strangers(far)
+		}
+		from = far
+		if len(near) > 0 && (g.Compared() < startCompares || rand.IntN(10) < ownHallOdds || rand.IntN(len(near)+len(far)) < len(near)) {
+			from = near
+		}
+	}
+	out := some(from, n)
+	const seedOdds = 10
+	if len(out) < n || rand.IntN(seedOdds) == 0 {
+		self := g.cfg.Self().GetAddress()
+		for _, s := range g.cfg.Seeds() {
+			if s != self {
+				out = append(out, s)
+			}
+		}
+		rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	}
+	out = slices.Compact(out)
+	return out[:min(n, len(out))]
+}
