internal/fleetconfig: one selection of records that are not in force

The records of documents and of registrations were selected and sorted by two copies of the same loop, and settle selected the documents twice. pending serves both and its result is passed on. Behaviour is unchanged; the tests of fleetconfig and dissemination and make check pass.

--- a/internal/fleetconfig/link.go
+++ b/internal/fleetconfig/link.go
@@ -67,16 +67,10 @@
 // settleRegistrations puts in force what can be of the targets that register themselves. Each
 // depends on its service and on the keys of that service's targets only.
 func (s *Store) settleRegistrations() {
-	var pending []*record
-	for _, r := range s.unsettled {
-		if !r.joint() && r.newest != r.inForce {
-			pending = append(pending, r)
-		}
-	}
+	pending := s.pending(false)
 	if len(pending) == 0 {
 		return
 	}
-	slices.SortFunc(pending, inOrder)
 	c := *s.config
 	c.services = maps.Clone(s.config.services)
 	s.config = &c
--- a/internal/fleetconfig/settle.go
+++ b/internal/fleetconfig/settle.go
@@ -3,10 +3,8 @@
 package fleetconfig
 
 import (
-	"cmp"
 	"maps"
 	"slices"
-	"strings"
 
 	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/wire"
@@ -15,8 +13,8 @@
 // settle puts in force as many newest values as are valid. Documents must be valid together; a
 // target that registers itself needs its service only.
 func (s *Store) settle() {
-	if s.pending() != nil {
-		s.settleDocuments(registeredIn(s.unsettled))
+	if pending := s.pending(true); pending != nil {
+		s.settleDocuments(pending, registeredIn(s.unsettled))
 	}
 	s.settleRegistrations()
 	s.finish()
@@ -25,8 +23,7 @@
 // settleDocuments puts in force as many newest documents as are valid together: all of them
 // at once where that works, else one after another in the order of revisions
 // until no more can be added. changed are services whose registrations it may replace.
-func (s *Store) settleDocuments(changed []string) {
-	pending := s.pending()
+func (s *Store) settleDocuments(pending []*record, changed []string) {
 	if s.tryAll(pending) {
 		pending = nil
 	}
@@ -58,20 +55,16 @@
 	return false
 }
 
-// pending returns the records of documents that are not in force, in the order of revisions.
-func (s *Store) pending() []*record {
+// pending returns the records of documents, or else of registrations, that are not in force, in
+// the order of revisions.
+func (s *Store) pending(joint bool) []*record {
 	var out []*record
 	for _, r := range s.unsettled {
-		if r.joint() && r.newest != r.inForce {
+		if r.joint() == joint && r.newest != r.inForce {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b *record) int {
-		return cmp.Or(
-			a.newest.mark.Position().Compare(b.newest.mark.Position()),
-			strings.Compare(a.newest.entry.GetKey(), b.newest.entry.GetKey()),
-		)
-	})
+	slices.SortFunc(out, inOrder)
 	return out
 }
 
@@ -127,9 +120,7 @@
 // finish gives the configuration its position, and drops what is no longer needed of the records
 // that were looked at.
 func (s *Store) finish() {
-	if s.config.position.Compare(s.base.position) < 0 {
-		s.config.position = s.base.position
-	}
+	s.config.position = order.Max(s.config.position, s.base.position)
 	left := map[string]*record{}
 	for key, r := range s.unsettled {
 		if r.inForce != nil {
