internal/fleetconfig: positions to and from messages in one place

dissemination, the marks and the platform's source each had their own conversion between order.Position and its message. PositionOf and WirePosition serve all. Behaviour is unchanged; the tests of fleetconfig, dissemination, source and platform and make check pass.

--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/task"
@@ -139,7 +140,7 @@
 // all values. The two compare unless a comparison began a moment ago, the peer is behind, or that is
 // left to peers of the own data hall.
 func (g *Gossip) Differs(peer string, readTo *wire.Position) {
-	behind := g.pulls() && readTo != nil && g.replica.ReadTo().Compare(positionOf(readTo)) > 0
+	behind := g.pulls() && readTo != nil && g.replica.ReadTo().Compare(fleetconfig.PositionOf(readTo)) > 0
 	if !behind && g.pullsFrom(peer) {
 		g.differ(peer)
 	}
@@ -290,7 +291,7 @@
 	readTo := g.ReadTo()
 	parts, revisions := g.replica.differing(in.GetBuckets())
 	lacks, wanted := g.replica.Compare(time.Now(), in.GetRevisions(), in.GetComplete())
-	if in.GetDigest() != g.replica.Digest() && positionOf(in.GetReadTo()).Compare(positionOf(readTo)) > 0 {
+	if in.GetDigest() != g.replica.Digest() && fleetconfig.PositionOf(in.GetReadTo()).Compare(fleetconfig.PositionOf(readTo)) > 0 {
 		g.differ(in.GetFrom().GetAddress())
 	}
 	out := &wire.SyncReply{
--- a/internal/dissemination/pull.go
+++ b/internal/dissemination/pull.go
@@ -7,26 +7,18 @@
 	"fmt"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-func positionOf(p *wire.Position) order.Position { return order.At(p.GetEra(), p.GetRevision()) }
-
-func wirePosition(p order.Position) *wire.Position {
-	return &wire.Position{
-		Era:      p.Era(),
-		Revision: p.Revision(),
-	}
-}
-
 // ReadTo returns what messages say of up to where this node has all values: nothing where it asks
 // for none by their positions.
 func (g *Gossip) ReadTo() *wire.Position {
 	if !g.pulls() {
 		return nil
 	}
-	return wirePosition(g.replica.ReadTo())
+	return fleetconfig.WirePosition(g.replica.ReadTo())
 }
 
 // pulls reports whether this node asks for values by their positions: the source gives some, or it
@@ -37,7 +29,7 @@
 
 // learnReadTo notes that a peer knows up to where it has all values.
 func (g *Gossip) learnReadTo(p *wire.Position) {
-	if positionOf(p) != (order.Position{}) {
+	if fleetconfig.PositionOf(p) != (order.Position{}) {
 		g.positions.Store(true)
 	}
 }
@@ -67,7 +59,7 @@
 
 // answerPull adds to a reply what this node has behind the position that a peer names.
 func (g *Gossip) answerPull(in *wire.SyncRequest, out *wire.SyncReply) error {
-	since := positionOf(in.GetSince())
+	since := fleetconfig.PositionOf(in.GetSince())
 	if b, ok := g.batches.find(out.GetDigest(), since); ok {
 		out.Batch, out.UpTo, out.More = b.packed, b.upTo, b.more
 		return nil
@@ -77,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	out.Batch, out.UpTo, out.More = packed, wirePosition(upTo), more
+	out.Batch, out.UpTo, out.More = packed, fleetconfig.WirePosition(upTo), more
 	// Values may have come since the digest was taken.
 	if out.GetDigest() == g.replica.Digest() {
 		g.batches.keep(out.GetDigest(), since, batch{
@@ -101,7 +93,7 @@
 		return err
 	}
 	fresh := g.replica.Offer(entries)
-	if !reply.GetMore() && g.replica.NoteRead(positionOf(reply.GetReadTo())) || len(fresh) > 0 {
+	if !reply.GetMore() && g.replica.NoteRead(fleetconfig.PositionOf(reply.GetReadTo())) || len(fresh) > 0 {
 		g.progressed(time.Now())
 	}
 	if !reply.GetMore() {
@@ -151,7 +143,7 @@
 	for {
 		g.renewPull(time.Now())
 		req := g.request()
-		req.Pull, req.Since = true, wirePosition(since)
+		req.Pull, req.Since = true, fleetconfig.WirePosition(since)
 		reply, err := g.call(ctx, peer, req)
 		if err != nil {
 			return nil, nil, err
@@ -159,7 +151,7 @@
 		if err := g.takeBatch(req, reply); err != nil {
 			return nil, nil, err
 		}
-		upTo := positionOf(reply.GetUpTo())
+		upTo := fleetconfig.PositionOf(reply.GetUpTo())
 		if !reply.GetMore() {
 			return req, reply, nil
 		}
--- a/internal/fleetconfig/mark.go
+++ b/internal/fleetconfig/mark.go
@@ -7,10 +7,26 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// marked is a message that carries a mark.
-type marked interface {
+// positioned is a message that carries a position.
+type positioned interface {
 	GetEra() uint64
 	GetRevision() uint64
+}
+
+// PositionOf returns the position that a message carries.
+func PositionOf(m positioned) order.Position { return order.At(m.GetEra(), m.GetRevision()) }
+
+// WirePosition returns a position as messages carry it.
+func WirePosition(p order.Position) *wire.Position {
+	return &wire.Position{
+		Era:      p.Era(),
+		Revision: p.Revision(),
+	}
+}
+
+// marked is a message that carries a mark.
+type marked interface {
+	positioned
 	GetStamp() *wire.Stamp
 	GetWritten() *wire.Position
 	GetGone() bool
@@ -18,10 +34,10 @@
 
 // MarkOf returns the mark that an Entry or a KeyRevision carries.
 func MarkOf(m marked) order.Mark {
-	position := order.At(m.GetEra(), m.GetRevision())
+	position := PositionOf(m)
 	written := position
 	if w := m.GetWritten(); w != nil {
-		written = order.At(w.GetEra(), w.GetRevision())
+		written = PositionOf(w)
 	}
 	mark := order.MarkOf(position, order.StampOf(m.GetStamp().GetIncarnation(), m.GetStamp().GetSequence()), written)
 	if m.GetGone() {
@@ -62,10 +78,7 @@
 	if m.Written() == m.Position() {
 		return nil
 	}
-	return &wire.Position{
-		Era:      m.Written().Era(),
-		Revision: m.Written().Revision(),
-	}
+	return WirePosition(m.Written())
 }
 
 // Removed reports whether a key has no value.
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -119,7 +119,7 @@
 
 // take returns the values of an answer and notes up to where it goes.
 func (p *Platform) take(list *wire.ValueList) []*wire.Entry {
-	p.position = order.Max(p.position, order.At(list.GetEra(), list.GetRevision()))
+	p.position = order.Max(p.position, fleetconfig.PositionOf(list))
 	out := make([]*wire.Entry, 0, len(list.GetValues()))
 	for _, v := range list.GetValues() {
 		position, stamp := order.At(list.GetEra(), v.GetRevision()), order.StampOf(0, v.GetVersion())
