internal/fleetconfig: entries of written values in one place

Both readers of a platform made the entry of a value by the same lines. Written makes it, beside Removal. Behaviour is unchanged; the tests of fleetconfig, source and platform and make check pass.

--- a/internal/fleetconfig/mark.go
+++ b/internal/fleetconfig/mark.go
@@ -84,6 +84,17 @@
 // Removed reports whether a key has no value.
 func Removed(e *wire.Entry) bool { return e.GetDeleted() || e.GetGone() }
 
+// Written returns the entry of a value that its writer wrote with a stamp and that the store holds
+// at a position.
+func Written(key string, value []byte, position order.Position, stamp order.Stamp) *wire.Entry {
+	e := &wire.Entry{
+		Key:   key,
+		Value: value,
+	}
+	SetMark(e, order.MarkOf(position, stamp, position))
+	return e
+}
+
 // Removal returns the entry that removes the value with a stamp at a position. A store that is
 // restored may have that value again: only a later one of the writer undoes the removal. Where
 // writers count nothing any value of a later position does.
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -127,12 +127,7 @@
 			out = append(out, fleetconfig.Removal(v.GetKey(), position, stamp))
 			continue
 		}
-		e := &wire.Entry{
-			Key:   v.GetKey(),
-			Value: []byte(v.GetValue()),
-		}
-		fleetconfig.SetMark(e, order.MarkOf(position, stamp, position))
-		out = append(out, e)
+		out = append(out, fleetconfig.Written(v.GetKey(), []byte(v.GetValue()), position, stamp))
 	}
 	return out
 }
