--- a/internal/dispatch/configure.go
+++ b/internal/dispatch/configure.go
@@ -21,8 +21,7 @@
 		if t == nil {
 			t = d.newTarget(now)
 			if !first {
-				t.warmUntil = now.Add(c.Warmup)
-				d.newcomers = append(d.newcomers, c.Key)
+				d.join(now, t, c)
 			}
 		}
 		d.take(now, t, c)
@@ -60,6 +59,12 @@
 	}
 }
 
+// join notes that a target joins those that the desk has.
+func (d *Desk) join(now time.Time, t *target, published Target) {
+	t.warmUntil = now.Add(published.Warmup)
+	d.newcomers = append(d.newcomers, published.Key)
+}
+
 // Change takes targets that are new or changed, and the keys of those that are gone. All others
 // stay as they are.
 func (d *Desk) Change(now time.Time, changed []Target, gone []string) {
@@ -81,10 +86,9 @@
 		t := d.targets[c.Key]
 		if t == nil {
 			t = d.newTarget(now)
-			t.warmUntil = now.Add(c.Warmup)
+			d.join(now, t, c)
 			d.targets[c.Key] = t
 			d.order = append(d.order, t)
-			d.newcomers = append(d.newcomers, c.Key)
 		}
 		d.draining += drainingOf(c) - drainingOf(t.Target)
 		d.take(now, t, c)
--- a/internal/dispatch/coverage.go
+++ b/internal/dispatch/coverage.go
@@ -128,8 +128,7 @@
 }
 
 // tooFewOfMany returns the same in linear time: by the central limit theorem the number of missed
-// targets less those allowed is about normal. With exactMost targets the result is within 0.03 of
-// the exact one.
+// targets less those allowed is about normal.
 func tooFewOfMany(reached, idle []float64, floor float64) float64 {
 	allowed := (1 - floor) / floor
 	mean, variance := 0.0, 0.0
