--- a/internal/dissemination/peers.go
+++ b/internal/dissemination/peers.go
@@ -74,17 +74,18 @@
 
 // choose returns up to n different random peers, mostly of the own data hall. Until this node has
 // compared with some it takes only others than those, of its data hall first.
-// Seeds count as peers until others are known, and now and then later, so that two
-// parts of the fleet that lost each other meet again.
+// Seeds are candidates while fewer than n peers are known, and later by chance: without them two
+// parts of the fleet that know nothing of each other would stay apart.
 func (g *Gossip) choose(n int) []string {
 	from := g.cfg.View().Peers()
 	if g.cfg.Near {
 		near, far := g.cfg.View().Halls()
-		if g.Compared() < startCompares {
+		begins := g.Compared() < startCompares
+		if begins {
 			near, far = g.strangers(near), g.strangers(far)
 		}
 		from = far
-		if len(near) > 0 && (g.Compared() < startCompares || rand.IntN(10) < ownHallOdds || rand.IntN(len(near)+len(far)) < len(near)) {
+		if len(near) > 0 && (begins || rand.IntN(10) < ownHallOdds || rand.IntN(len(near)+len(far)) < len(near)) {
 			from = near
 		}
 	}
--- a/internal/dissemination/talk.go
+++ b/internal/dissemination/talk.go
@@ -135,8 +135,7 @@
 		return false
 	}
 	ahead := g.replica.ReadTo().Compare(fleetconfig.PositionOf(reply.GetReadTo()))
-	switch {
-	case reply.GetDigest() == g.replica.Digest(), reply.GetReadTo() != nil && ahead > 0:
+	if reply.GetDigest() == g.replica.Digest() || reply.GetReadTo() != nil && ahead > 0 {
 		// A peer that is behind pulls what it lacks itself.
 		g.compared(peer)
 		return true
