internal/dispatch: log what the retry budget follows from

The line of a dispatcher shows how many retries are left and not why. It now has the first attempts and retries that it granted in the window and those that other dispatchers did, by the reports of the nodes, which tells whether attempts are counted twice or forgotten.

--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -11,6 +11,13 @@
 	Retries int
 }
 
+func countsOf(firsts, retries float64) AttemptCounts {
+	return AttemptCounts{
+		Firsts:  int(firsts),
+		Retries: int(retries),
+	}
+}
+
 // Ledger counts the attempts that each dispatcher of a service granted to one node, in the window of
 // the retry budget. A node reports to each dispatcher what the others granted, so that a new
 // dispatcher knows what was spent before it. It is not safe for concurrent use.
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -24,8 +24,10 @@
 	LostFailing float64
 	// Requests is the number of requests in the window of the retry budget.
 	Requests int
-	// RetriesLeft is the number of retries that the retry budget still allows.
-	RetriesLeft float64
+	// RetriesLeft is the number of retries that the retry budget still allows. Granted and Remote are
+	// the attempts from which it follows: those granted by this scheduler and by others.
+	RetriesLeft     float64
+	Granted, Remote AttemptCounts
 	// Working is the expected number of targets that have worked for some seconds, Reached the
 	// expected number of those with recent work, ShortProbability the probability that these are
 	// fewer than the floor requires.
@@ -71,6 +73,7 @@
 		RetriesLeft:     d.retriesLeft(now, 1),
 		Trials:          d.trials,
 	}
+	s.Granted, s.Remote = countsOf(d.window.sums()), countsOf(d.remote.sums(now, d.budget))
 	s.FailureRate, s.RecoveryRate = d.model.Rates()
 	c := d.coverage(now)
 	s.Working, s.Reached, s.ShortProbability = c.working, c.reached, c.shortProbability
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -80,11 +80,16 @@
 			"leave":        math.Round(s.RecoveryRate*1000) / 1000,
 			"lost_failing": math.Round(s.LostFailing*100) / 100,
 			"repeats_left": math.Round(s.RetriesLeft),
-			"working":      math.Round(s.Working*10) / 10,
-			"reached":      math.Round(s.Reached*10) / 10,
-			"short":        math.Round(s.ShortProbability*1000) / 1000,
-			"trials":       s.Trials,
-			"failing":      failing,
+			"firsts":       s.Granted.Firsts,
+			"repeats":      s.Granted.Retries,
+
+			"firsts_elsewhere":  s.Remote.Firsts,
+			"repeats_elsewhere": s.Remote.Retries,
+			"working":           math.Round(s.Working*10) / 10,
+			"reached":           math.Round(s.Reached*10) / 10,
+			"short":             math.Round(s.ShortProbability*1000) / 1000,
+			"trials":            s.Trials,
+			"failing":           failing,
 		}).Info("desk")
 	}
 }
