--- a/internal/node/targetlimits_model_test.go
+++ b/internal/node/targetlimits_model_test.go
@@ -180,10 +180,17 @@
 func fleetAddress(i int) string { return fmt.Sprintf("192.0.2.%d:1", i+1) }
 
 func runSchedule(t *testing.T, s *limitSchedule) *limitFleet {
+	t.Helper()
+	f := newLimitFleet(t, s, scheduleTargets)
+	f.play(t, f.call)
+	return f
+}
+
+func newLimitFleet(t *testing.T, s *limitSchedule, targets int) *limitFleet {
 	t.Helper()
 	store := fleetconfig.NewStore()
-	store.Offer(serviceWithTargets("a", scheduleTargets))
-	f := &limitFleet{
+	store.Offer(serviceWithTargets("a", targets))
+	return &limitFleet{
 		limitSchedule: s,
 		ctx:           t.Context(),
 		cfg:           store.Config(),
@@ -199,19 +206,24 @@
 		slots:         map[string]int{},
 		currentLoss:   s.loss,
 	}
+}
+
+// play starts the nodes and simulates the schedule; call simulates one request on a node.
+func (f *limitFleet) play(t *testing.T, call func(i int, work time.Duration)) {
+	t.Helper()
 	for i := range f.nodes {
 		f.start(i)
 	}
-	for _, fault := range s.faults {
+	for _, fault := range f.faults {
 		time.AfterFunc(fault.at, func() { f.inject(fault) })
 	}
 	// Arrivals have their own random source, so that those of a seed do not change.
-	arrivals := rand.New(rand.NewPCG(s.seed, 0x33))
+	arrivals := rand.New(rand.NewPCG(f.seed, 0x33))
 	var calls sync.WaitGroup
 	for time.Since(f.started) < scheduleLength {
 		time.Sleep(time.Duration(arrivals.ExpFloat64() / fleetPerSecond * float64(time.Second)))
 		i, work := arrivals.IntN(scheduleNodes), minWork+time.Duration(arrivals.Int64N(int64(maxWork-minWork)))
-		calls.Go(func() { f.call(i, work) })
+		calls.Go(func() { call(i, work) })
 	}
 	calls.Wait()
 	f.mu.Lock()
@@ -222,7 +234,6 @@
 	if err := f.tasks.Wait(); err != nil {
 		t.Error(err)
 	}
-	return f
 }
 
 // start starts a new incarnation of a node. f.mu must not be held.
