internal/dispatch: count each attempt once in the retry budget

What callers saw: nothing; targets got more retries than the budget allows. Cause: each grant request was counted as a first attempt of its own and paid for a fifth of a retry. A node requests up to three grants for one attempt while the granted targets are unavailable to it (draining, backing off, in a closed data hall), requests another one from the next data hall when the first has none, and once more when the target became unavailable between the grant and the first byte. Evidence: 5 requests whose dispatcher grants a draining target were counted as 15 (TestUnavailableGrantsCountAsOneAttempt). Change: a grant request says whether the attempt was counted before. Such a one neither earns nor costs a retry. Figures: 15 counted before, 5 after.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -37,6 +37,9 @@
 	Repeatable bool
 	// Retry is set for attempts after the first one of a request.
 	Retry bool
+	// Replacement is set where a grant request for the same attempt was counted in the retry budget
+	// before: its target was unavailable to the node, or another dispatcher had none.
+	Replacement bool
 	// Hedge is set where an earlier attempt is still under way; Age is how long that one has waited
 	// for its answer.
 	Hedge bool
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -10,16 +10,19 @@
 	d.window.advance(now, d.started, d.budget)
 	d.window.recordRequest(now, d.budget)
 	d.remote.record(now, a.ID.Node, a.RemoteGrants)
-	return !a.Retry || d.retriesLeft(now, share) >= 1
+	return !a.Retry || a.Replacement || d.retriesLeft(now, share) >= 1
 }
 
-// charge counts a request n times in the retry budget.
+// charge counts a request n times in the retry budget. Each attempt is counted once, however often a
+// target is requested for it.
 func (d *Scheduler) charge(a *Request, n float64) {
-	if a.Retry {
+	switch {
+	case a.Replacement:
+	case a.Retry:
 		d.window.addRetry(n)
-		return
+	default:
+		d.window.addFirst(n)
 	}
-	d.window.addFirst(n)
 }
 
 // retries returns the retries that the budget allows in the window and those spent, remote grants
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -31,6 +31,9 @@
 	Tried []string
 	// Retry is set for attempts after the first one.
 	Retry bool
+	// Replacement is set where a target was granted for the attempt before and nothing was sent to
+	// it: the retry budget has counted the attempt already.
+	Replacement bool
 	// Hedge is set where an earlier attempt is still running; Age is how long that has waited for
 	// its answer.
 	Hedge           bool
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -53,6 +53,7 @@
 func (x *relay) discountUnsent(t *try) {
 	x.launched--
 	x.unsent++
+	x.vacant++
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if at := slices.Index(x.tried, t.choice.Key); at >= 0 {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -40,6 +40,8 @@
 	// launched counts the attempts that were started, except those that ended unsent.
 	launched int
 	unsent   int
+	// vacant counts the unsent attempts whose place no other has taken.
+	vacant int
 	// running are the attempts whose result has not been read from results.
 	running []*try
 	results chan result
@@ -122,6 +124,11 @@
 		cancel: cancel,
 		retry:  x.launched > 0,
 		hedge:  len(x.running) > 0,
+
+		replacement: x.vacant > 0,
+	}
+	if t.replacement {
+		x.vacant--
 	}
 	if t.hedge && !x.sentAt.IsZero() {
 		t.age = time.Since(x.sentAt)
--- a/internal/entry/signal_test.go
+++ b/internal/entry/signal_test.go
@@ -107,8 +107,8 @@
 	if n := draining.arrived.Load(); n != 0 {
 		t.Errorf("%d requests reached the draining target", n)
 	}
-	if len(c.queries) != 2 || c.queries[1].Retry || len(c.queries[1].Tried) != 0 {
-		t.Errorf("%d choices, or the second one is a retry", len(c.queries))
+	if len(c.queries) != 2 || c.queries[1].Retry || !c.queries[1].Replacement || len(c.queries[1].Tried) != 0 {
+		t.Errorf("%d choices, or the second one is a retry or counts again", len(c.queries))
 	}
 }
 
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -21,6 +21,8 @@
 	cancel context.CancelFunc
 	retry  bool
 	hedge  bool
+	// replacement is set where the attempt takes the place of one that was not sent.
+	replacement bool
 	// age is how long the attempt beside a hedge had waited when the hedge was launched.
 	age    time.Duration
 	choice Choice
@@ -89,6 +91,7 @@
 		SoftDeadline:    x.softDeadline(),
 		Deadline:        x.tracker.Deadline(),
 		Retry:           t.retry,
+		Replacement:     t.replacement,
 		Hedge:           t.hedge,
 		FirstAttemptAge: t.age,
 		Regions:         x.admission.regions(),
--- a/internal/node/budget_model_test.go
+++ b/internal/node/budget_model_test.go
@@ -130,7 +130,7 @@
 	}
 	deadline := time.Now().Add(3 * time.Second)
 	for x.unsent < 8 && len(x.tried) < budgetTries && time.Until(deadline) > 0 {
-		c, err := n.Choose(f.ctx, x.retry(), x.tried, time.Until(deadline))
+		c, err := n.ChooseReplacement(f.ctx, len(x.tried) > 0, x.replaces, x.tried, time.Until(deadline))
 		if err != nil || !x.alive() {
 			return false
 		}
@@ -152,6 +152,7 @@
 	incarnation uint64
 	tried       []string
 	unsent      int
+	replaces    bool
 	arrivals    int
 }
 
@@ -162,20 +163,19 @@
 	return f.incarnations[x.at] == x.incarnation && f.nodes[x.at] == x.node
 }
 
-// retry reports whether the next attempt is a retry, as the entry counts them.
-func (x *budgetRequest) retry() bool { return len(x.tried) > 0 }
-
 // send makes an attempt and reports whether it was answered well.
 func (x *budgetRequest) send(c entry.Choice, work time.Duration) bool {
 	f := x.fleet
 	f.pause()
 	if !x.node.Permits(c) {
 		x.unsent++
+		x.replaces = true
 		c.Done(outlier.Result{
 			Ignored: true,
 		}, 0)
 		return false
 	}
+	x.replaces = false
 	x.tried = append(x.tried, c.Key)
 	kind := f.fault(c.Key)
 	if kind == "unreachable" {
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -202,6 +202,7 @@
 		DataHall:     in.GetFrom().GetDataHall(),
 		Repeatable:   w.GetRepeatable(),
 		Retry:        w.GetAgain(),
+		Replacement:  w.GetReplaces(),
 		Hedge:        w.GetHedge(),
 		Age:          time.Duration(w.GetAgeMs()) * time.Millisecond,
 		Kilobytes:    int(w.GetKilobytes()),
--- a/internal/node/export_targetlimits_test.go
+++ b/internal/node/export_targetlimits_test.go
@@ -109,11 +109,17 @@
 
 // Choose returns a target for an attempt.
 func (n *FleetNode) Choose(ctx context.Context, again bool, tried []string, within time.Duration) (entry.Choice, error) {
+	return n.ChooseReplacement(ctx, again, false, tried, within)
+}
+
+// ChooseReplacement is Choose for an attempt that takes the place of an unsent one if replaces is set.
+func (n *FleetNode) ChooseReplacement(ctx context.Context, again, replaces bool, tried []string, within time.Duration) (entry.Choice, error) {
 	now := time.Now()
 	return n.dispatcher.choose(ctx, &entry.Query{
 		Service:      n.service,
 		Repeatable:   true,
 		Retry:        again,
+		Replacement:  replaces,
 		Tried:        tried,
 		Route:        "read",
 		SoftDeadline: now.Add(within / 3),
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -53,6 +53,8 @@
 	service    *fleetconfig.Service
 	store      *fleetconfig.Store
 	requests   map[string]int
+	// attempts counts the grant requests that a peer counts as an attempt of their own.
+	attempts int
 }
 
 // NewChooser returns the chooser of a node in data hall a for one service of the published entries.
@@ -197,6 +199,9 @@
 			return nil
 		}
 		c.requests[peer+" "+d.GetAsk().GetDataHall()]++
+		if !d.GetAsk().GetReplaces() {
+			c.attempts++
+		}
 		for _, n := range peers {
 			if n.Address() == peer && n.DataHall() != self.DataHall() {
 				m.deliverAnswer(c.grantOf(d, n.DataHall()))
@@ -255,6 +260,9 @@
 // Requests returns the number of grant requests by peer and data hall, with a space between them.
 func (c *Chooser) Requests() map[string]int { return c.requests }
 
+// Attempts returns the number of grant requests that peers count as an attempt of their own.
+func (c *Chooser) Attempts() int { return c.attempts }
+
 // Choose returns a target for one attempt, in regions that all lists allow.
 func (c *Chooser) Choose(ctx context.Context, regions ...fleetconfig.Regions) (entry.Choice, error) {
 	return c.dispatcher.choose(ctx, &entry.Query{
--- a/internal/node/fallback.go
+++ b/internal/node/fallback.go
@@ -25,6 +25,7 @@
 		DataHall:     self.DataHall(),
 		Repeatable:   q.Repeatable,
 		Retry:        q.Retry,
+		Replacement:  q.Replacement,
 		Hedge:        q.Hedge,
 		Age:          q.FirstAttemptAge,
 		Kilobytes:    q.Kilobytes,
@@ -49,7 +50,9 @@
 	if g.Decision == dispatch.OverBudget {
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonBudget, 0)
 	}
-	ledger.Record(now, self.Address(), q.Retry)
+	if !q.Replacement {
+		ledger.Record(now, self.Address(), q.Retry)
+	}
 	d.notify()
 	t := s.config.Target(g.Target)
 	if t == nil {
--- a/internal/node/grantrequest.go
+++ b/internal/node/grantrequest.go
@@ -228,8 +228,13 @@
 	})
 }
 
-// recordGrant records a grant by a dispatcher, or by this node's fallback, in the ledger.
+// recordGrant records in the ledger that a dispatcher counted an attempt. Later grant requests for
+// the attempt replace this one.
 func (d *dispatchController) recordGrant(by string, q *entry.Query, p partition) {
+	if q.Replacement {
+		return
+	}
+	q.Replacement = true
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledger(p).Record(time.Now(), by, q.Retry)
@@ -265,6 +270,7 @@
 				Passing:     nonQueueing,
 				Repeatable:  q.Repeatable,
 				Again:       q.Retry,
+				Replaces:    q.Replacement,
 				Hedge:       q.Hedge,
 				AgeMs:       uint32(q.FirstAttemptAge.Milliseconds()),
 				Kilobytes:   uint32(q.Kilobytes),
--- a/internal/node/signals_test.go
+++ b/internal/node/signals_test.go
@@ -103,6 +103,28 @@
 	})
 }
 
+// Several grant requests for one attempt must not earn several shares of a retry.
+func TestUnavailableGrantsCountAsOneAttempt(t *testing.T) {
+	const requests = 5
+	synctest.Test(t, func(t *testing.T) {
+		other := membership.NewNode("192.0.2.2:1", "b")
+		c := node.NewChooserOf(membership.NewNode("192.0.2.1:1", "c"), "quotes", serviceWithTargets("b", 3), other)
+		c.Observe("id-b2", signal.Signal{
+			Draining: true,
+		})
+		for range requests {
+			choice, err := c.Choose(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			choice.Done(outlier.Result{}, 0)
+		}
+		if n := c.Attempts(); n != requests {
+			t.Errorf("%d attempts counted for %d requests", n, requests)
+		}
+	})
+}
+
 // A target that backs off must get no request from the node until that is over, must not count as
 // failing, and must get requests again afterwards.
 func TestNoRequestsDuringBackoff(t *testing.T) {
