internal/dispatch: concurrent dispatchers share one retry budget

What callers saw: nothing; targets got more retries than the budget allows, all within a second or two. Cause: nodes report to a dispatcher what the others granted, and each dispatcher took all first attempts of the fleet as its own earnings. While datagrams are lost, or a role moves back and forth, up to four nodes serve one service at the same time, each may spend the whole window's savings, and a node's report of what the others granted comes only with its next request to that dispatcher. The reserve was spent by each of them too. Change: first attempts granted elsewhere pay only for the retries granted there; the reserve is divided by first attempts.

--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -162,3 +162,64 @@
 		}
 	}
 }
+
+// Dispatchers that serve at the same time, as where datagrams are lost, must not each spend what the
+// first attempts at all of them pay for.
+func TestConcurrentDispatchersShareTheBudget(t *testing.T) {
+	const (
+		nodes       = 200
+		dispatchers = 4
+		quiet       = 1000
+		failing     = 200
+	)
+	budget := dispatch.Budget{
+		Share:   0.2,
+		Reserve: 50,
+		Window:  10 * time.Second,
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	schedulers := make([]*dispatch.Scheduler, dispatchers)
+	for i := range schedulers {
+		schedulers[i] = dispatch.NewScheduler(start, budget, rng.Float64)
+		schedulers[i].Configure(start, pool(20))
+	}
+	ledgers := make([]*dispatch.Ledger, nodes)
+	for i := range ledgers {
+		ledgers[i] = dispatch.NewLedger(start, budget)
+	}
+	now, number, retries := start, uint64(0), 0
+	pause := 10 * time.Millisecond
+	for n := range quiet + failing {
+		now = now.Add(pause)
+		if n == quiet {
+			// Each node reports to a dispatcher what the others granted it with its next request.
+			pause = time.Millisecond
+		}
+		node := n % nodes
+		for attempt := range 3 {
+			number++
+			i := rng.IntN(dispatchers)
+			name := fmt.Sprintf("dispatcher-%d", i)
+			a := newRequest(now, number)
+			a.ID.Node = fmt.Sprintf("node-%d", node)
+			a.Retry = attempt > 0
+			a.RemoteGrants = ledgers[node].RemoteGrants(now, name)
+			g := schedulers[i].RequestGrant(now, a)
+			if g.Decision != dispatch.Granted {
+				break
+			}
+			ledgers[node].Record(now, name, a.Retry)
+			if a.Retry {
+				retries++
+			}
+			if n < quiet {
+				schedulers[i].Done(now, g.ID, g.Target, dispatch.ResultGood, 0)
+				break
+			}
+			schedulers[i].Done(now, g.ID, g.Target, dispatch.ResultShed, 0)
+		}
+	}
+	if most := budget.Share*quiet + budget.Reserve; float64(retries) > most {
+		t.Errorf("%d retries in the window, %v are allowed", retries, most)
+	}
+}
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -25,12 +25,17 @@
 	}
 }
 
-// retries returns the retries that the budget allows in the window and those spent, remote grants
-// included. share is the usable share of the reserve.
+// retries returns the retries that the budget allows in the window and those spent. share is the
+// usable share of the reserve. First attempts granted by other dispatchers pay for the retries that
+// these granted and for no others, and the reserve is divided in proportion to first attempts:
+// several dispatchers may serve at the same time, and each knows what the others granted.
 func (d *Scheduler) retries(now time.Time, share float64) (all, spent float64) {
 	firsts, retries := d.remote.sums(now, d.budget)
+	if own, _ := d.window.sums(); firsts > 0 {
+		share *= own / (own + firsts)
+	}
 	all, spent = d.window.allowed(now, d.budget, share)
-	return all + usableShare*d.budget.Share*firsts, spent + retries
+	return all, spent + max(retries-usableShare*d.budget.Share*firsts, 0)
 }
 
 // retriesLeft returns the retries that the budget still allows.
