internal/dispatch: a restarted dispatcher is told what was spent before it

What callers saw: nothing; targets got more retries than the budget allows. Cause: a node reports to a dispatcher what dispatchers at other addresses granted. A process that is killed and started again at its address, within the window, gets no report of what the one before it granted, and spends it again. Change: the ledger tells incarnations apart; the grant's sender names its own. Evidence: TestRestartedDispatcherGetsNoNewBudget fails without it (mutants).

--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -133,7 +133,9 @@
 				if g.Decision != dispatch.Granted {
 					break
 				}
-				ledger.Record(now, name, a.Retry)
+				ledger.Record(now, dispatch.Dispatcher{
+					Address: name,
+				}, a.Retry)
 				d.Done(now, g.ID, g.Target, result, 0)
 				if a.Retry {
 					retries = append(retries, now)
@@ -208,7 +210,9 @@
 			if g.Decision != dispatch.Granted {
 				break
 			}
-			ledgers[node].Record(now, name, a.Retry)
+			ledgers[node].Record(now, dispatch.Dispatcher{
+				Address: name,
+			}, a.Retry)
 			if a.Retry {
 				retries++
 			}
@@ -223,3 +227,38 @@
 		t.Errorf("%d retries in the window, %v are allowed", retries, most)
 	}
 }
+
+// A dispatcher that was restarted at its address must not spend again what the process before it
+// had spent.
+func TestRestartedDispatcherGetsNoNewBudget(t *testing.T) {
+	const requests = 100
+	budget := dispatch.Budget{
+		Share:   0.2,
+		Reserve: 50,
+		Window:  10 * time.Second,
+	}
+	ledger := dispatch.NewLedger(start, budget)
+	const address = "192.0.2.1:1"
+	for range requests {
+		for _, retry := range []bool{false, true} {
+			ledger.Record(start, dispatch.Dispatcher{
+				Address:     address,
+				Incarnation: 1,
+			}, retry)
+		}
+	}
+	if got := ledger.RemoteGrants(start, address); got != (dispatch.AttemptCounts{}) {
+		t.Errorf("reported to the dispatcher itself: %+v", got)
+	}
+	ledger.Record(start, dispatch.Dispatcher{
+		Address:     address,
+		Incarnation: 2,
+	}, false)
+	want := dispatch.AttemptCounts{
+		Firsts:  requests,
+		Retries: requests,
+	}
+	if got := ledger.RemoteGrants(start, address); got != want {
+		t.Errorf("reported to the next process at the address: %+v, want %+v", got, want)
+	}
+}
--- a/internal/dispatch/ledger.go
+++ b/internal/dispatch/ledger.go
@@ -18,13 +18,21 @@
 	}
 }
 
+// Dispatcher identifies an incarnation of a dispatcher.
+type Dispatcher struct {
+	Address     string
+	Incarnation uint64
+}
+
 // Ledger counts the attempts that each dispatcher of a service granted to one node, in the window of
 // the retry budget. A node reports to each dispatcher what the others granted, so that a new
 // dispatcher knows what was spent before it. It is not safe for concurrent use.
 type Ledger struct {
 	started time.Time
 	budget  Budget
-	windows map[string]*window
+	windows map[Dispatcher]*window
+	// newest maps an address to the newest incarnation that granted an attempt.
+	newest map[string]uint64
 }
 
 // NewLedger returns an empty ledger.
@@ -32,12 +40,14 @@
 	return &Ledger{
 		started: now,
 		budget:  b,
-		windows: map[string]*window{},
+		windows: map[Dispatcher]*window{},
+		newest:  map[string]uint64{},
 	}
 }
 
 // Record records an attempt that a dispatcher granted; retry is set for a retry.
-func (l *Ledger) Record(now time.Time, dispatcher string, retry bool) {
+func (l *Ledger) Record(now time.Time, dispatcher Dispatcher, retry bool) {
+	l.newest[dispatcher.Address] = max(l.newest[dispatcher.Address], dispatcher.Incarnation)
 	w := l.windows[dispatcher]
 	if w == nil {
 		w = &window{}
@@ -51,15 +61,20 @@
 	}
 }
 
-// RemoteGrants returns what dispatchers other than the named one granted.
-func (l *Ledger) RemoteGrants(now time.Time, dispatcher string) AttemptCounts {
+// RemoteGrants returns what dispatchers other than the newest one at the address granted: a process
+// that was restarted does not know of the grants of the one before.
+func (l *Ledger) RemoteGrants(now time.Time, address string) AttemptCounts {
+	current := Dispatcher{
+		Address:     address,
+		Incarnation: l.newest[address],
+	}
 	var s AttemptCounts
-	for name, w := range l.windows {
+	for dispatcher, w := range l.windows {
 		w.advance(now, l.started, l.budget)
 		firsts, retries := w.sums()
 		if firsts == 0 && retries == 0 {
-			delete(l.windows, name)
-		} else if name != dispatcher {
+			delete(l.windows, dispatcher)
+		} else if dispatcher != current {
 			s.Firsts += int(firsts)
 			s.Retries += int(retries)
 		}
--- a/internal/node/fallback.go
+++ b/internal/node/fallback.go
@@ -51,7 +51,9 @@
 		return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonBudget, 0)
 	}
 	if !q.Replacement {
-		ledger.Record(now, self.Address(), q.Retry)
+		ledger.Record(now, dispatch.Dispatcher{
+			Address: self.Address(),
+		}, q.Retry)
 	}
 	d.notify()
 	t := s.config.Target(g.Target)
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -25,7 +25,10 @@
 		}
 	case wire.Grant_BUDGET, wire.Grant_UNKNOWN:
 	default:
-		d.recordGrant(peer, q, p)
+		d.recordGrant(dispatch.Dispatcher{
+			Address:     peer,
+			Incarnation: g.incarnation,
+		}, q, p)
 	}
 	return d.choiceOfGrant(peer, q, p, g)
 }
--- a/internal/node/grantrequest.go
+++ b/internal/node/grantrequest.go
@@ -180,6 +180,8 @@
 type numberedGrant struct {
 	grant  *wire.Grant
 	number uint64
+	// incarnation is that of the dispatcher, 0 if it is this node.
+	incarnation uint64
 }
 
 // requestFrom requests a grant from one dispatcher and waits for the final answer.
@@ -202,8 +204,9 @@
 			g := in.GetGrant()
 			if g.GetVerdict() != wire.Grant_QUEUED {
 				return numberedGrant{
-					grant:  g,
-					number: id,
+					grant:       g,
+					number:      id,
+					incarnation: in.GetFrom().GetIncarnation(),
 				}, true
 			}
 			lastAnswer = time.Now()
@@ -230,7 +233,7 @@
 
 // recordGrant records in the ledger that a dispatcher counted an attempt. Later grant requests for
 // the attempt replace this one.
-func (d *dispatchController) recordGrant(by string, q *entry.Query, p partition) {
+func (d *dispatchController) recordGrant(by dispatch.Dispatcher, q *entry.Query, p partition) {
 	if q.Replacement {
 		return
 	}
