internal/dispatch: nodes that have just started pay for no retries

Cause: what was spent is known to the dispatcher and, by their ledgers, to the nodes that it granted to. If all of them are killed within the window, the next dispatcher knows nothing and lets the first attempts from then on pay in full, on top of what was spent before. Change: a grant request says whether its node has counted grants for a whole window. If not it earns nothing: what its process before had spent may still be in the window. The reserve is granted as before.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -27,7 +27,9 @@
 type window struct {
 	firsts  [windowBuckets]float64
 	retries [windowBuckets]float64
-	bucket  int64
+	// earned is the part of the first attempts that pays for retries.
+	earned [windowBuckets]float64
+	bucket int64
 	// since is when this scheduler began to serve, lastRequest when it got its last grant request.
 	since       time.Time
 	lastRequest time.Time
@@ -49,6 +51,7 @@
 		w.bucket++
 		w.firsts[w.bucket%windowBuckets] = 0
 		w.retries[w.bucket%windowBuckets] = 0
+		w.earned[w.bucket%windowBuckets] = 0
 		if bucket-w.bucket > windowBuckets {
 			w.bucket = bucket - windowBuckets
 		}
@@ -56,6 +59,7 @@
 }
 
 func (w *window) addFirst(n float64) { w.firsts[w.bucket%windowBuckets] += n }
+func (w *window) earn(n float64)     { w.earned[w.bucket%windowBuckets] += n }
 func (w *window) addRetry(n float64) { w.retries[w.bucket%windowBuckets] += n }
 
 // sums returns the first attempts and the retries in the window.
@@ -72,6 +76,10 @@
 func (w *window) allowed(now time.Time, b Budget, share float64) (all, spent float64) {
 	// The previous dispatcher may have spent what the window allows.
 	share *= min(now.Sub(w.since).Seconds()/b.Window.Seconds(), 1)
-	firsts, retries := w.sums()
-	return usableShare*b.Share*firsts + usableReserve*b.Reserve*share, retries
+	_, retries := w.sums()
+	earned := 0.0
+	for _, n := range w.earned {
+		earned += n
+	}
+	return usableShare*b.Share*earned + usableReserve*b.Reserve*share, retries
 }
--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -262,3 +262,49 @@
 		t.Errorf("reported to the next process at the address: %+v, want %+v", got, want)
 	}
 }
+
+// A fleet that is killed together must not spend again, in the same window, what nobody remembers.
+func TestKilledFleetGetsNoNewBudget(t *testing.T) {
+	const (
+		before = 10 * time.Second
+		after  = 9 * time.Second
+		pause  = 10 * time.Millisecond
+	)
+	budget := dispatch.Budget{
+		Share:   0.2,
+		Reserve: 50,
+		Window:  10 * time.Second,
+	}
+	number, retries := uint64(0), 0
+	for restart, length := range []time.Duration{before, after} {
+		begun := start.Add(time.Duration(restart) * before)
+		d := dispatch.NewScheduler(begun, budget, rand.New(rand.NewPCG(1, 2)).Float64)
+		d.Configure(begun, pool(20))
+		for at := time.Duration(0); at < length; at += pause {
+			now := begun.Add(at)
+			// The requests of the last second before the kill fail, and all those after it.
+			failing := restart > 0 || at >= before-time.Second
+			for attempt := range 3 {
+				number++
+				a := newRequest(now, number)
+				a.Retry = attempt > 0
+				a.Unrecorded = restart > 0
+				g := d.RequestGrant(now, a)
+				if g.Decision != dispatch.Granted {
+					break
+				}
+				if a.Retry {
+					retries++
+				}
+				if !failing {
+					d.Done(now, g.ID, g.Target, dispatch.ResultGood, 0)
+					break
+				}
+				d.Done(now, g.ID, g.Target, dispatch.ResultShed, 0)
+			}
+		}
+	}
+	if most := budget.Share*float64(budget.Window/pause) + budget.Reserve; float64(retries) > most {
+		t.Errorf("%d retries in the %v around the kill, %v are allowed", retries, budget.Window, most)
+	}
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -72,6 +72,10 @@
 	NonQueueing bool
 	// RemoteGrants counts the attempts that other dispatchers of the same targets granted to the node.
 	RemoteGrants AttemptCounts
+	// Unrecorded is set where the node has counted them for less than the window of the retry budget.
+	// What its process before spent is not known and may still be in the window, so that its requests
+	// pay for no retries.
+	Unrecorded bool
 }
 
 // final reports whether no other attempt can follow a failure of this one.
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -22,6 +22,9 @@
 		d.window.addRetry(n)
 	default:
 		d.window.addFirst(n)
+		if !a.Unrecorded {
+			d.window.earn(n)
+		}
 	}
 }
 
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -61,6 +61,8 @@
 	board     *Board
 	messenger *messenger
 	budget    dispatch.Budget
+	// started is when the node began to record grants.
+	started time.Time
 	// seeds is the number of other nodes in the settings.
 	seeds int
 	// floor is the share of the working targets of each service that should have work.
@@ -109,6 +111,7 @@
 		board:             board,
 		messenger:         m,
 		budget:            b,
+		started:           time.Now(),
 		log:               log,
 		setCoverageShort:  func(partition, float64) {},
 		setLimitedTargets: func(partition, int) {},
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -216,6 +216,7 @@
 		Refused:      int(w.GetRefused()),
 		Route:        w.GetRoute(),
 		NonQueueing:  w.GetPassing(),
+		Unrecorded:   w.GetUnrecorded(),
 		RemoteGrants: dispatch.AttemptCounts{
 			Firsts:  int(w.GetFirstsElsewhere()),
 			Retries: int(w.GetRepeatsElsewhere()),
--- a/internal/node/fallback.go
+++ b/internal/node/fallback.go
@@ -37,6 +37,7 @@
 		Draining:     unavailable.draining,
 		ClosedHalls:  d.board.closedHalls(q),
 		Route:        q.Route,
+		Unrecorded:   d.unrecorded(now),
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/node/grantrequest.go
+++ b/internal/node/grantrequest.go
@@ -243,6 +243,12 @@
 	d.ledger(p).Record(time.Now(), by, q.Retry)
 }
 
+// unrecorded reports whether this node has recorded grants for less than the window of the retry
+// budget.
+func (d *dispatchController) unrecorded(now time.Time) bool {
+	return now.Sub(d.started) < d.budget.Window
+}
+
 // remoteGrants returns what dispatchers other than by granted to this node.
 func (d *dispatchController) remoteGrants(by string, p partition) dispatch.AttemptCounts {
 	d.mu.Lock()
@@ -288,6 +294,7 @@
 				ClosedHalls: d.board.closedHalls(q),
 				Limits:      d.board.limits(now, d.currentService(q.Service), p.hall),
 
+				Unrecorded:       d.unrecorded(now),
 				FirstsElsewhere:  uint32(remote.Firsts),
 				RepeatsElsewhere: uint32(remote.Retries),
 			},
