internal/dispatch: restarted nodes pay for retries where the dispatcher knows the past

Cause: a dispatcher that has served for a whole window knows what it granted to the process before, and took its successor for unknown. Change: only a scheduler that has served for less than the window lets such nodes earn nothing. Figures: TestRestartedNodesPayForRetries.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -44,6 +44,10 @@
 	w.lastRequest = now
 }
 
+// complete reports whether the scheduler has served for a whole window, so that it knows what it
+// granted in it.
+func (w *window) complete(b Budget) bool { return w.lastRequest.Sub(w.since) >= b.Window }
+
 // advance drops the buckets that have left the window.
 func (w *window) advance(now time.Time, started time.Time, b Budget) {
 	bucket := int64(now.Sub(started) / (b.Window / windowBuckets))
--- a/internal/dispatch/budget_test.go
+++ b/internal/dispatch/budget_test.go
@@ -308,3 +308,20 @@
 		t.Errorf("%d retries in the %v around the kill, %v are allowed", retries, budget.Window, most)
 	}
 }
+
+// While the nodes of a fleet restart one after another, their requests must still pay for retries.
+func TestRestartedNodesPayForRetries(t *testing.T) {
+	const requests = 300
+	d := newScheduler(pool(20)...)
+	now := start
+	for n := range uint64(2 * requests) {
+		now = now.Add(50 * time.Millisecond)
+		a := newRequest(now, n)
+		a.Unrecorded = n >= requests
+		g := d.RequestGrant(now, a)
+		d.Done(now, g.ID, g.Target, dispatch.ResultGood, 0)
+	}
+	if left := d.Status(now).RetriesLeft; left < 0.9*0.2*200 {
+		t.Errorf("%.0f retries left after 200 requests in the window", left)
+	}
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -73,8 +73,8 @@
 	// RemoteGrants counts the attempts that other dispatchers of the same targets granted to the node.
 	RemoteGrants AttemptCounts
 	// Unrecorded is set where the node has counted them for less than the window of the retry budget.
-	// What its process before spent is not known and may still be in the window, so that its requests
-	// pay for no retries.
+	// What its process before spent may still be in the window: its requests pay for no retries at a
+	// scheduler that may not know of it either.
 	Unrecorded bool
 }
 
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -22,7 +22,7 @@
 		d.window.addRetry(n)
 	default:
 		d.window.addFirst(n)
-		if !a.Unrecorded {
+		if !a.Unrecorded || d.window.complete(d.budget) {
 			d.window.earn(n)
 		}
 	}
