internal/reach: a node without paths is no evidence against targets

What callers saw: while 8 of 40 nodes reached no target, callers of all nodes were refused: 391 of 896 requests of the cut were answered in time, and targets got half of their usual work. Cause: each attempt of such a node ended with "no connection", and the dispatcher took it for a fault of the target, for all nodes. Within a second all targets of the service were estimated as failing. Class: evidence about the path between two processes, counted against one of them. Change: after an attempt that opens no connection or is reset, or gets no answer for unusually long while no other target answers, the node checks three other targets. If none is reached the attempt is reported as ignored, its slot is free at once, and it is no sign of a crash for the quarantine. Same cause elsewhere: the reports of nodes that choose alone, and the list of unreachable targets.

--- a/internal/dispatch/coverage_test.go
+++ b/internal/dispatch/coverage_test.go
@@ -199,3 +199,20 @@
 		d.Done(now.Add(usualTime), g.ID, g.Target, dispatch.ResultGood, usualTime)
 	}
 }
+
+// An attempt that its node could not send must be no evidence against the target and no work for it.
+func TestUnsentAttemptLeavesNoTrace(t *testing.T) {
+	d := newScheduler(pool(1)...)
+	now := start
+	for n := range uint64(20) {
+		g := d.RequestGrant(now, newRequest(now, n))
+		if g.Decision != dispatch.Granted {
+			t.Fatalf("request %d: %v", n, g.Decision)
+		}
+		now = now.Add(time.Millisecond)
+		d.Done(now, g.ID, g.Target, dispatch.ResultUnsent, time.Millisecond)
+	}
+	if p := d.Status(now).Targets[0].FailureProbability; p > 0.1 {
+		t.Errorf("failing with probability %.2f after attempts that were not sent", p)
+	}
+}
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -31,10 +31,10 @@
 		t.backoff = backoff{}
 		d.accepting = accepting{}
 	}
-	if ok && r == ResultUnreached && f.paced {
+	if ok && r.reachedNobody() && f.paced {
 		t.limit.pacer.Return()
 	}
-	if ok && r == ResultUnreached && t.lastGranted.Equal(f.started) {
+	if ok && r.reachedNobody() && t.lastGranted.Equal(f.started) {
 		// Nothing reached the target: it still lacks work.
 		t.lastGranted = f.previousGrant
 		d.lastCoverage = coverage{}
@@ -59,7 +59,7 @@
 func (d *Scheduler) RecordRemote(now time.Time, key, route string, r Result, took time.Duration) {
 	rt := d.model.Route(now, route)
 	if t := d.targets[key]; t != nil {
-		if r != ResultUnreached {
+		if !r.reachedNobody() {
 			t.lastGranted = now
 		}
 		t.health.Record(now, rt, kindOf(r, rt, took, true), took)
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -28,13 +28,18 @@
 	// ResultBackoff means that the target refused the request before running it and asked the node
 	// to back off.
 	ResultBackoff
+	// ResultUnsent means that nothing was sent to the target, for a reason that lies with the node.
+	ResultUnsent
 )
 
 // String returns the result as logged.
 func (r Result) String() string {
-	return [...]string{"good", "bad", "shed", "unreached", "ignored", "gone", "resting"}[r]
+	return [...]string{"good", "bad", "shed", "unreached", "ignored", "gone", "resting", "unsent"}[r]
 }
 
+// reachedNobody reports whether nothing was sent to the target.
+func (r Result) reachedNobody() bool { return r == ResultUnreached || r == ResultUnsent }
+
 // kindOf returns the health event of a result. idle is set where the target had free slots.
 func kindOf(r Result, route *health.Route, took time.Duration, idle bool) health.Kind {
 	switch r {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -25,6 +25,7 @@
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
+	"ploverjunction.example/ploverjunction/internal/reach"
 	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
@@ -65,6 +66,11 @@
 	// Choose chooses a target for an attempt. It may wait for one until the context ends; it
 	// returns a *NoTargetError if there is none.
 	Choose func(ctx context.Context, q *Query) (Choice, error)
+	// PathTargets returns the addresses of a service's targets by which the paths of this node may be
+	// checked; nil disables the checks. OnPathsChanged is called with the number of services of which
+	// no target is reached; it may be nil.
+	PathTargets    func(service string) []string
+	OnPathsChanged func(services int)
 	// Trial returns a target that should get a copy of a repeatable request as a trial request, if
 	// there is one.
 	Trial func(service *fleetconfig.Service) (Choice, bool)
@@ -110,6 +116,7 @@
 	http     *kratos.Server
 	listener net.Listener
 	client   *forward.Client
+	reach    *reach.Tracker
 	sizes    *sizes
 	log      *logrus.Entry
 	inFlight atomic.Int64
@@ -146,6 +153,7 @@
 			limit: cfg.Memory,
 		},
 	}
+	s.reach = s.newTracker()
 	s.buffers.New = func() any {
 		b := make([]byte, copyBuffer)
 		return &b
@@ -176,8 +184,9 @@
 func (s *Server) Serve(ctx context.Context) error {
 	defer s.client.Close()
 	reaper := task.Go(ctx, "entry reaper", s.reap)
+	paths := task.Go(ctx, "path checks", s.reach.Run)
 	err := s.http.Start(context.WithoutCancel(ctx))
-	return errors.Join(err, reaper.Stop())
+	return errors.Join(err, paths.Stop(), reaper.Stop())
 }
 
 // InFlight returns the number of requests in flight.
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -55,13 +55,18 @@
 		hedgeAfter: choice.HedgeAfter,
 	}
 	flight := x.startAttempt(choice.Key)
+	stopWatch := t.watchSilence(ctx)
 	a, err := x.server.client.Do(ctx, x.request(choice, t.reader))
+	stopWatch()
 	t.end = resultOf(a, err)
-	t.end.Ignored = t.end.Ignored || x.body.readError() != nil
+	t.end.PathLost = t.checkPath(ctx, err)
+	t.end.Ignored = t.end.Ignored || t.end.PathLost || x.body.readError() != nil
 	t.end.RequestFailed = err != nil && x.expired()
 	flight.End(time.Now(), t.end)
 	x.logTry(t, a, err)
-	x.checkCrash(t, err)
+	if !t.end.PathLost {
+		x.checkCrash(t, err)
+	}
 	if err != nil || a.Whole() {
 		t.release()
 	}
@@ -73,9 +78,12 @@
 }
 
 // release releases the choice. It may be called more than once.
-func (t *try) release() {
+func (t *try) release() { t.releaseAs(t.end) }
+
+// releaseAs releases the choice with the given end of the attempt.
+func (t *try) releaseAs(end outlier.Result) {
 	if t.choice.Done != nil && t.released.CompareAndSwap(false, true) {
-		t.choice.Done(t.end, time.Since(t.chosen))
+		t.choice.Done(end, time.Since(t.chosen))
 	}
 }
 
--- /dev/null
+++ b/internal/forward/check.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+)
+
+// Connect opens a connection to a target and closes it.
+func (c *Client) Connect(ctx context.Context, target string) error {
+	conn, err := c.dial(ctx, "tcp", target)
+	if err != nil {
+		return &Error{
+			kind:   KindConnect,
+			target: target,
+			cause:  err,
+		}
+	}
+	return conn.Close()
+}
+
+// Exchange requests the path of a target's health endpoint on a new connection and waits for any
+// response. An empty path stands for the OPTIONS request that concerns no resource (RFC 9110, section
+// 9.3.7).
+func (c *Client) Exchange(ctx context.Context, target, path string) error {
+	r := (&http.Request{
+		Method: http.MethodGet,
+		Host:   target,
+		URL: &url.URL{
+			Scheme: "http",
+			Host:   target,
+			Path:   path,
+		},
+		Header: http.Header{
+			"User-Agent": {""},
+		},
+		Close: true,
+	}).WithContext(ctx)
+	if path == "" {
+		r.Method, r.URL.Opaque = http.MethodOptions, "*"
+	}
+	transport := http.Transport{
+		DialContext:       c.dial,
+		DisableKeepAlives: true,
+	}
+	res, err := transport.RoundTrip(r)
+	if err != nil {
+		return fmt.Errorf("forward: check of %s: %w", target, err)
+	}
+	return res.Body.Close()
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -353,7 +353,7 @@
 		if backoff := w.GetRestMs(); backoff > 0 {
 			s.BackOff(now, w.GetTarget(), id, time.Duration(backoff)*time.Millisecond)
 		}
-		out = s.Done(now, id, w.GetTarget(), dispatch.Result(w.GetResult()), time.Duration(w.GetTookMs())*time.Millisecond)
+		out = s.Done(now, id, w.GetTarget(), resultOfWire(w), time.Duration(w.GetTookMs())*time.Millisecond)
 	}
 	d.mu.Unlock()
 	d.deliver(p, out)
--- a/internal/node/done.go
+++ b/internal/node/done.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/wire"
@@ -28,6 +29,7 @@
 func doneOf(p partition, g numberedGrant, end outlier.Result, status signal.Status, took time.Duration) *wire.Done {
 	done := newDone(p, g, wireResult(end), took)
 	done.Lost = end.RequestFailed
+	done.Unsent = end.PathLost && end.Unreached
 	done.Leaving = status.Draining
 	done.Limit = wireLimit(time.Now(), limitOfStatus(done.GetTarget(), status))
 	if end.Shed && (status.Backoff > 0 || status.Limit.Set) {
@@ -40,6 +42,8 @@
 // wireResult returns the result of an attempt that a message reports for its target.
 func wireResult(end outlier.Result) wire.Done_Result {
 	switch {
+	case end.PathLost:
+		return wire.Done_IGNORED
 	case end.Replaced:
 		return wire.Done_GONE
 	case end.Shed:
@@ -54,3 +58,11 @@
 		return wire.Done_GOOD
 	}
 }
+
+// resultOfWire returns the result that a message reports.
+func resultOfWire(w *wire.Done) dispatch.Result {
+	if w.GetUnsent() && w.GetResult() == wire.Done_IGNORED {
+		return dispatch.ResultUnsent
+	}
+	return dispatch.Result(w.GetResult())
+}
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -110,7 +110,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if end.Unreached {
+	if end.Unreached && !end.PathLost {
 		d.unreachableUntil[done.GetTarget()] = now.Add(unreachableTime)
 	}
 	if dispatcher == d.board.view.Load().Self().Address() {
@@ -121,6 +121,6 @@
 		return
 	}
 	if s := d.touchScheduler(now, p); s != nil {
-		s.RecordRemote(now, done.GetTarget(), q.Route, dispatch.Result(done.GetResult()), time.Duration(done.GetTookMs())*time.Millisecond)
+		s.RecordRemote(now, done.GetTarget(), q.Route, resultOfWire(done), time.Duration(done.GetTookMs())*time.Millisecond)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,7 +193,7 @@
 		failed:        n.members.recordFailure,
 		self:          n.self,
 	}, n.ejection.applyDecision, logging.Part(n.log, "observing"))
-	n.ejection.report = n.evidence.collect
+	n.ejection.report = n.collectEvidence
 	n.prober = newProber(n.board, n.adapter.Contract, n.evidence.collect, logging.Part(n.log, "probing"))
 	n.lifecycle = &lifecycle{
 		board:       n.board,
@@ -225,6 +225,13 @@
 	}
 }
 
+// collectEvidence reports evidence of this node, except about targets that its own paths do not reach.
+func (n *Node) collectEvidence(now time.Time, evidence []outlier.Evidence) {
+	n.evidence.collect(now, slices.DeleteFunc(evidence, func(e outlier.Evidence) bool {
+		return n.entry.PathLost(e.Service) && !e.Counts.Draining
+	}))
+}
+
 // applyConfig applies each new configuration of the replica.
 func (n *Node) applyConfig(c *fleetconfig.Config, refusals []fleetconfig.Refusal) {
 	log := logging.Part(n.log, "config")
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -39,6 +39,8 @@
 	}
 	currency := n.newFreshness()
 	n.entry, err = entry.New(entry.Config{
+		PathTargets:     n.board.pathTargets,
+		OnPathsChanged:  func(services int) { n.metrics.Gauge("services_out_of_reach", float64(services)) },
 		Listen:          n.set.EntryListen(),
 		MaxBody:         n.set.MaxBody(),
 		MaxHeader:       n.set.MaxHeader(),
--- a/internal/outlier/collector.go
+++ b/internal/outlier/collector.go
@@ -164,6 +164,9 @@
 	Unreached bool
 	// RequestFailed is set when the request ended with this attempt and was not served.
 	RequestFailed bool
+	// PathLost is set when the node reached no target of the service: that the attempt failed is
+	// then no evidence about this one.
+	PathLost bool
 }
 
 // End records the end of the attempt.
--- /dev/null
+++ b/internal/reach/tracker.go
@@ -0,0 +1,241 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package reach
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"ploverjunction.example/ploverjunction/internal/task"
+)
+
+// Parameters of checks.
+const (
+	// sampleSize is the number of targets of a check. A fifth of a service's targets may be down at a
+	// time; all of a sample are then down in one check of a hundred.
+	sampleSize = 3
+	// checkTimeout is the time after which a target that does not answer counts as not reached. It is
+	// several round trips between regions.
+	checkTimeout = 300 * time.Millisecond
+	// reuseTime is how long the result of a check is used for further ones.
+	reuseTime = 100 * time.Millisecond
+	// recheckInterval is the time between two checks of a service of which no target was reached.
+	recheckInterval = 250 * time.Millisecond
+)
+
+// Method is how a target is checked.
+type Method uint8
+
+// Methods of checks.
+const (
+	// MethodConnect opens a connection.
+	MethodConnect Method = iota
+	// MethodExchange also waits for any response.
+	MethodExchange
+)
+
+// String returns the method as logged.
+func (m Method) String() string { return [...]string{"connect", "exchange"}[m] }
+
+// Config holds the dependencies of a Tracker. All functions may be called concurrently.
+type Config struct {
+	// Targets returns the addresses of a service's targets that are not draining.
+	Targets func(service string) []string
+	// Try checks one target. A nil error means that it was reached.
+	Try func(ctx context.Context, m Method, service, address string) error
+	// OnChange is called with the number of services of which no target is reached; nil disables it.
+	OnChange func(services int)
+	Log      *logrus.Entry
+}
+
+// Tracker knows the services of which this node reaches no target. It may be used concurrently.
+type Tracker struct {
+	cfg Config
+	// lost holds these services and the method that showed it. It is replaced as a whole.
+	lost atomic.Pointer[map[string]Method]
+	// answers maps a service to when one of its targets last answered, as an *atomic.Int64 in Unix
+	// nanoseconds.
+	answers sync.Map
+	mu      sync.Mutex
+	checks  map[checkKey]*check
+}
+
+type checkKey struct {
+	service string
+	method  Method
+}
+
+// check is a check in progress, or the last one.
+type check struct {
+	done chan struct{}
+	// ended is written before done is closed.
+	ended time.Time
+}
+
+// New returns a tracker for which all services are reached.
+func New(cfg Config) *Tracker {
+	t := &Tracker{
+		cfg:    cfg,
+		checks: map[checkKey]*check{},
+	}
+	t.lost.Store(&map[string]Method{})
+	return t
+}
+
+// Lost reports whether no target of a service was reached in the last check.
+func (t *Tracker) Lost(service string) bool {
+	_, lost := (*t.lost.Load())[service]
+	return lost
+}
+
+// RecordAnswer records that a target of a service answered.
+func (t *Tracker) RecordAnswer(now time.Time, service string) {
+	at, ok := t.answers.Load(service)
+	if !ok {
+		at, _ = t.answers.LoadOrStore(service, &atomic.Int64{})
+	}
+	at.(*atomic.Int64).Store(now.UnixNano())
+}
+
+// AnsweredSince reports whether any target of a service has answered since a time.
+func (t *Tracker) AnsweredSince(service string, since time.Time) bool {
+	at, ok := t.answers.Load(service)
+	return ok && at.(*atomic.Int64).Load() >= since.UnixNano()
+}
+
+// Check checks some targets of a service, or waits for a check in progress, and reports whether none
+// was reached. It takes up to checkTimeout, and less if any target is reached.
+func (t *Tracker) Check(ctx context.Context, service string, m Method) bool {
+	if t.Lost(service) {
+		return true
+	}
+	c, started := t.join(checkKey{
+		service: service,
+		method:  m,
+	})
+	if started {
+		t.run(context.WithoutCancel(ctx), service, m)
+		c.ended = time.Now()
+		close(c.done)
+	}
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+	}
+	return t.Lost(service)
+}
+
+// join returns the check in progress, or one that has just ended. If there is none it returns a new
+// one that the caller must run.
+func (t *Tracker) join(key checkKey) (c *check, started bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.checks[key]; c != nil {
+		select {
+		case <-c.done:
+			if time.Since(c.ended) < reuseTime {
+				return c, false
+			}
+		default:
+			return c, false
+		}
+	}
+	c = &check{
+		done: make(chan struct{}),
+	}
+	t.checks[key] = c
+	return c, true
+}
+
+// run checks a service and records the result.
+func (t *Tracker) run(ctx context.Context, service string, m Method) {
+	started := time.Now()
+	sample := t.sample(service)
+	if reached := t.reachesAny(ctx, service, m, sample); reached == t.Lost(service) {
+		t.set(service, m, !reached, len(sample), time.Since(started))
+	}
+}
+
+// sample returns some targets of a service, at random.
+func (t *Tracker) sample(service string) []string {
+	all := slices.Clone(t.cfg.Targets(service))
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), sampleSize)]
+}
+
+// reachesAny reports whether any of the targets is reached. A service without targets counts as
+// reached.
+func (t *Tracker) reachesAny(ctx context.Context, service string, m Method, targets []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	var reached atomic.Bool
+	var tries task.Group
+	for _, address := range targets {
+		tries.Go(ctx, "path check", func(ctx context.Context) error {
+			if err := t.cfg.Try(ctx, m, service, address); err != nil {
+				return err
+			}
+			reached.Store(true)
+			cancel()
+			return nil
+		})
+	}
+	err := tries.Wait()
+	if err != nil && !reached.Load() {
+		t.cfg.Log.WithField("service", service).WithError(err).Debug("no target of the sample reached")
+	}
+	return reached.Load() || len(targets) == 0
+}
+
+// set records whether a service is lost.
+func (t *Tracker) set(service string, m Method, lost bool, checked int, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := maps.Clone(*t.lost.Load())
+	if lost {
+		next[service] = m
+	} else {
+		delete(next, service)
+	}
+	t.lost.Store(&next)
+	if t.cfg.OnChange != nil {
+		t.cfg.OnChange(len(next))
+	}
+	l := t.cfg.Log.WithField("service", service).WithField("method", m.String()).WithField("checked", checked).
+		WithField("took_ms", took.Milliseconds())
+	if lost {
+		l.Warn("no target of the service reached from this node")
+		return
+	}
+	l.Info("targets of the service reached again from this node")
+}
+
+// Run checks the lost services again until the context ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	tick := time.NewTicker(recheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		var checks task.Group
+		for service, m := range *t.lost.Load() {
+			checks.Go(ctx, "path check", func(ctx context.Context) error {
+				t.run(ctx, service, m)
+				return nil
+			})
+		}
+		if err := checks.Wait(); err != nil {
+			return err
+		}
+	}
+}
