internal/entry: an attempt after one that reached nobody is no retry

What callers saw: "no target: retry budget" after a first attempt whose connection was refused; the budget fell from 50 to -3 within three seconds of the cut, while targets got fewer requests than before. Cause: each attempt after the first was charged to the retry budget, although nothing had been sent. Change: an attempt that opened no connection is replaced like one that was not sent. It still counts for the policy, which bounds attempts.

--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -39,6 +39,18 @@
 	}
 	x.recordOnce(r.try, outcome)
 	x.lastErr = r.err
+	if unreached(r.err) {
+		x.launched--
+		x.unsent++
+		x.vacant++
+	}
+}
+
+// unreached reports whether no connection to the target was opened, so that the attempt reached
+// nobody and the next one is no retry.
+func unreached(err error) bool {
+	var fe *forward.Error
+	return errors.As(err, &fe) && fe.Kind() == forward.KindConnect && fe.Outcome() == attempt.OutcomeNotRun
 }
 
 // unsent reports whether nothing was sent because the target became unavailable after it was
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -70,3 +70,24 @@
 		})
 	}
 }
+
+// An attempt that reached no target must leave the retry budget to attempts that did.
+func TestAttemptAfterUnreachedTargetIsNoRetry(t *testing.T) {
+	down, other := newSignalTarget(t, "down", serveOK), newSignalTarget(t, "other", serveOK)
+	down.choice.Address = closedAddress(t)
+	c := &choices{
+		list:   []*signalTarget{down, other},
+		before: func(int) {},
+	}
+	s := newSite(t, func(cfg *entry.Config) {
+		cfg.Signals = &signal.Ledger{}
+		cfg.Choose = c.choose
+		cfg.WithdrawRetry = func(string) bool { return false }
+	})
+	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if len(c.queries) != 2 || c.queries[1].Retry || !c.queries[1].Replacement {
+		t.Errorf("%d choices, or the second one is a retry", len(c.queries))
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -40,7 +40,7 @@
 	// launched counts the attempts that were started, except those that ended unsent.
 	launched int
 	unsent   int
-	// vacant counts the unsent attempts whose place no other has taken.
+	// vacant counts the attempts that reached nobody and whose place no other has taken.
 	vacant int
 	// running are the attempts whose result has not been read from results.
 	running []*try
@@ -249,7 +249,7 @@
 				Class:      x.admission.route.Class(),
 			})
 		},
-		func() bool { return x.server.cfg.WithdrawRetry(x.service.Name()) },
+		func() bool { return x.vacant > 0 || x.server.cfg.WithdrawRetry(x.service.Name()) },
 	)
 }
 
