internal/entry: peers make the attempts for a node that reaches no target

Cause: nothing in the fleet serves a caller whose node has no path. The balancer uses such nodes when fewer than half of a data hall are ready, and open connections stay with them, so that readiness cannot help. Change: once the path checks reach no target of a service, the node forwards the request to a peer (rpc Forward of the link): one hop, the head first, the body only after the peer has accepted it. The peer makes the attempts with its own grants, signals and quarantine; the node has charged the limit of the workspace. Deadline, earlier attempts and whether the next one is counted go along. A peer that has not accepted is known to have run nothing; one that is lost later leaves the outcome unknown. Without a peer the node tries itself.

--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -106,6 +106,11 @@
 	if fail != nil {
 		return a, fail
 	}
+	if h := peerHeadOf(r); h != nil {
+		// The peer has charged the request to the limit.
+		a.deadline = h.Deadline
+		return a, nil
+	}
 	a.deadline = now.Add(a.timeout)
 	return a, s.checkLimit(r.Context(), a)
 }
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -32,6 +32,11 @@
 		x.discountUnsent(r.try)
 		return
 	}
+	var refusal *PeerRefusal
+	if errors.As(r.err, &refusal) {
+		x.recordPeerRefusal(r.try, refusal)
+		return
+	}
 	outcome := attempt.OutcomeUnknown
 	var fe *forward.Error
 	if errors.As(r.err, &fe) {
@@ -93,6 +98,9 @@
 	if f := x.body.failure(x.tracker.Outcome()); f != nil {
 		return f
 	}
+	if x.peerRefusal != nil {
+		return x.refusedByPeer()
+	}
 	return newFinalError(x.tracker, reason, x.retryAfter, x.lastErr)
 }
 
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -31,10 +31,11 @@
 }
 
 // hedgeable reports whether the request may be sent to a second target while the first works on
-// it. A request under which a target crashed is not, as it could crash two more.
+// it. A request under which a target crashed is not, as it could crash two more. A peer that makes
+// the attempts hedges by itself.
 func (x *relay) hedgeable() bool {
 	r := x.admission.route
-	return r.Repeatable() && x.body.stream == nil && r.MaxAttempts() != 1 && !x.suspect.Load()
+	return r.Repeatable() && x.body.stream == nil && r.MaxAttempts() != 1 && !x.suspect.Load() && !x.atPeer.Load()
 }
 
 // budgetSpent reports whether there was no target because the retry budget is spent.
@@ -53,6 +54,9 @@
 
 // hedge starts another attempt while the first is still expected to answer.
 func (x *relay) hedge() {
+	if !x.hedgeable() {
+		return
+	}
 	for _, t := range x.running {
 		x.recordOnce(t, attempt.OutcomeUnknown)
 	}
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -92,4 +92,8 @@
 		Ignored:  true,
 		PathLost: true,
 	})
+	select {
+	case x.pathLost <- struct{}{}:
+	default:
+	}
 }
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -65,6 +65,15 @@
 
 // answer writes a final answer that no target gave.
 func (s *Server) answer(w http.ResponseWriter, id string, e *Error) {
+	if p, ok := w.(PeerWriter); ok {
+		p.Refuse(&PeerRefusal{
+			Code:       e.code,
+			Status:     e.status,
+			Outcome:    e.outcome,
+			RetryAfter: e.retryAfter,
+		}, e.code == CodeMemory || e.code == CodeNotReady || e.code == CodeKeyNotChecked)
+		return
+	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	s.setOutcome(h, id, e.outcome)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -59,6 +59,13 @@
 	settled atomic.Bool
 	// fallback is an answer that is delivered only if no better one arrives.
 	fallback *result
+	// peerHead is set for a request of a peer. atPeer is set while a peer makes an attempt,
+	// peerRefusal is its final answer. pathLost receives a value when this node is found to reach no
+	// target of the service.
+	peerHead    *PeerHead
+	atPeer      atomic.Bool
+	peerRefusal *PeerRefusal
+	pathLost    chan struct{}
 	// blockReason is why no other attempt may start, retryAfter when the caller may retry.
 	blockReason attempt.Reason
 	retryAfter  time.Duration
@@ -165,6 +172,10 @@
 			}
 		case <-hedge.C:
 			x.hedge()
+		case <-x.pathLost:
+			if x.hedgeable() && x.needsPeer() {
+				x.hedge()
+			}
 		}
 	}
 	return nil
@@ -188,7 +199,7 @@
 		return false
 	}
 	x.recordSize(r.answer)
-	if !x.replaceable(r.answer) {
+	if r.try.peer != "" || !x.replaceable(r.answer) {
 		return true
 	}
 	x.recordOnce(r.try, attempt.OutcomeUnknown)
@@ -253,6 +264,20 @@
 	)
 }
 
+// recordEarlierRuns records the attempts that the peer of a request made before.
+func (x *relay) recordEarlierRuns() {
+	if x.peerHead == nil {
+		return
+	}
+	if x.peerHead.Counted {
+		x.vacant++
+	}
+	for range x.peerHead.Runs {
+		x.tracker.Record(attempt.OutcomeUnknown)
+		x.launched++
+	}
+}
+
 func (x *relay) startAttempt(target string) *outlier.Attempt {
 	return x.server.cfg.Collector.Begin(time.Now(), x.service.Name(), x.admission.route.Class(), target)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -71,6 +71,10 @@
 	// no target is reached; it may be nil.
 	PathTargets    func(service string) []string
 	OnPathsChanged func(services int)
+	// Peers returns up to n nodes that may make attempts for a service in place of this one, the best
+	// one first; nil means none. PeerUnable is called with one that could not.
+	Peers      func(service string, n int) []Peer
+	PeerUnable func(service, peer string)
 	// Trial returns a target that should get a copy of a repeatable request as a trial request, if
 	// there is one.
 	Trial func(service *fleetconfig.Service) (Choice, bool)
@@ -121,7 +125,9 @@
 	log      *logrus.Entry
 	inFlight atomic.Int64
 	closing  atomic.Bool
-	trials   atomic.Int32
+	// peerRequests counts the requests of peers in flight.
+	peerRequests atomic.Int64
+	trials       atomic.Int32
 	// crashChecks counts the crash checks in progress.
 	crashChecks atomic.Int32
 	// awaitingConfig counts the requests that wait for a configuration with their key.
@@ -199,7 +205,7 @@
 // Drain stops accepting connections and waits until all requests in flight have ended, however
 // long they take, or the context ends. Then it closes all connections.
 func (s *Server) Drain(ctx context.Context) error {
-	err := s.http.Stop(ctx)
+	err := errors.Join(s.http.Stop(ctx), s.waitForPeerRequests(ctx))
 	if cerr := s.http.Close(); err == nil {
 		err = cerr
 	}
@@ -260,7 +266,8 @@
 	}
 }
 
-// requestID returns the ID of a request: the caller's if the contract says so, else a new one.
+// requestID returns the ID of a caller's request: the caller's if the contract says so, else a new
+// one.
 func (s *Server) requestID(r *http.Request) string {
 	if s.cfg.Contract.CallersID {
 		return r.Header.Get(s.cfg.Contract.RequestID)
@@ -288,7 +295,8 @@
 		id:           id,
 		req:          r,
 		admission:    in,
-		service:      in.route.ChooseService(rand.Uint64()),
+		service:      serviceOf(r, in, rand.Uint64()),
+		peerHead:     peerHeadOf(r),
 		started:      started,
 		body:         b,
 		tracker:      attempt.NewTracker(in.route.Repeatable(), in.deadline),
@@ -296,7 +304,9 @@
 		fingerprints: fingerprintsOf(r, in, b),
 		results:      make(chan result, maxTries),
 		grants:       make(chan grant, maxTries),
+		pathLost:     make(chan struct{}, 1),
 	}
+	x.recordEarlierRuns()
 	if fail := x.quarantine(); fail != nil {
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -26,6 +26,8 @@
 	// age is how long the attempt beside a hedge had waited when the hedge was launched.
 	age    time.Duration
 	choice Choice
+	// peer is the address of the node that makes the attempt in place of this one, or "".
+	peer string
 	// started is when a target was requested, chosen when it was granted.
 	started time.Time
 	chosen  time.Time
@@ -40,6 +42,9 @@
 func (t *try) run(ctx context.Context) {
 	x := t.relay
 	t.started = time.Now()
+	if x.needsPeer() && t.runAtPeer(ctx) {
+		return
+	}
 	choice, err := x.choose(ctx, t)
 	if err != nil {
 		x.results <- result{
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -187,6 +187,14 @@
 	return r.service
 }
 
+// Uses reports whether requests of the route may go to a service.
+func (r *Route) Uses(service string) bool {
+	if len(r.split) == 0 {
+		return r.service.Name() == service
+	}
+	return slices.ContainsFunc(r.split, func(p splitService) bool { return p.service.Name() == service })
+}
+
 // TargetLatency returns the soft deadline of an answer; 0 means that none is
 // published.
 func (r *Route) TargetLatency() time.Duration { return r.targetLatency }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -118,6 +118,9 @@
 	// Observe is called with the target's signal in its answer, however the attempt ends, and the
 	// error of a signal that cannot be read. It may be nil.
 	Observe func(n signal.Signal, err error)
+	// Via sends the request in place of a connection to the target; nil means a connection. Its error
+	// is a *ViaError.
+	Via func(r *http.Request) (*http.Response, error)
 	// Unavailable reports whether the target is unavailable. The last call is made
 	// immediately before the first byte is sent. nil means never.
 	Unavailable func(now time.Time) bool
@@ -220,6 +223,9 @@
 		// An empty value keeps net/http from adding its own.
 		req.Header.Set("User-Agent", "")
 	}
+	if r.Via != nil {
+		return r.Via(req)
+	}
 	if !r.Repeatable {
 		return c.nonRepeatable.RoundTrip(req)
 	}
@@ -235,7 +241,13 @@
 		outcome: attempt.OutcomeUnknown,
 		cause:   err,
 	}
-	if !cl.seal() {
+	sent := cl.seal()
+	var via *ViaError
+	if errors.As(err, &via) {
+		sent = via.Accepted
+		e.kind = KindPeer
+	}
+	if !sent {
 		e.outcome = attempt.OutcomeNotRun
 	}
 	var inner *Error
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -33,6 +33,8 @@
 	KindOtherTarget Kind = "another target at the address"
 	// KindStall means that the answer's body made no progress.
 	KindStall Kind = "answer stalled"
+	// KindPeer means that a peer that was to make the attempt did not.
+	KindPeer Kind = "peer failed"
 	// KindCaller means that the caller is gone or its body broke.
 	KindCaller Kind = "caller gone"
 )
@@ -77,3 +79,16 @@
 		return true
 	}
 }
+
+// ViaError is the failure of a Request.Via.
+type ViaError struct {
+	// Accepted is set where the request may have run.
+	Accepted bool
+	Cause    error
+}
+
+// Error describes the cause.
+func (e *ViaError) Error() string { return "forward: via a peer: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ViaError) Unwrap() error { return e.Cause }
--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -27,6 +27,7 @@
 	traffic *Traffic
 	mu      sync.Mutex
 	peers   map[string]*peerConn
+	forward idleForward
 }
 
 type peerConn struct {
@@ -132,11 +133,21 @@
 			return nil
 		}
 	}
+	conn, err := d.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.conn = conn
+	return nil
+}
+
+// dial opens a connection to a peer.
+func (d *Dialer) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	raw, err := (&net.Dialer{
 		Timeout: dialTimeout,
 	}).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return &Error{
+		return nil, &Error{
 			kind:  KindDial,
 			peer:  address,
 			cause: err,
@@ -151,12 +162,12 @@
 		cfg.ServerName, _, _ = net.SplitHostPort(address)
 		conn = tls.Client(conn, cfg)
 	}
-	p.conn = drpcconn.New(conn)
-	return nil
+	return drpcconn.New(conn), nil
 }
 
 // CloseIdle closes the connections that have been idle for longer than idleClose at now.
 func (d *Dialer) CloseIdle(now time.Time) {
+	d.forward.closeBefore(now.Add(-idleClose))
 	d.closeMatching(func(p *peerConn) bool {
 		return now.UnixNano()-p.lastUsed.Load() > int64(idleClose)
 	})
@@ -164,6 +175,7 @@
 
 // Close closes all connections.
 func (d *Dialer) Close() {
+	d.forward.closeBefore(time.Now())
 	d.closeMatching(func(*peerConn) bool { return true })
 }
 
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -38,9 +38,12 @@
 		unserved = n.dispatcher.countRefused
 	}
 	currency := n.newFreshness()
+	peers := newPeerForwarder(n.board, n.dialer)
 	n.entry, err = entry.New(entry.Config{
 		PathTargets:     n.board.pathTargets,
 		OnPathsChanged:  func(services int) { n.metrics.Gauge("services_out_of_reach", float64(services)) },
+		Peers:           peers.peers,
+		PeerUnable:      peers.markUnable,
 		Listen:          n.set.EntryListen(),
 		MaxBody:         n.set.MaxBody(),
 		MaxHeader:       n.set.MaxHeader(),
