--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -36,6 +36,8 @@
 	case KindPlatformCut, KindPlatformDeaf, KindPlatformSlow, KindPlatformReset, KindPlatformDown:
 		f.platformStep(s)
 		f.platformDisturbed.Store(int64(time.Since(f.started)))
+	case KindPathsCut:
+		f.cutPaths(s)
 	case KindPlatformRestore:
 		f.restore(s)
 	case KindPublish:
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -60,6 +60,7 @@
 	return fmt.Sprintf(`
 [node]
 data_hall = %s
+outgoing = %s
 [operator]
 listen = 127.0.0.1:0
 [peers]
@@ -76,7 +77,7 @@
 choice = %s
 [workspaces]
 identity = %s
-`, hall(n.index), peers, n.fleet.platformProxy.Addr(), choice, identity)
+`, hall(n.index), outgoing(n.index), peers, n.fleet.platformProxy.Addr(), choice, identity)
 }
 
 // start starts a process. Once steps run, the caller must hold n.mu.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -55,6 +55,8 @@
 	KindRequestsBackoff Kind = "target wants rest"
 	// KindSignalsLimit makes a target signal a limit for the whole fleet.
 	KindSignalsLimit Kind = "target names a limit"
+	// KindPathsCut acts on the links of a node to all targets.
+	KindPathsCut Kind = "paths cut"
 )
 
 // kinds are the kinds to draw from in every plan. Those listed more than once are drawn
@@ -137,6 +139,7 @@
 	p.addSignals()
 	p.addLimits()
 	p.addRestores()
+	p.addPaths()
 	// A separate random source keeps the other steps of a seed unchanged.
 	p.Crashing = rand.New(rand.NewPCG(seed, 0x4a21)).IntN(2) == 0
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
