internal/entry: ask the next peer if one has lost its paths as well

What callers saw: in the first second of a cut, a peer that is cut off too and has had no attempt yet accepted a request and refused it in the end. Change: a peer whose paths are found lost while it makes the attempts says so, if nothing has run; the next peer is asked, unless the body was streamed. A broken answer of a peer is no evidence about a target. The log names the peer; two counters show requests of peers and peers that were unable.

--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -62,8 +62,10 @@
 		if !errors.As(err, &fe) {
 			return err
 		}
-		x.recordBrokenBody(x.key(a.Target()))
-		x.checkCrash(x.winner, err)
+		if x.winner.peer == "" {
+			x.recordBrokenBody(x.key(a.Target()))
+			x.checkCrash(x.winner, err)
+		}
 		x.tracker.Record(attempt.OutcomeUnknown)
 		if !resumable || resumes == maxResumes {
 			return err
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -82,6 +82,9 @@
 			"waited_ms": x.winner.chosen.Sub(x.winner.started).Milliseconds(),
 		})
 	}
+	if x.winner != nil && x.winner.peer != "" {
+		l = l.WithField("peer", x.winner.peer)
+	}
 	if fail != nil {
 		l = l.WithField("fingerprint", x.fingerprints.Content().String()).WithField("caller", callerOf(x.req, x.admission))
 		l.WithError(fail).Warn("request failed")
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -26,7 +27,8 @@
 // Peer is another node that may make attempts for this one.
 type Peer struct {
 	Address string
-	// Forward has the peer answer a request. Its error is a *forward.ViaError.
+	// Forward has the peer answer a request. Its error is a *forward.ViaError, not accepted if it is
+	// proved that the peer made no attempt and another one may be able to.
 	Forward func(r *http.Request, h *PeerHead) (*http.Response, error)
 }
 
@@ -65,38 +67,53 @@
 	return x.peerHead == nil && x.server.cfg.Peers != nil && x.server.reach.Lost(x.service.Name())
 }
 
-// runAtPeer has a peer make the attempt, and reports whether one accepted it. A peer that does not
-// accept has not seen the body.
+// runAtPeer has a peer make the attempt, and reports whether the attempt has ended. It has not if all
+// peers are unable; the body can still be sent then.
 func (t *try) runAtPeer(ctx context.Context) bool {
 	x := t.relay
 	x.atPeer.Store(true)
+	var unable error
 	for _, p := range x.server.cfg.Peers(x.service.Name(), maxPeers) {
+		reader, ok := x.body.reader()
+		if !ok {
+			break
+		}
 		t.chosen = time.Now()
-		a, err := x.server.client.Do(ctx, x.peerRequest(t, p))
+		a, err := x.server.client.Do(ctx, x.peerRequest(t, p, reader))
 		if err != nil && !x.acceptedByPeer(err) {
 			x.server.cfg.PeerUnable(x.service.Name(), p.Address)
+			unable = err
 			continue
 		}
-		t.peer = p.Address
-		x.logPeer(t, a, err)
-		x.results <- result{
-			try:    t,
-			answer: a,
-			err:    err,
-		}
+		t.endAtPeer(p, a, err)
+		return true
+	}
+	if _, ok := x.body.reader(); !ok {
+		t.endAtPeer(Peer{}, nil, unable)
 		return true
 	}
 	x.atPeer.Store(false)
 	return false
 }
 
-// acceptedByPeer reports whether a peer may have seen the body of a request that failed.
+// endAtPeer sends the result of an attempt that a peer made.
+func (t *try) endAtPeer(p Peer, a *forward.Answer, err error) {
+	t.peer = p.Address
+	t.relay.logPeer(t, a, err)
+	t.relay.results <- result{
+		try:    t,
+		answer: a,
+		err:    err,
+	}
+}
+
+// acceptedByPeer reports whether a request that failed at a peer ended there.
 func (x *relay) acceptedByPeer(err error) bool {
 	var via *forward.ViaError
 	return !errors.As(err, &via) || via.Accepted
 }
 
-func (x *relay) peerRequest(t *try, p Peer) *forward.Request {
+func (x *relay) peerRequest(t *try, p Peer, body io.Reader) *forward.Request {
 	h := &PeerHead{
 		ID:       x.id,
 		Service:  x.service.Name(),
@@ -119,7 +136,7 @@
 		Host:     x.req.Host,
 		URI:      x.req.URL.RequestURI(),
 		Header:   header,
-		Body:     t.reader,
+		Body:     body,
 		Length:   x.body.length,
 		Deadline: x.tracker.Deadline(),
 		Via:      func(r *http.Request) (*http.Response, error) { return p.Forward(r, h) },
--- a/internal/entry/peer_test.go
+++ b/internal/entry/peer_test.go
@@ -227,6 +227,8 @@
 	return nil
 }
 
+func (w *peerWriter) Service() string { return "quotes" }
+
 func (w *peerWriter) Refuse(e *entry.PeerRefusal, unable bool) { w.refusal, w.unable = e, unable }
 
 // A request of a peer must be served without another charge to its workspace, and never be passed on.
@@ -267,8 +269,8 @@
 		if err := p.server.ServePeer(w, incoming(), head()); err != nil {
 			t.Fatal(err)
 		}
-		if len(p.heads) != 0 || w.refusal == nil || w.refusal.Outcome != attempt.OutcomeNotRun {
-			t.Errorf("%d peers asked, refused with %+v", len(p.heads), w.refusal)
+		if len(p.heads) != 0 || w.refusal == nil || w.refusal.Outcome != attempt.OutcomeNotRun || !w.unable {
+			t.Errorf("%d peers asked, refused with %+v, unable %v", len(p.heads), w.refusal, w.unable)
 		}
 		w = &peerWriter{
 			ResponseRecorder: httptest.NewRecorder(),
--- a/internal/entry/peerrequest.go
+++ b/internal/entry/peerrequest.go
@@ -21,6 +21,8 @@
 	// Refuse sends the final answer to a request that no target answered. unable is set if another
 	// node may be able to make attempts.
 	Refuse(e *PeerRefusal, unable bool)
+	// Service returns the service that the request's node chose.
+	Service() string
 }
 
 // drainInterval is the time between two checks whether the requests of peers have ended.
@@ -64,6 +66,16 @@
 	return nil
 }
 
+// unableFor reports whether another node may serve a request of a peer that ends with an error.
+func (s *Server) unableFor(w PeerWriter, e *Error) bool {
+	switch e.code {
+	case CodeMemory, CodeNotReady, CodeKeyNotChecked:
+		return true
+	default:
+		return e.outcome == attempt.OutcomeNotRun && s.reach.Lost(w.Service())
+	}
+}
+
 // serviceOf returns the service of a request: the one that its node chose if it is one of the route,
 // else one by weight.
 func serviceOf(r *http.Request, in *admission, random uint64) *fleetconfig.Service {
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -71,7 +71,7 @@
 			Status:     e.status,
 			Outcome:    e.outcome,
 			RetryAfter: e.retryAfter,
-		}, e.code == CodeMemory || e.code == CodeNotReady || e.code == CodeKeyNotChecked)
+		}, s.unableFor(p, e))
 		return
 	}
 	h := w.Header()
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -82,7 +82,7 @@
 
 // ViaError is the failure of a Request.Via.
 type ViaError struct {
-	// Accepted is set where the request may have run.
+	// Accepted is set where the request may have run, or was refused for good.
 	Accepted bool
 	Cause    error
 }
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -40,10 +40,13 @@
 	currency := n.newFreshness()
 	peers := newPeerForwarder(n.board, n.dialer)
 	n.entry, err = entry.New(entry.Config{
-		PathTargets:     n.board.pathTargets,
-		OnPathsChanged:  func(services int) { n.metrics.Gauge("services_out_of_reach", float64(services)) },
-		Peers:           peers.peers,
-		PeerUnable:      peers.markUnable,
+		PathTargets:    n.board.pathTargets,
+		OnPathsChanged: func(services int) { n.metrics.Gauge("services_out_of_reach", float64(services)) },
+		Peers:          peers.peers,
+		PeerUnable: func(service, peer string) {
+			n.metrics.Count("peers_unable", 1)
+			peers.markUnable(service, peer)
+		},
 		Listen:          n.set.EntryListen(),
 		MaxBody:         n.set.MaxBody(),
 		MaxHeader:       n.set.MaxHeader(),
--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -114,8 +114,13 @@
 		}),
 	}
 	in, err := x.Receive()
-	if err == nil && in.GetRefusal() != nil {
-		err = peerRefusal(in.GetRefusal())
+	if r := in.GetRefusal(); err == nil && r != nil {
+		err = peerRefusal(r)
+		if r.GetUnable() && !r.GetMayHaveRun() {
+			return nil, &forward.ViaError{
+				Cause: errors.Join(err, body.Close()),
+			}
+		}
 	}
 	if err == nil && in.GetHead() == nil {
 		err = errNoHead
--- a/internal/node/peerserve.go
+++ b/internal/node/peerserve.go
@@ -26,11 +26,13 @@
 	if err != nil {
 		return err
 	}
+	n.metrics.Count("requests_of_peers", 1)
 	now := time.Now()
 	h := in.GetHead()
 	w := &peerWriter{
-		stream: stream,
-		header: http.Header{},
+		stream:  stream,
+		header:  http.Header{},
+		service: h.GetService(),
 	}
 	r, err := requestOfWire(h, w)
 	if err != nil {
@@ -88,6 +90,8 @@
 type peerWriter struct {
 	stream wire.DRPCPeer_ForwardStream
 	header http.Header
+	// service is the one that the request's node chose.
+	service string
 	// rest is the part of the body that was received and not read, ended is set with its last part.
 	rest    []byte
 	ended   bool
@@ -146,6 +150,9 @@
 	w.headSet = true
 }
 
+// Service returns the service that the request's node chose.
+func (w *peerWriter) Service() string { return w.service }
+
 // Header returns the header of the response.
 func (w *peerWriter) Header() http.Header { return w.header }
 
