internal/reach: try more targets before all paths count as lost

Cause: with two or three of six targets down, all three of a sample were down now and then; the broken connections of the crashed ones were then laid to the node's paths and not counted as crashes. The crash of a target is counted again whatever the paths are: a false record ends with the next answer, a missing one costs targets. Change: a check goes on with up to 13 more targets if none of the first three is reached within 50 ms, in the same 300 ms. A peer also gets the keys of targets that the request must not be sent to.

--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -48,6 +48,9 @@
 		x.launched--
 		x.unsent++
 		x.vacant++
+		x.mu.Lock()
+		x.unreached = append(x.unreached, r.try.choice.Key)
+		x.mu.Unlock()
 	}
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -46,6 +47,9 @@
 	// budget has counted the next attempt.
 	Runs    int
 	Counted bool
+	// Avoid are keys of targets that must not get the request: it was sent to them before, or they
+	// signalled its node that they drain or back off.
+	Avoid []string
 }
 
 // PeerRefusal is the final answer of a peer to a request that no target answered.
@@ -123,12 +127,25 @@
 		Runs:     x.tracker.PossibleRuns(),
 		Counted:  t.replacement,
 	}
+	x.mu.Lock()
+	for _, key := range x.tried {
+		if !slices.Contains(x.unreached, key) {
+			h.Avoid = append(h.Avoid, key)
+		}
+	}
+	x.mu.Unlock()
+	if x.server.cfg.Unavailable != nil {
+		h.Avoid = append(h.Avoid, x.server.cfg.Unavailable(x.service)...)
+	}
 	header := endToEnd(x.server.cfg.Contract, x.req.Header)
 	for _, name := range []string{"Range", "If-Range"} {
 		if v := x.header.Get(name); v != "" {
 			header.Set(name, v)
 		}
 	}
+	if x.server.cfg.Contract.Forwarded {
+		header.Add("Via", via)
+	}
 	return &forward.Request{
 		ID:       x.id,
 		Target:   p.Address,
--- a/internal/entry/peer_test.go
+++ b/internal/entry/peer_test.go
@@ -194,6 +194,9 @@
 			if last.Runs != tt.runs || last.Service != "quotes" || !last.Deadline.After(time.Now()) || last.ID == "" {
 				t.Errorf("the last peer got %+v", last)
 			}
+			if len(last.Avoid) != 0 {
+				t.Errorf("the peer must avoid %v, which this node did not reach", last.Avoid)
+			}
 			if !p.heads[0].Counted {
 				t.Error("the first attempt at a peer counts again in the retry budget")
 			}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -33,10 +33,12 @@
 	body      *body
 	tracker   *attempt.Tracker
 	// tried are the keys of the targets that were tried. It is written by the attempts, under mu.
-	mu      sync.Mutex
-	tried   []string
-	header  http.Header
-	lastErr error
+	mu    sync.Mutex
+	tried []string
+	// unreached are those among them to which no connection was opened.
+	unreached []string
+	header    http.Header
+	lastErr   error
 	// launched counts the attempts that were started, except those that ended unsent.
 	launched int
 	unsent   int
@@ -269,6 +271,7 @@
 	if x.peerHead == nil {
 		return
 	}
+	x.tried = slices.Clone(x.peerHead.Avoid)
 	if x.peerHead.Counted {
 		x.vacant++
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -71,6 +71,9 @@
 	// no target is reached; it may be nil.
 	PathTargets    func(service string) []string
 	OnPathsChanged func(services int)
+	// Unavailable returns the keys of a service's targets that signalled this node that they drain or
+	// back off; nil means none.
+	Unavailable func(service *fleetconfig.Service) []string
 	// Peers returns up to n nodes that may make attempts for a service in place of this one, the best
 	// one first; nil means none. PeerUnable is called with one that could not.
 	Peers      func(service string, n int) []Peer
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -69,9 +69,7 @@
 	t.end.RequestFailed = err != nil && x.expired()
 	flight.End(time.Now(), t.end)
 	x.logTry(t, a, err)
-	if !t.end.PathLost {
-		x.checkCrash(t, err)
-	}
+	x.checkCrash(t, err)
 	if err != nil || a.Whole() {
 		t.release()
 	}
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
@@ -43,6 +44,10 @@
 		PathTargets:    n.board.pathTargets,
 		OnPathsChanged: func(services int) { n.metrics.Gauge("services_out_of_reach", float64(services)) },
 		Peers:          peers.peers,
+		Unavailable: func(s *fleetconfig.Service) []string {
+			u := n.board.unavailable(time.Now(), s, "")
+			return u.keys()
+		},
 		PeerUnable: func(service, peer string) {
 			n.metrics.Count("peers_unable", 1)
 			peers.markUnable(service, peer)
--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -235,6 +235,7 @@
 		DeadlineMs: uint32(max(h.Deadline.Sub(now).Milliseconds(), 0)),
 		Runs:       uint32(h.Runs),
 		Counted:    h.Counted,
+		Avoid:      h.Avoid[:min(len(h.Avoid), maxTried)],
 	}
 }
 
--- a/internal/node/peerserve.go
+++ b/internal/node/peerserve.go
@@ -55,6 +55,7 @@
 		Deadline: now.Add(time.Duration(h.GetDeadlineMs()) * time.Millisecond),
 		Runs:     int(h.GetRuns()),
 		Counted:  h.GetCounted(),
+		Avoid:    h.GetAvoid(),
 	}); err != nil {
 		return err
 	}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -18,9 +18,12 @@
 
 // Parameters of checks.
 const (
-	// sampleSize is the number of targets of a check. A fifth of a service's targets may be down at a
-	// time; all of a sample are then down in one check of a hundred.
-	sampleSize = 3
+	// sampleSize is the greatest number of targets of a check, firstSample how many of them are tried at
+	// once. The others are tried if none of these is reached within firstTimeout: several targets of a
+	// service may be down.
+	sampleSize   = 16
+	firstSample  = 3
+	firstTimeout = 50 * time.Millisecond
 	// checkTimeout is the time after which a target that does not answer counts as not reached. It is
 	// several round trips between regions.
 	checkTimeout = 300 * time.Millisecond
@@ -173,25 +176,53 @@
 // reachesAny reports whether any of the targets is reached. A service without targets counts as
 // reached.
 func (t *Tracker) reachesAny(ctx context.Context, service string, m Method, targets []string) bool {
+	if len(targets) == 0 {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	var reached atomic.Bool
 	var tries task.Group
-	for _, address := range targets {
-		tries.Go(ctx, "path check", func(ctx context.Context) error {
-			if err := t.cfg.Try(ctx, m, service, address); err != nil {
+	results := make(chan bool, len(targets))
+	pending := 0
+	start := func(list []string) {
+		for _, address := range list {
+			pending++
+			tries.Go(ctx, "path check", func(ctx context.Context) error {
+				err := t.cfg.Try(ctx, m, service, address)
+				results <- err == nil
 				return err
+			})
+		}
+	}
+	// wait waits until a target is reached, all tries have failed or a time has passed.
+	wait := func(most time.Duration) bool {
+		limit := time.NewTimer(most)
+		defer limit.Stop()
+		for pending > 0 {
+			select {
+			case reached := <-results:
+				pending--
+				if reached {
+					return true
+				}
+			case <-limit.C:
+				return false
 			}
-			reached.Store(true)
-			cancel()
-			return nil
-		})
+		}
+		return false
+	}
+	first := min(len(targets), firstSample)
+	start(targets[:first])
+	reached := wait(firstTimeout)
+	if !reached {
+		start(targets[first:])
+		reached = wait(checkTimeout)
 	}
-	err := tries.Wait()
-	if err != nil && !reached.Load() {
+	cancel()
+	if err := tries.Wait(); err != nil && !reached {
 		t.cfg.Log.WithField("service", service).WithError(err).Debug("no target of the sample reached")
 	}
-	return reached.Load() || len(targets) == 0
+	return reached
 }
 
 // set records whether a service is lost.
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -93,6 +93,13 @@
 			want:    true,
 			most:    300 * time.Millisecond,
 		},
+		{
+			name:    "one of many reached",
+			targets: []string{"a", "b", "c", "d", "e", "f", "g", "h"},
+			down:    []string{"a", "b", "c", "d", "e", "f", "g"},
+			silent:  true,
+			most:    50 * time.Millisecond,
+		},
 		{
 			name: "no targets",
 		},
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -79,7 +79,7 @@
 			}
 		}
 		c := calls[a.Key]
-		if a.Limit == "" || c == nil {
+		if a.Limit == "" || c == nil || sentByPeer(a) {
 			continue
 		}
 		w.arrived(f, b, a, at, c)
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -72,6 +72,10 @@
 	return n
 }
 
+// sentByPeer reports whether a request came from a peer of the node that its caller sent it to. That
+// node neither sent it nor received the signals in the answer.
+func sentByPeer(a target.Arrival) bool { return a.Hops > 1 }
+
 // trackedCall is a call and the number of its requests that reached targets.
 type trackedCall struct {
 	*record
@@ -107,7 +111,7 @@
 	for _, a := range b.Arrivals() {
 		at := a.At.Sub(f.started)
 		c := calls[a.Key]
-		if c == nil {
+		if c == nil || sentByPeer(a) {
 			continue
 		}
 		if started := f.incarnationBefore(b, at); started > 0 {
@@ -134,13 +138,13 @@
 	all := b.Arrivals()
 	for i, refusal := range all {
 		c := calls[refusal.Key]
-		if refusal.Backoff == 0 || c == nil || c.err != nil || c.Repeatable || c.Status != http.StatusOK && c.Outcome != "not-run" {
+		if refusal.Backoff == 0 || c == nil || sentByPeer(refusal) || c.err != nil || c.Repeatable || c.Status != http.StatusOK && c.Outcome != "not-run" {
 			continue
 		}
 		for _, a := range all[i+1:] {
 			o := calls[a.Key]
 			at := a.At.Sub(f.started)
-			if o == nil || o.process != c.process || o.started < c.ended || a.At.Sub(refusal.At) >= refusal.Backoff {
+			if o == nil || sentByPeer(a) || o.process != c.process || o.started < c.ended || a.At.Sub(refusal.At) >= refusal.Backoff {
 				continue
 			}
 			if f.incarnationBefore(b, at) > refusal.At.Sub(f.started) {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -84,6 +84,8 @@
 	Draining bool
 	Backoff  time.Duration
 	Limit    string
+	// Hops is the number of nodes that passed the request on, by its Via header; 0 if there is none.
+	Hops int
 }
 
 // Target is the stand-in. It may be used concurrently.
@@ -144,6 +146,7 @@
 		At:       time.Now(),
 		Draining: m.Draining,
 		Limit:    m.Limit,
+		Hops:     len(r.Header.Values("Via")),
 	}
 	if m.Shed {
 		a.Backoff = m.Backoff
