--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -124,7 +124,7 @@
 		Caller:   x.req.RemoteAddr,
 		Started:  x.started,
 		Deadline: x.tracker.Deadline().Add(-peerMargin),
-		Runs:     x.tracker.PossibleRuns(),
+		Runs:     t.runs,
 		Counted:  t.replacement,
 	}
 	x.mu.Lock()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -135,6 +135,7 @@
 		hedge:  len(x.running) > 0,
 
 		replacement: x.vacant > 0,
+		runs:        x.tracker.PossibleRuns(),
 	}
 	if t.replacement {
 		x.vacant--
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -23,6 +23,8 @@
 	hedge  bool
 	// replacement is set where the attempt takes the place of one that was not sent.
 	replacement bool
+	// runs is the number of earlier attempts that may have run.
+	runs int
 	// age is how long the attempt beside a hedge had waited when the hedge was launched.
 	age    time.Duration
 	choice Choice
