internal/reach: check paths by few connections

A probe takes a slot of a target. Cause: each attempt that was unusually long without an answer probed three targets, and 13 more where none answered within 50 ms, which a busy one does not. Change: one connection, then three, then 12 more; only after twice the time, and 400 ms, an answer of three targets is asked for.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -15,9 +15,15 @@
 
 // This file tells faults of targets from faults of this node's paths to them.
 
-// minSilence is the least time without an answer after which the paths to targets are checked:
-// several round trips between regions.
-const minSilence = 150 * time.Millisecond
+const (
+	// minSilence is the least time without an answer after which the paths to targets are checked:
+	// several round trips between regions.
+	minSilence = 150 * time.Millisecond
+	// minLongSilence is the least time without an answer after which connections are not enough: a
+	// proxy before the targets may accept them. longSilence is the same in unusually long answers.
+	minLongSilence = 400 * time.Millisecond
+	longSilence    = 2
+)
 
 func (s *Server) newTracker() *reach.Tracker {
 	targets := s.cfg.PathTargets
@@ -73,18 +79,25 @@
 func (t *try) watchSilence(ctx context.Context) (stop func()) {
 	x := t.relay
 	usual := x.server.cfg.Collector.SlowAfter(x.service.Name(), x.admission.route.Class())
-	timer := time.AfterFunc(max(usual, minSilence), func() {
-		x.server.track(task.Go(ctx, "path check", func(ctx context.Context) error {
-			t.checkSilence(ctx)
-			return nil
-		}))
-	})
-	return func() { timer.Stop() }
+	watch := func(after time.Duration, m reach.Method) *time.Timer {
+		return time.AfterFunc(after, func() {
+			x.server.track(task.Go(ctx, "path check", func(ctx context.Context) error {
+				t.checkSilence(ctx, m)
+				return nil
+			}))
+		})
+	}
+	short := watch(max(usual, minSilence), reach.MethodConnect)
+	long := watch(max(longSilence*usual, minLongSilence), reach.MethodExchange)
+	return func() {
+		short.Stop()
+		long.Stop()
+	}
 }
 
-func (t *try) checkSilence(ctx context.Context) {
+func (t *try) checkSilence(ctx context.Context, m reach.Method) {
 	x := t.relay
-	if x.server.reach.AnsweredSince(x.service.Name(), t.chosen) || !x.server.reach.Check(ctx, x.service.Name(), reach.MethodExchange) {
+	if x.server.reach.AnsweredSince(x.service.Name(), t.chosen) || !x.server.reach.Check(ctx, x.service.Name(), m) {
 		return
 	}
 	// The answer may still come; the target's slot does not wait for it.
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -18,12 +18,8 @@
 
 // Parameters of checks.
 const (
-	// sampleSize is the greatest number of targets of a check, firstSample how many of them are tried at
-	// once. The others are tried if none of these is reached within firstTimeout: several targets of a
-	// service may be down.
-	sampleSize   = 16
-	firstSample  = 3
-	firstTimeout = 50 * time.Millisecond
+	// stageTimeout is the time after which more targets are tried.
+	stageTimeout = 50 * time.Millisecond
 	// checkTimeout is the time after which a target that does not answer counts as not reached. It is
 	// several round trips between regions.
 	checkTimeout = 300 * time.Millisecond
@@ -33,6 +29,14 @@
 	recheckInterval = 250 * time.Millisecond
 )
 
+// stages are the numbers of targets that a check tries, one after another until any is reached: one is
+// enough where the paths are good, and several targets of a service may be down. An exchange takes
+// the time of a target that may be busy, so that few are made.
+var stages = map[Method][]int{
+	MethodConnect:  {1, 3, 12},
+	MethodExchange: {3},
+}
+
 // Method is how a target is checked.
 type Method uint8
 
@@ -160,19 +164,13 @@
 // run checks a service and records the result.
 func (t *Tracker) run(ctx context.Context, service string, m Method) {
 	started := time.Now()
-	sample := t.sample(service)
-	if reached := t.reachesAny(ctx, service, m, sample); reached == t.Lost(service) {
-		t.set(service, m, !reached, len(sample), time.Since(started))
+	targets := slices.Clone(t.cfg.Targets(service))
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	if reached := t.reachesAny(ctx, service, m, targets); reached == t.Lost(service) {
+		t.set(service, m, !reached, time.Since(started))
 	}
 }
 
-// sample returns some targets of a service, at random.
-func (t *Tracker) sample(service string) []string {
-	all := slices.Clone(t.cfg.Targets(service))
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(len(all), sampleSize)]
-}
-
 // reachesAny reports whether any of the targets is reached. A service without targets counts as
 // reached.
 func (t *Tracker) reachesAny(ctx context.Context, service string, m Method, targets []string) bool {
@@ -211,12 +209,18 @@
 		}
 		return false
 	}
-	first := min(len(targets), firstSample)
-	start(targets[:first])
-	reached := wait(firstTimeout)
-	if !reached {
-		start(targets[first:])
-		reached = wait(checkTimeout)
+	reached := false
+	for i, n := range stages[m] {
+		n = min(n, len(targets))
+		start(targets[:n])
+		targets = targets[n:]
+		limit := stageTimeout
+		if i == len(stages[m])-1 || len(targets) == 0 {
+			limit = checkTimeout
+		}
+		if reached = wait(limit); reached {
+			break
+		}
 	}
 	cancel()
 	if err := tries.Wait(); err != nil && !reached {
@@ -226,7 +230,7 @@
 }
 
 // set records whether a service is lost.
-func (t *Tracker) set(service string, m Method, lost bool, checked int, took time.Duration) {
+func (t *Tracker) set(service string, m Method, lost bool, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	next := maps.Clone(*t.lost.Load())
@@ -239,8 +243,7 @@
 	if t.cfg.OnChange != nil {
 		t.cfg.OnChange(len(next))
 	}
-	l := t.cfg.Log.WithField("service", service).WithField("method", m.String()).WithField("checked", checked).
-		WithField("took_ms", took.Milliseconds())
+	l := t.cfg.Log.WithField("service", service).WithField("method", m.String()).WithField("took_ms", took.Milliseconds())
 	if lost {
 		l.Warn("no target of the service reached from this node")
 		return
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -78,6 +78,7 @@
 			targets: []string{"a", "b", "c"},
 			down:    []string{"a", "c"},
 			silent:  true,
+			most:    50 * time.Millisecond,
 		},
 		{
 			name:    "none reached",
@@ -98,7 +99,7 @@
 			targets: []string{"a", "b", "c", "d", "e", "f", "g", "h"},
 			down:    []string{"a", "b", "c", "d", "e", "f", "g"},
 			silent:  true,
-			most:    50 * time.Millisecond,
+			most:    100 * time.Millisecond,
 		},
 		{
 			name: "no targets",
