internal/node: give each node its own turn at a limited target

The fraction now follows from the time and the node's place among the nodes by address, so that turns are at equal distances. The test now tells each node its place; its bound is unchanged.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -118,6 +118,14 @@
 // Nodes returns the number of nodes that aren't draining, this one included.
 func (v *View) Nodes() int { return len(v.peers) + 1 }
 
+// Index returns the position of this node among those that Nodes counts, by address.
+func (v *View) Index() int {
+	at, _ := slices.BinarySearchFunc(v.peers, v.self.address, func(n Node, a string) int {
+		return strings.Compare(n.address, a)
+	})
+	return at
+}
+
 // Role returns the n live nodes of a data hall that rank first for a role by
 // rendezvous hashing, or of all data halls if dataHall is empty. The slice must
 // not be modified.
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -81,6 +81,15 @@
 	return b.view.Load().Nodes()
 }
 
+// turnOrder returns this node's place among the nodes that share a limit.
+func (b *Board) turnOrder() turnOrder {
+	view := b.view.Load()
+	return turnOrder{
+		index: view.Index(),
+		nodes: view.Nodes(),
+	}
+}
+
 // awaitConfig waits for a configuration with services and returns it, or nil if the context ended
 // before.
 func (b *Board) awaitConfig(ctx context.Context) *fleetconfig.Config {
--- a/internal/node/export_targetlimits_test.go
+++ b/internal/node/export_targetlimits_test.go
@@ -163,14 +163,21 @@
 // Shares are a node's shares of targets' limits.
 type Shares struct {
 	shares shares
+	index  int
 }
 
+// SetIndex sets the node's place among the nodes that share the limits.
+func (s *Shares) SetIndex(index int) { s.index = index }
+
 // Take reports whether the node may send a request to a target with a limit of the given rate.
 func (s *Shares) Take(now time.Time, rate float64, nodes int) bool {
 	return s.shares.take(now, "t", signal.Limit{
 		Rate: rate,
 		Set:  true,
-	}, nodes)
+	}, turnOrder{
+		index: s.index,
+		nodes: nodes,
+	})
 }
 
 // Turn returns the time between two turns of any node to send to a target with a limit.
--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -83,7 +83,7 @@
 		for _, t := range s.Targets() {
 			now := time.Now()
 			status := p.board.targetStatus(now, t)
-			if status.Backoff > 0 || !p.board.shares.take(now, t.Key(), status.Limit, p.board.nodes()) {
+			if status.Backoff > 0 || !p.board.shares.take(now, t.Key(), status.Limit, p.board.turnOrder()) {
 				continue
 			}
 			slots <- struct{}{}
--- a/internal/node/targetlimits.go
+++ b/internal/node/targetlimits.go
@@ -163,6 +163,21 @@
 	return r
 }
 
+// turnOrder is a node's place among the nodes that share a limit, by address.
+type turnOrder struct {
+	index int
+	nodes int
+}
+
+// phase returns the fraction of a token that a node has at a time, where all nodes get rate tokens a
+// second. The turns of the nodes then follow each other at equal distances: turns at random times
+// would come close together now and then, and the fleet would exceed the limit.
+func (o turnOrder) phase(now time.Time, rate float64) float64 {
+	period := float64(time.Second) / rate
+	_, fraction := math.Modf(math.Mod(float64(now.UnixNano()), period)/period + float64(o.index)/float64(o.nodes))
+	return fraction
+}
+
 // shares pace what this node sends to targets with a limit when it chooses without a dispatcher.
 // The zero value is for a node in the independent mode. They may be used concurrently.
 type shares struct {
@@ -183,24 +198,24 @@
 }
 
 // wait returns the time until the node may send a request to a target; 0 is now.
-func (s *shares) wait(now time.Time, key string, l signal.Limit, nodes int) time.Duration {
+func (s *shares) wait(now time.Time, key string, l signal.Limit, order turnOrder) time.Duration {
 	if !l.Set {
 		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, wait := s.pacer(now, key, s.rate(l, nodes))
+	_, wait := s.pacer(now, key, s.rate(l, order.nodes), order)
 	return wait
 }
 
 // take pays for a request to a target and reports whether the limit allows it.
-func (s *shares) take(now time.Time, key string, l signal.Limit, nodes int) bool {
+func (s *shares) take(now time.Time, key string, l signal.Limit, order turnOrder) bool {
 	if !l.Set {
 		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, wait := s.pacer(now, key, s.rate(l, nodes))
+	p, wait := s.pacer(now, key, s.rate(l, order.nodes), order)
 	if wait > 0 {
 		return false
 	}
@@ -208,16 +223,16 @@
 	return true
 }
 
-// pacer returns the pacer of a target and the time until its next token. Nodes start with different
-// fractions of a token, and unused tokens lapse: otherwise nodes that lose their dispatcher
+// pacer returns the pacer of a target and the time until its next token. Nodes have different
+// fractions of a token, and unused tokens expire: otherwise nodes that lose their dispatcher
 // together would spend all of them at once. s.mu is held.
-func (s *shares) pacer(now time.Time, key string, rate float64) (*ratelimit.Pacer, time.Duration) {
+func (s *shares) pacer(now time.Time, key string, rate float64, order turnOrder) (*ratelimit.Pacer, time.Duration) {
 	p := s.pacers[key]
 	if p == nil {
 		if s.pacers == nil || len(s.pacers) >= maxShares {
 			s.pacers = map[string]*ratelimit.Pacer{}
 		}
-		p = ratelimit.NewPacer(now, rand.Float64())
+		p = ratelimit.NewPacer(now, order.phase(now, rate))
 		s.pacers[key] = p
 	}
 	p.Wait(now, rate, math.Inf(1))
@@ -233,7 +248,7 @@
 		At:    now,
 	}
 	status := b.targetStatus(now, t)
-	return permit, !status.Unavailable() && b.shares.take(now, t.Key(), status.Limit, b.nodes())
+	return permit, !status.Unavailable() && b.shares.take(now, t.Key(), status.Limit, b.turnOrder())
 }
 
 // targetsOverShare returns the keys of a partition's targets for which this node's share is used up now.
@@ -246,7 +261,7 @@
 		if hall != "" && t.DataHall() != hall {
 			continue
 		}
-		if b.shares.wait(now, t.Key(), b.targetStatus(now, t).Limit, b.nodes()) > 0 {
+		if b.shares.wait(now, t.Key(), b.targetStatus(now, t).Limit, b.turnOrder()) > 0 {
 			out = append(out, t.Key())
 		}
 	}
@@ -271,7 +286,7 @@
 		if s.Draining(t) || status.Draining {
 			continue
 		}
-		wait := min(b.shares.wait(now, t.Key(), status.Limit, b.nodes()), b.shares.turn(status.Limit))
+		wait := min(b.shares.wait(now, t.Key(), status.Limit, b.turnOrder()), b.shares.turn(status.Limit))
 		wait = max(wait, status.Backoff)
 		if shortest == 0 || wait < shortest {
 			shortest = wait
--- a/internal/node/targetlimits_test.go
+++ b/internal/node/targetlimits_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -205,6 +206,7 @@
 	all := make([]node.Shares, nodes)
 	now := time.Now()
 	for i := range all {
+		all[i].SetIndex(i)
 		all[i].Take(now, rate, nodes)
 	}
 	now = now.Add(10 * time.Minute)
@@ -221,6 +223,35 @@
 	}
 }
 
+// Nodes that learn of a limit at different times keep their turns apart, also with clocks that differ
+// by some milliseconds.
+func TestTurnsOfNodesAreApart(t *testing.T) {
+	const nodes, rate = 40, 1.6
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 500 {
+		all := make([]node.Shares, nodes)
+		skew := make([]time.Duration, nodes)
+		start := time.Now()
+		for i := range all {
+			all[i].SetIndex(i)
+			skew[i] = time.Duration(rng.Int64N(int64(20 * time.Millisecond)))
+			all[i].Take(start.Add(skew[i]+time.Duration(rng.Int64N(int64(time.Minute)))), rate, nodes)
+		}
+		now := start.Add(10 * time.Minute)
+		got := 0
+		for end := now.Add(limitWindow); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			for i := range all {
+				if all[i].Take(now.Add(skew[i]), rate, nodes) {
+					got++
+				}
+			}
+		}
+		if most := int(limitExcess*limitWindow.Seconds()*rate + limitSlack); got > most {
+			t.Fatalf("%d requests in %v, allowed %d", got, limitWindow, most)
+		}
+	}
+}
+
 // A caller refused by this node may reach another one, whose turn comes before.
 func TestTurnIsSharedByAllNodes(t *testing.T) {
 	var s node.Shares
