internal/link: count bytes and connections by purpose

No metric showed what the bytes between data halls are for, nor why connections to targets are opened. Datagrams are now counted by their body, with the piggybacked state as a purpose of its own, peer calls by call on both ends, and bytes to and from targets by the data hall of the target. New connections to targets are counted by cause; the end of a connection explains the next new one. Counting is an addition to a fixed table and allocates nothing. Both are in plover_bytes and plover_connections, in the status and in ploverctl status.

--- a/cmd/ploverctl/status.go
+++ b/cmd/ploverctl/status.go
@@ -85,6 +85,7 @@
 		}
 	}
 	fmt.Fprintf(b, "  members: %d, %d live\n", len(s.Members), live)
+	writeTraffic(b, s)
 	for i := range s.Services {
 		writeService(b, &s.Services[i])
 	}
@@ -102,6 +103,32 @@
 	}
 }
 
+// writeTraffic writes the bytes of each purpose, and the causes of connections, on one line each.
+func writeTraffic(b *strings.Builder, s *operator.Status) {
+	purpose := ""
+	for _, t := range s.Traffic {
+		if t.Purpose != purpose {
+			if purpose != "" {
+				b.WriteString("\n")
+			}
+			purpose = t.Purpose
+			fmt.Fprintf(b, "  bytes for %s:", purpose)
+		}
+		fmt.Fprintf(b, " %s %d", t.Scope, t.Bytes)
+	}
+	if purpose != "" {
+		b.WriteString("\n")
+	}
+	if len(s.Connections) == 0 {
+		return
+	}
+	b.WriteString("  connections to targets:")
+	for _, c := range s.Connections {
+		fmt.Fprintf(b, " %s %d", c.Cause, c.Count)
+	}
+	b.WriteString("\n")
+}
+
 func writeTargetLimit(b *strings.Builder, l *operator.TargetLimitStatus) {
 	granted := ""
 	if l.Dispatcher {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -19,6 +19,7 @@
 	"ploverjunction.example/ploverjunction/internal/quarantine"
 	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/traffic"
 )
 
 // relay carries one request from its admission to a target's answer. It belongs to the goroutine
@@ -290,6 +291,7 @@
 	return &forward.Request{
 		ID:         x.id,
 		Target:     c.Address,
+		Scope:      traffic.ScopeOf(x.server.cfg.DataHall, c.DataHall),
 		Expect:     c.ID,
 		Repeatable: x.admission.route.Repeatable(),
 		Method:     x.req.Method,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -28,6 +28,7 @@
 	"ploverjunction.example/ploverjunction/internal/reach"
 	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
+	"ploverjunction.example/ploverjunction/internal/traffic"
 )
 
 // Config holds the settings and dependencies of a Server. All functions may be called
@@ -45,6 +46,10 @@
 	Deadline time.Duration
 	Stall    time.Duration
 	Outgoing netip.Addr
+	// DataHall is that of this node. TargetBytes counts the bytes to and from targets by whether they
+	// are in it; nil counts none.
+	DataHall    string
+	TargetBytes *traffic.Bytes
 	// WorkspaceHeader names the header with a request's workspace. Callers set it or, if Keyed is
 	// set, the server sets it for targets.
 	WorkspaceHeader string
@@ -142,6 +147,9 @@
 	outbound memory
 }
 
+// Connections returns the counts of the connections to targets.
+func (s *Server) Connections() *forward.Connections { return s.client.Connections() }
+
 // New returns a server that listens but does not serve yet.
 func New(cfg Config) (*Server, error) {
 	lis, err := net.Listen("tcp", cfg.Listen.String())
@@ -162,6 +170,7 @@
 			limit: cfg.Memory,
 		},
 	}
+	s.client.CountBytes(cfg.TargetBytes)
 	s.reach = s.newTracker()
 	s.buffers.New = func() any {
 		b := make([]byte, copyBuffer)
--- a/internal/forward/check.go
+++ b/internal/forward/check.go
@@ -19,6 +19,7 @@
 			cause:  err,
 		}
 	}
+	c.connections.count(CauseCheck)
 	return conn.Close()
 }
 
@@ -42,6 +43,7 @@
 	if path == "" {
 		r.Method, r.URL.Opaque = http.MethodOptions, "*"
 	}
+	c.connections.count(CauseCheck)
 	transport := http.Transport{
 		DialContext:       c.dial,
 		DisableKeepAlives: true,
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -12,11 +12,13 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/signal"
+	"ploverjunction.example/ploverjunction/internal/traffic"
 )
 
 // Bounds of connections to targets.
@@ -44,6 +46,9 @@
 	dial          func(ctx context.Context, network, address string) (net.Conn, error)
 	hold          int64
 	stall         time.Duration
+	connections   *Connections
+	// bytes counts those of the connections; nil counts none.
+	bytes *traffic.Bytes
 }
 
 // NewClient returns a client that reads answers of at most hold bytes whole before it returns
@@ -63,16 +68,32 @@
 		dial:     dialer.DialContext,
 		hold:     hold,
 		stall:    stall,
+
+		connections: newConnections(),
 	}
-	cl.transport = cl.newTransport(idleTimeout)
-	cl.nonRepeatable = cl.newTransport(idleTimeoutNonRepeatable)
+	cl.transport = cl.newTransport(idleTimeout, true)
+	cl.nonRepeatable = cl.newTransport(idleTimeoutNonRepeatable, false)
 	return cl
 }
 
-func (c *Client) newTransport(idle time.Duration) *http.Transport {
+// CountBytes adds the bytes of all connections to b. It must be called before the first attempt.
+func (c *Client) CountBytes(b *traffic.Bytes) { c.bytes = b }
+
+// Connections returns the counts of the connections that were opened.
+func (c *Client) Connections() *Connections { return c.connections }
+
+func (c *Client) count(p traffic.Purpose, s traffic.Scope, n int) {
+	if c.bytes != nil {
+		c.bytes.Add(p, s, n)
+	}
+}
+
+func (c *Client) newTransport(idle time.Duration, repeatable bool) *http.Transport {
 	return &http.Transport{
-		Proxy:                  nil,
-		DialContext:            c.dialGuarded,
+		Proxy: nil,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return c.dialGuarded(ctx, network, address, repeatable)
+		},
 		DisableCompression:     true,
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    idlePerTarget,
@@ -89,14 +110,21 @@
 	c.nonRepeatable.CloseIdleConnections()
 }
 
-func (c *Client) dialGuarded(ctx context.Context, network, address string) (net.Conn, error) {
+func (c *Client) dialGuarded(ctx context.Context, network, address string, repeatable bool) (net.Conn, error) {
 	conn, err := c.dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &guard{
-		Conn: conn,
-	}, nil
+	g := &guard{
+		Conn:   conn,
+		client: c,
+		key: poolKey{
+			address:    address,
+			repeatable: repeatable,
+		},
+	}
+	c.connections.opened(time.Now(), g.key)
+	return g, nil
 }
 
 // Request is what an attempt sends. The header must have no hop-by-hop fields; it belongs to the
@@ -104,6 +132,8 @@
 type Request struct {
 	ID     string
 	Target string
+	// Scope is that of the bytes of the attempt.
+	Scope traffic.Scope
 	// Expect is the ID of the target that may run the request, or "".
 	Expect string
 	// Repeatable reports whether the request may run more than once.
@@ -193,10 +223,17 @@
 }
 
 func (c *Client) send(ctx context.Context, cl *claim, r *Request) (*http.Response, error) {
+	var used atomic.Pointer[guard]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if g, ok := info.Conn.(*guard); ok {
-				g.attach(cl)
+				g.attach(cl, r.Scope)
+				used.Store(g)
+			}
+		},
+		PutIdleConn: func(err error) {
+			if g := used.Load(); g != nil && err == nil {
+				g.state.idleAfter.Store(cl)
 			}
 		},
 	}
@@ -226,10 +263,15 @@
 	if r.Via != nil {
 		return r.Via(req)
 	}
+	transport := c.transport
 	if !r.Repeatable {
-		return c.nonRepeatable.RoundTrip(req)
+		transport = c.nonRepeatable
+	}
+	res, err := transport.RoundTrip(req)
+	if g := used.Load(); g != nil && err == nil && res.Close {
+		g.state.saidClose.Store(true)
 	}
-	return c.transport.RoundTrip(req)
+	return res, err
 }
 
 // roundTripError returns what a failed round trip proves. The claim is sealed first: after that no
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return connectionRefused(err)
 	}
+	c.connections.count(CauseCheck)
 	_ = conn.Close()
 	return false
 }
--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -6,6 +6,8 @@
 	"context"
 	"net"
 	"time"
+
+	"ploverjunction.example/ploverjunction/internal/traffic"
 )
 
 // SetDial replaces the client's dial function.
@@ -18,8 +20,11 @@
 func NewGuard(conn net.Conn, deadline time.Time, unavailable func(now time.Time) bool) (guarded net.Conn, seal func() bool) {
 	g := &guard{
 		Conn: conn,
+		client: &Client{
+			connections: newConnections(),
+		},
 	}
 	c := newClaim(deadline, unavailable)
-	g.attach(c)
+	g.attach(c, traffic.Unknown)
 	return g, c.seal
 }
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"ploverjunction.example/ploverjunction/internal/traffic"
 )
 
 // claim is the right of one attempt to write to a target. It records whether any byte was passed
@@ -78,10 +80,57 @@
 	return c.written
 }
 
-// guard is a connection to a target that writes only for a valid claim.
+// guard is a connection to a target that writes only for a valid claim, and counts its bytes and
+// the cause of its end.
 type guard struct {
 	net.Conn
 	claim atomic.Pointer[claim]
+	// client counts the connection among those of key.
+	client *Client
+	key    poolKey
+	// scope is that of the bytes of the current claim.
+	scope atomic.Uint32
+	state connState
+}
+
+// connState is what decides why a connection ended.
+type connState struct {
+	// idleAfter is the claim after which the connection became idle; a new one is idle without any.
+	idleAfter atomic.Pointer[claim]
+	// closed is set once this node closed the connection.
+	closed atomic.Bool
+	// idleAtEnd is set if the connection was idle when this node closed it, broken once the target
+	// closed it while idle, saidClose once the target announced the end of the connection.
+	idleAtEnd atomic.Bool
+	broken    atomic.Bool
+	saidClose atomic.Bool
+}
+
+// cause returns why the connection ended.
+func (s *connState) cause() Cause {
+	switch {
+	case s.broken.Load():
+		return CauseClosedByTarget
+	case s.idleAtEnd.Load():
+		return CauseClosedForAge
+	case s.saidClose.Load():
+		return CauseTargetSaidClose
+	default:
+		return CauseAfterError
+	}
+}
+
+// idle reports whether no attempt uses the connection.
+func (g *guard) idle() bool { return g.state.idleAfter.Load() == g.claim.Load() }
+
+// Read reads from the connection.
+func (g *guard) Read(b []byte) (int, error) {
+	n, err := g.Conn.Read(b)
+	g.client.count(traffic.TargetResponses, traffic.Scope(g.scope.Load()), n)
+	if err != nil && !g.state.closed.Load() && g.idle() {
+		g.state.broken.Store(true)
+	}
+	return n, err
 }
 
 // Write writes b to the connection if the current claim allows it.
@@ -95,10 +144,22 @@
 	if err := c.allowWrite(time.Now()); err != nil {
 		return 0, err
 	}
-	return g.Conn.Write(b)
+	n, err := g.Conn.Write(b)
+	g.client.count(traffic.TargetRequests, traffic.Scope(g.scope.Load()), n)
+	return n, err
+}
+
+// Close closes the connection and records its end.
+func (g *guard) Close() error {
+	if !g.state.closed.Swap(true) {
+		g.state.idleAtEnd.Store(g.idle())
+		g.client.connections.closed(time.Now(), g.key, &g.state)
+	}
+	return g.Conn.Close()
 }
 
-func (g *guard) attach(c *claim) {
+func (g *guard) attach(c *claim, scope traffic.Scope) {
 	c.bind()
+	g.scope.Store(uint32(scope))
 	g.claim.Store(c)
 }
--- a/internal/link/datagram.go
+++ b/internal/link/datagram.go
@@ -90,7 +90,7 @@
 		b = append(b, s.tag(b)...)
 	}
 	n, err := s.conn.WriteToUDPAddrPort(b, to)
-	s.traffic.sent.Add(int64(n))
+	s.traffic.countDatagram(peer, d, n)
 	if err != nil {
 		return fault(KindCall, err)
 	}
--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -13,6 +13,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"ploverjunction.example/ploverjunction/internal/traffic"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -49,22 +50,22 @@
 
 // Sync calls Sync of a peer.
 func (d *Dialer) Sync(ctx context.Context, peer string, in *wire.SyncRequest) (*wire.SyncReply, error) {
-	return call(ctx, d, peer, in, wire.DRPCPeerClient.Sync)
+	return call(ctx, d, peer, syncPurpose(in), in, wire.DRPCPeerClient.Sync)
 }
 
 // Observe calls Observe of a peer.
 func (d *Dialer) Observe(ctx context.Context, peer string, in *wire.ReportBatch) error {
-	_, err := call(ctx, d, peer, in, wire.DRPCPeerClient.Observe)
+	_, err := call(ctx, d, peer, traffic.Evidence, in, wire.DRPCPeerClient.Observe)
 	return err
 }
 
 // Judge calls Judge of a peer.
 func (d *Dialer) Judge(ctx context.Context, peer string, in *wire.VerdictBatch) error {
-	_, err := call(ctx, d, peer, in, wire.DRPCPeerClient.Judge)
+	_, err := call(ctx, d, peer, traffic.Evidence, in, wire.DRPCPeerClient.Judge)
 	return err
 }
 
-func call[In, Out any](ctx context.Context, d *Dialer, peer string, in In, fn func(wire.DRPCPeerClient, context.Context, In) (Out, error)) (Out, error) {
+func call[In, Out any](ctx context.Context, d *Dialer, peer string, purpose traffic.Purpose, in In, fn func(wire.DRPCPeerClient, context.Context, In) (Out, error)) (Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	d.traffic.calls.Add(1)
@@ -73,7 +74,7 @@
 	defer d.trim()
 	defer p.mu.Unlock()
 	p.lastUsed.Store(time.Now().UnixNano())
-	if err := d.connect(ctx, p, peer); err != nil {
+	if err := d.connect(ctx, p, peer, purpose); err != nil {
 		return zero, err
 	}
 	out, err := fn(wire.NewDRPCPeerClient(p.conn), ctx, in)
@@ -124,16 +125,18 @@
 	d.closeMatching(func(p *peerConn) bool { return p.lastUsed.Load() <= used[over-1] })
 }
 
-func (d *Dialer) connect(ctx context.Context, p *peerConn, address string) error {
+// connect opens the connection to a peer if there is none, and labels it with the purpose of a call.
+func (d *Dialer) connect(ctx context.Context, p *peerConn, address string, purpose traffic.Purpose) error {
 	if p.conn != nil {
 		select {
 		case <-p.conn.Closed():
 			p.conn = nil
 		default:
+			d.label(p.conn, address, purpose)
 			return nil
 		}
 	}
-	conn, err := d.dial(ctx, address)
+	conn, err := d.dial(ctx, address, purpose)
 	if err != nil {
 		return err
 	}
@@ -141,8 +144,15 @@
 	return nil
 }
 
-// dial opens a connection to a peer.
-func (d *Dialer) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+// label labels a connection to a peer with the purpose of the next call.
+func (d *Dialer) label(conn *drpcconn.Conn, address string, purpose traffic.Purpose) {
+	if c := countedOf(conn.Transport()); c != nil {
+		c.label(purpose, d.traffic.scope(address))
+	}
+}
+
+// dial opens a connection to a peer for a call with a purpose.
+func (d *Dialer) dial(ctx context.Context, address string, purpose traffic.Purpose) (*drpcconn.Conn, error) {
 	raw, err := (&net.Dialer{
 		Timeout: dialTimeout,
 	}).DialContext(ctx, "tcp", address)
@@ -153,10 +163,12 @@
 			cause: err,
 		}
 	}
-	var conn net.Conn = &countedConn{
+	counted := &countedConn{
 		Conn:    raw,
 		traffic: d.traffic,
 	}
+	counted.label(purpose, d.traffic.scope(address))
+	var conn net.Conn = counted
 	if d.keys != nil {
 		cfg := d.keys.config.Clone()
 		cfg.ServerName, _, _ = net.SplitHostPort(address)
--- a/internal/link/export_test.go
+++ b/internal/link/export_test.go
@@ -2,6 +2,8 @@
 
 package link
 
+import "ploverjunction.example/ploverjunction/internal/wire"
+
 // MostIdle is the number of connections without a call that a Dialer keeps.
 const MostIdle = maxIdle
 
@@ -11,3 +13,6 @@
 	defer d.mu.Unlock()
 	return len(d.peers)
 }
+
+// CountDatagram counts the n bytes of a datagram that was sent.
+func (t *Traffic) CountDatagram(peer string, d *wire.Datagram, n int) { t.countDatagram(peer, d, n) }
--- a/internal/link/forward.go
+++ b/internal/link/forward.go
@@ -11,6 +11,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"ploverjunction.example/ploverjunction/internal/traffic"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -124,7 +125,7 @@
 func (f *Forwarded) open(ctx context.Context, head *wire.RequestHead) error {
 	f.conn = f.dialer.forward.take(f.peer)
 	if f.conn == nil {
-		conn, err := f.dialer.dial(ctx, f.peer)
+		conn, err := f.dialer.dial(ctx, f.peer, traffic.ForwardedRequests)
 		if err != nil {
 			return err
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,7 +9,6 @@
 	"crypto/tls"
 	"fmt"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcmux"
@@ -54,56 +53,6 @@
 // Kind returns what failed.
 func (e *Error) Kind() Kind { return e.kind }
 
-// Traffic counts the bytes on all links of a process. It may be used
-// concurrently.
-type Traffic struct {
-	sent     atomic.Int64
-	received atomic.Int64
-	calls    atomic.Int64
-}
-
-// Sent returns the bytes sent.
-func (t *Traffic) Sent() int64 { return t.sent.Load() }
-
-// Received returns the bytes received.
-func (t *Traffic) Received() int64 { return t.received.Load() }
-
-// Calls returns the number of calls made to peers.
-func (t *Traffic) Calls() int64 { return t.calls.Load() }
-
-type countedConn struct {
-	net.Conn
-	traffic *Traffic
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.traffic.received.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.traffic.sent.Add(int64(n))
-	return n, err
-}
-
-type countedListener struct {
-	net.Listener
-	traffic *Traffic
-}
-
-func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{
-		Conn:    conn,
-		traffic: l.traffic,
-	}, nil
-}
-
 // Server serves the calls of peers.
 type Server struct {
 	listener net.Listener
@@ -129,7 +78,10 @@
 		lis = tls.NewListener(lis, keys.config)
 	}
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterPeer(mux, handler); err != nil {
+	if err := wire.DRPCRegisterPeer(mux, &labellingServer{
+		DRPCPeerServer: handler,
+		traffic:        traffic,
+	}); err != nil {
 		panic("link: register peer service: " + err.Error())
 	}
 	return &Server{
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -108,6 +108,18 @@
 	return ok && v.live[at].dataHall == v.self.dataHall
 }
 
+// DataHall returns the data hall of another node that isn't draining, or "" if there is no such node or its
+// data hall is unknown.
+func (v *View) DataHall(address string) string {
+	at, ok := slices.BinarySearchFunc(v.peers, address, func(n Node, a string) int {
+		return strings.Compare(n.address, a)
+	})
+	if !ok {
+		return ""
+	}
+	return v.peers[at].dataHall
+}
+
 // find returns the index of a live node and whether there is one.
 func (v *View) find(address string) (int, bool) {
 	return slices.BinarySearchFunc(v.live, address, func(n Node, a string) int {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -133,6 +133,16 @@
 // Count adds n to an untagged counter.
 func (m *Metrics) Count(name string, n int64) { m.scope.Counter(name).Inc(n) }
 
+// CountBytes adds n to the counter of the bytes for a purpose in a scope.
+func (m *Metrics) CountBytes(purpose, scope string, n int64) {
+	m.scope.Tagged(map[string]string{"purpose": purpose, "scope": scope}).Counter("bytes").Inc(n)
+}
+
+// CountConnections adds n to the counter of the connections to targets opened for a cause.
+func (m *Metrics) CountConnections(cause string, n int64) {
+	m.scope.Tagged(map[string]string{"cause": cause}).Counter("connections").Inc(n)
+}
+
 // Gauge sets an untagged gauge.
 func (m *Metrics) Gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,7 @@
 	}
 	n.dialer = link.NewDialer(keys, n.traffic)
 	n.members = newMembers(n.board, membership.NewNode(n.address(), set.DataHall()), set.Weight())
+	n.traffic.SetScope(n.board.scope)
 	n.members.incarnation.Store(uint64(n.started.UnixMilli()))
 	n.replica = dissemination.NewReplica(n.applyConfig)
 	n.gossip = dissemination.New(n.gossipConfig(), n.replica)
@@ -325,6 +326,7 @@
 		"entry":     n.entry.Serve,
 		"operator":  n.operator.Serve,
 		"source":    n.runSource,
+		"traffic":   n.reportTraffic,
 	}
 	if n.messenger != nil {
 		run["datagrams"] = n.messenger.run
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -60,6 +60,8 @@
 		Deadline:        n.set.Deadline(),
 		Stall:           n.set.StallTimeout(),
 		Outgoing:        n.set.Outgoing(),
+		DataHall:        n.set.DataHall(),
+		TargetBytes:     n.traffic.Bytes(),
 		WorkspaceHeader: n.set.WorkspaceHeader(),
 		KeyIdentity:     n.set.Workspaces().Identity() == settings.IdentityKey,
 		Trusted:         currency.trusted,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -38,6 +38,7 @@
 			Calls:         n.traffic.Calls(),
 		},
 	}
+	s.Traffic, s.Connections = n.trafficStatus()
 	s.HeldRequests, s.HeldAnswers = n.entry.Held()
 	if n.adapter.Calls != nil {
 		s.Control.PlatformCalls = n.adapter.Calls()
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -25,7 +25,11 @@
 	// received by this node.
 	TargetLimits []TargetLimitStatus `json:"target_limits"`
 	Control      ControlStatus       `json:"control"`
-	Revisions    map[string]uint64   `json:"revisions"`
+	// Traffic lists the bytes by purpose and scope, Connections the new connections to targets by
+	// cause, since the start. What is 0 is omitted.
+	Traffic     []TrafficStatus     `json:"traffic"`
+	Connections []ConnectionsStatus `json:"connections"`
+	Revisions   map[string]uint64   `json:"revisions"`
 }
 
 // ConfigStatus describes the configuration in force.
@@ -93,6 +97,20 @@
 	PlatformCalls int64 `json:"platform_calls"`
 }
 
+// TrafficStatus is the number of bytes for one purpose within the data hall, between data halls, or
+// to an unknown one.
+type TrafficStatus struct {
+	Purpose string `json:"purpose"`
+	Scope   string `json:"scope"`
+	Bytes   int64  `json:"bytes"`
+}
+
+// ConnectionsStatus is the number of connections to targets that were opened for one cause.
+type ConnectionsStatus struct {
+	Cause string `json:"cause"`
+	Count int64  `json:"count"`
+}
+
 // LimitStatus is the limit of one workspace as this node sees it.
 type LimitStatus struct {
 	Workspace string `json:"workspace"`
