internal/dispatch: partition services by slots

A service was partitioned by data halls only with 30 targets in each, so that the messages of services with fewer but larger targets crossed data halls.

The reserve of a partition was divided by two where its dispatcher did not partition the service yet; it is now divided by the number of data halls in any case.

--- a/internal/dispatch/partition_test.go
+++ b/internal/dispatch/partition_test.go
@@ -26,28 +26,34 @@
 	return out
 }
 
-// countByHall returns the number of targets by data hall.
-func countByHall(counts ...int) map[string]int {
-	out := map[string]int{}
+// sizeByHall returns the numbers of targets and of their slots, 3 each, by data hall.
+func sizeByHall(counts ...int) map[string]dispatch.HallSize {
+	out := map[string]dispatch.HallSize{}
 	for _, t := range targetsInHalls(counts...) {
-		out[t.DataHall]++
+		s := out[t.DataHall]
+		s.Targets++
+		s.Slots += t.Slots
+		out[t.DataHall] = s
 	}
 	return out
 }
 
 func ExamplePartition() {
-	fmt.Println(dispatch.Partition(countByHall(92, 94, 89, 72, 84)))
-	fmt.Println(dispatch.Partition(countByHall(6, 5, 5)))
+	fmt.Println(dispatch.Partition(sizeByHall(92, 94, 89, 72, 84), 0))
+	fmt.Println(dispatch.Partition(sizeByHall(27, 28, 29), 0))
+	fmt.Println(dispatch.Partition(sizeByHall(27, 28, 29), 80))
 	// Output:
 	// [a b c d e]
 	// []
+	// [a b c]
 }
 
 func TestPartition(t *testing.T) {
 	tests := []struct {
-		name   string
-		counts []int
-		want   []string
+		name     string
+		counts   []int
+		minSlots int
+		want     []string
 	}{
 		{
 			name: "no targets",
@@ -69,10 +75,49 @@
 			counts: []int{30, 31},
 			want:   []string{"a", "b"},
 		},
+		{
+			name:     "slots do not count without the setting",
+			counts:   []int{29, 31},
+			minSlots: 0,
+		},
+		{
+			name:     "enough slots in each",
+			counts:   []int{27, 28},
+			minSlots: 80,
+			want:     []string{"a", "b"},
+		},
+		{
+			name:     "one slot too few in one data hall",
+			counts:   []int{26, 90},
+			minSlots: 79,
+		},
+		{
+			name:     "enough targets where slots are too few",
+			counts:   []int{30, 40},
+			minSlots: 100,
+			want:     []string{"a", "b"},
+		},
+		{
+			name:     "targets in one data hall, slots in the other",
+			counts:   []int{30, 28},
+			minSlots: 80,
+			want:     []string{"a", "b"},
+		},
+		{
+			name:     "enough slots on too few targets",
+			counts:   []int{11, 40},
+			minSlots: 30,
+		},
+		{
+			name:     "enough slots on just enough targets",
+			counts:   []int{12, 40},
+			minSlots: 30,
+			want:     []string{"a", "b"},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := dispatch.Partition(countByHall(tt.counts...)); !slices.Equal(got, tt.want) {
+			if got := dispatch.Partition(sizeByHall(tt.counts...), tt.minSlots); !slices.Equal(got, tt.want) {
 				t.Errorf("got %v, want %v", got, tt.want)
 			}
 		})
--- a/internal/fleetconfig/pool.go
+++ b/internal/fleetconfig/pool.go
@@ -12,6 +12,8 @@
 type hall struct {
 	name  string
 	total int
+	// slots are those of all targets, draining ones included.
+	slots int
 	// notDraining counts the targets that are not draining.
 	notDraining int
 }
@@ -30,11 +32,20 @@
 // Slots returns how many requests all targets together process concurrently.
 func (s *Service) Slots() int { return s.slots }
 
-// HallSizes returns the number of targets by data hall, draining ones included.
-func (s *Service) HallSizes() map[string]int {
-	out := make(map[string]int, len(s.halls))
+// HallSize is the size of a service in one data hall, with draining targets.
+type HallSize struct {
+	Targets int
+	Slots   int
+}
+
+// HallSizes returns the size of the service in each data hall with targets, draining ones included.
+func (s *Service) HallSizes() map[string]HallSize {
+	out := make(map[string]HallSize, len(s.halls))
 	for _, h := range s.halls {
-		out[h.name] = h.total
+		out[h.name] = HallSize{
+			Targets: h.total,
+			Slots:   h.slots,
+		}
 	}
 	return out
 }
@@ -66,6 +77,7 @@
 	s.slots += n * t.slots
 	h := &s.halls[at]
 	h.total += n
+	h.slots += n * t.slots
 	if !t.draining {
 		h.notDraining += n
 	}
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -67,7 +67,10 @@
 	seeds int
 	// floor is the share of the working targets of each service that should have work.
 	floor float64
-	log   *logrus.Entry
+	// partitionSlots is the number of slots in each data hall from which on a service is partitioned;
+	// 0 leaves that to the number of targets.
+	partitionSlots int
+	log            *logrus.Entry
 	// setCoverageShort receives the probability that too few working targets of a partition had
 	// work recently.
 	setCoverageShort func(p partition, short float64)
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -156,7 +156,9 @@
 func (d *dispatchController) budgetOf(p partition, sc *fleetconfig.Service) dispatch.Budget {
 	b := d.budget
 	if p.hall != "" {
-		b.Reserve /= float64(max(len(d.partitionings.halls(sc)), 2))
+		// The data halls are counted even if this node would not partition the service: it may have
+		// the configuration later than the node that requested the grant.
+		b.Reserve /= float64(max(len(sc.HallSizes()), 2))
 	}
 	return b
 }
--- a/internal/node/partition.go
+++ b/internal/node/partition.go
@@ -58,19 +58,28 @@
 // partitionings holds that of each service in force, by name.
 type partitionings map[string]partitioning
 
-// halls returns the data halls by which a service is divided, or nil.
-func (d partitionings) halls(sc *fleetconfig.Service) []string {
+// halls returns the data halls by which a service is divided, or nil. minSlots is the setting for the
+// slots of a data hall.
+func (d partitionings) halls(sc *fleetconfig.Service, minSlots int) []string {
 	cached := d[sc.Name()]
 	if cached.config != sc {
 		cached = partitioning{
 			config:    sc,
-			dataHalls: dispatch.Partition(sc.HallSizes()),
+			dataHalls: dispatch.Partition(hallSizes(sc), minSlots),
 		}
 		d[sc.Name()] = cached
 	}
 	return cached.dataHalls
 }
 
+func hallSizes(sc *fleetconfig.Service) map[string]dispatch.HallSize {
+	out := map[string]dispatch.HallSize{}
+	for hall, size := range sc.HallSizes() {
+		out[hall] = dispatch.HallSize(size)
+	}
+	return out
+}
+
 // currentService returns the service in force now, or s if there is none.
 func (d *dispatchController) currentService(s *fleetconfig.Service) *fleetconfig.Service {
 	return d.board.currentService(s)
@@ -79,7 +88,7 @@
 // open returns the data halls by which the service of a request is divided and that may serve it,
 // or nil if the service is not divided. d.mu is held.
 func (d *dispatchController) open(q *entry.Query) []string {
-	halls := d.partitionings.halls(d.currentService(q.Service))
+	halls := d.partitionings.halls(d.currentService(q.Service), d.partitionSlots)
 	closed := d.board.closedHalls(q)
 	if len(closed) == 0 {
 		return halls
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -46,7 +46,7 @@
 		Reserve: reserve,
 		Window:  window,
 	}, logging.Part(n.log, "dispatch"))
-	d.floor = n.set.Floor()
+	d.floor, d.partitionSlots = n.set.Floor(), n.set.PartitionSlots()
 	d.setCoverageShort = func(p partition, short float64) { n.metrics.PartitionGauge("coverage_short", p.service, p.hall, short) }
 	d.seeds = n.limits.seeds
 	d.setLimitedTargets = func(p partition, targets int) {
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -13,6 +13,7 @@
 	maxDrainWait  = 10 * time.Minute
 	maxDeadline   = 24 * time.Hour
 	maxWorkspaces = 10000
+	maxSlots      = 1_000_000
 	maxReserve    = 1_000_000
 	maxRetryShare = 10
 	maxMemory     = 1 << 44
@@ -83,6 +84,7 @@
 		withFallback("targets", "retry_share", decimal(&s.retryShare, 0, maxRetryShare), func() { s.retryShare = 0 }),
 		withFallback("targets", "retry_reserve", decimal(&s.retryReserve, 0, maxReserve), func() { s.retryReserve = 0 }),
 		withFallback("targets", "retry_window", duration(&s.retryWindow, minWindow, maxDeadline), func() {}),
+		withFallback("targets", "partition_slots", count(&s.partitionSlots, 0, maxSlots), func() { s.partitionSlots = 0 }),
 		optional("workspaces", "identity", oneOf(&s.workspaces.identity, IdentityHeader, IdentityKey)),
 		withFallback("workspaces", "strict", boolean(&s.workspaces.strict), func() { s.workspaces.strict = true }),
 		withFallback("workspaces", "key_age", duration(&s.workspaces.keyAge, minWindow, maxDeadline), func() {}),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,8 @@
 	retryReserve float64
 	retryWindow  time.Duration
 
+	partitionSlots int
+
 	workspaces Workspaces
 
 	// warnings are faults for which a safe value is used.
@@ -169,6 +171,10 @@
 	return s.retryShare, s.retryReserve, s.retryWindow
 }
 
+// PartitionSlots returns the number of slots of a service in each data hall from which on it is
+// partitioned by data halls; 0 leaves that to the number of targets. All nodes must have the same value.
+func (s *Settings) PartitionSlots() int { return s.partitionSlots }
+
 // Workspaces returns how workspaces are identified and limited.
 func (s *Settings) Workspaces() *Workspaces { return &s.workspaces }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -242,6 +242,25 @@
 	}
 }
 
+// Guards against a process that doesn't start, or divides services by a figure that nobody set.
+func TestPartitionSlots(t *testing.T) {
+	for text, want := range map[string]int{
+		"":                         0,
+		"partition_slots = 80\n":   80,
+		"partition_slots = 0\n":    0,
+		"partition_slots = -1\n":   0,
+		"partition_slots = many\n": 0,
+	} {
+		s, err := load(t, good+"[targets]\n"+text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.PartitionSlots() != want {
+			t.Errorf("%q: %d slots, want %d", text, s.PartitionSlots(), want)
+		}
+	}
+}
+
 func TestWorkspaces(t *testing.T) {
 	s, err := load(t, good+"[workspaces]\nidentity = key\nstrict = true\nkey_age = 4s\nwindow = 2s\nexcess = 0.1\nslack = 7.5\n")
 	if err != nil {
