internal/dispatch: order waiting requests by fair shares

Grant requests named no workspace, and waiting requests were ordered by priority and arrival: a workspace within its usual demand waited behind one at ten times its own. While slots are short, waiting requests are now ordered by priority and then by start-time fair queueing of slot-seconds over workspaces. The queue was a list that each decision scanned; waiting requests of the same traits are now grouped.

--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -11,6 +11,7 @@
 // Done records the end of a granted attempt and returns the grants that its slot makes possible.
 func (d *Scheduler) Done(now time.Time, id ID, key string, r Result, took time.Duration) []Grant {
 	delete(d.granted, id)
+	d.queue.shares.settle(now, id)
 	d.ended[id] = now
 	t := d.targets[key]
 	if t == nil {
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -2,6 +2,8 @@
 
 package dispatch
 
+import "time"
+
 // ApproxShortProbability exports approxShortProbability to the tests.
 func ApproxShortProbability(reached, idle []float64, floor float64) float64 {
 	return approxShortProbability(reached, idle, floor)
@@ -11,3 +13,9 @@
 func ShortProbability(reached, idle []float64, floor float64) float64 {
 	return shortProbability(reached, idle, floor)
 }
+
+// SlotsShort exports slotsShort to the tests.
+func (d *Scheduler) SlotsShort(now time.Time) bool { return d.slotsShort(now) }
+
+// WorkspaceStates returns the number of workspaces and priorities that have state.
+func (d *Scheduler) WorkspaceStates() int { return len(d.queue.shares.flows) }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -48,6 +48,9 @@
 	Kilobytes int
 	// Priority is the rank under overload; 0 is served first.
 	Priority int
+	// Workspace is the workspace of the request, "" for none. While slots are short, the workspaces
+	// with waiting requests get fair shares of them.
+	Workspace string
 	// Route is the route name; requests of one route have similar response times.
 	Route string
 	// After SoftDeadline an answer is worth less, after Deadline nothing.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -88,9 +88,14 @@
 		granted:      map[ID]string{},
 		ended:        map[ID]time.Time{},
 		model:        health.NewModel(now),
+		queue:        newQueue(),
 	}
 }
 
+// SetWeights sets the source of the weights of workspaces: their relative shares of the slots while
+// these are short. A weight that is not a positive number counts as 1, as without a source.
+func (d *Scheduler) SetWeights(weight func(workspace string) float64) { d.queue.shares.weight = weight }
+
 // RequestGrant answers a grant request at once. A repeated request with the same ID gets the same
 // answer.
 func (d *Scheduler) RequestGrant(now time.Time, a *Request) Grant {
@@ -146,7 +151,8 @@
 	if d.unavailable(now, a) {
 		return a.withoutTarget(Refused, 0)
 	}
-	if wait := d.wait(now, a.Priority); wait > d.maxExpectedWait(now, a) {
+	wait, work := d.wait(now, a)
+	if wait > d.maxExpectedWait(now, a) {
 		return a.withoutTarget(Refused, d.retryAfter(wait))
 	}
 	if t := d.starved(now, a); t != nil {
@@ -160,7 +166,7 @@
 
 		margin: d.margin(now, a),
 	}
-	if work, _ := d.queue.ahead(now, a.Priority); work == 0 {
+	if work == 0 {
 		if t := d.best(now, w, d.free(now)); t != nil {
 			d.lastFreeSlot = now
 			return d.grant(now, t, a, false)
@@ -169,7 +175,7 @@
 	if a.NonQueueing || d.infeasible(now, a) {
 		return a.withoutTarget(Refused, 0)
 	}
-	d.queue.add(w)
+	d.queue.add(now, w)
 	return Grant{
 		ID:       a.ID,
 		Decision: Queued,
@@ -189,15 +195,15 @@
 	}
 }
 
-// wait estimates how long a request of the given priority would wait: the work ahead of it, divided
-// by the slots of working targets.
-func (d *Scheduler) wait(now time.Time, priority int) time.Duration {
-	work, n := d.queue.ahead(now, priority)
+// wait estimates how long an arriving request would wait, and returns the work ahead of it: the
+// quotient of that and the slots of working targets is the wait.
+func (d *Scheduler) wait(now time.Time, a *Request) (wait, work time.Duration) {
+	work, n := d.queue.ahead(now, a, d.model.Route(now, a.Route).MedianLatency())
 	if c, all := d.limitedCapacity(now); all {
-		return c.wait(n)
+		return c.wait(n), work
 	}
 	if work == 0 {
-		return 0
+		return 0, 0
 	}
 	slots := 0.0
 	for _, t := range d.order {
@@ -205,7 +211,8 @@
 			slots += t.limitedSlots(now, d.limitShare, work/time.Duration(n)) * (1 - t.failureProbability(now))
 		}
 	}
-	return time.Duration(float64(work) / max(slots, 1))
+	d.queue.workingSlots = max(slots, 1)
+	return time.Duration(float64(work) / max(slots, 1)), work
 }
 
 // infeasible reports whether so little time is left that an answer is unlikely; other requests make
@@ -305,6 +312,7 @@
 		event: t.health.Begin(now, route),
 	}
 	d.granted[a.ID] = t.Key
+	d.queue.shares.charge(now, a, route.MedianLatency())
 	return Grant{
 		ID:       a.ID,
 		Decision: Granted,
@@ -323,7 +331,7 @@
 const idleInterval = time.Second
 
 // Busy reports whether any request waits or any attempt is under way.
-func (d *Scheduler) Busy() bool { return len(d.granted) > 0 || len(d.queue.list) > 0 }
+func (d *Scheduler) Busy() bool { return len(d.granted) > 0 || d.queue.len() > 0 }
 
 // Advance drops attempts whose end was never reported and returns the grants and refusals that are
 // due.
@@ -338,12 +346,14 @@
 		if t == nil {
 			// The target was removed, and its attempts with it.
 			delete(d.granted, id)
+			d.queue.shares.settle(now, id)
 			continue
 		}
 		if f := t.flights[id]; now.After(f.until) {
 			t.health.End(now, f.event, health.Open)
 			delete(t.flights, id)
 			delete(d.granted, id)
+			d.queue.shares.settle(now, id)
 		}
 	}
 	for id, at := range d.ended {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -12,32 +12,6 @@
 // targets, or an overloaded dispatcher would never catch up.
 const servePause = time.Microsecond
 
-// traits are the properties that decide whether a waiting request accepts a target.
-type traits struct {
-	dataHall   string
-	route      string
-	repeatable bool
-	retry      bool
-	kilobytes  int
-	// restricted is set where some targets are unavailable to the request.
-	restricted bool
-	// late is set where the request cannot be answered by its soft deadline any more.
-	late bool
-}
-
-func (q *queue) traits(now time.Time, w *waiting) traits {
-	a := w.request
-	return traits{
-		dataHall:   a.DataHall,
-		route:      a.Route,
-		repeatable: a.Repeatable,
-		retry:      a.Retry,
-		kilobytes:  a.Kilobytes,
-		restricted: len(a.Unavailable)+len(a.ClosedHalls) > 0,
-		late:       !q.inTime(now, w),
-	}
-}
-
 // serve refuses the requests that cannot be served any more and grants what the others can have now.
 // A slot goes to a request of its own data hall first.
 func (d *Scheduler) serve(now time.Time) []Grant {
@@ -46,25 +20,25 @@
 	examinedBefore := d.examined
 	defer func() { d.nextServe = now.Add(servePause * time.Duration(d.examined-examinedBefore)) }()
 	for _, near := range [...]bool{true, false} {
-		if len(d.queue.list) == 0 {
+		if d.queue.len() == 0 {
 			break
 		}
 		free := d.free(now)
-		// declined are the traits of requests of which one accepts none of the free targets. Those
+		// rejected are the traits of requests of which one accepts none of the free targets. Those
 		// behind it have waited less and accept no worse ones.
-		declined := map[traits]bool{}
-		d.queue.each(now, func(w *waiting) bool {
-			k := d.queue.traits(now, w)
-			if len(free) == 0 || declined[k] {
-				return false
+		rejected := map[traits]bool{}
+		d.queue.each(now, func(w *waiting) verdict {
+			k := w.group.traits
+			if len(free) == 0 || rejected[k] {
+				return skipped
 			}
 			t := d.best(now, w, free)
 			if t == nil {
-				declined[k] = len(w.request.Tried)+len(w.request.Unavailable)+len(w.request.ClosedHalls) == 0
-				return false
+				rejected[k] = w.group.targets == "" && w == w.group.oldest()
+				return declined
 			}
 			if near && t.DataHall != w.request.DataHall {
-				return false
+				return skipped
 			}
 			if k.late {
 				d.lastFreeSlot = now
@@ -73,7 +47,7 @@
 			if len(t.flights) >= d.slots(now, t) {
 				free = slices.DeleteFunc(free, func(o *target) bool { return o == t })
 			}
-			return true
+			return taken
 		})
 	}
 	return out
@@ -89,7 +63,7 @@
 	for i := range out {
 		d.outcomes.record(now, false)
 		if limited {
-			out[i].RetryAfter = d.retryAfter(c.wait(len(d.queue.list)))
+			out[i].RetryAfter = d.retryAfter(c.wait(d.queue.len()))
 		}
 	}
 	return out
@@ -104,26 +78,26 @@
 		}
 	}()
 	for _, near := range [...]bool{true, false} {
-		if t.drains(now) || len(d.queue.list) == 0 {
+		if t.drains(now) || d.queue.len() == 0 {
 			break
 		}
-		declined := map[traits]bool{}
-		d.queue.each(now, func(w *waiting) bool {
+		rejected := map[traits]bool{}
+		d.queue.each(now, func(w *waiting) verdict {
 			a := w.request
-			k := d.queue.traits(now, w)
+			k := w.group.traits
 			if len(t.flights) >= d.slots(now, t) || near && t.DataHall != a.DataHall ||
-				slices.Contains(a.Tried, t.Key) || !t.open(now, a) || declined[k] {
-				return false
+				slices.Contains(a.Tried, t.Key) || !t.open(now, a) || rejected[k] {
+				return skipped
 			}
 			if !d.accepts(now, w, t) {
-				declined[k] = !k.restricted
-				return false
+				rejected[k] = !k.restricted && w == w.group.oldest()
+				return declined
 			}
 			if k.late {
 				d.lastFreeSlot = now
 			}
 			out = append(out, d.grant(now, t, a, false))
-			return true
+			return taken
 		})
 	}
 	return out
--- /dev/null
+++ b/internal/dispatch/share_model_test.go
@@ -0,0 +1,319 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/dispatch"
+)
+
+// shareClient is one stream of requests of a simulated service.
+type shareClient struct {
+	workspace string
+	// perSecond is the rate of requests, burstFactor what it is multiplied by between shareBurstFrom
+	// and shareBurstTo; 0 means 1.
+	perSecond   float64
+	burstFactor float64
+	priority    int
+	route       string
+	work        time.Duration
+	repeatable  bool
+	// kilobytes is the greatest size of an answer.
+	kilobytes          int
+	softDeadline, full time.Duration
+	// rng draws the arrivals, so that they are the same whatever becomes of other requests.
+	rng *rand.Rand
+}
+
+// Times of the simulated service.
+const (
+	shareBurstFrom = 4 * time.Second
+	shareBurstTo   = 11 * time.Second
+	shareEnd       = 12 * time.Second
+)
+
+// shareModel describes a simulated service.
+type shareModel struct {
+	seed    uint64
+	clients []shareClient
+	halls   int
+	targets int
+	slots   int
+	// gray is the share of the targets that fail at any time, 3 s each.
+	gray float64
+	// shed is the share of the requests that any target fails.
+	shed    float64
+	retries bool
+	// unavailable is the share of the requests to which some targets are unavailable.
+	unavailable float64
+	// constantRandom is set where the scheduler breaks no ties at random.
+	constantRandom bool
+	weights        map[string]float64
+}
+
+// shareResult counts the requests of one workspace that came in the burst.
+type shareResult struct {
+	// overBudget counts those refused because the retry budget was exhausted.
+	all, served, onTime, refused, failed, overBudget int
+	// waited is the total time until the first grant or the refusal.
+	waited time.Duration
+	// work is the work granted, in slot-seconds.
+	work float64
+}
+
+func (r *shareResult) share(n int) float64 { return float64(n) / float64(max(r.all, 1)) }
+
+func (r *shareResult) meanWait() time.Duration { return r.waited / time.Duration(max(r.all, 1)) }
+
+func (r shareResult) String() string {
+	return fmt.Sprintf("%d: served %.4f, in time %.4f, refused %.4f, over budget %.4f, waited %v", r.all, r.share(r.served),
+		r.share(r.onTime), r.share(r.refused), r.share(r.overBudget), r.meanWait().Round(time.Millisecond))
+}
+
+type shareRequest struct {
+	request *dispatch.Request
+	client  *shareClient
+	came    time.Duration
+	counted bool
+	decided bool
+	queued  bool
+}
+
+// shareSimulation simulates a service with several workspaces.
+type shareSimulation struct {
+	shareModel
+	scheduler *dispatch.Scheduler
+	rng       *rand.Rand
+	steps     eventQueue
+	now       time.Duration
+	next      uint64
+	requests  map[uint64]*shareRequest
+	got       map[string]*shareResult
+	// observe is called with every answer of the scheduler.
+	observe func(at time.Duration, g dispatch.Grant)
+	// busy counts the requests at each target, over those beyond its slots, twice those answered again.
+	busy        map[string]int
+	over, twice int
+	queued      int
+	// shortSeen is set once slots were short.
+	shortSeen bool
+}
+
+func newShareSimulation(m shareModel) *shareSimulation {
+	s := &shareSimulation{
+		shareModel: m,
+		rng:        rand.New(rand.NewPCG(m.seed, 11)),
+		requests:   map[uint64]*shareRequest{},
+		got:        map[string]*shareResult{},
+		busy:       map[string]int{},
+		observe:    func(time.Duration, dispatch.Grant) {},
+	}
+	random := rand.New(rand.NewPCG(m.seed, 12)).Float64
+	if m.constantRandom {
+		random = func() float64 { return 0.5 }
+	}
+	s.scheduler = dispatch.NewScheduler(start, dispatch.Budget{
+		Share:   0.2,
+		Reserve: 190,
+		Window:  10 * time.Second,
+	}, random)
+	s.scheduler.SetWeights(func(workspace string) float64 { return m.weights[workspace] })
+	var list []dispatch.Target
+	for i := range m.targets {
+		list = append(list, dispatch.Target{
+			Key:      fmt.Sprint("t", i),
+			DataHall: hallName(i % m.halls),
+			Slots:    m.slots,
+		})
+	}
+	s.scheduler.Configure(start, list)
+	return s
+}
+
+func (s *shareSimulation) run() {
+	for i := range s.clients {
+		c := &s.clients[i]
+		c.rng = rand.New(rand.NewPCG(s.seed, 100+uint64(i)))
+		if s.got[c.workspace] == nil {
+			s.got[c.workspace] = &shareResult{}
+		}
+		s.after(s.gap(c), func() { s.arrive(c) })
+	}
+	s.tick()
+	for len(s.steps) > 0 && s.steps[0].at < shareEnd+30*time.Second {
+		next := heap.Pop(&s.steps).(event)
+		s.now = next.at
+		next.do()
+	}
+}
+
+func (s *shareSimulation) clock() time.Time { return start.Add(s.now) }
+
+func (s *shareSimulation) after(d time.Duration, do func()) {
+	heap.Push(&s.steps, event{
+		at: s.now + d,
+		do: do,
+	})
+}
+
+func (s *shareSimulation) tick() {
+	s.start(s.scheduler.Advance(s.clock()))
+	s.shortSeen = s.shortSeen || s.queued > 0 && s.scheduler.SlotsShort(s.clock())
+	if s.now < shareEnd+20*time.Second {
+		s.after(50*time.Millisecond, s.tick)
+	}
+}
+
+func (s *shareSimulation) inBurst() bool { return s.now >= shareBurstFrom && s.now < shareBurstTo }
+
+func (s *shareSimulation) gap(c *shareClient) time.Duration {
+	rate := c.perSecond
+	if c.burstFactor > 0 && s.inBurst() {
+		rate *= c.burstFactor
+	}
+	return time.Duration(c.rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+func (s *shareSimulation) arrive(c *shareClient) {
+	if s.now >= shareEnd {
+		return
+	}
+	s.after(s.gap(c), func() { s.arrive(c) })
+	s.next++
+	a := &dispatch.Request{
+		ID: dispatch.ID{
+			Node:   "n",
+			Number: s.next,
+		},
+		DataHall:     hallName(c.rng.IntN(s.halls)),
+		Repeatable:   c.repeatable,
+		Kilobytes:    1 + c.rng.IntN(max(c.kilobytes, 1)),
+		Priority:     c.priority,
+		Workspace:    c.workspace,
+		Route:        c.route,
+		SoftDeadline: s.clock().Add(c.softDeadline),
+		Deadline:     s.clock().Add(c.full),
+	}
+	if s.unavailable > 0 && c.rng.Float64() < s.unavailable {
+		// Lists of three differ between most requests.
+		for _, i := range c.rng.Perm(s.targets)[:3] {
+			a.Unavailable = append(a.Unavailable, fmt.Sprint("t", i))
+		}
+	}
+	r := &shareRequest{
+		request: a,
+		client:  c,
+		came:    s.now,
+		counted: s.inBurst() && s.now >= shareBurstFrom+time.Second,
+	}
+	if r.counted {
+		s.got[c.workspace].all++
+	}
+	s.request(r)
+}
+
+func (s *shareSimulation) request(r *shareRequest) {
+	s.requests[r.request.ID.Number] = r
+	s.start([]dispatch.Grant{s.scheduler.RequestGrant(s.clock(), r.request)})
+}
+
+func (s *shareSimulation) start(grants []dispatch.Grant) {
+	for _, g := range grants {
+		s.observe(s.now, g)
+		r := s.requests[g.ID.Number]
+		if r == nil {
+			s.twice++
+			continue
+		}
+		if g.Decision == dispatch.Queued {
+			r.queued = true
+			s.queued++
+			continue
+		}
+		if r.queued {
+			r.queued = false
+			s.queued--
+		}
+		delete(s.requests, g.ID.Number)
+		got := s.got[r.client.workspace]
+		if r.counted && !r.decided {
+			r.decided = true
+			got.waited += s.now - r.came
+		}
+		if g.Decision != dispatch.Granted {
+			switch {
+			case !r.counted:
+			case g.Decision == dispatch.OverBudget:
+				got.overBudget++
+			default:
+				got.refused++
+			}
+			continue
+		}
+		s.busy[g.Target]++
+		if s.busy[g.Target] > s.slots {
+			s.over++
+		}
+		s.work(r, g)
+	}
+}
+
+// failing reports whether a target fails now.
+func (s *shareSimulation) failing(key string) bool {
+	var n int
+	_, _ = fmt.Sscanf(key, "t%d", &n)
+	turn := int(s.now / (3 * time.Second))
+	return rand.New(rand.NewPCG(s.seed+uint64(n)<<8, uint64(turn))).Float64() < s.gray
+}
+
+func (s *shareSimulation) work(r *shareRequest, g dispatch.Grant) {
+	took := time.Duration(float64(r.client.work) * math.Exp(0.5*s.rng.NormFloat64()-0.125))
+	result := dispatch.ResultGood
+	if s.failing(g.Target) && s.rng.Float64() < 0.9 || s.rng.Float64() < s.shed {
+		took, result = 3*time.Millisecond, dispatch.ResultBad
+	}
+	if r.counted {
+		s.got[r.client.workspace].work += took.Seconds()
+	}
+	s.after(took, func() { s.end(r, g, result, took) })
+}
+
+func (s *shareSimulation) end(r *shareRequest, g dispatch.Grant, result dispatch.Result, took time.Duration) {
+	s.busy[g.Target]--
+	got := s.got[r.client.workspace]
+	switch {
+	case result == dispatch.ResultGood && r.counted:
+		got.served++
+		if s.clock().Before(r.request.SoftDeadline) {
+			got.onTime++
+		}
+	case result != dispatch.ResultGood && (!s.retries || !r.request.Repeatable || r.request.Retry) && r.counted:
+		got.failed++
+	}
+	s.start(s.scheduler.Done(s.clock(), g.ID, g.Target, result, took))
+	if result == dispatch.ResultGood || !s.retries || !r.request.Repeatable || r.request.Retry {
+		return
+	}
+	s.next++
+	retry := *r.request
+	retry.ID.Number = s.next
+	retry.Retry = true
+	retry.Tried = []string{g.Target}
+	s.request(&shareRequest{
+		request: &retry,
+		client:  r.client,
+		came:    r.came,
+		counted: r.counted,
+		decided: true,
+	})
+}
+
+// shareCapacity returns the capacity of the working targets in slot-seconds per second.
+func (m *shareModel) shareCapacity() float64 {
+	return (1 - m.gray) * float64(m.targets*m.slots)
+}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -34,6 +34,8 @@
 	Working, Reached, ShortProbability float64
 	// Trials counts the grants made only because the target lacked work.
 	Trials int
+	// Shares describes how the slots are shared among workspaces.
+	Shares ShareStatus
 	// Targets are all targets, in the order of their configuration.
 	Targets []TargetStatus
 }
@@ -65,13 +67,14 @@
 // Status returns the state of the scheduler.
 func (d *Scheduler) Status(now time.Time) Status {
 	s := Status{
-		Waiting:         len(d.queue.list),
+		Waiting:         d.queue.len(),
 		RejectedSamples: d.rejectedSamples,
 		FailingShare:    d.model.FailingShare(),
 		LostFailing:     d.model.LostFailing(),
 		Requests:        d.RequestCount(now),
 		RetriesLeft:     d.retriesLeft(now, 1),
 		Trials:          d.trials,
+		Shares:          d.queue.shares.status(),
 	}
 	s.Granted, s.Remote = countsOf(d.window.sums()), countsOf(d.remote.sums(now, d.budget))
 	s.FailureRate, s.RecoveryRate = d.model.Rates()
--- a/internal/dispatch/unavailable.go
+++ b/internal/dispatch/unavailable.go
@@ -30,7 +30,7 @@
 		d.outcomes.record(now, false)
 		return a.withoutTarget(Refused, 0)
 	}
-	d.queue.updateUnavailable(a)
+	d.queue.updateUnavailable(now, a)
 	return Grant{
 		ID:       a.ID,
 		Decision: Queued,
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -19,6 +19,8 @@
 	Kilobytes int
 	// Priority is the priority under overload; 0 is served first.
 	Priority int
+	// Workspace is the workspace of the request, "" for none.
+	Workspace string
 	// Route names the route: requests of one route take similar time.
 	Route string
 	// SoftDeadline is the soft deadline, after which an answer is worth less; after Deadline it is worth
--- a/internal/entry/closed_test.go
+++ b/internal/entry/closed_test.go
@@ -63,3 +63,19 @@
 		t.Errorf("regions %v", got)
 	}
 }
+
+// Guards against a query without the workspace whose share of the slots the request uses.
+func TestQueryHoldsTheWorkspace(t *testing.T) {
+	s := newSite(t)
+	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	if status := s.get(t, http.DefaultClient, "/open", nil); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a, b := s.queries[0].Workspace, s.queries[1].Workspace; a != "brokers" || b != "" {
+		t.Errorf("workspaces %q and %q", a, b)
+	}
+}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -100,6 +100,7 @@
 		Repeatable:      r.Repeatable(),
 		Kilobytes:       x.server.sizes.expected(r) + int(x.body.length>>10),
 		Priority:        x.admission.rank,
+		Workspace:       x.admission.workspaceID(),
 		Route:           r.Name(),
 		SoftDeadline:    x.softDeadline(),
 		Deadline:        x.tracker.Deadline(),
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -159,6 +159,26 @@
 			value: `{"workspaces":[{"id":"w","rate":"Infinity"}]}`,
 			kind:  fleetconfig.KindRange,
 		},
+		{
+			name:  "negative weight",
+			value: `{"workspaces":[{"id":"w","weight":-1}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "weight that is no number",
+			value: `{"workspaces":[{"id":"w","weight":"NaN"}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "infinite weight",
+			value: `{"workspaces":[{"id":"w","weight":"Infinity"}]}`,
+			kind:  fleetconfig.KindRange,
+		},
+		{
+			name:  "weight beyond the range",
+			value: `{"workspaces":[{"id":"w","weight":1001}]}`,
+			kind:  fleetconfig.KindRange,
+		},
 		{
 			name:  "workspace twice",
 			value: `{"workspaces":[{"id":"w"},{"id":"w"}]}`,
--- a/internal/fleetconfig/workspace.go
+++ b/internal/fleetconfig/workspace.go
@@ -29,6 +29,7 @@
 	rate     float64
 	burst    float64
 	priority int
+	weight   float64
 	regions  Regions
 }
 
@@ -46,6 +47,10 @@
 // route's; 0 is served first.
 func (w *Workspace) Priority() int { return w.priority }
 
+// Weight returns the relative share of the slots that the workspace gets while they are short. It is
+// positive, and 1 where none is configured.
+func (w *Workspace) Weight() float64 { return w.weight }
+
 // Regions returns the regions whose targets may serve the workspace.
 func (w *Workspace) Regions() Regions { return w.regions }
 
@@ -76,6 +81,10 @@
 		if w.GetPriority() > maxPriority {
 			return fault(KindRange, "priority from 0 to 1000000", "workspace %s", w.GetId())
 		}
+		weight, err := weightOf(w)
+		if err != nil {
+			return err
+		}
 		if err := checkRegions("workspace", w.GetId(), w.GetRegions()); err != nil {
 			return err
 		}
@@ -88,6 +97,7 @@
 			rate:     rate,
 			burst:    burst,
 			priority: int(w.GetPriority()),
+			weight:   weight,
 			regions:  w.GetRegions(),
 		}
 		c.workspaces[w.GetId()] = owner
@@ -99,6 +109,26 @@
 	return nil
 }
 
+// Bounds of weights. With a greater ratio the workspaces of the least weight would not get one slot of
+// the largest services.
+const (
+	minWeight = 0.001
+	maxWeight = 1000
+)
+
+// weightOf returns the weight of a workspace, 1 where none is configured.
+func weightOf(w *wire.Workspace) (float64, error) {
+	weight := w.GetWeight()
+	if weight == 0 {
+		return 1, nil
+	}
+	// NaN is in no range.
+	if !(weight >= minWeight && weight <= maxWeight) {
+		return 0, fault(KindRange, "weight from 0.001 to 1000", "workspace %s", w.GetId())
+	}
+	return weight, nil
+}
+
 func (c *Config) addKeys(owner *Workspace, keys [][]byte) error {
 	for _, k := range keys {
 		if len(k) != digestSize {
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -83,13 +83,16 @@
 			"firsts":       s.Granted.Firsts,
 			"repeats":      s.Granted.Retries,
 
-			"firsts_elsewhere":  s.Remote.Firsts,
-			"repeats_elsewhere": s.Remote.Retries,
-			"working":           math.Round(s.Working*10) / 10,
-			"reached":           math.Round(s.Reached*10) / 10,
-			"short":             math.Round(s.ShortProbability*1000) / 1000,
-			"trials":            s.Trials,
-			"failing":           failing,
+			"firsts_elsewhere":         s.Remote.Firsts,
+			"repeats_elsewhere":        s.Remote.Retries,
+			"working":                  math.Round(s.Working*10) / 10,
+			"reached":                  math.Round(s.Reached*10) / 10,
+			"short":                    math.Round(s.ShortProbability*1000) / 1000,
+			"trials":                   s.Trials,
+			"waiting_workspaces":       s.Shares.WaitingWorkspaces,
+			"greatest_share":           math.Round(s.Shares.Greatest*100) / 100,
+			"greatest_share_workspace": s.Shares.GreatestWorkspace,
+			"failing":                  failing,
 		}).Info("desk")
 	}
 }
@@ -120,6 +123,7 @@
 			Scheduler: dispatch.NewScheduler(now, d.budgetOf(p, sc), rand.Float64),
 			lastUsed:  now,
 		}
+		s.SetWeights(d.weight)
 		d.schedulers[p] = s
 	}
 	if s.Limited(now) {
@@ -133,6 +137,16 @@
 	return s
 }
 
+// weight returns the weight of a workspace in the configuration in force, 0 if it has none.
+func (d *dispatchController) weight(workspace string) float64 {
+	if c := d.board.currentConfig(); c != nil {
+		if w := c.Workspace(workspace); w != nil {
+			return w.Weight()
+		}
+	}
+	return 0
+}
+
 // configure updates a scheduler of the partition to another configuration of its service.
 func (p partition) configure(now time.Time, s *scheduler, sc *fleetconfig.Service) {
 	before := s.config
@@ -207,6 +221,7 @@
 		Age:          time.Duration(w.GetAgeMs()) * time.Millisecond,
 		Kilobytes:    int(w.GetKilobytes()),
 		Priority:     int(w.GetPriority()),
+		Workspace:    w.GetWorkspace(),
 		SoftDeadline: now.Add(time.Duration(w.GetAimMs()) * time.Millisecond),
 		Deadline:     now.Add(time.Duration(w.GetDeadlineMs()) * time.Millisecond),
 		Tried:        w.GetTried(),
--- a/internal/node/grantrequest.go
+++ b/internal/node/grantrequest.go
@@ -284,6 +284,7 @@
 				AgeMs:       uint32(q.FirstAttemptAge.Milliseconds()),
 				Kilobytes:   uint32(q.Kilobytes),
 				Priority:    uint32(q.Priority),
+				Workspace:   q.Workspace,
 				AimMs:       uint32(max(q.SoftDeadline.Sub(now).Milliseconds(), 0)),
 				DeadlineMs:  uint32(max(q.Deadline.Sub(now).Milliseconds(), 0)),
 				Tried:       q.Tried,
