internal/dispatch: group waiting requests by classes of sizes

The expected size of a response is a moving mean of its route and includes the body of the request, so that with exact sizes nearly each waiting request could be a group of its own. Sizes from 16 KiB on are now grouped if they differ by less than an eighth. A pass over the queue also ends as soon as no slot is free.

--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -19,3 +19,6 @@
 
 // WorkspaceStates returns the number of workspaces and priorities that have state.
 func (d *Scheduler) WorkspaceStates() int { return len(d.queue.shares.flows) }
+
+// SizeClass exports sizeClass to the tests.
+func SizeClass(kilobytes int) int { return sizeClass(kilobytes) }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"container/heap"
 	"maps"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -39,13 +40,27 @@
 	route      string
 	repeatable bool
 	retry      bool
-	kilobytes  int
+	sizeClass  int
 	// restricted is set where some targets are unavailable to the request.
 	restricted bool
 	// late is set where the request cannot be answered by its soft deadline any more.
 	late bool
 }
 
+// sizeClassBits is the number of leading bits of a size that its class keeps: sizes below 16 KiB are
+// classes of their own, greater ones of a class differ by less than an eighth. Sizes are moving means,
+// so that without classes each request would be a group of its own.
+const sizeClassBits = 4
+
+// sizeClass returns the class of a size in KiB: its greatest lower bound.
+func sizeClass(kilobytes int) int {
+	if kilobytes <= 0 {
+		return 0
+	}
+	drop := max(bits.Len(uint(kilobytes))-sizeClassBits, 0)
+	return kilobytes >> drop << drop
+}
+
 // groupKey identifies the waiting requests that accept the same targets.
 type groupKey struct {
 	traits
@@ -274,7 +289,7 @@
 			route:      a.Route,
 			repeatable: a.Repeatable,
 			retry:      a.Retry,
-			kilobytes:  a.Kilobytes,
+			sizeClass:  sizeClass(a.Kilobytes),
 			restricted: len(a.Unavailable)+len(a.ClosedHalls) > 0,
 			late:       late,
 		},
@@ -375,6 +390,8 @@
 	declined
 	// skipped means that no request of the group can be granted a target now.
 	skipped
+	// stopped means that no request at all can.
+	stopped
 )
 
 // offer is the request that a group offers to a pass.
@@ -429,11 +446,14 @@
 		fair:  len(q.shares.workspaces) > 1 && q.scarce(),
 	}
 	for _, late := range [...]bool{false, true} {
-		p.run(late, try)
+		if !p.run(late, try) {
+			return
+		}
 	}
 }
 
-func (p *pass) run(late bool, try func(*waiting) verdict) {
+// run tries the late requests or the others. It reports whether the pass goes on.
+func (p *pass) run(late bool, try func(*waiting) verdict) bool {
 	p.due = false
 	if p.fair && !late {
 		p.lessUrgent, p.due = p.queue.lessUrgent()
@@ -453,10 +473,15 @@
 			heap.Fix(&h, 0)
 			continue
 		}
-		if !p.try(o, try) || o.group.byArrival.Len() == 0 {
+		v := p.try(o, try)
+		if v == stopped {
+			return false
+		}
+		if v != taken || o.group.byArrival.Len() == 0 {
 			heap.Pop(&h)
 		}
 	}
+	return true
 }
 
 // offer returns the present offer of a group.
@@ -477,8 +502,8 @@
 }
 
 // try tries the offered request. Where that one declines, it tries the one that has waited longest,
-// which accepts more targets. It reports whether one was taken.
-func (p *pass) try(o offer, try func(*waiting) verdict) bool {
+// which accepts more targets.
+func (p *pass) try(o offer, try func(*waiting) verdict) verdict {
 	w := o.first
 	v := try(w)
 	if oldest := o.group.oldest(); v == declined && oldest != w {
@@ -486,14 +511,14 @@
 		v = try(w)
 	}
 	if v != taken {
-		return false
+		return v
 	}
 	if p.fair && !o.group.late {
 		p.queue.shares.creditLessUrgent(w)
 		p.due = false
 	}
 	p.queue.remove(w)
-	return true
+	return taken
 }
 
 // expire removes and refuses the requests that cannot be served any more. Those for which overloaded
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -29,7 +29,10 @@
 		rejected := map[traits]bool{}
 		d.queue.each(now, func(w *waiting) verdict {
 			k := w.group.traits
-			if len(free) == 0 || rejected[k] {
+			if len(free) == 0 {
+				return stopped
+			}
+			if rejected[k] {
 				return skipped
 			}
 			t := d.best(now, w, free)
@@ -85,8 +88,10 @@
 		d.queue.each(now, func(w *waiting) verdict {
 			a := w.request
 			k := w.group.traits
-			if len(t.flights) >= d.slots(now, t) || near && t.DataHall != a.DataHall ||
-				slices.Contains(a.Tried, t.Key) || !t.open(now, a) || rejected[k] {
+			if len(t.flights) >= d.slots(now, t) {
+				return stopped
+			}
+			if near && t.DataHall != a.DataHall || slices.Contains(a.Tried, t.Key) || !t.open(now, a) || rejected[k] {
 				return skipped
 			}
 			if !d.accepts(now, w, t) {
