internal/dispatch: give refused callers consecutive return times

Refused callers were told the wait with a random share of 40%, in no order. Refusals of expired and infeasible requests, of requests without an available target and of retries beyond the budget named no time; the node dropped the time of the latter, and its callers returned after 250 ms. A request could be refused while the slots of another data hall were free, which those that wait had declined.

Refused requests now reserve the first free place behind the waiting work, one interval apart at the rate at which slots of working targets become free, within the time in which a response is of use. A place holds no slot and expires. A request with too long a wait gets a free slot of a target that works. The status and the line "desk" show the number of places.

A caller that returns early gets the next free place: a grant request names no caller, so its first place is not known.

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -87,3 +87,22 @@
 	}
 	return usableShare*b.Share*earned + usableReserve*b.Reserve*share, retries
 }
+
+// until returns the time until the buckets that leave the window free the given number of retries, at
+// most the length of the window.
+func (w *window) until(now, started time.Time, b Budget, missing float64) time.Duration {
+	if missing <= 0 {
+		return 0
+	}
+	length := b.Window / windowBuckets
+	wait := started.Add(time.Duration(w.bucket+1) * length).Sub(now)
+	for n := range int64(windowBuckets) {
+		oldest := (w.bucket + 1 + n) % windowBuckets
+		missing -= w.retries[oldest] - usableShare*b.Share*w.earned[oldest]
+		if missing <= 0 {
+			return wait
+		}
+		wait += length
+	}
+	return b.Window
+}
--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -10,9 +10,6 @@
 	// goodSlotBelow is the failure probability below which a target's free slot is a good one:
 	// failing targets always have free slots.
 	goodSlotBelow = 0.5
-	// retryAfterJitter is the share of the wait over which RetryAfter is spread, so that refused
-	// callers do not all return at once.
-	retryAfterJitter = 0.4
 )
 
 // updateFreeSlot records whether a good slot is left over.
@@ -44,7 +41,16 @@
 	return time.Duration(maxQueueShare * float64(a.Deadline.Sub(now)))
 }
 
-// retryAfter returns when a refused caller may retry: about when the waiting requests are served.
-func (d *Scheduler) retryAfter(wait time.Duration) time.Duration {
-	return wait + time.Duration(retryAfterJitter*(d.random()-0.5)*float64(wait))
+// refuseOverloaded answers a request whose expected wait is too long. It is refused, unless a target that
+// works has a free slot: the waiting requests declined that one.
+func (d *Scheduler) refuseOverloaded(now time.Time, a *Request, wait time.Duration) Grant {
+	if d.infeasible(now, a) {
+		return d.refuse(now, a, wait)
+	}
+	t := d.cheapest(now, a, d.free(now))
+	// A limit pays for the next grant at some time, and that one belongs to the waiting requests.
+	if t == nil || t.limit.bounded(now) || t.failureProbability(now) >= goodSlotBelow {
+		return d.refuse(now, a, wait)
+	}
+	return d.grant(now, t, a, false)
 }
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -89,18 +89,15 @@
 	}
 }
 
-// expire removes and refuses the requests that cannot be served any more. Those for which overloaded
-// returns true are refused as soon as they cannot be answered in time.
-func (q *queue) expire(now time.Time, overloaded func(*Request) bool) []Grant {
-	var out []Grant
+// expire removes and returns the requests that cannot be served any more. Those for which overloaded
+// returns true are removed as soon as they cannot be answered in time.
+func (q *queue) expire(now time.Time, overloaded func(*Request) bool) []*Request {
+	var out []*Request
 	q.list = slices.DeleteFunc(q.list, func(w *waiting) bool {
 		if w.request.Deadline.Sub(now) >= w.minResponseTime && (q.inTime(now, w) || !overloaded(w.request)) {
 			return false
 		}
-		out = append(out, Grant{
-			ID:       w.request.ID,
-			Decision: Refused,
-		})
+		out = append(out, w.request)
 		return true
 	})
 	return out
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -10,7 +10,10 @@
 	d.window.advance(now, d.started, d.budget)
 	d.window.recordRequest(now, d.budget)
 	d.remote.record(now, a.ID.Node, a.RemoteGrants)
-	return !a.Retry || a.Replacement || d.retriesLeft(now, share) >= 1
+	if !a.Retry || a.Replacement {
+		return true
+	}
+	return d.retriesLeft(now, share) >= 1
 }
 
 // charge counts a request n times in the retry budget. Each attempt is counted once, however often a
@@ -41,6 +44,12 @@
 	return all, spent + max(retries-usableShare*d.budget.Share*firsts, 0)
 }
 
+// nextRetry returns the time until the budget allows a retry, 0 if it allows one now.
+func (d *Scheduler) nextRetry(now time.Time) time.Duration {
+	d.window.advance(now, d.started, d.budget)
+	return d.window.until(now, d.started, d.budget, 1-d.retriesLeft(now, 1))
+}
+
 // retriesLeft returns the retries that the budget still allows.
 func (d *Scheduler) retriesLeft(now time.Time, share float64) float64 {
 	all, spent := d.retries(now, share)
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -59,6 +59,7 @@
 	lastFreeSlot time.Time
 	lastCoverage coverage
 	accepting    accepting
+	returns      returns
 	floor        float64
 	// warmupUntil is when the last rate limit of a warming target ends.
 	warmupUntil time.Time
@@ -114,10 +115,7 @@
 		if !a.Hedge {
 			d.outcomes.record(now, false)
 		}
-		return Grant{
-			ID:       a.ID,
-			Decision: OverBudget,
-		}
+		return d.refuseRetry(now, a)
 	}
 	// The request itself counts in the decision: it is one of those that keep the floor.
 	d.charge(a, 1)
@@ -144,10 +142,10 @@
 // decide answers a request that the retry budget allows.
 func (d *Scheduler) decide(now time.Time, a *Request) Grant {
 	if d.unavailable(now, a) {
-		return a.withoutTarget(Refused, 0)
+		return d.refuse(now, a, d.wait(now, a.Priority))
 	}
 	if wait := d.wait(now, a.Priority); wait > d.maxExpectedWait(now, a) {
-		return a.withoutTarget(Refused, d.retryAfter(wait))
+		return d.refuseOverloaded(now, a, wait)
 	}
 	if t := d.starved(now, a); t != nil {
 		return d.grant(now, t, a, true)
@@ -167,7 +165,7 @@
 		}
 	}
 	if a.NonQueueing || d.infeasible(now, a) {
-		return a.withoutTarget(Refused, 0)
+		return d.refuse(now, a, d.wait(now, a.Priority))
 	}
 	d.queue.add(w)
 	return Grant{
@@ -176,19 +174,6 @@
 	}
 }
 
-// withoutTarget returns the answer to a request that gets no target. A non-queueing request gets
-// NoneFree instead of a refusal.
-func (a *Request) withoutTarget(decision Decision, wait time.Duration) Grant {
-	if a.NonQueueing {
-		decision, wait = NoneFree, 0
-	}
-	return Grant{
-		ID:         a.ID,
-		Decision:   decision,
-		RetryAfter: wait,
-	}
-}
-
 // wait estimates how long a request of the given priority would wait: the work ahead of it, divided
 // by the slots of working targets.
 func (d *Scheduler) wait(now time.Time, priority int) time.Duration {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -81,16 +81,10 @@
 
 // expire refuses the waiting requests that cannot be served any more.
 func (d *Scheduler) expire(now time.Time) []Grant {
-	out := d.queue.expire(now, func(a *Request) bool { return d.overloaded(now, a) })
-	if len(out) == 0 {
-		return nil
-	}
-	c, limited := d.limitedCapacity(now)
-	for i := range out {
+	var out []Grant
+	for _, a := range d.queue.expire(now, func(a *Request) bool { return d.overloaded(now, a) }) {
 		d.outcomes.record(now, false)
-		if limited {
-			out[i].RetryAfter = d.retryAfter(c.wait(len(d.queue.list)))
-		}
+		out = append(out, d.refuse(now, a, d.wait(now, a.Priority)))
 	}
 	return out
 }
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -34,6 +34,8 @@
 	Working, Reached, ShortProbability float64
 	// Trials counts the grants made only because the target lacked work.
 	Trials int
+	// Places is the number of callers that were told to return and are still to come.
+	Places int
 	// Targets are all targets, in the order of their configuration.
 	Targets []TargetStatus
 }
@@ -73,6 +75,8 @@
 		RetriesLeft:     d.retriesLeft(now, 1),
 		Trials:          d.trials,
 	}
+	d.returns.advance(now)
+	s.Places = len(d.returns.places)
 	s.Granted, s.Remote = countsOf(d.window.sums()), countsOf(d.remote.sums(now, d.budget))
 	s.FailureRate, s.RecoveryRate = d.model.Rates()
 	c := d.coverage(now)
--- a/internal/dispatch/unavailable.go
+++ b/internal/dispatch/unavailable.go
@@ -28,7 +28,7 @@
 		d.queue.drop(a.ID)
 		d.ended[a.ID] = now
 		d.outcomes.record(now, false)
-		return a.withoutTarget(Refused, 0)
+		return d.refuse(now, a, d.wait(now, a.Priority))
 	}
 	d.queue.updateUnavailable(a)
 	return Grant{
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -158,3 +158,6 @@
 
 // Reason returns why there is no target.
 func (e *NoTargetError) Reason() attempt.Reason { return e.reason }
+
+// RetryAfter returns after how long the caller may retry, 0 if unknown.
+func (e *NoTargetError) RetryAfter() time.Duration { return e.retryAfter }
--- a/internal/node/dispatch_test.go
+++ b/internal/node/dispatch_test.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/dispatch"
+	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/node"
 	"ploverjunction.example/ploverjunction/internal/outlier"
 	"ploverjunction.example/ploverjunction/internal/wire"
@@ -74,6 +77,35 @@
 	})
 }
 
+// A request refused for an exhausted retry budget is told when its caller may return. The answer became an
+// error without a time, and callers returned after 250 ms whatever the budget.
+func TestExhaustedRetryBudgetNamesATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := node.NewChooser("quotes", []*wire.Entry{
+			{
+				Key:      "services",
+				Revision: 1,
+				Value:    []byte(`{"services":[{"name":"quotes"}],"targets":[{"service":"quotes","address":"192.0.2.10:80","dataHall":"a","slots":3,"connections":200}]}`),
+			},
+		})
+		for range 50 {
+			choice, err := c.ChooseRetry(context.Background())
+			var none *entry.NoTargetError
+			if errors.As(err, &none) {
+				if none.Reason() != attempt.ReasonBudget || none.RetryAfter() <= 0 {
+					t.Errorf("%v, RetryAfter is %v", none, none.RetryAfter())
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			choice.Done(outlier.Result{}, time.Millisecond)
+		}
+		t.Fatal("the retry budget is not exhausted")
+	})
+}
+
 // The floor of a service's policy, in slots, is converted to a share of its targets for the joint
 // choice.
 func TestFloorOfPolicyIsAShare(t *testing.T) {
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -89,6 +89,7 @@
 			"reached":           math.Round(s.Reached*10) / 10,
 			"short":             math.Round(s.ShortProbability*1000) / 1000,
 			"trials":            s.Trials,
+			"places":            s.Places,
 			"failing":           failing,
 		}).Info("desk")
 	}
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -273,6 +273,16 @@
 	})
 }
 
+// ChooseRetry returns a target for an attempt after the first one of a request.
+func (c *Chooser) ChooseRetry(ctx context.Context) (entry.Choice, error) {
+	return c.dispatcher.choose(ctx, &entry.Query{
+		Service:      c.service,
+		Retry:        true,
+		SoftDeadline: time.Now().Add(time.Second),
+		Deadline:     time.Now().Add(3 * time.Second),
+	})
+}
+
 // Excluded returns the targets that are not to be granted for a request that was sent to tried, while
 // lost is unreachable.
 func (c *Chooser) Excluded(lost string, tried ...string) []string {
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -41,11 +41,11 @@
 	case wire.Grant_GRANTED:
 	case wire.Grant_REFUSED:
 		return reply{
-			err: entry.NewNoTargetError(attempt.ReasonTargets, time.Duration(g.grant.GetRetryAfterMs())*time.Millisecond),
+			err: entry.NewNoTargetError(attempt.ReasonTargets, retryAfterOf(g.grant)),
 		}
 	case wire.Grant_BUDGET:
 		return reply{
-			err: entry.NewNoTargetError(attempt.ReasonBudget, 0),
+			err: entry.NewNoTargetError(attempt.ReasonBudget, retryAfterOf(g.grant)),
 		}
 	default:
 		return reply{}
@@ -104,6 +104,12 @@
 	}
 }
 
+// retryAfterOf returns after how long the caller of a refused request may return, 0 where the dispatcher
+// named no time.
+func retryAfterOf(g *wire.Grant) time.Duration {
+	return time.Duration(g.GetRetryAfterMs()) * time.Millisecond
+}
+
 // recordResult records this node's own result with a target that a dispatcher chose, for the
 // fallback. Its own scheduler has received the result already.
 func (d *dispatchController) recordResult(dispatcher string, q *entry.Query, p partition, done *wire.Done, end outlier.Result) {
