--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -521,10 +521,10 @@
 	return taken
 }
 
-// expire removes and refuses the requests that cannot be served any more. Those for which overloaded
-// returns true are refused as soon as they cannot be answered in time: it must return true for all
+// expire removes and returns the requests that cannot be served any more. Those for which overloaded
+// returns true are removed as soon as they cannot be answered in time: it must return true for all
 // those of which the deadline is at most as long after the soft deadline.
-func (q *queue) expire(now time.Time, overloaded func(*Request) bool) []Grant {
+func (q *queue) expire(now time.Time, overloaded func(*Request) bool) []*Request {
 	q.update(now)
 	var gone []*waiting
 	for {
@@ -546,12 +546,9 @@
 	slices.SortFunc(gone, func(a, b *waiting) int {
 		return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), cmp.Compare(a.number, b.number))
 	})
-	var out []Grant
+	var out []*Request
 	for _, w := range gone {
-		out = append(out, Grant{
-			ID:       w.request.ID,
-			Decision: Refused,
-		})
+		out = append(out, w.request)
 	}
 	return out
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -59,6 +59,8 @@
 	lastFreeSlot time.Time
 	lastCoverage coverage
 	accepting    accepting
+	returns      returns
+	rejections   rejections
 	floor        float64
 	// warmupUntil is when the last rate limit of a warming target ends.
 	warmupUntil time.Time
@@ -119,10 +121,7 @@
 		if !a.Hedge {
 			d.outcomes.record(now, false)
 		}
-		return Grant{
-			ID:       a.ID,
-			Decision: OverBudget,
-		}
+		return d.refuseRetry(now, a)
 	}
 	// The request itself counts in the decision: it is one of those that keep the floor.
 	d.charge(a, 1)
@@ -149,11 +148,11 @@
 // decide answers a request that the retry budget allows.
 func (d *Scheduler) decide(now time.Time, a *Request) Grant {
 	if d.unavailable(now, a) {
-		return a.withoutTarget(Refused, 0)
+		return d.refuseExpected(now, a)
 	}
 	wait, work := d.wait(now, a)
 	if wait > d.maxExpectedWait(now, a) {
-		return a.withoutTarget(Refused, d.retryAfter(wait))
+		return d.refuseOverloaded(now, a, wait)
 	}
 	if t := d.starved(now, a); t != nil {
 		return d.grant(now, t, a, true)
@@ -173,7 +172,7 @@
 		}
 	}
 	if a.NonQueueing || d.infeasible(now, a) {
-		return a.withoutTarget(Refused, 0)
+		return d.refuseExpected(now, a)
 	}
 	d.queue.add(now, w)
 	return Grant{
@@ -182,19 +181,6 @@
 	}
 }
 
-// withoutTarget returns the answer to a request that gets no target. A non-queueing request gets
-// NoneFree instead of a refusal.
-func (a *Request) withoutTarget(decision Decision, wait time.Duration) Grant {
-	if a.NonQueueing {
-		decision, wait = NoneFree, 0
-	}
-	return Grant{
-		ID:         a.ID,
-		Decision:   decision,
-		RetryAfter: wait,
-	}
-}
-
 // wait estimates how long an arriving request would wait, and returns the work ahead of it: the
 // quotient of that and the slots of working targets is the wait.
 func (d *Scheduler) wait(now time.Time, a *Request) (wait, work time.Duration) {
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -36,6 +36,13 @@
 	Trials int
 	// Shares describes how the slots are shared among workspaces.
 	Shares ShareStatus
+	// RejectedShare is the share of the attempts that targets rejected in the last one to two seconds, 0
+	// where there were too few. RetriesWithheld counts the retries that were withheld for requests that
+	// lose more without one. Places is the number of callers that were told to return and are still to
+	// come.
+	RejectedShare   float64
+	RetriesWithheld int
+	Places          int
 	// Targets are all targets, in the order of their configuration.
 	Targets []TargetStatus
 }
@@ -75,7 +82,11 @@
 		RetriesLeft:     d.retriesLeft(now, 1),
 		Trials:          d.trials,
 		Shares:          d.queue.shares.status(),
+		RejectedShare:   d.rejections.share(now),
+		RetriesWithheld: d.rejections.withheld,
 	}
+	d.returns.advance(now)
+	s.Places = len(d.returns.places)
 	s.Granted, s.Remote = countsOf(d.window.sums()), countsOf(d.remote.sums(now, d.budget))
 	s.FailureRate, s.RecoveryRate = d.model.Rates()
 	c := d.coverage(now)
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -92,6 +92,9 @@
 			"waiting_workspaces":       s.Shares.WaitingWorkspaces,
 			"greatest_share":           math.Round(s.Shares.Greatest*100) / 100,
 			"greatest_share_workspace": s.Shares.GreatestWorkspace,
+			"rejected":                 math.Round(s.RejectedShare*100) / 100,
+			"repeats_withheld":         s.RetriesWithheld,
+			"places":                   s.Places,
 			"failing":                  failing,
 		}).Info("desk")
 	}
--- a/internal/node/export_shares_test.go
+++ b/internal/node/export_shares_test.go
@@ -10,8 +10,8 @@
 	"ploverjunction.example/ploverjunction/internal/entry"
 )
 
-// ChooseFor returns a target for one attempt of a workspace.
-func (c *Chooser) ChooseFor(ctx context.Context, workspace string) (entry.Choice, error) {
+// ChooseForWorkspace returns a target for one attempt of a workspace.
+func (c *Chooser) ChooseForWorkspace(ctx context.Context, workspace string) (entry.Choice, error) {
 	return c.dispatcher.choose(ctx, &entry.Query{
 		Service:      c.service,
 		Workspace:    workspace,
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -24,7 +24,7 @@
 					"targets":[{"service":"quotes","address":"192.0.2.10:80","dataHall":"a","slots":3,"connections":200}]}`),
 			},
 		})
-		if _, err := c.ChooseFor(context.Background(), "brokers"); err != nil {
+		if _, err := c.ChooseForWorkspace(context.Background(), "brokers"); err != nil {
 			t.Fatal(err)
 		}
 		want := dispatch.ShareStatus{
