internal/dispatch: count later arrivals of others in the expected wait

The expected wait of a request behind the backlog of its own workspace divided that by all slots, but others that arrive later are served before the last requests of the backlog. The busy workspace was queued and refused after a wait. The wait is now at least the backlog divided by the share of the slots that the workspace has, or by its weight if that is more.

Shorter queues fell below the backlog of 0.5 s from which shares decide although a slot was left over: it is 0.2 s now.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -328,6 +328,11 @@
 	}
 }
 
+// scarceBacklog is the time for which the waiting requests that can be answered in time must keep all
+// working slots busy so that shares decide although slots are not short. With 500 ms the queue of a
+// busy workspace that is refused at once was often below it.
+const scarceBacklog = 200 * time.Millisecond
+
 // scarce reports whether shares decide: slots are short, or will be while the waiting requests are
 // served. A single slot that is left over, because the requests that wait for it decline its target,
 // does not end a scarcity.
@@ -339,7 +344,7 @@
 	for _, c := range q.shares.classes {
 		work += c.work
 	}
-	return q.workingSlots > 0 && work.Seconds() > slotsShortAfter.Seconds()*q.workingSlots
+	return q.workingSlots > 0 && work.Seconds() > scarceBacklog.Seconds()*q.workingSlots
 }
 
 // ahead returns the work that is served before an arriving request and can still be answered in time:
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -37,6 +37,8 @@
 	class  *class
 	// virtual is the start of the next request in virtual time: slot-seconds per weight.
 	virtual float64
+	// weight is the weight of the workspace when it began to have requests.
+	weight float64
 	// waiting and running count requests; inTime counts the waiting ones that can be answered in time,
 	// and work is their usual time.
 	waiting, running, inTime int
@@ -51,6 +53,8 @@
 	// last is the virtual time at which the last request was granted.
 	last  float64
 	flows int
+	// weights sums up the weights of the flows.
+	weights float64
 	// work and inTime sum up the backlogged flows.
 	work   time.Duration
 	inTime int
@@ -132,6 +136,8 @@
 		lanes:   map[*group]*lane{},
 	}
 	c.flows++
+	f.weight = s.weightOf(a.Workspace)
+	c.weights += f.weight
 	s.flows[key] = f
 	return f
 }
@@ -143,6 +149,7 @@
 	}
 	delete(s.flows, f.flowKey)
 	f.class.flows--
+	f.class.weights -= f.weight
 	if f.class.flows == 0 {
 		delete(s.classes, f.priority)
 	}
@@ -329,9 +336,22 @@
 		n += int(share / one)
 		return true
 	})
+	if f != nil && f.work > 0 {
+		if until := time.Duration(float64(f.work) / s.shareOf(f)); until > sum {
+			n = int(float64(n) * float64(until) / float64(max(sum, 1)))
+			sum = until
+		}
+	}
 	return sum, n
 }
 
+// shareOf returns the share of the slots that a workspace with a backlog is expected to get: what it has
+// of them now, but at least what its weight among those with requests gives it. Requests of others
+// that arrive later are served before the last ones of its backlog.
+func (s *shares) shareOf(f *flow) float64 {
+	return max(float64(f.running)/float64(max(len(s.charges), 1)), s.weightOf(f.workspace)/max(f.class.weights, s.weightOf(f.workspace)))
+}
+
 // ShareStatus describes how the slots are shared among workspaces.
 type ShareStatus struct {
 	// WaitingWorkspaces is the number of workspaces with waiting requests.
--- a/internal/dispatch/share_model_test.go
+++ b/internal/dispatch/share_model_test.go
@@ -60,6 +60,8 @@
 type shareResult struct {
 	// overBudget counts those refused because the retry budget was exhausted.
 	all, served, onTime, refused, failed, overBudget int
+	// refusedLate counts those refused after they were queued.
+	refusedLate int
 	// waited is the total time until the first grant or the refusal.
 	waited time.Duration
 	// work is the work granted, in slot-seconds.
@@ -235,6 +237,7 @@
 			s.queued++
 			continue
 		}
+		late := r.queued
 		if r.queued {
 			r.queued = false
 			s.queued--
@@ -252,6 +255,9 @@
 				got.overBudget++
 			default:
 				got.refused++
+				if late {
+					got.refusedLate++
+				}
 			}
 			continue
 		}
--- a/internal/dispatch/share_test.go
+++ b/internal/dispatch/share_test.go
@@ -98,6 +98,27 @@
 	}
 }
 
+// Requests of a busy workspace that will not be served are refused at once and not after a wait. Others
+// that arrive later are served before the last ones of its backlog: when the expected wait left them
+// out, more than nine in ten of those refused had waited.
+func TestBusyWorkspaceIsRefusedAtOnce(t *testing.T) {
+	refused, late := 0, 0
+	for seed := range uint64(4) {
+		m := busyModel(seed, 0.75, 0, 10)
+		for i := range m.clients {
+			m.clients[i].softDeadline, m.clients[i].full = 1500*time.Millisecond, 3*time.Second
+		}
+		s := newShareSimulation(m)
+		s.run()
+		refused += s.got["w0"].refused
+		late += s.got["w0"].refusedLate
+	}
+	t.Logf("%d refused, %d of them after a wait", refused, late)
+	if refused < 500 || 2*late > refused {
+		t.Errorf("%d refused, %d of them after a wait", refused, late)
+	}
+}
+
 // shareQueue is a scheduler of which all slots are taken and whose requests wait for long.
 type shareQueue struct {
 	scheduler *dispatch.Scheduler
