internal/contract: decode the load that targets report

Cause: targets report the requests that they run, those in their own queue and their slots in each response (Ploverjunction-Server-Load on the users' platform), and nothing read it.

Change: Plover-Load is the header of the project's own contract. Both are decoded once, by a parser that accepts three whole numbers up to 10,000 with at least one slot and nothing else, into signal.Load, a field of signal.Signal. signal.Ledger keeps the newest load of each incarnation with its time, apart from the records that bind this node: with loads alone the ledger is still empty, so that requests of services whose targets report nothing else take the same path as before. A load that can't be parsed counts as none and is logged once.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // Refusal is why a target did not run a request.
@@ -60,6 +61,9 @@
 	// Limit returns the requests a second that an answer's target accepts from the whole
 	// fleet, as the function that Limit returns does.
 	Limit func(h http.Header) (rate float64, named bool, err error)
+	// Load returns the load that an answer's target reports, as the function that Load returns
+	// does.
+	Load func(h http.Header) (signal.Load, error)
 	// RetryAfter formats after how long a refused caller should retry.
 	RetryAfter func(d time.Duration) string
 }
@@ -78,6 +82,9 @@
 	// HeaderLimit carries, in the answers of a target with a limit, the requests a second
 	// that it accepts from the whole fleet, as a decimal number.
 	HeaderLimit = "Plover-Limit"
+	// HeaderLoad carries, in the answers of a target that reports its load, the requests that it
+	// runs, those in its own queue and its slots: "3,0,8".
+	HeaderLoad = "Plover-Load"
 	// HeaderTimeout carries how long the caller waits, as a Go duration such as
 	// "1500ms", which is capped by the route's deadline.
 	HeaderTimeout = "Plover-Timeout"
@@ -110,6 +117,7 @@
 			return Backoff(status, refused(status, h) == RefusalShed, h)
 		},
 		Limit:      Limit(HeaderLimit),
+		Load:       Load(HeaderLoad),
 		RetryAfter: FormatSeconds,
 	}
 }
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -181,6 +181,7 @@
 func SignalOf(c *contract.Contract, res *http.Response) (signal.Signal, error) {
 	backoff, backoffErr := c.Backoff(res.StatusCode, res.Header)
 	rate, named, limitErr := c.Limit(res.Header)
+	load, loadErr := c.Load(res.Header)
 	return signal.Signal{
 		Draining: c.Draining(res.Header),
 		Backoff:  backoff,
@@ -189,7 +190,9 @@
 			Set:  named && limitErr == nil,
 		},
 		LimitUnreadable: limitErr != nil,
-	}, errors.Join(backoffErr, limitErr)
+		Load:            load,
+		LoadUnreadable:  loadErr != nil,
+	}, errors.Join(backoffErr, limitErr, loadErr)
 }
 
 func (c *Client) send(ctx context.Context, cl *claim, r *Request) (*http.Response, error) {
--- a/internal/signal/export_test.go
+++ b/internal/signal/export_test.go
@@ -17,3 +17,6 @@
 	}
 	return draining, backingOff
 }
+
+// Loads returns how many loads are kept.
+func (l *Ledger) Loads() int { return int(l.loadCount.Load()) }
--- a/internal/signal/ledger.go
+++ b/internal/signal/ledger.go
@@ -83,6 +83,11 @@
 	// records holds the records by targetKey; count is their number.
 	records sync.Map
 	count   atomic.Int64
+	// loads holds the reported loads by targetKey: they bind nobody and are no records.
+	loads     sync.Map
+	loadCount atomic.Int64
+	// loadsPruned is when old loads were last dropped.
+	loadsPruned time.Time
 }
 
 // record returns the record of an incarnation.
@@ -114,8 +119,9 @@
 // Observe records the signal of a response that was received at now, and reports whether it changed
 // the state of its target. A backoff never shortens an earlier one.
 func (l *Ledger) Observe(now time.Time, i Incarnation, s Signal) bool {
+	loadChanged := l.observeLoad(now, i, s)
 	if !s.changes(l.record(i)) {
-		return false
+		return loadChanged
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -141,7 +147,7 @@
 	}
 	limited := r.observeLimit(now, s)
 	l.store(r)
-	return longer || limited || s.Draining && !before.Draining
+	return longer || limited || loadChanged || s.Draining && !before.Draining
 }
 
 // observeLimit records the limit of a response, or that it has none, and reports whether the
@@ -206,9 +212,13 @@
 }
 
 // Status returns the state of a target at now.
-func (l *Ledger) Status(now time.Time, i Incarnation) Status { return l.record(i).status(now) }
+func (l *Ledger) Status(now time.Time, i Incarnation) Status {
+	s := l.record(i).status(now)
+	s.Load, s.LoadAt = l.load(now, i)
+	return s
+}
 
-// Empty reports whether there is no record.
+// Empty reports whether there is no record. Reported loads are none.
 func (l *Ledger) Empty() bool { return l.count.Load() == 0 }
 
 // Prune removes records without effect, and those of targets that have not been published for
@@ -216,6 +226,7 @@
 func (l *Ledger) Prune(now time.Time, published func(Incarnation) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.pruneLoads(now)
 	for _, value := range l.records.Range {
 		r := value.(record)
 		if !r.status(now).Unavailable() && !r.limit.Set || !published(r.incarnation) && now.Sub(r.observed) >= unlistedRetention {
--- a/internal/signal/signal.go
+++ b/internal/signal/signal.go
@@ -40,6 +40,30 @@
 	Set bool
 }
 
+// MaxLoad bounds each number of a load: more than any target runs at once is no load.
+const MaxLoad = 10_000
+
+// Load is what a target reports to have in hand. Its zero value is no report.
+type Load struct {
+	// Running counts requests under way, including bodies that are still being read; Waiting those in
+	// the target's own queue.
+	Running int
+	Waiting int
+	// Slots is how many requests the target runs at once, at least 1 in a report.
+	Slots int
+}
+
+// Reported reports whether the load is that of a report.
+func (l Load) Reported() bool { return l.Slots > 0 }
+
+// Valid reports whether the numbers are those that a target can have.
+func (l Load) Valid() bool {
+	return min(l.Running, l.Waiting) >= 0 && l.Slots >= 1 && max(l.Running, l.Waiting, l.Slots) <= MaxLoad
+}
+
+// Total returns the requests that run or wait.
+func (l Load) Total() int { return l.Running + l.Waiting }
+
 // Signal is what one response reports about its target.
 type Signal struct {
 	// Draining is set where the target accepts no new requests.
@@ -50,6 +74,10 @@
 	Limit Limit
 	// LimitUnreadable is set where the limit can't be parsed: the one before it holds.
 	LimitUnreadable bool
+	// Load is the load when the response was made.
+	Load Load
+	// LoadUnreadable is set where the load can't be parsed: it counts as not reported.
+	LoadUnreadable bool
 }
 
 // Status is the state of a target at one time, by its signals.
@@ -65,6 +93,10 @@
 	// no response had one.
 	Limit   Limit
 	LimitAt time.Time
+	// Load is the newest load that this incarnation reported to this node, and LoadAt the time of the
+	// response; the zero time means that there is none. It may be old.
+	Load   Load
+	LoadAt time.Time
 }
 
 // Unavailable reports whether no request may be sent to the target.
