internal/dispatch: count work that others sent to a target

Cause: work that a dispatcher didn't grant (from nodes that reach no dispatcher, from other dispatchers) wasn't visible to it, so it filled targets that were full already.

Change: a scheduler takes the loads that targets report. Its own attempts at a target lie between the least and the most that it had in flight while the target may have made the report, from the grant of the answered attempt on; what the report shows above the most is work of others, whichever messages were slow, repeated or overtaken. It takes slots, fading to nothing within a second; the newest report also bounds it from above. A target with a queue of its own gets no more than its slots, one that reports fewer slots than published gets no more than these, and neither counts its refusals against its health. An isolated node only prefers targets without a queue among equal ones. Without reports every grant is as before.

--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -68,10 +68,11 @@
 	if t.backoff.active() && d.anyAccepting(now) {
 		return t.backoff.slots(now)
 	}
+	slots := t.load.slots(now, t.Slots)
 	if now.Before(t.warmupUntil) {
-		return max(int(warmupSlotShare*float64(t.Slots)), 1)
+		return min(max(int(warmupSlotShare*float64(t.Slots)), 1), slots)
 	}
-	return t.Slots
+	return slots
 }
 
 // cheapest returns the candidate of the lowest cost. Targets already tried are chosen only
--- a/internal/dispatch/cost.go
+++ b/internal/dispatch/cost.go
@@ -68,6 +68,6 @@
 // cost returns the cost of a target including its load.
 func (d *Scheduler) cost(now time.Time, t *target, a *Request) float64 {
 	c := d.baseCost(now, t, a)
-	c += loadCost * float64(len(t.flights)+1) / float64(max(t.Slots, 1))
+	c += d.loadCostOf(now, t)
 	return c + tieBreakNoise*d.random()
 }
--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -16,13 +16,14 @@
 	if t == nil {
 		return nil
 	}
-	idle := len(t.flights) <= t.Slots
+	idle := len(t.flights) <= t.load.slots(now, t.Slots)
 	f, ok := t.flights[id]
 	if ok && (f.final || r == ResultGood) {
 		d.outcomes.record(now, r == ResultGood)
 	}
 	delete(t.flights, id)
 	if ok {
+		t.load.ended(now, len(t.flights))
 		t.health.End(now, f.event, kindOf(r, f.route, took, idle))
 		d.recordResponseTime(f.route, r, took)
 	}
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -2,6 +2,8 @@
 
 package dispatch
 
+import "time"
+
 // ApproxShortProbability exports approxShortProbability to the tests.
 func ApproxShortProbability(reached, idle []float64, floor float64) float64 {
 	return approxShortProbability(reached, idle, floor)
@@ -11,3 +13,19 @@
 func ShortProbability(reached, idle []float64, floor float64) float64 {
 	return shortProbability(reached, idle, floor)
 }
+
+// InFlight reports whether an attempt is granted and has not ended.
+func (d *Scheduler) InFlight(id ID) bool {
+	_, ok := d.granted[id]
+	return ok
+}
+
+// Foreign returns the slots that the work of others takes at each target, without effect on the
+// scheduler.
+func (d *Scheduler) Foreign(now time.Time) []int {
+	var out []int
+	for _, t := range d.order {
+		out = append(out, t.load.foreignWork(now, t.Slots))
+	}
+	return out
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -72,6 +72,8 @@
 	limits     int
 	// trials counts the grants made only because the target lacked work.
 	trials int
+	// isolated is set while a target is chosen on a node that reaches no dispatcher.
+	isolated bool
 }
 
 // NewScheduler returns a scheduler without targets. random returns values in [0, 1).
@@ -266,7 +268,7 @@
 		}
 	}
 	d.charge(a, 1)
-	if t := d.cheapest(now, a, d.order); t != nil {
+	if t := d.cheapestIsolated(now, a); t != nil {
 		return d.grant(now, t, a, false)
 	}
 	return Grant{
@@ -304,6 +306,7 @@
 		route: route,
 		event: t.health.Begin(now, route),
 	}
+	t.load.begun(now, len(t.flights))
 	d.granted[a.ID] = t.Key
 	return Grant{
 		ID:       a.ID,
@@ -343,6 +346,7 @@
 		if f := t.flights[id]; now.After(f.until) {
 			t.health.End(now, f.event, health.Open)
 			delete(t.flights, id)
+			t.load.ended(now, len(t.flights))
 			delete(d.granted, id)
 		}
 	}
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -34,6 +34,9 @@
 	Working, Reached, ShortProbability float64
 	// Trials counts the grants made only because the target lacked work.
 	Trials int
+	// Reporting counts the targets whose newest reported load has an effect, Foreign the slots that the
+	// work of others takes at them.
+	Reporting, Foreign int
 	// Targets are all targets, in the order of their configuration.
 	Targets []TargetStatus
 }
@@ -53,6 +56,11 @@
 	LimitAt time.Time
 	// Granted is the number of grants in the last 4 s, for a target with a limit.
 	Granted int
+	// Load is the newest load that the target reported, LoadAt its time, the zero time for none, and
+	// Foreign the slots that the work of others takes.
+	Load    signal.Load
+	LoadAt  time.Time
+	Foreign int
 }
 
 // RequestCount returns the number of requests in the window of the retry budget.
@@ -82,6 +90,11 @@
 		if !t.drains(now) {
 			s.Slots += d.slots(now, t)
 		}
+		foreign := t.load.foreignWork(now, t.Slots)
+		s.Foreign += foreign
+		if t.load.fresh(now) {
+			s.Reporting++
+		}
 		s.Targets = append(s.Targets, TargetStatus{
 			Key:                t.Key,
 			FailureProbability: t.failureProbability(now),
@@ -92,6 +105,9 @@
 			LimitBy:            t.limit.reportedBy,
 			LimitAt:            t.limit.at,
 			Granted:            t.limit.granted(now),
+			Load:               t.load.reported,
+			LoadAt:             t.load.at,
+			Foreign:            foreign,
 		})
 	}
 	return s
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -39,6 +39,7 @@
 	drainingUntil time.Time
 	backoff       backoff
 	limit         limitState
+	load          loadState
 	flights       map[ID]flight
 	// lastGranted is when the target last got work.
 	lastGranted time.Time
