internal/dispatch: test sheds and expected waits under reported load

Cause: two uses of the reported slots had no test: a target that sheds because others filled it must not count as failing, and the expected wait counts the slots that others leave.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -14,7 +14,7 @@
 	// 0.2 to 1.2 s, so a busy one has reported again by then.
 	loadStale = time.Second
 	// maxForeignShare bounds the work of others that counts, as a multiple of the target's slots. As the
-	// work fades, one report leaves a target without a slot for little more than half of loadStale.
+	// work fades, one report leaves a target of s slots without a free one for (s+1)/2s of loadStale.
 	maxForeignShare = 2
 	// queueCost is the extra cost of a target that reported waiting requests: about that of a full
 	// target, so that it decides only between targets of similar failure probability.
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -512,3 +512,41 @@
 		})
 	}
 }
+
+// A target that sheds because others filled it must not count as failing.
+func TestShedOfLoadedTargetIsNoEvidence(t *testing.T) {
+	for _, running := range []int{1, 6} {
+		d := oneTarget()
+		now := start.Add(time.Minute)
+		before := d.Status(now).Targets[0].FailureProbability
+		g := d.RequestGrant(now, newRequest(now, 100))
+		d.ObserveLoad(reportOf(now, running, running, 6))
+		d.Done(now, g.ID, g.Target, dispatch.ResultShed, time.Millisecond)
+		after := d.Status(now).Targets[0].FailureProbability
+		if full := running == 6; full != (after <= before) {
+			t.Errorf("%d running, failure probability %.3f, then %.3f", running, before, after)
+		}
+	}
+}
+
+// The expected wait must count the slots that others leave: guards against requests that wait in vain.
+func TestExpectedWaitCountsReportedSlots(t *testing.T) {
+	queued := func(running int) int {
+		d, now := newTrainedScheduler(dispatch.Target{
+			Key:      "0",
+			DataHall: "a",
+			Slots:    6,
+		})
+		d.ObserveLoad(reportOf(now, running, 0, 6))
+		n := 0
+		for number := range uint64(200) {
+			if d.RequestGrant(now, newRequest(now, number)).Decision == dispatch.Queued {
+				n++
+			}
+		}
+		return n
+	}
+	if alone, shared := queued(0), queued(4); shared*2 > alone {
+		t.Errorf("%d requests are queued for two slots, %d for six", shared, alone)
+	}
+}
