internal/node: report the load of targets to their dispatcher

Cause: the load in a response reached no dispatcher, and no operator could see it.

It belongs to the attempt that got it (entry.Choice.Reported), as the dispatcher concludes from the time of the attempt. The load in the answer to a probe counts where this node is the dispatcher. A node also keeps the loads of its own answers for when it reaches no dispatcher. The "desk" line has reporting and foreign, the status target_loads, and ploverctl status lists targets with waiting requests or with work of others. The stand-in target reports its load if it is told to.

--- a/cmd/ploverctl/status.go
+++ b/cmd/ploverctl/status.go
@@ -100,6 +100,22 @@
 	for i := range s.TargetLimits {
 		writeTargetLimit(b, &s.TargetLimits[i])
 	}
+	for i := range s.TargetLoads {
+		writeTargetLoad(b, &s.TargetLoads[i])
+	}
+}
+
+// writeTargetLoad writes the load of a target with waiting requests or with work of others.
+func writeTargetLoad(b *strings.Builder, l *operator.TargetLoadStatus) {
+	if l.Waiting == 0 && l.Foreign == 0 {
+		return
+	}
+	granted := ""
+	if l.Dispatcher {
+		granted = fmt.Sprintf(", %d granted here are under way, %d slots are left to others", l.InFlight, l.Foreign)
+	}
+	fmt.Fprintf(b, "  target %s of %s: reports %d running and %d waiting with %d slots, %s%s\n",
+		l.Target, l.Service, l.Running, l.Waiting, l.Slots, age(l.AgeMS), granted)
 }
 
 func writeTargetLimit(b *strings.Builder, l *operator.TargetLimitStatus) {
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -63,6 +63,8 @@
 	LossProbability float64
 	// Trial is set for a trial request: the target gets no other requests.
 	Trial bool
+	// Reported receives the load in the answer to the attempt, before Done is called; it may be nil.
+	Reported func(load signal.Load)
 	// Done must be called once, when the attempt has ended.
 	Done func(end outlier.Result, took time.Duration)
 }
--- a/internal/entry/signal.go
+++ b/internal/entry/signal.go
@@ -10,12 +10,15 @@
 
 // observe records the signal of an answer, and logs it if it changes the target's status.
 func (x *relay) observe(c Choice, s signal.Signal, err error) {
+	if c.Reported != nil && s.Load.Reported() {
+		c.Reported(s.Load)
+	}
 	if s == (signal.Signal{}) && err == nil && x.server.cfg.Signals.Empty() {
 		return
 	}
 	l := x.server.log.WithField("request", x.id).WithField("service", x.service.Name()).WithField("target", c.Key)
 	changed := x.server.cfg.Signals.Observe(time.Now(), c.Incarnation, s)
-	if err != nil && (changed || !s.LimitUnreadable) {
+	if err != nil && (changed || !s.LimitUnreadable && !s.LoadUnreadable) {
 		l.WithError(err).Warn("target asks for what can't be read")
 	}
 	if !changed {
--- a/internal/entry/signal_test.go
+++ b/internal/entry/signal_test.go
@@ -287,3 +287,36 @@
 		})
 	}
 }
+
+// The load in an answer belongs to the attempt that got it: guards against an end of an attempt that
+// reports no load, or that of another one.
+func TestAttemptReceivesItsLoad(t *testing.T) {
+	ledger := &signal.Ledger{}
+	var loads []signal.Load
+	reporting := newSignalTarget(t, "reporting", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Plover-Load", "3,1,8")
+		serveOK(w, r)
+	})
+	reporting.choice.Reported = func(load signal.Load) { loads = append(loads, load) }
+	ended := make(chan int, 1)
+	reporting.choice.Done = func(outlier.Result, time.Duration) { ended <- len(loads) }
+	c := &choices{
+		list:   []*signalTarget{reporting},
+		before: func(int) {},
+	}
+	s := signalSite(t, ledger, c)
+	if status := s.get(t, http.DefaultClient, "/quotes/1", brokers); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	want := signal.Load{
+		Running: 3,
+		Waiting: 1,
+		Slots:   8,
+	}
+	if n := <-ended; n != 1 || loads[0] != want {
+		t.Errorf("%d loads before the end: %+v", n, loads)
+	}
+	if got := ledger.Status(time.Now(), reporting.choice.Incarnation); got.Load != want || got.Unavailable() {
+		t.Errorf("status %+v", got)
+	}
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -89,6 +89,8 @@
 			"reached":           math.Round(s.Reached*10) / 10,
 			"short":             math.Round(s.ShortProbability*1000) / 1000,
 			"trials":            s.Trials,
+			"reporting":         s.Reporting,
+			"foreign":           s.Foreign,
 			"failing":           failing,
 		}).Info("desk")
 	}
@@ -353,6 +355,7 @@
 		if backoff := w.GetRestMs(); backoff > 0 {
 			s.BackOff(now, w.GetTarget(), id, time.Duration(backoff)*time.Millisecond)
 		}
+		s.ReportLoad(now, w.GetTarget(), id, loadOfWire(w.GetLoad()), time.Duration(w.GetTookMs())*time.Millisecond)
 		out = s.Done(now, id, w.GetTarget(), resultOfWire(w), time.Duration(w.GetTookMs())*time.Millisecond)
 	}
 	d.mu.Unlock()
--- a/internal/node/fallback.go
+++ b/internal/node/fallback.go
@@ -72,9 +72,13 @@
 		},
 		number: a.ID.Number,
 	}
+	var reported reportedLoad
 	c := choiceOf(t, byThisNode, func(end outlier.Result, took time.Duration) {
-		d.recordDone(a.ID.Node, doneOf(p, own, end, d.board.targetStatus(time.Now(), t), took))
+		done := doneOf(p, own, end, d.board.targetStatus(time.Now(), t), took)
+		done.Load = reported.message(time.Now())
+		d.recordDone(a.ID.Node, done)
 	})
+	c.Reported = reported.receive
 	c.Permit = permit
 	return c, nil
 }
--- a/internal/node/grant.go
+++ b/internal/node/grant.go
@@ -89,11 +89,14 @@
 			unavailable: true,
 		}
 	}
+	var reported reportedLoad
 	c := choiceOf(t, peer, func(end outlier.Result, took time.Duration) {
 		done := doneOf(p, g, end, d.board.targetStatus(time.Now(), t), took)
+		done.Load = reported.message(time.Now())
 		d.reportDone(peer, done)
 		d.recordResult(peer, q, p, done, end)
 	})
+	c.Reported = reported.receive
 	c.LossProbability = float64(g.grant.GetDoubt()) / 1000
 	c.Trial = g.grant.GetTrial()
 	c.Permit = permit
@@ -121,6 +124,13 @@
 		return
 	}
 	if s := d.touchScheduler(now, p); s != nil {
-		s.RecordRemote(now, done.GetTarget(), q.Route, resultOfWire(done), time.Duration(done.GetTookMs())*time.Millisecond)
+		took := time.Duration(done.GetTookMs()) * time.Millisecond
+		s.RecordRemote(now, done.GetTarget(), q.Route, resultOfWire(done), took)
+		s.ObserveLoad(dispatch.LoadReport{
+			Target: done.GetTarget(),
+			Load:   loadOfWire(done.GetLoad()),
+			Since:  now.Add(-took - reportSlack),
+			At:     now,
+		})
 	}
 }
--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -14,6 +14,7 @@
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
 
@@ -34,14 +35,17 @@
 	contract *contract.Contract
 	client   *http.Client
 	log      *logrus.Entry
+	// observeLoad receives the load in the answer to a probe that was sent at sent.
+	observeLoad func(now time.Time, t *fleetconfig.Target, load signal.Load, sent time.Time)
 }
 
 func newProber(board *Board, c *contract.Contract, report func(time.Time, []outlier.Evidence), log *logrus.Entry) *prober {
 	return &prober{
-		board:    board,
-		report:   report,
-		contract: c,
-		log:      log,
+		board:       board,
+		report:      report,
+		contract:    c,
+		log:         log,
+		observeLoad: func(time.Time, *fleetconfig.Target, signal.Load, time.Time) {},
 		client: &http.Client{
 			Timeout: probeTimeout,
 			Transport: &http.Transport{
@@ -103,17 +107,20 @@
 	if err != nil {
 		return fmt.Errorf("node: probe: %w", err)
 	}
+	sent := time.Now()
 	res, err := p.client.Do(req)
 	if err != nil {
 		return fmt.Errorf("node: probe: %w", err)
 	}
 	_ = res.Body.Close()
 	sig, err := forward.SignalOf(p.contract, res)
-	if p.board.signals.Observe(time.Now(), incarnationOf(t), sig) {
+	p.observeLoad(time.Now(), t, sig.Load, sent)
+	changed := p.board.signals.Observe(time.Now(), incarnationOf(t), sig)
+	if changed {
 		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithField("leaving", sig.Draining).
 			WithField("rest_ms", sig.Backoff.Milliseconds()).Info("target says what it wants")
 	}
-	if err != nil {
+	if err != nil && (changed || !sig.LoadUnreadable) {
 		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithError(err).Warn("target asks for what can't be read")
 	}
 	if !sig.Draining {
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -116,9 +116,6 @@
 
 // pruneSignals removes the signals of targets that are no longer published.
 func (b *Board) pruneSignals(now time.Time, c *fleetconfig.Config) {
-	if b.signals.Empty() {
-		return
-	}
 	b.signals.Prune(now, func(i signal.Incarnation) bool {
 		s := c.Service(i.Service)
 		return s != nil && s.Target(i.Key) != nil
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -55,6 +55,7 @@
 	if n.set.Choice() == settings.ChoiceJoint {
 		n.board.shares.withDispatchers = true
 		n.dispatcher = d
+		n.prober.observeLoad = d.observeProbe
 		n.ejection.passive = true
 	}
 	return nil
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -54,6 +54,7 @@
 	s.Quarantine = n.quarantine.status(time.Now())
 	s.Signals = n.board.signalStatus(time.Now())
 	s.TargetLimits = n.limitStatus(time.Now())
+	s.TargetLoads = n.loadStatus(time.Now())
 	if p := n.ejection.pools(time.Now()); p != nil {
 		for name := range p.services {
 			s.Services = append(s.Services, *n.serviceStatus(name))
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -24,8 +24,11 @@
 	// TargetLimits lists the targets that limit the requests of the whole fleet, as
 	// received by this node.
 	TargetLimits []TargetLimitStatus `json:"target_limits"`
-	Control      ControlStatus       `json:"control"`
-	Revisions    map[string]uint64   `json:"revisions"`
+	// TargetLoads lists the targets that reported their load in answers to this node, or to others
+	// where it is the dispatcher.
+	TargetLoads []TargetLoadStatus `json:"target_loads,omitempty"`
+	Control     ControlStatus      `json:"control"`
+	Revisions   map[string]uint64  `json:"revisions"`
 }
 
 // ConfigStatus describes the configuration in force.
@@ -149,6 +152,23 @@
 	Granted    int  `json:"granted"`
 }
 
+// TargetLoadStatus is the newest load that a target reported.
+type TargetLoadStatus struct {
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// Running and Waiting are requests, Slots how many the target runs at once, as it reported
+	// AgeMS milliseconds ago.
+	Running int   `json:"running"`
+	Waiting int   `json:"waiting"`
+	Slots   int   `json:"slots"`
+	AgeMS   int64 `json:"age_ms"`
+	// Dispatcher is set if this node grants the target. InFlight are then the attempts that it granted
+	// and that have not ended, Foreign the slots that it leaves to the work of others.
+	Dispatcher bool `json:"dispatcher"`
+	InFlight   int  `json:"in_flight"`
+	Foreign    int  `json:"foreign"`
+}
+
 // ExplainRequest describes a request to explain.
 type ExplainRequest struct {
 	Host   string
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -24,6 +24,7 @@
 	headerDeadline  = "Plover-Deadline"
 	headerState     = "Plover-State"
 	headerLimit     = "Plover-Limit"
+	headerLoad      = "Plover-Load"
 	headerWorkspace = "Plover-Workspace"
 	// HeaderKey identifies a request in the record of runs; tests set it.
 	HeaderKey = "Test-Key"
@@ -46,6 +47,10 @@
 	// Limit is sent in all answers as the requests per second that the target accepts from
 	// the whole fleet; "" sends none. The target doesn't enforce it.
 	Limit string `json:"limit"`
+	// ReportLoad sends the load in all answers: requests that run, bodies that are still being read
+	// included, those that wait for a slot, and the slots. Load is sent instead unless it is "".
+	ReportLoad bool   `json:"report_load"`
+	Load       string `json:"load"`
 	// ResetBefore closes connections before requests run, ResetAfter after that.
 	ResetBefore bool `json:"reset_before"`
 	ResetAfter  bool `json:"reset_after"`
@@ -95,6 +100,7 @@
 	mode       atomic.Pointer[Mode]
 	crash      atomic.Pointer[func()]
 	inFlight   atomic.Int64
+	waiting    atomic.Int64
 	requests   atomic.Int64
 	mu         sync.Mutex
 	runs       []Run
@@ -178,6 +184,7 @@
 	m := t.mode.Load()
 	time.Sleep(m.ProbeDelay)
 	t.setState(w, m)
+	t.setLoad(w, m)
 	w.WriteHeader(http.StatusOK)
 }
 
@@ -190,6 +197,17 @@
 	}
 }
 
+// setLoad sets the header with the load at this moment.
+func (t *Target) setLoad(w http.ResponseWriter, m *Mode) {
+	switch {
+	case m.Load != "":
+		w.Header().Set(headerLoad, m.Load)
+	case m.ReportLoad:
+		waiting := t.waiting.Load()
+		w.Header().Set(headerLoad, fmt.Sprintf("%d,%d,%d", max(t.inFlight.Load()-waiting, 0), waiting, cap(t.slots)))
+	}
+}
+
 func (t *Target) load(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(struct {
 		InFlight int64 `json:"in_flight"`
@@ -214,6 +232,7 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(m.Backoff.Seconds(), 'f', -1, 64))
 	}
 	if m.Shed || pastDeadline(r) {
+		t.setLoad(w, m)
 		refuse(w)
 		return
 	}
@@ -221,13 +240,12 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	select {
-	case t.slots <- struct{}{}:
-		defer func() { <-t.slots }()
-	case <-r.Context().Done():
+	if !t.takeSlot(r) {
 		return
 	}
+	defer func() { <-t.slots }()
 	if pastDeadline(r) {
+		t.setLoad(w, m)
 		refuse(w)
 		return
 	}
@@ -244,6 +262,18 @@
 	t.writeAnswer(w, r, m, body)
 }
 
+// takeSlot waits for a slot and reports whether the request got one before its caller left.
+func (t *Target) takeSlot(r *http.Request) bool {
+	t.waiting.Add(1)
+	defer t.waiting.Add(-1)
+	select {
+	case t.slots <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 // deadline returns the deadline in the request's header, or zero.
 func deadline(r *http.Request) time.Time {
 	ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
@@ -294,6 +324,7 @@
 	if m.ResetAfter {
 		panic(http.ErrAbortHandler)
 	}
+	t.setLoad(w, m)
 	if rand.Float64() < m.ErrorShare {
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return
