internal/dispatch: fade reported load within 0.75 s, keep a slot in expected waits

Cause: after its role moved, a dispatcher sees the attempts of the one before it as the work of others. Where that fills all targets, the expected wait counted a single slot for the whole service and refused nearly everything that would have had to wait; and with one second of fading, slots stayed unused after that work had ended.

Change: the expected wait counts at least one slot of each target. loadStale is 0.75 s.

--- a/internal/dispatch/limit.go
+++ b/internal/dispatch/limit.go
@@ -249,7 +249,7 @@
 // limitedSlots returns the number of slots that the target's limit keeps busy with requests of the
 // given duration (Little's law), at most those that it has.
 func (t *target) limitedSlots(now time.Time, share float64, duration time.Duration) float64 {
-	slots := float64(t.load.slots(now, t.Slots))
+	slots := float64(t.load.expectedSlots(now, t.Slots))
 	if t.limit.bounded(now) && duration > 0 {
 		slots = min(slots, t.limit.rate(now, share)*duration.Seconds())
 	}
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -11,8 +11,9 @@
 
 const (
 	// loadStale is the age at which a reported load has lost its effect. Targets answer within some
-	// 0.2 to 1.2 s, so a busy one has reported again by then.
-	loadStale = time.Second
+	// 0.2 to 1.2 s, so a busy one has mostly reported again by then. With one second, slots of targets whose
+	// foreign work had ended stayed unused for longer under overload.
+	loadStale = 750 * time.Millisecond
 	// maxForeignShare bounds the work of others that counts, as a multiple of the target's slots. As the
 	// work fades, one report leaves a target of s slots without a free one for (s+1)/2s of loadStale.
 	maxForeignShare = 2
@@ -137,6 +138,13 @@
 	return max(slots-l.foreignWork(now, slots), 0)
 }
 
+// expectedSlots returns the slots with which an expected wait is calculated: at least one, as a report
+// leaves a target without a slot for a part of a second only. A dispatcher that has just got its role sees
+// the attempts of the one before it as the work of others, and must not refuse requests for them.
+func (l *loadState) expectedSlots(now time.Time, published int) int {
+	return max(l.slots(now, published), min(published, 1))
+}
+
 // loadCostOf returns the cost of the load of a target for the next attempt. A node that reaches no
 // dispatcher can't tell the work of others from attempts that their dispatcher knows, and only avoids
 // targets that report waiting requests.
