--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -95,6 +95,8 @@
 			"rejected":                 math.Round(s.RejectedShare*100) / 100,
 			"repeats_withheld":         s.RetriesWithheld,
 			"places":                   s.Places,
+			"reporting":                s.Reporting,
+			"foreign":                  s.Foreign,
 			"failing":                  failing,
 		}).Info("desk")
 	}
@@ -373,6 +375,7 @@
 		if backoff := w.GetRestMs(); backoff > 0 {
 			s.BackOff(now, w.GetTarget(), id, time.Duration(backoff)*time.Millisecond)
 		}
+		s.ReportLoad(now, w.GetTarget(), id, loadOfWire(w.GetLoad()), time.Duration(w.GetTookMs())*time.Millisecond)
 		out = s.Done(now, id, w.GetTarget(), resultOfWire(w), time.Duration(w.GetTookMs())*time.Millisecond)
 	}
 	d.mu.Unlock()
