--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -27,7 +27,7 @@
 	// TargetLoads lists the targets that reported their load in answers to this node, or to others
 	// where it is the dispatcher.
 	TargetLoads []TargetLoadStatus `json:"target_loads,omitempty"`
-	Control      ControlStatus       `json:"control"`
+	Control     ControlStatus      `json:"control"`
 	// Traffic lists the bytes by purpose and scope, Connections the new connections to targets by
 	// cause, since the start. What is 0 is omitted.
 	Traffic     []TrafficStatus     `json:"traffic"`
