internal/node: send state to other data halls when it changes

Four datagrams for each request carried the state of their sender: the largest purpose between data halls. It is now omitted from messages of the joint choice to peers in other data halls while it is unchanged and was sent within 500 ms, together with the sender's data hall (except on grant requests) and weight. Datagram.piggyback tells that a process accepts this; older ones get the state each time.

--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -56,6 +56,10 @@
 	quarantineDigest   func() uint64
 	onQuarantine       func(peer string, in *wire.Quarantine)
 	onQuarantineDigest func(peer string, digest uint64)
+	// isFar reports whether a peer is in another data hall; piggyback decides which datagrams to
+	// such peers carry the state of this node.
+	isFar     func(peer string) bool
+	piggyback piggyback
 	// relayedPings are the pings on behalf of peers; only run uses it.
 	relayedPings task.Group
 
@@ -71,6 +75,7 @@
 		onTokenRequest: func(*wire.Datagram) {},
 		onReceive:      func(time.Time) {},
 		onIncarnation:  func(string, uint64) {},
+		isFar:          func(string) bool { return false },
 
 		quarantineDigest:   func() uint64 { return 0 },
 		onQuarantine:       func(string, *wire.Quarantine) {},
@@ -89,6 +94,7 @@
 		return
 	}
 	d.From = m.self()
+	d.Piggyback = wire.Datagram_STATE_OR_OMITTED
 	d.Digest = m.replica.Digest()
 	d.Quarantine = m.quarantineDigest()
 	d.ReadTo = m.gossip.ReadTo()
@@ -108,6 +114,9 @@
 			},
 		})
 	}
+	if isDispatchMessage(d) && m.isFar(peer) && m.piggyback.omits(time.Now(), peer, d) {
+		strip(d)
+	}
 	m.deliver(peer, d)
 }
 
@@ -245,6 +254,10 @@
 	if senderOnly(d) {
 		return
 	}
+	m.piggyback.record(d)
+	if d.GetPiggyback() == wire.Datagram_OMITTED {
+		return
+	}
 	m.onQuarantineDigest(d.GetFrom().GetAddress(), d.GetQuarantine())
 	if age := d.GetSourceAgeMs(); age > 0 {
 		m.gossip.ObservePlatformAge(now, time.Duration(age-1)*time.Millisecond)
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -9,6 +9,7 @@
 	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/settings"
+	"ploverjunction.example/ploverjunction/internal/traffic"
 )
 
 // openSocket opens the socket for datagrams and creates the controllers that use it.
@@ -28,6 +29,7 @@
 	m := n.messenger
 	m.socket, m.members, m.gossip, m.replica, m.self, m.log = socket, n.members, n.gossip, n.replica, n.self, log
 	m.transmit = socket.Send
+	m.isFar = func(peer string) bool { return n.board.scope(peer) == traffic.Between }
 	n.failureDetector = &failureDetector{
 		messenger: m,
 		members:   n.members,
