internal/node: number of the request once in an end of an attempt

The end of an attempt had a number for its confirmation and that of its request. It is now sent under the number of the request, and names it a second time only to processes that don't accept datagrams without state, or where an earlier report about the request is not confirmed.

--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -317,6 +317,9 @@
 // handleDone handles and confirms a peer's report of the end of an attempt.
 func (d *dispatchController) handleDone(in *wire.Datagram) {
 	w := in.GetDone()
+	if w.GetRequest() == 0 {
+		w.Request = in.GetCall()
+	}
 	d.recordDone(in.GetFrom().GetAddress(), w)
 	d.messenger.send(in.GetFrom().GetAddress(), &wire.Datagram{
 		Call: in.GetCall(),
--- a/internal/node/donereport.go
+++ b/internal/node/donereport.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -16,7 +18,8 @@
 	at    time.Time
 }
 
-// reportDone reports the end of an attempt to a dispatcher, until it confirms.
+// reportDone reports the end of an attempt to a dispatcher, until it confirms. The number of the call
+// is that of the request, unless another report about it is not confirmed.
 func (d *dispatchController) reportDone(peer string, w *wire.Done) {
 	if peer == d.board.view.Load().Self().Address() {
 		d.recordDone(peer, w)
@@ -26,8 +29,11 @@
 		peer: peer,
 		done: w,
 	}
-	id := d.messenger.calls.Add(1)
+	id := w.GetRequest()
 	d.mu.Lock()
+	if d.pending[id] != nil {
+		id = d.messenger.calls.Add(1)
+	}
 	d.pending[id] = u
 	d.mu.Unlock()
 	d.notify()
@@ -39,10 +45,16 @@
 	u.tries++
 	u.at = now
 	d.mu.Unlock()
+	done := u.done
+	if id == done.GetRequest() && d.messenger.piggyback.accepted(u.peer) {
+		// The number of the call is that of the request.
+		done = proto.CloneOf(done)
+		done.Request = 0
+	}
 	d.messenger.send(u.peer, &wire.Datagram{
 		Call: id,
 		Body: &wire.Datagram_Done{
-			Done: u.done,
+			Done: done,
 		},
 	})
 }
--- a/internal/node/export_piggyback_test.go
+++ b/internal/node/export_piggyback_test.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"io"
+	"time"
 
+	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/dissemination"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
@@ -17,7 +19,8 @@
 
 // Messenger is the messenger of a node, on a network that a test provides.
 type Messenger struct {
-	messenger *messenger
+	messenger  *messenger
+	dispatcher *dispatchController
 	// Quarantine is the digest of the node's records of requests that crash targets.
 	Quarantine uint64
 	// Digests are those that were received from peers.
@@ -60,6 +63,9 @@
 	m.quarantineDigest = func() uint64 { return out.Quarantine }
 	m.onQuarantineDigest = func(_ string, digest uint64) { out.Digests = append(out.Digests, digest) }
 	out.messenger = m
+	out.dispatcher = newDispatchController(board, m, dispatch.Budget{
+		Window: time.Second,
+	}, m.log)
 	return out
 }
 
@@ -69,6 +75,19 @@
 	return m.Sent[len(m.Sent)-1]
 }
 
+// ReportDone reports the end of the attempt with the number of a request to a dispatcher, and
+// returns the datagram.
+func (m *Messenger) ReportDone(peer string, request uint64) *wire.Datagram {
+	m.dispatcher.reportDone(peer, &wire.Done{
+		Service: "quotes",
+		Request: request,
+	})
+	return m.Sent[len(m.Sent)-1]
+}
+
+// Unconfirmed returns the number of ends of attempts that were not confirmed.
+func (m *Messenger) Unconfirmed() int { return len(m.dispatcher.pending) }
+
 // Receive handles a datagram.
 func (m *Messenger) Receive(d *wire.Datagram) { m.messenger.handle(context.Background(), d) }
 
--- a/internal/node/piggyback.go
+++ b/internal/node/piggyback.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// accepted reports whether a peer understands a report of the end of an attempt without the number of
+// the request: it does if it accepts datagrams without state.
+func (p *piggyback) accepted(peer string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.peers[peer]
+	return r != nil && r.accepts != 0
+}
+
 // omits reports whether a datagram to a peer need not carry the state that was set on it.
 func (p *piggyback) omits(now time.Time, peer string, d *wire.Datagram) bool {
 	p.mu.Lock()
--- a/internal/node/piggyback_test.go
+++ b/internal/node/piggyback_test.go
@@ -112,6 +112,35 @@
 	}
 }
 
+// Guards against an end of an attempt that a dispatcher, of this version or an older one, assigns to
+// another request, or whose confirmation is not recognized.
+func TestEndOfAttemptNamesItsRequest(t *testing.T) {
+	const request = 77
+	m := node.NewMessenger(membership.NewNode("192.0.2.1:1", "a"), farPeer)
+	peer := node.NewMessenger(membership.NewNode(farPeer, "b"))
+	if d := m.ReportDone(farPeer, request); d.GetDone().GetRequest() != request {
+		t.Errorf("sent to an unknown version: %v", d)
+	}
+	m.Receive(answerOf(farPeer, 1, wire.Datagram_STATE_OR_OMITTED))
+	// A second report about a request has a number of its own.
+	if d := m.ReportDone(farPeer, request); d.GetCall() == request || d.GetDone().GetRequest() != request {
+		t.Errorf("second report: %v", d)
+	}
+	d := m.ReportDone(farPeer, request+1)
+	if d.GetCall() != request+1 || d.GetDone().GetRequest() != 0 {
+		t.Errorf("sent to this version: %v", d)
+	}
+	before := m.Unconfirmed()
+	peer.Receive(d)
+	if d.GetDone().GetRequest() != request+1 {
+		t.Errorf("read as the end of request %d", d.GetDone().GetRequest())
+	}
+	m.Receive(peer.Sent[len(peer.Sent)-1])
+	if n := m.Unconfirmed(); n != before-1 {
+		t.Errorf("%d ends not confirmed, want %d", n, before-1)
+	}
+}
+
 // Guards against a datagram without state that is taken for one of a node without values, which
 // would be compared with.
 func TestDatagramWithoutStateTellsNothing(t *testing.T) {
