--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -24,6 +24,11 @@
 // there are as many of them as nodes, and there are four datagrams for each request.
 const updatesPerDatagram = 4
 
+// maxFirstCall bounds the number of a process's first call. Each request sends five numbers of calls:
+// up to 2^42, they take 6 bytes each. That the first one is within 100,000 calls of that of the
+// process before has a probability of 10^-7.
+const maxFirstCall = 1 << 41
+
 // messenger sends and receives datagrams and adds this node's state to each one. It may be used
 // concurrently.
 type messenger struct {
@@ -56,6 +61,10 @@
 	quarantineDigest   func() uint64
 	onQuarantine       func(peer string, in *wire.Quarantine)
 	onQuarantineDigest func(peer string, digest uint64)
+	// isFar reports whether a peer is in another data hall; piggyback decides which datagrams to
+	// such peers carry the state of this node.
+	isFar     func(peer string) bool
+	piggyback piggyback
 	// relayedPings are the pings on behalf of peers; only run uses it.
 	relayedPings task.Group
 
@@ -71,13 +80,14 @@
 		onTokenRequest: func(*wire.Datagram) {},
 		onReceive:      func(time.Time) {},
 		onIncarnation:  func(string, uint64) {},
+		isFar:          func(string) bool { return false },
 
 		quarantineDigest:   func() uint64 { return 0 },
 		onQuarantine:       func(string, *wire.Quarantine) {},
 		onQuarantineDigest: func(string, uint64) {},
 	}
-	// Calls of two incarnations of a process must have different numbers.
-	m.calls.Store(rand.Uint64() >> 1)
+	// Calls of two incarnations of a process must have different numbers while dispatchers know both.
+	m.calls.Store(rand.Uint64N(maxFirstCall))
 	return m
 }
 
@@ -89,6 +99,7 @@
 		return
 	}
 	d.From = m.self()
+	d.Piggyback = wire.Datagram_STATE_OR_OMITTED
 	d.Digest = m.replica.Digest()
 	d.Quarantine = m.quarantineDigest()
 	d.ReadTo = m.gossip.ReadTo()
@@ -108,6 +119,9 @@
 			},
 		})
 	}
+	if isDispatchMessage(d) && m.isFar(peer) && m.piggyback.omits(time.Now(), peer, d) {
+		strip(d)
+	}
 	m.deliver(peer, d)
 }
 
@@ -245,6 +259,10 @@
 	if senderOnly(d) {
 		return
 	}
+	m.piggyback.record(d)
+	if d.GetPiggyback() == wire.Datagram_OMITTED {
+		return
+	}
 	m.onQuarantineDigest(d.GetFrom().GetAddress(), d.GetQuarantine())
 	if age := d.GetSourceAgeMs(); age > 0 {
 		m.gossip.ObservePlatformAge(now, time.Duration(age-1)*time.Millisecond)
