--- a/internal/node/partition_change_test.go
+++ b/internal/node/partition_change_test.go
@@ -58,6 +58,21 @@
 	requests []time.Time
 	retries  []time.Time
 	refused  int
+	// running are the attempts at each target, most the greatest number of them.
+	running map[string]int
+	most    int
+}
+
+// run runs an attempt at a target.
+func (a *attemptTimes) run(target string, work time.Duration) {
+	a.mu.Lock()
+	a.running[target]++
+	a.most = max(a.most, a.running[target])
+	a.mu.Unlock()
+	time.Sleep(work)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.running[target]--
 }
 
 func (a *attemptTimes) record(now time.Time, retry bool) {
@@ -101,7 +116,9 @@
 		var serving task.Group
 		serving.Go(ctx, "dispatching", c.Run)
 		var requests sync.WaitGroup
-		var times attemptTimes
+		times := attemptTimes{
+			running: map[string]int{},
+		}
 		started := time.Now()
 		changes, nextChange, divided := 0, started.Add(period), 0
 		for i := 0; time.Since(started) < length; i++ {
@@ -136,7 +153,7 @@
 					if try > 0 {
 						times.record(time.Now(), true)
 					}
-					time.Sleep(work)
+					times.run(choice.Key, work)
 					failed := i%3 == 0
 					choice.Done(outlier.Result{
 						Failed: failed,
@@ -164,7 +181,11 @@
 			requests, retries := within(times.requests, from, until), within(times.retries, from, until)
 			worst = max(worst, float64(retries)/(share*float64(requests)+reserve))
 		}
-		t.Logf("%d requests, %d retries, %d refused, at most %.2f of the budget", len(times.requests), len(times.retries), times.refused, worst)
+		t.Logf("%d requests, %d retries, %d refused, at most %.2f of the budget, at most %d attempts at a target", len(times.requests), len(times.retries), times.refused, worst, times.most)
+		// The schedulers before and after a change don't know of each other's attempts.
+		if times.most > 2*slots {
+			t.Errorf("%d attempts at a target of %d slots", times.most, slots)
+		}
 		if worst > 1 {
 			t.Errorf("retries reach %.2f of the budget", worst)
 		}
