--- a/internal/integration/retry_test.go
+++ b/internal/integration/retry_test.go
@@ -128,7 +128,8 @@
 	s, b, n := oneTarget(t)
 	for i := range 50 {
 		b.SetMode(target.Mode{})
-		warm := n.do(http.MethodGet, "/quotes/1", "warm", "")
+		// Requests that are repeatable have connections of their own.
+		warm := n.do(http.MethodPost, "/quotes/1", fmt.Sprintf("warm-%d", i), "")
 		if warm.status != http.StatusOK {
 			t.Fatalf("warm request: status %d", warm.status)
 		}
