internal/entry: end bodies that don't arrive by the deadline

The body of a request was read without a time limit. A caller that stopped in the middle of it held the memory reserved for the body for as long as its connection lasted, and, where an attempt was under way, the slot of the target too: net/http returns from a cancelled round trip only when the read of the body returns. A refusal of a request with up to 256 KiB of unread body was sent only after that body was read.

Reading now fails at the request's deadline: 408 "deadline" if nothing was sent to a target, else 504. The time limit is lifted once the body is read, because net/http would otherwise cancel a long answer. A refusal with an unread body closes the connection.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -7,7 +7,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
@@ -19,8 +21,10 @@
 	held   []byte
 	stream io.Reader
 	// head is the beginning of a body that is streamed.
-	head    []byte
-	length  int64
+	head   []byte
+	length int64
+	// ended is called when a streamed body was read to its end.
+	ended   func()
 	started atomic.Bool
 	failed  atomic.Pointer[error]
 }
@@ -34,20 +38,27 @@
 }
 
 // readBody reads the body of a request. Bodies of at most hold bytes are read whole; of larger
-// ones only the beginning.
-func readBody(w http.ResponseWriter, r *http.Request, maxBody, hold int64) (*body, *Error) {
+// ones only the beginning. Reading fails at the deadline, also that of the rest: what the node holds
+// for the request is then free again, however slowly the caller sends.
+func readBody(w http.ResponseWriter, r *http.Request, maxBody, hold int64, deadline time.Time) (*body, *Error) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return &body{}, nil
 	}
+	// A peer's request has no connection of its own, and its body has the caller's deadline.
+	setDeadline := http.NewResponseController(w).SetReadDeadline
+	_ = setDeadline(deadline)
+	// With a deadline in force net/http would take the caller of a long answer for gone.
+	ended := func() { _ = setDeadline(time.Time{}) }
 	limited := http.MaxBytesReader(w, r.Body, maxBody)
 	if r.ContentLength > hold {
-		return readHead(limited, r.ContentLength)
+		return readHead(limited, r.ContentLength, ended)
 	}
 	first, err := io.ReadAll(io.LimitReader(limited, hold+1))
 	if err != nil {
 		return nil, bodyError(err)
 	}
 	if int64(len(first)) <= hold {
+		ended()
 		return &body{
 			held:   first,
 			length: int64(len(first)),
@@ -57,11 +68,12 @@
 		stream: io.MultiReader(bytes.NewReader(first), limited),
 		head:   first,
 		length: r.ContentLength,
+		ended:  ended,
 	}, nil
 }
 
 // readHead reads the beginning of a large body, for its fingerprint; it is sent with the rest.
-func readHead(from io.Reader, length int64) (*body, *Error) {
+func readHead(from io.Reader, length int64, ended func()) (*body, *Error) {
 	head := make([]byte, min(length, quarantine.FingerprintBody))
 	if _, err := io.ReadFull(from, head); err != nil {
 		return nil, bodyError(err)
@@ -70,6 +82,7 @@
 		stream: io.MultiReader(bytes.NewReader(head), from),
 		head:   head,
 		length: length,
+		ended:  ended,
 	}, nil
 }
 
@@ -81,11 +94,24 @@
 	return b.held
 }
 
+// closeUnread has the caller's connection closed after the answer if a part of the body is unread.
+// net/http would otherwise read up to 256 KiB of it before it sends the answer.
+func (b *body) closeUnread(w http.ResponseWriter) {
+	if b.stream != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func bodyError(err error) *Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return refuse(CodeBodySize, http.StatusRequestEntityTooLarge)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		e := refuse(CodeDeadline, http.StatusRequestTimeout)
+		e.cause = err
+		return e
+	}
 	e := refuse(CodeBody, http.StatusBadRequest)
 	e.cause = err
 	return e
@@ -107,7 +133,10 @@
 func (b *body) Read(p []byte) (int, error) {
 	b.started.Store(true)
 	n, err := b.stream.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
+		b.ended()
+	case err != nil:
 		b.failed.Store(&err)
 	}
 	return n, err
@@ -122,5 +151,9 @@
 	}
 	e := bodyError(err)
 	e.outcome = outcome
+	if e.code == CodeDeadline && outcome != attempt.OutcomeNotRun {
+		// 408 invites callers to repeat the request.
+		e.status = http.StatusGatewayTimeout
+	}
 	return e
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -288,7 +288,7 @@
 		return fail.status, fail.outcome
 	}
 	defer give()
-	b, fail := readBody(w, r, in.maxBody, s.cfg.HoldBody)
+	b, fail := readBody(w, r, in.maxBody, s.cfg.HoldBody, in.deadline)
 	if fail != nil {
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
@@ -311,12 +311,14 @@
 	}
 	x.recordEarlierRuns()
 	if fail := x.quarantine(); fail != nil {
+		b.closeUnread(w)
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
 	}
 	a, release, fail := x.answer()
 	if fail != nil {
 		x.logEnd(fail.status, fail.outcome, fail)
+		b.closeUnread(w)
 		s.answer(w, id, fail)
 		return fail.status, fail.outcome
 	}
