internal/entry: count and bound what is held for slow callers

Answers were counted by the expected size of their route only: the first 1,000 answers of 540 kB into a node were counted with 0 bytes. The kernel grew the send buffer of each slow caller until it held the whole answer, 540 MB for a node of 136 MiB, where a container counts these buffers as memory of the process. A caller that stopped reading held its target's slot and the buffers for as long as its connection lasted.

An answer larger than expected is now counted by its size, so that later ones are refused before they run. The kernel's buffers of a caller's connection are bounded to 32 KiB, 64 KiB as Linux counts them. A caller that takes longer than [entry] stall for 32 KiB is cut off, and the kernel discards what it has not read. A streamed body counts with what it takes, 160 KiB, the kernel's buffers included; 64 KiB before.

--- a/internal/entry/capture.go
+++ b/internal/entry/capture.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -62,12 +63,24 @@
 	if err != nil {
 		return nil, err
 	}
+	// The error of a connection that has ended already is found at its first read.
+	_ = limitBuffers(conn)
 	return &recordedConn{
 		Conn:      conn,
 		maxHeader: l.maxHeader,
 	}, nil
 }
 
+// limitBuffers bounds what the kernel holds of bodies in each direction of a caller's connection.
+// It would grow the send buffer to megabytes for each caller that reads slowly.
+func limitBuffers(conn net.Conn) error {
+	c, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	return errors.Join(c.SetReadBuffer(callerBuffer), c.SetWriteBuffer(callerBuffer))
+}
+
 type connKey struct{}
 
 // withConn puts the connection into the context of its requests.
@@ -75,6 +88,25 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// setDiscard sets whether the close of the caller's connection discards what the caller has not read.
+// The kernel would otherwise hold it until the caller reads it.
+func setDiscard(r *http.Request, discard bool) {
+	c, ok := r.Context().Value(connKey{}).(*recordedConn)
+	if !ok {
+		return
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1
+	if discard {
+		seconds = 0
+	}
+	// It fails only for a connection that is closed.
+	_ = tcp.SetLinger(seconds)
+}
+
 // trackConnState starts recording when a connection waits for a request.
 func trackConnState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*recordedConn); ok && (state == http.StateNew || state == http.StateIdle) {
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/forward"
@@ -34,10 +35,14 @@
 		release()
 		return
 	}
+	defer x.chargeAnswer(a)()
+	// net/http closes the connection itself when a write fails.
+	setDiscard(x.req, true)
 	if err := x.copy(w, a, release); err != nil {
 		x.server.log.WithField("request", x.id).WithError(err).Warn("answer broken off")
 		panic(http.ErrAbortHandler)
 	}
+	setDiscard(x.req, false)
 }
 
 func hasBody(method string, status int) bool {
@@ -77,15 +82,18 @@
 	}
 }
 
-// stream copies one target's answer to its end.
+// stream copies one target's answer to its end. It fails if the caller takes longer than Stall for
+// a piece of the size of a buffer: the answer's target and memory are free again then.
 func (x *relay) stream(w http.ResponseWriter, a *forward.Answer) (int64, error) {
 	buf := x.server.buffers.Get().(*[]byte)
 	defer x.server.buffers.Put(buf)
-	flush := http.NewResponseController(w).Flush
+	control := http.NewResponseController(w)
 	var sent int64
 	for {
 		n, err := a.Read(*buf)
 		if n > 0 {
+			// A peer's request has no connection of its own; the peer limits the time.
+			_ = control.SetWriteDeadline(time.Now().Add(x.server.cfg.Stall))
 			if _, werr := w.Write((*buf)[:n]); werr != nil {
 				return sent, fmt.Errorf("entry: write to the caller: %w", werr)
 			}
@@ -98,7 +106,7 @@
 			return sent, err
 		}
 		if !a.Whole() {
-			if err := flush(); err != nil {
+			if err := control.Flush(); err != nil {
 				return sent, fmt.Errorf("entry: flush to the caller: %w", err)
 			}
 		}
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -6,14 +6,21 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"ploverjunction.example/ploverjunction/internal/forward"
 )
 
 const (
 	// smallBody is the size in bytes up to which a body is not counted: requests with small bodies
 	// and answers are served however many large ones wait for slow callers or targets.
 	smallBody = 4 << 10
-	// streamBuffers is the memory in bytes that a streamed body takes.
-	streamBuffers = 64 << 10
+	// streamBuffers is the memory in bytes that a streamed body takes: 32 KiB to copy, 32 KiB for the
+	// target's connection, 32 KiB for the beginning of a request's body or the caller's connection
+	// and its stacks, and 64 KiB that the kernel holds for a caller or target that is slow.
+	streamBuffers = 160 << 10
+	// callerBuffer is the size in bytes of the kernel's buffer in each direction of a caller's
+	// connection; Linux doubles it. A caller 1.4 ms away can still be sent 40 MB per second.
+	callerBuffer = 32 << 10
 	// memoryRetryAfter is the Retry-After of requests refused for lack of memory.
 	memoryRetryAfter = time.Second
 )
@@ -38,6 +45,16 @@
 	return func() { m.used.Add(-n) }, true
 }
 
+// charge counts n bytes of a body that is there already, whether or not they were available. Bodies
+// that come later are refused in turn. release returns them and must be called once.
+func (m *memory) charge(n int64) (release func()) {
+	if m.limit == 0 || n <= 0 {
+		return func() {}
+	}
+	m.used.Add(n)
+	return func() { m.used.Add(-n) }
+}
+
 // bodyCost returns how many bytes of a body of the given length are held at once; -1 means that
 // the length is unknown.
 func bodyCost(length, hold int64) int64 {
@@ -52,21 +69,35 @@
 }
 
 // reserve reserves memory for a request's body and its answer, or refuses the request before its
-// body is read. The expected size of the answer is that of the route.
-func (s *Server) reserve(r *http.Request, in *admission) (release func(), fail *Error) {
+// body is read. The expected size of the answer is that of the route; forAnswer is what is reserved
+// for it.
+func (s *Server) reserve(r *http.Request, in *admission) (release func(), forAnswer int64, fail *Error) {
 	up, ok := s.inbound.reserve(bodyCost(r.ContentLength, s.cfg.HoldBody))
 	if !ok {
-		return nil, noMemory()
+		return nil, 0, noMemory()
 	}
-	down, ok := s.outbound.reserve(bodyCost(int64(s.sizes.expected(in.route))<<10, s.cfg.HoldBody))
+	forAnswer = bodyCost(int64(s.sizes.expected(in.route))<<10, s.cfg.HoldBody)
+	if forAnswer <= smallBody {
+		forAnswer = 0
+	}
+	down, ok := s.outbound.reserve(forAnswer)
 	if !ok {
 		up()
-		return nil, noMemory()
+		return nil, 0, noMemory()
 	}
 	return func() {
 		up()
 		down()
-	}, nil
+	}, forAnswer, nil
+}
+
+// chargeAnswer counts what an answer takes beyond what was reserved for it.
+func (x *relay) chargeAnswer(a *forward.Answer) (release func()) {
+	cost := bodyCost(a.Length(), x.server.cfg.HoldBody)
+	if cost <= smallBody {
+		return func() {}
+	}
+	return x.server.outbound.charge(cost - x.forAnswer)
 }
 
 func noMemory() *Error {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -31,6 +31,8 @@
 	service   *fleetconfig.Service
 	started   time.Time
 	body      *body
+	// forAnswer is the memory reserved for the answer, in bytes.
+	forAnswer int64
 	tracker   *attempt.Tracker
 	// tried are the keys of the targets that were tried. It is written by the attempts, under mu.
 	mu    sync.Mutex
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -280,7 +280,7 @@
 
 // forward has an admitted request answered and returns the final status and outcome.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, started time.Time, in *admission) (int, attempt.Outcome) {
-	give, fail := s.reserve(r, in)
+	give, forAnswer, fail := s.reserve(r, in)
 	if fail != nil {
 		// Otherwise net/http reads the rest of the body before it answers.
 		w.Header().Set("Connection", "close")
@@ -302,6 +302,7 @@
 		peerHead:     peerHeadOf(r),
 		started:      started,
 		body:         b,
+		forAnswer:    forAnswer,
 		tracker:      attempt.NewTracker(in.route.Repeatable(), in.deadline),
 		header:       s.targetHeader(r, in),
 		fingerprints: fingerprintsOf(r, in, b),
