--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -21,10 +21,8 @@
 	held   []byte
 	stream io.Reader
 	// head is the beginning of a body that is streamed.
-	head   []byte
-	length int64
-	// ended is called when a streamed body was read to its end.
-	ended   func()
+	head    []byte
+	length  int64
 	started atomic.Bool
 	failed  atomic.Pointer[error]
 }
@@ -45,20 +43,17 @@
 		return &body{}, nil
 	}
 	// A peer's request has no connection of its own, and its body has the caller's deadline.
-	setDeadline := http.NewResponseController(w).SetReadDeadline
-	_ = setDeadline(deadline)
-	// With a deadline in force net/http would take the caller of a long answer for gone.
-	ended := func() { _ = setDeadline(time.Time{}) }
+	// net/http lifts the deadline of the connection once the body is read.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 	limited := http.MaxBytesReader(w, r.Body, maxBody)
 	if r.ContentLength > hold {
-		return readHead(limited, r.ContentLength, ended)
+		return readHead(limited, r.ContentLength)
 	}
 	first, err := io.ReadAll(io.LimitReader(limited, hold+1))
 	if err != nil {
 		return nil, bodyError(err)
 	}
 	if int64(len(first)) <= hold {
-		ended()
 		return &body{
 			held:   first,
 			length: int64(len(first)),
@@ -68,12 +63,11 @@
 		stream: io.MultiReader(bytes.NewReader(first), limited),
 		head:   first,
 		length: r.ContentLength,
-		ended:  ended,
 	}, nil
 }
 
 // readHead reads the beginning of a large body, for its fingerprint; it is sent with the rest.
-func readHead(from io.Reader, length int64, ended func()) (*body, *Error) {
+func readHead(from io.Reader, length int64) (*body, *Error) {
 	head := make([]byte, min(length, quarantine.FingerprintBody))
 	if _, err := io.ReadFull(from, head); err != nil {
 		return nil, bodyError(err)
@@ -82,7 +76,6 @@
 		stream: io.MultiReader(bytes.NewReader(head), from),
 		head:   head,
 		length: length,
-		ended:  ended,
 	}, nil
 }
 
@@ -133,10 +126,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	b.started.Store(true)
 	n, err := b.stream.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		b.ended()
-	case err != nil:
+	if err != nil && !errors.Is(err, io.EOF) {
 		b.failed.Store(&err)
 	}
 	return n, err
