--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -7,7 +7,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/quarantine"
@@ -34,11 +36,15 @@
 }
 
 // readBody reads the body of a request. Bodies of at most hold bytes are read whole; of larger
-// ones only the beginning.
-func readBody(w http.ResponseWriter, r *http.Request, maxBody, hold int64) (*body, *Error) {
+// ones only the beginning. Reading fails at the deadline, also that of the rest: what the node holds
+// for the request is then free again, however slowly the caller sends.
+func readBody(w http.ResponseWriter, r *http.Request, maxBody, hold int64, deadline time.Time) (*body, *Error) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return &body{}, nil
 	}
+	// A peer's request has no connection of its own, and its body has the caller's deadline.
+	// net/http lifts the deadline of the connection once the body is read.
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 	limited := http.MaxBytesReader(w, r.Body, maxBody)
 	if r.ContentLength > hold {
 		return readHead(limited, r.ContentLength)
@@ -81,11 +87,24 @@
 	return b.held
 }
 
+// closeUnread has the caller's connection closed after the answer if a part of the body is unread.
+// net/http would otherwise read up to 256 KiB of it before it sends the answer.
+func (b *body) closeUnread(w http.ResponseWriter) {
+	if b.stream != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func bodyError(err error) *Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return refuse(CodeBodySize, http.StatusRequestEntityTooLarge)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		e := refuse(CodeDeadline, http.StatusRequestTimeout)
+		e.cause = err
+		return e
+	}
 	e := refuse(CodeBody, http.StatusBadRequest)
 	e.cause = err
 	return e
@@ -122,5 +141,9 @@
 	}
 	e := bodyError(err)
 	e.outcome = outcome
+	if e.code == CodeDeadline && outcome != attempt.OutcomeNotRun {
+		// 408 invites callers to repeat the request.
+		e.status = http.StatusGatewayTimeout
+	}
 	return e
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -289,7 +289,7 @@
 
 // forward has an admitted request answered and returns the final status and outcome.
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, started time.Time, in *admission) (int, attempt.Outcome) {
-	give, fail := s.reserve(r, in)
+	give, forAnswer, fail := s.reserve(r, in)
 	if fail != nil {
 		// Otherwise net/http reads the rest of the body before it answers.
 		w.Header().Set("Connection", "close")
@@ -297,7 +297,7 @@
 		return fail.status, fail.outcome
 	}
 	defer give()
-	b, fail := readBody(w, r, in.maxBody, s.cfg.HoldBody)
+	b, fail := readBody(w, r, in.maxBody, s.cfg.HoldBody, in.deadline)
 	if fail != nil {
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
@@ -311,6 +311,7 @@
 		peerHead:     peerHeadOf(r),
 		started:      started,
 		body:         b,
+		forAnswer:    forAnswer,
 		tracker:      attempt.NewTracker(in.route.Repeatable(), in.deadline),
 		header:       s.targetHeader(r, in),
 		fingerprints: fingerprintsOf(r, in, b),
@@ -320,12 +321,14 @@
 	}
 	x.recordEarlierRuns()
 	if fail := x.quarantine(); fail != nil {
+		b.closeUnread(w)
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
 	}
 	a, release, fail := x.answer()
 	if fail != nil {
 		x.logEnd(fail.status, fail.outcome, fail)
+		b.closeUnread(w)
 		s.answer(w, id, fail)
 		return fail.status, fail.outcome
 	}
