internal/entry: callers that read 1 kB per second get their answers

A piece of 32 KiB had to be read within the stall time of 6 s, so that callers that read less than 5 kB per second were broken off. The time is now limited for pieces of 4 KiB, by the stall time and the time of the slowest callers for the piece. A caller that stops reading is still broken off (TestCallerThatStopsReadingHoldsNothing).

--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -82,8 +83,30 @@
 	}
 }
 
-// stream copies one target's answer to its end. It fails if the caller takes longer than Stall for
-// a piece of the size of a buffer: the answer's target and memory are free again then.
+const (
+	// minReadRate is the rate, in bytes per second, at which the slowest callers read. An answer that is
+	// read at this rate is not broken off.
+	minReadRate = 1000
+	// writePiece is the size in bytes of the pieces for which the time is limited: within the time for a
+	// larger one, a caller that has stopped reading would hold memory for long.
+	writePiece = 4 << 10
+)
+
+// write writes a part of an answer to the caller. It fails if the caller reads nothing for Stall, or less
+// than minReadRate.
+func (x *relay) write(w http.ResponseWriter, control *http.ResponseController, b []byte) error {
+	for piece := range slices.Chunk(b, writePiece) {
+		// A peer's request has no connection of its own; the peer limits the time.
+		_ = control.SetWriteDeadline(time.Now().Add(x.server.cfg.Stall + time.Duration(len(piece))*time.Second/minReadRate))
+		if _, err := w.Write(piece); err != nil {
+			return fmt.Errorf("entry: write to the caller: %w", err)
+		}
+	}
+	return nil
+}
+
+// stream copies one target's answer to its end. It fails if the caller reads nothing for Stall, or less
+// than minReadRate: the answer's target and memory are free again then.
 func (x *relay) stream(w http.ResponseWriter, a *forward.Answer) (int64, error) {
 	buf := x.server.buffers.Get().(*[]byte)
 	defer x.server.buffers.Put(buf)
@@ -92,10 +115,8 @@
 	for {
 		n, err := a.Read(*buf)
 		if n > 0 {
-			// A peer's request has no connection of its own; the peer limits the time.
-			_ = control.SetWriteDeadline(time.Now().Add(x.server.cfg.Stall))
-			if _, werr := w.Write((*buf)[:n]); werr != nil {
-				return sent, fmt.Errorf("entry: write to the caller: %w", werr)
+			if err := x.write(w, control, (*buf)[:n]); err != nil {
+				return sent, err
 			}
 			sent += int64(n)
 		}
