--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -27,7 +27,7 @@
 		// rejected are the traits of requests of which one accepts none of the free targets. Those
 		// behind it have waited less and accept no worse ones.
 		rejected := map[traits]bool{}
-		d.queue.each(now, func(w *waiting) verdict {
+		d.queue.each(now, func(w *waiting) passResult {
 			k := w.group.traits
 			if len(free) == 0 {
 				return stopped
@@ -79,7 +79,7 @@
 			break
 		}
 		rejected := map[traits]bool{}
-		d.queue.each(now, func(w *waiting) verdict {
+		d.queue.each(now, func(w *waiting) passResult {
 			a := w.request
 			k := w.group.traits
 			if len(t.flights) >= d.slots(now, t) {
