internal/dispatch: reuse the expected wait of a refused request

decide calculated it and refuse calculated it again, over all targets, for each non-queueing and infeasible request. No change of behaviour.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -174,7 +174,7 @@
 		}
 	}
 	if a.NonQueueing || d.infeasible(now, a) {
-		return d.refuseExpected(now, a)
+		return d.refuse(now, a, wait)
 	}
 	d.queue.add(now, w)
 	return Grant{
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -356,8 +356,8 @@
 type ShareStatus struct {
 	// WaitingWorkspaces is the number of workspaces with waiting requests.
 	WaitingWorkspaces int
-	// Greatest is the greatest share of the running requests that one workspace has, from 0 to 1, and
-	// GreatestWorkspace that workspace; "" is that of requests without one.
+	// Greatest is the greatest share of the running requests that one workspace has, from 0 to 1.
+	// GreatestWorkspace is that workspace, "" for requests without one.
 	Greatest          float64
 	GreatestWorkspace string
 }
--- a/internal/node/export_shares_test.go
+++ b/internal/node/export_shares_test.go
@@ -24,10 +24,4 @@
 func (c *Chooser) Weight(workspace string) float64 { return c.dispatcher.weight(workspace) }
 
 // Shares returns how the scheduler of the node shares the slots.
-func (c *Chooser) Shares() dispatch.ShareStatus {
-	d := c.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	return d.touchScheduler(now, d.home(&entry.Query{Service: c.service})).Status(now).Shares
-}
+func (c *Chooser) Shares() dispatch.ShareStatus { return c.status().Shares }
--- a/internal/node/export_signals_test.go
+++ b/internal/node/export_signals_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/contract"
-	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
@@ -23,18 +22,7 @@
 }
 
 // Draining reports whether the node's own scheduler treats a target as draining.
-func (c *Chooser) Draining(key string) bool {
-	d := c.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	for _, t := range d.touchScheduler(now, d.home(&entry.Query{Service: c.service})).Status(now).Targets {
-		if t.Key == key {
-			return t.Draining
-		}
-	}
-	return false
-}
+func (c *Chooser) Draining(key string) bool { return c.TargetStatus(key).Draining }
 
 // Prober is the prober of a node without peers.
 type Prober struct {
--- a/internal/node/export_targetload_test.go
+++ b/internal/node/export_targetload_test.go
@@ -5,27 +5,11 @@
 import (
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/dispatch"
-	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/operator"
 	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
-// TargetStatus returns the status of a target in the node's own scheduler.
-func (c *Chooser) TargetStatus(key string) dispatch.TargetStatus {
-	d := c.dispatcher
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	for _, t := range d.touchScheduler(now, d.home(&entry.Query{Service: c.service})).Status(now).Targets {
-		if t.Key == key {
-			return t
-		}
-	}
-	return dispatch.TargetStatus{}
-}
-
 // ObserveProbe passes on the load in the answer of a target to a probe that was just sent.
 func (c *Chooser) ObserveProbe(key string, load signal.Load) {
 	now := time.Now()
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -293,18 +293,29 @@
 	})
 }
 
-// FailureProbability returns the estimated failure probability of a target.
-func (c *Chooser) FailureProbability(key string) float64 {
+// status returns the status of the node's own scheduler.
+func (c *Chooser) status() dispatch.Status {
 	d := c.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for _, t := range d.touchScheduler(now, d.home(&entry.Query{Service: c.service})).Status(now).Targets {
+	return d.touchScheduler(now, d.home(&entry.Query{Service: c.service})).Status(now)
+}
+
+// TargetStatus returns the status of a target in the node's own scheduler, or the zero value if there
+// is no such target.
+func (c *Chooser) TargetStatus(key string) dispatch.TargetStatus {
+	for _, t := range c.status().Targets {
 		if t.Key == key {
-			return t.FailureProbability
+			return t
 		}
 	}
-	return 0
+	return dispatch.TargetStatus{}
+}
+
+// FailureProbability returns the estimated failure probability of a target.
+func (c *Chooser) FailureProbability(key string) float64 {
+	return c.TargetStatus(key).FailureProbability
 }
 
 // Floor returns the floor that the policy of the chooser's service sets.
