internal/dissemination: a peer that doesn't answer no longer ends a comparison

Cause: a comparison tries up to three peers, one each 300 ms without an answer. A pull holds back others for 500 ms, so the second try found the pull of the first one still under way, counted as answered and ended the comparison.

Change: for the further peers of a comparison a pull holds back others for 250 ms, less than the time between two tries.

--- a/internal/dissemination/exchange.go
+++ b/internal/dissemination/exchange.go
@@ -66,10 +66,14 @@
 		var tries task.Group
 		ticker := time.NewTicker(compareMaxWait)
 		defer ticker.Stop()
-		for _, peer := range peers {
+		for i, peer := range peers {
+			wait := pullMaxWait
+			if i > 0 {
+				wait = pullRetryWait
+			}
 			answered := make(chan struct{})
 			tries.Go(ctx, "compare with one", func(ctx context.Context) error {
-				if g.compareWith(ctx, peer) {
+				if g.compareWith(ctx, peer, wait) {
 					close(answered)
 					return nil
 				}
@@ -123,12 +127,12 @@
 
 // compareWith brings this node up to date with a peer, and reports whether all calls were answered.
 // If both have positions, each pulls the values after its own; digests of buckets find remaining
-// differences.
-func (g *Gossip) compareWith(ctx context.Context, peer string) bool {
+// differences. A pull without an answer for pullWait doesn't hold back this one.
+func (g *Gossip) compareWith(ctx context.Context, peer string, pullWait time.Duration) bool {
 	if !g.pullsByPosition() {
 		return g.exchange(ctx, peer, g.request(), true)
 	}
-	if !g.claimPull(time.Now()) {
+	if !g.claimPull(time.Now(), pullWait) {
 		return true
 	}
 	req, reply, err := g.pull(ctx, peer)
--- a/internal/dissemination/gossip.go
+++ b/internal/dissemination/gossip.go
@@ -60,6 +60,9 @@
 	farMaxWait = time.Second
 	// pullMaxWait is the time without an answer to a pull after which another may begin.
 	pullMaxWait = 500 * time.Millisecond
+	// pullRetryWait is the same for the further peers of a comparison. It is less than
+	// compareMaxWait, so that a peer that doesn't answer holds back none of them.
+	pullRetryWait = compareMaxWait * 5 / 6
 	// maxSampleSize is the number of nodes that a reply names to a peer with few.
 	maxSampleSize = 40
 )
--- a/internal/dissemination/pull.go
+++ b/internal/dissemination/pull.go
@@ -106,11 +106,11 @@
 }
 
 // claimPull reports whether a pull may begin, and records that it does. Only one runs at a time,
-// because others would fetch the same values; one without an answer for pullMaxWait doesn't count.
-func (g *Gossip) claimPull(now time.Time) bool {
+// because others would fetch the same values; one without an answer for maxWait doesn't count.
+func (g *Gossip) claimPull(now time.Time, maxWait time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.pulling.IsZero() && now.Sub(g.pulling) < pullMaxWait {
+	if !g.pulling.IsZero() && now.Sub(g.pulling) < maxWait {
 		return false
 	}
 	g.pulling = now
