internal/node: queued requests follow the role of dispatcher

Cause: a request that was queued at a dispatcher stayed there until it was granted or refused, also when the role had moved to another node. After two nodes had held the role for 3 s, the former one got no requests of the workspaces within their share any more and granted all its slots to the queue of the busy one, for some seconds.

Change: when a node repeats a queued request (every 100 ms) and another responsive node has come to rank first, it withdraws the request and sends it there with all fields. A node that ranked first all the time and did not answer is not such a one. The model of shares gets several dispatchers, nodes that choose alone, queues of targets, load reports, and the end of attempts at their deadline.

--- a/internal/dispatch/share_model_test.go
+++ b/internal/dispatch/share_model_test.go
@@ -54,6 +54,9 @@
 	// constantRandom is set where the scheduler breaks no ties at random.
 	constantRandom bool
 	weights        map[string]float64
+	// countFrom and countTo are set where other requests are counted than those of the burst without
+	// its first second.
+	countFrom, countTo time.Duration
 }
 
 // shareResult counts the requests of one workspace that came in the burst.
@@ -68,6 +71,16 @@
 	work float64
 }
 
+func (r *shareResult) add(o shareResult) {
+	r.all += o.all
+	r.served += o.served
+	r.onTime += o.onTime
+	r.refused += o.refused
+	r.failed += o.failed
+	r.overBudget += o.overBudget
+	r.waited += o.waited
+}
+
 func (r *shareResult) share(n int) float64 { return float64(n) / float64(max(r.all, 1)) }
 
 func (r *shareResult) meanWait() time.Duration { return r.waited / time.Duration(max(r.all, 1)) }
@@ -84,22 +97,31 @@
 	counted bool
 	decided bool
 	queued  bool
+	// by is the dispatcher that was asked.
+	by *shareDispatcher
 }
 
 // shareSimulation simulates a service with several workspaces.
 type shareSimulation struct {
 	shareModel
 	scheduler *dispatch.Scheduler
-	rng       *rand.Rand
-	steps     eventQueue
-	now       time.Duration
-	next      uint64
-	requests  map[uint64]*shareRequest
-	got       map[string]*shareResult
+	// dispatchers are all that answer requests, the first one with scheduler. dispatcherOf returns the
+	// one that a request is sent to.
+	dispatchers  []*shareDispatcher
+	dispatcherOf func(r *shareRequest) *shareDispatcher
+	// delay returns the time until the dispatcher of an arriving request receives it.
+	delay    func() time.Duration
+	rng      *rand.Rand
+	steps    eventQueue
+	now      time.Duration
+	next     uint64
+	requests map[uint64]*shareRequest
+	got      map[string]*shareResult
 	// observe is called with every answer of the scheduler.
 	observe func(at time.Duration, g dispatch.Grant)
-	// busy counts the requests at each target, over those beyond its slots, twice those answered again.
-	busy        map[string]int
+	// over counts the requests that a dispatcher granted beyond the slots of a target, twice those
+	// answered again.
+	at          map[string]*shareTarget
 	over, twice int
 	queued      int
 	// shortSeen is set once slots were short.
@@ -112,28 +134,19 @@
 		rng:        rand.New(rand.NewPCG(m.seed, 11)),
 		requests:   map[uint64]*shareRequest{},
 		got:        map[string]*shareResult{},
-		busy:       map[string]int{},
+		at:         map[string]*shareTarget{},
+		delay:      func() time.Duration { return 0 },
 		observe:    func(time.Duration, dispatch.Grant) {},
 	}
-	random := rand.New(rand.NewPCG(m.seed, 12)).Float64
-	if m.constantRandom {
-		random = func() float64 { return 0.5 }
+	if m.countTo == 0 {
+		s.countFrom, s.countTo = shareBurstFrom+time.Second, shareBurstTo
 	}
-	s.scheduler = dispatch.NewScheduler(start, dispatch.Budget{
-		Share:   0.2,
-		Reserve: 190,
-		Window:  10 * time.Second,
-	}, random)
-	s.scheduler.SetWeights(func(workspace string) float64 { return m.weights[workspace] })
-	var list []dispatch.Target
 	for i := range m.targets {
-		list = append(list, dispatch.Target{
-			Key:      fmt.Sprint("t", i),
-			DataHall: hallName(i % m.halls),
-			Slots:    m.slots,
-		})
+		s.at[fmt.Sprint("t", i)] = &shareTarget{}
 	}
-	s.scheduler.Configure(start, list)
+	first := s.newDispatcher(12)
+	s.scheduler = first.Scheduler
+	s.dispatcherOf = func(*shareRequest) *shareDispatcher { return first }
 	return s
 }
 
@@ -164,7 +177,11 @@
 }
 
 func (s *shareSimulation) tick() {
-	s.start(s.scheduler.Advance(s.clock()))
+	for _, d := range s.dispatchers {
+		if !d.lost {
+			s.start(d, d.Advance(s.clock()))
+		}
+	}
 	s.shortSeen = s.shortSeen || s.queued > 0 && s.scheduler.SlotsShort(s.clock())
 	if s.now < shareEnd+20*time.Second {
 		s.after(50*time.Millisecond, s.tick)
@@ -211,20 +228,33 @@
 		request: a,
 		client:  c,
 		came:    s.now,
-		counted: s.inBurst() && s.now >= shareBurstFrom+time.Second,
+		counted: s.now >= s.countFrom && s.now < s.countTo,
 	}
 	if r.counted {
 		s.got[c.workspace].all++
 	}
+	if d := s.delay(); d > 0 {
+		s.after(d, func() { s.request(r) })
+		return
+	}
 	s.request(r)
 }
 
 func (s *shareSimulation) request(r *shareRequest) {
+	s.requestFrom(r, s.dispatcherOf(r))
+}
+
+func (s *shareSimulation) requestFrom(r *shareRequest, by *shareDispatcher) {
 	s.requests[r.request.ID.Number] = r
-	s.start([]dispatch.Grant{s.scheduler.RequestGrant(s.clock(), r.request)})
+	r.by = by
+	if r.by.alone {
+		s.start(r.by, []dispatch.Grant{r.by.GrantIsolated(s.clock(), r.request, 1/float64(aloneNodes))})
+		return
+	}
+	s.start(r.by, []dispatch.Grant{r.by.RequestGrant(s.clock(), r.request)})
 }
 
-func (s *shareSimulation) start(grants []dispatch.Grant) {
+func (s *shareSimulation) start(by *shareDispatcher, grants []dispatch.Grant) {
 	for _, g := range grants {
 		s.observe(s.now, g)
 		r := s.requests[g.ID.Number]
@@ -233,15 +263,11 @@
 			continue
 		}
 		if g.Decision == dispatch.Queued {
-			r.queued = true
-			s.queued++
+			s.setQueued(r, true)
 			continue
 		}
 		late := r.queued
-		if r.queued {
-			r.queued = false
-			s.queued--
-		}
+		s.setQueued(r, false)
 		delete(s.requests, g.ID.Number)
 		got := s.got[r.client.workspace]
 		if r.counted && !r.decided {
@@ -261,8 +287,9 @@
 			}
 			continue
 		}
-		s.busy[g.Target]++
-		if s.busy[g.Target] > s.slots {
+		by.inFlight[g.Target]++
+		by.running[r.client.workspace]++
+		if !by.alone && by.inFlight[g.Target] > s.slots {
 			s.over++
 		}
 		s.work(r, g)
@@ -286,11 +313,24 @@
 	if r.counted {
 		s.got[r.client.workspace].work += took.Seconds()
 	}
-	s.after(took, func() { s.end(r, g, result, took) })
+	granted, ended := s.now, false
+	end := func(result dispatch.Result) {
+		if !ended {
+			ended = true
+			s.end(r, g, result, s.now-granted)
+		}
+	}
+	if !s.serve(g.Target, took, func() { end(result) }) {
+		s.after(failureTime, func() { end(dispatch.ResultShed) })
+	}
+	// The node gives up at the deadline.
+	s.after(r.request.Deadline.Sub(s.clock()), func() { end(dispatch.ResultIgnored) })
 }
 
 func (s *shareSimulation) end(r *shareRequest, g dispatch.Grant, result dispatch.Result, took time.Duration) {
-	s.busy[g.Target]--
+	by := r.by
+	by.inFlight[g.Target]--
+	by.running[r.client.workspace]--
 	got := s.got[r.client.workspace]
 	switch {
 	case result == dispatch.ResultGood && r.counted:
@@ -301,7 +341,10 @@
 	case result != dispatch.ResultGood && (!s.retries || !r.request.Repeatable || r.request.Retry) && r.counted:
 		got.failed++
 	}
-	s.start(s.scheduler.Done(s.clock(), g.ID, g.Target, result, took))
+	if !by.lost {
+		by.ReportLoad(s.clock(), g.Target, g.ID, s.load(g.Target), took)
+		s.start(by, by.Done(s.clock(), g.ID, g.Target, result, took))
+	}
 	if result == dispatch.ResultGood || !s.retries || !r.request.Repeatable || r.request.Retry {
 		return
 	}
--- a/internal/dispatch/share_test.go
+++ b/internal/dispatch/share_test.go
@@ -57,13 +57,7 @@
 	var out shareResult
 	for name, r := range s.got {
 		if name != "w0" {
-			out.all += r.all
-			out.served += r.served
-			out.onTime += r.onTime
-			out.refused += r.refused
-			out.failed += r.failed
-			out.overBudget += r.overBudget
-			out.waited += r.waited
+			out.add(*r)
 		}
 	}
 	return out
--- a/internal/node/grantrequest.go
+++ b/internal/node/grantrequest.go
@@ -131,20 +131,24 @@
 // requestFromPartition requests a grant from the dispatcher of a partition, and from the next in
 // rank if it does not answer.
 func (d *dispatchController) requestFromPartition(ctx context.Context, q *entry.Query, p partition, tries int, nonQueueing bool) reply {
-	for range tries {
+	for silent := 0; silent < tries; {
 		node, ok := d.dispatcher(p)
 		if !ok {
 			return reply{}
 		}
-		g, answered := d.requestFrom(ctx, node.Address(), q, p, nonQueueing)
+		g, end := d.requestFrom(ctx, node.Address(), q, p, nonQueueing)
 		if ctx.Err() != nil {
 			return reply{
 				err: noTargetCause(ctx),
 			}
 		}
-		if answered {
+		switch end {
+		case answered:
 			return d.handleGrant(node.Address(), q, p, g)
+		case moved:
+			continue
 		}
+		silent++
 		d.markUnresponsive(node.Address())
 		d.log.WithField("peer", node.Address()).WithField("service", p.service).WithField("hall", p.hall).Warn("dispatcher did not answer")
 	}
@@ -184,11 +188,42 @@
 	incarnation uint64
 }
 
-// requestFrom requests a grant from one dispatcher and waits for the final answer.
-func (d *dispatchController) requestFrom(ctx context.Context, peer string, q *entry.Query, p partition, nonQueueing bool) (numberedGrant, bool) {
+// requestEnd is how a request to one dispatcher ended.
+type requestEnd uint8
+
+const (
+	// unanswered means that the dispatcher did not answer in time, or that the context ended.
+	unanswered requestEnd = iota
+	// answered means that it sent a final answer.
+	answered
+	// moved means that the role moved while the request was queued.
+	moved
+)
+
+// movedFrom reports whether another node than peer holds the role for a partition, given the node that
+// ranked first when the request was sent to peer. A first node that did not answer has not got the role
+// back by ranking first still.
+func (d *dispatchController) movedFrom(peer, first string, p partition) bool {
+	node, ok := d.dispatcher(p)
+	return ok && node.Address() != peer && node.Address() != first && node.Address() == d.first(p)
+}
+
+// first returns the address of the node that ranks first for a partition, "" if there is none.
+func (d *dispatchController) first(p partition) string {
+	if holders := p.holders(d.board.view.Load()); len(holders) > 0 {
+		return holders[0].Address()
+	}
+	return ""
+}
+
+// requestFrom requests a grant from one dispatcher and waits for the final answer. A queued request is
+// withdrawn if the role moves: the former dispatcher gets no requests of other workspaces any more, so
+// that a busy workspace would be granted all of its slots.
+func (d *dispatchController) requestFrom(ctx context.Context, peer string, q *entry.Query, p partition, nonQueueing bool) (numberedGrant, requestEnd) {
 	id, answers, end := d.messenger.call()
 	defer end()
 	refused := d.takeRefused(p.service)
+	first := d.first(p)
 	send := func() { d.sendGrantRequest(peer, id, q, p, nonQueueing, refused) }
 	send()
 	lastAnswer := time.Now()
@@ -199,7 +234,7 @@
 		select {
 		case <-ctx.Done():
 			d.cancel(peer, p, id)
-			return numberedGrant{}, false
+			return numberedGrant{}, unanswered
 		case in := <-answers:
 			g := in.GetGrant()
 			if g.GetVerdict() != wire.Grant_QUEUED {
@@ -207,7 +242,7 @@
 					grant:       g,
 					number:      id,
 					incarnation: in.GetFrom().GetIncarnation(),
-				}, true
+				}, answered
 			}
 			lastAnswer = time.Now()
 			limit = queuedTimeout
@@ -215,7 +250,11 @@
 		case now := <-resend.C:
 			if now.Sub(lastAnswer) >= limit {
 				d.cancel(peer, p, id)
-				return numberedGrant{}, false
+				return numberedGrant{}, unanswered
+			}
+			if limit == queuedTimeout && d.movedFrom(peer, first, p) {
+				d.cancel(peer, p, id)
+				return numberedGrant{}, moved
 			}
 			send()
 		}
