internal/node: the fallback names the workspace

Cause: a node that reaches no dispatcher granted targets in its own scheduler without the workspace. If it became dispatcher while these attempts ran, the requests without a workspace were charged for them.

Change: the request of the fallback names its workspace. TestFallbackNamesWorkspace failed before (charged to workspace "").

--- a/internal/node/fallback.go
+++ b/internal/node/fallback.go
@@ -30,6 +30,7 @@
 		Age:          q.FirstAttemptAge,
 		Kilobytes:    q.Kilobytes,
 		Priority:     q.Priority,
+		Workspace:    q.Workspace,
 		SoftDeadline: q.SoftDeadline,
 		Deadline:     q.Deadline,
 		Tried:        q.Tried,
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -134,3 +134,23 @@
 		}
 	})
 }
+
+// A node that chooses alone may become dispatcher while its attempts run: they must be charged to their
+// workspace and not to the requests without one.
+func TestFallbackNamesWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := node.NewChooser("quotes", []*wire.Entry{
+			{
+				Key:      "services",
+				Revision: 1,
+				Value:    []byte(`{"services":[{"name":"quotes"}],"targets":[{"service":"quotes","address":"192.0.2.10:80","dataHall":"a","slots":3,"connections":200}]}`),
+			},
+		}, membership.NewNode("192.0.2.2:1", "a"), membership.NewNode("192.0.2.3:1", "a"))
+		if _, err := c.ChooseForWorkspace(context.Background(), "brokers"); err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Shares().GreatestWorkspace; got != "brokers" {
+			t.Errorf("charged to workspace %q", got)
+		}
+	})
+}
