internal/dispatch, internal/health: export and import of a scheduler's state

Cause: when the dispatcher role moves, the next scheduler starts with the default estimates. It doesn't know which targets fail, the usual response times, that targets reject requests, or what the one before has in flight.

Change: Scheduler.Export and Import, on Model.Export and Import. Counts are added, a quantile table fills the older histogram of a route, and attempts in flight count like the load that a target reports and fade in the same way. A scheduler with 50 results, or with another handover in the last 10 s, ignores it; invalid values are dropped. Nothing calls it yet; recorded grants are the same (TestGrantsAreAsRecorded).

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -74,6 +74,11 @@
 	limits     int
 	// trials counts the grants made only because the target lacked work.
 	trials int
+	// lastGrant is when the last request was granted as a dispatcher, results the number of results
+	// recorded, importedAt when a handover was last accepted.
+	lastGrant  time.Time
+	results    int
+	importedAt time.Time
 	// isolated is set while a target is chosen on a node that reaches no dispatcher.
 	isolated bool
 }
@@ -262,6 +267,8 @@
 	}
 	d.charge(a, 1)
 	if t := d.cheapestIsolated(now, a); t != nil {
+		// The node is not the dispatcher of the targets.
+		defer func(last time.Time) { d.lastGrant = last }(d.lastGrant)
 		return d.grant(now, t, a, false)
 	}
 	return Grant{
@@ -282,7 +289,7 @@
 	paced := t.limit.bounded(now)
 	t.limit.pay(now, d.limitShare)
 	before := t.lastGranted
-	t.lastGranted = now
+	t.lastGranted, d.lastGrant = now, now
 	lossProbability := t.lossProbability(now)
 	route := d.model.Route(now, a.Route)
 	t.flights[a.ID] = flight{
@@ -330,6 +337,7 @@
 	}
 	d.lastAdvance = now
 	d.model.Advance(now)
+	d.queue.shares.expireImported(now)
 	for id, key := range d.granted {
 		t := d.targets[key]
 		if t == nil {
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -25,6 +25,10 @@
 	// dispatcherMoves is the time between moves of the dispatcher role to another scheduler, 0 for
 	// never.
 	dispatcherMoves time.Duration
+	// handover is set where the next scheduler gets the state of the one before.
+	handover bool
+	// reported is set where each request reports what the dispatchers before granted.
+	reported bool
 	// maxLost is the greatest share of requests that may be lost: that of a choice without regard to
 	// coverage, and a tenth of it for chance.
 	maxLost float64
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -44,6 +44,8 @@
 	waiting, running, inTime int
 	work                     time.Duration
 	lanes                    map[*group]*lane
+	// placed is set until the first request where the virtual time was imported.
+	placed bool
 }
 
 // class holds the flows of one priority.
@@ -58,6 +60,8 @@
 	// work and inTime sum up the backlogged flows.
 	work   time.Duration
 	inTime int
+	// importedFrom is the virtual time to which imported ones are relative.
+	importedFrom float64
 }
 
 // virtual returns the current virtual time: that of the backlogged flow that is next.
@@ -87,6 +91,10 @@
 	numbers    uint64
 	// lessUrgentCredit is the work, in slot-seconds, that less urgent priorities may be granted.
 	lessUrgentCredit float64
+	// imported are virtual times from a handover for workspaces without requests so far, relative to
+	// the one at its import. They are kept until importedUntil.
+	imported      map[flowKey]float64
+	importedUntil time.Time
 }
 
 func newShares() shares {
@@ -135,6 +143,7 @@
 		virtual: c.virtual(),
 		lanes:   map[*group]*lane{},
 	}
+	s.place(f)
 	c.flows++
 	f.weight = s.weightOf(a.Workspace)
 	c.weights += f.weight
@@ -174,6 +183,10 @@
 
 // start moves a flow that was not backlogged to the current virtual time: it accumulates no credit.
 func (f *flow) start() {
+	if f.placed {
+		f.placed = false
+		return
+	}
 	if v := f.class.virtual(); f.inTime == 0 && f.virtual < v {
 		f.setVirtual(v)
 	}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -100,6 +100,9 @@
 	requests  map[uint64]*dispatch.Request
 	// all and lost count requests, crossed the answers from other data halls.
 	all, lost, crossed int
+	// moves counts the dispatchers so far, ledger holds what each granted.
+	moves  int
+	ledger *dispatch.Ledger
 }
 
 func newSimulation(s *serviceModel, seed uint64) *simulation {
@@ -132,18 +135,26 @@
 		}
 	}
 	p.list = list
+	p.ledger = dispatch.NewLedger(start, dispatch.Budget{
+		Window: 10 * time.Second,
+	})
 	p.newDispatcher()
 	return p
 }
 
-// newDispatcher moves the role to a new scheduler without any state.
+// newDispatcher moves the role to a new scheduler, without any state unless there is a handover.
 func (p *simulation) newDispatcher() {
+	before := p.scheduler
+	p.moves++
 	p.scheduler = dispatch.NewScheduler(p.clock(), dispatch.Budget{
 		Share:   0.2,
 		Reserve: 50,
 		Window:  10 * time.Second,
 	}, p.rng.Float64)
 	p.scheduler.Configure(p.clock(), p.list)
+	if before != nil && p.s.handover {
+		p.scheduler.Import(p.clock(), before.Export(p.clock()))
+	}
 	if p.s.dispatcherMoves > 0 {
 		p.after(p.s.dispatcherMoves, p.newDispatcher)
 	}
@@ -197,6 +208,13 @@
 
 func (p *simulation) request(a *dispatch.Request) {
 	p.requests[a.ID.Number] = a
+	if p.s.reported {
+		by := dispatch.Dispatcher{
+			Address: fmt.Sprint(p.moves),
+		}
+		a.RemoteGrants = p.ledger.RemoteGrants(p.clock(), by.Address)
+		p.ledger.Record(p.clock(), by, a.Retry)
+	}
 	p.start([]dispatch.Grant{p.scheduler.RequestGrant(p.clock(), a)})
 }
 
--- a/internal/health/latency.go
+++ b/internal/health/latency.go
@@ -15,6 +15,9 @@
 	// long as that. histogramDigits is the number of significant digits.
 	maxLatencyMs    = 60_000
 	histogramDigits = 1
+	// maxHistogramMs bounds the values that a histogram returns: the upper bound of the bucket of
+	// maxLatencyMs.
+	maxHistogramMs = 2 * maxLatencyMs
 	// defaultMedian is the median latency before any answer was recorded.
 	defaultMedian = 300 * time.Millisecond
 	// generationSize is the number of answers in a histogram. The last two histograms
--- a/internal/health/target.go
+++ b/internal/health/target.go
@@ -48,6 +48,8 @@
 	baseAt time.Time
 	events []event
 	lastID uint64
+	// importedFailing is set where another process estimated that the target was rather failing.
+	importedFailing bool
 
 	cached   float64
 	cachedAt time.Time
@@ -130,15 +132,15 @@
 	return t.cached
 }
 
-// Answering reports whether the last finished attempt got a good answer, or none has
-// finished.
+// Answering reports whether the last finished attempt got a good answer. Without one it reports
+// whether the target was not imported as failing.
 func (t *Target) Answering() bool {
 	for i := len(t.events) - 1; i >= 0; i-- {
 		if k := t.events[i].kind; k != Open {
 			return k == Good || k == Late
 		}
 	}
-	return true
+	return !t.importedFailing
 }
 
 // update returns the probability of failing after one event (Bayes' rule).
