internal/dispatch: a handover is ignored only for results of granted attempts

Cause: the scheduler of a node also records the results of the node's own attempts that another dispatcher granted. Each node that serves callers has 50 of these after some seconds, so that it would ignore each handover; seen in a test with three nodes, of which the successor sent the requests. These results are contained in the state of the predecessor.

Change: the 50 results are those of attempts that the scheduler granted, since a pause of 10 s in its grants. The probability of a target that it didn't grant in these 10 s is replaced. TestHandoverIsIgnored has a row for each case.

--- a/internal/dispatch/end.go
+++ b/internal/dispatch/end.go
@@ -25,6 +25,9 @@
 	delete(t.flights, id)
 	if ok {
 		d.recordResult(now, t, r)
+		if r != ResultIgnored && r != ResultUnsent {
+			d.results++
+		}
 		t.load.ended(now, len(t.flights))
 		t.health.End(now, f.event, kindOf(r, f.route, took, idle))
 		d.recordResponseTime(f.route, r, took)
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -18,11 +18,13 @@
 	maxHandoverTargets    = 1000
 	maxHandoverRoutes     = 256
 	maxHandoverWorkspaces = 256
-	// minOwnResults is the number of recorded results with which a scheduler ignores a handover: its own
-	// estimates are then newer and about as good.
+	// minOwnResults is the number of results with which a scheduler ignores a handover: its own estimates
+	// are then newer and about as good. Only results of attempts that it granted count: those of its node's
+	// attempts that the previous scheduler granted are contained in the state of that one.
 	minOwnResults = 50
 	// handoverInterval is the time in which a scheduler accepts one handover: a repeated one or that of a
-	// second dispatcher would count the same results twice.
+	// second dispatcher would count the same results twice. After as long without a grant it has had no
+	// part in the role, and what it learned in it is out of date.
 	handoverInterval = 10 * time.Second
 	// maxGrantAge is the greatest age of a last grant that is imported: older ones have no effect.
 	maxGrantAge = time.Minute
@@ -79,7 +81,7 @@
 const (
 	// Imported means that the valid values are in use.
 	Imported ImportResult = iota
-	// ResultsKnown means that the scheduler has recorded enough results itself.
+	// ResultsKnown means that the scheduler has enough results of attempts that it granted.
 	ResultsKnown
 	// Repeated means that it has accepted a handover shortly before.
 	Repeated
@@ -150,7 +152,9 @@
 
 // importState uses the state of a target at the previous scheduler.
 func (t *target) importState(now time.Time, in TargetHandover) {
-	t.health.Import(now, in.FailureProbability)
+	if now.Sub(t.lastOwnGrant) > handoverInterval {
+		t.health.Import(now, in.FailureProbability)
+	}
 	if in.GrantAge >= 0 && in.GrantAge <= maxGrantAge {
 		t.lastGranted = later(t.lastGranted, now.Add(-in.GrantAge))
 	}
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -127,19 +127,26 @@
 	}
 }
 
-// Guards against a late or repeated handover that replaces or doubles what the receiver knows.
+// Guards against a late or repeated handover that replaces or doubles what the receiver knows, and against
+// one that is ignored because the receiver's node has results of attempts that the predecessor granted, or
+// had the role before.
 func TestHandoverIsIgnored(t *testing.T) {
 	before, now := trained(1)
 	h := before.Export(now)
 	tests := []struct {
 		name    string
 		results uint64
+		remote  int
+		pause   time.Duration
 		first   time.Duration
 		want    dispatch.ImportResult
 	}{
 		{name: "without results", want: dispatch.Imported},
 		{name: "49 results", results: 49, want: dispatch.Imported},
 		{name: "50 results", results: 50, want: dispatch.ResultsKnown},
+		{name: "50 results of attempts of the predecessor", remote: 50, want: dispatch.Imported},
+		{name: "50 results before a pause in the role", results: 50, pause: 11 * time.Second, want: dispatch.Imported},
+		{name: "50 results before a short pause", results: 50, pause: 9 * time.Second, want: dispatch.ResultsKnown},
 		{name: "second", first: 9 * time.Second, want: dispatch.Repeated},
 		{name: "second after a while", first: 10 * time.Second, want: dispatch.Imported},
 	}
@@ -151,6 +158,14 @@
 			at = at.Add(handoverWork)
 			d.Done(at, g.ID, g.Target, dispatch.ResultGood, handoverWork)
 		}
+		for range tt.remote {
+			d.RecordRemote(at, "t9", "", dispatch.ResultGood, handoverWork)
+		}
+		if tt.pause > 0 {
+			at = at.Add(tt.pause)
+			g := d.RequestGrant(at, newRequest(at, 1000))
+			d.Done(at, g.ID, g.Target, dispatch.ResultGood, handoverWork)
+		}
 		if tt.first > 0 {
 			d.Import(at, dispatch.Handover{})
 			at = at.Add(tt.first)
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -124,9 +124,6 @@
 // recordResult counts the result of an attempt at a target.
 func (d *Scheduler) recordResult(now time.Time, t *target, r Result) {
 	d.rejections.record(now, r)
-	if r != ResultIgnored && r != ResultUnsent {
-		d.results++
-	}
 	switch r {
 	case ResultShed:
 		t.lastRejected = now
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -74,8 +74,9 @@
 	limits     int
 	// trials counts the grants made only because the target lacked work.
 	trials int
-	// lastGrant is when the last request was granted as a dispatcher, results the number of results
-	// recorded, importedAt when a handover was last accepted.
+	// lastGrant is when the last request was granted as a dispatcher, results the number of results of
+	// granted attempts since a pause of handoverInterval between grants, importedAt when a handover was
+	// last accepted.
 	lastGrant  time.Time
 	results    int
 	importedAt time.Time
@@ -289,7 +290,10 @@
 	paced := t.limit.bounded(now)
 	t.limit.pay(now, d.limitShare)
 	before := t.lastGranted
-	t.lastGranted, d.lastGrant = now, now
+	if now.Sub(d.lastGrant) > handoverInterval {
+		d.results = 0
+	}
+	t.lastGranted, t.lastOwnGrant, d.lastGrant = now, now, now
 	lossProbability := t.lossProbability(now)
 	route := d.model.Route(now, a.Route)
 	t.flights[a.ID] = flight{
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -43,6 +43,8 @@
 	flights       map[ID]flight
 	// lastGranted is when the target last got work.
 	lastGranted time.Time
+	// lastOwnGrant is when this scheduler last granted it.
+	lastOwnGrant time.Time
 	// lastRejected is when it last rejected a request, lastBad when it last failed one.
 	lastRejected, lastBad time.Time
 	// uncovered is the probability that the target works and should have had work by now.
--- a/internal/health/handover.go
+++ b/internal/health/handover.go
@@ -160,12 +160,13 @@
 	return table[len(table)-1]
 }
 
-// Import sets the probability of failing that another process estimated, unless the target has results
-// or attempts of its own or p is not a probability.
+// Import replaces the attempts known of the target by the probability of failing that another process
+// estimated from them and from others. A p that is not a probability changes nothing.
 func (t *Target) Import(now time.Time, p float64) {
-	if len(t.events) > 0 || !(p >= 0 && p <= 1) {
+	if !(p >= 0 && p <= 1) {
 		return
 	}
+	t.events = t.events[:0]
 	t.base, t.baseAt = min(max(p, minFailing), maxFailing), now
 	t.importedFailing = p > 0.5
 	t.cachedAt = time.Time{}
