internal/dispatch, internal/node: waiting requests keep their places

Cause: a request that waits at a dispatcher that is killed is queued behind all others at the next one.

Change: grant requests carry for how long dispatchers have queued them (Ask.waited_ms, from the first answer "queued" until another answer). The receiver queues them as if they had arrived that much earlier, at most a minute.

--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -24,7 +24,8 @@
 	// bestCost is the cost of the best target at bestCostAt, busy ones included.
 	bestCost   float64
 	bestCostAt time.Time
-	// number is the rank by arrival.
+	// number is the rank by arrival, that at the first dispatcher where the request has waited at
+	// others.
 	number uint64
 	flow   *flow
 	group  *group
@@ -46,6 +47,8 @@
 	late     *btree.BTreeG[*waiting]
 	expiry   *btree.BTreeG[*waiting]
 	arrivals uint64
+	// epoch is the time of the first arrival, to which ranks are relative.
+	epoch time.Time
 	// slotsShort is set while requests wait for slots rather than for better targets. groupedShort is
 	// its value by which the requests are divided into late ones and others.
 	slotsShort   bool
@@ -97,10 +100,23 @@
 	return w.request.SoftDeadline.Add(-w.usualTime)
 }
 
+// arrivalBits is the number of bits of a rank that hold the order of arrivals within a millisecond. They
+// repeat after 16 million arrivals, which no waiting request outlasts; the others last for 34 years.
+const arrivalBits = 24
+
+// rank returns the next rank of a request that began to wait at a time. Ranks are unique and in the order
+// of these times in milliseconds, and then of the calls.
+func (q *queue) rank(now, since time.Time) uint64 {
+	if q.epoch.IsZero() {
+		q.epoch = now.Add(-maxWaited)
+	}
+	q.arrivals++
+	return uint64(max(since.Sub(q.epoch).Milliseconds(), 0))<<arrivalBits | q.arrivals&(1<<arrivalBits-1)
+}
+
 func (q *queue) add(now time.Time, w *waiting) {
 	q.update(now)
-	q.arrivals++
-	w.number = q.arrivals
+	w.number = q.rank(now, w.since)
 	w.flow = q.shares.flow(w.request)
 	w.flow.waiting++
 	q.shares.workspaces[w.request.Workspace]++
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -73,6 +73,9 @@
 	// NonQueueing is set where the node can request a target in another data hall instead: the request
 	// is then not queued.
 	NonQueueing bool
+	// Waited is how long the request has waited in the queues of other dispatchers: it is queued as if it
+	// had arrived that much earlier.
+	Waited time.Duration
 	// RemoteGrants counts the attempts that other dispatchers of the same targets granted to the node.
 	RemoteGrants AttemptCounts
 	// Unrecorded is set where the node has counted them for less than the window of the retry budget.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -26,6 +26,9 @@
 	finalWaitShare = 0.5
 	// warmupSlotShare is the share of its slots that a target gets while it warms up.
 	warmupSlotShare = 0.5
+	// maxWaited bounds the time for which a request may have waited at other dispatchers: the greatest
+	// response time that is recorded, as no route waits as long as that.
+	maxWaited = time.Minute
 )
 
 // Scheduler chooses the targets of one service. It is not safe for concurrent use.
@@ -167,7 +170,7 @@
 	}
 	w := &waiting{
 		request:         a,
-		since:           now,
+		since:           now.Add(-min(max(a.Waited, 0), maxWaited)),
 		usualTime:       d.model.Route(now, a.Route).MedianLatency(),
 		minResponseTime: d.minResponseTime(now, a),
 
--- a/internal/entry/choice.go
+++ b/internal/entry/choice.go
@@ -36,6 +36,9 @@
 	// Replacement is set where a target was granted for the attempt before and nothing was sent to
 	// it: the retry budget has counted the attempt already.
 	Replacement bool
+	// QueuedAt is when a dispatcher first queued the grant request that is still unanswered, the zero time
+	// where none has.
+	QueuedAt time.Time
 	// Hedge is set where an earlier attempt is still running; Age is how long that has waited for
 	// its answer.
 	Hedge           bool
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -239,6 +239,7 @@
 		Route:        w.GetRoute(),
 		NonQueueing:  w.GetPassing(),
 		Unrecorded:   w.GetUnrecorded(),
+		Waited:       time.Duration(w.GetWaitedMs()) * time.Millisecond,
 		RemoteGrants: dispatch.AttemptCounts{
 			Firsts:  int(w.GetFirstsElsewhere()),
 			Retries: int(w.GetRepeatsElsewhere()),
--- a/internal/node/grantrequest.go
+++ b/internal/node/grantrequest.go
@@ -203,6 +203,7 @@
 		case in := <-answers:
 			g := in.GetGrant()
 			if g.GetVerdict() != wire.Grant_QUEUED {
+				q.QueuedAt = time.Time{}
 				return numberedGrant{
 					grant:       g,
 					number:      id,
@@ -210,6 +211,9 @@
 				}, true
 			}
 			lastAnswer = time.Now()
+			if q.QueuedAt.IsZero() {
+				q.QueuedAt = lastAnswer
+			}
 			limit = queuedTimeout
 			resend.Reset(queuedInterval)
 		case now := <-resend.C:
@@ -266,6 +270,14 @@
 	return l
 }
 
+// waitedMS returns for how long dispatchers have queued the grant request, in milliseconds.
+func waitedMS(now time.Time, q *entry.Query) uint32 {
+	if q.QueuedAt.IsZero() {
+		return 0
+	}
+	return uint32(max(now.Sub(q.QueuedAt).Milliseconds(), 0))
+}
+
 func (d *dispatchController) sendGrantRequest(peer string, id uint64, q *entry.Query, p partition, nonQueueing bool, refusals int) {
 	now := time.Now()
 	remote := d.remoteGrants(peer, p)
@@ -295,6 +307,7 @@
 				ClosedHalls: d.board.closedHalls(q),
 				Limits:      d.board.limits(now, d.currentService(q.Service), p.hall),
 
+				WaitedMs:         waitedMS(now, q),
 				Unrecorded:       d.unrecorded(now),
 				FirstsElsewhere:  uint32(remote.Firsts),
 				RepeatsElsewhere: uint32(remote.Retries),
