--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -85,6 +85,7 @@
 		withFallback("targets", "retry_reserve", decimal(&s.retryReserve, 0, maxReserve), func() { s.retryReserve = 0 }),
 		withFallback("targets", "retry_window", duration(&s.retryWindow, minWindow, maxDeadline), func() {}),
 		withFallback("targets", "partition_slots", count(&s.partitionSlots, 0, maxSlots), func() { s.partitionSlots = 0 }),
+		withFallback("targets", "handover", boolean(&s.handover), func() { s.handover = false }),
 		optional("workspaces", "identity", oneOf(&s.workspaces.identity, IdentityHeader, IdentityKey)),
 		withFallback("workspaces", "strict", boolean(&s.workspaces.strict), func() { s.workspaces.strict = true }),
 		withFallback("workspaces", "key_age", duration(&s.workspaces.keyAge, minWindow, maxDeadline), func() {}),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,6 +71,7 @@
 	retryWindow  time.Duration
 
 	partitionSlots int
+	handover       bool
 
 	workspaces Workspaces
 
@@ -175,6 +176,9 @@
 // partitioned by data halls; 0 leaves that to the number of targets. All nodes must have the same value.
 func (s *Settings) PartitionSlots() int { return s.partitionSlots }
 
+// Handover reports whether a dispatcher sends what it has learned to the node that has the role after it.
+func (s *Settings) Handover() bool { return s.handover }
+
 // Workspaces returns how workspaces are identified and limited.
 func (s *Settings) Workspaces() *Workspaces { return &s.workspaces }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -261,6 +261,24 @@
 	}
 }
 
+// Guards against a process that doesn't start, or hands over although nobody asked for it.
+func TestHandover(t *testing.T) {
+	for text, want := range map[string]bool{
+		"":                   false,
+		"handover = true\n":  true,
+		"handover = false\n": false,
+		"handover = some\n":  false,
+	} {
+		s, err := load(t, good+"[targets]\n"+text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Handover() != want {
+			t.Errorf("%q: %t, want %t", text, s.Handover(), want)
+		}
+	}
+}
+
 func TestWorkspaces(t *testing.T) {
 	s, err := load(t, good+"[workspaces]\nidentity = key\nstrict = true\nkey_age = 4s\nwindow = 2s\nexcess = 0.1\nslack = 7.5\n")
 	if err != nil {
