internal/health, internal/dispatch: tests of invalid tables and isolated grants

Tables of response times that no process can have measured, and grants on a node that reaches no dispatcher, have tests of their own.

--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -308,3 +308,18 @@
 		t.Errorf("%d requests lost with handover, %d without; %d windows below the floor", lost[1], lost[0], low[1])
 	}
 }
+
+// Guards against a node that reaches no dispatcher and sends the state of a role that it doesn't have.
+func TestIsolatedGrantIsNoRole(t *testing.T) {
+	d := newScheduler(pool(2)...)
+	if g := d.GrantIsolated(start, newRequest(start, 1), 1); g.Decision != dispatch.Granted {
+		t.Fatal(g.Decision)
+	}
+	if at := d.LastGrant(); !at.IsZero() {
+		t.Errorf("last grant at %v", at)
+	}
+	d.RequestGrant(start, newRequest(start, 2))
+	if at := d.LastGrant(); !at.Equal(start) {
+		t.Errorf("last grant at %v, want %v", at, start)
+	}
+}
--- a/internal/health/handover_test.go
+++ b/internal/health/handover_test.go
@@ -58,10 +58,55 @@
 	if got := r.LatencyQuantile(0.1); got < 9*medianLatency {
 		t.Errorf("a tenth of the answers comes within %v, but all took %v", got, 10*medianLatency)
 	}
-	before := r.MedianLatency()
+	before := r.LatencyQuantile(0.1)
 	next.Import(now, m.Export())
-	if got := r.MedianLatency(); got != before {
-		t.Errorf("median %v after an import, before %v", got, before)
+	r = next.Route(now, "route")
+	for range 8 {
+		// The table is updated with the eighth answer at the latest.
+		if err := r.RecordLatency(10 * medianLatency); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := r.LatencyQuantile(0.1); got != before {
+		t.Errorf("a tenth of the answers comes within %v after an import, before within %v", got, before)
+	}
+}
+
+// Guards against response times that no process can have measured.
+func TestInvalidTablesAreDropped(t *testing.T) {
+	tests := []struct {
+		name      string
+		change    func(table []float64) []float64
+		responses int
+		known     bool
+	}{
+		{name: "valid", responses: 100, known: true},
+		{name: "no responses"},
+		{name: "too many responses", responses: 301},
+		{name: "short", responses: 100, change: func(table []float64) []float64 { return table[1:] }},
+		{name: "falling", responses: 100, change: func(table []float64) []float64 { table[4] = 1; return table }},
+		{name: "negative", responses: 100, change: func(table []float64) []float64 { table[0] = -1; return table }},
+		{name: "not a number", responses: 100, change: func(table []float64) []float64 { table[0] = math.NaN(); return table }},
+		{name: "infinite", responses: 100, change: func(table []float64) []float64 { table[9] = math.Inf(1); return table }},
+	}
+	for _, tt := range tests {
+		table := []float64{10, 20, 30, 40, 50, 60, 70, 80, 90, 100}
+		if tt.change != nil {
+			table = tt.change(table)
+		}
+		m := health.NewModel(start)
+		m.Import(start, health.ModelState{
+			Routes: []health.RouteState{
+				{
+					Name:      "route",
+					Quantiles: table,
+					Responses: tt.responses,
+				},
+			},
+		})
+		if known := m.Route(start, "route").LatencyQuantile(0.5) > 0; known != tt.known {
+			t.Errorf("%s: response times known: %t", tt.name, known)
+		}
 	}
 }
 
