internal/node: dispatchers send their state to the next one

Cause: when a dispatcher stops, or a node that ranks higher joins, the new dispatcher starts with the default estimates.

Change: rpc Handover. With [targets] handover a dispatcher sends the state of each partition for which it granted requests in the last 10 s, once for each successor: at a planned stop after it has announced it, to the node that ranks first without it; else to a node that ranks first now. A failed call is retried once after 200 ms; a peer of an older version is logged at debug level. The receiver must rank among the first three. Each handover gives a log line at each end and counts in plover_handovers_sent, _failed, _accepted or _ignored; its bytes have the purpose "handovers". Off by default.

--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -65,6 +65,12 @@
 	return err
 }
 
+// Handover calls Handover of a peer.
+func (d *Dialer) Handover(ctx context.Context, peer string, in *wire.HandoverRequest) error {
+	_, err := call(ctx, d, peer, traffic.Handovers, in, wire.DRPCPeerClient.Handover)
+	return err
+}
+
 func call[In, Out any](ctx context.Context, d *Dialer, peer string, purpose traffic.Purpose, in In, fn func(wire.DRPCPeerClient, context.Context, In) (Out, error)) (Out, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,8 +9,10 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -53,6 +55,12 @@
 // Kind returns what failed.
 func (e *Error) Kind() Kind { return e.kind }
 
+// Unimplemented reports whether a call failed because the peer, of an older version, does not know it.
+func Unimplemented(err error) bool {
+	// The server sends an unknown call back without a code.
+	return drpcerr.Code(err) == drpcerr.Unimplemented || err != nil && strings.Contains(err.Error(), "unknown rpc")
+}
+
 // Server serves the calls of peers.
 type Server struct {
 	listener net.Listener
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -215,6 +215,12 @@
 	return s.DRPCPeerServer.Judge(ctx, in)
 }
 
+// Handover labels the answer to a call of Handover.
+func (s *labellingServer) Handover(ctx context.Context, in *wire.HandoverRequest) (*wire.Receipt, error) {
+	s.label(ctx, traffic.Handovers, in.GetFrom())
+	return s.DRPCPeerServer.Handover(ctx, in)
+}
+
 // Forward labels the answers to a forwarded request. Its sender is not named in it.
 func (s *labellingServer) Forward(stream wire.DRPCPeer_ForwardStream) error {
 	s.label(stream.Context(), traffic.ForwardedRequests, nil)
--- a/internal/node/dispatch.go
+++ b/internal/node/dispatch.go
@@ -11,6 +11,7 @@
 
 	"ploverjunction.example/ploverjunction/internal/dispatch"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/task"
 )
 
 // Times and counts of the joint choice of targets.
@@ -70,12 +71,16 @@
 	// partitionSlots is the number of slots in each data hall from which on a service is partitioned;
 	// 0 leaves that to the number of targets.
 	partitionSlots int
-	log            *logrus.Entry
+	// handover sends state to the next dispatchers.
+	handover handoverSender
+	log      *logrus.Entry
 	// setCoverageShort receives the probability that too few working targets of a partition had
 	// work recently.
 	setCoverageShort func(p partition, short float64)
 	// setLimitedTargets receives the number of targets of a partition that have a limit.
 	setLimitedTargets func(p partition, targets int)
+	// countHandover receives what became of a handover: sent, failed, accepted, ignored.
+	countHandover func(outcome string)
 
 	mu         sync.Mutex
 	schedulers map[partition]*scheduler
@@ -107,6 +112,8 @@
 	lastUsed time.Time
 	// statusLogged is set while the scheduler has enough requests for log lines.
 	statusLogged bool
+	// handedTo are the successors that have the state of this scheduler.
+	handedTo map[string]bool
 }
 
 func newDispatchController(board *Board, m *messenger, b dispatch.Budget, log *logrus.Entry) *dispatchController {
@@ -118,6 +125,7 @@
 		log:               log,
 		setCoverageShort:  func(partition, float64) {},
 		setLimitedTargets: func(partition, int) {},
+		countHandover:     func(string) {},
 		schedulers:        map[partition]*scheduler{},
 		partitionings:     partitionings{},
 		fullUntil:         map[partition]time.Time{},
@@ -140,10 +148,11 @@
 	tick := time.NewTimer(serveInterval)
 	defer tick.Stop()
 	busy := true
+	var handovers task.Group
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return handovers.Wait()
 		case <-d.wake:
 			if !busy {
 				busy = true
@@ -152,6 +161,10 @@
 		case now := <-tick.C:
 			d.advance(now)
 			d.resendDone(now)
+			d.handOver(ctx, &handovers, now)
+			if err := handovers.Reap(); err != nil {
+				return err
+			}
 			d.logStatus(now)
 			busy = d.busy()
 			if busy {
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -50,6 +50,11 @@
 	}, logging.Part(n.log, "dispatch"))
 	d.floor, d.partitionSlots = n.set.Floor(), n.set.PartitionSlots()
 	d.setCoverageShort = func(p partition, short float64) { n.metrics.PartitionGauge("coverage_short", p.service, p.hall, short) }
+	d.handover = handoverSender{
+		enabled: n.set.Handover(),
+		call:    n.dialer.Handover,
+	}
+	d.countHandover = func(outcome string) { n.metrics.Count("handovers_"+outcome, 1) }
 	d.seeds = n.limits.seeds
 	d.setLimitedTargets = func(p partition, targets int) {
 		n.metrics.PartitionGauge("limited_targets", p.service, p.hall, float64(targets))
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -30,6 +31,24 @@
 	n.lifecycle.draining.Store(true)
 	n.entry.CloseConnections()
 	n.announceDraining(ctx)
+	handovers := n.handOverRoles(ctx)
+	err := n.drainEntry(ctx)
+	return errors.Join(err, handovers.Wait())
+}
+
+// handOverRoles begins to send the state of this node's dispatcher roles to its successors.
+func (n *Node) handOverRoles(ctx context.Context) *task.Group {
+	var handovers task.Group
+	if n.dispatcher != nil {
+		n.dispatcher.stop(ctx, &handovers, time.Now())
+	}
+	return &handovers
+}
+
+// drainEntry accepts callers until the load balancer has had time to react, and returns after the end of
+// the requests in flight.
+func (n *Node) drainEntry(ctx context.Context) error {
+	log := logging.Part(n.log, "node")
 	wait := time.NewTimer(n.live.Load().DrainWait())
 	defer wait.Stop()
 	select {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -34,6 +34,8 @@
 	ConfigComparisons
 	// Evidence has reports to observers and their decisions.
 	Evidence
+	// Handovers have the state that a dispatcher sends to the next one.
+	Handovers
 	// ForwardedRequests are requests for which a peer makes the attempts, and their answers.
 	ForwardedRequests
 	// TargetRequests are bytes sent to targets, TargetResponses those received from them.
@@ -57,6 +59,7 @@
 	ConfigPushes:      "config_pushes",
 	ConfigComparisons: "config_comparisons",
 	Evidence:          "evidence",
+	Handovers:         "handovers",
 	ForwardedRequests: "forwarded_requests",
 	TargetRequests:    "target_requests",
 	TargetResponses:   "target_responses",
