internal/node: the last node of a data hall hands its partition over

Cause: found by reading. A partition without another node in its data hall has a successor elsewhere, which ranks only once its view is without the sender. The view may be published 20 ms later than the message that tells it.

Change: a handover from a draining node publishes the view first. TestLastNodeOfDataHallHandsOver tests the choice of the successor, with its mutant; the publication is not tested.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -14,7 +14,7 @@
 // Parameters of the transfer of state to the next dispatcher.
 const (
 	// maxHandoverTargets, maxHandoverRoutes and maxHandoverWorkspaces bound the state of one partition:
-	// about 200 kB with keys and names of 20 bytes.
+	// 86 kB with keys and names of 20 bytes.
 	maxHandoverTargets    = 1000
 	maxHandoverRoutes     = 256
 	maxHandoverWorkspaces = 256
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -207,6 +207,10 @@
 // Handover serves the transfer of state from the previous dispatcher of partitions.
 func (n *Node) Handover(_ context.Context, in *wire.HandoverRequest) (*wire.Receipt, error) {
 	n.members.recordMessage(in.GetFrom())
+	if in.GetFrom().GetLeaving() {
+		// This node may rank only once its view is without the sender.
+		n.members.renew()
+	}
 	if n.dispatcher != nil {
 		n.dispatcher.handleHandover(time.Now(), in)
 	}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -314,3 +314,24 @@
 		}
 	})
 }
+
+// Guards against the last node of a data hall that stops and finds no successor for its partition.
+func TestLastNodeOfDataHallHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		last, other := membership.NewNode("192.0.2.1:1", "a"), membership.NewNode("192.0.2.2:1", "b")
+		f := node.NewHandoverFleet("quotes", twoHalls(40), last, other)
+		choice, err := f.Chooser(last).ChooseUntil(t.Context(), time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		choice.Done(outlier.Result{}, time.Millisecond)
+		// The receiver knows that the sender stops.
+		f.SetView(other, other)
+		if err := f.Stop(t.Context(), last); err != nil {
+			t.Error(err)
+		}
+		if got := f.Outcomes(other); !slices.Equal(got, []string{"accepted"}) {
+			t.Errorf("handovers of the node of the other data hall: %v", got)
+		}
+	})
+}
