--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -26,6 +26,9 @@
 	finalWaitShare = 0.5
 	// warmupSlotShare is the share of its slots that a target gets while it warms up.
 	warmupSlotShare = 0.5
+	// maxWaited bounds the time for which a request may have waited at other dispatchers: the greatest
+	// response time that is recorded, as no route waits as long as that.
+	maxWaited = time.Minute
 )
 
 // Scheduler chooses the targets of one service. It is not safe for concurrent use.
@@ -74,6 +77,12 @@
 	limits     int
 	// trials counts the grants made only because the target lacked work.
 	trials int
+	// lastGrant is when the last request was granted as a dispatcher, results the number of results of
+	// granted attempts since a pause of handoverInterval between grants, importedAt when a handover was
+	// last accepted.
+	lastGrant  time.Time
+	results    int
+	importedAt time.Time
 	// isolated is set while a target is chosen on a node that reaches no dispatcher.
 	isolated bool
 }
@@ -161,7 +170,7 @@
 	}
 	w := &waiting{
 		request:         a,
-		since:           now,
+		since:           now.Add(-min(max(a.Waited, 0), maxWaited)),
 		usualTime:       d.model.Route(now, a.Route).MedianLatency(),
 		minResponseTime: d.minResponseTime(now, a),
 
@@ -262,6 +271,8 @@
 	}
 	d.charge(a, 1)
 	if t := d.cheapestIsolated(now, a); t != nil {
+		// The node is not the dispatcher of the targets.
+		defer func(last time.Time) { d.lastGrant = last }(d.lastGrant)
 		return d.grant(now, t, a, false)
 	}
 	return Grant{
@@ -282,7 +293,10 @@
 	paced := t.limit.bounded(now)
 	t.limit.pay(now, d.limitShare)
 	before := t.lastGranted
-	t.lastGranted = now
+	if now.Sub(d.lastGrant) > handoverInterval {
+		d.results = 0
+	}
+	t.lastGranted, t.lastOwnGrant, d.lastGrant = now, now, now
 	lossProbability := t.lossProbability(now)
 	route := d.model.Route(now, a.Route)
 	t.flights[a.ID] = flight{
@@ -330,6 +344,7 @@
 	}
 	d.lastAdvance = now
 	d.model.Advance(now)
+	d.queue.shares.expireImported(now)
 	for id, key := range d.granted {
 		t := d.targets[key]
 		if t == nil {
