internal/dispatch: expected wait counts the share that is served

Cause: wait multiplied the slots of a target by the probability that it works. Targets that merely reject requests count as failing with a probability of up to 0.98, so that requests were refused for a wait that they would not have had.

Change: wait uses servedShare, as the interval between returns does: of a target that rejects like the others, the share that it serves. Other targets count as before; recorded grants are unchanged.

--- a/internal/dispatch/hardload_test.go
+++ b/internal/dispatch/hardload_test.go
@@ -562,6 +562,28 @@
 	}
 }
 
+// All targets reject 55 in 100 requests above the capacity. The expected wait counts their slots: they were counted as
+// failing, and 0.425 of all requests were refused at twice the capacity and 0.341 served.
+func TestHardLoadRejectedOverCapacity(t *testing.T) {
+	for _, tt := range []struct{ load, served float64 }{
+		{1.2, 0.53},
+		{2, 0.42},
+	} {
+		name := fmt.Sprintf("load %.1f", tt.load)
+		h := (&hardLoad{
+			load:     tt.load,
+			classes:  portalClasses,
+			rejected: 0.55,
+			seed:     1,
+		}).run()
+		h.log(t, name)
+		h.checkRefusals(t, name)
+		if got := h.total(); float64(got.served) < tt.served*float64(got.all) {
+			t.Errorf("%s: %d of %d served", name, got.served, got.all)
+		}
+	}
+}
+
 // While slots are short and all targets reject some requests, those that reject all requests draw no more of
 // them than trials need. They always have free slots: one of 30 drew 1,053 of 8,290 grants, and retries were
 // refused for the budget.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -184,7 +184,8 @@
 }
 
 // wait estimates how long an arriving request would wait, and returns the work ahead of it: the
-// quotient of that and the slots of working targets is the wait.
+// quotient of that and the slots of working targets is the wait. Of a target that rejects requests like the
+// others, the share that it serves counts, which leaves room for retries of the others.
 func (d *Scheduler) wait(now time.Time, a *Request) (wait, work time.Duration) {
 	work, n := d.queue.ahead(now, a, d.model.Route(now, a.Route).MedianLatency())
 	if c, all := d.limitedCapacity(now); all {
@@ -196,7 +197,7 @@
 	slots := 0.0
 	for _, t := range d.order {
 		if !t.drains(now) {
-			slots += t.limitedSlots(now, d.limitShare, work/time.Duration(n)) * (1 - t.failureProbability(now))
+			slots += t.limitedSlots(now, d.limitShare, work/time.Duration(n)) * d.servedShare(now, t)
 		}
 	}
 	d.queue.workingSlots = max(slots, 1)
