internal/soak: targets that reject requests

Cause: no plan of the soak had a service whose targets reject requests, so that the retry budget, the accuracy of "not run" and the retry times were tested under rejections only without processes.

Change: in half of the plans all targets reject 55 in 100 requests before they run them, for 3 to 5 s (docs/HARD-LOAD.md). Checked in all plans: arrivals at targets beyond the first of each request ID stay within the retry budget (in the independent mode with a reserve for each process), and each refusal with 503 or 429 carries a Retry-After of a second or more. "Not run" and at most once are checked as before. If a node doesn't get the newest route, the violation now has its last response.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -40,13 +40,17 @@
 	err     error
 	// refused reports whether the connection was refused, so that nothing was sent.
 	refused bool
+	// retryAfter is the header Retry-After of the response.
+	retryAfter string
 }
 
 type reply struct {
 	status  int
 	outcome string
-	body    string
-	err     error
+	// retryAfter is the header Retry-After.
+	retryAfter string
+	body       string
+	err        error
 }
 
 // call sends the request identified by key; shown is the API key, "" for none.
@@ -72,10 +76,11 @@
 	defer func() { _ = res.Body.Close() }()
 	b, err := io.ReadAll(res.Body)
 	return reply{
-		status:  res.StatusCode,
-		outcome: res.Header.Get("Plover-Outcome"),
-		body:    string(b),
-		err:     err,
+		status:     res.StatusCode,
+		outcome:    res.Header.Get("Plover-Outcome"),
+		retryAfter: res.Header.Get("Retry-After"),
+		body:       string(b),
+		err:        err,
 	}
 }
 
@@ -123,12 +128,13 @@
 			Complete:   r.err == nil,
 			Correct:    r.status != http.StatusOK || r.body == string(target.Echo(method, path, key, nil)),
 		},
-		node:    n.index,
-		process: l,
-		started: started,
-		ended:   time.Since(f.started),
-		err:     r.err,
-		refused: errors.Is(r.err, syscall.ECONNREFUSED),
+		node:       n.index,
+		process:    l,
+		started:    started,
+		ended:      time.Since(f.started),
+		err:        r.err,
+		refused:    errors.Is(r.err, syscall.ECONNREFUSED),
+		retryAfter: r.retryAfter,
 	}
 }
 
@@ -148,6 +154,7 @@
 	newest, published := f.newest()
 	started := time.Since(f.started)
 	r := call(ctx, c, http.MethodGet, fmt.Sprintf("http://%s/mark-%d", l.proc.Entry(), newest), fmt.Sprintf("look-%d-%d", n.index, i), f.key())
+	l.lastPoll.Store(fmt.Sprintf("status %d, error %v, %s", r.status, r.err, r.body))
 	switch {
 	case r.err != nil:
 	case r.status == http.StatusOK:
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -52,6 +52,8 @@
 		f.restartTarget(s.Index)
 	case KindSignalsLimit:
 		f.signalLimit(f.targets[s.Index], s)
+	case KindServiceRejects:
+		f.rejectRequests(s)
 	default:
 		f.targetStep(f.targets[s.Index], s)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -43,6 +43,8 @@
 	signalsDraining atomic.Bool
 	// limits counts the active steps in which it signals its limit.
 	limits atomic.Int64
+	// rejects counts the active steps in which it rejects requests.
+	rejects atomic.Int64
 }
 
 // fleet holds the platform, targets and nodes of one run.
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -23,6 +23,8 @@
 	disturbed atomic.Bool
 	// newestRoute is the number of the newest route that this process has served.
 	newestRoute atomic.Int64
+	// lastPoll describes the last response to a poll of the newest route.
+	lastPoll atomic.Value
 }
 
 // node is one member of the fleet, whose process is replaced on restarts.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -121,7 +121,7 @@
 	for _, n := range f.nodes {
 		for n.current.Load().newestRoute.Load() < int64(newest) {
 			if time.Now().After(end) {
-				f.violation("node %d: route mark-%d isn't in force %v after the last fault", n.index, newest, recoveryTime)
+				f.violation("node %d: route mark-%d isn't in force %v after the last fault; last response: %v", n.index, newest, recoveryTime, n.current.Load().lastPoll.Load())
 				break
 			}
 			time.Sleep(pollInterval)
@@ -169,6 +169,7 @@
 	f.checkWorkspaces()
 	f.checkCrashes()
 	f.checkSignals(records)
+	f.checkBudget()
 	for _, b := range f.targets {
 		for _, r := range b.Runs() {
 			report.Runs++
@@ -196,6 +197,7 @@
 // checkCall checks one call; h holds the call and its runs.
 func (f *fleet) checkCall(r *record, h history.History) {
 	f.checkUnanswered(r, len(h.Runs))
+	f.checkRetryTime(r)
 	for _, v := range history.Check(h, clockSlack) {
 		f.violation("%s; node %d, sent at %.2fs, repeatable %t, status %d, runs %v", v, r.node, r.started.Seconds(), r.Repeatable, r.Status, f.describe(h.Runs))
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -57,6 +57,8 @@
 	KindSignalsLimit Kind = "target names a limit"
 	// KindPathsCut acts on the links of a node to all targets.
 	KindPathsCut Kind = "paths cut"
+	// KindServiceRejects makes all targets reject most requests before they run.
+	KindServiceRejects Kind = "service rejects"
 )
 
 // kinds are the kinds to draw from in every plan. Those listed more than once are drawn
@@ -142,6 +144,7 @@
 	// A separate random source keeps the other steps of a seed unchanged.
 	p.Crashing = rand.New(rand.NewPCG(seed, 0x4a21)).IntN(2) == 0
 	p.addPaths()
+	p.addRejections()
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p
 }
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -46,6 +46,9 @@
 	if b.limits.Load() > 0 {
 		m.Limit = limitText
 	}
+	if b.rejects.Load() > 0 {
+		m.RejectShare = rejectedShare
+	}
 	return m
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,11 +6,14 @@
 	"bufio"
 	"errors"
 	"flag"
+	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/soak"
 	"ploverjunction.example/ploverjunction/internal/standin/process"
@@ -67,7 +70,7 @@
 	if err != nil {
 		t.Errorf("seed %d: %v", seed, err)
 	}
-	t.Logf("seed %d: joint %t, harmful %t, saying %t, limiting %t, restoring %t, %d steps, %d calls %v, %d runs", seed, plan.Joint, plan.Crashing, plan.Signaling, plan.Limiting, plan.Restoring, len(plan.Steps), report.Calls, report.Counts, report.Runs)
+	t.Logf("seed %d: joint %t, harmful %t, saying %t, limiting %t, restoring %t, rejecting %t, %d steps, %d calls %v, %d runs", seed, plan.Joint, plan.Crashing, plan.Signaling, plan.Limiting, plan.Restoring, rejecting(plan), len(plan.Steps), report.Calls, report.Counts, report.Runs)
 	for _, b := range report.Violations {
 		t.Errorf("seed %d: %s", seed, b)
 	}
@@ -78,6 +81,10 @@
 	}
 }
 
+func rejecting(p soak.Plan) bool {
+	return slices.ContainsFunc(p.Steps, func(s soak.Step) bool { return s.Kind == soak.KindServiceRejects })
+}
+
 // regressionSeeds returns the seeds that have failed before.
 func regressionSeeds(t *testing.T) []uint64 {
 	t.Helper()
@@ -149,6 +156,31 @@
 			},
 			broken: true,
 		},
+		{
+			name: "refused with a retry time",
+			call: soak.Observed{
+				Outcome:    "not-run",
+				Status:     http.StatusServiceUnavailable,
+				RetryAfter: "2",
+			},
+		},
+		{
+			name: "refused without a retry time",
+			call: soak.Observed{
+				Outcome: "not-run",
+				Status:  http.StatusServiceUnavailable,
+			},
+			broken: true,
+		},
+		{
+			name: "refused for no time",
+			call: soak.Observed{
+				Outcome:    "not-run",
+				Status:     http.StatusTooManyRequests,
+				RetryAfter: "0",
+			},
+			broken: true,
+		},
 		{
 			name: "done, but never ran",
 			call: soak.Observed{
@@ -194,3 +226,53 @@
 		}
 	}
 }
+
+// Guards against a check that misses retries beyond the budget or counts those of another window.
+func TestBudgetCheck(t *testing.T) {
+	// every returns n times at equal intervals within 10 s from at.
+	every := func(n int, at time.Duration) []time.Duration {
+		var out []time.Duration
+		for i := range n {
+			out = append(out, at+time.Duration(i)*10*time.Second/time.Duration(n))
+		}
+		return out
+	}
+	cases := []struct {
+		name string
+		// firsts is the number of requests in each 10 s.
+		firsts  int
+		retries []time.Duration
+		beyond  bool
+	}{
+		{
+			name:    "share and reserve",
+			firsts:  100,
+			retries: every(20, time.Second),
+		},
+		{
+			name:    "one more",
+			firsts:  100,
+			retries: every(21, time.Second),
+			beyond:  true,
+		},
+		{
+			name:    "in two windows",
+			firsts:  100,
+			retries: append(every(20, 0), every(20, 10*time.Second)...),
+		},
+		{
+			name:    "without requests",
+			retries: every(11, 30*time.Second),
+			beyond:  true,
+		},
+	}
+	for _, c := range cases {
+		var firsts []time.Duration
+		for at := time.Duration(0); at < 40*time.Second; at += 10 * time.Second {
+			firsts = append(firsts, every(c.firsts, at)...)
+		}
+		if got := soak.BeyondBudget(firsts, c.retries); (got != "") != c.beyond {
+			t.Errorf("%s: %q", c.name, got)
+		}
+	}
+}
--- a/internal/standin/target/faulty.go
+++ b/internal/standin/target/faulty.go
@@ -2,7 +2,10 @@
 
 package target
 
-import "net/http"
+import (
+	"math/rand/v2"
+	"net/http"
+)
 
 // faultyWriter truncates, stalls or slows down the body of a response.
 type faultyWriter struct {
@@ -46,3 +49,38 @@
 	}
 	panic(http.ErrAbortHandler)
 }
+
+// forRequest returns the mode for one request: whether it is rejected is drawn.
+func (m *Mode) forRequest() *Mode {
+	out := *m
+	out.Shed = m.Shed || rand.Float64() < m.RejectShare
+	return &out
+}
+
+// Document returns size bytes that depend only on the path.
+func Document(path string, size int64) []byte {
+	b := make([]byte, size)
+	seed := uint64(len(path))
+	for _, c := range []byte(path) {
+		seed = seed*131 + uint64(c)
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for i := 0; i < len(b); i += 8 {
+		v := rng.Uint64()
+		for j := i; j < min(i+8, len(b)); j++ {
+			b[j] = byte(v >> (8 * (j - i)))
+		}
+	}
+	return b
+}
+
+func sendUnframed(w http.ResponseWriter, content []byte) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
+	_, _ = buf.Write(content)
+	_ = buf.Flush()
+	_ = conn.Close()
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -40,6 +40,8 @@
 	ErrorShare float64 `json:"error_share"`
 	// Shed refuses requests before running them.
 	Shed bool `json:"shed"`
+	// RejectShare is the fraction of requests that are refused like those of Shed.
+	RejectShare float64 `json:"reject_share"`
 	// Backoff is the backoff sent with the refusals of Shed.
 	Backoff time.Duration `json:"rest"`
 	// Draining signals draining in all answers; the target still runs requests.
@@ -84,7 +86,9 @@
 
 // Arrival is one request that reached a target, run or not, and the signals in its answer.
 type Arrival struct {
-	Key      string
+	Key string
+	// ID is the request ID, which is the same in all attempts at a request.
+	ID       string
 	At       time.Time
 	Draining bool
 	Backoff  time.Duration
@@ -149,6 +153,7 @@
 func (t *Target) recordArrival(r *http.Request, m *Mode) {
 	a := Arrival{
 		Key:      r.Header.Get(HeaderKey),
+		ID:       r.Header.Get(headerRequestID),
 		At:       time.Now(),
 		Draining: m.Draining,
 		Limit:    m.Limit,
@@ -219,7 +224,7 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
-	m := t.mode.Load()
+	m := t.mode.Load().forRequest()
 	t.requests.Add(1)
 	t.recordArrival(r, m)
 	t.inFlight.Add(1)
@@ -364,34 +369,6 @@
 	return fmt.Appendf(nil, "%s %s key=%s body=%s\n", method, path, key, body)
 }
 
-// Document returns size bytes that depend only on the path.
-func Document(path string, size int64) []byte {
-	b := make([]byte, size)
-	seed := uint64(len(path))
-	for _, c := range []byte(path) {
-		seed = seed*131 + uint64(c)
-	}
-	rng := rand.New(rand.NewPCG(seed, 1))
-	for i := 0; i < len(b); i += 8 {
-		v := rng.Uint64()
-		for j := i; j < min(i+8, len(b)); j++ {
-			b[j] = byte(v >> (8 * (j - i)))
-		}
-	}
-	return b
-}
-
-func sendUnframed(w http.ResponseWriter, content []byte) {
-	conn, buf, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")
-	_, _ = buf.Write(content)
-	_ = buf.Flush()
-	_ = conn.Close()
-}
-
 func (t *Target) adminMode(w http.ResponseWriter, r *http.Request) {
 	var m Mode
 	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
