internal/soak: competing workspaces

Cause: shares of slots were tested without processes only.

Change: half of the plans have two to four workspaces with weights of 1 to 3 that send 0.6 of their shares of the slots; one of them sends five to ten times that for a time among the faults. The checks of the soak apply to all their requests. The violation of a refusal without a retry time has its status and body. Stand-in: the query of a request may set its latency.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -40,8 +40,9 @@
 	err     error
 	// refused reports whether the connection was refused, so that nothing was sent.
 	refused bool
-	// retryAfter is the header Retry-After of the response.
+	// retryAfter is the header Retry-After of the response, refusal the body of one with an error status.
 	retryAfter string
+	refusal    string
 }
 
 type reply struct {
@@ -53,7 +54,8 @@
 	err        error
 }
 
-// call sends the request identified by key; shown is the API key, "" for none.
+// call sends the request identified by key; shown is the API key, in plans without
+// keys the workspace, "" for none.
 func call(ctx context.Context, c *http.Client, method, url, key, shown string) reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -66,6 +68,7 @@
 	req.Header.Set(target.HeaderKey, key)
 	if shown != "" {
 		req.Header.Set("Authorization", "Bearer "+shown)
+		req.Header.Set("Plover-Workspace", shown)
 	}
 	res, err := c.Do(req)
 	if err != nil {
@@ -102,24 +105,31 @@
 	var out []record
 	for i := 0; ctx.Err() == nil; i++ {
 		n := f.nodes[rng.IntN(len(f.nodes))]
-		method := http.MethodGet
-		if rng.Float64() < writeShare {
-			method = http.MethodPost
-		}
+		method := randomMethod(rng)
 		out = append(out, f.makeCall(c, n, method, fmt.Sprintf("%s-%d", name, i)))
 		time.Sleep(time.Duration(rng.Int64N(int64(callPause))))
 	}
 	return out
 }
 
+func randomMethod(rng *rand.Rand) string {
+	if rng.Float64() < writeShare {
+		return http.MethodPost
+	}
+	return http.MethodGet
+}
+
 // makeCall makes one call to a node and records it. The end of the load does not cancel
 // it, so that every call gets its answer.
 func (f *fleet) makeCall(c *http.Client, n *node, method, key string) record {
 	l := n.current.Load()
-	path := "/quotes/1"
+	path, query, shown := "/quotes/1", "", f.key()
+	if strings.HasPrefix(key, competitorPrefix) {
+		path, query, shown = "/tasks/1", "?work="+competitorWork.String(), workspaceOf(key)
+	}
 	started := time.Since(f.started)
-	r := call(context.Background(), c, method, "http://"+l.proc.Entry()+path, key, f.key())
-	return record{
+	r := call(context.Background(), c, method, "http://"+l.proc.Entry()+path+query, key, shown)
+	out := record{
 		Call: history.Call{
 			Key:        key,
 			Repeatable: method == http.MethodGet,
@@ -136,6 +146,10 @@
 		refused:    errors.Is(r.err, syscall.ECONNREFUSED),
 		retryAfter: r.retryAfter,
 	}
+	if r.status != http.StatusOK {
+		out.refusal = r.body
+	}
+	return out
 }
 
 // pollRoutes polls a node for the newest published route. A process that has served it
--- a/internal/soak/export_test.go
+++ b/internal/soak/export_test.go
@@ -3,6 +3,8 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/history"
@@ -27,6 +29,37 @@
 	return beyondBudget(firsts, retries, retryReserve)
 }
 
+// JudgeShares returns the violations found if the workspace within its share and the one that surges
+// have these numbers of requests served of 100.
+func JudgeShares(within, surging int) []string {
+	f := &fleet{
+		plan: Plan{
+			Weights: []int{1, 1},
+			CalmSurge: Step{
+				Index:  1,
+				Factor: maxSurge,
+			},
+		},
+	}
+	var records []record
+	for i := range 100 {
+		for index, served := range []int{within, surging} {
+			status := http.StatusServiceUnavailable
+			if i < served {
+				status = http.StatusOK
+			}
+			records = append(records, record{
+				Call: history.Call{
+					Key:    fmt.Sprintf("%s-%d", competitor(index), i),
+					Status: status,
+				},
+			})
+		}
+	}
+	f.checkShares(records)
+	return f.violations
+}
+
 // Judge returns the violations that the checks find in one call.
 func Judge(o Observed) []string {
 	f := &fleet{
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -54,6 +54,8 @@
 		f.signalLimit(f.targets[s.Index], s)
 	case KindServiceRejects:
 		f.rejectRequests(s)
+	case KindWorkspaceSurges:
+		f.surge(s)
 	default:
 		f.targetStep(f.targets[s.Index], s)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -76,6 +76,10 @@
 	active atomic.Int64
 	// platformDisturbed is node.lastDisturbed for steps that act on the platform.
 	platformDisturbed atomic.Int64
+	// surges are the factors by which competing workspaces currently exceed their usual demand, 0 for
+	// none. calmSurge is when the surge without faults began.
+	surges    [maxCompetitors]atomic.Int64
+	calmSurge time.Duration
 }
 
 func hall(index int) string { return string(rune('a' + index%2)) }
@@ -120,7 +124,7 @@
 	}
 	f.publishTargets()
 	f.publishRoute()
-	if plan.Keyed {
+	if plan.Keyed || len(plan.Weights) > 0 {
 		f.rotateKeys()
 	}
 	for i := range plan.Nodes {
@@ -198,6 +202,8 @@
 	routes := []string{
 		`{"name":"read","pathPrefix":"/quotes","methods":["GET"],"service":"quotes","class":"read","repeatable":true,"deadline":"3s"}`,
 		`{"name":"write","pathPrefix":"/quotes","methods":["POST"],"service":"quotes","class":"write","deadline":"2s"}`,
+		`{"name":"find","pathPrefix":"/tasks","methods":["GET"],"service":"quotes","class":"find","repeatable":true,"deadline":"3s"}`,
+		`{"name":"task","pathPrefix":"/tasks","methods":["POST"],"service":"quotes","class":"task","deadline":"2s"}`,
 	}
 	for i := 1; i <= f.routes; i++ {
 		routes = append(routes, fmt.Sprintf(`{"name":"mark-%[1]d","pathPrefix":"/mark-%[1]d","methods":["GET"],"service":"quotes","class":"mark","repeatable":true,"deadline":"2s"}`, i))
--- a/internal/soak/rejections.go
+++ b/internal/soak/rejections.go
@@ -62,7 +62,7 @@
 		return
 	}
 	if seconds, err := strconv.Atoi(r.retryAfter); err != nil || seconds < 1 {
-		f.violation("node %d: %s, sent at %.2fs, was refused with Retry-After %q", r.node, r.Key, r.started.Seconds(), r.retryAfter)
+		f.violation("node %d: %s, sent at %.2fs, was refused with status %d and Retry-After %q: %s", r.node, r.Key, r.started.Seconds(), r.Status, r.retryAfter, r.refusal)
 	}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,6 +34,9 @@
 	Calls  int
 	Runs   int
 	Counts map[string]int
+	// Served is the share of the requests of each competing workspace served during the surge without
+	// faults.
+	Served []float64
 	// Violations lists the violations.
 	Violations []string
 }
@@ -54,6 +57,7 @@
 	records := f.load(ctx)
 	err = f.runSteps()
 	f.settle()
+	f.surgeInCalm()
 	cancel()
 	report := f.check(<-records)
 	f.checkRecovery()
@@ -67,15 +71,20 @@
 	var mu sync.Mutex
 	var all []record
 	var group sync.WaitGroup
+	add := func(list []record) {
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, list...)
+	}
 	for i := range callers * len(f.nodes) {
 		group.Go(func() {
 			rng := rand.New(rand.NewPCG(f.plan.Seed, uint64(i)))
-			list := f.caller(ctx, fmt.Sprintf("call-%d", i), rng)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, list...)
+			add(f.caller(ctx, fmt.Sprintf("call-%d", i), rng))
 		})
 	}
+	for i := range f.plan.Weights {
+		group.Go(func() { add(f.compete(ctx, i)) })
+	}
 	for _, n := range f.nodes {
 		group.Go(func() { f.pollRoutes(ctx, n) })
 	}
@@ -170,6 +179,7 @@
 	f.checkCrashes()
 	f.checkSignals(records)
 	f.checkBudget()
+	report.Served = f.checkShares(records)
 	for _, b := range f.targets {
 		for _, r := range b.Runs() {
 			report.Runs++
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -59,6 +59,8 @@
 	KindPathsCut Kind = "paths cut"
 	// KindServiceRejects makes all targets reject most requests before they run.
 	KindServiceRejects Kind = "service rejects"
+	// KindWorkspaceSurges makes a competing workspace send Factor times its usual demand.
+	KindWorkspaceSurges Kind = "workspace surges"
 )
 
 // kinds are the kinds to draw from in every plan. Those listed more than once are drawn
@@ -78,6 +80,8 @@
 	For   time.Duration
 	Kind  Kind
 	Index int
+	// Factor is used by KindWorkspaceSurges only.
+	Factor int
 }
 
 // Plan is the composition of a fleet and its series of steps.
@@ -94,6 +98,10 @@
 	Limiting bool
 	// Restoring reports whether the platform is restored from copies.
 	Restoring bool
+	// Weights are the weights of competing workspaces, none if there are no such workspaces.
+	Weights []int
+	// CalmSurge is a surge after all steps, with Factor 0 if there is none.
+	CalmSurge Step
 	Nodes     int
 	Targets   int
 	Steps     []Step
@@ -145,6 +153,7 @@
 	p.Crashing = rand.New(rand.NewPCG(seed, 0x4a21)).IntN(2) == 0
 	p.addPaths()
 	p.addRejections()
+	p.addCompetition()
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"flag"
+	"fmt"
 	"net/http"
 	"os"
 	"slices"
@@ -70,13 +71,16 @@
 	if err != nil {
 		t.Errorf("seed %d: %v", seed, err)
 	}
-	t.Logf("seed %d: joint %t, harmful %t, saying %t, limiting %t, restoring %t, rejecting %t, %d steps, %d calls %v, %d runs", seed, plan.Joint, plan.Crashing, plan.Signaling, plan.Limiting, plan.Restoring, rejecting(plan), len(plan.Steps), report.Calls, report.Counts, report.Runs)
+	t.Logf("seed %d: joint %t, harmful %t, saying %t, limiting %t, restoring %t, rejecting %t, weights %v, served %.3f, %d steps, %d calls %v, %d runs", seed, plan.Joint, plan.Crashing, plan.Signaling, plan.Limiting, plan.Restoring, rejecting(plan), plan.Weights, report.Served, len(plan.Steps), report.Calls, report.Counts, report.Runs)
 	for _, b := range report.Violations {
 		t.Errorf("seed %d: %s", seed, b)
 	}
 	if len(report.Violations) > 0 {
 		for _, s := range plan.Steps {
-			t.Logf("seed %d: %6.2fs for %4.2fs %s %d", seed, s.At.Seconds(), s.For.Seconds(), s.Kind, s.Index)
+			t.Logf("seed %d: %6.2fs for %4.2fs %s %d %s", seed, s.At.Seconds(), s.For.Seconds(), s.Kind, s.Index, factor(s))
+		}
+		if s := plan.CalmSurge; s.Factor > 0 {
+			t.Logf("seed %d: then  for %4.2fs %s %d %s", seed, s.For.Seconds(), s.Kind, s.Index, factor(s))
 		}
 	}
 }
@@ -85,6 +89,14 @@
 	return slices.ContainsFunc(p.Steps, func(s soak.Step) bool { return s.Kind == soak.KindServiceRejects })
 }
 
+// factor returns the factor of a surge as text, "" for other steps.
+func factor(s soak.Step) string {
+	if s.Factor == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d times", s.Factor)
+}
+
 // regressionSeeds returns the seeds that have failed before.
 func regressionSeeds(t *testing.T) []uint64 {
 	t.Helper()
@@ -276,3 +288,14 @@
 		}
 	}
 }
+
+// Guards against a check of shares that misses refusals of a workspace within its share or asks for those
+// of the one beyond it.
+func TestShareCheck(t *testing.T) {
+	if got := soak.JudgeShares(98, 20); len(got) > 0 {
+		t.Error(got)
+	}
+	if got := soak.JudgeShares(97, 20); len(got) != 1 {
+		t.Errorf("%d of 100 requests within the share served: %v", 97, got)
+	}
+}
--- a/internal/soak/workspaces.go
+++ b/internal/soak/workspaces.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
@@ -27,11 +26,15 @@
 	hotPause = 8 * time.Millisecond
 )
 
-// key returns the API key that most callers use, "" in plans without keys.
+// key returns the API key that most callers use, in plans without keys their workspace if there are any.
 func (f *fleet) key() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.plan.Keyed {
+	switch {
+	case f.plan.Keyed:
+	case len(f.plan.Weights) > 0:
+		return "usual"
+	default:
 		return ""
 	}
 	return keyName(f.keys)
@@ -50,8 +53,8 @@
 	defer f.mu.Unlock()
 	f.keys++
 	f.revoked = time.Now()
-	f.platform.Publish("workspaces", fmt.Sprintf(`{"workspaces":[{"id":"usual","keys":[%q]},{"id":"hot","rate":%d,"burst":%d,"keys":[%q]}]}`,
-		digest(keyName(f.keys)), hotRate, hotRate, digest(hotKey)))
+	f.platform.Publish("workspaces", fmt.Sprintf(`{"workspaces":[{"id":"usual","keys":[%q]},{"id":"hot","rate":%d,"burst":%d,"keys":[%q]}%s]}`,
+		digest(keyName(f.keys)), hotRate, hotRate, digest(hotKey), f.competitors()))
 }
 
 // restartTarget resets a target's connections and publishes a new incarnation of it.
@@ -106,15 +109,14 @@
 	var hot []time.Time
 	for _, b := range f.targets {
 		for _, r := range b.Runs() {
-			if !f.plan.Keyed {
+			if !f.plan.Keyed && len(f.plan.Weights) == 0 {
 				continue
 			}
-			want := "usual"
-			if strings.HasPrefix(r.Key, hotPrefix) {
-				want = "hot"
+			want := workspaceOf(r.Key)
+			if want == "hot" {
 				hot = append(hot, r.At)
 			}
-			if r.Authorized || r.Workspace != want {
+			if f.plan.Keyed && r.Authorized || r.Workspace != want {
 				f.violation("%s: %s arrived with workspace %q, with a key: %t", b.Name(), r.Key, r.Workspace, r.Authorized)
 			}
 		}
--- a/internal/standin/target/faulty.go
+++ b/internal/standin/target/faulty.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"time"
 )
 
 // faultyWriter truncates, stalls or slows down the body of a response.
@@ -50,10 +51,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// forRequest returns the mode for one request: whether it is rejected is drawn.
-func (m *Mode) forRequest() *Mode {
+// forRequest returns the mode for one request: whether it is rejected is drawn, and its query may
+// set its latency, as in "work=250ms".
+func (m *Mode) forRequest(r *http.Request) *Mode {
 	out := *m
 	out.Shed = m.Shed || rand.Float64() < m.RejectShare
+	if d, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
+		out.Latency = d
+	}
 	return &out
 }
 
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -224,7 +224,7 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
-	m := t.mode.Load().forRequest()
+	m := t.mode.Load().forRequest(r)
 	t.requests.Add(1)
 	t.recordArrival(r, m)
 	t.inFlight.Add(1)
