internal/entry: a retry time for refusals by peers

Cause: a peer sends the retry time of its refusal in whole milliseconds, and a time below one is 0. The node of the caller passed that refusal on without Retry-After.

Change: a 503 of a peer without a time gets the default of 250 ms, as other refusals do. TestAttemptsAtPeers fails without it, and with the mutant applied by hand.

Measured: internal/entry passes.

--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -176,13 +176,18 @@
 	if x.tracker.Outcome() != e.Outcome {
 		return newFinalError(x.tracker, attempt.ReasonTargets, e.RetryAfter, e)
 	}
-	return &Error{
+	out := &Error{
 		code:       e.Code,
 		status:     e.Status,
 		outcome:    e.Outcome,
 		retryAfter: e.RetryAfter,
 		cause:      e,
 	}
+	// A time below a millisecond is 0 in the peer's message.
+	if out.status == http.StatusServiceUnavailable && out.retryAfter <= 0 {
+		out.retryAfter = retryAfterDefault
+	}
+	return out
 }
 
 // logPeer logs an attempt that a peer made.
--- a/internal/entry/peer_test.go
+++ b/internal/entry/peer_test.go
@@ -57,6 +57,18 @@
 	}
 }
 
+// peerRefusesWithoutTime refuses with no retry time, as a peer does whose time is below a millisecond.
+func peerRefusesWithoutTime(*http.Request) (*http.Response, error) {
+	return nil, &forward.ViaError{
+		Accepted: true,
+		Cause: &entry.PeerRefusal{
+			Code:    entry.CodeNoTarget,
+			Status:  http.StatusServiceUnavailable,
+			Outcome: attempt.OutcomeNotRun,
+		},
+	}
+}
+
 // peerSite is a site that reaches no target and asks the peers of answers, in turn.
 type peerSite struct {
 	*testSite
@@ -98,7 +110,7 @@
 }
 
 // A request whose node reaches no target must be answered by a peer, must not run twice if it may not
-// be repeated, and must not be said not to have run if it may have.
+// be repeated, and must not be said not to have run if it may have. A refusal must have a retry time.
 func TestAttemptsAtPeers(t *testing.T) {
 	const (
 		repeatable    = "/quotes/1"
@@ -140,6 +152,14 @@
 			outcome: "not-run",
 			asked:   1,
 		},
+		{
+			name:    "refused without a retry time",
+			path:    nonRepeatable,
+			answers: []peerAnswer{peerRefusesWithoutTime, peerServes},
+			status:  http.StatusServiceUnavailable,
+			outcome: "not-run",
+			asked:   1,
+		},
 		{
 			name:    "lost, not repeatable",
 			path:    nonRepeatable,
@@ -187,6 +207,9 @@
 			if got := res.Header.Get("Plover-Outcome"); res.StatusCode != tt.status || got != tt.outcome {
 				t.Errorf("status %d, outcome %q", res.StatusCode, got)
 			}
+			if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get("Retry-After") == "" {
+				t.Error("refused without Retry-After")
+			}
 			if len(p.heads) != tt.asked || p.unable != tt.unable {
 				t.Fatalf("%d peers asked, %d unable", len(p.heads), p.unable)
 			}
