internal/soak: each poll of the newest route is a request of its own

The poll was one request sent every 100 ms; where three targets end under it without an answer between, a node holds it for a minute. So the check was wrong, not the node.

Change: a query makes each poll a request of its own. Times and conditions of the check are unchanged: the route must be in force and be served.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -167,7 +167,8 @@
 	l := n.current.Load()
 	newest, published := f.newest()
 	started := time.Since(f.started)
-	r := call(ctx, c, http.MethodGet, fmt.Sprintf("http://%s/mark-%d", l.proc.Entry(), newest), fmt.Sprintf("look-%d-%d", n.index, i), f.key())
+	// The query makes each poll a request of its own: nodes hold a request under which targets crashed.
+	r := call(ctx, c, http.MethodGet, fmt.Sprintf("http://%s/mark-%d?poll=%d", l.proc.Entry(), newest, i), fmt.Sprintf("look-%d-%d", n.index, i), f.key())
 	l.lastPoll.Store(fmt.Sprintf("status %d, error %v, %s", r.status, r.err, r.body))
 	switch {
 	case r.err != nil:
