--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -52,6 +52,10 @@
 		f.restartTarget(s.Index)
 	case KindSignalsLimit:
 		f.signalLimit(f.targets[s.Index], s)
+	case KindServiceRejects:
+		f.rejectRequests(s)
+	case KindWorkspaceSurges:
+		f.surge(s)
 	default:
 		f.targetStep(f.targets[s.Index], s)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,6 +34,9 @@
 	Calls  int
 	Runs   int
 	Counts map[string]int
+	// Served is the share of the requests of each competing workspace served during the surge without
+	// faults.
+	Served []float64
 	// Violations lists the violations.
 	Violations []string
 }
@@ -54,6 +57,7 @@
 	records := f.load(ctx)
 	err = f.runSteps()
 	f.settle()
+	f.surgeInCalm()
 	cancel()
 	report := f.check(<-records)
 	f.checkRecovery()
@@ -67,15 +71,20 @@
 	var mu sync.Mutex
 	var all []record
 	var group sync.WaitGroup
+	add := func(list []record) {
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, list...)
+	}
 	for i := range callers * len(f.nodes) {
 		group.Go(func() {
 			rng := rand.New(rand.NewPCG(f.plan.Seed, uint64(i)))
-			list := f.caller(ctx, fmt.Sprintf("call-%d", i), rng)
-			mu.Lock()
-			defer mu.Unlock()
-			all = append(all, list...)
+			add(f.caller(ctx, fmt.Sprintf("call-%d", i), rng))
 		})
 	}
+	for i := range f.plan.Weights {
+		group.Go(func() { add(f.compete(ctx, i)) })
+	}
 	for _, n := range f.nodes {
 		group.Go(func() { f.pollRoutes(ctx, n) })
 	}
@@ -121,7 +130,7 @@
 	for _, n := range f.nodes {
 		for n.current.Load().newestRoute.Load() < int64(newest) {
 			if time.Now().After(end) {
-				f.violation("node %d: route mark-%d isn't in force %v after the last fault", n.index, newest, recoveryTime)
+				f.violation("node %d: route mark-%d isn't in force %v after the last fault; last response: %v", n.index, newest, recoveryTime, n.current.Load().lastPoll.Load())
 				break
 			}
 			time.Sleep(pollInterval)
@@ -169,6 +178,8 @@
 	f.checkWorkspaces()
 	f.checkCrashes()
 	f.checkSignals(records)
+	f.checkBudget()
+	report.Served = f.checkShares(records)
 	for _, b := range f.targets {
 		for _, r := range b.Runs() {
 			report.Runs++
@@ -196,6 +207,7 @@
 // checkCall checks one call; h holds the call and its runs.
 func (f *fleet) checkCall(r *record, h history.History) {
 	f.checkUnanswered(r, len(h.Runs))
+	f.checkRetryTime(r)
 	for _, v := range history.Check(h, clockSlack) {
 		f.violation("%s; node %d, sent at %.2fs, repeatable %t, status %d, runs %v", v, r.node, r.started.Seconds(), r.Repeatable, r.Status, f.describe(h.Runs))
 	}
