internal/dispatch: bound the lateness of impatient requests at 0

Cause: a caller's own wait can end before the target latency of its route, so that the deadline lies before the soft deadline. The time within which such callers were spread was then negative, and so could the time be that they were told: -57 ms, which a message carried as 49 days. Each of them also counted as late behind an overload at once, and 394 of 400 requests with 2 s were queued where 18 slots of 200 ms serve 108 in 0.6 of that.

Change: the lateness of a request is at least 0, so that the place of its caller is never before minReturn. Times in grants are bounded to what their fields hold.

--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -37,7 +37,7 @@
 // as long as it could wait, requests that can be answered in time left over no good slot. A shorter
 // burst is worked off, because a late answer is worth more than none.
 func (d *Scheduler) overloaded(now time.Time, a *Request) bool {
-	return now.Sub(d.lastFreeSlot) > a.Deadline.Sub(a.SoftDeadline)
+	return now.Sub(d.lastFreeSlot) > a.lateness()
 }
 
 // maxExpectedWait returns the longest expected wait with which a request is still queued.
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -238,3 +238,24 @@
 		t.Error(sum)
 	}
 }
+
+// Guards against a request that counts as late behind an overload although a slot was just free, because
+// its caller's own wait ends before the target latency of its route: it was queued for longer than it can
+// wait.
+func TestImpatientRequestIsNotOverloaded(t *testing.T) {
+	for _, soft := range []time.Duration{2 * time.Second, 8 * time.Second} {
+		d, now := newTrainedScheduler(pool(6)...)
+		queued := 0
+		for i := range uint64(400) {
+			a := newRequest(now, 10_000+i)
+			a.SoftDeadline, a.Deadline = now.Add(soft), now.Add(2*time.Second)
+			if d.RequestGrant(now, a).Decision == dispatch.Queued {
+				queued++
+			}
+		}
+		// 18 slots of 200 ms serve 108 requests in 0.6 of 2 s.
+		if queued < 90 || queued > 130 {
+			t.Errorf("soft deadline after %v: %d requests are queued", soft, queued)
+		}
+	}
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -62,7 +62,7 @@
 		shares:   newShares(),
 		lateNext: btree.NewG(treeDegree, byTime(func(w *waiting) time.Time { return w.lateFrom })),
 		late: btree.NewG(treeDegree, func(a, b *waiting) bool {
-			return cmp.Or(cmp.Compare(a.lateness(), b.lateness()), cmp.Compare(a.number, b.number)) < 0
+			return cmp.Or(cmp.Compare(a.request.lateness(), b.request.lateness()), cmp.Compare(a.number, b.number)) < 0
 		}),
 		expiry: btree.NewG(treeDegree, byTime((*waiting).expires)),
 	}
@@ -75,11 +75,6 @@
 	}
 }
 
-// lateness returns how long after its soft deadline the request may be answered.
-func (w *waiting) lateness() time.Duration {
-	return w.request.Deadline.Sub(w.request.SoftDeadline)
-}
-
 // expires returns the time after which no answer may come by the deadline.
 func (w *waiting) expires() time.Time { return w.request.Deadline.Add(-w.minResponseTime) }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -84,6 +84,10 @@
 // final reports whether no other attempt can follow a failure of this one.
 func (a *Request) final() bool { return !a.Repeatable || a.Retry && !a.Hedge }
 
+// lateness returns how long after its soft deadline the request may be answered. It is 0 where the
+// caller's own wait ends before the target latency of the route.
+func (a *Request) lateness() time.Duration { return max(a.Deadline.Sub(a.SoftDeadline), 0) }
+
 // Decision is the decision on a grant request.
 type Decision uint8
 
--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -91,7 +91,7 @@
 	d.returns.advance(now)
 	usualTime := d.model.Route(now, a.Route).MedianLatency()
 	first := now.Add(max(wait, minReturn))
-	span := time.Duration(returnSpan * float64(a.Deadline.Sub(a.SoftDeadline)))
+	span := time.Duration(returnSpan * float64(a.lateness()))
 	latest := later(a.Deadline.Add(-usualTime), first.Add(span))
 	place, ok := d.returns.reserve(later(first, now.Add(earliest)), latest, d.returnInterval(now, usualTime))
 	if !ok {
--- a/internal/dispatch/returns_test.go
+++ b/internal/dispatch/returns_test.go
@@ -204,3 +204,28 @@
 		t.Error("no request expired")
 	}
 }
+
+// Guards against negative times of return where the caller's own wait ends before the target latency of its
+// route: they were sent as 49 days.
+func TestImpatientCallersAreToldATime(t *testing.T) {
+	d, now := newTrainedScheduler(pool(6)...)
+	var told []time.Duration
+	record := func(g dispatch.Grant) {
+		if g.Decision == dispatch.Refused {
+			told = append(told, g.RetryAfter)
+		}
+	}
+	for i := range uint64(200) {
+		a := newRequest(now, 10_000+i)
+		a.SoftDeadline, a.Deadline = now.Add(8*time.Second), now.Add(2*time.Second)
+		record(d.RequestGrant(now, a))
+	}
+	for at := now; at.Before(now.Add(4 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		for _, g := range d.Advance(at) {
+			record(g)
+		}
+	}
+	if len(told) < 100 || slices.Min(told) <= 0 {
+		t.Errorf("%d refused, the least time is %v", len(told), slices.Min(told))
+	}
+}
--- a/internal/node/dispatch_test.go
+++ b/internal/node/dispatch_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -147,3 +148,24 @@
 		})
 	}
 }
+
+// Guards against times that wrap in a message: a negative RetryAfter was sent as 49 days.
+func TestTimesOnTheWireAreBounded(t *testing.T) {
+	tests := []struct {
+		time time.Duration
+		want uint32
+	}{
+		{-time.Millisecond, 0},
+		{250 * time.Millisecond, 250},
+		{100 * 24 * time.Hour, math.MaxUint32},
+	}
+	for _, tt := range tests {
+		g := node.WireGrant(dispatch.Grant{
+			RetryAfter: tt.time,
+			HedgeAfter: tt.time,
+		})
+		if g.GetRetryAfterMs() != tt.want || g.GetHedgeAfterMs() != tt.want {
+			t.Errorf("%v: %d and %d ms, want %d", tt.time, g.GetRetryAfterMs(), g.GetHedgeAfterMs(), tt.want)
+		}
+	}
+}
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -288,13 +288,19 @@
 		Limit:        grantedLimit(now, g),
 		Verdict:      wireDecisions[g.Decision],
 		Target:       g.Target,
-		RetryAfterMs: uint32(g.RetryAfter.Milliseconds()),
+		RetryAfterMs: wireMilliseconds(g.RetryAfter),
 		Doubt:        uint32(1000 * g.LossProbability),
 		Trial:        g.Trial,
-		HedgeAfterMs: uint32(g.HedgeAfter.Milliseconds()),
+		HedgeAfterMs: wireMilliseconds(g.HedgeAfter),
 	}
 }
 
+// wireMilliseconds returns a duration in milliseconds, 0 for a negative one: converted as it is, -1 ms
+// would be sent as 49 days.
+func wireMilliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
 // grantedLimit returns the limit of the target that a grant names, or nil.
 func grantedLimit(now time.Time, g dispatch.Grant) *wire.TargetLimit {
 	if !g.Limit.Set {
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -20,6 +20,9 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
+// WireGrant exports wireGrant to the tests.
+func WireGrant(g dispatch.Grant) *wire.Grant { return wireGrant(g) }
+
 // Reporter is the evidence controller of a node, without a network.
 type Reporter struct {
 	evidence *evidenceController
