internal/dispatch: spread impatient callers that find no place

Cause: callers without a place are spread over half of the time between the soft deadline and the deadline. A caller whose own wait ends before the target latency of its route has none between them: behind the queue of 90 slots of which 3 were left, 200 such callers were told the same time.

Change: half of the time to the deadline takes its place.

--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -13,7 +13,8 @@
 	// minReturn is the shortest RetryAfter; a shorter one would be rounded to none in messages.
 	minReturn = time.Millisecond
 	// returnSpan is the share of the time between both deadlines within which places are reserved
-	// where the waiting work takes longer than the request has time.
+	// where the waiting work takes longer than the request has time; the share of the time to the
+	// deadline where that is not after the soft deadline.
 	returnSpan = 0.5
 )
 
@@ -91,7 +92,11 @@
 	d.returns.advance(now)
 	usualTime := d.model.Route(now, a.Route).MedianLatency()
 	first := now.Add(max(wait, minReturn))
-	span := time.Duration(returnSpan * float64(a.lateness()))
+	late := a.lateness()
+	if late == 0 {
+		late = max(a.Deadline.Sub(now), 0)
+	}
+	span := time.Duration(returnSpan * float64(late))
 	latest := later(a.Deadline.Add(-usualTime), first.Add(span))
 	place, ok := d.returns.reserve(later(first, now.Add(earliest)), latest, d.returnInterval(now, usualTime))
 	if !ok {
--- a/internal/dispatch/returns_test.go
+++ b/internal/dispatch/returns_test.go
@@ -229,3 +229,34 @@
 		t.Errorf("%d refused, the least time is %v", len(told), slices.Min(told))
 	}
 }
+
+// newSchedulerAfterLoss returns a scheduler that lost all targets but one behind a queue for thirty.
+func newSchedulerAfterLoss() (*dispatch.Scheduler, time.Time) {
+	d, now := newTrainedScheduler(pool(30)...)
+	burst(d, now, 1, 3000)
+	var lost []string
+	for _, p := range pool(30)[1:] {
+		lost = append(lost, p.Key)
+	}
+	d.Update(now, nil, lost)
+	return d, now
+}
+
+// Guards against impatient callers that return at the same moment after a loss of slots: between their soft
+// deadline and their deadline there is no time over which they could be spread.
+func TestImpatientCallersAreSpread(t *testing.T) {
+	d, now := newSchedulerAfterLoss()
+	var told []time.Duration
+	for i := range uint64(200) {
+		a := newRequest(now, 10_000+i)
+		a.SoftDeadline, a.Deadline = now.Add(8*time.Second), now.Add(3*time.Second)
+		if g := d.RequestGrant(now, a); g.Decision == dispatch.Refused {
+			told = append(told, g.RetryAfter)
+		}
+	}
+	n := len(told)
+	slices.Sort(told)
+	if distinct := len(slices.Compact(told)); n < 100 || distinct < n*9/10 {
+		t.Errorf("%d callers return at %d times", n, distinct)
+	}
+}
