internal/dispatch: less urgent priorities owe what they got beyond their share

Cause: less urgent priorities are due once their credit pays for the request that has waited longest. Where that one declines the free targets, another one is granted, and what it takes beyond the credit was forgiven: with one waiting request of 200 ms that declines, requests of 4 s got 0.500 of the work instead of 0.05. The credit was also cleared whenever no less urgent request waited.

Change: the credit becomes negative, down to the work of the request, and stays so while none waits. Ruled out: to compare the credit with each request that is offered instead; a long one would then wait while short ones of its priority spend the credit, and the debt bounds the share without it. lessurgent.go takes the two functions from share.go.

--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -9,14 +9,8 @@
 	"github.com/google/btree"
 )
 
-const (
-	// lessUrgentShare is the share of the granted work that priorities less urgent than the first one
-	// get while they wait: at this share the most urgent requests lose at most one slot in 20, and a
-	// service of 60 slots still answers some less urgent requests of 1 s by a soft deadline of 2 s.
-	lessUrgentShare = 0.05
-	// treeDegree is the degree of the trees of waiting requests, the usual value of the package.
-	treeDegree = 32
-)
+// treeDegree is the degree of the trees of waiting requests, the usual value of the package.
+const treeDegree = 32
 
 // This file assigns slots to workspaces by start-time fair queueing (Goyal, Vin and Cheng, "Start-time
 // fair queueing", SIGCOMM 1996). The virtual time of a workspace grows by the work granted to it,
@@ -85,7 +79,8 @@
 	// workspaces counts the waiting requests of each workspace.
 	workspaces map[string]int
 	numbers    uint64
-	// lessUrgentCredit is the work, in slot-seconds, that less urgent priorities may be granted.
+	// lessUrgentCredit is the work, in slot-seconds, that less urgent priorities may be granted. It is
+	// negative while they were granted more.
 	lessUrgentCredit float64
 }
 
@@ -236,49 +231,6 @@
 	return n > 1 || n == 1 && s.workspaces[workspace] == 0
 }
 
-// lessUrgent returns the priority less urgent than the most urgent waiting one whose turn it is by
-// its share of the work, if any: the one of the request that has waited longest.
-func (q *queue) lessUrgent() (priority int, due bool) {
-	first := math.MaxInt
-	for p, c := range q.shares.classes {
-		if c.inTime > 0 {
-			first = min(first, p)
-		}
-	}
-	var oldest *waiting
-	for _, g := range q.groups {
-		if g.late || g.priority <= first {
-			continue
-		}
-		if w := g.oldest(); oldest == nil || w.number < oldest.number {
-			oldest = w
-		}
-	}
-	if oldest == nil {
-		q.shares.lessUrgentCredit = 0
-		return 0, false
-	}
-	needed := oldest.usualTime.Seconds()
-	q.shares.lessUrgentCredit = min(q.shares.lessUrgentCredit, needed)
-	return oldest.request.Priority, q.shares.lessUrgentCredit >= needed
-}
-
-// creditLessUrgent records a grant while slots are short: part of its work is credited to the less
-// urgent priorities that wait, and what these are granted before more urgent ones is taken from it.
-func (s *shares) creditLessUrgent(w *waiting) {
-	urgent, lessUrgent := false, false
-	for p, c := range s.classes {
-		urgent = urgent || c.inTime > 0 && p < w.request.Priority
-		lessUrgent = lessUrgent || c.inTime > 0 && p > w.request.Priority
-	}
-	switch work := w.usualTime.Seconds(); {
-	case urgent:
-		s.lessUrgentCredit = max(s.lessUrgentCredit-work, 0)
-	case lessUrgent:
-		s.lessUrgentCredit += lessUrgentShare * work
-	}
-}
-
 // aheadInShares returns the work served before an arriving request while slots are short: all work of
 // more urgent priorities, the own work of its workspace, and of each other workspace what its share
 // allows until then.
