internal/dispatch: a changed weight counts for active workspaces

Cause: the sum of the weights of a priority held the weight that each workspace had when its state began, so that the expected wait of others went on counting it: after a weight changed from 1 to 1000, 10 requests of another workspace were queued where none is with that weight from the start. Charges were corrected with the weight at the end of the attempt instead of the one they were made with.

Change: the weight is looked up again for the workspaces that a request, a charge or an expected wait concerns; a charge keeps its weight.

--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -31,7 +31,7 @@
 	class  *class
 	// virtual is the start of the next request in virtual time: slot-seconds per weight.
 	virtual float64
-	// weight is the weight of the workspace when it began to have requests.
+	// weight is the weight of the workspace as of its last refresh.
 	weight float64
 	// waiting and running count requests; inTime counts the waiting ones that can be answered in time,
 	// and work is their usual time.
@@ -62,10 +62,11 @@
 	return c.last
 }
 
-// charge is the work charged for an attempt under way.
+// charge is the work charged for an attempt under way, by the weight at that time.
 type charge struct {
 	flow    *flow
 	work    time.Duration
+	weight  float64
 	started time.Time
 }
 
@@ -111,6 +112,7 @@
 		priority:  a.Priority,
 	}
 	if f := s.flows[key]; f != nil {
+		s.refresh(f)
 		return f
 	}
 	c := s.classes[a.Priority]
@@ -131,12 +133,19 @@
 		lanes:   map[*group]*lane{},
 	}
 	c.flows++
-	f.weight = s.weightOf(a.Workspace)
-	c.weights += f.weight
+	s.refresh(f)
 	s.flows[key] = f
 	return f
 }
 
+// refresh looks up the weight of a workspace: it may be configured anew while there are requests.
+func (s *shares) refresh(f *flow) {
+	if w := s.weightOf(f.workspace); w != f.weight {
+		f.class.weights += w - f.weight
+		f.weight = w
+	}
+}
+
 // release forgets a flow without waiting and running requests.
 func (s *shares) release(f *flow) {
 	if f.waiting+f.running > 0 {
@@ -203,10 +212,11 @@
 	f.start()
 	f.class.last = f.virtual
 	f.running++
-	f.setVirtual(f.virtual + usual.Seconds()/s.weightOf(f.workspace))
+	f.setVirtual(f.virtual + usual.Seconds()/f.weight)
 	s.charges[a.ID] = charge{
 		flow:    f,
 		work:    usual,
+		weight:  f.weight,
 		started: now,
 	}
 }
@@ -220,7 +230,7 @@
 	delete(s.charges, id)
 	f := c.flow
 	f.running--
-	f.setVirtual(f.virtual + (now.Sub(c.started)-c.work).Seconds()/s.weightOf(f.workspace))
+	f.setVirtual(f.virtual + (now.Sub(c.started)-c.work).Seconds()/c.weight)
 	s.release(f)
 }
 
@@ -267,7 +277,8 @@
 			begin = f.virtual
 		}
 		sum, n = f.work, f.inTime
-		begin += f.work.Seconds() / s.weightOf(f.workspace)
+		s.refresh(f)
+		begin += f.work.Seconds() / f.weight
 	}
 	c.backlogged.Ascend(func(other *flow) bool {
 		if other.virtual >= begin {
@@ -276,9 +287,10 @@
 		if other == f {
 			return true
 		}
+		s.refresh(other)
 		// The request that is under way at the start in virtual time is served as a whole.
 		one := other.work / time.Duration(other.inTime)
-		share := time.Duration((begin-other.virtual)*s.weightOf(other.workspace)*float64(time.Second)) + one
+		share := time.Duration((begin-other.virtual)*other.weight*float64(time.Second)) + one
 		if share >= other.work || one == 0 {
 			sum += other.work
 			n += other.inTime
@@ -301,7 +313,7 @@
 // of them now, but at least what its weight among those with requests gives it. Requests of others
 // that arrive later are served before the last ones of its backlog.
 func (s *shares) shareOf(f *flow) float64 {
-	return max(float64(f.running)/float64(max(len(s.charges), 1)), s.weightOf(f.workspace)/max(f.class.weights, s.weightOf(f.workspace)))
+	return max(float64(f.running)/float64(max(len(s.charges), 1)), f.weight/max(f.class.weights, f.weight))
 }
 
 // ShareStatus describes how the slots are shared among workspaces.
