internal/signal: report a load or a limit that can't be parsed once

Cause: records without a readable load or limit were dropped by each Prune, which runs after each change of the configuration, so that the next response was reported as a new fault. That report was also a change of the target's state, so that the entry and the prober logged "target says what it wants" with rest_ms 0, which stands for a lifted limit.

Change: loads are dropped by the time at which the target last sent any, and the record of an unreadable limit stays. Observe returns both facts apart. The prober logs an unreadable limit once, as the entry does. The tests of limits and loads expect the two facts apart; each step is checked for both.

--- a/internal/entry/signal.go
+++ b/internal/entry/signal.go
@@ -17,11 +17,11 @@
 		return
 	}
 	l := x.server.log.WithField("request", x.id).WithField("service", x.service.Name()).WithField("target", c.Key)
-	changed := x.server.cfg.Signals.Observe(time.Now(), c.Incarnation, s)
-	if err != nil && (changed || !s.LimitUnreadable && !s.LoadUnreadable) {
+	observed := x.server.cfg.Signals.Observe(time.Now(), c.Incarnation, s)
+	if err != nil && (observed.Unreadable || !s.LimitUnreadable && !s.LoadUnreadable) {
 		l.WithError(err).Warn("target asks for what can't be read")
 	}
-	if !changed {
+	if !observed.Changed {
 		return
 	}
 	if s.Draining {
--- a/internal/entry/signal_test.go
+++ b/internal/entry/signal_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/outlier"
@@ -320,3 +322,27 @@
 		t.Errorf("status %+v", got)
 	}
 }
+
+// Guards against a log line that names a signal where nothing readable was signalled, and against one for each
+// response that can't be read.
+func TestUnreadableSignalIsLoggedOnce(t *testing.T) {
+	for _, header := range []string{contract.HeaderLoad, contract.HeaderLimit} {
+		ledger := &signal.Ledger{}
+		target := newSignalTarget(t, "target", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(header, "nonsense")
+			serveOK(w, r)
+		})
+		s := signalSite(t, ledger, &choices{
+			list:   []*signalTarget{target},
+			before: func(int) {},
+		})
+		for range 3 {
+			s.get(t, http.DefaultClient, "/quotes/1", brokers)
+			ledger.Prune(time.Now(), func(signal.Incarnation) bool { return true })
+		}
+		unreadable, signalled := strings.Count(s.logged(), "can't be read"), strings.Count(s.logged(), "says what it wants")
+		if unreadable != 1 || signalled != 0 {
+			t.Errorf("%s: %d lines on what can't be read, want 1; %d on signals, want 0", header, unreadable, signalled)
+		}
+	}
+}
--- a/internal/node/export_signals_test.go
+++ b/internal/node/export_signals_test.go
@@ -3,8 +3,8 @@
 package node
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/contract"
@@ -28,6 +28,8 @@
 type Prober struct {
 	prober   *prober
 	draining []string
+	// Log is what the prober logged.
+	Log bytes.Buffer
 }
 
 // NewProber returns the prober of the targets in published entries.
@@ -47,7 +49,7 @@
 				p.draining = append(p.draining, e.Counts.Target)
 			}
 		}
-	}, logging.Part(logging.New(io.Discard, "error", "text"), "probing"))
+	}, logging.Part(logging.New(&p.Log, "info", "text"), "probing"))
 	return p
 }
 
--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -115,12 +115,12 @@
 	_ = res.Body.Close()
 	sig, err := forward.SignalOf(p.contract, res)
 	p.observeLoad(time.Now(), t, sig.Load, sent)
-	changed := p.board.signals.Observe(time.Now(), incarnationOf(t), sig)
-	if changed {
+	observed := p.board.signals.Observe(time.Now(), incarnationOf(t), sig)
+	if observed.Changed {
 		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithField("leaving", sig.Draining).
 			WithField("rest_ms", sig.Backoff.Milliseconds()).Info("target says what it wants")
 	}
-	if err != nil && (changed || !sig.LoadUnreadable) {
+	if err != nil && (observed.Unreadable || !sig.LimitUnreadable && !sig.LoadUnreadable) {
 		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithError(err).Warn("target asks for what can't be read")
 	}
 	if !sig.Draining {
--- a/internal/node/targetload_test.go
+++ b/internal/node/targetload_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,7 +166,13 @@
 	}
 	header = "2,0"
 	p.Probe(context.Background())
+	p.Probe(context.Background())
 	if got["id-0"].Reported() {
 		t.Errorf("load %+v of an unreadable header", got["id-0"])
 	}
+	// A line for each probe, or one that names a signal, would mislead the operator.
+	unreadable, signalled := strings.Count(p.Log.String(), "can't be read"), strings.Count(p.Log.String(), "says what it wants")
+	if unreadable != 1 || signalled != 0 {
+		t.Errorf("%d lines on what can't be read, want 1; %d on signals, want 0", unreadable, signalled)
+	}
 }
--- a/internal/signal/ledger.go
+++ b/internal/signal/ledger.go
@@ -116,12 +116,22 @@
 	return s.Draining || s.Backoff > 0 || s.Limit.Set || s.LimitUnreadable || r.limit.Set || r.limitUnread
 }
 
-// Observe records the signal of a response that was received at now, and reports whether it changed
-// the state of its target. A backoff never shortens an earlier one.
-func (l *Ledger) Observe(now time.Time, i Incarnation, s Signal) bool {
-	loadChanged := l.observeLoad(now, i, s)
+// Observation is what a signal says that earlier ones did not.
+type Observation struct {
+	// Changed is set where the signal changed the state of its target.
+	Changed bool
+	// Unreadable is set where the target began to send a limit or a load that can't be parsed.
+	Unreadable bool
+}
+
+// Observe records the signal of a response that was received at now, and returns what is new in it. A
+// backoff never shortens an earlier one.
+func (l *Ledger) Observe(now time.Time, i Incarnation, s Signal) Observation {
+	out := Observation{
+		Unreadable: l.observeLoad(now, i, s),
+	}
 	if !s.changes(l.record(i)) {
-		return loadChanged
+		return out
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -145,20 +155,21 @@
 		r.backoffFrom = now
 		r.backoffUntil = now.Add(backoff)
 	}
+	out.Unreadable = out.Unreadable || s.LimitUnreadable && !r.limitUnread
 	limited := r.observeLimit(now, s)
 	l.store(r)
-	return longer || limited || loadChanged || s.Draining && !before.Draining
+	out.Changed = longer || limited || s.Draining && !before.Draining
+	return out
 }
 
 // observeLimit records the limit of a response, or that it has none, and reports whether the
 // limit changed.
 func (r *record) observeLimit(now time.Time, s Signal) bool {
-	changed := r.limitUnread != s.LimitUnreadable
 	r.limitUnread = s.LimitUnreadable
 	if s.LimitUnreadable || now.Before(r.limitAt) {
-		return changed
+		return false
 	}
-	changed = changed || r.limit != s.Limit
+	changed := r.limit != s.Limit
 	if s.Limit.Set || !r.limitAt.IsZero() {
 		r.limitAt = now
 	}
@@ -222,14 +233,14 @@
 func (l *Ledger) Empty() bool { return l.count.Load() == 0 }
 
 // Prune removes records without effect, and those of targets that have not been published for
-// unlistedRetention.
+// unlistedRetention. That a limit can't be parsed stays recorded, as it is reported once.
 func (l *Ledger) Prune(now time.Time, published func(Incarnation) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pruneLoads(now)
 	for _, value := range l.records.Range {
 		r := value.(record)
-		if !r.status(now).Unavailable() && !r.limit.Set || !published(r.incarnation) && now.Sub(r.observed) >= unlistedRetention {
+		if !r.status(now).Unavailable() && !r.limit.Set && !r.limitUnread || !published(r.incarnation) && now.Sub(r.observed) >= unlistedRetention {
 			l.drop(r.incarnation.targetKey())
 		}
 	}
--- a/internal/signal/ledger_test.go
+++ b/internal/signal/ledger_test.go
@@ -62,7 +62,7 @@
 	draining := signal.Signal{
 		Draining: true,
 	}
-	if !l.Observe(start, incarnation("id/1"), draining) || l.Observe(start.Add(time.Second), incarnation("id/1"), draining) {
+	if !l.Observe(start, incarnation("id/1"), draining).Changed || l.Observe(start.Add(time.Second), incarnation("id/1"), draining).Changed {
 		t.Error("the same signal is reported as a change twice, or never")
 	}
 	l.Observe(start, unnamed, draining)
--- a/internal/signal/limit_test.go
+++ b/internal/signal/limit_test.go
@@ -22,19 +22,21 @@
 // nothing, and is reported once.
 func TestLimitHoldsUntilTheNextAnswer(t *testing.T) {
 	steps := []struct {
-		name    string
-		signal  signal.Signal
-		changed bool
-		want    signal.Limit
+		name   string
+		signal signal.Signal
+		new    signal.Observation
+		want   signal.Limit
 	}{
 		{
 			name: "none",
 		},
 		{
-			name:    "named",
-			signal:  limitOf(1.6),
-			changed: true,
-			want:    limitOf(1.6).Limit,
+			name:   "named",
+			signal: limitOf(1.6),
+			new: signal.Observation{
+				Changed: true,
+			},
+			want: limitOf(1.6).Limit,
 		},
 		{
 			name:   "named again",
@@ -46,8 +48,10 @@
 			signal: signal.Signal{
 				LimitUnreadable: true,
 			},
-			changed: true,
-			want:    limitOf(1.6).Limit,
+			new: signal.Observation{
+				Unreadable: true,
+			},
+			want: limitOf(1.6).Limit,
 		},
 		{
 			name: "unreadable again",
@@ -57,22 +61,26 @@
 			want: limitOf(1.6).Limit,
 		},
 		{
-			name:    "nothing accepted",
-			signal:  limitOf(0),
-			changed: true,
-			want:    limitOf(0).Limit,
+			name:   "nothing accepted",
+			signal: limitOf(0),
+			new: signal.Observation{
+				Changed: true,
+			},
+			want: limitOf(0).Limit,
 		},
 		{
-			name:    "lifted",
-			changed: true,
+			name: "lifted",
+			new: signal.Observation{
+				Changed: true,
+			},
 		},
 	}
 	var l signal.Ledger
 	target := born(0)
 	for i, s := range steps {
 		now := start.Add(time.Duration(i) * time.Second)
-		if changed := l.Observe(now, target, s.signal); changed != s.changed {
-			t.Errorf("%s: changed %v", s.name, changed)
+		if got := l.Observe(now, target, s.signal); got != s.new {
+			t.Errorf("%s: %+v", s.name, got)
 		}
 		if got := l.Status(now, target); got.Limit != s.want || got.Unavailable() {
 			t.Errorf("%s: %+v", s.name, got)
--- a/internal/signal/load.go
+++ b/internal/signal/load.go
@@ -13,6 +13,8 @@
 	incarnation Incarnation
 	load        Load
 	at          time.Time
+	// observed is when the target last sent a load, also one that can't be parsed.
+	observed time.Time
 	// unread is set while the target sends a load that can't be parsed.
 	unread bool
 }
@@ -39,8 +41,11 @@
 			incarnation: i,
 		}
 	}
-	changed := s.LoadUnreadable && !r.unread
+	unreadable := s.LoadUnreadable && !r.unread
 	r.unread = s.LoadUnreadable
+	if now.After(r.observed) {
+		r.observed = now
+	}
 	if !s.LoadUnreadable && !now.Before(r.at) {
 		r.load, r.at = s.Load, now
 	}
@@ -49,12 +54,12 @@
 			l.pruneLoads(now)
 		}
 		if l.loadCount.Load() >= maxRecords {
-			return changed
+			return unreadable
 		}
 		l.loadCount.Add(1)
 	}
 	l.loads.Store(i.targetKey(), r)
-	return changed
+	return unreadable
 }
 
 // load returns the newest load of an incarnation and the time of its response, if it is kept still.
@@ -73,11 +78,13 @@
 	return r.load, r.at
 }
 
-// pruneLoads drops the loads that are older than loadRetention. l.mu is held.
+// pruneLoads drops the records of targets that have sent no load for loadRetention. Were those without a
+// readable load dropped before, each of them would be reported again after each change of the
+// configuration. l.mu is held.
 func (l *Ledger) pruneLoads(now time.Time) {
 	l.loadsPruned = now
 	for key, value := range l.loads.Range {
-		if now.Sub(value.(loadRecord).at) >= loadRetention {
+		if now.Sub(value.(loadRecord).observed) >= loadRetention {
 			l.loads.Delete(key)
 			l.loadCount.Add(-1)
 		}
--- a/internal/signal/load_test.go
+++ b/internal/signal/load_test.go
@@ -27,11 +27,11 @@
 		LoadUnreadable: true,
 	}
 	steps := []struct {
-		name    string
-		signal  signal.Signal
-		changed bool
-		want    signal.Load
-		at      int
+		name       string
+		signal     signal.Signal
+		unreadable bool
+		want       signal.Load
+		at         int
 	}{
 		{
 			name: "none",
@@ -49,11 +49,11 @@
 			at:     2,
 		},
 		{
-			name:    "unreadable",
-			signal:  unreadable,
-			changed: true,
-			want:    loadOf(8, 2, 8).Load,
-			at:      2,
+			name:       "unreadable",
+			signal:     unreadable,
+			unreadable: true,
+			want:       loadOf(8, 2, 8).Load,
+			at:         2,
 		},
 		{
 			name:   "unreadable again",
@@ -77,8 +77,8 @@
 	target := born(0)
 	for i, s := range steps {
 		now := start.Add(time.Duration(i) * time.Second)
-		if changed := l.Observe(now, target, s.signal); changed != s.changed {
-			t.Errorf("%s: changed %v", s.name, changed)
+		if got := l.Observe(now, target, s.signal); got.Changed || got.Unreadable != s.unreadable {
+			t.Errorf("%s: %+v", s.name, got)
 		}
 		got := l.Status(now, target)
 		if got.Load != s.want || got.Unavailable() || !l.Empty() {
@@ -123,3 +123,44 @@
 		t.Errorf("%d loads after an hour", n)
 	}
 }
+
+// Guards against a log line after each change of the configuration for a target that sends what can't be
+// parsed: its record had no readable load and was dropped each time. The same held for a limit.
+func TestUnreadableIsReportedOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		signal signal.Signal
+	}{
+		{
+			name: "load",
+			signal: signal.Signal{
+				LoadUnreadable: true,
+			},
+		},
+		{
+			name: "limit",
+			signal: signal.Signal{
+				LimitUnreadable: true,
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l signal.Ledger
+			for n := range 5 {
+				now := start.Add(time.Duration(n) * 30 * time.Second)
+				want := signal.Observation{
+					Unreadable: n == 0,
+				}
+				if got := l.Observe(now, born(0), tt.signal); got != want {
+					t.Errorf("observation %d: %+v", n, got)
+				}
+				l.Prune(now.Add(time.Second), func(signal.Incarnation) bool { return true })
+			}
+			l.Prune(start.Add(time.Hour), func(signal.Incarnation) bool { return false })
+			if !l.Empty() || l.Loads() != 0 {
+				t.Error("the record of a target that was removed long ago stays")
+			}
+		})
+	}
+}
