internal/forward: ends of connections explain new ones for the idle timeout

Cause: each end of a connection was kept until a new one replaced it, while the pool was in use for however long. After a burst of 40 requests and 10 s with one connection in use, the 39 connections of a second burst were counted as 24 closed for age, 8 after an error and 7 with none idle: all were opened because the others were in use. Each kept end also held its connection with its buffers.

Change: while connections are open, ends older than the idle timeout of the pool are dropped. What decides a cause is allocated apart from the connection; it is still read when the connection is replaced, because net/http may close a connection before the response that announced it.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -122,6 +122,9 @@
 			address:    address,
 			repeatable: repeatable,
 		},
+		state: connState{
+			end: &connEnd{},
+		},
 	}
 	c.connections.opened(time.Now(), g.key)
 	return g, nil
@@ -272,7 +275,7 @@
 	}
 	res, err := transport.RoundTrip(req)
 	if g := used.Load(); g != nil && err == nil && res.Close {
-		g.state.saidClose.Store(true)
+		g.state.end.saidClose.Store(true)
 	}
 	return res, err
 }
--- a/internal/forward/connections.go
+++ b/internal/forward/connections.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,10 +74,29 @@
 type pool struct {
 	open int
 	used time.Time
-	// ended are the connections that ended and were not replaced yet, the last one at the end. Their
-	// causes are read when they are replaced: net/http may close a connection before it returns the
-	// response that announced it.
-	ended []*connState
+	// ended are the ends of connections that were not replaced yet, the last one at the end.
+	ended []ended
+}
+
+// ended is the end of a connection. Its cause is read when the connection is replaced: net/http may close a
+// connection before it returns the response that announced it.
+type ended struct {
+	at  time.Time
+	end *connEnd
+}
+
+// idleTimeout is the time for which a connection of the pool may be idle.
+func (k poolKey) idleTimeout() time.Duration {
+	if k.repeatable {
+		return idleTimeout
+	}
+	return idleTimeoutNonRepeatable
+}
+
+// expire drops the ends that no longer explain a new connection: without them, the connections would have
+// been closed for their age since.
+func (p *pool) expire(now time.Time, idle time.Duration) {
+	p.ended = slices.DeleteFunc(p.ended, func(e ended) bool { return now.Sub(e.at) > idle })
 }
 
 func newConnections() *Connections {
@@ -102,6 +122,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[k]
+	if p != nil && p.open > 0 {
+		p.expire(now, k.idleTimeout())
+	}
 	cause := CauseNoneIdle
 	switch {
 	case p == nil || p.open == 0 && now.Sub(p.used) > maxPoolAge:
@@ -110,7 +133,7 @@
 		p = &pool{}
 		c.pools[k] = p
 	case len(p.ended) > 0:
-		cause = p.ended[len(p.ended)-1].cause()
+		cause = p.ended[len(p.ended)-1].end.cause()
 		p.ended = p.ended[:len(p.ended)-1]
 	}
 	p.open++
@@ -131,7 +154,7 @@
 }
 
 // closed records the end of a connection.
-func (c *Connections) closed(now time.Time, k poolKey, s *connState) {
+func (c *Connections) closed(now time.Time, k poolKey, end *connEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[k]
@@ -140,7 +163,11 @@
 	}
 	p.open--
 	p.used = now
+	p.expire(now, k.idleTimeout())
 	if len(p.ended) < idlePerTarget {
-		p.ended = append(p.ended, s)
+		p.ended = append(p.ended, ended{
+			at:  now,
+			end: end,
+		})
 	}
 }
--- a/internal/forward/connections_test.go
+++ b/internal/forward/connections_test.go
@@ -148,6 +148,39 @@
 	}
 }
 
+// Guards against new connections that are counted for ends of long ago: while the connections to a target are
+// in use, a connection that ended would have been closed for its age since.
+func TestOldEndsAreNoCauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := forward.NewClient(contract.Plover(), 1<<10, time.Second, netip.Addr{})
+		c.SetDial(pipe(keepAlive(time.Second, 0, "")))
+		do := func() {
+			if a, err := c.Do(context.Background(), request(time.Now().Add(10*time.Second))); err == nil {
+				a.Close()
+			}
+		}
+		burst := func() {
+			var group sync.WaitGroup
+			for range 40 {
+				group.Go(do)
+			}
+			group.Wait()
+		}
+		burst()
+		// One connection stays in use. The others end for their age, or as there are too many idle ones.
+		for range 10 {
+			do()
+		}
+		before := counted(c)
+		burst()
+		if got, want := counted(c), "first 1 none_idle 78 "; before != "first 1 none_idle 39 " || got != want {
+			t.Errorf("connections %q and %q after the second burst, want %q", before, got, want)
+		}
+		c.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against bytes of requests and responses that are counted in another scope, or not.
 func TestTargetBytesByScope(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -23,6 +23,9 @@
 		client: &Client{
 			connections: newConnections(),
 		},
+		state: connState{
+			end: &connEnd{},
+		},
 	}
 	c := newClaim(deadline, unavailable)
 	g.attach(c, traffic.Unknown)
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -93,27 +93,33 @@
 	state connState
 }
 
-// connState is what decides why a connection ended.
+// connState is the use of a connection.
 type connState struct {
 	// idleAfter is the claim after which the connection became idle; a new one is idle without any.
 	idleAfter atomic.Pointer[claim]
 	// closed is set once this node closed the connection.
 	closed atomic.Bool
-	// idleAtEnd is set if the connection was idle when this node closed it, broken once the target
-	// closed it while idle, saidClose once the target announced the end of the connection.
-	idleAtEnd atomic.Bool
+	// end is allocated apart: it is kept after the connection.
+	end *connEnd
+}
+
+// connEnd is what decides why a connection ended.
+type connEnd struct {
+	// idle is set if the connection was idle when this node closed it, broken once the target closed
+	// it while idle, saidClose once the target announced the end of the connection.
+	idle      atomic.Bool
 	broken    atomic.Bool
 	saidClose atomic.Bool
 }
 
 // cause returns why the connection ended.
-func (s *connState) cause() Cause {
+func (e *connEnd) cause() Cause {
 	switch {
-	case s.broken.Load():
+	case e.broken.Load():
 		return CauseClosedByTarget
-	case s.idleAtEnd.Load():
+	case e.idle.Load():
 		return CauseClosedForAge
-	case s.saidClose.Load():
+	case e.saidClose.Load():
 		return CauseTargetSaidClose
 	default:
 		return CauseAfterError
@@ -128,7 +134,7 @@
 	n, err := g.Conn.Read(b)
 	g.client.count(traffic.TargetResponses, traffic.Scope(g.scope.Load()), n)
 	if err != nil && !g.state.closed.Load() && g.idle() {
-		g.state.broken.Store(true)
+		g.state.end.broken.Store(true)
 	}
 	return n, err
 }
@@ -152,8 +158,8 @@
 // Close closes the connection and records its end.
 func (g *guard) Close() error {
 	if !g.state.closed.Swap(true) {
-		g.state.idleAtEnd.Store(g.idle())
-		g.client.connections.closed(time.Now(), g.key, &g.state)
+		g.state.end.idle.Store(g.idle())
+		g.client.connections.closed(time.Now(), g.key, g.state.end)
 	}
 	return g.Conn.Close()
 }
