internal/link: field numbers of datagrams from their descriptor

Cause: the sizes of the sender's state were computed with field numbers repeated by hand, and no test covered each field: a field added to Datagram would have counted as part of the body.

Change: the numbers come from the descriptor. A test sets each field of Datagram alone and expects its size as state, or none for the identity, the call, the flag and the bodies.

Measured: TestEachFieldOfDatagramsIsCounted passes with the numbers as they were, which were right, and fails where one field is left out (mutants).

--- a/internal/link/export_test.go
+++ b/internal/link/export_test.go
@@ -16,3 +16,6 @@
 
 // CountDatagram counts the n bytes of a datagram that was sent.
 func (t *Traffic) CountDatagram(peer string, d *wire.Datagram, n int) { t.countDatagram(peer, d, n) }
+
+// StateSize exports stateSize to the tests.
+func StateSize(d *wire.Datagram) int { return stateSize(d) }
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 	"storj.io/drpc/drpcctx"
 
 	"ploverjunction.example/ploverjunction/internal/traffic"
@@ -62,14 +63,19 @@
 }
 
 // Numbers of the fields of a datagram with the state of its sender.
-const (
-	fieldSourceAge  = 3
-	fieldDigest     = 4
-	fieldNews       = 5
-	fieldQuarantine = 6
-	fieldReadTo     = 7
+var (
+	fieldSourceAge  = datagramField("source_age_ms")
+	fieldDigest     = datagramField("digest")
+	fieldNews       = datagramField("news")
+	fieldQuarantine = datagramField("quarantine")
+	fieldReadTo     = datagramField("read_to")
 )
 
+// datagramField returns the number of a field of Datagram, which must exist.
+func datagramField(name protoreflect.Name) protowire.Number {
+	return (&wire.Datagram{}).ProtoReflect().Descriptor().Fields().ByName(name).Number()
+}
+
 // stateSize returns the encoded size in bytes of the sender's state on a datagram, without its
 // identity.
 func stateSize(d *wire.Datagram) int {
--- a/internal/link/traffic_test.go
+++ b/internal/link/traffic_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/task"
@@ -98,6 +99,35 @@
 	}
 }
 
+// Guards against a field of datagrams whose bytes are counted with another number than its own, or for the
+// wrong purpose: all fields but the identity, the call, the flag and the body are state.
+func TestEachFieldOfDatagramsIsCounted(t *testing.T) {
+	notState := map[protoreflect.Name]bool{"from": true, "call": true, "piggyback": true}
+	all := (&wire.Datagram{}).ProtoReflect().Descriptor().Fields()
+	for i := range all.Len() {
+		field := all.Get(i)
+		d := &wire.Datagram{}
+		m := d.ProtoReflect()
+		switch {
+		case field.IsList():
+			m.Mutable(field).List().AppendMutable()
+		case field.Message() != nil:
+			m.Mutable(field)
+		case field.Enum() != nil:
+			m.Set(field, protoreflect.ValueOfEnum(2))
+		default:
+			m.Set(field, protoreflect.ValueOfUint64(1<<40))
+		}
+		want := proto.Size(d)
+		if notState[field.Name()] || field.ContainingOneof() != nil {
+			want = 0
+		}
+		if got := link.StateSize(d); got != want {
+			t.Errorf("%s: %d bytes of state, want %d", field.Name(), got, want)
+		}
+	}
+}
+
 // Guards against an allocation for each datagram that is counted.
 func TestCountingAllocatesNothing(t *testing.T) {
 	counts := &link.Traffic{}
