internal/dispatch: compare the wait of impatient requests with their deadline

Cause: behind an overload a request is queued while its expected wait ends before the soft deadline. Where the caller's own wait ends before that, the request was queued for longer than its caller waits: 625 of 1000 requests with 2 s and a soft deadline after 8 s, 130 with one after 2 s.

Change: the earlier one of both deadlines counts.

Measured: TestImpatientRequestIsRefusedAtOnce failed with these figures and passes.

--- a/internal/dispatch/overload.go
+++ b/internal/dispatch/overload.go
@@ -43,7 +43,8 @@
 // maxExpectedWait returns the longest expected wait with which a request is still queued.
 func (d *Scheduler) maxExpectedWait(now time.Time, a *Request) time.Duration {
 	if d.overloaded(now, a) {
-		return a.SoftDeadline.Sub(now) - d.margin(now, a)
+		// A caller's own wait may end before the target latency of its route.
+		return min(a.SoftDeadline.Sub(now), a.Deadline.Sub(now)) - d.margin(now, a)
 	}
 	return time.Duration(maxQueueShare * float64(a.Deadline.Sub(now)))
 }
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -259,3 +259,25 @@
 		}
 	}
 }
+
+// Guards against requests that are queued behind more work than their callers wait for: with all slots taken for
+// a moment, the expected wait was compared with the soft deadline of the route, which is after their own.
+func TestImpatientRequestIsRefusedAtOnce(t *testing.T) {
+	queued := func(soft time.Duration) int {
+		d, now := newTrainedScheduler(pool(6)...)
+		burst(d, now, 1, 18)
+		now = now.Add(50 * time.Millisecond)
+		n := 0
+		for i := range uint64(1000) {
+			a := newRequest(now, 10_000+i)
+			a.SoftDeadline, a.Deadline = now.Add(soft), now.Add(2*time.Second)
+			if d.RequestGrant(now, a).Decision == dispatch.Queued {
+				n++
+			}
+		}
+		return n
+	}
+	if want, got := queued(2*time.Second), queued(8*time.Second); got != want {
+		t.Errorf("%d requests are queued with a soft deadline after 8 s, %d with one after 2 s", got, want)
+	}
+}
