--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -238,3 +238,46 @@
 		t.Error(sum)
 	}
 }
+
+// Guards against a request that counts as late behind an overload although a slot was just free, because
+// its caller's own wait ends before the target latency of its route: it was queued for longer than it can
+// wait.
+func TestImpatientRequestIsNotOverloaded(t *testing.T) {
+	for _, soft := range []time.Duration{2 * time.Second, 8 * time.Second} {
+		d, now := newTrainedScheduler(pool(6)...)
+		queued := 0
+		for i := range uint64(400) {
+			a := newRequest(now, 10_000+i)
+			a.SoftDeadline, a.Deadline = now.Add(soft), now.Add(2*time.Second)
+			if d.RequestGrant(now, a).Decision == dispatch.Queued {
+				queued++
+			}
+		}
+		// 18 slots of 200 ms serve 108 requests in 0.6 of 2 s.
+		if queued < 90 || queued > 130 {
+			t.Errorf("soft deadline after %v: %d requests are queued", soft, queued)
+		}
+	}
+}
+
+// Guards against requests that are queued behind more work than their callers wait for: with all slots taken for
+// a moment, the expected wait was compared with the soft deadline of the route, which is after their own.
+func TestImpatientRequestIsRefusedAtOnce(t *testing.T) {
+	queued := func(soft time.Duration) int {
+		d, now := newTrainedScheduler(pool(6)...)
+		burst(d, now, 1, 18)
+		now = now.Add(50 * time.Millisecond)
+		n := 0
+		for i := range uint64(1000) {
+			a := newRequest(now, 10_000+i)
+			a.SoftDeadline, a.Deadline = now.Add(soft), now.Add(2*time.Second)
+			if d.RequestGrant(now, a).Decision == dispatch.Queued {
+				n++
+			}
+		}
+		return n
+	}
+	if want, got := queued(2*time.Second), queued(8*time.Second); got != want {
+		t.Errorf("%d requests are queued with a soft deadline after 8 s, %d with one after 2 s", got, want)
+	}
+}
--- a/internal/dispatch/returns_test.go
+++ b/internal/dispatch/returns_test.go
@@ -204,3 +204,59 @@
 		t.Error("no request expired")
 	}
 }
+
+// Guards against negative times of return where the caller's own wait ends before the target latency of its
+// route: they were sent as 49 days.
+func TestImpatientCallersAreToldATime(t *testing.T) {
+	d, now := newTrainedScheduler(pool(6)...)
+	var told []time.Duration
+	record := func(g dispatch.Grant) {
+		if g.Decision == dispatch.Refused {
+			told = append(told, g.RetryAfter)
+		}
+	}
+	for i := range uint64(200) {
+		a := newRequest(now, 10_000+i)
+		a.SoftDeadline, a.Deadline = now.Add(8*time.Second), now.Add(2*time.Second)
+		record(d.RequestGrant(now, a))
+	}
+	for at := now; at.Before(now.Add(4 * time.Second)); at = at.Add(50 * time.Millisecond) {
+		for _, g := range d.Advance(at) {
+			record(g)
+		}
+	}
+	if len(told) < 100 || slices.Min(told) <= 0 {
+		t.Errorf("%d refused, the least time is %v", len(told), slices.Min(told))
+	}
+}
+
+// newSchedulerAfterLoss returns a scheduler that lost all targets but one behind a queue for thirty.
+func newSchedulerAfterLoss() (*dispatch.Scheduler, time.Time) {
+	d, now := newTrainedScheduler(pool(30)...)
+	burst(d, now, 1, 3000)
+	var lost []string
+	for _, p := range pool(30)[1:] {
+		lost = append(lost, p.Key)
+	}
+	d.Update(now, nil, lost)
+	return d, now
+}
+
+// Guards against impatient callers that return at the same moment after a loss of slots: between their soft
+// deadline and their deadline there is no time over which they could be spread.
+func TestImpatientCallersAreSpread(t *testing.T) {
+	d, now := newSchedulerAfterLoss()
+	var told []time.Duration
+	for i := range uint64(200) {
+		a := newRequest(now, 10_000+i)
+		a.SoftDeadline, a.Deadline = now.Add(8*time.Second), now.Add(3*time.Second)
+		if g := d.RequestGrant(now, a); g.Decision == dispatch.Refused {
+			told = append(told, g.RetryAfter)
+		}
+	}
+	n := len(told)
+	slices.Sort(told)
+	if distinct := len(slices.Compact(told)); n < 100 || distinct < n*9/10 {
+		t.Errorf("%d callers return at %d times", n, distinct)
+	}
+}
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -9,14 +9,8 @@
 	"github.com/google/btree"
 )
 
-const (
-	// lessUrgentShare is the share of the granted work that priorities less urgent than the first one
-	// get while they wait: at this share the most urgent requests lose at most one slot in 20, and a
-	// service of 60 slots still answers some less urgent requests of 1 s by a soft deadline of 2 s.
-	lessUrgentShare = 0.05
-	// treeDegree is the degree of the trees of waiting requests, the usual value of the package.
-	treeDegree = 32
-)
+// treeDegree is the degree of the trees of waiting requests, the usual value of the package.
+const treeDegree = 32
 
 // This file assigns slots to workspaces by start-time fair queueing (Goyal, Vin and Cheng, "Start-time
 // fair queueing", SIGCOMM 1996). The virtual time of a workspace grows by the work granted to it,
@@ -37,7 +31,7 @@
 	class  *class
 	// virtual is the start of the next request in virtual time: slot-seconds per weight.
 	virtual float64
-	// weight is the weight of the workspace when it began to have requests.
+	// weight is the weight of the workspace as of its last refresh.
 	weight float64
 	// waiting and running count requests; inTime counts the waiting ones that can be answered in time,
 	// and work is their usual time.
@@ -72,10 +66,11 @@
 	return c.last
 }
 
-// charge is the work charged for an attempt under way.
+// charge is the work charged for an attempt under way, by the weight at that time.
 type charge struct {
 	flow    *flow
 	work    time.Duration
+	weight  float64
 	started time.Time
 }
 
@@ -89,7 +84,8 @@
 	// workspaces counts the waiting requests of each workspace.
 	workspaces map[string]int
 	numbers    uint64
-	// lessUrgentCredit is the work, in slot-seconds, that less urgent priorities may be granted.
+	// lessUrgentCredit is the work, in slot-seconds, that less urgent priorities may be granted. It is
+	// negative while they were granted more.
 	lessUrgentCredit float64
 	// imported are virtual times from a handover for workspaces without requests so far, relative to
 	// the one at its import. They are kept until importedUntil.
@@ -124,6 +120,7 @@
 		priority:  a.Priority,
 	}
 	if f := s.flows[key]; f != nil {
+		s.refresh(f)
 		return f
 	}
 	c := s.classes[a.Priority]
@@ -145,12 +142,19 @@
 	}
 	s.place(f)
 	c.flows++
-	f.weight = s.weightOf(a.Workspace)
-	c.weights += f.weight
+	s.refresh(f)
 	s.flows[key] = f
 	return f
 }
 
+// refresh looks up the weight of a workspace: it may be configured anew while there are requests.
+func (s *shares) refresh(f *flow) {
+	if w := s.weightOf(f.workspace); w != f.weight {
+		f.class.weights += w - f.weight
+		f.weight = w
+	}
+}
+
 // release forgets a flow without waiting and running requests.
 func (s *shares) release(f *flow) {
 	if f.waiting+f.running > 0 {
@@ -221,10 +225,11 @@
 	f.start()
 	f.class.last = f.virtual
 	f.running++
-	f.setVirtual(f.virtual + usual.Seconds()/s.weightOf(f.workspace))
+	f.setVirtual(f.virtual + usual.Seconds()/f.weight)
 	s.charges[a.ID] = charge{
 		flow:    f,
 		work:    usual,
+		weight:  f.weight,
 		started: now,
 	}
 }
@@ -238,7 +243,7 @@
 	delete(s.charges, id)
 	f := c.flow
 	f.running--
-	f.setVirtual(f.virtual + (now.Sub(c.started)-c.work).Seconds()/s.weightOf(f.workspace))
+	f.setVirtual(f.virtual + (now.Sub(c.started)-c.work).Seconds()/c.weight)
 	s.release(f)
 }
 
@@ -249,49 +254,6 @@
 	return n > 1 || n == 1 && s.workspaces[workspace] == 0
 }
 
-// lessUrgent returns the priority less urgent than the most urgent waiting one whose turn it is by
-// its share of the work, if any: the one of the request that has waited longest.
-func (q *queue) lessUrgent() (priority int, due bool) {
-	first := math.MaxInt
-	for p, c := range q.shares.classes {
-		if c.inTime > 0 {
-			first = min(first, p)
-		}
-	}
-	var oldest *waiting
-	for _, g := range q.groups {
-		if g.late || g.priority <= first {
-			continue
-		}
-		if w := g.oldest(); oldest == nil || w.number < oldest.number {
-			oldest = w
-		}
-	}
-	if oldest == nil {
-		q.shares.lessUrgentCredit = 0
-		return 0, false
-	}
-	needed := oldest.usualTime.Seconds()
-	q.shares.lessUrgentCredit = min(q.shares.lessUrgentCredit, needed)
-	return oldest.request.Priority, q.shares.lessUrgentCredit >= needed
-}
-
-// creditLessUrgent records a grant while slots are short: part of its work is credited to the less
-// urgent priorities that wait, and what these are granted before more urgent ones is taken from it.
-func (s *shares) creditLessUrgent(w *waiting) {
-	urgent, lessUrgent := false, false
-	for p, c := range s.classes {
-		urgent = urgent || c.inTime > 0 && p < w.request.Priority
-		lessUrgent = lessUrgent || c.inTime > 0 && p > w.request.Priority
-	}
-	switch work := w.usualTime.Seconds(); {
-	case urgent:
-		s.lessUrgentCredit = max(s.lessUrgentCredit-work, 0)
-	case lessUrgent:
-		s.lessUrgentCredit += lessUrgentShare * work
-	}
-}
-
 // aheadInShares returns the work served before an arriving request while slots are short: all work of
 // more urgent priorities, the own work of its workspace, and of each other workspace what its share
 // allows until then.
@@ -328,7 +290,8 @@
 			begin = f.virtual
 		}
 		sum, n = f.work, f.inTime
-		begin += f.work.Seconds() / s.weightOf(f.workspace)
+		s.refresh(f)
+		begin += f.work.Seconds() / f.weight
 	}
 	c.backlogged.Ascend(func(other *flow) bool {
 		if other.virtual >= begin {
@@ -337,9 +300,10 @@
 		if other == f {
 			return true
 		}
+		s.refresh(other)
 		// The request that is under way at the start in virtual time is served as a whole.
 		one := other.work / time.Duration(other.inTime)
-		share := time.Duration((begin-other.virtual)*s.weightOf(other.workspace)*float64(time.Second)) + one
+		share := time.Duration((begin-other.virtual)*other.weight*float64(time.Second)) + one
 		if share >= other.work || one == 0 {
 			sum += other.work
 			n += other.inTime
@@ -362,7 +326,7 @@
 // of them now, but at least what its weight among those with requests gives it. Requests of others
 // that arrive later are served before the last ones of its backlog.
 func (s *shares) shareOf(f *flow) float64 {
-	return max(float64(f.running)/float64(max(len(s.charges), 1)), s.weightOf(f.workspace)/max(f.class.weights, s.weightOf(f.workspace)))
+	return max(float64(f.running)/float64(max(len(s.charges), 1)), f.weight/max(f.class.weights, f.weight))
 }
 
 // ShareStatus describes how the slots are shared among workspaces.
