internal/dispatch: names of queues and of scarcity; long tests in parallel

Names: inTime instead of lateNext, sharesApply and retriesScarce instead of two methods named scarce, declinedTraits instead of rejected, which means rejections by targets elsewhere.

The 18 longest tests run in parallel; nothing in them is shared. No change of behaviour: all tests of the package pass, recorded grants included.

--- a/internal/dispatch/backoff_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -16,6 +16,7 @@
 // the same. Of three ways to use this, under the same loads, most requests are answered in time and
 // fewest are shed if no node uses the target for a moment.
 func TestBackoffStrategies(t *testing.T) {
+	t.Parallel()
 	strategies := []struct {
 		name      string
 		result    dispatch.Result
@@ -62,6 +63,7 @@
 // While a third of the targets shed requests the floor of the others holds: in each 2 s requests
 // reach at least 70% of them.
 func TestBackoffKeepsFloor(t *testing.T) {
+	t.Parallel()
 	for _, c := range backoffCases() {
 		if c.share == 1 {
 			continue
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -285,6 +285,7 @@
 // Guards against a handover that loses more requests than none, in the simulation of a service whose
 // dispatcher role moves every three seconds.
 func TestHandoverUnderMoves(t *testing.T) {
+	t.Parallel()
 	s := services[slices.IndexFunc(services, func(s serviceModel) bool { return s.dispatcherMoves > 0 })]
 	var lost, low [2]int
 	s.reported = true
--- a/internal/dispatch/hardload_rejecting_test.go
+++ b/internal/dispatch/hardload_rejecting_test.go
@@ -11,6 +11,7 @@
 // the share of rejections is measured over more than a second: at 1.2, 1.5 and 2 times the capacity up to 118
 // requests were refused while such a slot was free, and 37 of those that had waited where 30 in 100 are rejected.
 func TestHardLoadBeginsToReject(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct{ load, rejected float64 }{
 		{1.2, 0.3},
 		{1.2, 0.55},
@@ -35,6 +36,7 @@
 // All targets reject 55 in 100 requests above the capacity. The expected wait counts their slots: they were counted as
 // failing, and 0.425 of all requests were refused at twice the capacity and 0.341 served.
 func TestHardLoadRejectedOverCapacity(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct{ load, served float64 }{
 		{1.2, 0.53},
 		{2, 0.42},
@@ -58,6 +60,7 @@
 // them than trials need. They always have free slots: one of 30 drew 1,053 of 8,290 grants, and retries were
 // refused for the budget.
 func TestHardLoadRejectingTargets(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		rejecting int
 		rejected  float64
--- a/internal/dispatch/hardload_test.go
+++ b/internal/dispatch/hardload_test.go
@@ -466,6 +466,7 @@
 // none while a slot is free, and callers return at the rate at which slots become free. Guards against
 // refusals after a wait, without a time, or with the same time for many callers.
 func TestHardLoadOverCapacity(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.8, 1, 1.2, 1.5, 2} {
 		name := fmt.Sprintf("load %.1f", load)
 		h := (&hardLoad{
@@ -489,6 +490,7 @@
 // sixths of the slots were free, because they waited for a target that rejects less. The retries go to those
 // that lose most without one, and the others are told at once.
 func TestHardLoadRejected(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.23, 0.5, 0.8} {
 		name := fmt.Sprintf("load %.2f", load)
 		h := (&hardLoad{
@@ -520,6 +522,7 @@
 // All targets reject 55 in 100 nominations at four fifths of the capacity. 237 of 2,893 waited in vain and
 // 485 were refused when the free slots of rejecting targets were declined.
 func TestHardLoadRejectedNominations(t *testing.T) {
+	t.Parallel()
 	h := (&hardLoad{
 		load:     0.8,
 		classes:  nominations,
@@ -540,6 +543,7 @@
 // A third of the slots is lost within a second. What was queued before may wait in vain, what arrives later
 // is refused on arrival.
 func TestHardLoadSlotsLost(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.6, 0.8, 0.95} {
 		name := fmt.Sprintf("load %.2f", load)
 		h := (&hardLoad{
@@ -564,6 +568,7 @@
 // capacity they drew 0.46 of the grants, because they always have free slots: 0.40 of the requests, which
 // cannot be repeated, failed instead of being refused.
 func TestHardLoadFailingTargets(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.8, 1.2, 2} {
 		name := fmt.Sprintf("load %.1f", load)
 		sum := &hardResult{}
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -59,6 +59,7 @@
 // are on their way, that have ended but are not reported, or that are being answered counting as the
 // work of others.
 func TestOwnWorkIsNotForeign(t *testing.T) {
+	t.Parallel()
 	p := gopter.DefaultTestParametersWithSeed(1)
 	p.MinSuccessfulTests = 50
 	properties := gopter.NewProperties(p)
@@ -92,6 +93,7 @@
 // The foreign work that a dispatcher sees is at most the greatest true one at the target since the oldest
 // report that counts was made: within the time in which reports fade and during the attempt before it.
 func TestForeignWorkIsBounded(t *testing.T) {
+	t.Parallel()
 	const fades = 750 * time.Millisecond
 	p := gopter.DefaultTestParametersWithSeed(2)
 	p.MinSuccessfulTests = 50
@@ -125,6 +127,7 @@
 
 // Compares what callers get with and without the reports, while others load the same targets.
 func TestReportsUnderForeignLoad(t *testing.T) {
+	t.Parallel()
 	base := loadScenario{
 		targets:  24,
 		slots:    6,
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -71,7 +71,7 @@
 	q.update(now)
 	p := pass{
 		queue: q,
-		fair:  len(q.shares.workspaces) > 1 && q.scarce(),
+		fair:  len(q.shares.workspaces) > 1 && q.sharesApply(),
 	}
 	for _, late := range [...]bool{false, true} {
 		if !p.run(late, try) {
@@ -131,12 +131,12 @@
 
 // try tries the offered request. Where that one declines, it tries the one that has waited longest,
 // which accepts more targets.
-func (p *pass) try(o offer, try func(*waiting) passResult) passResult {
+func (p *pass) try(o offer, visit func(*waiting) passResult) passResult {
 	w := o.first
-	v := try(w)
+	v := visit(w)
 	if oldest := o.group.oldest(); v == declined && oldest != w {
 		w = oldest
-		v = try(w)
+		v = visit(w)
 	}
 	if v != taken {
 		return v
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -40,10 +40,10 @@
 	byID   map[ID]*waiting
 	groups map[groupKey]*group
 	shares shares
-	// lateNext holds the requests that can be answered in time, by the time until which they can;
+	// inTime holds the requests that can be answered in time, by the time until which they can;
 	// late holds the others, by the time by which their deadline is after their soft deadline; expiry
 	// holds all, by the time from which they cannot be answered at all.
-	lateNext *btree.BTreeG[*waiting]
+	inTime   *btree.BTreeG[*waiting]
 	late     *btree.BTreeG[*waiting]
 	expiry   *btree.BTreeG[*waiting]
 	arrivals uint64
@@ -60,10 +60,10 @@
 
 func newQueue() queue {
 	return queue{
-		byID:     map[ID]*waiting{},
-		groups:   map[groupKey]*group{},
-		shares:   newShares(),
-		lateNext: btree.NewG(treeDegree, byTime(func(w *waiting) time.Time { return w.lateFrom })),
+		byID:   map[ID]*waiting{},
+		groups: map[groupKey]*group{},
+		shares: newShares(),
+		inTime: btree.NewG(treeDegree, byTime(func(w *waiting) time.Time { return w.lateFrom })),
 		late: btree.NewG(treeDegree, func(a, b *waiting) bool {
 			return cmp.Or(cmp.Compare(a.request.lateness(), b.request.lateness()), cmp.Compare(a.number, b.number)) < 0
 		}),
@@ -150,7 +150,7 @@
 		q.late.ReplaceOrInsert(w)
 	} else {
 		w.flow.backlog(w)
-		q.lateNext.ReplaceOrInsert(w)
+		q.inTime.ReplaceOrInsert(w)
 	}
 	g.add(w)
 }
@@ -162,7 +162,7 @@
 	if g.late {
 		q.late.Delete(w)
 	} else {
-		q.lateNext.Delete(w)
+		q.inTime.Delete(w)
 		w.flow.unbacklog(w)
 	}
 	if g.byArrival.Len() == 0 {
@@ -208,7 +208,7 @@
 		}
 	}
 	for {
-		w, ok := q.lateNext.Min()
+		w, ok := q.inTime.Min()
 		if !ok || now.Before(w.lateFrom) {
 			return
 		}
@@ -222,10 +222,10 @@
 // busy workspace that is refused at once was often below it.
 const scarceBacklog = 200 * time.Millisecond
 
-// scarce reports whether shares decide: slots are short, or will be while the waiting requests are
+// sharesApply reports whether shares decide: slots are short, or will be while the waiting requests are
 // served. A single slot that is left over, because the requests that wait for it decline its target,
 // does not end a scarcity.
-func (q *queue) scarce() bool {
+func (q *queue) sharesApply() bool {
 	if q.slotsShort {
 		return true
 	}
@@ -241,7 +241,7 @@
 // the request itself.
 func (q *queue) ahead(now time.Time, a *Request, usual time.Duration) (sum time.Duration, n int) {
 	q.update(now)
-	if q.shares.several(a.Workspace) && q.scarce() {
+	if q.shares.several(a.Workspace) && q.sharesApply() {
 		return q.shares.aheadInShares(a, usual)
 	}
 	for p, c := range q.shares.classes {
--- a/internal/dispatch/scarcity.go
+++ b/internal/dispatch/scarcity.go
@@ -121,15 +121,15 @@
 	return float64(n) / (rejectionPeriod + now.Sub(r.rotated)).Seconds()
 }
 
-// scarce reports whether targets reject a greater share of the attempts than the retry budget pays for.
-func (d *Scheduler) scarce(now time.Time) bool {
+// retriesScarce reports whether targets reject a greater share of the attempts than the retry budget pays for.
+func (d *Scheduler) retriesScarce(now time.Time) bool {
 	return d.rejections.share(now) > usableShare*d.budget.Share
 }
 
 // rejecting reports whether the service as a whole rejects requests.
 func (d *Scheduler) rejecting(now time.Time) bool {
 	d.countRejecting(now)
-	return d.rejections.many || d.scarce(now)
+	return d.rejections.many || d.retriesScarce(now)
 }
 
 // rejects reports whether requests that the target does not serve are rejected by it like by the others:
@@ -224,7 +224,7 @@
 // one. While retries are scarce, one is granted only if the budget also pays for what such requests will
 // need until the window frees it again. A hedge, whose request goes on, comes last.
 func (d *Scheduler) withholds(now time.Time, a *Request, left float64) bool {
-	if !d.scarce(now) {
+	if !d.retriesScarce(now) {
 		return false
 	}
 	class := lossClass{
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -24,20 +24,20 @@
 			break
 		}
 		free := d.free(now)
-		// rejected are the traits of requests of which one accepts none of the free targets. Those
-		// behind it have waited less and accept no worse ones.
-		rejected := map[traits]bool{}
+		// declinedTraits are those of requests of which one accepts none of the free targets. Requests
+		// of its priority behind it have waited less and accept no worse ones.
+		declinedTraits := map[traits]bool{}
 		d.queue.each(now, func(w *waiting) passResult {
 			k := w.group.traits
 			if len(free) == 0 {
 				return stopped
 			}
-			if rejected[k] {
+			if declinedTraits[k] {
 				return skipped
 			}
 			t := d.best(now, w, free)
 			if t == nil {
-				rejected[k] = w.group.targets == "" && w == w.group.oldest()
+				declinedTraits[k] = w.group.targets == "" && w == w.group.oldest()
 				return declined
 			}
 			if near && t.DataHall != w.request.DataHall {
@@ -83,18 +83,18 @@
 		if t.drains(now) || d.queue.len() == 0 {
 			break
 		}
-		rejected := map[traits]bool{}
+		declinedTraits := map[traits]bool{}
 		d.queue.each(now, func(w *waiting) passResult {
 			a := w.request
 			k := w.group.traits
 			if len(t.flights) >= d.slots(now, t) {
 				return stopped
 			}
-			if near && t.DataHall != a.DataHall || slices.Contains(a.Tried, t.Key) || !t.open(now, a) || rejected[k] {
+			if near && t.DataHall != a.DataHall || slices.Contains(a.Tried, t.Key) || !t.open(now, a) || declinedTraits[k] {
 				return skipped
 			}
 			if !d.accepts(now, w, t) {
-				rejected[k] = !k.restricted && w == w.group.oldest()
+				declinedTraits[k] = !k.restricted && w == w.group.oldest()
 				return declined
 			}
 			if k.late {
--- a/internal/dispatch/share_failure_random_test.go
+++ b/internal/dispatch/share_failure_random_test.go
@@ -120,6 +120,7 @@
 // waits must get at least its weighted share of the slots of each dispatcher, from one second after that
 // one has got the role.
 func TestSharesUnderRandomFailures(t *testing.T) {
+	t.Parallel()
 	parameters := gopter.DefaultTestParametersWithSeed(11)
 	parameters.MinSuccessfulTests = 30
 	properties := gopter.NewProperties(parameters)
--- a/internal/dispatch/share_failure_test.go
+++ b/internal/dispatch/share_failure_test.go
@@ -40,6 +40,7 @@
 // stayed in the queue of a former dispatcher, that one granted all its slots to the busy workspace for
 // some seconds, and 0.89 of the others' requests were answered in time instead of 0.99.
 func TestSharesUnderFailure(t *testing.T) {
+	t.Parallel()
 	const seeds = 4
 	for _, f := range shareFailures {
 		t.Run(f.name, func(t *testing.T) {
--- a/internal/dispatch/share_test.go
+++ b/internal/dispatch/share_test.go
@@ -67,6 +67,7 @@
 // existed, waiting requests were served in the order of arrival, and the others waited behind it. The
 // retry budget is not divided among workspaces, so that requests refused by it are counted apart.
 func TestBusyWorkspace(t *testing.T) {
+	t.Parallel()
 	for _, gray := range []float64{0, 0.3} {
 		for seed := range uint64(4) {
 			usual := newShareSimulation(busyModel(seed, 0.75, gray, 1))
@@ -451,6 +452,7 @@
 // In random schedules no slot is granted twice, no waiting request is lost, two workspaces that always
 // wait get about the same, and only workspaces with waiting or running requests have state.
 func TestSharesUnderRandomSchedules(t *testing.T) {
+	t.Parallel()
 	parameters := gopter.DefaultTestParametersWithSeed(7)
 	parameters.MinSuccessfulTests = 100
 	properties := gopter.NewProperties(parameters)
