--- a/internal/dispatch/limit_strategies_test.go
+++ b/internal/dispatch/limit_strategies_test.go
@@ -176,6 +176,7 @@
 // The implemented strategy keeps to the allowed number and uses the limit, whatever the limit and
 // the response time; each of the others fails one of the two.
 func TestLimitStrategies(t *testing.T) {
+	t.Parallel()
 	little := func(rate float64, takes time.Duration) int {
 		return max(int(math.Round(rate*takes.Seconds())), 1)
 	}
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -120,6 +120,7 @@
 // While requests exceed the capacity of the other targets, a limited target gets all that its limit
 // allows, and in no 4 s more.
 func TestLimitIsFullyUsedAndNeverExceeded(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{0.5, 1.6, 2.6, 10, 50} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
 			d := newScheduler(pool(3)...)
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -438,6 +438,7 @@
 // Targets that are faster must get more of the work while slots are short: without any report their slots
 // are free again sooner.
 func TestFasterTargetsGetMoreWork(t *testing.T) {
+	t.Parallel()
 	s := &loadScenario{
 		targets:  8,
 		slots:    6,
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -198,6 +198,7 @@
 // not queued behind the others, it was 0.53 of the capacity at 1.2 to 2 times the capacity, and
 // refusals took 2.8 s.
 func TestOverload(t *testing.T) {
+	t.Parallel()
 	for _, gray := range []float64{0, 0.3} {
 		for _, share := range []float64{0.8, 1, 1.2, 1.35, 1.6, 2} {
 			got := simulateOverload(constantLoad(share, gray), gray, 1)
@@ -217,6 +218,7 @@
 // than 0.85 of all, the share reached when requests that cannot be answered in time were served
 // first.
 func TestBurstIsWorkedOff(t *testing.T) {
+	t.Parallel()
 	burst := func(at time.Duration) float64 {
 		if at > 10*time.Second && at < 13*time.Second {
 			return 1.7 * overCapacity(0.3)
--- a/internal/dispatch/partition_test.go
+++ b/internal/dispatch/partition_test.go
@@ -154,6 +154,7 @@
 // The partitions of a service together send no more retries than the service may, however load and
 // failures are distributed over them.
 func TestPartitionsShareRetryBudget(t *testing.T) {
+	t.Parallel()
 	const (
 		parts   = 5
 		reserve = 630
--- a/internal/dispatch/recorded_test.go
+++ b/internal/dispatch/recorded_test.go
@@ -184,6 +184,7 @@
 // Without scarcity, and with one workspace or none, each request gets the answer that it got when
 // waiting requests were ordered by priority and arrival only.
 func TestGrantsAreAsRecorded(t *testing.T) {
+	t.Parallel()
 	if os.Getenv("RECORD_GRANTS") != "" {
 		recordGrants(t)
 		return
--- a/internal/dispatch/share_test.go
+++ b/internal/dispatch/share_test.go
@@ -97,6 +97,7 @@
 // that arrive later are served before the last ones of its backlog: when the expected wait left them
 // out, more than nine in ten of those refused had waited.
 func TestBusyWorkspaceIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	refused, late := 0, 0
 	for seed := range uint64(4) {
 		m := busyModel(seed, 0.75, 0, 10)
