internal/dispatch: one function for the slots of working targets

Since the expected wait counts the share that rejecting targets serve, it and the interval of returns sum the slots in the same way. Behaviour is unchanged.

--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -180,11 +180,5 @@
 	if c, all := d.limitedCapacity(now); all {
 		return time.Duration(float64(time.Second) / max(c.rate, minLimitRate))
 	}
-	slots := 0.0
-	for _, t := range d.order {
-		if !t.drains(now) {
-			slots += t.limitedSlots(now, d.limitShare, usualTime) * d.servedShare(now, t)
-		}
-	}
-	return time.Duration(float64(usualTime) / max(slots, 1))
+	return time.Duration(float64(usualTime) / d.workingSlots(now, usualTime))
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -193,8 +193,7 @@
 }
 
 // wait estimates how long an arriving request would wait, and returns the work ahead of it: the
-// quotient of that and the slots of working targets is the wait. Of a target that rejects requests like the
-// others, the share that it serves counts, which leaves room for retries of the others.
+// quotient of that and the slots of working targets is the wait.
 func (d *Scheduler) wait(now time.Time, a *Request) (wait, work time.Duration) {
 	work, n := d.queue.ahead(now, a, d.model.Route(now, a.Route).MedianLatency())
 	if c, all := d.limitedCapacity(now); all {
@@ -203,14 +202,22 @@
 	if work == 0 {
 		return 0, 0
 	}
+	slots := d.workingSlots(now, work/time.Duration(n))
+	d.queue.workingSlots = slots
+	return time.Duration(float64(work) / slots), work
+}
+
+// workingSlots returns the slots of working targets for requests of the given duration, at least 1. Of a
+// target that rejects requests like the others, the share that it serves counts, which leaves room for
+// retries of the others.
+func (d *Scheduler) workingSlots(now time.Time, duration time.Duration) float64 {
 	slots := 0.0
 	for _, t := range d.order {
 		if !t.drains(now) {
-			slots += t.limitedSlots(now, d.limitShare, work/time.Duration(n)) * d.servedShare(now, t)
+			slots += t.limitedSlots(now, d.limitShare, duration) * d.servedShare(now, t)
 		}
 	}
-	d.queue.workingSlots = max(slots, 1)
-	return time.Duration(float64(work) / max(slots, 1)), work
+	return max(slots, 1)
 }
 
 // infeasible reports whether so little time is left that an answer is unlikely; other requests make
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -334,7 +334,7 @@
 	// WaitingWorkspaces is the number of workspaces with waiting requests.
 	WaitingWorkspaces int
 	// Greatest is the greatest share of the running requests that one workspace has, from 0 to 1.
-	// GreatestWorkspace is that workspace, "" for requests without one.
+	// GreatestWorkspace is that workspace, empty for requests without one.
 	Greatest          float64
 	GreatestWorkspace string
 }
--- a/internal/health/handover.go
+++ b/internal/health/handover.go
@@ -23,7 +23,7 @@
 	Seconds float64
 }
 
-// ModelState is what a model has learned, for a model of the same service in another process. Counts
+// ModelState holds what a model has learned, for a model of the same service in another process. Counts
 // have the order of the kinds before Open.
 type ModelState struct {
 	Failures, Recoveries RateState
@@ -31,7 +31,7 @@
 	Routes               []RouteState
 }
 
-// RouteState is what a model has learned of one route.
+// RouteState holds what a model has learned of one route.
 type RouteState struct {
 	Name    string
 	Working []float64
