--- a/review/kit/backend.go
+++ b/review/kit/backend.go
@@ -120,12 +120,6 @@
 	_ = b.server.Close()
 }
 
-// Leave removes the entry of the backend, which serves on.
-func (b *Backend) Leave() {
-	b.stop()
-	b.store.Remove("servers/" + b.ID)
-}
-
 // Drain announces that the backend drains.
 func (b *Backend) Drain() {
 	b.mu.Lock()
--- a/review/kit/fleet.go
+++ b/review/kit/fleet.go
@@ -21,9 +21,6 @@
 // daemon is the program of the deploy file.
 const daemon = "target/ploverd"
 
-// Weight is the capacity of a node in thousandths of a processor, as in the settings.
-const Weight = 320
-
 // settings is platform/settings.ini, filled as for a machine of a small deployment.
 const settings = `[node]
 data_hall = %[1]s
@@ -55,12 +52,11 @@
 partition_slots = 80
 [workspaces]
 identity = key
-%[9]s
 [log]
-level = %[10]s
+level = %[9]s
 format = json
 [metrics]
-listen = %[2]s:9464
+listen = %[10]s
 `
 
 // Node is one process of the fleet.
@@ -73,17 +69,16 @@
 	// Control is the address for other nodes.
 	Control string
 
-	dir    string
-	file   string
-	cmd    *exec.Cmd
-	exited chan struct{}
+	metrics string
+	dir     string
+	file    string
+	cmd     *exec.Cmd
+	exited  chan struct{}
 }
 
 // Fleet is a fleet of real processes.
 type Fleet struct {
 	Nodes []*Node
-	// Extra holds further lines of the section on workspaces.
-	Extra string
 
 	dir   string
 	store *Store
@@ -102,7 +97,7 @@
 	}
 	for i, zone := range zones {
 		ip := fmt.Sprintf("%s.%d", prefix, i+1)
-		ports, err := freePorts(ip, 3)
+		ports, err := freePorts(ip, 4)
 		if err != nil {
 			return nil, err
 		}
@@ -113,6 +108,7 @@
 			Front:   ports[0],
 			Ready:   ports[1],
 			Control: ports[2],
+			metrics: ports[3],
 			dir:     dir,
 		})
 	}
@@ -166,7 +162,7 @@
 		level = os.Getenv("REVIEW_LOG")
 	}
 	text := fmt.Sprintf(settings, n.Zone, n.IP, strings.Join(zones, ","), n.Front, n.Ready, n.Control,
-		strings.Join(seeds, ","), f.store.Addr(), f.Extra, level)
+		strings.Join(seeds, ","), f.store.Addr(), level, n.metrics)
 	n.file = filepath.Join(n.dir, n.Name+".ini")
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return err
--- a/review/kit/record.go
+++ b/review/kit/record.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -63,9 +65,14 @@
 		return NotRun
 	}
 	defer r.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	broken, err := play(ctx, r, os.Getenv("TROUBLE") != "0")
+	if err == nil && ctx.Err() != nil {
+		err = ctx.Err()
+	}
 	switch {
 	case err != nil:
 		r.Printf("could not run: %v", err)
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -16,14 +16,13 @@
 // maxWatch is the longest time for which a watch waits.
 const maxWatch = 30 * time.Second
 
-// item is one value of the store or, among events, its removal.
+// item is one value of the store.
 type item struct {
 	Key      string `json:"tls_key"`
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
 	Created  uint64 `json:"created,omitempty"`
 	Lease    uint64 `json:"lease"`
-	Removed  bool   `json:"removed,omitempty"`
 }
 
 // Store is a stand-in for the platform's key-value store. It may be used concurrently.
@@ -95,22 +94,6 @@
 	s.Put(key, b)
 }
 
-// Remove removes a value.
-func (s *Store) Remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.items[key]; !ok {
-		return
-	}
-	s.revision++
-	delete(s.items, key)
-	s.record(item{
-		Key:      key,
-		Revision: s.revision,
-		Removed:  true,
-	})
-}
-
 // record adds an event and wakes the watches. s.mu is held.
 func (s *Store) record(it item) {
 	s.events = append(s.events, it)
