--- a/internal/fleetconfig/validate.go
+++ b/internal/fleetconfig/validate.go
@@ -3,6 +3,7 @@
 package fleetconfig
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"strconv"
@@ -31,7 +32,7 @@
 // Parse parses one published value. Unknown fields are errors.
 func Parse(value []byte) (*wire.Document, error) {
 	if len(value) > MaxValue {
-		return nil, fault(KindSize, "at most 1 MiB", "value")
+		return nil, fault(KindSize, fmt.Sprintf("document of %d bytes, at most %d", len(value), MaxValue), "value")
 	}
 	d := &wire.Document{}
 	if err := protojson.Unmarshal(value, d); err != nil {
