--- a/internal/dissemination/pack_test.go
+++ b/internal/dissemination/pack_test.go
@@ -45,12 +45,14 @@
 	if got := to.Newest("config"); !bytes.Equal(got.GetValue(), value) {
 		t.Error("the received value differs from the sent one")
 	}
+	reported := 0
+	to.ReportUnreadable(func(error) { reported++ })
 	broken := &wire.Entry{
 		Key:      "config",
 		Revision: 8,
 		Packed:   []byte("no DEFLATE"),
 	}
-	if fresh := to.Offer([]*wire.Entry{broken}); len(fresh) != 0 || to.Broken() != 1 {
-		t.Errorf("%d new values of a corrupt one, %d counted as corrupt, want 0 and 1", len(fresh), to.Broken())
+	if fresh := to.Offer([]*wire.Entry{broken}); len(fresh) != 0 || to.Broken() != 1 || reported != 1 {
+		t.Errorf("%d new values of a corrupt one, %d counted as corrupt, %d reported, want 0, 1 and 1", len(fresh), to.Broken(), reported)
 	}
 }
--- a/internal/dissemination/pull.go
+++ b/internal/dissemination/pull.go
@@ -89,7 +89,7 @@
 	}
 	entries, err := unpackBatch(reply.GetBatch())
 	if err != nil {
-		g.replica.broken.Add(1)
+		g.replica.recordUnreadable(err)
 		return err
 	}
 	fresh := g.replica.Offer(entries)
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -48,8 +48,9 @@
 	requested map[string]valueRequest
 	packed    map[string]*wire.Entry
 	// broken counts compressed values of peers that could not be decompressed.
-	broken   atomic.Int64
-	accepted func(*fleetconfig.Config, []fleetconfig.Refusal)
+	broken     atomic.Int64
+	accepted   func(*fleetconfig.Config, []fleetconfig.Refusal)
+	unreadable func(error)
 }
 
 // NewReplica returns an empty replica. accepted is called with each new state,
@@ -62,9 +63,15 @@
 		requested: map[string]valueRequest{},
 		packed:    map[string]*wire.Entry{},
 		accepted:  accepted,
+
+		unreadable: func(error) {},
 	}
 }
 
+// ReportUnreadable has report called with the error of each value and batch of values of a peer that
+// cannot be decompressed. It must be called before the replica is used; report must not call the replica.
+func (r *Replica) ReportUnreadable(report func(error)) { r.unreadable = report }
+
 // Offer stores values from any source and returns those that were new.
 func (r *Replica) Offer(entries []*wire.Entry) []*wire.Entry {
 	if len(entries) == 0 {
@@ -77,7 +84,7 @@
 		v, err := unpack(e)
 		if err != nil {
 			// A later comparison fetches the value again, from another peer.
-			r.broken.Add(1)
+			r.recordUnreadable(err)
 			continue
 		}
 		if v != e {
@@ -96,6 +103,11 @@
 	return fresh
 }
 
+func (r *Replica) recordUnreadable(err error) {
+	r.broken.Add(1)
+	r.unreadable(err)
+}
+
 // Broken returns the number of compressed values of peers that could not be decompressed.
 func (r *Replica) Broken() int64 { return r.broken.Load() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,7 @@
 	n.traffic.SetScope(n.board.scope)
 	n.members.incarnation.Store(uint64(n.started.UnixMilli()))
 	n.replica = dissemination.NewReplica(n.applyConfig)
+	n.replica.ReportUnreadable(n.recordUnreadable)
 	n.gossip = dissemination.New(n.gossipConfig(), n.replica)
 	n.makeControllers()
 	if err := n.open(keys); err != nil {
@@ -233,6 +234,12 @@
 	}))
 }
 
+// recordUnreadable records that a value of a peer cannot be read.
+func (n *Node) recordUnreadable(err error) {
+	n.metrics.Count("values_unreadable", 1)
+	logging.Part(n.log, "config").WithError(err).Warn("value of a peer unreadable")
+}
+
 // applyConfig applies each new configuration of the replica.
 func (n *Node) applyConfig(c *fleetconfig.Config, refusals []fleetconfig.Refusal) {
 	log := logging.Part(n.log, "config")
