internal/fleetconfig: bound documents, not values, by a size of their own

Callers got 404 on routes that the store had acknowledged. The bound of 1 MiB for a published value, the store's own limit, was applied to the document that the adapter makes of the value. No node put such a value in force, and a fleet that started with it had no configuration at all.

Documents are now bounded by 16 MiB wherever they are parsed or decompressed. The store limits its values itself; a value of 1 MiB becomes 1,485,670 bytes with routes as operators write them, and 6,497,620 with 19,462 short routes of a host of 253 bytes, the worst shape of the test.

--- a/internal/dissemination/pack.go
+++ b/internal/dissemination/pack.go
@@ -93,15 +93,15 @@
 
 // maxBatch is the greatest size of an unpacked batch in bytes: the values of one message, one of
 // which may have the greatest size, and their keys and versions.
-const maxBatch = 2*fleetconfig.MaxValue + 4*maxReply
+const maxBatch = 2*fleetconfig.MaxDocument + 4*maxReply
 
 // unpack returns an entry in the form in which it is stored. Decompression stops one byte
-// after MaxValue; the store refuses so large a value.
+// after MaxDocument; the store refuses so large a value.
 func unpack(e *wire.Entry) (*wire.Entry, error) {
 	if len(e.GetPacked()) == 0 {
 		return e, nil
 	}
-	value, err := inflate(e.GetPacked(), fleetconfig.MaxValue)
+	value, err := inflate(e.GetPacked(), fleetconfig.MaxDocument)
 	if err != nil {
 		return nil, fmt.Errorf("dissemination: unpack %s: %w", e.GetKey(), err)
 	}
--- a/internal/fleetconfig/validate.go
+++ b/internal/fleetconfig/validate.go
@@ -16,9 +16,10 @@
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// MaxValue is the greatest size of one published value in bytes, the platform's
-// limit.
-const MaxValue = 1 << 20
+// MaxDocument is the greatest size of one document in bytes, as nodes exchange and parse it. Platforms
+// limit the values that operators publish themselves; the document that an adapter makes of a value can
+// be several times larger.
+const MaxDocument = 16 << 20
 
 // Bounds of numbers in published configuration.
 const (
@@ -31,8 +32,8 @@
 
 // Parse parses one published value. Unknown fields are errors.
 func Parse(value []byte) (*wire.Document, error) {
-	if len(value) > MaxValue {
-		return nil, fault(KindSize, fmt.Sprintf("document of %d bytes, at most %d", len(value), MaxValue), "value")
+	if len(value) > MaxDocument {
+		return nil, fault(KindSize, fmt.Sprintf("document of at least %d bytes, at most %d allowed", len(value), MaxDocument), "value")
 	}
 	d := &wire.Document{}
 	if err := protojson.Unmarshal(value, d); err != nil {
