internal/link, internal/dissemination: messages carry the largest documents

A document of more than 4 MiB, or several that do not compress, were in force at the nodes that read the store and never reached the others: drpc closes a connection on which a message of more than 4 MiB arrives, its default.

Both ends of a connection now accept the document in force and the newest one of a key at their greatest size. A reply has compressed values of up to 1 MiB, or those of one key, which are sent together. Buffers grow only with the messages that arrive.

TestMessagesCarryTheLargestDocuments failed before ("data overflow"), TestMessagesOfLargeDocumentsAreBounded too (20 documents in one message).

--- a/internal/dissemination/large_test.go
+++ b/internal/dissemination/large_test.go
@@ -6,11 +6,14 @@
 	"bytes"
 	"context"
 	"encoding/base64"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"ploverjunction.example/ploverjunction/internal/order"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
@@ -84,3 +87,40 @@
 		})
 	}
 }
+
+// Guards against messages that grow with the number of large documents: a message of more than the bound of
+// a connection is never received.
+func TestMessagesOfLargeDocumentsAreBounded(t *testing.T) {
+	const (
+		documents = 20
+		// maxMessage is in bytes: a quarter of what a connection of drpc accepts unless it is told otherwise.
+		maxMessage = 1 << 20
+	)
+	from, to := newReplica(), newReplica()
+	var keys []string
+	for i := range documents {
+		keys = append(keys, fmt.Sprintf("key-%d", i))
+		from.Offer([]*wire.Entry{
+			{
+				Key:      keys[i],
+				Revision: uint64(i + 1),
+				Value:    manyKeys(10_000),
+			},
+		})
+	}
+	for len(keys) > 0 {
+		sent := from.Entries(keys)
+		size := 0
+		for _, e := range sent {
+			size += proto.Size(e)
+		}
+		if len(sent) == 0 || size > maxMessage {
+			t.Fatalf("%d documents of %d bytes in one message", len(sent), size)
+		}
+		to.Offer(sent)
+		keys = keys[len(sent):]
+	}
+	if to.Len() != documents {
+		t.Errorf("%d documents received of %d", to.Len(), documents)
+	}
+}
--- a/internal/dissemination/replica.go
+++ b/internal/dissemination/replica.go
@@ -22,6 +22,8 @@
 	// maxReply is the greatest size of the values in one message, in bytes, unless a single one is
 	// larger. Both ends of a connection keep buffers as large as its greatest message.
 	maxReply = 64 << 10
+	// maxPackedReply is the same for compressed values.
+	maxPackedReply = 1 << 20
 	// maxPushedValue is the greatest size in bytes of a value that is pushed; larger
 	// ones are announced and fetched by peers that lack them.
 	maxPushedValue = 512
@@ -215,7 +217,7 @@
 	return r.store.InForce()
 }
 
-// Entries returns the values of keys, as many as fit into one message.
+// Entries returns the values of keys, as many as fit into one message. Those of one key are sent together.
 func (r *Replica) Entries(keys []string) []*wire.Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -224,15 +226,19 @@
 
 func (r *Replica) entries(keys []string) []*wire.Entry {
 	var out []*wire.Entry
-	size := 0
+	size, packedSize := 0, 0
 	for _, k := range keys {
+		var values []*wire.Entry
 		for _, e := range r.store.Entries(k) {
 			size += min(len(e.GetValue()), minPackSize)
-			if size > maxReply && len(out) > 0 {
-				return out
-			}
-			out = append(out, r.pack(e))
+			p := r.pack(e)
+			packedSize += len(p.GetPacked())
+			values = append(values, p)
+		}
+		if (size > maxReply || packedSize > maxPackedReply) && len(out) > 0 {
+			return out
 		}
+		out = append(out, values...)
 	}
 	return out
 }
--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -180,7 +180,9 @@
 		cfg.ServerName, _, _ = net.SplitHostPort(address)
 		conn = tls.Client(conn, cfg)
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{
+		Manager: managerOptions(),
+	}), nil
 }
 
 // CloseIdle closes the connections that have been idle for longer than idleClose at now.
--- a/internal/link/dialer_test.go
+++ b/internal/link/dialer_test.go
@@ -6,19 +6,21 @@
 	"context"
 	"testing"
 
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
-// echo answers each call with the digest of its request.
+// echo answers each call with the digest and the values of its request.
 type echo struct {
 	wire.DRPCPeerUnimplementedServer
 }
 
 func (*echo) Sync(_ context.Context, in *wire.SyncRequest) (*wire.SyncReply, error) {
 	return &wire.SyncReply{
-		Digest: in.GetDigest(),
+		Digest:  in.GetDigest(),
+		Entries: in.GetEntries(),
 	}, nil
 }
 
@@ -68,3 +70,33 @@
 		t.Error(err)
 	}
 }
+
+// Guards against documents that the nodes accept and a message between them cannot carry.
+func TestMessagesCarryTheLargestDocuments(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running task.Group
+	s, err := link.Listen("127.0.0.1:0", nil, &link.Traffic{}, &echo{}, func(error) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	running.Go(ctx, "server", s.Serve)
+	d := link.NewDialer(nil, &link.Traffic{})
+	var entries []*wire.Entry
+	for range 2 {
+		entries = append(entries, &wire.Entry{
+			Key:    "key",
+			Packed: make([]byte, fleetconfig.MaxDocument),
+		})
+	}
+	reply, err := d.Sync(ctx, s.Addr(), &wire.SyncRequest{
+		Entries: entries,
+	})
+	if err != nil || len(reply.GetEntries()) != len(entries) {
+		t.Errorf("%d values returned, error %v", len(reply.GetEntries()), err)
+	}
+	d.Close()
+	cancel()
+	if err := running.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,9 +13,12 @@
 	"time"
 
 	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -28,6 +31,19 @@
 	idleClose = 30 * time.Second
 )
 
+// maxMessage is the greatest size of a message in bytes: the document in force and the newest one of a
+// key, which may not compress, and smaller values.
+const maxMessage = 2*fleetconfig.MaxDocument + 1<<20
+
+// managerOptions are the options of both ends of a connection.
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{
+			MaximumBufferSize: maxMessage,
+		},
+	}
+}
+
 // Kind names what failed on a link.
 type Kind string
 
@@ -95,7 +111,8 @@
 	return &Server{
 		listener: lis,
 		server: drpcserver.NewWithOptions(mux, drpcserver.Options{
-			Log: refused,
+			Manager: managerOptions(),
+			Log:     refused,
 		}),
 	}, nil
 }
