internal/entry, internal/node: log how bodies and answers by way of peers break off

Of an upload that broke off on its way through a peer, the logs did not tell whether its node sent the peer an end of the body, the peer took the end of the stream for it, or the peer's connection to the target ended a body that it had failed to read. The node now adds "body_error" to the line of the attempt, and a peer logs "body of a peer's request broke off".

An answer to a peer that breaks off was logged as a panic with http.ErrAbortHandler; it has an error of its own now.

--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -199,6 +199,9 @@
 		"took_ms": time.Since(t.chosen).Milliseconds(),
 		"again":   t.retry,
 	})
+	if broken := x.body.readError(); broken != nil {
+		l = l.WithField("body_error", broken.Error())
+	}
 	if err != nil {
 		l.WithError(err).Warn("attempt at a peer failed")
 		return
--- a/internal/node/peerserve.go
+++ b/internal/node/peerserve.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/logging"
@@ -29,10 +31,12 @@
 	n.metrics.Count("requests_of_peers", 1)
 	now := time.Now()
 	h := in.GetHead()
+	log := logging.Part(n.log, "link").WithField("request", h.GetId())
 	w := &peerWriter{
 		stream:  stream,
 		header:  http.Header{},
 		service: h.GetService(),
+		log:     log,
 	}
 	r, err := requestOfWire(h, w)
 	if err != nil {
@@ -40,11 +44,14 @@
 	}
 	defer func() {
 		// A panic ends the answer, as in net/http.
-		if v := recover(); v != nil {
+		v := recover()
+		switch {
+		case v == nil:
+		case v == http.ErrAbortHandler:
+			err = errAnswerBrokenOff
+		default:
 			err = fmt.Errorf("node: request of a peer panicked: %v", v)
-			if v != http.ErrAbortHandler {
-				logging.Part(n.log, "link").WithError(err).WithField("stack", string(debug.Stack())).Error("request of a peer panicked")
-			}
+			log.WithError(err).WithField("stack", string(debug.Stack())).Error("request of a peer panicked")
 		}
 	}()
 	if err := n.entry.ServePeer(w, r.WithContext(stream.Context()), &entry.PeerHead{
@@ -93,6 +100,7 @@
 	header http.Header
 	// service is the one that the request's node chose.
 	service string
+	log     logrus.FieldLogger
 	// rest is the part of the body that was received and not read, ended is set with its last part.
 	rest    []byte
 	ended   bool
@@ -115,6 +123,7 @@
 func (w *peerWriter) receive() error {
 	in, err := w.stream.Recv()
 	if err != nil {
+		w.log.WithError(err).Warn("body of a peer's request broke off")
 		return err
 	}
 	w.rest, w.ended = in.GetBody(), in.GetEnd()
@@ -197,8 +206,11 @@
 	}
 }
 
-// errNoAnswer is the failure of a request that was neither answered nor refused.
-var errNoAnswer = errors.New("node: request of a peer has no answer")
+// Failures of requests of peers.
+var (
+	errNoAnswer        = errors.New("node: request of a peer has no answer")
+	errAnswerBrokenOff = errors.New("node: answer to a peer broken off")
+)
 
 // end ends the answer.
 func (w *peerWriter) end() error {
