internal/link: a body that breaks off reaches the peer without an end

Targets ran uploads of which their callers had sent only a part, and nobody was told: the callers got 400 or had left.

Cause: a node that reaches no target sends the body to a peer. SendBody read it with io.ReadFull and took its error for a short last part, io.ErrUnexpectedEOF, for the end. net/http has the same error for a body that breaks off. The peer got the part with an end; of a body with a length its connection to the target then had too little and broke, in chunks the target got a proper end.

Only io.EOF itself is the end now; with any other error the exchange is aborted, and the peer breaks its request to the target off.

--- a/internal/link/forward.go
+++ b/internal/link/forward.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"sync"
 	"time"
@@ -168,12 +167,13 @@
 	}
 }
 
-// SendBody sends the body and its end.
+// SendBody sends the body and its end. It returns the error with which reading failed; the peer then gets
+// no end.
 func (f *Forwarded) SendBody(body io.Reader) error {
 	buf := make([]byte, bodyPart)
 	for {
-		n, err := io.ReadFull(body, buf)
-		end := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		n, err := readPart(body, buf)
+		end := err == io.EOF
 		if err != nil && !end {
 			return err
 		}
@@ -189,6 +189,21 @@
 	}
 }
 
+// readPart reads until the part is full or reading ends, with io.EOF only at the end of the body.
+// io.ReadFull does not tell a short last part from a body that breaks off: its error for the one is that
+// of net/http for the other.
+func readPart(body io.Reader, part []byte) (int, error) {
+	n := 0
+	for n < len(part) {
+		m, err := body.Read(part[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // Receive returns the next part of the answer, and io.EOF after the last one.
 func (f *Forwarded) Receive() (*wire.ForwardResponse, error) {
 	if f.ended {
--- a/internal/link/forward_test.go
+++ b/internal/link/forward_test.go
@@ -6,9 +6,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/task"
@@ -122,6 +124,34 @@
 	}
 }
 
+// Guards against a body that breaks off on its way to the node and reaches the peer with an end, as if it was whole.
+func TestBrokenBodyHasNoEnd(t *testing.T) {
+	address, d := listenForwardee(t)
+	for _, broken := range []error{io.ErrUnexpectedEOF, fmt.Errorf("read: %w", io.EOF), errors.New("reset")} {
+		for _, size := range []int{0, 1, 32<<10 - 1, 32 << 10, 32<<10 + 1, 120_000} {
+			t.Run(fmt.Sprintf("%v after %d bytes", broken, size), func(t *testing.T) {
+				f, err := d.Forward(t.Context(), address, headFor("/"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer f.Close()
+				body := io.MultiReader(bytes.NewReader(make([]byte, size)), iotest.ErrReader(broken))
+				sending := task.Go(t.Context(), "body", func(context.Context) error {
+					err := f.SendBody(body)
+					f.Abort()
+					return err
+				})
+				if got, err := receiveAll(f); err == nil {
+					t.Errorf("the peer received an end after %d bytes", len(got))
+				}
+				if err := <-sending.Done(); !errors.Is(err, broken) {
+					t.Errorf("error %v, want %v", err, broken)
+				}
+			})
+		}
+	}
+}
+
 // A request that a peer has not accepted must be known not to have run.
 func TestPeerThatDoesNotAccept(t *testing.T) {
 	address, d := listenForwardee(t)
