internal/link, internal/node: the end of a stream is no end of a body

A node ends an exchange with a peer once it has the whole answer. A target may answer before it has read a long body; the peer, still sending it, then took the end of the stream for the end of the body and would have ended a body in chunks where the rest of it was due. Suspected from reading: no request is known that was harmed.

Both are io.ErrUnexpectedEOF now.

--- a/internal/link/forward.go
+++ b/internal/link/forward.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -204,7 +205,8 @@
 	return n, nil
 }
 
-// Receive returns the next part of the answer, and io.EOF after the last one.
+// Receive returns the next part of the answer, and io.EOF after the last one. The end of the stream before
+// that is an *Error.
 func (f *Forwarded) Receive() (*wire.ForwardResponse, error) {
 	if f.ended {
 		return nil, io.EOF
@@ -213,6 +215,9 @@
 	if err == nil {
 		err = f.aborted()
 	}
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return nil, f.fault(KindCall, err)
 	}
--- a/internal/link/forward_test.go
+++ b/internal/link/forward_test.go
@@ -45,6 +45,7 @@
 	case "/crash":
 		return errors.New("crashed")
 	}
+	broken := in.GetHead().GetUri() == "/broken"
 	if err := stream.Send(&wire.ForwardResponse{
 		Accepted: true,
 	}); err != nil {
@@ -56,7 +57,7 @@
 		}
 		if err := stream.Send(&wire.ForwardResponse{
 			Body: in.GetBody(),
-			End:  in.GetEnd() && in.GetHead().GetUri() != "/broken",
+			End:  in.GetEnd() && !broken,
 		}); err != nil {
 			return err
 		}
@@ -196,6 +197,22 @@
 	}
 }
 
+// Guards against an answer without an end that is taken for a complete one because its stream ends.
+func TestAnswerWithoutEndIsBroken(t *testing.T) {
+	address, d := listenForwardee(t)
+	f, err := d.Forward(t.Context(), address, headFor("/broken"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.SendBody(strings.NewReader("body")); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := receiveAll(f); err == nil {
+		t.Errorf("%q was received as a complete answer", got)
+	}
+}
+
 // An answer that breaks off must not be taken for a complete one, and its connection not be reused.
 func TestBrokenForwardedAnswer(t *testing.T) {
 	address, d := listenForwardee(t)
--- a/internal/node/peerserve.go
+++ b/internal/node/peerserve.go
@@ -122,6 +122,10 @@
 
 func (w *peerWriter) receive() error {
 	in, err := w.stream.Recv()
+	if errors.Is(err, io.EOF) {
+		// The peer has ended the exchange, not the body.
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		w.log.WithError(err).Warn("body of a peer's request broke off")
 		return err
