internal/soak: uploads, half of which break off

One caller of each fleet now sends uploads of 100,000 bytes, with a length or in chunks; every other one leaves after 70,000. A target that runs one of these, or runs a whole one twice, breaks the promise.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -88,6 +88,7 @@
 	for _, n := range f.nodes {
 		group.Go(func() { f.pollRoutes(ctx, n) })
 	}
+	group.Go(func() { f.sendUploads(ctx) })
 	if f.plan.Keyed {
 		group.Go(func() { f.sendOverLimit(ctx) })
 		group.Go(func() { f.sendRevokedKeys(ctx) })
@@ -178,6 +179,7 @@
 	f.checkWorkspaces()
 	f.checkCrashes()
 	f.checkSignals(records)
+	f.checkUploads()
 	f.checkBudget()
 	report.Served = f.checkShares(records)
 	for _, b := range f.targets {
