internal/integration: the end of a peer's process in the middle of an answer

Read beside the fault of bodies and now played: a node without paths gets a document of 4 MiB by way of a peer that is killed after the first kilobyte, with a length and in chunks. The caller sees a broken answer in both.

--- a/internal/integration/brokenbody_test.go
+++ b/internal/integration/brokenbody_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/standin/target"
 )
@@ -206,3 +207,31 @@
 		}
 	}
 }
+
+// Guards against the end of a peer's process that looks to a caller like the end of the answer on its way through the peer.
+func TestAnswerThroughKilledPeerLooksBroken(t *testing.T) {
+	for _, framing := range []string{"", "&chunked"} {
+		t.Run("framing "+framing, func(t *testing.T) {
+			s := siteWithPeer(t, 2)
+			for _, b := range s.targets {
+				b.SetMode(target.Mode{
+					ChunkDelay: 5 * time.Millisecond,
+				})
+			}
+			// The whole document takes more than a second.
+			res, err := callers.Get(fmt.Sprintf("http://%s/quotes/1?size=%d%s", s.nodes[0].entry, documentSize, framing))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = res.Body.Close() }()
+			first := make([]byte, 1<<10)
+			if _, err := io.ReadFull(res.Body, first); err != nil {
+				t.Fatal(err)
+			}
+			s.nodes[1].kill()
+			if rest, err := io.ReadAll(res.Body); err == nil {
+				t.Errorf("status %d, %d of %d bytes were delivered as a complete answer", res.StatusCode, len(first)+len(rest), documentSize)
+			}
+		})
+	}
+}
