internal/link: the test of the largest messages has no time limit

It sent 32 MiB each way by Sync, whose limit of 2 s it met after 2.15 s; alone and without the detector the test takes 0.4 s. It checks the size of messages and not their time: it now calls on a connection of its own, which has the same options, with the same sizes. Its mutant is still caught.

--- a/internal/link/export_test.go
+++ b/internal/link/export_test.go
@@ -2,7 +2,12 @@
 
 package link
 
-import "ploverjunction.example/ploverjunction/internal/wire"
+import (
+	"context"
+
+	"ploverjunction.example/ploverjunction/internal/traffic"
+	"ploverjunction.example/ploverjunction/internal/wire"
+)
 
 // MostIdle is the number of connections without a call that a Dialer keeps.
 const MostIdle = maxIdle
@@ -14,6 +19,16 @@
 	return len(d.peers)
 }
 
+// SyncOnce calls Sync of a peer on a connection of its own, without the time limit of calls.
+func (d *Dialer) SyncOnce(ctx context.Context, peer string, in *wire.SyncRequest) (*wire.SyncReply, error) {
+	conn, err := d.dial(ctx, peer, traffic.Other)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	return wire.NewDRPCPeerClient(conn).Sync(ctx, in)
+}
+
 // CountDatagram counts the n bytes of a datagram that was sent.
 func (t *Traffic) CountDatagram(peer string, d *wire.Datagram, n int) { t.countDatagram(peer, d, n) }
 
