--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -29,6 +29,7 @@
 
 var scenarios = map[string]scenario{
 	"early": earlyScenario,
+	"alone": aloneScenario,
 }
 
 // recorder writes the lines of record.txt.
