--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,8 +28,9 @@
 }
 
 var scenarios = map[string]scenario{
-	"early": earlyScenario,
-	"alone": aloneScenario,
+	"early":   earlyScenario,
+	"alone":   aloneScenario,
+	"silence": silenceScenario,
 }
 
 // recorder writes the lines of record.txt.
