--- a/review/standin2/backend.go
+++ b/review/standin2/backend.go
@@ -48,15 +48,15 @@
 	}
 	f.backends = append(f.backends, b)
 	go b.accept()
-	b.publish("ready")
+	b.publish("ready", 1)
 	return b, nil
 }
 
 // publish writes the entry of the backend.
-func (b *backend) publish(state string) {
+func (b *backend) publish(state string, seq int) {
 	b.fleet.store.put("servers/"+b.id, map[string]any{
 		"service": b.service, "address": b.address, "zone": b.zone, "version": "v1",
-		"capacity": 3, "state": state, "warmup_left": "0ms", "seq": 1,
+		"capacity": 3, "state": state, "warmup_left": "0ms", "seq": seq,
 	})
 }
 
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -59,7 +58,8 @@
 	store    *store
 	machines []*machine
 	backends []*backend
-	mu       sync.Mutex
+	// paths are the paths of the machines to the store, where a case cuts them.
+	paths map[*machine]*storePath
 }
 
 // newFleet starts the store and the machines. It returns the fleet with an error too, to be closed.
@@ -78,7 +78,7 @@
 	if err != nil {
 		return f, err
 	}
-	f.store.serve(lis)
+	serve(lis, f.store.handler())
 	n := 0
 	for _, z := range s.zones {
 		for i := range z.machines {
@@ -90,6 +90,11 @@
 			})
 		}
 	}
+	if s.paths {
+		if err := f.openPaths(); err != nil {
+			return f, err
+		}
+	}
 	for _, m := range f.machines {
 		if err := f.start(m); err != nil {
 			return f, err
@@ -164,6 +169,9 @@
 		"seeds.0":          f.seeds(),
 		"platform.address": fmt.Sprintf("%s.250:%d", f.prefix, portStore),
 	}
+	if f.paths != nil {
+		values["platform.address"] = fmt.Sprintf("%s:%d", m.ip, portStore)
+	}
 	for k, v := range f.bounds {
 		values["bounds."+k] = v
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,12 +24,15 @@
 type scenario struct {
 	zones  []zone
 	bounds map[string]string
-	play   func(f *fleet, trouble bool) (bool, error)
+	// paths gives each machine a path of its own to the store, which the case can cut.
+	paths bool
+	play  func(f *fleet, trouble bool) (bool, error)
 }
 
 var scenarios = map[string]scenario{
-	"early": earlyScenario,
-	"alone": aloneScenario,
+	"early":    earlyScenario,
+	"alone":    aloneScenario,
+	"rollback": rollbackScenario,
 }
 
 // recorder writes the lines of record.txt.
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -70,13 +70,17 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) serve(lis net.Listener) {
+func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.key)
 	mux.HandleFunc("GET /kv-range", s.list)
 	mux.HandleFunc("GET /kv-watch", s.watch)
+	return mux
+}
+
+func serve(lis net.Listener, h http.Handler) {
 	srv := &http.Server{
-		Handler:           mux,
+		Handler:           h,
 		ReadHeaderTimeout: 5 * time.Second,
 	}
 	go func() { _ = srv.Serve(lis) }()
