internal/forward, internal/entry: log where the answers of failed attempts come from

The hypotheses of docs/incidents/requests-run-twice.md could not be told apart: a refused attempt was logged without the status and the ID of its answer, nor what its connection had carried before; a peer's lines did not say that they are a peer's, nor whether it takes the request for repeatable; a request cut off by a planned stop looked like one whose caller left.

Fields: answer_status, answer_id, connection_requests, connection_repeated; for_peer, repeatable, stopping; the revision of the node beside that of its peer. Counter: plover_answers_unmatched. No change of behaviour; tests of forward, entry and node pass.

--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -39,10 +39,27 @@
 	var fe *forward.Error
 	if errors.As(err, &fe) {
 		l = l.WithField("outcome", fe.Outcome().String()).WithField("kind", string(fe.Kind()))
+		l = x.withEvidence(l, fe.Evidence())
 	}
 	l.WithError(err).Warn("attempt failed")
 }
 
+// withEvidence adds where the answer of a failed attempt comes from, and counts it if that is unclear.
+func (x *relay) withEvidence(l *logrus.Entry, e *forward.Evidence) *logrus.Entry {
+	if e == nil {
+		return l
+	}
+	if x.server.cfg.OnUnmatched != nil && (e.Echo() != forward.EchoOwn || e.Repeated()) {
+		x.server.cfg.OnUnmatched()
+	}
+	return l.WithFields(logrus.Fields{
+		"answer_status":       e.Status(),
+		"answer_id":           e.Echo().String(),
+		"connection_requests": e.Requests(),
+		"connection_repeated": e.Repeated(),
+	})
+}
+
 // logNoTarget logs an attempt that got no target.
 func (x *relay) logNoTarget(err error, hedge bool) {
 	l := x.server.log.WithField("request", x.id).WithField("service", x.service.Name()).WithError(err)
@@ -69,6 +86,12 @@
 		"attempts": x.launched,
 		"took_ms":  time.Since(x.started).Milliseconds(),
 	})
+	if x.peerHead != nil {
+		l = l.WithField("for_peer", true).WithField("repeatable", x.tracker.Repeatable())
+	}
+	if x.server.closing.Load() {
+		l = l.WithField("stopping", true)
+	}
 	if x.admission.workspace != "" {
 		l = l.WithField("workspace", x.admission.workspace)
 	}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -193,11 +193,12 @@
 // logPeer logs an attempt that a peer made.
 func (x *relay) logPeer(t *try, a *forward.Answer, err error) {
 	l := x.server.log.WithFields(logrus.Fields{
-		"request": x.id,
-		"service": x.service.Name(),
-		"peer":    t.peer,
-		"took_ms": time.Since(t.chosen).Milliseconds(),
-		"again":   t.retry,
+		"request":  x.id,
+		"service":  x.service.Name(),
+		"revision": x.admission.config.Position().Revision(),
+		"peer":     t.peer,
+		"took_ms":  time.Since(t.chosen).Milliseconds(),
+		"again":    t.retry,
 	})
 	if broken := x.body.readError(); broken != nil {
 		l = l.WithField("body_error", broken.Error())
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,6 +100,9 @@
 	Quarantined  func(fingerprints quarantine.Fingerprints) quarantine.Status
 	RecordCrash  func(fingerprints quarantine.Fingerprints, target string) quarantine.Status
 	RecordAnswer func(fingerprints quarantine.Fingerprints)
+	// OnUnmatched is called with each failed attempt whose answer may belong to another one; nil
+	// disables it.
+	OnUnmatched func()
 	// Signals records the signals in targets' answers.
 	Signals *signal.Ledger
 	// Collector records the results of attempts per target.
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -26,6 +26,7 @@
 	stall    time.Duration
 	cancel   context.CancelFunc
 	contract *contract.Contract
+	evidence Evidence
 }
 
 // Status returns the status code.
@@ -65,6 +66,7 @@
 		target:   a.target,
 		outcome:  attempt.OutcomeUnknown,
 		draining: a.draining,
+		evidence: &a.evidence,
 		cause:    cause,
 	}
 }
@@ -73,8 +75,9 @@
 // complete if the connection ends without an error (RFC 9112, section 8).
 func (a *Answer) check(id string) error {
 	h := a.response.Header
-	echo := h.Get(a.contract.RequestID)
-	if echo != "" && echo != id || a.contract.CallersID && echo != id && a.success() {
+	a.evidence.status = a.Status()
+	a.evidence.echo = echoOf(h.Get(a.contract.RequestID), id)
+	if a.evidence.echo == EchoOther || a.contract.CallersID && a.evidence.echo != EchoOwn && a.success() {
 		return a.newError(KindForeign, nil)
 	}
 	switch a.contract.Refused(a.Status(), h) {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -173,7 +173,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	watch := newWatchdog(time.Until(r.Deadline), cancel)
 	cl := newClaim(r.Deadline, r.Unavailable)
-	res, err := c.send(ctx, cl, r)
+	res, origin, err := c.send(ctx, cl, r)
 	if err != nil {
 		e := roundTripError(ctx, r.Target, cl, watch, err)
 		watch.stop()
@@ -188,6 +188,7 @@
 		cancel:   cancel,
 		draining: c.contract.Draining(res.Header),
 		contract: c.contract,
+		evidence: origin,
 	}
 	c.observe(r, res)
 	if err := a.check(r.ID); err != nil {
@@ -228,12 +229,15 @@
 	}, errors.Join(backoffErr, limitErr, loadErr)
 }
 
-func (c *Client) send(ctx context.Context, cl *claim, r *Request) (*http.Response, error) {
+// send sends a request and returns the response with what is known of its connection.
+func (c *Client) send(ctx context.Context, cl *claim, r *Request) (*http.Response, Evidence, error) {
 	var used atomic.Pointer[guard]
+	var origin Evidence
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if g, ok := info.Conn.(*guard); ok {
-				g.attach(cl, r.Scope)
+				origin.repeated = g.attach(cl, r.Scope, r.ID)
+				origin.requests = g.requests
 				used.Store(g)
 			}
 		},
@@ -245,7 +249,7 @@
 	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Target+r.URI, r.Body)
 	if err != nil {
-		return nil, err
+		return nil, origin, err
 	}
 	// With GetBody net/http could send the request again by itself.
 	req.GetBody = nil
@@ -267,7 +271,8 @@
 		req.Header.Set("User-Agent", "")
 	}
 	if r.Via != nil {
-		return r.Via(req)
+		res, err := r.Via(req)
+		return res, origin, err
 	}
 	transport := c.transport
 	if !r.Repeatable {
@@ -277,7 +282,7 @@
 	if g := used.Load(); g != nil && err == nil && res.Close {
 		g.state.end.saidClose.Store(true)
 	}
-	return res, err
+	return res, origin, err
 }
 
 // roundTripError returns what a failed round trip proves. The claim is sealed first: after that no
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -45,6 +45,7 @@
 	target   string
 	outcome  attempt.Outcome
 	draining bool
+	evidence *Evidence
 	cause    error
 }
 
@@ -69,6 +70,9 @@
 // Draining reports whether the target signalled that it is draining.
 func (e *Error) Draining() bool { return e.draining }
 
+// Evidence returns what is known of the answer with which the attempt failed, or nil if there was none.
+func (e *Error) Evidence() *Evidence { return e.evidence }
+
 // CountsAgainstTarget reports whether the failure counts against the target. Load shedding is healthy; a late
 // start or a caller that is gone is not the target's fault.
 func (e *Error) CountsAgainstTarget() bool {
--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -28,6 +28,6 @@
 		},
 	}
 	c := newClaim(deadline, unavailable)
-	g.attach(c, traffic.Unknown)
+	g.attach(c, traffic.Unknown, "")
 	return g, c.seal
 }
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -91,6 +91,10 @@
 	// scope is that of the bytes of the current claim.
 	scope atomic.Uint32
 	state connState
+	// requests is the number of requests that the connection has carried, lastID the ID of the last
+	// one. Only the attempt that has the connection uses them.
+	requests int
+	lastID   string
 }
 
 // connState is the use of a connection.
@@ -164,8 +168,14 @@
 	return g.Conn.Close()
 }
 
-func (g *guard) attach(c *claim, scope traffic.Scope) {
+// attach gives the connection to the attempt of a request, and reports whether the preceding request on
+// it had the same ID.
+func (g *guard) attach(c *claim, scope traffic.Scope, id string) (repeated bool) {
+	repeated = g.requests > 0 && g.lastID == id
+	g.requests++
+	g.lastID = id
 	c.bind()
 	g.scope.Store(uint32(scope))
 	g.claim.Store(c)
+	return repeated
 }
--- a/internal/node/open.go
+++ b/internal/node/open.go
@@ -80,6 +80,7 @@
 		Quarantined:     n.quarantine.check,
 		RecordCrash:     n.quarantine.recordCrash,
 		RecordAnswer:    n.quarantine.recordAnswer,
+		OnUnmatched:     func() { n.metrics.Count("answers_unmatched", 1) },
 		Signals:         &n.board.signals,
 		Collector:       n.ejection.collector,
 		RecordServed:    n.metrics.RecordRequest,
