internal/forward, platform: a refusal proves something only of the request whose ID it carries

What callers saw: a request that must not be repeated ran more than once, or was answered 503 though it ran.

Cause: Answer.check compared the request's ID only where an answer had one, or was a success. A target's surplus answer without an ID, in the place of the right one, counted as proof that the request did not run.

Change: where targets must echo IDs, any answer without the own ID is an answer to another request, its outcome unknown. Elsewhere a refusal without one is still no evidence against the target, but proves nothing. The stand-in target echoes IDs in refusals.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -32,7 +32,7 @@
 	// RequestID is the header with the ID of the request.
 	RequestID string
 	// CallersID is set where callers choose the IDs: they are forwarded unchanged, and
-	// a target must echo them in successful answers.
+	// a target must echo them in all answers.
 	CallersID bool
 	// Outcome is the header with the outcome in answers to callers, "" for none.
 	Outcome string
@@ -50,8 +50,8 @@
 	Credential func(h http.Header) (key string, shown bool)
 	// SetDeadline sets the header with the deadline for a target.
 	SetDeadline func(h http.Header, deadline, now time.Time)
-	// Refused reports whether an answer proves that the target has not run the
-	// request and never will.
+	// Refused reports whether an answer says that the target has not run the request and never
+	// will. That holds for the request whose ID the answer carries.
 	Refused func(status int, h http.Header) Refusal
 	// Draining reports whether an answer says that its target drains.
 	Draining func(h http.Header) bool
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -73,29 +73,31 @@
 
 // check checks the header of the answer. A body without length, which ends with its connection, is
 // complete if the connection ends without an error (RFC 9112, section 8).
+//
+// A refusal proves that a request did not run only if it carries the ID of that request: an answer
+// without one may be a surplus one to another request. Where targets need not echo IDs, a refusal
+// without one still says that the target sheds load.
 func (a *Answer) check(id string) error {
 	h := a.response.Header
 	a.evidence.status = a.Status()
 	a.evidence.echo = echoOf(h.Get(a.contract.RequestID), id)
-	if a.evidence.echo == EchoOther || a.contract.CallersID && a.evidence.echo != EchoOwn && a.success() {
+	own := a.evidence.echo == EchoOwn
+	if a.evidence.echo == EchoOther || a.contract.CallersID && !own {
 		return a.newError(KindForeign, nil)
 	}
+	var e *Error
 	switch a.contract.Refused(a.Status(), h) {
 	case contract.RefusalShed:
-		e := a.newError(KindShed, nil)
-		e.outcome = attempt.OutcomeNotRun
-		return e
+		e = a.newError(KindShed, nil)
 	case contract.RefusalOtherTarget:
-		e := a.newError(KindOtherTarget, nil)
-		e.outcome = attempt.OutcomeNotRun
-		return e
+		e = a.newError(KindOtherTarget, nil)
 	default:
 		return nil
 	}
-}
-
-func (a *Answer) success() bool {
-	return a.Status() >= http.StatusOK && a.Status() < http.StatusMultipleChoices
+	if own {
+		e.outcome = attempt.OutcomeNotRun
+	}
+	return e
 }
 
 // readHeld reads up to hold bytes of the body into memory. An answer that fits is complete then.
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -184,11 +184,32 @@
 		},
 		{
 			name:    "shed",
-			text:    "HTTP/1.1 503 Busy\r\nPlover-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+			text:    "HTTP/1.1 503 Busy\r\nPlover-Request-Id: the-id\r\nPlover-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
 			kind:    forward.KindShed,
 			outcome: attempt.OutcomeNotRun,
 			body:    "",
 		},
+		{
+			name:    "shed, no ID",
+			text:    "HTTP/1.1 503 Busy\r\nPlover-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+			kind:    forward.KindShed,
+			outcome: attempt.OutcomeUnknown,
+			body:    "",
+		},
+		{
+			name:    "shed, another ID",
+			text:    "HTTP/1.1 503 Busy\r\nPlover-Request-Id: other\r\nPlover-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+			kind:    forward.KindForeign,
+			outcome: attempt.OutcomeUnknown,
+			body:    "",
+		},
+		{
+			name:    "another target, no ID",
+			text:    "HTTP/1.1 421 Misdirected Request\r\nPlover-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+			kind:    forward.KindOtherTarget,
+			outcome: attempt.OutcomeUnknown,
+			body:    "",
+		},
 		{
 			name:    "plain 503",
 			text:    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -27,7 +27,8 @@
 	KindShed Kind = "refused by the target"
 	// KindUnavailable means that the target was unavailable, so that nothing was sent.
 	KindUnavailable Kind = "target wants no request now"
-	// KindForeign means that the answer belongs to another request.
+	// KindForeign means that the answer belongs to another request, or that it does not carry the ID of
+	// this one where targets must echo it.
 	KindForeign Kind = "answer to another request"
 	// KindOtherTarget means that another process has the target's address.
 	KindOtherTarget Kind = "another target at the address"
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -238,7 +238,7 @@
 	}
 	if m.Shed || pastDeadline(r) {
 		t.setLoad(w, m)
-		refuse(w)
+		refuse(w, r)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -251,7 +251,7 @@
 	defer func() { <-t.slots }()
 	if pastDeadline(r) {
 		t.setLoad(w, m)
-		refuse(w)
+		refuse(w, r)
 		return
 	}
 	t.recordRun(r)
@@ -293,7 +293,8 @@
 	return !d.IsZero() && !time.Now().Before(d)
 }
 
-func refuse(w http.ResponseWriter) {
+func refuse(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 	w.Header().Set(headerOutcome, "not-run")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
