internal/forward: no attempt goes out where a surplus answer may be left

Cause: all attempts at a request have the ID of the caller's attempt. A second copy of the first refusal, read after the second attempt went out, carries the right ID. And a connection that gave an answer to another request stayed in the pool if that had no body, since net/http returns it before the caller sees the answer: the true answer was then left to the next request, which failed.

Change: a connection is not used for a request whose ID it carried last, nor after an answer without the own ID. The write fails before the first byte, so that the attempt is proved not to have run; it counts neither against the target nor in the retry budget, like one whose target became unavailable. Evidence.Repeated goes out: there is no such answer any more.

TestConnectionWithForeignAnswerIsNotUsedAgain. Tests of connections used one ID for all requests; each has its own now.

--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -62,14 +62,14 @@
 }
 
 // unsent reports whether nothing was sent because the target became unavailable after it was
-// chosen.
+// chosen, or because the connection was not to be used again.
 func unsent(err error) bool {
 	var fe *forward.Error
-	return errors.As(err, &fe) && fe.Kind() == forward.KindUnavailable
+	return errors.As(err, &fe) && (fe.Kind() == forward.KindUnavailable || fe.Kind() == forward.KindUntrusted)
 }
 
-// discountUnsent takes back an attempt whose target became unavailable before it was sent: the
-// next attempt is no retry and takes nothing from the retry budget.
+// discountUnsent takes back an attempt that was not sent: the next attempt is no retry and takes nothing
+// from the retry budget.
 func (x *relay) discountUnsent(t *try) {
 	x.launched--
 	x.unsent++
--- a/internal/entry/log.go
+++ b/internal/entry/log.go
@@ -49,14 +49,13 @@
 	if e == nil {
 		return l
 	}
-	if x.server.cfg.OnUnmatched != nil && (e.Echo() != forward.EchoOwn || e.Repeated()) {
+	if x.server.cfg.OnUnmatched != nil && e.Echo() != forward.EchoOwn {
 		x.server.cfg.OnUnmatched()
 	}
 	return l.WithFields(logrus.Fields{
 		"answer_status":       e.Status(),
 		"answer_id":           e.Echo().String(),
 		"connection_requests": e.Requests(),
-		"connection_repeated": e.Repeated(),
 	})
 }
 
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -173,7 +173,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	watch := newWatchdog(time.Until(r.Deadline), cancel)
 	cl := newClaim(r.Deadline, r.Unavailable)
-	res, origin, err := c.send(ctx, cl, r)
+	res, conn, err := c.send(ctx, cl, r)
 	if err != nil {
 		e := roundTripError(ctx, r.Target, cl, watch, err)
 		watch.stop()
@@ -188,10 +188,13 @@
 		cancel:   cancel,
 		draining: c.contract.Draining(res.Header),
 		contract: c.contract,
-		evidence: origin,
+		evidence: conn.evidence(),
 	}
 	c.observe(r, res)
 	if err := a.check(r.ID); err != nil {
+		if conn != nil && a.evidence.echo != EchoOwn {
+			conn.distrust()
+		}
 		a.Close()
 		return nil, err
 	}
@@ -229,15 +232,13 @@
 	}, errors.Join(backoffErr, limitErr, loadErr)
 }
 
-// send sends a request and returns the response with what is known of its connection.
-func (c *Client) send(ctx context.Context, cl *claim, r *Request) (*http.Response, Evidence, error) {
+// send sends a request and returns the response with its connection, which is nil for a peer's.
+func (c *Client) send(ctx context.Context, cl *claim, r *Request) (*http.Response, *guard, error) {
 	var used atomic.Pointer[guard]
-	var origin Evidence
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if g, ok := info.Conn.(*guard); ok {
-				origin.repeated = g.attach(cl, r.Scope, r.ID)
-				origin.requests = g.requests
+				g.attach(cl, r.Scope, r.ID)
 				used.Store(g)
 			}
 		},
@@ -249,7 +250,7 @@
 	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Target+r.URI, r.Body)
 	if err != nil {
-		return nil, origin, err
+		return nil, nil, err
 	}
 	// With GetBody net/http could send the request again by itself.
 	req.GetBody = nil
@@ -272,7 +273,7 @@
 	}
 	if r.Via != nil {
 		res, err := r.Via(req)
-		return res, origin, err
+		return res, nil, err
 	}
 	transport := c.transport
 	if !r.Repeatable {
@@ -282,7 +283,7 @@
 	if g := used.Load(); g != nil && err == nil && res.Close {
 		g.state.end.saidClose.Store(true)
 	}
-	return res, origin, err
+	return res, used.Load(), err
 }
 
 // roundTripError returns what a failed round trip proves. The claim is sealed first: after that no
--- a/internal/forward/connections_test.go
+++ b/internal/forward/connections_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,11 +37,22 @@
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
 			time.Sleep(work)
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nPlover-Request-Id: the-id\r\nContent-Length: 2\r\n"+lines+"\r\nok")
+			id := req.Header.Get(contract.HeaderRequestID)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nPlover-Request-Id: "+id+"\r\nContent-Length: 2\r\n"+lines+"\r\nok")
 		}
 	}
 }
 
+// nextID is the number of the last request with an ID of its own.
+var nextID atomic.Int64
+
+// nextRequest returns a request with an ID of its own.
+func nextRequest(deadline time.Time) *forward.Request {
+	r := request(deadline)
+	r.ID = fmt.Sprintf("%06d", nextID.Add(1))
+	return r
+}
+
 func counted(c *forward.Client) string {
 	out := ""
 	c.Connections().Each(func(cause forward.Cause, n int64) { out += fmt.Sprintf("%v %d ", cause, n) })
@@ -120,7 +132,7 @@
 					deadline = tt.deadline
 				}
 				do := func() {
-					r := request(time.Now().Add(deadline))
+					r := nextRequest(time.Now().Add(deadline))
 					r.Repeatable = tt.repeatable
 					if a, err := c.Do(context.Background(), r); err == nil {
 						a.Close()
@@ -155,7 +167,7 @@
 		c := forward.NewClient(contract.Plover(), 1<<10, time.Second, netip.Addr{})
 		c.SetDial(pipe(keepAlive(time.Second, 0, "")))
 		do := func() {
-			if a, err := c.Do(context.Background(), request(time.Now().Add(10*time.Second))); err == nil {
+			if a, err := c.Do(context.Background(), nextRequest(time.Now().Add(10*time.Second))); err == nil {
 				a.Close()
 			}
 		}
@@ -190,7 +202,7 @@
 		c.SetDial(pipe(keepAlive(0, 0, "")))
 		sent := map[traffic.Scope]int64{}
 		for _, scope := range []traffic.Scope{traffic.Within, traffic.Between, traffic.Within} {
-			r := request(time.Now().Add(time.Second))
+			r := nextRequest(time.Now().Add(time.Second))
 			r.Scope = scope
 			a, err := c.Do(context.Background(), r)
 			if err != nil {
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -27,6 +27,9 @@
 	KindShed Kind = "refused by the target"
 	// KindUnavailable means that the target was unavailable, so that nothing was sent.
 	KindUnavailable Kind = "target wants no request now"
+	// KindUntrusted means that nothing was sent, as a surplus answer on the connection could be taken
+	// for that to the request.
+	KindUntrusted Kind = "connection may have surplus answers"
 	// KindForeign means that the answer belongs to another request, or that it does not carry the ID of
 	// this one where targets must echo it.
 	KindForeign Kind = "answer to another request"
@@ -78,7 +81,7 @@
 // start or a caller that is gone is not the target's fault.
 func (e *Error) CountsAgainstTarget() bool {
 	switch e.kind {
-	case KindShed, KindOtherTarget, KindExpired, KindEnded, KindCaller, KindUnavailable:
+	case KindShed, KindOtherTarget, KindExpired, KindEnded, KindCaller, KindUnavailable, KindUntrusted:
 		return false
 	default:
 		return true
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -34,7 +34,6 @@
 	status   int
 	echo     Echo
 	requests int
-	repeated bool
 }
 
 // Status returns the status of the answer.
@@ -47,6 +46,13 @@
 // peer made the attempt.
 func (e *Evidence) Requests() int { return e.requests }
 
-// Repeated reports whether the preceding request on the connection had the same ID: the answer may be
-// a second one to that.
-func (e *Evidence) Repeated() bool { return e.repeated }
+// evidence returns what the connection of an answer shows of it. It may be called on nil, for the answer
+// of a peer.
+func (g *guard) evidence() Evidence {
+	if g == nil {
+		return Evidence{}
+	}
+	return Evidence{
+		requests: int(g.requests.Load()),
+	}
+}
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -91,10 +91,13 @@
 	// scope is that of the bytes of the current claim.
 	scope atomic.Uint32
 	state connState
-	// requests is the number of requests that the connection has carried, lastID the ID of the last
-	// one. Only the attempt that has the connection uses them.
-	requests int
-	lastID   string
+	// requests is the number of requests that the connection has carried.
+	requests atomic.Int64
+	// lastID is the ID of the last one. Only the attempt that gets the connection uses it.
+	lastID string
+	// untrusted is set if a surplus answer could be taken for that to the current request: the request
+	// before had the same ID, or got an answer that was not its own.
+	untrusted atomic.Bool
 }
 
 // connState is the use of a connection.
@@ -145,6 +148,11 @@
 
 // Write writes b to the connection if the current claim allows it.
 func (g *guard) Write(b []byte) (int, error) {
+	if g.untrusted.Load() {
+		return 0, &Error{
+			kind: KindUntrusted,
+		}
+	}
 	c := g.claim.Load()
 	if c == nil {
 		return 0, &Error{
@@ -168,14 +176,18 @@
 	return g.Conn.Close()
 }
 
-// attach gives the connection to the attempt of a request, and reports whether the preceding request on
-// it had the same ID.
-func (g *guard) attach(c *claim, scope traffic.Scope, id string) (repeated bool) {
-	repeated = g.requests > 0 && g.lastID == id
-	g.requests++
+// attach gives the connection to the attempt of a request.
+func (g *guard) attach(c *claim, scope traffic.Scope, id string) {
+	if id != "" && g.lastID == id {
+		g.distrust()
+	}
+	g.requests.Add(1)
 	g.lastID = id
 	c.bind()
 	g.scope.Store(uint32(scope))
 	g.claim.Store(c)
-	return repeated
 }
+
+// distrust ends the use of the connection for requests. net/http may have returned it to its pool already,
+// and closes it when a write fails.
+func (g *guard) distrust() { g.untrusted.Store(true) }
