internal/forward, platform: the status of a refusal without proof is no answer to give on

Cause: a target's own status of a refusal, without Ploverjunction-Not-Executed, was passed on unchanged.

Change: for a request that must not be repeated such an answer is a failed attempt of unknown outcome; its caller gets 502 without the target's signature, which promises nothing. The project's own contract names the outcome in a header and is as before.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -53,6 +53,9 @@
 	// Refused reports whether an answer says that the target has not run the request and never
 	// will. That holds for the request whose ID the answer carries.
 	Refused func(status int, h http.Header) Refusal
+	// Promises reports whether a status tells callers that their request has not run and never
+	// will; nil means that none does.
+	Promises func(status int) bool
 	// Draining reports whether an answer says that its target drains.
 	Draining func(h http.Header) bool
 	// Backoff returns for how long this node backs off from the target of an answer, as the
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -67,7 +67,7 @@
 		return x.server.reach.Check(ctx, service, reach.MethodConnect)
 	case forward.KindTimeout:
 		return x.server.reach.Lost(service)
-	case forward.KindShed, forward.KindOtherTarget, forward.KindForeign, forward.KindStall:
+	case forward.KindShed, forward.KindOtherTarget, forward.KindForeign, forward.KindUnproven, forward.KindStall:
 		x.server.reach.RecordAnswer(time.Now(), service)
 	}
 	return false
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -147,8 +147,11 @@
 		header.Add("Via", via)
 	}
 	return &forward.Request{
-		ID:       x.id,
-		Target:   p.Address,
+		ID:     x.id,
+		Target: p.Address,
+
+		Repeatable: x.admission.route.Repeatable(),
+
 		Method:   x.req.Method,
 		Host:     x.req.Host,
 		URI:      x.req.URL.RequestURI(),
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -77,10 +77,13 @@
 // A refusal proves that a request did not run only if it carries the ID of that request: an answer
 // without one may be a surplus one to another request. Where targets need not echo IDs, a refusal
 // without one still says that the target sheds load.
-func (a *Answer) check(id string) error {
+//
+// Callers take the status of a refusal for a promise that their request has not run, so that one without
+// a proof is no answer to a request that must not be repeated.
+func (a *Answer) check(r *Request) error {
 	h := a.response.Header
 	a.evidence.status = a.Status()
-	a.evidence.echo = echoOf(h.Get(a.contract.RequestID), id)
+	a.evidence.echo = echoOf(h.Get(a.contract.RequestID), r.ID)
 	own := a.evidence.echo == EchoOwn
 	if a.evidence.echo == EchoOther || a.contract.CallersID && !own {
 		return a.newError(KindForeign, nil)
@@ -92,6 +95,9 @@
 	case contract.RefusalOtherTarget:
 		e = a.newError(KindOtherTarget, nil)
 	default:
+		if !r.Repeatable && a.contract.Promises != nil && a.contract.Promises(a.Status()) {
+			return a.newError(KindUnproven, nil)
+		}
 		return nil
 	}
 	if own {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -191,7 +191,7 @@
 		evidence: conn.evidence(),
 	}
 	c.observe(r, res)
-	if err := a.check(r.ID); err != nil {
+	if err := a.check(r); err != nil {
 		if conn != nil && a.evidence.echo != EchoOwn {
 			conn.distrust()
 		}
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -25,6 +25,9 @@
 	KindReset Kind = "connection broken"
 	// KindShed means that the target refused the request before running it.
 	KindShed Kind = "refused by the target"
+	// KindUnproven means that the target answered a request that must not be repeated with the status of
+	// a refusal, but did not say that it has not run.
+	KindUnproven Kind = "refusal without proof"
 	// KindUnavailable means that the target was unavailable, so that nothing was sent.
 	KindUnavailable Kind = "target wants no request now"
 	// KindUntrusted means that nothing was sent, as a surplus answer on the connection could be taken
