internal/entry, internal/node: a peer does not repeat what its node may not

What callers saw: a request that must not be repeated ran more than once while the configuration changed, at a node that reached no target.

Cause: the peer that makes the attempts admits the request by its own configuration and took from its own route whether it may be repeated. With an older version, in which a shorter prefix of a repeatable type has the path, it retried, hedged and sent copies to targets on trial.

Change: the head of a forwarded request says that it must not be repeated (non_repeatable); the stricter of both nodes counts. Nodes of older versions ignore the field.

--- a/internal/entry/check.go
+++ b/internal/entry/check.go
@@ -21,6 +21,8 @@
 	// itself, nil where none is needed.
 	workspace string
 	owner     *fleetconfig.Workspace
+	// repeatable reports whether the request may run more than once.
+	repeatable bool
 	// rank is the priority under overload; 0 is served first.
 	rank int
 	// timeout is the time to the first byte of the answer.
@@ -87,6 +89,8 @@
 		config:  cfg,
 		route:   route,
 		maxBody: s.cfg.MaxBody,
+
+		repeatable: route.Repeatable(),
 	}
 	var fail *Error
 	if a.owner, fail = s.owner(r, a); fail != nil {
@@ -109,6 +113,7 @@
 	if h := peerHeadOf(r); h != nil {
 		// The peer has charged the request to the limit.
 		a.deadline = h.Deadline
+		a.repeatable = a.repeatable && !h.NonRepeatable
 		return a, nil
 	}
 	a.deadline = now.Add(a.timeout)
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -35,7 +35,7 @@
 // the attempts hedges by itself.
 func (x *relay) hedgeable() bool {
 	r := x.admission.route
-	return r.Repeatable() && x.body.stream == nil && r.MaxAttempts() != 1 && !x.suspect.Load() && !x.atPeer.Load()
+	return x.admission.repeatable && x.body.stream == nil && r.MaxAttempts() != 1 && !x.suspect.Load() && !x.atPeer.Load()
 }
 
 // budgetSpent reports whether there was no target because the retry budget is spent.
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -47,6 +47,9 @@
 	// budget has counted the next attempt.
 	Runs    int
 	Counted bool
+	// NonRepeatable is set where the configuration of its node does not allow the request to run more
+	// than once. The peer may have another version of it.
+	NonRepeatable bool
 	// Avoid are keys of targets that must not get the request: it was sent to them before, or they
 	// signalled its node that they drain or back off.
 	Avoid []string
@@ -126,6 +129,8 @@
 		Deadline: x.tracker.Deadline().Add(-peerMargin),
 		Runs:     t.runs,
 		Counted:  t.replacement,
+
+		NonRepeatable: !x.admission.repeatable,
 	}
 	x.mu.Lock()
 	for _, key := range x.tried {
@@ -150,7 +155,7 @@
 		ID:     x.id,
 		Target: p.Address,
 
-		Repeatable: x.admission.route.Repeatable(),
+		Repeatable: x.admission.repeatable,
 
 		Method:   x.req.Method,
 		Host:     x.req.Host,
--- a/internal/entry/peer_test.go
+++ b/internal/entry/peer_test.go
@@ -13,6 +13,7 @@
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/signal"
 )
@@ -217,6 +218,9 @@
 			if last.Runs != tt.runs || last.Service != "quotes" || !last.Deadline.After(time.Now()) || last.ID == "" {
 				t.Errorf("the last peer got %+v", last)
 			}
+			if last.NonRepeatable != (tt.path == nonRepeatable) {
+				t.Errorf("the peer was told that a request to %s is not repeatable: %v", tt.path, last.NonRepeatable)
+			}
 			if len(last.Avoid) != 0 {
 				t.Errorf("the peer must avoid %v, which this node did not reach", last.Avoid)
 			}
@@ -309,3 +313,37 @@
 		}
 	})
 }
+
+// Guards against a request that runs again at a peer whose configuration, of another version, allows it.
+func TestPeerDoesNotRepeatWhatItsNodeMayNot(t *testing.T) {
+	for _, nonRepeatable := range []bool{false, true} {
+		failing := newSignalTarget(t, "failing", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+		c := &choices{
+			list:   []*signalTarget{failing},
+			before: func(int) {},
+		}
+		s := newSite(t, func(cfg *entry.Config) {
+			cfg.Choose = c.choose
+			cfg.Trial = func(*fleetconfig.Service) (entry.Choice, bool) { return failing.choice, true }
+		})
+		w := &peerWriter{
+			ResponseRecorder: httptest.NewRecorder(),
+		}
+		r := httptest.NewRequest(http.MethodPost, "/quotes/1", strings.NewReader("body"))
+		r.Header = brokers.Clone()
+		if err := s.server.ServePeer(w, r, &entry.PeerHead{
+			ID:            "r1",
+			Service:       "quotes",
+			Started:       time.Now(),
+			Deadline:      time.Now().Add(time.Second),
+			NonRepeatable: nonRepeatable,
+		}); err != nil {
+			t.Fatal(err)
+		}
+		if runs := failing.arrived.Load(); nonRepeatable && runs != 1 || !nonRepeatable && runs < 2 {
+			t.Errorf("not repeatable %v: %d runs", nonRepeatable, runs)
+		}
+	}
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -260,7 +260,7 @@
 			return x.service.Policy().Retry(policy.Attempt{
 				Attempt:    x.tracker.Attempts(),
 				Outcome:    x.tracker.Outcome().String(),
-				Repeatable: x.admission.route.Repeatable(),
+				Repeatable: x.admission.repeatable,
 				Method:     x.req.Method,
 				Route:      x.admission.route.Name(),
 				Class:      x.admission.route.Class(),
@@ -295,7 +295,7 @@
 		Target:     c.Address,
 		Scope:      traffic.ScopeOf(x.server.cfg.DataHall, c.DataHall),
 		Expect:     c.ID,
-		Repeatable: x.admission.route.Repeatable(),
+		Repeatable: x.admission.repeatable,
 		Method:     x.req.Method,
 		Host:       x.req.Host,
 		URI:        x.req.URL.RequestURI(),
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -18,7 +18,7 @@
 func (x *relay) resumable(a *forward.Answer) bool {
 	h := a.Header()
 	etag := h.Get("Etag")
-	return x.admission.route.Repeatable() &&
+	return x.admission.repeatable &&
 		x.req.Method == http.MethodGet &&
 		x.req.Header.Get("Range") == "" &&
 		a.Status() == http.StatusOK &&
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -315,7 +315,7 @@
 		started:      started,
 		body:         b,
 		forAnswer:    forAnswer,
-		tracker:      attempt.NewTracker(in.route.Repeatable(), in.deadline),
+		tracker:      attempt.NewTracker(in.repeatable, in.deadline),
 		header:       s.targetHeader(r, in),
 		fingerprints: fingerprintsOf(r, in, b),
 		results:      make(chan result, maxTries),
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -19,7 +19,7 @@
 // sendTrial sends a copy of a repeatable request to a target on trial, if there is one. No caller
 // waits for its answer, so an ejected target can show recovery at no caller's cost.
 func (x *relay) sendTrial() {
-	if !x.admission.route.Repeatable() || x.body.stream != nil || x.suspect.Load() || x.server.trials.Load() >= maxTrials {
+	if !x.admission.repeatable || x.body.stream != nil || x.suspect.Load() || x.server.trials.Load() >= maxTrials {
 		return
 	}
 	choice, ok := x.server.cfg.Trial(x.service)
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -97,7 +97,7 @@
 	r := x.admission.route
 	q := &Query{
 		Service:         x.service,
-		Repeatable:      r.Repeatable(),
+		Repeatable:      x.admission.repeatable,
 		Kilobytes:       x.server.sizes.expected(r) + int(x.body.length>>10),
 		Priority:        x.admission.rank,
 		Workspace:       x.admission.workspaceID(),
--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -236,6 +236,8 @@
 		Runs:       uint32(h.Runs),
 		Counted:    h.Counted,
 		Avoid:      h.Avoid[:min(len(h.Avoid), maxTried)],
+
+		NonRepeatable: h.NonRepeatable,
 	}
 }
 
--- a/internal/node/peerserve.go
+++ b/internal/node/peerserve.go
@@ -63,6 +63,8 @@
 		Runs:     int(h.GetRuns()),
 		Counted:  h.GetCounted(),
 		Avoid:    h.GetAvoid(),
+
+		NonRepeatable: h.GetNonRepeatable(),
 	}); err != nil {
 		return err
 	}
