internal/forward, internal/node, platform, internal/source: answers without end

The issue's news: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Found, with tests that failed before: - A body without a length was read for as long as any byte came within the stall time: only its caller's leaving ended it, and a trial request has no caller (TestAnswersWithoutEnd did not end in a minute; TestTrialEndsWithoutAnEndOfTheAnswer: the trial was still read when the run was ended after ten minutes). Answers of the project's own platform were bounded by 512 MiB, more than a node has; 64 MiB now.

Held before, with tests now: heads of attempts (lines, header lines, interim responses, chunk extensions, trailers), health checks in time (TestProbesEndWithoutAnEndOfTheResponse), path checks. Answers by way of peers have the bounds of others (TestAnswerOfPeerWithoutEnd). TestTargetsThatSendWithoutEnd, three processes, five forms at full speed: no caller gets an answer, each ends within 3 s after its caller left, all nodes stay under 284 MiB.

--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -31,6 +31,7 @@
 	reader, _ := x.body.reader()
 	r := x.request(choice, reader)
 	r.ID = newRequestID()
+	r.Unattended = true
 	// The copy continues after the caller has its answer; its own deadline ends it.
 	ctx := context.WithoutCancel(x.req.Context())
 	x.server.track(task.Go(ctx, "trial", func(ctx context.Context) error {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -24,6 +24,8 @@
 	draining bool
 	watch    *watchdog
 	stall    time.Duration
+	// limit bounds the time of a body that is streamed; it is nil for others.
+	limit    *watchdog
 	cancel   context.CancelFunc
 	contract *contract.Contract
 	evidence Evidence
@@ -56,6 +58,9 @@
 // never reused.
 func (a *Answer) Close() {
 	a.watch.stop()
+	if a.limit != nil {
+		a.limit.stop()
+	}
 	a.cancel()
 	_ = a.response.Body.Close()
 }
@@ -126,7 +131,10 @@
 
 func (a *Answer) bodyError(err error) *Error {
 	kind := KindReset
-	if a.watch.fired() {
+	switch {
+	case a.limit != nil && a.limit.fired():
+		kind = KindEndless
+	case a.watch.fired():
 		kind = KindStall
 	}
 	return a.newError(kind, err)
--- a/internal/forward/check.go
+++ b/internal/forward/check.go
@@ -47,6 +47,8 @@
 	transport := http.Transport{
 		DialContext:       c.dial,
 		DisableKeepAlives: true,
+
+		MaxResponseHeaderBytes: MaxAnswerHeader,
 	}
 	res, err := transport.RoundTrip(r)
 	if err != nil {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -34,7 +34,18 @@
 	idleTimeoutNonRepeatable = 1500 * time.Millisecond
 	idlePerTarget            = 32
 	bufferSize               = 16 << 10
-	maxAnswerHeader          = 256 << 10
+)
+
+// Bounds of answers, which a faulty target may send without end.
+const (
+	// MaxAnswerHeader is the greatest size of a target's header in bytes, interim responses included.
+	MaxAnswerHeader = 256 << 10
+	// maxBodyTime is the longest time that a body without a length may take, maxSizedBodyTime that of one
+	// with a length.
+	maxBodyTime      = 10 * time.Minute
+	maxSizedBodyTime = time.Hour
+	// maxUnattendedBodyTime is the longest time of a body with a length for which no caller waits.
+	maxUnattendedBodyTime = 30 * time.Second
 )
 
 // Client sends attempts to targets. It may be used concurrently.
@@ -98,7 +109,7 @@
 		MaxIdleConns:           0,
 		MaxIdleConnsPerHost:    idlePerTarget,
 		IdleConnTimeout:        idle,
-		MaxResponseHeaderBytes: maxAnswerHeader,
+		MaxResponseHeaderBytes: MaxAnswerHeader,
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
 	}
@@ -148,6 +159,9 @@
 	Body       io.Reader
 	Length     int64
 	Deadline   time.Time
+	// Unattended is set if no caller waits for the answer: its body ends by Deadline, or within
+	// maxUnattendedBodyTime if it has a length.
+	Unattended bool
 	// Observe is called with the target's signal in its answer, however the attempt ends, and the
 	// error of a signal that cannot be read. It may be nil.
 	Observe func(n signal.Signal, err error)
@@ -202,9 +216,27 @@
 		a.Close()
 		return nil, err
 	}
+	if !a.whole {
+		a.limit = newWatchdog(bodyTime(r, res), cancel)
+	}
 	return a, nil
 }
 
+// bodyTime returns the longest time that the rest of an answer's body may take.
+func bodyTime(r *Request, res *http.Response) time.Duration {
+	sized := res.ContentLength >= 0
+	switch {
+	case r.Unattended && sized:
+		return max(time.Until(r.Deadline), maxUnattendedBodyTime)
+	case r.Unattended:
+		return time.Until(r.Deadline)
+	case sized:
+		return maxSizedBodyTime
+	default:
+		return maxBodyTime
+	}
+}
+
 // observe passes on the signal in a target's answer. The answer of another process at its address
 // carries no signal of it; an answer to another request does.
 func (c *Client) observe(r *Request, res *http.Response) {
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -40,6 +40,8 @@
 	KindOtherTarget Kind = "another target at the address"
 	// KindStall means that the answer's body made no progress.
 	KindStall Kind = "answer stalled"
+	// KindEndless means that the answer's body did not end in time.
+	KindEndless Kind = "answer without end"
 	// KindPeer means that a peer that was to make the attempt did not.
 	KindPeer Kind = "peer failed"
 	// KindCaller means that the caller is gone or its body broke.
--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -51,6 +51,8 @@
 			Transport: &http.Transport{
 				MaxIdleConnsPerHost: probesPerHost,
 				IdleConnTimeout:     time.Minute,
+
+				MaxResponseHeaderBytes: forward.MaxAnswerHeader,
 			},
 		},
 	}
--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -31,7 +31,9 @@
 	retryFirst = 250 * time.Millisecond
 	retryMax   = 15 * time.Second
 	// maxAnswerBytes is the greatest size of an answer in bytes.
-	maxAnswerBytes = 512 << 20
+	maxAnswerBytes = 64 << 20
+	// maxHeaderBytes is the greatest size of the header of an answer in bytes.
+	maxHeaderBytes = 256 << 10
 )
 
 // Platform reads values from the platform's configuration service: GET
@@ -53,6 +55,8 @@
 			Transport: &http.Transport{
 				MaxIdleConnsPerHost: 1,
 				IdleConnTimeout:     time.Minute,
+
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
 		},
 	}
