internal/forward: an answer that breaks before its first byte is a failed attempt

What callers saw: a reset connection and not one byte, for a request that ran. A client can't tell it from a connection that was closed with its request unread, and asks again: a second run, under another ID.

Cause: an answer larger than what is held in memory was given on with its header in the buffer of the connection; if the body broke at once, the abort discarded that, and closed with a reset.

Change: the first bytes of a larger body are read with the attempt. If it breaks there, the attempt has failed: one that may be repeated is, the caller of another gets 502 with an unknown outcome.

TestAnswerThatBreaksAtOnceIsAnswered: "connection reset by peer" before, 502 after.

--- a/internal/entry/delivery_test.go
+++ b/internal/entry/delivery_test.go
@@ -67,3 +67,29 @@
 		t.Errorf("the caller got %d bytes that it had not read before the end", n)
 	}
 }
+
+// Guards against a caller's connection that is reset before the first byte of an answer, which looks like one that was
+// closed with the request unread: such a request is sent again.
+func TestAnswerThatBreaksAtOnceIsAnswered(t *testing.T) {
+	broken := newSignalTarget(t, "broken", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100000")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	c := &choices{
+		list:   []*signalTarget{broken},
+		before: func(int) {},
+	}
+	s := signalSite(t, &signal.Ledger{}, c)
+	res, err := http.DefaultClient.Do(request(t, s.url+"/open/1"))
+	if err != nil {
+		t.Fatalf("the caller got no answer: %v", err)
+	}
+	_ = res.Body.Close()
+	if got := res.Header.Get("Plover-Outcome"); res.StatusCode != http.StatusBadGateway || got != "unknown" {
+		t.Errorf("status %d, outcome %q", res.StatusCode, got)
+	}
+	if n := broken.arrived.Load(); n != 1 {
+		t.Errorf("%d runs", n)
+	}
+}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -111,10 +111,12 @@
 	return e
 }
 
-// readHeld reads up to hold bytes of the body into memory. An answer that fits is complete then.
+// readHeld reads up to hold bytes of the body into memory. An answer that fits is complete then. Of a
+// larger one the first bytes are read: until these are there, the attempt has failed if the body breaks,
+// and the caller has not been sent a part of an answer.
 func (a *Answer) readHeld(hold int64) error {
 	if a.response.ContentLength > hold {
-		return nil
+		return a.readFirst()
 	}
 	var b bytes.Buffer
 	if n := a.response.ContentLength; n > 0 {
@@ -129,6 +131,20 @@
 	return nil
 }
 
+// firstBytes is how much of a body that is streamed is read at first.
+const firstBytes = 4 << 10
+
+func (a *Answer) readFirst() error {
+	first := make([]byte, min(a.response.ContentLength, firstBytes))
+	n, err := a.response.Body.Read(first)
+	// The answer to a HEAD request has a length and no body.
+	if err != nil && !errors.Is(err, io.EOF) {
+		return a.bodyError(err)
+	}
+	a.held = first[:n]
+	return nil
+}
+
 func (a *Answer) bodyError(err error) *Error {
 	kind := KindReset
 	switch {
