internal/node, internal/entry: a planned stop answers what is unanswered before the process is killed

What callers saw: connections that end without an answer at the end of the grace time, of requests that targets worked on and of others that waited for a slot.

Cause: a planned stop waits for all requests without a time limit, and does not know when the process is killed.

After seven eighths of it each request without an answer gets one: 502 with an unknown outcome if it was sent, else 503 with a retry time. Answers that have begun go on. Answers of the process close their connection once the stop began, also to earlier requests.

--- a/internal/entry/delivery_test.go
+++ b/internal/entry/delivery_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/attempt"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/signal"
 )
@@ -93,3 +95,61 @@
 		t.Errorf("%d runs", n)
 	}
 }
+
+// Guards against a planned stop that closes connections without an answer: callers can't tell whether the request ran.
+func TestPlannedStopAnswersWhatIsUnanswered(t *testing.T) {
+	tests := []struct {
+		name    string
+		sent    bool
+		status  int
+		outcome string
+	}{
+		{
+			name:    "at a target",
+			sent:    true,
+			status:  http.StatusBadGateway,
+			outcome: "unknown",
+		},
+		{
+			name:    "waiting for a target",
+			status:  http.StatusServiceUnavailable,
+			outcome: "not-run",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			waiting := make(chan struct{}, 1)
+			silent := newSignalTarget(t, "silent", func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				waiting <- struct{}{}
+				<-r.Context().Done()
+			})
+			s := newSite(t, func(cfg *entry.Config) {
+				cfg.Choose = func(ctx context.Context, _ *entry.Query) (entry.Choice, error) {
+					if tt.sent {
+						return silent.choice, nil
+					}
+					waiting <- struct{}{}
+					<-ctx.Done()
+					return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonCaller, 0)
+				}
+			})
+			go func() {
+				<-waiting
+				s.server.CloseConnections()
+				s.server.EndUnanswered()
+			}()
+			res, err := http.DefaultClient.Do(request(t, s.url+"/open/1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = res.Body.Close()
+			if got := res.Header.Get("Plover-Outcome"); res.StatusCode != tt.status || got != tt.outcome || !res.Close {
+				t.Errorf("status %d, outcome %q, close %v", res.StatusCode, got, res.Close)
+			}
+			if retry := res.Header.Get("Retry-After"); !tt.sent && retry == "" {
+				t.Error("refused without Retry-After")
+			}
+		})
+	}
+}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -76,6 +76,9 @@
 	}
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
+	if s.closing.Load() {
+		h.Set("Connection", "close")
+	}
 	s.setOutcome(h, id, e.outcome)
 	if e.retryAfter > 0 {
 		h.Set("Retry-After", s.cfg.Contract.RetryAfter(e.retryAfter))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -145,6 +145,9 @@
 	awaitingConfig atomic.Int32
 	tasks          chan *task.Task
 	buffers        sync.Pool
+	// unanswered ends once a planned stop no longer waits for answers; endUnanswered ends it.
+	unanswered    context.Context
+	endUnanswered context.CancelFunc
 	// inbound and outbound bound the bytes held of requests and of answers.
 	inbound  memory
 	outbound memory
@@ -173,6 +176,7 @@
 			limit: cfg.Memory,
 		},
 	}
+	s.unanswered, s.endUnanswered = context.WithCancel(context.Background())
 	s.client.CountBytes(cfg.TargetBytes)
 	s.reach = s.newTracker()
 	s.buffers.New = func() any {
@@ -217,6 +221,10 @@
 // next connection to another node.
 func (s *Server) CloseConnections() { s.closing.Store(true) }
 
+// EndUnanswered answers all requests that have no answer yet: those that were sent to a target with an
+// unknown outcome, others as not run. Answers that have begun go on.
+func (s *Server) EndUnanswered() { s.endUnanswered() }
+
 // Drain stops accepting connections and waits until all requests in flight have ended, however
 // long they take, or the context ends. Then it closes all connections.
 func (s *Server) Drain(ctx context.Context) error {
@@ -305,10 +313,14 @@
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
 	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	stopWaiting := context.AfterFunc(s.unanswered, cancel)
+	defer stopWaiting()
 	x := &relay{
 		server:       s,
 		id:           id,
-		req:          r,
+		req:          r.WithContext(ctx),
 		admission:    in,
 		service:      serviceOf(r, in, rand.Uint64()),
 		peerHead:     peerHeadOf(r),
@@ -329,6 +341,7 @@
 		return fail.status, fail.outcome
 	}
 	a, release, fail := x.answer()
+	stopWaiting()
 	if fail != nil {
 		x.logEnd(fail.status, fail.outcome, fail)
 		b.closeUnread(w)
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -21,6 +21,9 @@
 	// read it. 0 means the default of the project's own platform, with a reader in each data hall;
 	// otherwise two nodes read for the fleet.
 	PlatformTimeout time.Duration
+	// Grace is after how long the platform kills a process once a planned stop began, where the settings
+	// name no time; 0 means that it does not.
+	Grace time.Duration
 	// Calls returns the number of calls made to the platform.
 	Calls func() int64
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -30,12 +30,37 @@
 	log.Info("leaving")
 	n.lifecycle.draining.Store(true)
 	n.entry.CloseConnections()
+	if grace := n.grace(); grace > 0 {
+		defer time.AfterFunc(grace*answerPart/graceParts, n.endUnanswered).Stop()
+	}
 	n.announceDraining(ctx)
 	handovers := n.handOverRoles(ctx)
 	err := n.drainEntry(ctx)
 	return errors.Join(err, handovers.Wait())
 }
 
+// A planned stop ends the requests that have no answer after answerPart of graceParts of the grace time. The
+// rest is for their callers to get the answer.
+const (
+	answerPart = 7
+	graceParts = 8
+)
+
+// grace returns after how long this process is killed once a planned stop began, 0 if it is not.
+func (n *Node) grace() time.Duration {
+	if d := n.live.Load().Grace(); d > 0 {
+		return d
+	}
+	return n.adapter.Grace
+}
+
+// endUnanswered answers the requests that have no answer yet. Callers would otherwise see their connections
+// closed, which does not tell whether a request ran.
+func (n *Node) endUnanswered() {
+	logging.Part(n.log, "node").WithField("in_flight", n.entry.InFlight()).Info("ending unanswered requests")
+	n.entry.EndUnanswered()
+}
+
 // handOverRoles begins to send the state of this node's dispatcher roles to its successors.
 func (n *Node) handOverRoles(ctx context.Context) *task.Group {
 	var handovers task.Group
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -68,6 +68,7 @@
 		optional("entry", "stall", duration(&s.stall, 10*time.Millisecond, maxDeadline)),
 		optional("entry", "workspace_header", text(&s.workspaceHeader)),
 		optional("entry", "drain_wait", duration(&s.drainWait, 0, maxDrainWait)),
+		optional("entry", "grace", duration(&s.grace, 0, maxDrainWait)),
 		required("operator", "listen", address(&s.operatorListen)),
 		optional("peers", "listen", address(&s.peerListen)),
 		optional("peers", "advertise", address(&s.advertise)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,7 @@
 	stall           time.Duration
 	workspaceHeader string
 	drainWait       time.Duration
+	grace           time.Duration
 
 	operatorListen netip.AddrPort
 
@@ -128,6 +129,9 @@
 // that the load balancer in front can detect it.
 func (s *Settings) DrainWait() time.Duration { return s.drainWait }
 
+// Grace returns after how long the process is killed once a planned stop began; 0 means that it is not.
+func (s *Settings) Grace() time.Duration { return s.grace }
+
 // OperatorListen returns the address of the listener for operators.
 func (s *Settings) OperatorListen() netip.AddrPort { return s.operatorListen }
 
