--- a/internal/entry/trial_test.go
+++ b/internal/entry/trial_test.go
@@ -22,7 +22,7 @@
 	trial := newSignalTarget(t, "trial", func(w http.ResponseWriter, r *http.Request) {
 		defer close(ended)
 		_, _ = io.WriteString(w, strings.Repeat("x", 128<<10))
-		for r.Context().Err() == nil {
+		for end := time.Now().Add(2 * maxTrialTime); r.Context().Err() == nil && time.Now().Before(end); {
 			_, _ = io.WriteString(w, "x")
 			_ = http.NewResponseController(w).Flush()
 			time.Sleep(10 * time.Millisecond)
