--- a/internal/entry/delivery_test.go
+++ b/internal/entry/delivery_test.go
@@ -130,7 +130,11 @@
 						return silent.choice, nil
 					}
 					waiting <- struct{}{}
-					<-ctx.Done()
+					select {
+					case <-ctx.Done():
+					case <-time.After(maxTrialTime):
+						t.Error("the request still waits")
+					}
 					return entry.Choice{}, entry.NewNoTargetError(attempt.ReasonCaller, 0)
 				}
 			})
