internal/entry, internal/forward: a body has one reader, also after an early answer

Cause: when the head of an answer is written, net/http's server reads what is left of a body below 256 KiB by itself, beside the transport that still sends that body to the target. Each piece went to one of the two. The same class, on other paths: net/http's transport closes a connection 50 ms after the end of an answer, so that the rest of a body was cut off although the caller had its 200; the task that sends a body to a peer kept reading the caller's connection after the handler had returned; two attempts in turn could hold the one stream.

Change: one attempt at a time may read a body that is streamed, and none after the handler has returned. An answer to a body that is not read to its end announces the end of the caller's connection, and reading and writing go on side by side. A target that accepted the request (a status below 300) gets the rest until the deadline; for any other the rest is broken off. guard.Close keeps the connection to the target until the body is sent.

Evidence: TestEarlyAnswersLeaveBodiesWhole (bodies held and streamed, with a length and in chunks, after 100, HTTP/1.0; answers of 0 to 160 KiB; 200 and 413; direct and by way of a peer; another request behind the body on the connection), TestUploadBreaksOffWhenItsCallerLeavesAfterAnEarlyAnswer and TestPlannedStopSendsBodiesBehindEarlyAnswers.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,12 +22,23 @@
 	held   []byte
 	stream io.Reader
 	// head is the beginning of a body that is streamed.
-	head    []byte
-	length  int64
+	head   []byte
+	length int64
+	// control is that of the caller's connection.
+	control *http.ResponseController
 	started atomic.Bool
-	failed  atomic.Pointer[error]
+	// complete is set once the end of a body that is streamed was read.
+	complete atomic.Bool
+	failed   atomic.Pointer[error]
+	// mu is held while the stream is read. reader is the only one that may read it.
+	mu     sync.Mutex
+	reader *streamReader
 }
 
+// restTimeout is how long net/http may read the rest of a body that no attempt reads, so that the close of the
+// connection does not discard the answer on its way to the caller.
+const restTimeout = 500 * time.Millisecond
+
 // readError returns the error with which reading the caller's body failed, or nil.
 func (b *body) readError() error {
 	if err := b.failed.Load(); err != nil {
@@ -44,10 +56,11 @@
 	}
 	// A peer's request has no connection of its own, and its body has the caller's deadline.
 	// net/http lifts the deadline of the connection once the body is read.
-	_ = http.NewResponseController(w).SetReadDeadline(deadline)
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline)
 	limited := http.MaxBytesReader(w, r.Body, maxBody)
 	if r.ContentLength > hold {
-		return readHead(limited, r.ContentLength)
+		return readHead(limited, r.ContentLength, control)
 	}
 	first, err := io.ReadAll(io.LimitReader(limited, hold+1))
 	if err != nil {
@@ -63,11 +76,13 @@
 		stream: io.MultiReader(bytes.NewReader(first), limited),
 		head:   first,
 		length: r.ContentLength,
+
+		control: control,
 	}, nil
 }
 
 // readHead reads the beginning of a large body, for its fingerprint; it is sent with the rest.
-func readHead(from io.Reader, length int64) (*body, *Error) {
+func readHead(from io.Reader, length int64, control *http.ResponseController) (*body, *Error) {
 	head := make([]byte, min(length, quarantine.FingerprintBody))
 	if _, err := io.ReadFull(from, head); err != nil {
 		return nil, bodyError(err)
@@ -76,6 +91,8 @@
 		stream: io.MultiReader(bytes.NewReader(head), from),
 		head:   head,
 		length: length,
+
+		control: control,
 	}, nil
 }
 
@@ -88,11 +105,30 @@
 }
 
 // closeUnread has the caller's connection closed after the answer if a part of the body is unread.
-// net/http would otherwise read up to 256 KiB of it before it sends the answer.
+// net/http would otherwise read up to 256 KiB of it before it sends the answer, beside an attempt that still
+// sends the body.
 func (b *body) closeUnread(w http.ResponseWriter) {
-	if b.stream != nil {
-		w.Header().Set("Connection", "close")
+	if b.stream == nil || b.complete.Load() {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	// A peer's request has no connection of its own.
+	_ = b.control.EnableFullDuplex()
+}
+
+// stop ends the reading of the body by attempts. net/http reads the rest after that.
+func (b *body) stop() {
+	if b.stream == nil || b.complete.Load() {
+		return
+	}
+	if err := b.control.SetReadDeadline(time.Now()); err != nil {
+		// Nobody else reads the body of a peer's request.
+		return
 	}
+	b.mu.Lock()
+	b.reader = nil
+	b.mu.Unlock()
+	_ = b.control.SetReadDeadline(time.Now().Add(restTimeout))
 }
 
 func bodyError(err error) *Error {
@@ -110,28 +146,68 @@
 	return e
 }
 
-// reader returns the body for another attempt, and false if an attempt has read from it already.
-func (b *body) reader() (io.Reader, bool) {
-	switch {
-	case b.stream == nil:
+// sendable reports whether another attempt can send the body.
+func (b *body) sendable() bool { return b.stream == nil || !b.started.Load() }
+
+// open returns the body for another attempt, and false if an attempt has read from it already. Attempts
+// before it can no longer read a body that is streamed.
+func (b *body) open() (io.Reader, bool) {
+	if b.stream == nil {
 		return bytes.NewReader(b.held), true
-	case b.started.Load():
+	}
+	if !b.mu.TryLock() {
 		return nil, false
-	default:
-		return b, true
 	}
+	defer b.mu.Unlock()
+	if b.started.Load() {
+		return nil, false
+	}
+	b.reader = &streamReader{
+		body: b,
+	}
+	return b.reader, true
+}
+
+// streamReader reads a body that is streamed for one attempt.
+type streamReader struct {
+	body   *body
+	closed atomic.Bool
 }
 
-// Read reads a body that is streamed.
-func (b *body) Read(p []byte) (int, error) {
+// errBodyClosed is the failure of reading a body for an attempt that has ended.
+var errBodyClosed = errors.New("entry: body is read by no attempt any more")
+
+// Read reads the body. It fails once another attempt may read it.
+func (r *streamReader) Read(p []byte) (int, error) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reader != r || r.closed.Load() {
+		return 0, errBodyClosed
+	}
 	b.started.Store(true)
 	n, err := b.stream.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
+		b.complete.Store(true)
+	case err != nil && r.closed.Load():
+		err = errBodyClosed
+	case err != nil:
 		b.failed.Store(&err)
 	}
 	return n, err
 }
 
+// Close ends the reading, and a Read in progress.
+func (r *streamReader) Close() error {
+	r.closed.Store(true)
+	if r.body.started.Load() && !r.body.complete.Load() {
+		// A peer's request has no connection of its own; its stream ends with the exchange.
+		_ = r.body.control.SetReadDeadline(time.Now())
+	}
+	return nil
+}
+
 // failure returns the error of a request whose body broke while it was sent, or nil. outcome is
 // what the attempts proved.
 func (b *body) failure(outcome attempt.Outcome) *Error {
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -30,8 +30,10 @@
 	if n := a.Length(); n >= 0 && hasBody(x.req.Method, a.Status()) {
 		h.Set("Content-Length", strconv.FormatInt(n, 10))
 	}
+	x.body.closeUnread(w)
 	w.WriteHeader(a.Status())
 	if !hasBody(x.req.Method, a.Status()) {
+		x.endBody(w, a)
 		a.Close()
 		release()
 		return
@@ -59,6 +61,11 @@
 	for resumes := 0; ; resumes++ {
 		n, err := x.stream(w, a)
 		offset += n
+		if err == nil {
+			x.endBody(w, a)
+		} else {
+			x.body.stop()
+		}
 		a.Close()
 		release()
 		if err == nil {
@@ -83,6 +90,22 @@
 	}
 }
 
+// endBody sends the rest of the request's body to a target that has accepted the request before it read all of
+// it: the caller is told of a success. The rest for one that has not is broken off.
+func (x *relay) endBody(w http.ResponseWriter, a *forward.Answer) {
+	defer x.body.stop()
+	// The end of an answer without a length, for which a peer waits, is sent after this.
+	unknownEnd := x.peerHead != nil && a.Length() < 0
+	if !a.Accepted() || !a.Uploading() || unknownEnd {
+		return
+	}
+	control := http.NewResponseController(w)
+	// The caller's connection is gone if this fails, and reading the body fails.
+	_ = control.Flush()
+	a.AwaitUpload(x.tracker.Deadline())
+	_ = control.SetWriteDeadline(time.Now().Add(x.server.cfg.Stall))
+}
+
 const (
 	// minReadRate is the rate, in bytes per second, at which the slowest callers read. An answer that is
 	// read at this rate is not broken off.
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -83,8 +83,7 @@
 
 // replaceable reports whether another target may give a repeatable request a better answer.
 func (x *relay) replaceable(a *forward.Answer) bool {
-	_, sendable := x.body.reader()
-	return x.admission.repeatable && retryableStatus(a.Status()) && sendable
+	return x.admission.repeatable && retryableStatus(a.Status()) && x.body.sendable()
 }
 
 // retryableStatus reports whether another target may answer without this failure.
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -81,7 +81,7 @@
 	x.atPeer.Store(true)
 	var unable error
 	for _, p := range x.server.cfg.Peers(x.service.Name(), maxPeers) {
-		reader, ok := x.body.reader()
+		reader, ok := x.body.open()
 		if !ok {
 			break
 		}
@@ -95,10 +95,12 @@
 		t.endAtPeer(p, a, err)
 		return true
 	}
-	if _, ok := x.body.reader(); !ok {
+	reader, ok := x.body.open()
+	if !ok {
 		t.endAtPeer(Peer{}, nil, unable)
 		return true
 	}
+	t.reader = reader
 	x.atPeer.Store(false)
 	return false
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -125,8 +125,11 @@
 	if reason := x.allowAttempt(); reason != attempt.ReasonNone {
 		return reason
 	}
-	reader, ok := x.body.reader()
-	if !ok || x.launched+x.unsent >= maxTries {
+	if x.launched+x.unsent >= maxTries {
+		return attempt.ReasonPolicy
+	}
+	reader, ok := x.body.open()
+	if !ok {
 		return attempt.ReasonPolicy
 	}
 	ctx, cancel := context.WithCancel(x.req.Context())
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -313,6 +313,7 @@
 		s.refuse(w, id, in, fail)
 		return fail.status, fail.outcome
 	}
+	defer b.stop()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	stopWaiting := context.AfterFunc(s.unanswered, cancel)
--- a/internal/entry/trial.go
+++ b/internal/entry/trial.go
@@ -28,7 +28,7 @@
 	}
 	x.server.trials.Add(1)
 	x.tracker.RecordCopy()
-	reader, _ := x.body.reader()
+	reader, _ := x.body.open()
 	r := x.request(choice, reader)
 	r.ID = newRequestID()
 	r.Unattended = true
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -29,6 +29,12 @@
 	cancel   context.CancelFunc
 	contract *contract.Contract
 	evidence Evidence
+	// upload is the body that is sent to the target, or nil. released ends with the use of the answer.
+	upload   *upload
+	released <-chan struct{}
+	// peerBody is the whole body of a peer's answer that is read only up to its length, or nil: its end comes
+	// after that of the upload.
+	peerBody io.Reader
 }
 
 // Status returns the status code.
@@ -65,6 +71,50 @@
 	_ = a.response.Body.Close()
 }
 
+// Accepted reports whether the target accepted the request, so that it is due the rest of a body of which it
+// has not read all.
+func (a *Answer) Accepted() bool { return accepted(a.Status()) }
+
+func accepted(status int) bool { return status < http.StatusMultipleChoices }
+
+// acceptedEarly reports whether an answer may come before the end of the request's body and is known to be
+// complete by its length.
+func acceptedEarly(r *Request, res *http.Response) bool {
+	return r.Length != 0 && res.ContentLength >= 0 && accepted(res.StatusCode)
+}
+
+// limitedBody returns the body of an answer up to its length.
+func limitedBody(res *http.Response) io.ReadCloser {
+	return struct {
+		io.Reader
+		io.Closer
+	}{
+		Reader: io.LimitReader(res.Body, res.ContentLength),
+		Closer: res.Body,
+	}
+}
+
+// Uploading reports whether the target may still be due a part of the request's body.
+func (a *Answer) Uploading() bool {
+	return a.peerBody != nil || a.upload != nil && a.upload.inProgress()
+}
+
+// AwaitUpload waits until the rest of the request's body was sent, sending has failed, or the deadline passes.
+// The body of the answer must have been read.
+func (a *Answer) AwaitUpload(deadline time.Time) {
+	a.watch.reset(time.Until(deadline))
+	defer a.watch.stop()
+	if a.peerBody != nil {
+		// An error means that the peer sends no more of it either.
+		_, _ = io.Copy(io.Discard, a.peerBody)
+		return
+	}
+	select {
+	case <-a.upload.ended:
+	case <-a.released:
+	}
+}
+
 func (a *Answer) newError(kind Kind, cause error) *Error {
 	return &Error{
 		kind:     kind,
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -5,6 +5,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -173,6 +174,14 @@
 	Unavailable func(now time.Time) bool
 }
 
+// upload returns the progress of sending the body to a target, or nil if there is no body or a peer sends it.
+func (r *Request) upload() *upload {
+	if r.Body == nil || r.Via != nil {
+		return nil
+	}
+	return newUpload(r.Length)
+}
+
 // Do makes one attempt. It returns the answer, whose Close must be called, or an *Error. ctx is
 // the caller's: its end cancels the attempt and the answer.
 func (c *Client) Do(ctx context.Context, r *Request) (*Answer, error) {
@@ -186,7 +195,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	watch := newWatchdog(time.Until(r.Deadline), cancel)
-	cl := newClaim(r.Deadline, r.Unavailable)
+	cl := newClaim(ctx, r.upload(), r.Deadline, r.Unavailable)
 	res, conn, err := c.send(ctx, cl, r)
 	if err != nil {
 		e := roundTripError(ctx, r.Target, cl, watch, err)
@@ -203,6 +212,12 @@
 		draining: c.contract.Draining(res.Header),
 		contract: c.contract,
 		evidence: conn.evidence(),
+		upload:   cl.upload,
+		released: ctx.Done(),
+	}
+	if r.Via != nil && acceptedEarly(r, res) {
+		a.peerBody = res.Body
+		res.Body = limitedBody(res)
 	}
 	c.observe(r, res)
 	if err := a.check(r); err != nil {
@@ -280,7 +295,14 @@
 			}
 		},
 	}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Target+r.URI, r.Body)
+	body := r.Body
+	if _, held := body.(*bytes.Reader); cl.upload != nil && !held {
+		body = &uploadBody{
+			Reader: body,
+			upload: cl.upload,
+		}
+	}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method, "http://"+r.Target+r.URI, body)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -312,6 +334,9 @@
 		transport = c.nonRepeatable
 	}
 	res, err := transport.RoundTrip(req)
+	if err == nil && cl.upload != nil {
+		cl.upload.answered.Store(true)
+	}
 	if g := used.Load(); g != nil && err == nil && res.Close {
 		g.state.end.saidClose.Store(true)
 	}
--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -27,7 +27,7 @@
 			end: &connEnd{},
 		},
 	}
-	c := newClaim(deadline, unavailable)
+	c := newClaim(context.Background(), nil, deadline, unavailable)
 	g.attach(c, traffic.Unknown, "")
 	return g, c.seal
 }
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,10 @@
 // claim is the right of one attempt to write to a target. It records whether any byte was passed
 // to the kernel, on which the outcome "not run" is based.
 type claim struct {
+	// life is the context of the attempt, which ends with the use of its answer.
+	life context.Context
+	// upload is the body that the attempt sends, or nil.
+	upload   *upload
 	mu       sync.Mutex
 	deadline time.Time
 	// unavailable reports whether the target is unavailable now; nil means never.
@@ -25,8 +30,10 @@
 	refused Kind
 }
 
-func newClaim(deadline time.Time, unavailable func(now time.Time) bool) *claim {
+func newClaim(life context.Context, u *upload, deadline time.Time, unavailable func(now time.Time) bool) *claim {
 	return &claim{
+		life:        life,
+		upload:      u,
 		deadline:    deadline,
 		unavailable: unavailable,
 	}
@@ -186,11 +193,34 @@
 	}
 	n, err := g.Conn.Write(b)
 	g.client.count(traffic.TargetRequests, traffic.Scope(g.scope.Load()), n)
+	if u := c.upload; u != nil {
+		u.wrote(b[:n])
+		if err != nil {
+			u.fail()
+		}
+	}
 	return n, err
 }
 
-// Close closes the connection and records its end.
+// Close closes the connection and records its end. While a body is sent to a target that has answered, the
+// connection is closed only when the attempt's use of the answer ends.
 func (g *guard) Close() error {
+	c := g.claim.Load()
+	if c == nil || c.upload == nil || !c.upload.inProgress() || c.life.Err() != nil {
+		return g.closeNow()
+	}
+	context.AfterFunc(c.life, func() { _ = g.closeNow() })
+	if !c.upload.answered.Load() {
+		time.AfterFunc(answerGrace, func() {
+			if !c.upload.answered.Load() {
+				_ = g.closeNow()
+			}
+		})
+	}
+	return nil
+}
+
+func (g *guard) closeNow() error {
 	if !g.state.closed.Swap(true) {
 		g.state.end.idle.Store(g.idle())
 		g.client.connections.closed(time.Now(), g.key, g.state.end)
--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -109,6 +109,7 @@
 	}
 	body := &peerBody{
 		forwarded: x,
+		request:   r.Body,
 		sent: task.Go(r.Context(), "body for a peer", func(context.Context) error {
 			return sendBody(x, r.Body)
 		}),
@@ -185,10 +186,12 @@
 // peerBody reads the body of a response from a peer.
 type peerBody struct {
 	forwarded *link.Forwarded
-	sent      *task.Task
-	rest      []byte
-	once      sync.Once
-	closeErr  error
+	// request is the body of the request, which sent sends to the peer; nil if there is none.
+	request  io.Closer
+	sent     *task.Task
+	rest     []byte
+	once     sync.Once
+	closeErr error
 }
 
 // Read reads the next bytes of the response.
@@ -215,6 +218,10 @@
 func (b *peerBody) Close() error {
 	b.once.Do(func() {
 		b.forwarded.Close()
+		if b.request != nil {
+			// The task may wait for more of it. An error of the body is also that of the task.
+			_ = b.request.Close()
+		}
 		b.closeErr = b.sent.Stop()
 	})
 	return b.closeErr
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -68,6 +68,11 @@
 	ProbeDelay time.Duration `json:"probe_delay"`
 	// ChunkDelay is the time between two chunks of a body.
 	ChunkDelay time.Duration `json:"chunk_delay"`
+	// AnswerAfter answers requests after so many bytes of their bodies, with AnswerStatus, or 200 if that is 0, and
+	// reads on after ReadPause; 0 means never.
+	AnswerAfter  int64         `json:"answer_after"`
+	AnswerStatus int           `json:"answer_status"`
+	ReadPause    time.Duration `json:"read_pause"`
 }
 
 // Run is one request that a target ran.
@@ -109,6 +114,7 @@
 	mu         sync.Mutex
 	runs       []Run
 	arrivals   []Arrival
+	uploads    []Upload
 	lastHeader http.Header
 }
 
@@ -241,6 +247,10 @@
 		refuse(w, r)
 		return
 	}
+	if m.AnswerAfter > 0 && r.ContentLength != 0 {
+		t.answerEarly(w, r, m)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
