--- a/internal/fleetconfig/store.go
+++ b/internal/fleetconfig/store.go
@@ -100,7 +100,7 @@
 		s.markInactive(e.GetKey(), r)
 		return e, true
 	}
-	joined := join(old.entry, e)
+	joined := Join(old.entry, e)
 	s.index(old.entry, joined)
 	if old.sameValue(joined) {
 		old.entry, old.version = joined, VersionOf(joined)
--- a/internal/fleetconfig/version.go
+++ b/internal/fleetconfig/version.go
@@ -110,9 +110,9 @@
 	return e
 }
 
-// join merges two entries of a key: the source's last position and the writer's last value. The
+// Join merges two entries of a key: the source's last position and the writer's last value. The
 // result doesn't depend on the order in which entries are joined.
-func join(a, b *wire.Entry) *wire.Entry {
+func Join(a, b *wire.Entry) *wire.Entry {
 	ma, mb := VersionOf(a), VersionOf(b)
 	last := a
 	if ma.Position().Compare(mb.Position()) < 0 {
