internal/node: a node that no peer answers reads the platform itself

Cause: after three pings without an answer a node suspects its own link and takes nobody for dead any more, so that the lost nodes keep their roles in its view, reading the platform among them. It then read by chance only, once in some 3.4 s. And the first answer after 1.5 s without one counted as the end of an outage of the platform, so that removals were held for another 2.2 s, over and over.

Change: a node that peers have answered before, and none does for a second, reads until one does. The answers to others that it can't hear of are no outage: only its own failed calls are, as long as it is alone.

--- a/internal/node/messenger.go
+++ b/internal/node/messenger.go
@@ -241,6 +241,12 @@
 	return last == 0 || now.Sub(m.started)-time.Duration(last) > contactTimeout
 }
 
+// lost reports whether peers have answered before and none has for contactTimeout: the link to them is cut, or
+// they have all failed.
+func (m *messenger) lost(now time.Time) bool {
+	return m.lastAnswer.Load() != 0 && m.isolated(now)
+}
+
 // readHeader applies the state of the sender that a datagram carries.
 func (m *messenger) readHeader(now time.Time, d *wire.Datagram) {
 	m.members.recordMessage(d.GetFrom())
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -31,7 +31,7 @@
 	reads := false
 	return n.adapter.Read(ctx, source.Config{
 		Reader: func() bool {
-			now := n.reader()
+			now := n.reader(reads)
 			if now != reads {
 				reads = now
 				log.WithField("reads", reads).WithField("age_ms", ageMS(n.gossip.PlatformAge(time.Now()))).Info("role to read the platform changed")
@@ -44,7 +44,7 @@
 		Era:        n.replica.Era,
 		EarlierEra: n.replica.EarlierEra,
 		Withheld:   n.replica.Withheld,
-		ContactAge: func() time.Duration { return n.gossip.PlatformAge(time.Now()) },
+		ContactAge: n.sourceAge,
 		Answered:   func() { n.gossip.RecordPlatformContact(time.Now()) },
 		Failed:     failed,
 		FullRead: func(r source.FullRead) {
@@ -81,9 +81,22 @@
 	return age.Milliseconds()
 }
 
-// reader reports whether this node should read the platform: it has the role, or no node seems to
-// read.
-func (n *Node) reader() bool {
+// sourceAge returns the time since any node that this one hears received an answer of the platform. A node that
+// hears none has missed the answers to others: their silence is no outage of the platform.
+func (n *Node) sourceAge() time.Duration {
+	now := time.Now()
+	if n.alone(now) {
+		return 0
+	}
+	return n.gossip.PlatformAge(now)
+}
+
+// alone reports whether peers have answered this node before and none does now.
+func (n *Node) alone(now time.Time) bool { return n.messenger != nil && n.messenger.lost(now) }
+
+// reader reports whether this node should read the platform: it has the role, no node seems to read, or no peer
+// answers it, so that it can't learn what others read. reads is set while it reads.
+func (n *Node) reader(reads bool) bool {
 	now := time.Now()
 	view := n.board.view.Load()
 	age, uptime := n.gossip.PlatformAge(now), now.Sub(n.started)
@@ -91,6 +104,9 @@
 		return true
 	}
 	silent := age > n.platformTimeout()
+	if n.alone(now) && (reads || silent) {
+		return true
+	}
 	if n.adapter.PlatformTimeout == 0 {
 		return hasRole(view, view.Role("reader", n.set.DataHall(), readersPerHall)) ||
 			silent && uptime > startPlatformTimeout && readsByChance(view)
