--- a/internal/integration/earlyanswer_test.go
+++ b/internal/integration/earlyanswer_test.go
@@ -26,6 +26,8 @@
 	// earlyReadPause is how long a target that has answered does not read: longer than net/http's transport keeps a
 	// connection that has an answer and still sends a body.
 	earlyReadPause = 150 * time.Millisecond
+	// writeDeadline is the deadline of the route (standardRoutes).
+	writeDeadline = 2 * time.Second
 )
 
 // earlyUpload is a request whose target answers before it has read the whole body.
@@ -271,6 +273,43 @@
 	}
 }
 
+// Guards against an early answer that reaches its caller only once the caller sends more of the body.
+func TestEarlyAnswerDoesNotWaitForTheBody(t *testing.T) {
+	s := siteWithPeer(t, 3)
+	for node, way := range []string{"by way of a peer", "direct"} {
+		for _, status := range []int{http.StatusOK, http.StatusRequestEntityTooLarge} {
+			s.answerEarly(status)
+			for _, query := range []string{"size=0", "size=4096", "size=163840"} {
+				t.Run(fmt.Sprintf("%s/%d/%s", way, status, query), func(t *testing.T) {
+					u := earlyUpload{
+						key:     t.Name(),
+						size:    streamedUpload,
+						version: "HTTP/1.1",
+						query:   query,
+					}
+					conn, r := u.open(t, s.nodes[node])
+					u.send(conn, u.size*3/5)
+					started := time.Now()
+					res, err := http.ReadResponse(r, nil)
+					if err != nil || res.StatusCode != status {
+						t.Fatalf("answer %v, error %v", res, err)
+					}
+					if _, err := io.Copy(io.Discard, res.Body); err != nil {
+						t.Error(err)
+					}
+					if took := time.Since(started); took > writeDeadline/2 {
+						t.Errorf("answer after %v", took)
+					}
+					_ = conn.Close()
+					if got := s.uploaded(u.key); !bytes.HasPrefix(u.content(), got.Body) || got.Err == nil {
+						t.Errorf("%d of %d bytes at the target, error %v", len(got.Body), u.size, got.Err)
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against a planned stop that breaks off a body behind an answer that its caller already has.
 func TestPlannedStopSendsBodiesBehindEarlyAnswers(t *testing.T) {
 	for _, chunked := range []bool{false, true} {
