internal/entry: no answer is lost to bytes that its caller sent behind the request

What callers saw: an answer that ends its connection (each one to a request in chunks does) was reset before its last part arrived, if the caller had sent more: a next request on the connection, or the rest of a body.

Cause: the kernel resets a connection that is closed with unread bytes, and drops what is still to be sent. net/http closes at once; where it waits, it can't end its own direction first, as the connection that records headers hid CloseWrite.

Answers that are broken off are reset at once, as before.

--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -146,3 +147,48 @@
 		}
 	}
 }
+
+// Guards against an answer of which the last part is lost because its caller has sent more than the node reads.
+func TestAnswerIsWholeIfItsCallerSendsMore(t *testing.T) {
+	const size, behind = 256 << 10, 20 << 10
+	list := &choices{
+		list: []*signalTarget{newSignalTarget(t, "target", func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = w.Write(make([]byte, size))
+		})},
+		before: func(int) {},
+	}
+	s := newSite(t, func(cfg *entry.Config) {
+		cfg.Signals = &signal.Ledger{}
+		cfg.Choose = list.choose
+		cfg.Deadline = 5 * time.Second
+	})
+	dialer := net.Dialer{
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
+			})
+		},
+	}
+	for range 20 {
+		conn, err := dialer.Dial("tcp", s.server.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
+		// A request in chunks ends its connection.
+		_, err = fmt.Fprintf(conn, "POST /quotes/1 HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n%s",
+			keyBrokers, strings.Repeat("y", behind))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, res.Body); n != size || err != nil {
+			t.Errorf("%d of %d bytes of the answer, error %v", n, size, err)
+		}
+		_ = conn.Close()
+	}
+}
--- a/internal/entry/capture.go
+++ b/internal/entry/capture.go
@@ -6,9 +6,14 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/task"
 )
 
 // recordedConn is a caller's connection that records the raw header of the request being read.
@@ -21,6 +26,35 @@
 	header    []byte
 	recording bool
 	maxHeader int
+	// answered is set while all requests read so far have their whole answers.
+	answered atomic.Bool
+	// track receives the task that closes the connection.
+	track func(t *task.Task)
+}
+
+// CloseWrite ends what is sent to the caller.
+func (c *recordedConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection. After a whole answer it first reads for up to restTimeout what the caller still sends:
+// the kernel discards an answer that is on its way to the caller when a connection is closed with unread bytes.
+func (c *recordedConn) Close() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || !c.answered.Swap(false) {
+		return c.Conn.Close()
+	}
+	// An error means that the connection has ended already.
+	_ = tcp.CloseWrite()
+	c.track(task.Go(context.Background(), "close of a caller's connection", func(context.Context) error {
+		_ = tcp.SetReadDeadline(time.Now().Add(restTimeout))
+		_, _ = io.Copy(io.Discard, tcp)
+		return tcp.Close()
+	}))
+	return nil
 }
 
 // Read reads from the caller and records what may be a header.
@@ -55,6 +89,7 @@
 type recordingListener struct {
 	net.Listener
 	maxHeader int
+	track     func(t *task.Task)
 }
 
 // Accept waits for the next connection.
@@ -68,6 +103,7 @@
 	return &recordedConn{
 		Conn:      conn,
 		maxHeader: l.maxHeader,
+		track:     l.track,
 	}, nil
 }
 
@@ -88,6 +124,13 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// setAnswered sets whether the last request on the caller's connection has its whole answer.
+func setAnswered(r *http.Request, answered bool) {
+	if c, ok := r.Context().Value(connKey{}).(*recordedConn); ok {
+		c.answered.Store(answered)
+	}
+}
+
 // setDiscard sets whether the close of the caller's connection discards what the caller has not read.
 // The kernel would otherwise hold it until the caller reads it.
 func setDiscard(r *http.Request, discard bool) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -190,6 +190,7 @@
 		kratos.Listener(&recordingListener{
 			Listener:  lis,
 			maxHeader: int(cfg.MaxHeader),
+			track:     s.track,
 		}),
 		kratos.Timeout(0),
 		kratos.Filter(func(http.Handler) http.Handler { return http.HandlerFunc(s.serve) }),
@@ -261,6 +262,12 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	setAnswered(r, false)
+	s.serveCaller(w, r)
+	setAnswered(r, true)
+}
+
+func (s *Server) serveCaller(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	id := s.requestID(r)
 	if s.closing.Load() || len(r.TransferEncoding) > 0 {
