internal/entry, internal/forward: an attempt that has ended interrupts no other one's reading

Only the reader that may read is interrupted now. The end of a body is recorded atomically, as the transport may close a body beside its own reading.

Connections that their callers have ended are closed at once: there is nothing to read first.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -30,9 +30,9 @@
 	// complete is set once the end of a body that is streamed was read.
 	complete atomic.Bool
 	failed   atomic.Pointer[error]
-	// mu is held while the stream is read. reader is the only one that may read it.
+	// mu is held while the stream is read. reader is the only one that may read it; it changes under mu.
 	mu     sync.Mutex
-	reader *streamReader
+	reader atomic.Pointer[streamReader]
 }
 
 // restTimeout is how long net/http may read the rest of a body that no attempt reads, so that the close of the
@@ -126,7 +126,7 @@
 		return
 	}
 	b.mu.Lock()
-	b.reader = nil
+	b.reader.Store(nil)
 	b.mu.Unlock()
 	_ = b.control.SetReadDeadline(time.Now().Add(restTimeout))
 }
@@ -162,10 +162,11 @@
 	if b.started.Load() {
 		return nil, false
 	}
-	b.reader = &streamReader{
+	r := &streamReader{
 		body: b,
 	}
-	return b.reader, true
+	b.reader.Store(r)
+	return r, true
 }
 
 // streamReader reads a body that is streamed for one attempt.
@@ -182,7 +183,7 @@
 	b := r.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.reader != r || r.closed.Load() {
+	if b.reader.Load() != r || r.closed.Load() {
 		return 0, errBodyClosed
 	}
 	b.started.Store(true)
@@ -201,9 +202,9 @@
 // Close ends the reading, and a Read in progress.
 func (r *streamReader) Close() error {
 	r.closed.Store(true)
-	if r.body.started.Load() && !r.body.complete.Load() {
+	if b := r.body; b.reader.Load() == r && b.started.Load() && !b.complete.Load() {
 		// A peer's request has no connection of its own; its stream ends with the exchange.
-		_ = r.body.control.SetReadDeadline(time.Now())
+		_ = b.control.SetReadDeadline(time.Now())
 	}
 	return nil
 }
--- a/internal/entry/capture.go
+++ b/internal/entry/capture.go
@@ -26,8 +26,10 @@
 	header    []byte
 	recording bool
 	maxHeader int
-	// answered is set while all requests read so far have their whole answers.
+	// answered is set while all requests read so far have their whole answers, ended once the caller has ended its
+	// direction.
 	answered atomic.Bool
+	ended    atomic.Bool
 	// track receives the task that closes the connection.
 	track func(t *task.Task)
 }
@@ -44,7 +46,7 @@
 // the kernel discards an answer that is on its way to the caller when a connection is closed with unread bytes.
 func (c *recordedConn) Close() error {
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || !c.answered.Swap(false) {
+	if !ok || !c.answered.Swap(false) || c.ended.Load() {
 		return c.Conn.Close()
 	}
 	// An error means that the connection has ended already.
@@ -60,6 +62,9 @@
 // Read reads from the caller and records what may be a header.
 func (c *recordedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		c.ended.Store(true)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.recording && len(c.header) < c.maxHeader {
--- a/internal/forward/upload.go
+++ b/internal/forward/upload.go
@@ -99,7 +99,8 @@
 type uploadBody struct {
 	io.Reader
 	upload *upload
-	whole  bool
+	// whole is set once the end of the body was read.
+	whole atomic.Bool
 }
 
 // Read reads the body.
@@ -107,7 +108,7 @@
 	n, err := b.Reader.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
-		b.whole = true
+		b.whole.Store(true)
 	case err != nil:
 		b.upload.fail()
 	}
@@ -116,7 +117,7 @@
 
 // Close ends reading. net/http calls it before it sends the last chunk.
 func (b *uploadBody) Close() error {
-	if b.whole {
+	if b.whole.Load() {
 		b.upload.mu.Lock()
 		b.upload.lastChunk = true
 		b.upload.mu.Unlock()
