internal/entry: a peer makes no attempt at a service of another version

Where the two have different versions of the configuration, and a route was moved, the request ran at the service to which the peer's version leads.

Cause: the peer took one of its own route's services where the one that its node chose was not among them.

Change: it refuses, before it has the body; another peer may be able.

--- a/internal/entry/peerrequest.go
+++ b/internal/entry/peerrequest.go
@@ -59,6 +59,16 @@
 		s.refuse(w, h.ID, in, fail)
 		return nil
 	}
+	if !in.route.Uses(h.Service) {
+		// The route leads elsewhere by the configuration of this node, which is older or newer than its peer's.
+		w.Refuse(&PeerRefusal{
+			Code:   CodeNoTarget,
+			Status: http.StatusServiceUnavailable,
+
+			Outcome: attempt.OutcomeNotRun,
+		}, true)
+		return nil
+	}
 	if err := w.Accept(); err != nil {
 		return err
 	}
@@ -76,10 +86,9 @@
 	}
 }
 
-// serviceOf returns the service of a request: the one that its node chose if it is one of the route,
-// else one by weight.
+// serviceOf returns the service of a request: the one that its node chose, or one of the route by weight.
 func serviceOf(r *http.Request, in *admission, random uint64) *fleetconfig.Service {
-	if h := peerHeadOf(r); h != nil && in.route.Uses(h.Service) {
+	if h := peerHeadOf(r); h != nil {
 		return in.config.Service(h.Service)
 	}
 	return in.route.ChooseService(random)
