internal/standin/target: one reading of the clock to accept and to record a request

The target compares its clock with the deadline of the request to refuse what is late, and read it once more to record the run. It had accepted the request, so by its own clock the deadline had not passed then; the 50 ms passed between the two readings, in the target. The bound is unchanged.

--- a/internal/standin/target/early.go
+++ b/internal/standin/target/early.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // Upload is the body of a request that a target answered before it had read all of it.
@@ -33,7 +34,7 @@
 	var body bytes.Buffer
 	_, err := io.CopyN(&body, r.Body, m.AnswerAfter)
 	if err == nil {
-		t.recordRun(r)
+		t.recordRun(r, time.Now())
 		w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
 		size, _ := strconv.ParseInt(r.URL.Query().Get("size"), 10, 64)
 		if !r.URL.Query().Has("chunked") {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -242,7 +242,7 @@
 	if m.Shed && m.Backoff > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(m.Backoff.Seconds(), 'f', -1, 64))
 	}
-	if m.Shed || pastDeadline(r) {
+	if m.Shed || pastDeadline(r, time.Now()) {
 		t.setLoad(w, m)
 		refuse(w, r)
 		return
@@ -259,12 +259,14 @@
 		return
 	}
 	defer func() { <-t.slots }()
-	if pastDeadline(r) {
+	// One reading of the clock: the target may be delayed between two.
+	now := time.Now()
+	if pastDeadline(r, now) {
 		t.setLoad(w, m)
 		refuse(w, r)
 		return
 	}
-	t.recordRun(r)
+	t.recordRun(r, now)
 	if crash := t.crash.Load(); crash != nil && r.URL.Query().Has("ends") {
 		(*crash)()
 		panic(http.ErrAbortHandler)
@@ -298,9 +300,9 @@
 	return time.UnixMilli(ms)
 }
 
-func pastDeadline(r *http.Request) bool {
+func pastDeadline(r *http.Request, now time.Time) bool {
 	d := deadline(r)
-	return !d.IsZero() && !time.Now().Before(d)
+	return !d.IsZero() && !now.Before(d)
 }
 
 func refuse(w http.ResponseWriter, r *http.Request) {
@@ -309,7 +311,7 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-func (t *Target) recordRun(r *http.Request) {
+func (t *Target) recordRun(r *http.Request, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lastHeader = r.Header.Clone()
@@ -319,7 +321,7 @@
 		Key:        r.Header.Get(HeaderKey),
 		ID:         r.Header.Get(headerRequestID),
 		Path:       r.URL.Path,
-		At:         time.Now(),
+		At:         now,
 		Deadline:   deadline(r),
 	})
 }
