internal/entry, internal/node: one refusal of a peer that is unable; comments

The two places where a peer refuses a request that another node may serve share one function. Comments of restTimeout and endUnanswered say what they hold now.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -35,8 +35,8 @@
 	reader atomic.Pointer[streamReader]
 }
 
-// restTimeout is how long net/http may read the rest of a body that no attempt reads, so that the close of the
-// connection does not discard the answer on its way to the caller.
+// restTimeout is how long what a caller still sends is read after its answer, so that the close of the connection does
+// not discard the answer on its way to the caller.
 const restTimeout = 500 * time.Millisecond
 
 // readError returns the error with which reading the caller's body failed, or nil.
--- a/internal/entry/peerrequest.go
+++ b/internal/entry/peerrequest.go
@@ -46,12 +46,7 @@
 	defer s.inFlight.Add(-1)
 	r = r.WithContext(context.WithValue(r.Context(), peerHeadKey{}, h))
 	if s.closing.Load() || s.reach.Lost(h.Service) {
-		w.Refuse(&PeerRefusal{
-			Code:   CodeNoTarget,
-			Status: http.StatusServiceUnavailable,
-
-			Outcome: attempt.OutcomeNotRun,
-		}, true)
+		refuseUnable(w)
 		return nil
 	}
 	in, fail := s.admit(r, h.Started)
@@ -61,12 +56,7 @@
 	}
 	if !in.route.Uses(h.Service) {
 		// The route leads elsewhere by the configuration of this node, which is older or newer than its peer's.
-		w.Refuse(&PeerRefusal{
-			Code:   CodeNoTarget,
-			Status: http.StatusServiceUnavailable,
-
-			Outcome: attempt.OutcomeNotRun,
-		}, true)
+		refuseUnable(w)
 		return nil
 	}
 	if err := w.Accept(); err != nil {
@@ -76,6 +66,16 @@
 	return nil
 }
 
+// refuseUnable refuses a request that another node may be able to serve.
+func refuseUnable(w PeerWriter) {
+	w.Refuse(&PeerRefusal{
+		Code:   CodeNoTarget,
+		Status: http.StatusServiceUnavailable,
+
+		Outcome: attempt.OutcomeNotRun,
+	}, true)
+}
+
 // unableFor reports whether another node may serve a request of a peer that ends with an error.
 func (s *Server) unableFor(w PeerWriter, e *Error) bool {
 	switch e.code {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -54,8 +54,8 @@
 	return n.adapter.Grace
 }
 
-// endUnanswered answers the requests that have no answer yet. Callers would otherwise see their connections
-// closed, which does not tell whether a request ran.
+// endUnanswered answers the requests that have no answer yet. The close of a connection would not show callers
+// whether their request ran.
 func (n *Node) endUnanswered() {
 	logging.Part(n.log, "node").WithField("in_flight", n.entry.InFlight()).Info("ending unanswered requests")
 	n.entry.EndUnanswered()
