internal/node: a starting node compares with the peers of its configuration

Callers of a node that starts after its platform was restored from a copy were answered by the copy.

Cause: a starting node compares with up to three of the peers that it knows. A node without seeds knows them from the configuration, and members applies the list of instances in its own goroutine, after the configuration is in force. A look at readiness between the two finds no peers, needs no comparison, and the node stays ready.

The peers that the configuration lists count as known at once. TestStartingNodeComparesWithListedPeers failed before. The users' machines have seeds and an adapter whose reads are never stale: nothing changes there.

--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -6,6 +6,9 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/membership"
 )
 
 // Times of readiness.
@@ -83,7 +86,7 @@
 	if l.board.pools.Load() == nil {
 		return reasonStarting
 	}
-	if !l.peersCompared && !l.comparedEnough(now) {
+	if !l.peersCompared && !l.comparedEnough(now, cfg) {
 		return reasonPeers
 	}
 	if l.isolated() && l.platformAge(now) > maxPlatformAge {
@@ -94,10 +97,22 @@
 
 // comparedEnough reports whether a starting node has compared its configuration with enough peers,
 // or waited for maxCompareWait.
-func (l *lifecycle) comparedEnough(now time.Time) bool {
-	known := max(len(l.board.view.Load().Peers()), l.seeds)
+func (l *lifecycle) comparedEnough(now time.Time, cfg *fleetconfig.Config) bool {
+	view := l.board.view.Load()
+	known := max(len(view.Peers()), listedPeers(view.Self(), cfg), l.seeds)
 	if l.compared() >= min(minComparedPeers, known) || now.Sub(l.started) > maxCompareWait {
 		l.peersCompared = true
 	}
 	return l.peersCompared
 }
+
+// listedPeers returns the number of peers in a configuration. The view may not have them yet: it follows the
+// configuration.
+func listedPeers(self membership.Node, cfg *fleetconfig.Config) (n int) {
+	for _, i := range cfg.Instances() {
+		if i.Entry() && !i.Draining() && i.Address() != self.Address() {
+			n++
+		}
+	}
+	return n
+}
