internal/dissemination: a starting node compares with new peers first

A node that starts is ready once it has compared with three peers. Where nodes choose targets alone it drew each peer at random, also those that it had compared with. Of 80,000 nodes with three peers 71 needed more than 20 s, which is the time that the soak allows: about 1 in 1,100 for each start.

New peers come first now, the others follow where the new ones do not answer. TestStartingNodeComparesWithNewPeers: 259 of 800 nodes were late before (5 s), 0 now. Under joint choice, as on the users' machines, starting nodes took only new peers before; nothing changes there.

--- a/internal/dissemination/peers.go
+++ b/internal/dissemination/peers.go
@@ -72,15 +72,30 @@
 	return out
 }
 
+// sortNewFirst moves the peers with which this node has not compared yet to the front.
+func (g *Gossip) sortNewFirst(peers []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	slices.SortStableFunc(peers, func(a, b string) int {
+		switch {
+		case g.comparedWith[a] == g.comparedWith[b]:
+			return 0
+		case g.comparedWith[b]:
+			return -1
+		}
+		return 1
+	})
+}
+
 // choosePeers returns up to n different random peers, mostly of the own data hall. Until this node has
-// compared with startCompares peers it takes only new ones, of its data hall first.
+// compared with startCompares peers it prefers new ones, of its data hall first.
 // Seeds are candidates while fewer than n peers are known, and later at random: without them two
 // partitions of the fleet without contact would never merge.
 func (g *Gossip) choosePeers(n int) []string {
 	from := g.cfg.View().Peers()
+	starting := g.Compared() < startCompares
 	if g.cfg.PreferOwnHall {
 		near, far := g.cfg.View().Halls()
-		starting := g.Compared() < startCompares
 		if starting {
 			near, far = g.notCompared(near), g.notCompared(far)
 		}
@@ -90,6 +105,10 @@
 		}
 	}
 	out := randomAddresses(from, n)
+	if starting {
+		// The others follow, since the new ones may all be dead.
+		g.sortNewFirst(out)
+	}
 	const seedOdds = 10
 	if len(out) < n || rand.IntN(seedOdds) == 0 {
 		self := g.cfg.Self().GetAddress()
