internal/source: a file that was written again is newer, whatever it holds

Nodes that read their configuration from directories skipped a file whose contents were those that they knew. Where another node's directory held a different value meanwhile, and that node published it and was lost, the value that was taken back stayed in force for the whole fleet.

Cause: Directory.read compared contents. It keeps the modification time of each file now and publishes a file that was written again, at a greater revision. An equal value costs one small push; a configuration that does not change is not activated anew.

TestFileWrittenAgainIsNewer failed before in both cases (0 changes).

--- a/internal/source/directory.go
+++ b/internal/source/directory.go
@@ -3,7 +3,6 @@
 package source
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"path/filepath"
@@ -23,15 +22,23 @@
 // key. A file's revision is its modification time in nanoseconds, so that it also
 // grows across restarts. It isn't safe for concurrent use.
 type Directory struct {
-	path    string
-	entries map[string]*wire.Entry
+	path string
+	// files holds what was last read, by key.
+	files map[string]file
+}
+
+// file is a published value, or its removal.
+type file struct {
+	entry *wire.Entry
+	// modified is the modification time of the file that was read, in nanoseconds.
+	modified uint64
 }
 
 // NewDirectory returns a source that reads the directory path.
 func NewDirectory(path string) *Directory {
 	return &Directory{
-		path:    path,
-		entries: map[string]*wire.Entry{},
+		path:  path,
+		files: map[string]file{},
 	}
 }
 
@@ -46,7 +53,7 @@
 			cause:    err,
 		}
 	}
-	var out []*wire.Entry
+	var changed []file
 	seen := map[string]bool{}
 	for _, f := range files {
 		key, ok := strings.CutSuffix(f.Name(), fileSuffix)
@@ -54,48 +61,52 @@
 			continue
 		}
 		seen[key] = true
-		e, err := d.read(key)
+		read, err := d.read(key)
 		if err != nil {
 			return nil, err
 		}
-		if e != nil {
-			out = append(out, e)
+		if read.entry != nil {
+			changed = append(changed, read)
 		}
 	}
-	out = append(out, d.deleted(now, seen)...)
-	for _, e := range out {
-		d.entries[e.GetKey()] = e
+	changed = append(changed, d.deleted(now, seen)...)
+	out := make([]*wire.Entry, 0, len(changed))
+	for _, c := range changed {
+		d.files[c.entry.GetKey()] = c
+		out = append(out, c.entry)
 	}
 	return out, nil
 }
 
-// read returns the value of a file, or nil if it is unchanged.
-func (d *Directory) read(key string) (*wire.Entry, error) {
-	file := filepath.Join(d.path, key+fileSuffix)
-	info, err := os.Stat(file)
+// read returns a file, or one without an entry if it is unchanged. A file that was written again is a change even if
+// its value is the same: another node's directory may have held another one meanwhile.
+func (d *Directory) read(key string) (file, error) {
+	path := filepath.Join(d.path, key+fileSuffix)
+	info, err := os.Stat(path)
 	if err != nil {
-		return nil, fileError(file, err)
+		return file{}, fileError(path, err)
 	}
-	revision := uint64(info.ModTime().UnixNano())
-	old := d.entries[key]
-	if old != nil && !old.GetDeleted() && old.GetRevision() == revision {
-		return nil, nil
+	modified := uint64(info.ModTime().UnixNano())
+	old := d.files[key]
+	if old.entry != nil && !old.entry.GetDeleted() && old.modified == modified {
+		return file{}, nil
 	}
-	value, err := os.ReadFile(file)
+	value, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fileError(file, err)
-	}
-	if old != nil && !old.GetDeleted() && bytes.Equal(old.GetValue(), value) {
-		return nil, nil
+		return file{}, fileError(path, err)
 	}
-	if old != nil {
+	revision := modified
+	if old.entry != nil {
 		// Replacement by an older file is a change too.
-		revision = max(revision, old.GetRevision()+1)
+		revision = max(revision, old.entry.GetRevision()+1)
 	}
-	return &wire.Entry{
-		Key:      key,
-		Revision: revision,
-		Value:    value,
+	return file{
+		entry: &wire.Entry{
+			Key:      key,
+			Revision: revision,
+			Value:    value,
+		},
+		modified: modified,
 	}, nil
 }
 
@@ -107,16 +118,18 @@
 	}
 }
 
-func (d *Directory) deleted(now time.Time, seen map[string]bool) []*wire.Entry {
-	var out []*wire.Entry
-	for key, old := range d.entries {
-		if seen[key] || old.GetDeleted() {
+func (d *Directory) deleted(now time.Time, seen map[string]bool) []file {
+	var out []file
+	for key, old := range d.files {
+		if seen[key] || old.entry.GetDeleted() {
 			continue
 		}
-		out = append(out, &wire.Entry{
-			Key:      key,
-			Revision: max(uint64(now.UnixNano()), old.GetRevision()+1),
-			Deleted:  true,
+		out = append(out, file{
+			entry: &wire.Entry{
+				Key:      key,
+				Revision: max(uint64(now.UnixNano()), old.entry.GetRevision()+1),
+				Deleted:  true,
+			},
 		})
 	}
 	return out
--- a/internal/source/source_test.go
+++ b/internal/source/source_test.go
@@ -75,6 +75,42 @@
 	}
 }
 
+// Guards against a change that stays in force though it was taken back: another node's directory held it, and this
+// one's only the value before and after it.
+func TestFileWrittenAgainIsNewer(t *testing.T) {
+	at := time.Now().Add(-time.Hour)
+	for _, tt := range []struct {
+		name     string
+		again    time.Time
+		expected uint64
+	}{
+		{
+			name:     "later",
+			again:    at.Add(2 * time.Second),
+			expected: uint64(at.Add(2 * time.Second).UnixNano()),
+		},
+		{
+			name:     "by an older file",
+			again:    at.Add(-time.Second),
+			expected: uint64(at.UnixNano()) + 1,
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			dir := t.TempDir()
+			d := source.NewDirectory(dir)
+			write(t, dir, "a.json", "1", at)
+			read(t, d)
+			write(t, dir, "a.json", "1", tt.again)
+			if again := read(t, d); again.GetRevision() != tt.expected {
+				t.Errorf("revision %d, expected %d", again.GetRevision(), tt.expected)
+			}
+			if got, err := d.Read(time.Now()); err != nil || len(got) != 0 {
+				t.Errorf("%d changes without any, err %v", len(got), err)
+			}
+		})
+	}
+}
+
 func TestMissingDirectory(t *testing.T) {
 	_, err := source.NewDirectory(filepath.Join(t.TempDir(), "nothing")).Read(time.Now())
 	var se *source.Error
