internal/response: scan answers by RFC 9110 and RFC 9112

A scan follows the bytes of one answer as they arrive and fails at the first one that the protocol does not allow. A connection for checks and for the store uses it, and reports an end that is no clean one. Nothing uses the package yet.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	go test ./internal/contract -run '^$$' -fuzz '^FuzzBackoff$$' -fuzztime $(FUZZ)
 	go test ./internal/contract -run '^$$' -fuzz '^FuzzLimit$$' -fuzztime $(FUZZ)
 	go test ./internal/contract -run '^$$' -fuzz '^FuzzLoad$$' -fuzztime $(FUZZ)
+	go test ./internal/response -run '^$$' -fuzz '^FuzzScan$$' -fuzztime $(FUZZ)
 	go test ./internal/settings -run '^$$' -fuzz '^FuzzLoad$$' -fuzztime $(FUZZ)
 
 # Measures the cost of the control plane and writes docs/CAPACITY.md; about 20 minutes.
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -39,7 +39,7 @@
 		case b == '\r':
 			// net/http also ends lines without it.
 		default:
-			if s.matched == s.column && s.matched < len(contentLength) && lower(b) == contentLength[s.matched] {
+			if s.matched == s.column && s.matched < len(contentLength) && Lower(b) == contentLength[s.matched] {
 				s.matched++
 				s.hasLength = s.hasLength || s.matched == len(contentLength)
 			}
@@ -49,7 +49,8 @@
 	}
 }
 
-func lower(b byte) byte {
+// Lower returns a letter in lower case, and any other byte as it is.
+func Lower(b byte) byte {
 	if 'A' <= b && b <= 'Z' {
 		return b + 'a' - 'A'
 	}
@@ -77,7 +78,7 @@
 func (s *Scan) HasLength() bool { return s.hasLength }
 
 // Cost estimates the memory in bytes that the header takes, 0 if that is little.
-func (s *Scan) Cost() int64 { return cost(s.bytes, s.lines) }
+func (s *Scan) Cost() int64 { return CostOf(s.bytes, s.lines) }
 
 // Cost estimates the memory in bytes that a parsed header takes, 0 if that is little.
 func Cost(h http.Header) int64 {
@@ -88,10 +89,11 @@
 			lines++
 		}
 	}
-	return cost(bytes, lines)
+	return CostOf(bytes, lines)
 }
 
-func cost(bytes, lines int64) int64 {
+// CostOf estimates the memory in bytes that a header of a number of bytes and lines takes, 0 if that is little.
+func CostOf(bytes, lines int64) int64 {
 	n := byteCost*bytes + lineCost*lines
 	if n <= freeCost {
 		return 0
@@ -103,4 +105,4 @@
 const shortestLine = len("a:\n")
 
 // MaxCost returns the greatest memory in bytes that a header of a size takes.
-func MaxCost(size int64) int64 { return cost(size, size/int64(shortestLine)) }
+func MaxCost(size int64) int64 { return CostOf(size, size/int64(shortestLine)) }
--- /dev/null
+++ b/internal/response/conn.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package response
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+)
+
+// ErrSurplus is the error of a connection on which more was read than the answer to the last request.
+var ErrSurplus = errors.New("response: bytes after the end of an answer")
+
+// ErrTooLarge is the error of an answer with a head beyond the bounds, or with too many interim responses.
+var ErrTooLarge = errors.New("response: the head of an answer is too large")
+
+// Bounds are those of the heads of an answer.
+type Bounds struct {
+	// Memory is the greatest estimated memory in bytes of one head; 0 means no bound.
+	Memory int64
+	// Interims is the greatest number of interim responses.
+	Interims int
+}
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a dial function whose connections scan the answers that they carry. They are for requests without a body,
+// other than HEAD, one at a time. Reading fails for answers that the protocol or the bounds do not allow, and at the end of
+// an answer without a length whose connection did not end cleanly.
+func Dial(dial DialFunc, b Bounds) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{
+			Conn:   conn,
+			bounds: b,
+		}, nil
+	}
+}
+
+// Conn is a connection that scans the answers that it carries.
+type Conn struct {
+	net.Conn
+	bounds Bounds
+	writes Writes
+	mu     sync.Mutex
+	scan   Scan
+}
+
+// Write writes a part of a request. The first one after an answer begins a new exchange; it fails if more than
+// that answer was read.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.begin(); err != nil {
+		return 0, err
+	}
+	return c.writes.Write(c.Conn, p)
+}
+
+func (c *Conn) begin() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.scan.Surplus() {
+		return ErrSurplus
+	}
+	if c.scan.Whole() {
+		c.scan = Scan{}
+	}
+	return nil
+}
+
+// Read reads from the other end.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && c.scan.Whole() {
+		return 0, ErrSurplus
+	}
+	if serr := c.scan.Add(p[:n]); serr != nil {
+		return 0, serr
+	}
+	if c.bounds.Memory > 0 && c.scan.Cost() > c.bounds.Memory || c.scan.Interims() > c.bounds.Interims {
+		return 0, ErrTooLarge
+	}
+	if errors.Is(err, io.EOF) && c.scan.UntilClose() && !c.writes.CleanEnd(c.Conn) {
+		err = ErrReset
+	}
+	return n, err
+}
