internal/forward: reject malformed answers

What callers saw: answers with status 000, 099 or +20 ended the connection without any answer, as WriteHeader of net/http panics; status 600, HTTP/9.9, names of fields or trailers with a blank, a blank before the colon of Content-Length or Transfer-Encoding were passed on as successes, in the last case with the framing of the chunks as the body.

Cause: net/http parses what targets send, and is lenient where a proxy must not be.

Change: every byte of a target passes a response.Scan first, in attempts, trials, resumed downloads, health and path checks. A malformed answer is a failure of a kind of its own, counts against the target, has an unknown outcome and proves nothing. It is no sign of a crash, nor of a lost path: the target has answered.

Tests changed: three rows of TestOnlyCompleteOwnAnswersAreAccepted expect the new kind in place of a broken connection. The scan of heads is replaced, and TestHeadsOfAnswersAreScannedAsTheyArrive runs on the new one: two of its rows, a change of protocol and the rest of another head, are rejected now, which it checks; two blanks before a status have a row of their own.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -25,8 +25,9 @@
 	stall    time.Duration
 	// limit bounds the time of a body that is streamed; it is nil for others.
 	limit *watchdog
-	// cancel ends the attempt and releases what it holds.
+	// cancel ends the attempt and releases what it holds. unread returns why the answer was not read to its end, or "".
 	cancel   func()
+	unread   func() Kind
 	contract *contract.Contract
 	evidence Evidence
 	// upload is the body that is sent to the target, or nil. released ends with the use of the answer.
@@ -200,6 +201,8 @@
 func (a *Answer) bodyError(err error) *Error {
 	kind := KindReset
 	switch {
+	case a.unread() != "":
+		kind = a.unread()
 	case a.limit != nil && a.limit.fired():
 		kind = KindEndless
 	case a.watch.fired():
--- a/internal/forward/check.go
+++ b/internal/forward/check.go
@@ -4,60 +4,24 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
-	"sync"
+
+	"ploverjunction.example/ploverjunction/internal/response"
 )
 
 // maxCheckHead is the greatest estimated memory in bytes of a head of an answer to a check: some 400 lines. There are
 // tens of checks at once, whose answers need few lines.
 const maxCheckHead = 256 << 10
 
-// errCheckHead is the failure of a check whose answer has a head beyond maxCheckHead or too many interim responses.
-var errCheckHead = errors.New("forward: the head of an answer to a check is too large")
-
-// LimitHeads returns a dial function whose connections fail once a head of an answer takes more memory than that to a
-// health or path check may take. A write begins a new request.
-func LimitHeads(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &checkConn{
-			Conn: conn,
-		}, nil
-	}
-}
-
-// checkConn is a connection for checks.
-type checkConn struct {
-	net.Conn
-	mu    sync.Mutex
-	heads headScan
-}
-
-// Write writes a part of a request.
-func (c *checkConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.heads = headScan{}
-	c.mu.Unlock()
-	return c.Conn.Write(p)
-}
-
-// Read reads from the target.
-func (c *checkConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.heads.add(p[:n])
-	if c.heads.cost > maxCheckHead || c.heads.endless() {
-		return 0, errCheckHead
-	}
-	return n, err
+// ScanChecks returns a dial function whose connections fail for malformed answers, and once a head of an answer takes more
+// memory than that to a health or path check may take. Each carries one check at a time.
+func ScanChecks(dial response.DialFunc) response.DialFunc {
+	return response.Dial(dial, response.Bounds{
+		Memory:   maxCheckHead,
+		Interims: maxInterims,
+	})
 }
 
 // Connect opens a connection to a target and closes it.
@@ -96,7 +60,7 @@
 	}
 	c.connections.count(CauseCheck)
 	transport := http.Transport{
-		DialContext:       LimitHeads(c.dial),
+		DialContext:       ScanChecks(c.dial),
 		DisableKeepAlives: true,
 
 		MaxResponseHeaderBytes: MaxAnswerHeader,
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -209,7 +209,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	watch := newWatchdog(time.Until(r.Deadline), cancel)
-	cl := newClaim(ctx, r.upload(), r.Deadline, r.Unavailable)
+	cl := newClaim(ctx, r.upload(), r.Method, r.Deadline, r.Unavailable)
 	end := func() {
 		cancel()
 		cl.release(c.heads)
@@ -227,6 +227,7 @@
 		watch:    watch,
 		stall:    c.stall,
 		cancel:   end,
+		unread:   cl.unread,
 		draining: c.contract.Draining(res.Header),
 		contract: c.contract,
 		evidence: conn.evidence(),
--- a/internal/forward/client_test.go
+++ b/internal/forward/client_test.go
@@ -136,7 +136,7 @@
 		{
 			name:    "bad chunk size",
 			text:    head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n",
-			kind:    forward.KindReset,
+			kind:    forward.KindMalformed,
 			outcome: attempt.OutcomeUnknown,
 			body:    "",
 		},
@@ -150,7 +150,7 @@
 		{
 			name:    "two lengths",
 			text:    head + "Content-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
-			kind:    forward.KindReset,
+			kind:    forward.KindMalformed,
 			outcome: attempt.OutcomeUnknown,
 			body:    "",
 		},
@@ -178,7 +178,7 @@
 		{
 			name:    "no http",
 			text:    "hello\r\n\r\n",
-			kind:    forward.KindReset,
+			kind:    forward.KindMalformed,
 			outcome: attempt.OutcomeUnknown,
 			body:    "",
 		},
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -42,6 +42,8 @@
 	KindStall Kind = "answer stalled"
 	// KindEndless means that the answer's body did not end in time, or that there were too many interim responses.
 	KindEndless Kind = "answer without end"
+	// KindMalformed means that the answer is none by the protocol.
+	KindMalformed Kind = "malformed answer"
 	// KindMemory means that there was no memory for the head of the answer, which is large then. It counts against the
 	// target: ordinary heads need none.
 	KindMemory Kind = "no memory for the answer"
--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/memory"
@@ -17,18 +18,6 @@
 // FreeHead is freeHead.
 const FreeHead = freeHead
 
-// ScanHeads scans the heads in text in parts of size bytes, and returns their greatest cost and whether the head of the
-// final response is whole.
-func ScanHeads(text string, size int) (cost int64, final bool) {
-	var s headScan
-	for rest := []byte(text); len(rest) > 0; {
-		n := min(size, len(rest))
-		s.add(rest[:n])
-		rest = rest[n:]
-	}
-	return s.cost, s.final
-}
-
 // MaxRefusals is maxRefusals.
 const MaxRefusals = maxRefusals
 
@@ -50,7 +39,7 @@
 			end: &connEnd{},
 		},
 	}
-	c := newClaim(context.Background(), nil, deadline, unavailable)
+	c := newClaim(context.Background(), nil, http.MethodGet, deadline, unavailable)
 	g.attach(c, traffic.Unknown, "")
 	return g, c.seal
 }
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -14,6 +14,7 @@
 
 	"ploverjunction.example/ploverjunction/internal/header"
 	"ploverjunction.example/ploverjunction/internal/memory"
+	"ploverjunction.example/ploverjunction/internal/response"
 	"ploverjunction.example/ploverjunction/internal/traffic"
 )
 
@@ -33,16 +34,17 @@
 	sealed      bool
 	// refused is why a write was refused before the first byte; "" if none was.
 	refused Kind
-	// heads are those of the answer, held the memory that is reserved for them in bytes. released is set once
-	// the attempt holds none. broken is why the heads must not be read to their end, or "".
-	heads    headScan
+	// answer scans the answer, held is the memory in bytes that is reserved for its heads. released is set once the
+	// attempt holds none. broken is why the answer must not be read to its end, or "".
+	answer   response.Scan
 	held     int64
 	released bool
 	broken   Kind
 }
 
-func newClaim(life context.Context, u *upload, deadline time.Time, unavailable func(now time.Time) bool) *claim {
+func newClaim(life context.Context, u *upload, method string, deadline time.Time, unavailable func(now time.Time) bool) *claim {
 	return &claim{
+		answer:      response.ForMethod(method),
 		life:        life,
 		upload:      u,
 		deadline:    deadline,
@@ -126,21 +128,29 @@
 	return c.refused
 }
 
-// scan scans what was read of the answer and reserves memory for its heads. It returns false if the answer must not be
+// scan scans what was read of the answer and reserves memory for its heads. It returns an error if the answer must not be
 // read further.
-func (c *claim) scan(b *memory.Budget, p []byte) bool {
+func (c *claim) scan(b *memory.Budget, p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.heads.final || c.released {
-		return c.broken == ""
+	counted := !c.answer.Final() && !c.released
+	if err := c.answer.Add(p); err != nil {
+		c.broken = KindMalformed
+		return err
 	}
-	c.heads.add(p)
-	cost := c.heads.cost
-	if c.heads.endless() {
+	// Targets in order send a few interim responses.
+	if counted && c.answer.Interims() > maxInterims {
 		c.broken = KindEndless
-		return false
 	}
-	return c.hold(b, cost)
+	if counted && c.broken == "" {
+		c.hold(b, c.answer.Cost())
+	}
+	if c.broken != "" {
+		return &Error{
+			kind: c.broken,
+		}
+	}
+	return nil
 }
 
 // hold raises the memory that is reserved to cost. It returns false if there is none. c.mu is held.
@@ -171,7 +181,7 @@
 	c.held = 0
 }
 
-// unread returns why the heads of the answer were not read to their end, or "".
+// unread returns why the answer was not read to its end, or "".
 func (c *claim) unread() Kind {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,9 +253,9 @@
 func (g *guard) Read(b []byte) (int, error) {
 	n, err := g.Conn.Read(b)
 	g.client.count(traffic.TargetResponses, traffic.Scope(g.scope.Load()), n)
-	if c := g.claim.Load(); c != nil && !c.scan(g.client.heads, b[:n]) {
-		return 0, &Error{
-			kind: c.unread(),
+	if c := g.claim.Load(); c != nil {
+		if serr := c.scan(g.client.heads, b[:n]); serr != nil {
+			return 0, serr
 		}
 	}
 	if err != nil && !g.state.closed.Load() && g.idle() {
--- a/internal/forward/heads_test.go
+++ b/internal/forward/heads_test.go
@@ -16,6 +16,7 @@
 	"ploverjunction.example/ploverjunction/internal/contract"
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/memory"
+	"ploverjunction.example/ploverjunction/internal/response"
 )
 
 // Guards against heads that are missed after interim responses or however they are split, and bodies taken for heads.
@@ -26,6 +27,8 @@
 		text  string
 		large bool
 		final bool
+		// malformed is set for an answer that is rejected at its beginning.
+		malformed bool
 	}{
 		{
 			name:  "ordinary",
@@ -40,10 +43,15 @@
 		},
 		{
 			name:  "many lines after interim responses",
-			text:  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103\r\nA: b\r\n\r\nHTTP/1.1  200 OK\n" + lines + "\n",
+			text:  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103\r\nA: b\r\n\r\nHTTP/1.1 200 OK\n" + lines + "\n",
 			large: true,
 			final: true,
 		},
+		{
+			name:      "many lines after two blanks before the status",
+			text:      "HTTP/1.1  200 OK\n" + lines + "\n",
+			malformed: true,
+		},
 		{
 			name:  "ordinary after interim responses",
 			text:  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200\r\n\r\n" + lines,
@@ -56,21 +64,28 @@
 			final: true,
 		},
 		{
-			name:  "another protocol",
-			text:  "HTTP/1.1 101 Switching Protocols\r\n\r\n" + lines,
-			final: true,
+			name:      "another protocol",
+			text:      "HTTP/1.1 101 Switching Protocols\r\n\r\n" + lines,
+			malformed: true,
 		},
 		{
-			name:  "rest of another head",
-			text:  "b\r\n\r\nHTTP/1.1 200 OK\r\n" + lines,
-			large: true,
+			name:      "rest of another head",
+			text:      "b\r\n\r\nHTTP/1.1 200 OK\r\n" + lines,
+			malformed: true,
 		},
 	}
 	for _, tt := range tests {
 		for _, size := range []int{1, 7, 1000, len(tt.text)} {
-			cost, final := forward.ScanHeads(tt.text, size)
-			if large := cost > forward.FreeHead; large != tt.large || final != tt.final {
-				t.Errorf("%s, in parts of %d: cost %d, final %v; want large %v, final %v", tt.name, size, cost, final, tt.large, tt.final)
+			var s response.Scan
+			var err error
+			for rest := []byte(tt.text); len(rest) > 0 && err == nil; {
+				n := min(size, len(rest))
+				err = s.Add(rest[:n])
+				rest = rest[n:]
+			}
+			if large := s.Cost() > forward.FreeHead; large != tt.large || s.Final() != tt.final || (err != nil) != tt.malformed {
+				t.Errorf("%s, in parts of %d: cost %d, final %v, %v; want large %v, final %v, malformed %v",
+					tt.name, size, s.Cost(), s.Final(), err, tt.large, tt.final, tt.malformed)
 			}
 		}
 	}
--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -50,7 +50,7 @@
 		client: &http.Client{
 			Timeout: probeTimeout,
 			Transport: &http.Transport{
-				DialContext:         forward.LimitHeads((&net.Dialer{}).DialContext),
+				DialContext:         forward.ScanChecks((&net.Dialer{}).DialContext),
 				MaxIdleConnsPerHost: probesPerHost,
 				IdleConnTimeout:     time.Minute,
 
