internal/forward: a reset is no end of an answer without a length

Cause: the kernel reports a reset once a socket. Where the write of the upload gets it, reading ends as if the target had closed the connection, and net/http takes that for the end of the body.

Change: the end of such a body counts only if the connection ended cleanly. On Linux the state of the connection tells a reset from an orderly end; where it can't be read, no write may have failed or be under way. A target that ends its answer and goes on reading the upload is still served.

--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -181,6 +183,13 @@
 	c.held = 0
 }
 
+// untilClose reports whether the body of the answer ends with its connection.
+func (c *claim) untilClose() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer.UntilClose()
+}
+
 // unread returns why the answer was not read to its end, or "".
 func (c *claim) unread() Kind {
 	c.mu.Lock()
@@ -197,8 +206,9 @@
 	client *Client
 	key    poolKey
 	// scope is that of the bytes of the current claim.
-	scope atomic.Uint32
-	state connState
+	scope  atomic.Uint32
+	state  connState
+	writes response.Writes
 	// requests is the number of requests that the connection has carried.
 	requests atomic.Int64
 	// lastID is the hash of the ID of the last one. Only the attempt that gets the connection uses it.
@@ -257,6 +267,9 @@
 		if serr := c.scan(g.client.heads, b[:n]); serr != nil {
 			return 0, serr
 		}
+		if errors.Is(err, io.EOF) && c.untilClose() && !g.writes.CleanEnd(g.Conn) {
+			err = response.ErrReset
+		}
 	}
 	if err != nil && !g.state.closed.Load() && g.idle() {
 		g.state.end.broken.Store(true)
@@ -280,7 +293,7 @@
 	if err := c.allowWrite(time.Now()); err != nil {
 		return 0, err
 	}
-	n, err := g.Conn.Write(b)
+	n, err := g.writes.Write(g.Conn, b)
 	g.client.count(traffic.TargetRequests, traffic.Scope(g.scope.Load()), n)
 	if u := c.upload; u != nil {
 		u.wrote(b[:n])
--- a/internal/response/end.go
+++ b/internal/response/end.go
@@ -32,11 +32,9 @@
 // CleanEnd reports whether reading from conn, which has returned io.EOF, has ended because the other end closed the
 // connection, and not because it was reset. It is false where that is not known.
 func (w *Writes) CleanEnd(conn net.Conn) bool {
-	if w.failed.Load() {
-		return false
-	}
 	if reset, known := wasReset(conn); known {
 		return !reset
 	}
-	return w.underWay.Load() == 0
+	// A write that ends meanwhile is known to have failed before it is not under way any more.
+	return w.underWay.Load() == 0 && !w.failed.Load()
 }
