internal/forward: an answer with several IDs belongs to no request

An answer that carried the ID of its request first and another one after it counted as its own: only the first value was read.

TestAnswerWithTwoIDsIsForeign: before, taken for an answer.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -139,7 +139,7 @@
 func (a *Answer) check(r *Request) error {
 	h := a.response.Header
 	a.evidence.status = a.Status()
-	a.evidence.echo = echoOf(h.Get(a.contract.RequestID), r.ID)
+	a.evidence.echo = echoOf(h.Values(a.contract.RequestID), r.ID)
 	if a.evidence.echo == EchoOther || a.contract.CallersID && a.evidence.echo != EchoOwn {
 		return a.newError(KindForeign, nil)
 	}
--- a/internal/forward/evidence.go
+++ b/internal/forward/evidence.go
@@ -2,6 +2,8 @@
 
 package forward
 
+import "slices"
+
 // Echo is whose request ID an answer carries.
 type Echo uint8
 
@@ -18,11 +20,18 @@
 // String returns the echo as logged.
 func (e Echo) String() string { return [...]string{"none", "own", "other"}[e] }
 
-func echoOf(got, want string) Echo {
-	switch got {
-	case want:
+// echoOf returns whose ID an answer with the given IDs carries. An answer with several that differ belongs to no request.
+func echoOf(got []string, want string) Echo {
+	id := ""
+	if len(got) > 0 {
+		id = got[0]
+	}
+	switch {
+	case slices.ContainsFunc(got, func(other string) bool { return other != id }):
+		return EchoOther
+	case id == want:
 		return EchoOwn
-	case "":
+	case id == "":
 		return EchoNone
 	default:
 		return EchoOther
--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -138,3 +138,18 @@
 		}
 	}
 }
+
+// Guards against an answer with two IDs, of which either may be that of its request.
+func TestAnswerWithTwoIDsIsForeign(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nPlover-Request-Id: the-id\r\nPlover-Request-Id: other\r\nContent-Length: 1\r\n\r\nx"
+	c := forward.NewClient(contract.Plover(), endlessHold, 5*time.Second, netip.Addr{})
+	defer c.Close()
+	c.SetDial(pipe(reply(text)))
+	_, err := readAnswer(c, request(time.Now().Add(time.Minute)))
+	if err == nil {
+		t.Fatal("taken for an answer")
+	}
+	if fe := asError(t, err); fe.Kind() != forward.KindForeign || fe.Outcome() != attempt.OutcomeUnknown {
+		t.Errorf("kind %q, outcome %v", fe.Kind(), fe.Outcome())
+	}
+}
