internal/forward: do not use a connection again with bytes behind an answer

net/http looks for bytes behind an answer only once the connection is idle, when the next request may have it already; they were then read as its answer, and only an ID tells. The scan of answers knows them as they are read: nothing more is sent on the connection then, and the attempt goes to another one.

TestConnectionWithSurplusBytesIsNotUsedAgain: before, the next request was written.

--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -43,3 +43,8 @@
 	g.attach(c, traffic.Unknown, "")
 	return g, c.seal
 }
+
+// Reattach gives a connection of NewGuard to another attempt.
+func Reattach(conn net.Conn, deadline time.Time) {
+	conn.(*guard).attach(newClaim(context.Background(), nil, http.MethodGet, deadline, nil), traffic.Unknown, "")
+}
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -190,6 +190,13 @@
 	return c.answer.UntilClose()
 }
 
+// surplus reports whether bytes followed the end of the answer.
+func (c *claim) surplus() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer.Surplus()
+}
+
 // unread returns why the answer was not read to its end, or "".
 func (c *claim) unread() Kind {
 	c.mu.Lock()
@@ -219,7 +226,7 @@
 	// the last one.
 	carried atomic.Bool
 	// untrusted is set if a surplus answer could be taken for that to the current request: one before had the
-	// same ID, or got an answer that was not its own.
+	// same ID, got an answer that was not its own, or one with bytes behind it.
 	untrusted atomic.Bool
 }
 
@@ -267,6 +274,9 @@
 		if serr := c.scan(g.client.heads, b[:n]); serr != nil {
 			return 0, serr
 		}
+		if c.surplus() {
+			g.distrust()
+		}
 		if errors.Is(err, io.EOF) && c.untilClose() && !g.writes.CleanEnd(g.Conn) {
 			err = response.ErrReset
 		}
--- a/internal/forward/guard_test.go
+++ b/internal/forward/guard_test.go
@@ -118,3 +118,24 @@
 		})
 	}
 }
+
+// Guards against bytes behind a whole answer that are taken for the answer to the next request: net/http looks for them only
+// once the connection is idle, when the next request may have it.
+func TestConnectionWithSurplusBytesIsNotUsedAgain(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+	for _, surplus := range []string{"", answer} {
+		near, far := net.Pipe()
+		go func() { _, _ = io.WriteString(far, answer+surplus) }()
+		g, _ := forward.NewGuard(near, time.Now().Add(time.Minute), nil)
+		if _, err := g.Read(make([]byte, 1<<10)); err != nil {
+			t.Fatal(err)
+		}
+		forward.Reattach(g, time.Now().Add(time.Minute))
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		_, err := io.WriteString(g, "GET / HTTP/1.1\r\n\r\n")
+		if (err != nil) != (surplus != "") {
+			t.Errorf("%d surplus bytes: %v", len(surplus), err)
+		}
+		_ = far.Close()
+	}
+}
