cmd/ploverd, internal/node: log the signals that end a process, and what their end cuts

After a request was lost around a stop the logs did not tell which signal had ended the process, nor whether requests were in flight: a second signal, which stops at once, left no line. Each signal has a line now, and so has the end of all service, with the requests that it cuts.

--- a/cmd/ploverd/main.go
+++ b/cmd/ploverd/main.go
@@ -9,9 +9,7 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -43,7 +41,7 @@
 	var args arguments
 	kong.Parse(&args,
 		kong.Name("ploverd"),
-		kong.Description("The daemon of ploverjunction. SIGTERM or SIGINT begins a planned stop; a second one stops at once."),
+		kong.Description("The daemon of ploverjunction. SIGTERM or SIGINT begins a planned stop, SIGQUIT stops at once."),
 		kong.Vars{"version": version.String()},
 	)
 	os.Exit(run(args))
@@ -70,6 +68,7 @@
 	if m := set.Memory(); m > 0 {
 		debug.SetMemoryLimit(m * heapParts / heapShares)
 	}
+	stops, hangups := notifyStops(), notifyHangups()
 	n, err := node.New(set, log, adapter(set))
 	if err != nil {
 		logging.Part(log, "node").WithError(err).Error("not started")
@@ -78,10 +77,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := task.Go(ctx, "signals", func(ctx context.Context) error {
-		return handleSignals(ctx, n.Drain, cancel)
+		return handleStops(ctx, stops, logging.Part(log, "node"), n.Drain, cancel)
 	})
 	reload := task.Go(ctx, "reload", func(ctx context.Context) error {
-		return watchSettings(ctx, args.Settings, n.Reload)
+		return watchSettings(ctx, hangups, args.Settings, n.Reload)
 	})
 	err = n.Run(ctx)
 	if serr := errors.Join(signals.Stop(), reload.Stop()); err == nil {
@@ -102,19 +101,3 @@
 	}
 	return platform.New(set.Platform())
 }
-
-// handleSignals starts a planned stop on the first signal and stops at once on the second.
-func handleSignals(ctx context.Context, drain, stop func()) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	for _, act := range []func(){drain, stop} {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-signals:
-			act()
-		}
-	}
-	return nil
-}
--- a/cmd/ploverd/reload.go
+++ b/cmd/ploverd/reload.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/settings"
@@ -18,10 +16,7 @@
 
 // watchSettings loads the settings after SIGHUP and when the file has changed and passes
 // the result or error to reload, until the context ends.
-func watchSettings(ctx context.Context, file string, reload func(*settings.Settings, error)) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, hangups <-chan os.Signal, file string, reload func(*settings.Settings, error)) error {
 	tick := time.NewTicker(settingsInterval)
 	defer tick.Stop()
 	last := stateOf(file)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -145,6 +145,9 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// PeerRequests returns the number of requests of peers in flight.
+func (s *Server) PeerRequests() int64 { return s.peerRequests.Load() }
+
 // CloseConnections makes each answer close its connection, so that callers and the load balancer open their
 // next connection to another node.
 func (s *Server) CloseConnections() { s.closing.Store(true) }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -69,6 +69,16 @@
 	n.entry.EndUnanswered()
 }
 
+// logEnd logs the end of all service, and how many requests it cuts.
+func (n *Node) logEnd() {
+	l := logging.Part(n.log, "node").WithField("in_flight", n.entry.InFlight()).WithField("peer_requests", n.entry.PeerRequests())
+	if n.entry.InFlight() > 0 {
+		l.Warn("stopping with requests in flight")
+		return
+	}
+	l.Info("stopping")
+}
+
 // handOverRoles begins to send the state of this node's dispatcher roles to its successors.
 func (n *Node) handOverRoles(ctx context.Context) *task.Group {
 	var handovers task.Group
