internal/logging: write the last lines of a process

The lines that wait when a process ends had 200 ms to be written: with a reader that takes 5 ms a line, 40 of 100 were. The lines of requests that ended with a planned stop were missing without a trace. Close now waits for as long as lines are written, at most a second; without a reader it still gives up after 200 ms.

TestCloseWritesTheLastLines: before, 40 of 100 lines; now all.

--- a/internal/logging/buffer.go
+++ b/internal/logging/buffer.go
@@ -22,8 +22,9 @@
 	// dropped, so that there is room for warnings and errors.
 	infoLines = bufferLines / 2
 	infoBytes = bufferBytes / 2
-	// closeTimeout is how long Close waits for the underlying writer.
+	// closeTimeout is how long Close waits for the underlying writer to write the next line, maxClose for all of them.
 	closeTimeout = 200 * time.Millisecond
+	maxClose     = time.Second
 )
 
 // infoMarks are the texts, in either format, of lines that are dropped first.
@@ -43,6 +44,8 @@
 	stop    chan struct{}
 	done    chan error
 	dropped atomic.Int64
+	// written counts the lines that were written.
+	written atomic.Int64
 }
 
 // NewBuffer returns a buffer that writes to w until Close.
@@ -122,16 +125,29 @@
 	if _, err := w.Write(line); err != nil {
 		return fmt.Errorf("logging: write: %w", err)
 	}
+	b.written.Add(1)
 	return nil
 }
 
-// Close writes the waiting lines within closeTimeout and stops the buffer.
+// Close writes the waiting lines and stops the buffer. It gives up after closeTimeout without a line, or maxClose.
 func (b *Buffer) Close() {
 	close(b.stop)
-	t := time.NewTimer(closeTimeout)
-	defer t.Stop()
-	select {
-	case <-b.done:
-	case <-t.C:
+	end := time.NewTimer(maxClose)
+	defer end.Stop()
+	for {
+		written := b.written.Load()
+		step := time.NewTimer(closeTimeout)
+		select {
+		case <-b.done:
+			step.Stop()
+			return
+		case <-end.C:
+			step.Stop()
+			return
+		case <-step.C:
+			if b.written.Load() == written {
+				return
+			}
+		}
 	}
 }
--- a/internal/logging/buffer_test.go
+++ b/internal/logging/buffer_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/logging"
 )
@@ -91,3 +92,29 @@
 		}
 	})
 }
+
+// slowWriter takes a while for each line.
+type slowWriter struct{ lines int }
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(5 * time.Millisecond)
+	w.lines++
+	return len(p), nil
+}
+
+// Guards against the last lines of a process that are lost because its log is read slowly.
+func TestCloseWritesTheLastLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lines = 100
+		w := &slowWriter{}
+		b := logging.NewBuffer(w)
+		log := logging.New(b, "info", "json")
+		for range lines {
+			log.Warn("request failed")
+		}
+		b.Close()
+		if w.lines != lines {
+			t.Errorf("%d of %d lines were written", w.lines, lines)
+		}
+	})
+}
