internal/inbound, internal/entry: a connection whose answer is on its way is not idle

When the connection of a caller is closed after its answer, what the caller still sends is read for up to half a second first: with unread bytes the kernel resets the connection, and the caller loses what has not arrived. The connection was reported as idle for that time, so that a planned stop, which closes idle connections every few milliseconds, or the idle timeout closed it under that read.

Such a connection has a state of its own, which neither closes. For the number of connections it is closed after all idle ones.

TestLingeringConnectionsAreNotIdle.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -43,7 +43,7 @@
 	if tcp == nil || !answered || c.ended.Swap(true) {
 		return c.HTTPConn.Close()
 	}
-	c.Wait()
+	c.Linger()
 	// An error means that the connection has ended already.
 	_ = tcp.CloseWrite()
 	c.track(task.Go(context.Background(), "close of a caller's connection", func(context.Context) error {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -18,6 +18,9 @@
 	receiving state = iota
 	// idle means that the last request was answered.
 	idle
+	// lingering means that the last request was answered and the connection is being closed, once the client has the
+	// answer.
+	lingering
 	// serving means that a whole request is being answered.
 	serving
 )
@@ -106,14 +109,20 @@
 }
 
 // Wait reports that the last request was answered, and releases its memory unless the listener keeps it.
-func (c *Conn) Wait() {
+func (c *Conn) Wait() { c.finish(idle) }
+
+// Linger reports the same of a connection that its owner closes once the client has had time to receive the answer. Until then it
+// is not idle.
+func (c *Conn) Linger() { c.finish(lingering) }
+
+func (c *Conn) finish(to state) {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.closed {
 		return
 	}
-	l.move(c, idle, time.Now())
+	l.move(c, to, time.Now())
 	c.begun, c.body = time.Time{}, false
 	if !l.cfg.KeepMemory {
 		l.release(c)
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -4,7 +4,7 @@
 // memory of what they send.
 //
 // Where a bound on connections or memory is reached, connections that have not sent a whole request are closed before
-// idle ones, those that have been in that state for longest first. A connection whose request is being served is never
+// idle ones, and these before those whose last answer is on its way, those that have been in that state for longest first. A connection whose request is being served is never
 // closed for a limit.
 package inbound
 
@@ -116,7 +116,7 @@
 
 // oldest returns the connection to close for another one, or nil.
 func (l *Listener) oldest() *Conn {
-	for _, s := range []state{receiving, idle} {
+	for _, s := range []state{receiving, idle, lingering} {
 		if e := l.byState[s].Front(); e != nil {
 			return e.Value.(*Conn)
 		}
--- a/internal/inbound/listener_test.go
+++ b/internal/inbound/listener_test.go
@@ -269,3 +269,34 @@
 		}
 	})
 }
+
+// Guards against a planned stop, or a limit of idle connections, that closes a connection while its answer is on the way:
+// with bytes that were not read the kernel resets it, and the client loses what has not arrived.
+func TestLingeringConnectionsAreNotIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDoor(t, inbound.Config{
+			Connections: 2,
+			IdleTimeout: func() time.Duration { return time.Second },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = d.Run(ctx) }()
+		lingering, idle := d.accept(t), d.accept(t)
+		for _, c := range []*inbound.Conn{lingering, idle} {
+			c.Serve()
+		}
+		lingering.Linger()
+		idle.Wait()
+		d.CloseIdle(time.Now(), time.Minute)
+		time.Sleep(2 * time.Second)
+		if d.Open() != 1 || lingering.Receive() == idle.Receive() {
+			t.Fatalf("%d connections open, want the lingering one", d.Open())
+		}
+		lingering.Linger()
+		d.accept(t).Serve()
+		d.accept(t)
+		if got := d.closed(); !slices.Equal(got, []inbound.Reason{inbound.ReasonConnections}) || lingering.Receive() {
+			t.Errorf("closed for %v, want the lingering connection for the number of connections", got)
+		}
+	})
+}
