internal/forward: bytes that no request asked for are not read

Bytes that arrive on a connection before its first request, or after a whole answer, went to net/http, which takes them for the answer to the next request if that was written before it looks; they had not been scanned as one.

TestBytesAfterAnAnswerAreNotRead: before, a second answer was read.

--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -190,6 +190,13 @@
 	return c.answer.UntilClose()
 }
 
+// whole reports whether the end of the answer was read.
+func (c *claim) whole() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer.Whole()
+}
+
 // surplus reports whether bytes followed the end of the answer.
 func (c *claim) surplus() bool {
 	c.mu.Lock()
@@ -266,11 +273,17 @@
 // idle reports whether no attempt uses the connection.
 func (g *guard) idle() bool { return g.state.idleAfter.Load() == g.claim.Load() }
 
-// Read reads from the connection.
+// Read reads from the connection. Bytes that no request asked for are an error.
 func (g *guard) Read(b []byte) (int, error) {
 	n, err := g.Conn.Read(b)
 	g.client.count(traffic.TargetResponses, traffic.Scope(g.scope.Load()), n)
-	if c := g.claim.Load(); c != nil {
+	c := g.claim.Load()
+	if n > 0 && (c == nil || c.whole()) {
+		// net/http could take it for the answer to the next request.
+		g.distrust()
+		return 0, response.ErrSurplus
+	}
+	if c != nil {
 		if serr := c.scan(g.client.heads, b[:n]); serr != nil {
 			return 0, serr
 		}
--- a/internal/forward/guard_test.go
+++ b/internal/forward/guard_test.go
@@ -139,3 +139,23 @@
 		_ = far.Close()
 	}
 }
+
+// Guards against bytes after a whole answer that net/http takes for the answer to the next request, which was written before they
+// were read.
+func TestBytesAfterAnAnswerAreNotRead(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+	near, far := net.Pipe()
+	go func() {
+		_, _ = io.WriteString(far, answer)
+		_, _ = io.WriteString(far, answer)
+	}()
+	g, _ := forward.NewGuard(near, time.Now().Add(time.Minute), nil)
+	buf := make([]byte, 1<<10)
+	if n, err := g.Read(buf); err != nil || string(buf[:n]) != answer {
+		t.Fatalf("%q, %v", buf[:n], err)
+	}
+	if n, err := g.Read(buf); err == nil {
+		t.Errorf("read %q", buf[:n])
+	}
+	_ = far.Close()
+}
