cmd/ploverd: a closed log does not end the process

What callers saw: when the reader of the log ends, before a stop or during it, the next line that the node writes ends the process, and all requests in flight lose their connections at that moment, though their targets ran them. No line tells of it.

Cause: the runtime ends a process with SIGPIPE on a write to standard output whose reader has ended. The buffer of the log already takes a failed write as no reason to fail.

Change: SIGPIPE is ignored, so that the write fails.

--- a/cmd/ploverd/main.go
+++ b/cmd/ploverd/main.go
@@ -59,6 +59,7 @@
 		}
 		return 0
 	}
+	ignoreClosedLog()
 	out := logging.NewBuffer(os.Stdout)
 	defer out.Close()
 	log := logging.New(out, set.LogLevel(), set.LogFormat())
--- a/cmd/ploverd/signals.go
+++ b/cmd/ploverd/signals.go
@@ -32,6 +32,10 @@
 	return c
 }
 
+// ignoreClosedLog has writes to a log that nobody reads fail. By default the runtime ends the process with SIGPIPE on a
+// write to standard output or standard error whose reader has ended, with the requests in flight.
+func ignoreClosedLog() { signal.Ignore(syscall.SIGPIPE) }
+
 // handleStops begins a planned stop on SIGTERM and SIGINT, which may be repeated, and stops at once on SIGQUIT, until the
 // context ends.
 func handleStops(ctx context.Context, stops <-chan os.Signal, log *logrus.Entry, drain, stop func()) error {
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -60,10 +60,12 @@
 	entry        string
 	operatorAddr string
 	peers        string
-	exited       chan struct{}
-	exitErr      error
-	mu           sync.Mutex
-	log          []string
+	// out is the read end of the pipe for the log.
+	out     io.ReadCloser
+	exited  chan struct{}
+	exitErr error
+	mu      sync.Mutex
+	log     []string
 }
 
 // addressLine is the log line in which ploverd reports its addresses.
@@ -95,6 +97,7 @@
 		return nil, fmt.Errorf("process: %w", err)
 	}
 	addresses := make(chan addressLine, 1)
+	p.out = out
 	go p.read(out, addresses)
 	select {
 	case line := <-addresses:
@@ -157,6 +160,9 @@
 	return strings.Join(p.log, "\n")
 }
 
+// CloseLog closes the reader of the log, as a log collector that ends does.
+func (p *Process) CloseLog() { _ = p.out.Close() }
+
 // Signal sends a signal; it has no effect on a process that has exited.
 func (p *Process) Signal(s syscall.Signal) {
 	_ = p.cmd.Process.Signal(s)
