internal/node: a failed controller or server begins a planned stop

When any task of a node failed or panicked, the node ended at once: all requests in flight lost their connections, and their targets ran them.

Such a failure begins a planned stop: readiness fails, the requests in flight get their answers, and the process ends with the error. The end of the context still stops at once. A task that fails during a stop did not and does not shorten it.

TestFailedControllerCutsNoRequest, with a source that fails or panics: before, the request in flight ended with EOF and the port was closed; now both requests are served, in ten plays. TestEndOfContextEndsAPlannedStopAfterAFailure shows no fault.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -14,7 +14,7 @@
 )
 
 // Run serves until a planned stop has finished or the context ends. The end of the context stops at
-// once; Drain stops after all requests in flight.
+// once; Drain, or the failure of a controller or server, stops after all requests in flight.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -97,16 +97,21 @@
 	}
 }
 
-// wait returns after the end of the context, a failed task or a planned stop.
+// wait returns after the end of the context or a planned stop, which a failed task begins too: the others still serve the
+// requests in flight. Tasks that fail during the stop do not shorten it.
 func (n *Node) wait(ctx context.Context, failed <-chan error) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case err := <-failed:
+		if ctx.Err() != nil {
+			return err
+		}
 		if err == nil {
 			err = &StoppedError{}
 		}
-		return err
+		logging.Part(n.log, "node").WithError(err).Error("planned stop after a failure")
+		return errors.Join(err, n.stop(ctx))
 	case <-n.drain:
 		return n.stop(ctx)
 	}
