internal/node: report failures during a planned stop

The error of a controller or server that failed during a planned stop was dropped: the process ended with exit code 0 and without a line of it. It does not shorten the stop, and is now part of what the process ends with.

TestFailedControllerCutsNoRequest, two cases more: before, the node ended without an error.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -27,7 +27,7 @@
 			return nil
 		}))
 	}
-	err := n.wait(ctx, failed)
+	err := errors.Join(n.wait(ctx, failed), failures(failed))
 	n.logEnd()
 	cancel()
 	err = errors.Join(err, n.entry.Close(), n.operator.Close())
@@ -117,6 +117,19 @@
 	}
 }
 
+// failures returns the errors of the tasks that have failed meanwhile. A task without an error has ended with the stop.
+func failures(failed <-chan error) error {
+	var err error
+	for {
+		select {
+		case e := <-failed:
+			err = errors.Join(err, e)
+		default:
+			return err
+		}
+	}
+}
+
 // StoppedError is the error of a controller or server that returned while the node was running.
 type StoppedError struct{}
 
--- a/internal/node/run_test.go
+++ b/internal/node/run_test.go
@@ -125,12 +125,15 @@
 	return err
 }
 
-// Guards against a controller or server whose failure cuts the requests in flight.
+// Guards against a controller or server whose failure cuts the requests in flight, before a planned stop or during it,
+// and against a failure that a stop hides.
 func TestFailedControllerCutsNoRequest(t *testing.T) {
 	tests := []struct {
 		name string
 		// end is the error of the source, nil for a panic.
 		end error
+		// drain is set if a planned stop begins before the failure.
+		drain bool
 	}{
 		{
 			name: "error",
@@ -139,6 +142,15 @@
 		{
 			name: "panic",
 		},
+		{
+			name:  "error during a planned stop",
+			end:   errSourceFailed,
+			drain: true,
+		},
+		{
+			name:  "panic during a planned stop",
+			drain: true,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -146,6 +158,10 @@
 			n := startNode(t)
 			inFlight := task.Go(t.Context(), "request", func(context.Context) error { return n.post("/quotes/1?work=600ms") })
 			n.await(t, "the request at its target", func() bool { return n.target.Requests() == 1 })
+			if tt.drain {
+				n.Drain()
+				n.await(t, "not ready", func() bool { return !n.Ready() })
+			}
 			n.end <- tt.end
 			n.await(t, "not ready", func() bool { return !n.Ready() })
 			if err := n.post("/quotes/2"); err != nil {
