internal/entry, internal/node: a planned stop waits for the end of answers to peers

A planned stop waits until the requests that the node carries for peers have ended. A request counted as ended before the message that ends its answer was sent: on a full link the process ended first, and the peer, which takes an answer without that message for one that broke off, delivered none or a part. Found by reading; plays with real processes have not shown it.

The whole exchange counts now.

TestPlannedStopWaitsForTheEndOfAnswersToPeers, whose link takes 600 ms for that message: before, the node ended meanwhile.

--- a/internal/entry/peerrequest.go
+++ b/internal/entry/peerrequest.go
@@ -37,11 +37,16 @@
 	return h
 }
 
-// ServePeer makes the attempts for a request of a peer. The peer has charged it to the limit of its
+// BeginPeer counts an exchange with a peer until end is called. A planned stop waits for its end: the last part of the
+// answer is sent after ServePeer has returned.
+func (s *Server) BeginPeer() (end func()) {
+	s.peerRequests.Add(1)
+	return func() { s.peerRequests.Add(-1) }
+}
+
+// ServePeer makes the attempts for a request of a peer, within BeginPeer. The peer has charged it to the limit of its
 // workspace and records how it ended.
 func (s *Server) ServePeer(w PeerWriter, r *http.Request, h *PeerHead) error {
-	s.peerRequests.Add(1)
-	defer s.peerRequests.Add(-1)
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	r = r.WithContext(context.WithValue(r.Context(), peerHeadKey{}, h))
--- a/internal/node/peerserve.go
+++ b/internal/node/peerserve.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		return err
 	}
+	defer n.entry.BeginPeer()()
 	n.metrics.Count("requests_of_peers", 1)
 	now := time.Now()
 	h := in.GetHead()
