--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -14,7 +14,7 @@
 )
 
 // Run serves until a planned stop has finished or the context ends. The end of the context stops at
-// once; Drain stops after all requests in flight.
+// once; Drain, or the failure of a controller or server, stops after all requests in flight.
 func (n *Node) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -27,7 +27,7 @@
 			return nil
 		}))
 	}
-	err := n.wait(ctx, failed)
+	err := errors.Join(n.wait(ctx, failed), failures(failed))
 	n.logEnd()
 	cancel()
 	err = errors.Join(err, n.entry.Close(), n.operator.Close())
@@ -97,21 +97,39 @@
 	}
 }
 
-// wait returns after the end of the context, a failed task or a planned stop.
+// wait returns after the end of the context or a planned stop, which a failed task begins too: the others still serve the
+// requests in flight. Tasks that fail during the stop do not shorten it.
 func (n *Node) wait(ctx context.Context, failed <-chan error) error {
 	select {
 	case <-ctx.Done():
 		return nil
 	case err := <-failed:
+		if ctx.Err() != nil {
+			return err
+		}
 		if err == nil {
 			err = &StoppedError{}
 		}
-		return err
+		logging.Part(n.log, "node").WithError(err).Error("planned stop after a failure")
+		return errors.Join(err, n.stop(ctx))
 	case <-n.drain:
 		return n.stop(ctx)
 	}
 }
 
+// failures returns the errors of the tasks that have failed meanwhile. A task without an error has ended with the stop.
+func failures(failed <-chan error) error {
+	var err error
+	for {
+		select {
+		case e := <-failed:
+			err = errors.Join(err, e)
+		default:
+			return err
+		}
+	}
+}
+
 // StoppedError is the error of a controller or server that returned while the node was running.
 type StoppedError struct{}
 
