internal/response: a scanned connection fails for good after a malformed answer

The reader of net/http drops an error of the connection in the middle of a line and reads on. The scan went on behind the wrong byte then, so that a malformed answer that arrived in three parts passed: a NUL in a value or in the reason, with the head or the body that followed as the target's. This concerned health checks and path checks; attempts keep the failure with the request.

The connection now keeps its first error, and neither reads nor writes after it. So it does for bytes behind an answer: a write after them was passed on if they had been read apart from the answer.

TestConnFailsForGoodAfterAMalformedAnswer: before, three of three were answers with status 200. TestConnRejectsBytesOfNoRequest: before, the next request was written. The other tests are the first ones of response.Dial, and passed before: exchanges on a connection that is used again, requests written in parts, an answer before the end of its request, heads and bodies that stop, a reset that a write got, calls that are cancelled beside others.

--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -50,6 +50,9 @@
 	writes Writes
 	mu     sync.Mutex
 	scan   Scan
+	// failed is the error after which nothing may be read or written, or nil. The reader of net/http drops an error in the
+	// middle of a line, and reads on.
+	failed error
 }
 
 // Write writes a part of a request. The first one after an answer begins a new exchange; it fails if more than
@@ -64,8 +67,12 @@
 func (c *Conn) begin() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.failed != nil {
+		return c.failed
+	}
 	if c.scan.Surplus() {
-		return ErrSurplus
+		c.failed = ErrSurplus
+		return c.failed
 	}
 	if c.scan.Whole() {
 		c.scan = Scan{}
@@ -75,20 +82,43 @@
 
 // Read reads from the other end.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.failure(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && c.scan.Whole() {
-		return 0, ErrSurplus
-	}
-	if serr := c.scan.Add(p[:n]); serr != nil {
-		return 0, serr
+	if c.failed == nil {
+		c.failed = c.check(p[:n])
 	}
-	if c.bounds.Memory > 0 && c.scan.Cost() > c.bounds.Memory || c.scan.Interims() > c.bounds.Interims {
-		return 0, ErrTooLarge
+	if c.failed != nil {
+		return 0, c.failed
 	}
 	if errors.Is(err, io.EOF) && c.scan.UntilClose() && !c.writes.CleanEnd(c.Conn) {
 		err = ErrReset
 	}
 	return n, err
 }
+
+func (c *Conn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
+// check scans what was read. c.mu is held.
+func (c *Conn) check(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if c.scan.Whole() {
+		return ErrSurplus
+	}
+	if err := c.scan.Add(p); err != nil {
+		return err
+	}
+	if c.bounds.Memory > 0 && c.scan.Cost() > c.bounds.Memory || c.scan.Interims() > c.bounds.Interims {
+		return ErrTooLarge
+	}
+	return nil
+}
