internal/response: what is sent before a request is not its answer

A connection took bytes that were read before any part of a request was written for the answer to the first request; net/http closes such a connection unless the request is assigned to it at that moment.

TestConnRejectsBytesOfNoRequest without a request: before, the bytes were read, and the request was written.

--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -10,8 +10,9 @@
 	"sync"
 )
 
-// ErrSurplus is the error of a connection on which more was read than the answer to the last request.
-var ErrSurplus = errors.New("response: bytes after the end of an answer")
+// ErrSurplus is the error of a connection on which more was read than the answer to the last request, or anything before the
+// first one.
+var ErrSurplus = errors.New("response: bytes that belong to no answer")
 
 // ErrTooLarge is the error of an answer with a head beyond the bounds, or with too many interim responses.
 var ErrTooLarge = errors.New("response: the head of an answer is too large")
@@ -50,6 +51,8 @@
 	writes Writes
 	mu     sync.Mutex
 	scan   Scan
+	// requested is set once a part of a request was written.
+	requested bool
 	// failed is the error after which nothing may be read or written, or nil. The reader of net/http drops an error in the
 	// middle of a line, and reads on.
 	failed error
@@ -77,6 +80,7 @@
 	if c.scan.Whole() {
 		c.scan = Scan{}
 	}
+	c.requested = true
 	return nil
 }
 
@@ -111,7 +115,7 @@
 	if len(p) == 0 {
 		return nil
 	}
-	if c.scan.Whole() {
+	if !c.requested || c.scan.Whole() {
 		return ErrSurplus
 	}
 	if err := c.scan.Add(p); err != nil {
--- a/internal/response/conn_test.go
+++ b/internal/response/conn_test.go
@@ -281,11 +281,11 @@
 	}
 }
 
-// Guards against bytes behind the answer to a request that are taken for the answer to the
+// Guards against bytes that were sent before a request, or behind the answer to one, and that are taken for the answer to the
 // next.
 func TestConnRejectsBytesOfNoRequest(t *testing.T) {
 	const answer = length + "\r\nabc"
-	for _, requests := range []int{1} {
+	for _, requests := range []int{0, 1} {
 		addr := listen(t, func(_ int64, c *net.TCPConn) {
 			from := bufio.NewReader(c)
 			for range requests {
