platform: reject malformed answers of the store

Answers of the store were parsed by net/http alone: a head with a blank in the name of a field was taken for a page or for changes, with the era missing or the values of another framing; a malformed 410 made the reader read everything again; and the era in such a head counted, after which no answer of a lower era does.

Calls now use connections that scan their answers, beneath TLS for https.

--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 )
 
@@ -44,6 +46,22 @@
 	}
 }
 
+// NewTransport returns a transport whose connections scan the answers that they carry, in TLS beneath which they are HTTP/1.1. It
+// is for requests as Dial is.
+func NewTransport(b Bounds) *http.Transport {
+	dialer := &net.Dialer{}
+	overTLS := &tls.Dialer{
+		NetDialer: dialer,
+		Config: &tls.Config{
+			NextProtos: []string{"http/1.1"},
+		},
+	}
+	return &http.Transport{
+		DialContext:    Dial(dialer.DialContext, b),
+		DialTLSContext: Dial(overTLS.DialContext, b),
+	}
+}
+
 // Conn is a connection that scans the answers that it carries.
 type Conn struct {
 	net.Conn
