--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -4,14 +4,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 )
 
-// ErrSurplus is the error of a connection on which more was read than the answer to the last request.
-var ErrSurplus = errors.New("response: bytes after the end of an answer")
+// ErrSurplus is the error of a connection on which more was read than the answer to the last request, or anything before the
+// first one.
+var ErrSurplus = errors.New("response: bytes that belong to no answer")
 
 // ErrTooLarge is the error of an answer with a head beyond the bounds, or with too many interim responses.
 var ErrTooLarge = errors.New("response: the head of an answer is too large")
@@ -43,6 +46,22 @@
 	}
 }
 
+// NewTransport returns a transport whose connections scan the answers that they carry, in TLS beneath which they are HTTP/1.1. It
+// is for requests as Dial is.
+func NewTransport(b Bounds) *http.Transport {
+	dialer := &net.Dialer{}
+	overTLS := &tls.Dialer{
+		NetDialer: dialer,
+		Config: &tls.Config{
+			NextProtos: []string{"http/1.1"},
+		},
+	}
+	return &http.Transport{
+		DialContext:    Dial(dialer.DialContext, b),
+		DialTLSContext: Dial(overTLS.DialContext, b),
+	}
+}
+
 // Conn is a connection that scans the answers that it carries.
 type Conn struct {
 	net.Conn
@@ -50,6 +69,11 @@
 	writes Writes
 	mu     sync.Mutex
 	scan   Scan
+	// requested is set once a part of a request was written.
+	requested bool
+	// failed is the error after which nothing may be read or written, or nil. The reader of net/http drops an error in the
+	// middle of a line, and reads on.
+	failed error
 }
 
 // Write writes a part of a request. The first one after an answer begins a new exchange; it fails if more than
@@ -64,31 +88,59 @@
 func (c *Conn) begin() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.failed != nil {
+		return c.failed
+	}
 	if c.scan.Surplus() {
-		return ErrSurplus
+		c.failed = ErrSurplus
+		return c.failed
 	}
 	if c.scan.Whole() {
 		c.scan = Scan{}
 	}
+	c.requested = true
 	return nil
 }
 
 // Read reads from the other end.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.failure(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && c.scan.Whole() {
-		return 0, ErrSurplus
-	}
-	if serr := c.scan.Add(p[:n]); serr != nil {
-		return 0, serr
+	if c.failed == nil {
+		c.failed = c.check(p[:n])
 	}
-	if c.bounds.Memory > 0 && c.scan.Cost() > c.bounds.Memory || c.scan.Interims() > c.bounds.Interims {
-		return 0, ErrTooLarge
+	if c.failed != nil {
+		return 0, c.failed
 	}
 	if errors.Is(err, io.EOF) && c.scan.UntilClose() && !c.writes.CleanEnd(c.Conn) {
 		err = ErrReset
 	}
 	return n, err
 }
+
+func (c *Conn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
+// check scans what was read. c.mu is held.
+func (c *Conn) check(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	if !c.requested || c.scan.Whole() {
+		return ErrSurplus
+	}
+	if err := c.scan.Add(p); err != nil {
+		return err
+	}
+	if c.bounds.Memory > 0 && c.scan.Cost() > c.bounds.Memory || c.scan.Interims() > c.bounds.Interims {
+		return ErrTooLarge
+	}
+	return nil
+}
