internal/forward: the scan of an answer belongs to its connection

Found by review. (1) The scan belonged to the attempt, which net/http may move to another connection before anything was written: late bytes of the first one were scanned as a part of the answer on the second, so that a valid answer failed as malformed, or a malformed one passed. (2) Bytes that were read after an attempt had got its connection and before anything of its request was written were taken for its answer, where the target echoes no IDs.

An exchange is now the use of one connection by one attempt: its scan starts with it, and what is read before a part of its request was written is an error, as are bytes behind the answer. Only the exchange on the last connection decides why an attempt failed.

The two tests of surplus bytes write a request first now, as what comes before one is an error of its own; one of them looks at the kind of the failure.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -209,7 +209,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	watch := newWatchdog(time.Until(r.Deadline), cancel)
-	cl := newClaim(ctx, r.upload(), r.Method, r.Deadline, r.Unavailable)
+	cl := newClaim(ctx, r.upload(), r.Deadline, r.Unavailable)
 	end := func() {
 		cancel()
 		cl.release(c.heads)
@@ -277,7 +277,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if g, ok := info.Conn.(*guard); ok {
-				g.attach(cl, r.Scope, r.ID)
+				g.attach(cl, r.Scope, r.Method, r.ID)
 				used.Store(g)
 			}
 		},
--- a/internal/forward/export_test.go
+++ b/internal/forward/export_test.go
@@ -39,12 +39,12 @@
 			end: &connEnd{},
 		},
 	}
-	c := newClaim(context.Background(), nil, http.MethodGet, deadline, unavailable)
-	g.attach(c, traffic.Unknown, "")
+	c := newClaim(context.Background(), nil, deadline, unavailable)
+	g.attach(c, traffic.Unknown, http.MethodGet, "")
 	return g, c.seal
 }
 
 // Reattach gives a connection of NewGuard to another attempt.
 func Reattach(conn net.Conn, deadline time.Time) {
-	conn.(*guard).attach(newClaim(context.Background(), nil, http.MethodGet, deadline, nil), traffic.Unknown, "")
+	conn.(*guard).attach(newClaim(context.Background(), nil, deadline, nil), traffic.Unknown, http.MethodGet, "")
 }
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -7,215 +7,22 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"ploverjunction.example/ploverjunction/internal/header"
-	"ploverjunction.example/ploverjunction/internal/memory"
 	"ploverjunction.example/ploverjunction/internal/response"
 	"ploverjunction.example/ploverjunction/internal/traffic"
 )
 
-// claim is the right of one attempt to write to a target. It records whether any byte was passed
-// to the kernel, on which the outcome "not run" is based.
-type claim struct {
-	// life is the context of the attempt, which ends with the use of its answer.
-	life context.Context
-	// upload is the body that the attempt sends, or nil.
-	upload   *upload
-	mu       sync.Mutex
-	deadline time.Time
-	// unavailable reports whether the target is unavailable now; nil means never.
-	unavailable func(now time.Time) bool
-	connections int
-	written     bool
-	sealed      bool
-	// refused is why a write was refused before the first byte; "" if none was.
-	refused Kind
-	// answer scans the answer, held is the memory in bytes that is reserved for its heads. released is set once the
-	// attempt holds none. broken is why the answer must not be read to its end, or "".
-	answer   response.Scan
-	held     int64
-	released bool
-	broken   Kind
-}
-
-func newClaim(life context.Context, u *upload, method string, deadline time.Time, unavailable func(now time.Time) bool) *claim {
-	return &claim{
-		answer:      response.ForMethod(method),
-		life:        life,
-		upload:      u,
-		deadline:    deadline,
-		unavailable: unavailable,
-	}
-}
-
-// bind is called when the attempt gets a connection. net/http silently resends a request on
-// another connection when it deems that safe (it does for any request with an Idempotency-Key
-// header). Only this package may decide that, so a claim that has written anything is valid for
-// its first connection only.
-func (c *claim) bind() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.connections++
-	if c.connections > 1 && c.written {
-		c.sealed = true
-	}
-}
-
-// allowWrite is called immediately before bytes are passed to the kernel. The deadline is checked
-// there and not earlier, as the process may have been frozen since the target was chosen. So are
-// the target's signals: one may have arrived since, which the node that chose the target may not
-// have received.
-func (c *claim) allowWrite(now time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.sealed {
-		return &Error{
-			kind: KindEnded,
-		}
-	}
-	if !c.written && !now.Before(c.deadline) {
-		c.sealed = true
-		return c.refuse(KindExpired)
-	}
-	if !c.written && c.unavailable != nil && c.unavailable(now) {
-		c.sealed = true
-		return c.refuse(KindUnavailable)
-	}
-	c.written = true
-	return nil
-}
-
-// refuse records why a write is refused, and returns the error. net/http may report another one, of the
-// connection that it closes for it. c.mu is held.
-func (c *claim) refuse(k Kind) error {
-	c.refused = k
-	return &Error{
-		kind: k,
-	}
-}
-
-// distrust refuses the first write on a connection that is not to be used; another connection may be. A request that
-// was begun goes on: a part of it has been sent, so that it may run, and its answer must carry its ID.
-func (c *claim) distrust() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.written {
-		return nil
-	}
-	return c.refuse(KindUntrusted)
-}
-
-// seal ends the claim and reports whether any byte was written. No byte can be written after it,
-// so the report stays true.
-func (c *claim) seal() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.sealed = true
-	return c.written
-}
-
-// unwritten returns why the attempt was not written, or "" if it was or that is not known. It is called after seal.
-func (c *claim) unwritten() Kind {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.written {
-		return ""
-	}
-	return c.refused
-}
-
-// scan scans what was read of the answer and reserves memory for its heads. It returns an error if the answer must not be
-// read further.
-func (c *claim) scan(b *memory.Budget, p []byte) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	counted := !c.answer.Final() && !c.released
-	if err := c.answer.Add(p); err != nil {
-		c.broken = KindMalformed
-		return err
-	}
-	// Targets in order send a few interim responses.
-	if counted && c.answer.Interims() > maxInterims {
-		c.broken = KindEndless
-	}
-	if counted && c.broken == "" {
-		c.hold(b, c.answer.Cost())
-	}
-	if c.broken != "" {
-		return &Error{
-			kind: c.broken,
-		}
-	}
-	return nil
-}
-
-// hold raises the memory that is reserved to cost. It returns false if there is none. c.mu is held.
-func (c *claim) hold(b *memory.Budget, cost int64) bool {
-	switch {
-	case cost <= max(c.held, freeHead):
-	case b.Reserve(cost - c.held):
-		c.held = cost
-	default:
-		c.broken = KindMemory
-	}
-	return c.broken == ""
-}
-
-// holdHeader reserves memory for the header of an answer of a peer. It returns false if there is none.
-func (c *claim) holdHeader(b *memory.Budget, h http.Header) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.hold(b, header.Cost(h))
-}
-
-// release returns the memory of the answer's heads. No more is reserved after it.
-func (c *claim) release(b *memory.Budget) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.released = true
-	b.Release(c.held)
-	c.held = 0
-}
-
-// untilClose reports whether the body of the answer ends with its connection.
-func (c *claim) untilClose() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answer.UntilClose()
-}
-
-// whole reports whether the end of the answer was read.
-func (c *claim) whole() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answer.Whole()
-}
-
-// surplus reports whether bytes followed the end of the answer.
-func (c *claim) surplus() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answer.Surplus()
-}
-
-// unread returns why the answer was not read to its end, or "".
-func (c *claim) unread() Kind {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.broken
-}
-
 // guard is a connection to a target that writes only for a valid claim, and counts its bytes and
 // the cause of its end.
 type guard struct {
 	net.Conn
 	claim atomic.Pointer[claim]
+	// exchange is that of the claim on this connection, nil before the first one.
+	exchange atomic.Pointer[exchange]
 	// client counts the connection among those of key.
 	client *Client
 	key    poolKey
@@ -277,22 +84,23 @@
 func (g *guard) Read(b []byte) (int, error) {
 	n, err := g.Conn.Read(b)
 	g.client.count(traffic.TargetResponses, traffic.Scope(g.scope.Load()), n)
-	c := g.claim.Load()
-	if n > 0 && (c == nil || c.whole()) {
-		// net/http could take it for the answer to the next request.
-		g.distrust()
-		return 0, response.ErrSurplus
-	}
-	if c != nil {
-		if serr := c.scan(g.client.heads, b[:n]); serr != nil {
-			return 0, serr
-		}
-		if c.surplus() {
+	x := g.exchange.Load()
+	if x == nil {
+		if n > 0 {
 			g.distrust()
+			return 0, response.ErrSurplus
 		}
-		if errors.Is(err, io.EOF) && c.untilClose() && !g.writes.CleanEnd(g.Conn) {
-			err = response.ErrReset
-		}
+		return n, err
+	}
+	rerr := x.read(g.client.heads, b[:n])
+	if x.surplus() {
+		g.distrust()
+	}
+	if rerr != nil {
+		return 0, rerr
+	}
+	if errors.Is(err, io.EOF) && x.untilClose() && !g.writes.CleanEnd(g.Conn) {
+		err = response.ErrReset
 	}
 	if err != nil && !g.state.closed.Load() && g.idle() {
 		g.state.end.broken.Store(true)
@@ -316,6 +124,7 @@
 	if err := c.allowWrite(time.Now()); err != nil {
 		return 0, err
 	}
+	g.exchange.Load().begin()
 	n, err := g.writes.Write(g.Conn, b)
 	g.client.count(traffic.TargetRequests, traffic.Scope(g.scope.Load()), n)
 	if u := c.upload; u != nil {
@@ -354,7 +163,7 @@
 }
 
 // attach gives the connection to the attempt of a request.
-func (g *guard) attach(c *claim, scope traffic.Scope, id string) {
+func (g *guard) attach(c *claim, scope traffic.Scope, method, id string) {
 	hash := xxhash.Sum64String(id)
 	carried := id != "" && (g.lastID == hash || g.refusals.has(hash))
 	g.carried.Store(carried)
@@ -363,8 +172,10 @@
 	}
 	g.requests.Add(1)
 	g.lastID = hash
-	c.bind()
+	x := newExchange(c, method)
+	c.bind(x)
 	g.scope.Store(uint32(scope))
+	g.exchange.Store(x)
 	g.claim.Store(c)
 }
 
--- a/internal/forward/guard_test.go
+++ b/internal/forward/guard_test.go
@@ -3,8 +3,11 @@
 package forward_test
 
 import (
+	"bufio"
+	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,24 +122,34 @@
 	}
 }
 
+// asKind returns the kind of a failed attempt, or "".
+func asKind(err error) forward.Kind {
+	var fe *forward.Error
+	if !errors.As(err, &fe) {
+		return ""
+	}
+	return fe.Kind()
+}
+
 // Guards against bytes behind a whole answer that are taken for the answer to the next request: net/http looks for them only
 // once the connection is idle, when the next request may have it.
 func TestConnectionWithSurplusBytesIsNotUsedAgain(t *testing.T) {
 	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
 	for _, surplus := range []string{"", answer} {
 		near, far := net.Pipe()
-		go func() { _, _ = io.WriteString(far, answer+surplus) }()
+		go reply(answer + surplus)(far)
 		g, _ := forward.NewGuard(near, time.Now().Add(time.Minute), nil)
+		if _, err := io.WriteString(g, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
 		if _, err := g.Read(make([]byte, 1<<10)); err != nil {
 			t.Fatal(err)
 		}
 		forward.Reattach(g, time.Now().Add(time.Minute))
-		go func() { _, _ = io.Copy(io.Discard, far) }()
-		_, err := io.WriteString(g, "GET / HTTP/1.1\r\n\r\n")
-		if (err != nil) != (surplus != "") {
+		_, err := io.WriteString(g, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		if untrusted := asKind(err) == forward.KindUntrusted; untrusted != (surplus != "") {
 			t.Errorf("%d surplus bytes: %v", len(surplus), err)
 		}
-		_ = far.Close()
 	}
 }
 
@@ -146,10 +159,14 @@
 	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
 	near, far := net.Pipe()
 	go func() {
+		_, _ = http.ReadRequest(bufio.NewReader(far))
 		_, _ = io.WriteString(far, answer)
 		_, _ = io.WriteString(far, answer)
 	}()
 	g, _ := forward.NewGuard(near, time.Now().Add(time.Minute), nil)
+	if _, err := io.WriteString(g, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
 	buf := make([]byte, 1<<10)
 	if n, err := g.Read(buf); err != nil || string(buf[:n]) != answer {
 		t.Fatalf("%q, %v", buf[:n], err)
