internal/contract: an answer with several outcomes proves nothing

Found by review, in the class of answers with two readings: 503 with the outcomes not-run and done was a proof that the request had not run, as only the first value was read.

TestAnswerWithTwoOutcomesProvesNothing: before, outcome not-run with proof "refusal".

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"ploverjunction.example/ploverjunction/internal/attempt"
@@ -127,7 +128,9 @@
 
 func refused(status int, h http.Header) Refusal {
 	full := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-	notRun := h.Get(HeaderOutcome) == attempt.OutcomeNotRun.String()
+	// An answer that also names another outcome proves nothing.
+	outcomes := h.Values(HeaderOutcome)
+	notRun := len(outcomes) > 0 && !slices.ContainsFunc(outcomes, func(o string) bool { return o != attempt.OutcomeNotRun.String() })
 	switch {
 	case full && notRun:
 		return RefusalShed
--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -153,3 +153,17 @@
 		t.Errorf("kind %q, outcome %v", fe.Kind(), fe.Outcome())
 	}
 }
+// Guards against a proof of two readings: one that says that the request did not run, and one that says that it did.
+func TestAnswerWithTwoOutcomesProvesNothing(t *testing.T) {
+	const text = "HTTP/1.1 503 Busy\r\nPlover-Request-Id: the-id\r\nPlover-Outcome: not-run\r\nPlover-Outcome: done\r\nContent-Length: 0\r\n\r\n"
+	c := forward.NewClient(contract.Plover(), endlessHold, 5*time.Second, netip.Addr{})
+	defer c.Close()
+	c.SetDial(pipe(reply(text)))
+	_, err := readAnswer(c, request(time.Now().Add(time.Minute)))
+	if err == nil {
+		return
+	}
+	if fe := asError(t, err); fe.Outcome() == attempt.OutcomeNotRun || fe.Proof() != "" {
+		t.Errorf("kind %q, outcome %v, proof %q", fe.Kind(), fe.Outcome(), fe.Proof())
+	}
+}
