internal/entry, internal/node: a planned stop takes what usually ends in time for the first half of the grace time

(1) Requests that must not be repeated and whose deadline is longer than seven eighths of the grace time, as the default of 10s is, were refused from the signal on, while the load balancer still sent callers: 50 of 50 requests of 50 ms. (2) Requests that may be repeated were still cut within a drain wait of nearly the grace time: three of three sent 4.0 to 4.4 s after the signal.

Cause: the kind of the request and the drain wait do not tell how much time is left.

Change: for the drain wait, and at most half of the grace time, any request is taken by what is usual: it has three eighths of the grace time at least, and a refusal would hit all callers that the load balancer still sends. Later any request needs time until its deadline. What this gives up: a request that is sent in that time and takes longer than the rest is cut, as before.

--- a/cmd/ploverd/signals.go
+++ b/cmd/ploverd/signals.go
@@ -37,11 +37,12 @@
 func ignoreClosedLog() { signal.Ignore(syscall.SIGPIPE) }
 
 // handleStops begins a planned stop on SIGTERM and SIGINT, which may be repeated, and stops at once on SIGQUIT, until the
-// context ends.
+// context ends. After that SIGQUIT ends the process by its default action, should it not end by itself.
 func handleStops(ctx context.Context, stops <-chan os.Signal, log *logrus.Entry, drain, stop func()) error {
 	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
+			signal.Reset(syscall.SIGQUIT)
 			return nil
 		case s := <-stops:
 			l := log.WithField("signal", s.String()).WithField("signals", n)
--- a/internal/entry/stopping.go
+++ b/internal/entry/stopping.go
@@ -33,16 +33,16 @@
 
 // plannedStop holds the times of a planned stop.
 type plannedStop struct {
-	// drained is when the load balancer sends no more callers, unanswered when unanswered requests are ended.
-	drained    time.Time
+	// bounded is from when on a request must be answered by unanswered, when unanswered requests are ended, whatever is usual.
+	bounded    time.Time
 	unanswered time.Time
 }
 
-// ExpectEnd sets the time until which the load balancer may send callers, and the time at which EndUnanswered will be called.
-// From now on requests are refused that need longer than what is left until that time.
-func (s *Server) ExpectEnd(drained, unanswered time.Time) {
+// ExpectEnd sets the time at which EndUnanswered will be called. From now on requests are refused that usually need longer than what
+// is left until then, and from bounded on those that may need longer.
+func (s *Server) ExpectEnd(bounded, unanswered time.Time) {
 	s.stopping.Store(&plannedStop{
-		drained:    drained,
+		bounded:    bounded,
 		unanswered: unanswered,
 	})
 }
@@ -54,10 +54,8 @@
 		return nil
 	}
 	left := max(stop.unanswered.Sub(now), 0)
-	// A request whose target works when unanswered requests are ended is cut. One that must not be repeated is lost
-	// then, so that nothing less than a bound on its time counts. Once the load balancer sends no more callers, the
-	// few others can be refused too: another node serves them at once.
-	bound := !in.repeatable || now.After(stop.drained)
+	// A request whose target works when unanswered requests are ended is cut, and some take longer than usual.
+	bound := now.After(stop.bounded)
 	needed := s.usualTime(in, now)
 	if bound {
 		needed = s.longestTime(in, now)
--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -153,6 +153,7 @@
 		t.Errorf("kind %q, outcome %v", fe.Kind(), fe.Outcome())
 	}
 }
+
 // Guards against a proof of two readings: one that says that the request did not run, and one that says that it did.
 func TestAnswerWithTwoOutcomesProvesNothing(t *testing.T) {
 	const text = "HTTP/1.1 503 Busy\r\nPlover-Request-Id: the-id\r\nPlover-Outcome: not-run\r\nPlover-Outcome: done\r\nContent-Length: 0\r\n\r\n"
--- a/internal/integration/stopsignals_test.go
+++ b/internal/integration/stopsignals_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -64,3 +65,33 @@
 		})
 	}
 }
+
+// Guards against a process that an operator cannot end at once, and against an end that the log does not show.
+func TestQuitStopsAtOnce(t *testing.T) {
+	const path = "/quotes/1?work=3s"
+	for _, stopping := range []bool{false, true} {
+		t.Run(fmt.Sprintf("during a planned stop %v", stopping), func(t *testing.T) {
+			s := stopSite(t, "/quotes/1?work=50ms", "grace = 4s\ndrain_wait = 1s", target.Mode{})
+			n := s.nodes[0]
+			cut := make(chan error, 1)
+			go func() { cut <- n.do(http.MethodPost, path, "in-flight", "x").err }()
+			for s.runsOf("in-flight") == 0 {
+				<-time.After(10 * time.Millisecond)
+			}
+			if stopping {
+				n.signal(syscall.SIGTERM)
+			}
+			n.signal(syscall.SIGQUIT)
+			n.awaitExit()
+			if <-cut == nil {
+				t.Error("the request in flight was answered")
+			}
+			log := n.proc.Load().Log()
+			for _, line := range []string{`"msg":"node: stopping at once"`, `"msg":"node: stopping with requests in flight"`} {
+				if !strings.Contains(log, line) {
+					t.Errorf("the log has no line with %s", line)
+				}
+			}
+		})
+	}
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -39,7 +39,7 @@
 			drainWait = wait
 		}
 		now := time.Now()
-		n.entry.ExpectEnd(now.Add(drainWait), now.Add(wait))
+		n.entry.ExpectEnd(now.Add(min(drainWait, grace/usualDivisor)), now.Add(wait))
 	}
 	n.announceDraining(ctx)
 	handovers := n.handOverRoles(ctx)
@@ -53,6 +53,10 @@
 const (
 	answerPart = 7
 	graceParts = 8
+	// usualDivisor divides the grace time. Until then, and while the load balancer still sends callers, a request is taken
+	// if it usually takes less than what is left: it has three eighths of the grace time at least. Later the few others can be
+	// refused unless their deadline leaves time, as another node serves them at once.
+	usualDivisor = 2
 )
 
 // grace returns after how long this process is killed once a planned stop began, 0 if it is not.
