internal/wire: fields with any bytes pass by way of peers

An answer with a byte above ASCII in the value of a field, which RFC 9110, section 5.5, allows, was answered 502 where a peer had made the attempt: the value was a string of the schema, which must be UTF-8, and the peer could not send the head. The same holds for the fields of a request, for which no peer was able then.

Values are bytes now, which have the same form on the wire: values of UTF-8 pass between versions as before, others fail at a node of an older version as before.

--- a/internal/link/answers_test.go
+++ b/internal/link/answers_test.go
@@ -3,6 +3,7 @@
 package link_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -39,7 +40,7 @@
 			Fields: []*wire.Field{
 				{
 					Name:  "a",
-					Value: strings.Repeat("b", int(in.GetHead().GetLength())),
+					Value: bytes.Repeat([]byte("b"), int(in.GetHead().GetLength())),
 				},
 			},
 		},
--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -254,7 +254,7 @@
 		for _, v := range values {
 			out = append(out, &wire.Field{
 				Name:  name,
-				Value: v,
+				Value: []byte(v),
 			})
 		}
 	}
@@ -265,7 +265,7 @@
 func headerOfWire(fields []*wire.Field) http.Header {
 	h := http.Header{}
 	for _, f := range fields {
-		h[f.GetName()] = append(h[f.GetName()], f.GetValue())
+		h[f.GetName()] = append(h[f.GetName()], string(f.GetValue()))
 	}
 	return h
 }
