internal/forward: check the heads of peers' answers

The head of an answer that a peer sends was taken as it came: a status below 100 made net/http panic in WriteHeader, so that the caller's connection closed without an answer; 600, 100 and names with blanks were passed on; a length in the fields beside another one in the head, also as "content-length", gave the answer another framing. Peers in order check what their targets send, but a peer may be of an older version, which does not.

The head is checked by response.Check, and its Content-Length against the length that the peer names. The kind of a failure is "malformed answer", its outcome unknown, without a proof. Fields of peers get canonical names, so that checks and removals see them.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -180,7 +180,7 @@
 	// error of a signal that cannot be read. It may be nil.
 	Observe func(n signal.Signal, err error)
 	// Via sends the request in place of a connection to the target; nil means a connection. Its error
-	// is a *ViaError.
+	// is a *ViaError. Reading the body of its response fails if that is not whole.
 	Via func(r *http.Request) (*http.Response, error)
 	// Unavailable reports whether the target is unavailable. The last call is made
 	// immediately before the first byte is sent. nil means never.
@@ -318,16 +318,7 @@
 		req.Header.Set("User-Agent", "")
 	}
 	if r.Via != nil {
-		res, err := r.Via(req)
-		if err == nil && !cl.holdHeader(c.heads, res.Header) {
-			// The peer has made the attempt.
-			return nil, nil, &ViaError{
-				Accepted: true,
-				Cause: errors.Join(&Error{
-					kind: KindMemory,
-				}, res.Body.Close()),
-			}
-		}
+		res, err := c.sendVia(cl, r, req)
 		return res, nil, err
 	}
 	transport := c.transport
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,7 @@
 	"ploverjunction.example/ploverjunction/internal/dissemination"
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/outlier"
@@ -384,3 +386,8 @@
 
 // Trusted reports whether keys may be trusted.
 func (c *Freshness) Trusted() bool { return c.freshness.trusted() }
+
+// ForwardTo has the peer at an address answer a request.
+func ForwardTo(d *link.Dialer, address string, r *http.Request, h *entry.PeerHead) (*http.Response, error) {
+	return newPeerForwarder(nil, d).forward(address, r, h)
+}
--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -261,11 +261,11 @@
 	return out
 }
 
-// headerOfWire returns a header with the names as they were written.
+// headerOfWire returns a header with canonical names, so that no other spelling of a name passes by its checks.
 func headerOfWire(fields []*wire.Field) http.Header {
 	h := http.Header{}
 	for _, f := range fields {
-		h[f.GetName()] = append(h[f.GetName()], string(f.GetValue()))
+		h.Add(f.GetName(), string(f.GetValue()))
 	}
 	return h
 }
