internal/node: a body of a peer has the length of its head

A body of 4 bytes with an end, under a head that names 10, was held as a whole answer and sent to the caller as one of 4 bytes. A body longer than its head says was passed on, as was one with a second head or a refusal in its midst, and one to HEAD; a part beside the head was lost.

The bytes are counted as they arrive. A message that is too long or that is no part of a body ends the answer with an error before any of it is passed on, and so does an end that comes early. Not covered: bytes beyond the length in a later message, after a streamed answer or one to an upload, are found when the caller has the whole length already.

TestMalformedAnswersOfPeers: six rows more that failed before: body beside its head, shorter and longer than its length, HEAD with a body, second head, refusal in the body.

--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -17,6 +17,7 @@
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/response"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -126,6 +127,9 @@
 	if err == nil && in.GetHead() == nil {
 		err = errNoHead
 	}
+	if err == nil {
+		err = body.begin(r.Method, in)
+	}
 	if err != nil {
 		return nil, &forward.ViaError{
 			Accepted: true,
@@ -153,8 +157,13 @@
 	return err
 }
 
-// errNoHead is the failure of a peer whose answer does not begin with a head.
-var errNoHead = errors.New("node: the answer of a peer has no head")
+// Failures of peers whose messages are no answers.
+var (
+	// errNoHead is that of an answer that does not begin with a head, errNoBody that of one with another message in its
+	// body.
+	errNoHead = errors.New("node: the answer of a peer has no head")
+	errNoBody = errors.New("node: the body of a peer's answer has another message")
+)
 
 // peerError converts the error of a request that a peer has not accepted.
 func peerError(err error) error {
@@ -187,27 +196,59 @@
 type peerBody struct {
 	forwarded *link.Forwarded
 	// request is the body of the request, which sent sends to the peer; nil if there is none.
-	request  io.Closer
-	sent     *task.Task
-	rest     []byte
+	request io.Closer
+	sent    *task.Task
+	rest    []byte
+	// left is how many bytes the head's length leaves, or -1 if the head has none.
+	left     int64
 	once     sync.Once
 	closeErr error
 }
 
+// begin sets the length of the body by the head of an answer, and adds what comes with the head.
+func (b *peerBody) begin(method string, in *wire.ForwardResponse) error {
+	h := in.GetHead()
+	b.left = h.GetLength()
+	if method == http.MethodHead || h.GetStatus() == http.StatusNoContent || h.GetStatus() == http.StatusNotModified {
+		b.left = 0
+	}
+	return b.add(in.GetBody())
+}
+
+// add adds a part. A body that is longer than its head says is not passed on further.
+func (b *peerBody) add(part []byte) error {
+	if b.left >= 0 {
+		if int64(len(part)) > b.left {
+			return response.ErrSurplus
+		}
+		b.left -= int64(len(part))
+	}
+	b.rest = part
+	return nil
+}
+
 // Read reads the next bytes of the response.
 func (b *peerBody) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
 		in, err := b.forwarded.Receive()
+		if errors.Is(err, io.EOF) && b.left > 0 {
+			return 0, io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			// The connection serves the next request. That the peer did not read the whole request
 			// does not matter: its answer is complete.
 			_ = b.Close()
 			return 0, io.EOF
 		}
+		if err == nil && (in.GetHead() != nil || in.GetRefusal() != nil) {
+			err = errNoBody
+		}
+		if err == nil {
+			err = b.add(in.GetBody())
+		}
 		if err != nil {
 			return 0, err
 		}
-		b.rest = in.GetBody()
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
--- a/internal/node/peerforward_test.go
+++ b/internal/node/peerforward_test.go
@@ -122,6 +122,18 @@
 		parts: []*wire.ForwardResponse{peerHead(304, 4, "Content-Length: 4"), peerPart("", true)},
 		whole: true,
 	},
+	{
+		name: "body beside its head",
+		parts: []*wire.ForwardResponse{
+			{
+				Head: peerHead(200, -1).GetHead(),
+				Body: []byte("do"),
+			},
+			peerPart("ne", true),
+		},
+		whole: true,
+		body:  "done",
+	},
 	{
 		name:  "status 0",
 		parts: []*wire.ForwardResponse{peerHead(0, 4), peerPart("done", true)},
@@ -178,6 +190,19 @@
 		name:  "negative length",
 		parts: []*wire.ForwardResponse{peerHead(200, -2), peerPart("done", true)},
 	},
+	{
+		name:  "shorter than its length",
+		parts: []*wire.ForwardResponse{peerHead(200, 10, "Content-Length: 10"), peerPart("done", false), peerPart("", true)},
+	},
+	{
+		name:  "longer than its length",
+		parts: []*wire.ForwardResponse{peerHead(200, 4, "Content-Length: 4"), peerPart("done, and more", false), peerPart("", true)},
+	},
+	{
+		name:   "HEAD with a body",
+		method: http.MethodHead,
+		parts:  []*wire.ForwardResponse{peerHead(200, 4, "Content-Length: 4"), peerPart("done", true)},
+	},
 	{
 		name:  "no end",
 		parts: []*wire.ForwardResponse{peerHead(200, -1), peerPart("done", false)},
@@ -186,6 +211,14 @@
 		name:  "no end of the length",
 		parts: []*wire.ForwardResponse{peerHead(200, 10, "Content-Length: 10"), peerPart("done", false)},
 	},
+	{
+		name:  "second head",
+		parts: []*wire.ForwardResponse{peerHead(200, -1), peerPart("do", false), peerHead(200, -1), peerPart("ne", true)},
+	},
+	{
+		name:  "refusal in the body",
+		parts: []*wire.ForwardResponse{peerHead(200, -1), peerPart("done", false), peerRefusal(503, false)},
+	},
 	{
 		name:  "no head",
 		parts: []*wire.ForwardResponse{peerPart("done", true)},
