internal/node: a peer's refusal has the status of a failure

The status of a peer's refusal was written to the caller whatever it was: below 100 and above 999 net/http panics and the caller's connection closes without an answer, and 200 was a success that no target gave. Such a refusal also proved that the request had not run.

A refusal with a status outside of 400 to 599 is a failure of the peer with an unknown outcome, without a proof.

TestMalformedAnswersOfPeers: six rows more that failed before: refused with status 0, 99, 200, 600, at once with 99, unable with status 1000.

--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -116,9 +116,9 @@
 		}),
 	}
 	in, err := x.Receive()
-	if r := in.GetRefusal(); err == nil && r != nil {
-		err = peerRefusal(r)
-		if r.GetUnable() && !r.GetMayHaveRun() {
+	if refused := in.GetRefusal(); err == nil && refused != nil {
+		err = peerRefusal(refused)
+		if !errors.Is(err, errNoRefusal) && refused.GetUnable() && !refused.GetMayHaveRun() {
 			return nil, &forward.ViaError{
 				Cause: errors.Join(err, body.Close()),
 			}
@@ -163,6 +163,8 @@
 	// body.
 	errNoHead = errors.New("node: the answer of a peer has no head")
 	errNoBody = errors.New("node: the body of a peer's answer has another message")
+	// errNoRefusal is that of a refusal whose status is none of a failure.
+	errNoRefusal = errors.New("node: the refusal of a peer has the status of no failure")
 )
 
 // peerError converts the error of a request that a peer has not accepted.
@@ -179,7 +181,12 @@
 	}
 }
 
-func peerRefusal(r *wire.Refusal) *entry.PeerRefusal {
+// peerRefusal returns the error of a refusal. One that a caller can't be answered with proves nothing: net/http panics at a
+// status outside of 100 to 999, and one below 400 is no failure to the caller.
+func peerRefusal(r *wire.Refusal) error {
+	if r.GetStatus() < http.StatusBadRequest || r.GetStatus() > maxStatus {
+		return errNoRefusal
+	}
 	outcome := attempt.OutcomeNotRun
 	if r.GetMayHaveRun() {
 		outcome = attempt.OutcomeUnknown
@@ -192,6 +199,9 @@
 	}
 }
 
+// maxStatus is the greatest status of an answer (RFC 9110, section 15).
+const maxStatus = 599
+
 // peerBody reads the body of a response from a peer.
 type peerBody struct {
 	forwarded *link.Forwarded
--- a/internal/node/peerforward_test.go
+++ b/internal/node/peerforward_test.go
@@ -226,6 +226,30 @@
 	{
 		name: "nothing",
 	},
+	{
+		name:  "refused with status 0",
+		parts: []*wire.ForwardResponse{peerRefusal(0, false)},
+	},
+	{
+		name:  "refused with status 99",
+		parts: []*wire.ForwardResponse{peerRefusal(99, false)},
+	},
+	{
+		name:  "refused with status 200",
+		parts: []*wire.ForwardResponse{peerRefusal(200, false)},
+	},
+	{
+		name:  "refused with status 600",
+		parts: []*wire.ForwardResponse{peerRefusal(600, false)},
+	},
+	{
+		name:  "refused at once with status 99",
+		parts: []*wire.ForwardResponse{peerRefusal(99, false)},
+	},
+	{
+		name:  "unable with status 1000",
+		parts: []*wire.ForwardResponse{peerRefusal(1000, true)},
+	},
 }
 
 // Guards against answers of peers of other versions that reach a caller though they are none, or prove that a request has
