internal/entry: a trial counts once its body has ended

A trial whose answer is streamed counted as good with its head. If the body was malformed or reset then, a bad attempt was counted as well, but perhaps in a later tick: three such heads ended the trial of a target that breaks every long answer.

Such a trial is counted once its body was read, with the time of its head. Until then its attempt counts neither way.

--- /dev/null
+++ b/internal/entry/brokenanswer_test.go
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package entry_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"ploverjunction.example/ploverjunction/internal/entry"
+	"ploverjunction.example/ploverjunction/internal/fleetconfig"
+	"ploverjunction.example/ploverjunction/internal/outlier"
+)
+
+// brokenSize is the size in bytes of the part of a broken answer that arrives: more than the site holds before it passes on
+// an answer.
+const brokenSize = 100 << 10
+
+// brokenAnswers are answers that break in their heads or after brokenSize bytes, after a status line.
+var brokenAnswers = []struct {
+	name string
+	// fields follow the status line and the ID, body the head.
+	fields string
+	body   string
+	reset  bool
+}{
+	{
+		name:   "name with a blank",
+		fields: "X Odd: 1\r\n",
+	},
+	{
+		name:  "reset in the head",
+		reset: true,
+	},
+	{
+		name:   "malformed chunk",
+		fields: "Transfer-Encoding: chunked\r\n",
+		body:   fmt.Sprintf("\r\n%x\r\n%s\r\nx\r\n", brokenSize, strings.Repeat("d", brokenSize)),
+	},
+	{
+		name:   "malformed trailer",
+		fields: "Transfer-Encoding: chunked\r\n",
+		body:   fmt.Sprintf("\r\n%x\r\n%s\r\n0\r\nX Odd: 1\r\n\r\n", brokenSize, strings.Repeat("d", brokenSize)),
+	},
+	{
+		name:  "reset without a length",
+		body:  "\r\n" + strings.Repeat("d", brokenSize),
+		reset: true,
+	},
+	{
+		name:   "reset before the length",
+		fields: fmt.Sprintf("Content-Length: %d\r\n", 2*brokenSize),
+		body:   "\r\n" + strings.Repeat("d", brokenSize),
+		reset:  true,
+	},
+}
+
+// newBrokenTarget returns a target that sends a status, fields and an answer that breaks. Its ends are sent to done.
+func newBrokenTarget(t *testing.T, key, status, text string, reset bool, done chan outlier.Result) *signalTarget {
+	out := newSignalTarget(t, key, func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nPlover-Request-Id: %s\r\n%s", status, r.Header.Get("Plover-Request-Id"), text)
+		if reset {
+			// What was sent before is lost with an earlier reset.
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	out.choice.Done = func(end outlier.Result, _ time.Duration) { done <- end }
+	return out
+}
+
+// Guards against a trial that counts as a success though its answer is malformed or reset, in its head or in a body that
+// is streamed.
+func TestBrokenTrialIsNoSuccess(t *testing.T) {
+	for _, tt := range brokenAnswers {
+		t.Run(tt.name, func(t *testing.T) {
+			done := make(chan outlier.Result, 1)
+			trial := newBrokenTarget(t, "trial", "200 OK", tt.fields+tt.body, tt.reset, done)
+			collector := outlier.NewCollector(time.Second)
+			s := newSite(t, func(cfg *entry.Config) {
+				cfg.Collector = collector
+				cfg.Trial = func(*fleetconfig.Service) (entry.Choice, bool) { return trial.choice, trial.arrived.Load() == 0 }
+			})
+			res, err := http.DefaultClient.Do(request(t, s.url+"/quotes/1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = res.Body.Close()
+			if end := <-done; !end.Failed || end.Ignored {
+				t.Errorf("the trial ended with %+v", end)
+			}
+			good, bad := 0.0, 0.0
+			for _, e := range collector.Drain(time.Now()) {
+				if e.Counts.Target == "trial" {
+					good, bad = good+e.Counts.Good, bad+e.Counts.Bad
+				}
+			}
+			if good != 0 || bad == 0 {
+				t.Errorf("%v good and %v bad attempts at the target", good, bad)
+			}
+		})
+	}
+}
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -151,3 +151,13 @@
 		Unreached: fe.Kind() == forward.KindConnect,
 	}
 }
+
+// withBody returns the result of an attempt after the body of its answer was read, with the error of reading it.
+func withBody(end outlier.Result, err error) outlier.Result {
+	var fe *forward.Error
+	if errors.As(err, &fe) {
+		end.Failed = true
+		end.Ignored = !fe.CountsAgainstTarget()
+	}
+	return end
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -296,7 +296,11 @@
 }
 
 func (x *relay) startAttempt(target string) *outlier.Attempt {
-	return x.server.cfg.Collector.Begin(time.Now(), x.service.Name(), x.admission.route.Class(), target)
+	return x.beginAttempt(time.Now(), target)
+}
+
+func (x *relay) beginAttempt(started time.Time, target string) *outlier.Attempt {
+	return x.server.cfg.Collector.Begin(started, x.service.Name(), x.admission.route.Class(), target)
 }
 
 func (x *relay) request(c Choice, reader io.Reader) *forward.Request {
