internal/entry: an answer that breaks while it is passed on is a failure of its target

Where the dispatcher grants targets, the end of an attempt was reported to it as good if the head was, also when the streamed body was malformed, reset or stalled afterwards: only the counts of nodes that choose by themselves had the failure. A target that breaks every long answer, in trials too, looked healthy to the dispatcher.

The attempt ends as failed, unless its caller is gone.

TestBrokenAnswerIsNoSuccess (four of six rows) and TestBrokenRestOfADownloadIsNoSuccess (all six): before, the attempt ended without a failure. That the caller of a download never gets a whole answer when the rest is malformed or reset is checked as well; this held before.

--- a/internal/entry/brokenanswer_test.go
+++ b/internal/entry/brokenanswer_test.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,11 +15,16 @@
 	"ploverjunction.example/ploverjunction/internal/entry"
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/outlier"
+	"ploverjunction.example/ploverjunction/internal/signal"
 )
 
 // brokenSize is the size in bytes of the part of a broken answer that arrives: more than the site holds before it passes on
 // an answer.
-const brokenSize = 100 << 10
+const (
+	brokenSize = 100 << 10
+	// brokenRest is the same for the rest of a download, whose other part has brokenSize bytes.
+	brokenRest = 90 << 10
+)
 
 // brokenAnswers are answers that break in their heads or after brokenSize bytes, after a status line.
 var brokenAnswers = []struct {
@@ -110,3 +117,70 @@
 		})
 	}
 }
+
+// Guards against an attempt that is reported as a success though the body of its answer broke while it was passed on.
+func TestBrokenAnswerIsNoSuccess(t *testing.T) {
+	for _, tt := range brokenAnswers {
+		t.Run(tt.name, func(t *testing.T) {
+			done := make(chan outlier.Result, 16)
+			broken := newBrokenTarget(t, "broken", "200 OK", tt.fields+tt.body, tt.reset, done)
+			s := signalSite(t, &signal.Ledger{}, &choices{
+				list:   []*signalTarget{broken},
+				before: func(int) {},
+			})
+			res, err := http.DefaultClient.Do(request(t, s.url+"/open/1"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = res.Body.Close() }()
+			if body, err := io.ReadAll(res.Body); err == nil && res.StatusCode == http.StatusOK {
+				t.Errorf("a whole answer of %d bytes", len(body))
+			}
+			if end := <-done; !end.Failed || end.Ignored {
+				t.Errorf("the attempt ended with %+v", end)
+			}
+		})
+	}
+}
+
+// Guards against a download that looks whole though the answer with the rest of it is malformed or reset.
+func TestBrokenRestOfADownloadIsNoSuccess(t *testing.T) {
+	const size = 2 * brokenSize
+	for _, tt := range brokenAnswers {
+		t.Run(tt.name, func(t *testing.T) {
+			done := make(chan outlier.Result, 16)
+			const first = "Etag: \"v1\"\r\nAccept-Ranges: bytes\r\n"
+			cut := newBrokenTarget(t, "cut", "200 OK", first+"Content-Length: "+strconv.Itoa(size)+"\r\n\r\n"+strings.Repeat("d", brokenSize), true, done)
+			rest := fmt.Sprintf("Etag: \"v1\"\r\nContent-Range: bytes %d-%d/%d\r\n", brokenSize, size-1, size)
+			// The bytes that arrive are fewer than the rest.
+			body := strings.ReplaceAll(tt.body, strings.Repeat("d", brokenSize), strings.Repeat("d", brokenRest))
+			body = strings.Replace(body, fmt.Sprintf("%x\r\n", brokenSize), fmt.Sprintf("%x\r\n", brokenRest), 1)
+			broken := newBrokenTarget(t, "broken", "206 Partial Content", rest+tt.fields+body, tt.reset, done)
+			s := signalSite(t, &signal.Ledger{}, &choices{
+				list:   []*signalTarget{cut, broken},
+				before: func(int) {},
+			})
+			r, err := http.NewRequest(http.MethodGet, s.url+"/quotes/1", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Header = brokers.Clone()
+			res, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = res.Body.Close() }()
+			if body, err := io.ReadAll(res.Body); err == nil {
+				t.Errorf("status %d, a whole answer of %d bytes", res.StatusCode, len(body))
+			}
+			for _, key := range []string{"cut", "broken"} {
+				if end := <-done; !end.Failed || end.Ignored {
+					t.Errorf("the attempt at %s ended with %+v", key, end)
+				}
+			}
+			if broken.arrived.Load() == 0 {
+				t.Error("the rest was not requested")
+			}
+		})
+	}
+}
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -68,6 +68,10 @@
 			x.body.stop()
 		}
 		a.Close()
+		if x.req.Context().Err() == nil {
+			// Otherwise the caller is gone, for which reading may fail.
+			x.winner.end = withBody(x.winner.end, err)
+		}
 		release()
 		if err == nil {
 			return nil
