internal/entry: guess no Content-Type for an answer

To an answer without a Content-Type net/http added one that it guessed by the first bytes, such as text/html for a document that begins like a page. The caller took it for the target's, which leaves the guess to the recipient (RFC 9110, section 8.3).

TestAnswerGetsNoContentType: before, "text/html; charset=utf-8" for an answer without one; now none. One that the target sends passes as before.

--- a/internal/entry/brokenanswer_test.go
+++ b/internal/entry/brokenanswer_test.go
@@ -184,3 +184,27 @@
 		})
 	}
 }
+
+// Guards against a field that the target did not send: net/http guesses a Content-Type by the first bytes.
+func TestAnswerGetsNoContentType(t *testing.T) {
+	const page = "<html><script>"
+	for _, want := range []string{"", "Content-Type: a/b\r\n"} {
+		plain := newBrokenTarget(t, "plain", "200 OK", fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", want, len(page), page), false, make(chan outlier.Result, 1))
+		s := signalSite(t, &signal.Ledger{}, &choices{
+			list:   []*signalTarget{plain},
+			before: func(int) {},
+		})
+		res, err := http.DefaultClient.Do(request(t, s.url+"/open/1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		got := ""
+		for _, v := range res.Header["Content-Type"] {
+			got += "Content-Type: " + v + "\r\n"
+		}
+		if got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -23,6 +23,10 @@
 	for name, values := range endToEnd(c, a.Header()) {
 		h[name] = values
 	}
+	if _, ok := h["Content-Type"]; !ok {
+		// Otherwise net/http guesses one, which the target has not sent.
+		h["Content-Type"] = nil
+	}
 	if c.Forwarded {
 		h.Add("Via", via)
 	}
