--- a/internal/entry/delivery.go
+++ b/internal/entry/delivery.go
@@ -23,6 +23,10 @@
 	for name, values := range endToEnd(c, a.Header()) {
 		h[name] = values
 	}
+	if _, ok := h["Content-Type"]; !ok {
+		// Otherwise net/http guesses one, which the target has not sent.
+		h["Content-Type"] = nil
+	}
 	if c.Forwarded {
 		h.Add("Via", via)
 	}
@@ -68,6 +72,10 @@
 			x.body.stop()
 		}
 		a.Close()
+		if x.req.Context().Err() == nil {
+			// Otherwise the caller is gone, for which reading may fail.
+			x.winner.end = withBody(x.winner.end, err)
+		}
 		release()
 		if err == nil {
 			return nil
--- a/internal/node/peerforward.go
+++ b/internal/node/peerforward.go
@@ -17,6 +17,7 @@
 	"ploverjunction.example/ploverjunction/internal/forward"
 	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/membership"
+	"ploverjunction.example/ploverjunction/internal/response"
 	"ploverjunction.example/ploverjunction/internal/task"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
@@ -115,9 +116,9 @@
 		}),
 	}
 	in, err := x.Receive()
-	if r := in.GetRefusal(); err == nil && r != nil {
-		err = peerRefusal(r)
-		if r.GetUnable() && !r.GetMayHaveRun() {
+	if refused := in.GetRefusal(); err == nil && refused != nil {
+		err = peerRefusal(refused)
+		if !errors.Is(err, errNoRefusal) && refused.GetUnable() && !refused.GetMayHaveRun() {
 			return nil, &forward.ViaError{
 				Cause: errors.Join(err, body.Close()),
 			}
@@ -126,6 +127,9 @@
 	if err == nil && in.GetHead() == nil {
 		err = errNoHead
 	}
+	if err == nil {
+		err = body.begin(r.Method, in)
+	}
 	if err != nil {
 		return nil, &forward.ViaError{
 			Accepted: true,
@@ -153,8 +157,15 @@
 	return err
 }
 
-// errNoHead is the failure of a peer whose answer does not begin with a head.
-var errNoHead = errors.New("node: the answer of a peer has no head")
+// Failures of peers whose messages are no answers.
+var (
+	// errNoHead is that of an answer that does not begin with a head, errNoBody that of one with another message in its
+	// body.
+	errNoHead = errors.New("node: the answer of a peer has no head")
+	errNoBody = errors.New("node: the body of a peer's answer has another message")
+	// errNoRefusal is that of a refusal whose status is none of a failure.
+	errNoRefusal = errors.New("node: the refusal of a peer has the status of no failure")
+)
 
 // peerError converts the error of a request that a peer has not accepted.
 func peerError(err error) error {
@@ -170,7 +181,12 @@
 	}
 }
 
-func peerRefusal(r *wire.Refusal) *entry.PeerRefusal {
+// peerRefusal returns the error of a refusal. One that a caller can't be answered with proves nothing: net/http panics at a
+// status outside of 100 to 999, and one below 400 is no failure to the caller.
+func peerRefusal(r *wire.Refusal) error {
+	if r.GetStatus() < http.StatusBadRequest || r.GetStatus() > maxStatus {
+		return errNoRefusal
+	}
 	outcome := attempt.OutcomeNotRun
 	if r.GetMayHaveRun() {
 		outcome = attempt.OutcomeUnknown
@@ -183,31 +199,66 @@
 	}
 }
 
+// maxStatus is the greatest status of an answer (RFC 9110, section 15).
+const maxStatus = 599
+
 // peerBody reads the body of a response from a peer.
 type peerBody struct {
 	forwarded *link.Forwarded
 	// request is the body of the request, which sent sends to the peer; nil if there is none.
-	request  io.Closer
-	sent     *task.Task
-	rest     []byte
+	request io.Closer
+	sent    *task.Task
+	rest    []byte
+	// left is how many bytes the head's length leaves, or -1 if the head has none.
+	left     int64
 	once     sync.Once
 	closeErr error
 }
 
+// begin sets the length of the body by the head of an answer, and adds what comes with the head.
+func (b *peerBody) begin(method string, in *wire.ForwardResponse) error {
+	h := in.GetHead()
+	b.left = h.GetLength()
+	if method == http.MethodHead || h.GetStatus() == http.StatusNoContent || h.GetStatus() == http.StatusNotModified {
+		b.left = 0
+	}
+	return b.add(in.GetBody())
+}
+
+// add adds a part. A body that is longer than its head says is not passed on further.
+func (b *peerBody) add(part []byte) error {
+	if b.left >= 0 {
+		if int64(len(part)) > b.left {
+			return response.ErrSurplus
+		}
+		b.left -= int64(len(part))
+	}
+	b.rest = part
+	return nil
+}
+
 // Read reads the next bytes of the response.
 func (b *peerBody) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
 		in, err := b.forwarded.Receive()
+		if errors.Is(err, io.EOF) && b.left > 0 {
+			return 0, io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			// The connection serves the next request. That the peer did not read the whole request
 			// does not matter: its answer is complete.
 			_ = b.Close()
 			return 0, io.EOF
 		}
+		if err == nil && (in.GetHead() != nil || in.GetRefusal() != nil) {
+			err = errNoBody
+		}
+		if err == nil {
+			err = b.add(in.GetBody())
+		}
 		if err != nil {
 			return 0, err
 		}
-		b.rest = in.GetBody()
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
@@ -254,18 +305,18 @@
 		for _, v := range values {
 			out = append(out, &wire.Field{
 				Name:  name,
-				Value: v,
+				Value: []byte(v),
 			})
 		}
 	}
 	return out
 }
 
-// headerOfWire returns a header with the names as they were written.
+// headerOfWire returns a header with canonical names, so that no other spelling of a name passes by its checks.
 func headerOfWire(fields []*wire.Field) http.Header {
 	h := http.Header{}
 	for _, f := range fields {
-		h[f.GetName()] = append(h[f.GetName()], f.GetValue())
+		h.Add(f.GetName(), string(f.GetValue()))
 	}
 	return h
 }
