internal/source: reject malformed answers of the platform

Answers of the platform were parsed by net/http alone, which keeps names with blanks and takes any version of the protocol. Calls now use connections that scan their answers; what is no answer is a failed call.

--- a/internal/source/platform.go
+++ b/internal/source/platform.go
@@ -15,6 +15,7 @@
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/order"
+	"ploverjunction.example/ploverjunction/internal/response"
 	"ploverjunction.example/ploverjunction/internal/wire"
 )
 
@@ -35,6 +36,11 @@
 	maxAnswerBytes = 64 << 20
 	// maxHeaderBytes is the greatest size of the header of an answer in bytes.
 	maxHeaderBytes = 256 << 10
+	// maxHeaderMemory is the greatest estimated memory in bytes of the header of an answer: one of maxHeaderBytes with some
+	// 1,600 lines. The platform sends a few.
+	maxHeaderMemory = 2 << 20
+	// maxInterims is the greatest number of interim responses before an answer. The platform sends none.
+	maxInterims = 64
 )
 
 // Platform reads values from the platform's configuration service: GET
@@ -50,15 +56,17 @@
 
 // NewPlatform returns a source that reads from a base URL.
 func NewPlatform(base string) *Platform {
+	transport := response.NewTransport(response.Bounds{
+		Memory:   maxHeaderMemory,
+		Interims: maxInterims,
+	})
+	transport.MaxIdleConnsPerHost = 1
+	transport.IdleConnTimeout = time.Minute
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
 	return &Platform{
 		base: base,
 		client: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 1,
-				IdleConnTimeout:     time.Minute,
-
-				MaxResponseHeaderBytes: maxHeaderBytes,
-			},
+			Transport: transport,
 		},
 	}
 }
