internal/node: a probe takes nothing from an answer with a broken body

A probe read the head of an answer and closed its body unread: whether a malformed body was noticed depended on how the answer was split, and one that was cut or reset never was. Such answers said that their targets drain, and set their limits and loads.

The body is now read, up to 64 KiB; if it is malformed or not whole the answer counts as none. The head of an answer whose body only takes long, or is longer, counts as before.

--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -25,6 +27,8 @@
 	probeTimeout  = 900 * time.Millisecond
 	probesAtOnce  = 32
 	probesPerHost = 1
+	// maxProbeBody is the size in bytes up to which the body of an answer is checked. Health endpoints send less.
+	maxProbeBody = 64 << 10
 )
 
 // prober requests the health endpoints of targets to find those that are draining. One node of the
@@ -116,9 +120,15 @@
 	if err != nil {
 		return fmt.Errorf("node: probe: %w", err)
 	}
+	received := time.Now()
+	_, err = io.CopyN(io.Discard, res.Body, maxProbeBody)
 	_ = res.Body.Close()
+	// The head of an answer whose body only takes long counts.
+	if err != nil && !errors.Is(err, io.EOF) && !isTimeout(err) {
+		return fmt.Errorf("node: probe: %w", err)
+	}
 	sig, err := forward.SignalOf(p.contract, res)
-	p.observeLoad(time.Now(), t, sig.Load, sent)
+	p.observeLoad(received, t, sig.Load, sent)
 	observed := p.board.signals.Observe(time.Now(), incarnationOf(t), sig)
 	if observed.Changed {
 		p.log.WithField("service", s.Name()).WithField("target", t.Key()).WithField("leaving", sig.Draining).
@@ -141,3 +151,8 @@
 	})
 	return nil
 }
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
