internal/node: a probe does not take what another host says for its target

A probe followed redirections to any host, and took the header of what that host answered for the target's: a target whose health endpoint redirects was out of use while another one drained, or had its limit. Redirections within the target are still followed; one to another host is itself the answer.

TestProbesFollowRedirectionsOnlyWithinTheTarget: before, the target counted as draining.

--- a/internal/node/malformedprobe_test.go
+++ b/internal/node/malformedprobe_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -166,3 +167,49 @@
 		}
 	}
 }
+
+// Guards against what another host says that is taken for what the target says.
+func TestProbesFollowRedirectionsOnlyWithinTheTarget(t *testing.T) {
+	leaving := func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Plover-State", "leaving") }
+	other := httptest.NewServer(http.HandlerFunc(leaving))
+	t.Cleanup(other.Close)
+	for _, tt := range []struct {
+		name string
+		// to is where the health endpoint redirects.
+		to string
+		// says is set if the redirection itself says that the target drains.
+		says bool
+		want bool
+	}{
+		{
+			name: "to another path",
+			to:   "/health/",
+			want: true,
+		},
+		{
+			name: "to another host",
+			to:   other.URL + "/health/",
+		},
+		{
+			name: "to another host by a target that drains",
+			to:   other.URL + "/health/",
+			says: true,
+			want: true,
+		},
+	} {
+		mux := http.NewServeMux()
+		mux.HandleFunc("/health/", leaving)
+		mux.HandleFunc("/health", func(w http.ResponseWriter, r *http.Request) {
+			if tt.says {
+				leaving(w, r)
+			}
+			http.Redirect(w, r, tt.to, http.StatusFound)
+		})
+		srv := httptest.NewServer(mux)
+		draining := probeOnce(t, srv.Listener.Addr().String())
+		srv.Close()
+		if got := slices.Equal(draining, []string{"id-0"}); got != tt.want {
+			t.Errorf("%s: draining %v, want %v", tt.name, draining, tt.want)
+		}
+	}
+}
--- a/internal/node/prober.go
+++ b/internal/node/prober.go
@@ -52,7 +52,8 @@
 		log:         log,
 		observeLoad: func(time.Time, *fleetconfig.Target, signal.Load, time.Time) {},
 		client: &http.Client{
-			Timeout: probeTimeout,
+			Timeout:       probeTimeout,
+			CheckRedirect: sameHost,
 			Transport: &http.Transport{
 				DialContext:         forward.ScanChecks((&net.Dialer{}).DialContext),
 				MaxIdleConnsPerHost: probesPerHost,
@@ -152,6 +153,18 @@
 	return nil
 }
 
+// maxRedirects is the greatest number of redirections that a probe follows.
+const maxRedirects = 10
+
+// sameHost follows redirections within a target, such as to a path with a slash at its end. What another host answers says nothing of
+// the target, so that the redirection itself is the answer.
+func sameHost(req *http.Request, via []*http.Request) error {
+	if req.URL.Scheme != via[0].URL.Scheme || req.URL.Host != via[0].URL.Host || len(via) > maxRedirects {
+		return http.ErrUseLastResponse
+	}
+	return nil
+}
+
 func isTimeout(err error) bool {
 	var e net.Error
 	return errors.As(err, &e) && e.Timeout()
