internal/reach: what is no answer shows neither a lost path nor a good one

A path check that got a malformed answer, or a part of a head, failed as one without any byte: with such health endpoints in a slow service its paths counted as lost, so that slow attempts were no evidence against their targets and their requests went to peers.

The check of a target now fails as malformed, in forward as KindMalformed, in reach as an InconclusiveError: bytes of the other end came, and prove nothing. Unless a target is reached the service stays as it is, lost or not. A reset or silence in a head still counts as not reached.

TestMalformedAnswersToChecksAreNoLostPath: before, the slow attempt ended as ignored for a lost path. TestInconclusiveChecksChangeNothing and TestCheckTellsWhatIsNoAnswer use what is new.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -46,7 +46,14 @@
 	if cfg := s.cfg.Config(); cfg != nil && cfg.Service(service) != nil {
 		path = cfg.Service(service).HealthPath()
 	}
-	return s.client.Exchange(ctx, address, path)
+	err := s.client.Exchange(ctx, address, path)
+	var fe *forward.Error
+	if errors.As(err, &fe) && fe.Kind() == forward.KindMalformed {
+		return &reach.InconclusiveError{
+			Cause: err,
+		}
+	}
+	return err
 }
 
 // PathLost reports whether this node reaches no target of a service.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -3,7 +3,10 @@
 package entry_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -92,3 +95,51 @@
 		t.Errorf("%d choices, or the second one is a retry", len(c.queries))
 	}
 }
+
+// Guards against targets whose health checks get what is no answer and whose requests count as cut off by their paths.
+func TestMalformedAnswersToChecksAreNoLostPath(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	var checks atomic.Int64
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				checks.Add(1)
+				_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			_ = c.Close()
+		}
+	}()
+	ends := make(chan outlier.Result, 16)
+	slow := newSignalTarget(t, "slow", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(checkedSilence)
+		serveOK(w, r)
+	})
+	slow.choice.Done = func(end outlier.Result, _ time.Duration) { ends <- end }
+	c := &choices{
+		list:   []*signalTarget{slow},
+		before: func(int) {},
+	}
+	s := newSite(t, func(cfg *entry.Config) {
+		cfg.Signals = &signal.Ledger{}
+		cfg.Choose = c.choose
+		cfg.PathTargets = func(string) []string { return []string{lis.Addr().String()} }
+	})
+	status := s.get(t, http.DefaultClient, "/quotes/1", brokers)
+	if end := <-ends; status != http.StatusOK || end.PathLost || end.Ignored {
+		t.Errorf("status %d, the attempt ended with %+v", status, end)
+	}
+	if checks.Load() == 0 {
+		t.Error("no path was checked")
+	}
+}
+
+// checkedSilence is longer than the time without an answer after which paths are checked by exchanges.
+const checkedSilence = 3 * time.Second
--- a/internal/forward/check.go
+++ b/internal/forward/check.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 
 	"ploverjunction.example/ploverjunction/internal/response"
 )
@@ -40,7 +42,7 @@
 
 // Exchange requests the path of a target's health endpoint on a new connection and waits for any
 // response. An empty path stands for the OPTIONS request that concerns no resource (RFC 9110, section
-// 9.3.7).
+// 9.3.7). The error is an *Error of KindMalformed if the target sent what is no answer.
 func (c *Client) Exchange(ctx context.Context, target, path string) error {
 	r := (&http.Request{
 		Method: http.MethodGet,
@@ -59,13 +61,27 @@
 		r.Method, r.URL.Opaque = http.MethodOptions, "*"
 	}
 	c.connections.count(CauseCheck)
+	var carrier atomic.Pointer[response.Conn]
 	transport := http.Transport{
-		DialContext:       ScanChecks(c.dial),
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := ScanChecks(c.dial)(ctx, network, address)
+			if scanned, ok := conn.(*response.Conn); ok {
+				carrier.Store(scanned)
+			}
+			return conn, err
+		},
 		DisableKeepAlives: true,
 
 		MaxResponseHeaderBytes: MaxAnswerHeader,
 	}
 	res, err := transport.RoundTrip(r)
+	if conn := carrier.Load(); err != nil && conn != nil && conn.NoAnswer() {
+		return &Error{
+			kind:   KindMalformed,
+			target: target,
+			cause:  err,
+		}
+	}
 	if err != nil {
 		return fmt.Errorf("forward: check of %s: %w", target, err)
 	}
--- a/internal/forward/malformed_test.go
+++ b/internal/forward/malformed_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -153,3 +154,27 @@
 		t.Errorf("kind %q, outcome %v", fe.Kind(), fe.Outcome())
 	}
 }
+
+// Guards against a path check that takes what is no answer for a path that is lost, or a path that is lost for it.
+func TestCheckTellsWhatIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+	for text, malformed := range map[string]bool{
+		"":                    false,
+		"HTTP/1.1 000 OK\r\n": true,
+		"HTTP/1.1 20":         true,
+		head:                  true,
+		head + "X: y":         true,
+		head + "X Odd: 1":     true,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := forward.NewClient(contract.Plover(), endlessHold, 5*time.Second, netip.Addr{})
+			defer c.Close()
+			c.SetDial(pipe(replyInParts(text, 1)))
+			err := c.Exchange(context.Background(), "192.0.2.1:80", "/health")
+			var fe *forward.Error
+			if err == nil || (errors.As(err, &fe) && fe.Kind() == forward.KindMalformed) != malformed {
+				t.Errorf("%q: %v, want malformed %v", text, err, malformed)
+			}
+		})
+	}
+}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -55,13 +56,47 @@
 type Config struct {
 	// Targets returns the addresses of a service's targets that are not draining.
 	Targets func(service string) []string
-	// Try checks one target. A nil error means that it was reached.
+	// Try checks one target. A nil error means that it was reached, an *InconclusiveError that this is not known.
 	Try func(ctx context.Context, m Method, service, address string) error
 	// OnChange is called with the number of services of which no target is reached; nil disables it.
 	OnChange func(services int)
 	Log      *logrus.Entry
 }
 
+// InconclusiveError means that a target, or something on the path to it, sent what is no answer: its bytes came, so that the path is not
+// known to be lost, and prove nothing, so that the target is not known to be reached.
+type InconclusiveError struct {
+	// Cause is the failure of the check.
+	Cause error
+}
+
+// Error returns the message of the cause.
+func (e *InconclusiveError) Error() string { return "reach: inconclusive: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *InconclusiveError) Unwrap() error { return e.Cause }
+
+// result is that of a check, of one target or of a service.
+type result uint8
+
+const (
+	resultFailed result = iota
+	resultInconclusive
+	resultReached
+)
+
+func resultOf(err error) result {
+	var inconclusive *InconclusiveError
+	switch {
+	case err == nil:
+		return resultReached
+	case errors.As(err, &inconclusive):
+		return resultInconclusive
+	default:
+		return resultFailed
+	}
+}
+
 // Tracker knows the services of which this node reaches no target. It may be used concurrently.
 type Tracker struct {
 	cfg Config
@@ -166,28 +201,30 @@
 	started := time.Now()
 	targets := slices.Clone(t.cfg.Targets(service))
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	if reached := t.reachesAny(ctx, service, m, targets); reached == t.Lost(service) {
+	best := t.best(ctx, service, m, targets)
+	if reached := best == resultReached; best != resultInconclusive && reached == t.Lost(service) {
 		t.set(service, m, !reached, time.Since(started))
 	}
 }
 
-// reachesAny reports whether any of the targets is reached. A service without targets counts as
+// best returns the best result of the targets that are tried. A service without targets counts as
 // reached.
-func (t *Tracker) reachesAny(ctx context.Context, service string, m Method, targets []string) bool {
+func (t *Tracker) best(ctx context.Context, service string, m Method, targets []string) result {
 	if len(targets) == 0 {
-		return true
+		return resultReached
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	var tries task.Group
-	results := make(chan bool, len(targets))
+	results := make(chan result, len(targets))
 	pending := 0
+	best := resultFailed
 	start := func(list []string) {
 		for _, address := range list {
 			pending++
 			tries.Go(ctx, "path check", func(ctx context.Context) error {
 				err := t.cfg.Try(ctx, m, service, address)
-				results <- err == nil
+				results <- resultOf(err)
 				return err
 			})
 		}
@@ -198,9 +235,9 @@
 		defer limit.Stop()
 		for pending > 0 {
 			select {
-			case reached := <-results:
+			case r := <-results:
 				pending--
-				if reached {
+				if best = max(best, r); best == resultReached {
 					return true
 				}
 			case <-limit.C:
@@ -209,7 +246,6 @@
 		}
 		return false
 	}
-	reached := false
 	for i, n := range stages[m] {
 		n = min(n, len(targets))
 		start(targets[:n])
@@ -218,15 +254,15 @@
 		if i == len(stages[m])-1 || len(targets) == 0 {
 			limit = checkTimeout
 		}
-		if reached = wait(limit); reached {
+		if wait(limit) {
 			break
 		}
 	}
 	cancel()
-	if err := tries.Wait(); err != nil && !reached {
+	if err := tries.Wait(); err != nil && best != resultReached {
 		t.cfg.Log.WithField("service", service).WithError(err).Debug("no target of the sample reached")
 	}
-	return reached
+	return best
 }
 
 // set records whether a service is lost.
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -183,3 +183,32 @@
 		}
 	})
 }
+
+// Guards against targets that send what is no answer and whose service counts as lost, so that their failures are no evidence
+// against them, or as reached again.
+func TestInconclusiveChecksChangeNothing(t *testing.T) {
+	for _, before := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var result error
+			if before {
+				result = errDown
+			}
+			r := reach.New(reach.Config{
+				Targets: func(string) []string { return []string{"a"} },
+				Try:     func(context.Context, reach.Method, string, string) error { return result },
+				Log:     logging.Part(logging.New(io.Discard, "error", "text"), "paths"),
+			})
+			r.Check(t.Context(), "quotes", reach.MethodExchange)
+			time.Sleep(time.Second)
+			result = &reach.InconclusiveError{
+				Cause: errDown,
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_ = r.Run(ctx)
+			if got := r.Check(t.Context(), "quotes", reach.MethodExchange); got != before {
+				t.Errorf("lost %v after inconclusive checks, want %v", got, before)
+			}
+		})
+	}
+}
--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -74,6 +74,8 @@
 	// failed is the error after which nothing may be read or written, or nil. The reader of net/http drops an error in the
 	// middle of a line, and reads on.
 	failed error
+	// cut is set if reading ended within an answer.
+	cut bool
 }
 
 // Write writes a part of a request. The first one after an answer begins a new exchange; it fails if more than
@@ -116,12 +118,25 @@
 	if c.failed != nil {
 		return 0, c.failed
 	}
-	if errors.Is(err, io.EOF) && c.scan.UntilClose() && !c.writes.CleanEnd(c.Conn) {
-		err = ErrReset
+	if errors.Is(err, io.EOF) {
+		switch {
+		case c.scan.UntilClose() && !c.writes.CleanEnd(c.Conn):
+			err = ErrReset
+		case c.scan.Begun() && !c.scan.Whole() && !c.scan.UntilClose():
+			c.cut = true
+		}
 	}
 	return n, err
 }
 
+// NoAnswer reports whether the other end has sent what is no answer: a malformed one, one beyond the bounds, or a part of one before it
+// ended the connection.
+func (c *Conn) NoAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed != nil || c.cut
+}
+
 func (c *Conn) failure() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
