internal/link: a call waits for its turn only until its context ends

Calls to one peer run one at a time. A call waited for the one before without regard to its own context: behind calls to a peer that does not answer it ended up to two seconds after its time, and with it whatever waited for it, such as a planned stop.

TestCallWaitsForItsTurnUntilItsContextEnds: before, a call with 50 ms took 2 s.

--- a/internal/link/dialer.go
+++ b/internal/link/dialer.go
@@ -35,7 +35,8 @@
 }
 
 type peerConn struct {
-	mu       sync.Mutex
+	// busy holds a value while a call uses the connection.
+	busy     chan struct{}
 	conn     *drpcconn.Conn
 	lastUsed atomic.Int64
 	// dropped is set once the dialer has removed the connection.
@@ -84,9 +85,12 @@
 	defer cancel()
 	d.traffic.calls.Add(1)
 	var zero Out
-	p := d.lock(peer)
+	p, err := d.lock(ctx, peer)
+	if err != nil {
+		return zero, err
+	}
 	defer d.trim()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.lastUsed.Store(time.Now().UnixNano())
 	if err := d.connect(ctx, p, peer, purpose); err != nil {
 		return zero, err
@@ -104,24 +108,46 @@
 	return out, nil
 }
 
-// lock returns the connection to a peer for one call, with its mu locked.
-func (d *Dialer) lock(address string) *peerConn {
+// lock returns the connection to a peer for one call, in use until unlock. It waits for other calls until the context ends.
+func (d *Dialer) lock(ctx context.Context, address string) (*peerConn, error) {
 	for {
 		d.mu.Lock()
 		p := d.peers[address]
 		if p == nil {
-			p = &peerConn{}
+			p = &peerConn{
+				busy: make(chan struct{}, 1),
+			}
 			d.peers[address] = p
 		}
 		d.mu.Unlock()
-		p.mu.Lock()
+		select {
+		case p.busy <- struct{}{}:
+		case <-ctx.Done():
+			return nil, &Error{
+				kind:  KindCall,
+				peer:  address,
+				cause: ctx.Err(),
+			}
+		}
 		if !p.dropped {
-			return p
+			return p, nil
 		}
-		p.mu.Unlock()
+		p.unlock()
 	}
 }
 
+// tryLock reports whether no call used the connection; it is in use then.
+func (p *peerConn) tryLock() bool {
+	select {
+	case p.busy <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *peerConn) unlock() { <-p.busy }
+
 // trim closes the least recently used connections beyond maxIdle.
 func (d *Dialer) trim() {
 	d.mu.Lock()
@@ -218,14 +244,14 @@
 	defer d.mu.Unlock()
 	for address, p := range d.peers {
 		// A peer with a call in progress is in use.
-		if !match(p) || !p.mu.TryLock() {
+		if !match(p) || !p.tryLock() {
 			continue
 		}
 		if p.conn != nil {
 			_ = p.conn.Close()
 		}
 		p.dropped = true
-		p.mu.Unlock()
+		p.unlock()
 		delete(d.peers, address)
 	}
 }
--- a/internal/link/dialer_test.go
+++ b/internal/link/dialer_test.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"testing"
+	"time"
 
 	"ploverjunction.example/ploverjunction/internal/fleetconfig"
 	"ploverjunction.example/ploverjunction/internal/link"
@@ -100,3 +103,38 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a call that waits for its turn beyond its own time, behind calls to a peer that does not answer.
+func TestCallWaitsForItsTurnUntilItsContextEnds(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	d := link.NewDialer(nil, &link.Traffic{})
+	defer d.Close()
+	first, endFirst := context.WithCancel(t.Context())
+	defer endFirst()
+	unanswered := task.Go(first, "first call", func(ctx context.Context) error {
+		_, err := d.Sync(ctx, lis.Addr().String(), &wire.SyncRequest{})
+		return err
+	})
+	conn, err := lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	started := time.Now()
+	if _, err := d.Sync(ctx, lis.Addr().String(), &wire.SyncRequest{}); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("the second call ended with %v", err)
+	}
+	if took := time.Since(started); took > link.CallTimeout/2 {
+		t.Errorf("the second call took %v", took)
+	}
+	endFirst()
+	if err := <-unanswered.Done(); err == nil {
+		t.Error("the first call was answered: the test shows nothing")
+	}
+}
