internal/node: peers that do not answer do not delay a planned stop

Without datagrams a node that stops calls its peers, up to three times for two seconds each, and its drain wait began after that: with one silent peer and a grace time of 4 s the process was killed before it had closed the connections of callers. Only nodes whose port for peers is not fixed are without datagrams.

The calls run beside the drain wait and take two seconds at the most, together.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"ploverjunction.example/ploverjunction/internal/link"
 	"ploverjunction.example/ploverjunction/internal/logging"
 	"ploverjunction.example/ploverjunction/internal/membership"
 	"ploverjunction.example/ploverjunction/internal/task"
@@ -41,10 +42,11 @@
 		now := time.Now()
 		n.entry.ExpectEnd(now.Add(drainWait), now.Add(wait))
 	}
-	n.announceDraining(ctx)
-	handovers := n.handOverRoles(ctx)
+	var calls task.Group
+	n.announceDraining(ctx, &calls)
+	n.handOverRoles(ctx, &calls)
 	err := n.drainEntry(ctx, drainWait)
-	return errors.Join(err, handovers.Wait())
+	return errors.Join(err, calls.Wait())
 }
 
 // A planned stop ends the requests that have no answer after answerPart of graceParts of the grace time, and takes none
@@ -81,12 +83,10 @@
 }
 
 // handOverRoles begins to send the state of this node's dispatcher roles to its successors.
-func (n *Node) handOverRoles(ctx context.Context) *task.Group {
-	var handovers task.Group
+func (n *Node) handOverRoles(ctx context.Context, calls *task.Group) {
 	if n.dispatcher != nil {
-		n.dispatcher.stop(ctx, &handovers, time.Now())
+		n.dispatcher.stop(ctx, calls, time.Now())
 	}
-	return &handovers
 }
 
 // drainEntry accepts callers until the load balancer has had time to react, and returns after the end of
@@ -111,10 +111,14 @@
 // drainingFarPeers is how many nodes of each other data hall a draining node notifies by datagram.
 const drainingFarPeers = 2
 
-// announceDraining notifies peers, which must assign this node's roles to others. Where datagrams
+// announceTimeout bounds the notification of all peers. It runs beside the drain wait: a peer that does not answer must not
+// delay the stop beyond the grace time.
+const announceTimeout = link.CallTimeout
+
+// announceDraining begins to notify peers, which must assign this node's roles to others. Where datagrams
 // spread membership updates, the nodes of the same data hall and a few others are enough; a
 // draining node fulfils its roles until it ends.
-func (n *Node) announceDraining(ctx context.Context) {
+func (n *Node) announceDraining(ctx context.Context, calls *task.Group) {
 	if n.peers == nil {
 		return
 	}
@@ -124,13 +128,18 @@
 		}
 		return
 	}
-	var all task.Group
-	for _, p := range n.board.view.Load().Peers() {
-		all.Go(ctx, "leave", func(ctx context.Context) error { return n.announceDrainingTo(ctx, p.Address()) })
-	}
-	if err := all.Wait(); err != nil {
-		logging.Part(n.log, "node").WithError(err).Debug("not all peers notified")
-	}
+	calls.Go(ctx, "leave", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+		defer cancel()
+		var all task.Group
+		for _, p := range n.board.view.Load().Peers() {
+			all.Go(ctx, "leave", func(ctx context.Context) error { return n.announceDrainingTo(ctx, p.Address()) })
+		}
+		if err := all.Wait(); err != nil {
+			logging.Part(n.log, "node").WithError(err).Debug("not all peers notified")
+		}
+		return nil
+	})
 }
 
 // drainingPeers returns the peers that a draining node notifies.
