internal/entry: read what a caller sends until it has its answer

What callers saw: one that goes on sending after its request, and reads late on a connection with a small buffer, got 12,012 of 40,960 bytes of an answer that the node had taken for delivered.

Cause: half a second after the answer was written the connection was closed. With unread bytes the kernel resets it and drops what the caller has not received.

Change: while the caller goes on sending and has not acknowledged the answer, what it sends is read for up to three seconds.

TestEndOfTheProcessLosesNoAnswer/goes_on_sending_true: before, 12,012 of 40,960 bytes; now whole. A caller that does not send is closed as before.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,8 +36,9 @@
 	return nil
 }
 
-// Close closes the connection. After a whole answer it first reads for up to restTimeout what the caller still sends:
-// the kernel discards an answer that is on its way to the caller when a connection is closed with unread bytes.
+// Close closes the connection. After a whole answer it first reads for up to restTimeout what the caller still sends, and
+// for longer while it goes on sending and has not received the answer: the kernel discards an answer that is on its way to the caller
+// when a connection is closed with unread bytes.
 func (c *callerConn) Close() error {
 	tcp := c.TCP()
 	answered := c.answered.Swap(false) || c.Refused()
@@ -47,13 +49,26 @@
 	// An error means that the connection has ended already.
 	_ = tcp.CloseWrite()
 	c.track(task.Go(context.Background(), "close of a caller's connection", func(context.Context) error {
-		_ = tcp.SetReadDeadline(time.Now().Add(restTimeout))
-		_, _ = io.Copy(io.Discard, tcp)
+		discardRest(tcp)
 		return c.HTTPConn.Close()
 	}))
 	return nil
 }
 
+// maxLinger bounds the time for which a caller may take to receive an answer after the end of its connection.
+const maxLinger = 3 * time.Second
+
+// discardRest reads what a caller still sends after its answer.
+func discardRest(tcp *net.TCPConn) {
+	for end := time.Now().Add(maxLinger); ; {
+		_ = tcp.SetReadDeadline(time.Now().Add(restTimeout))
+		n, err := io.Copy(io.Discard, tcp)
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || time.Now().After(end) || !unreceived(tcp) {
+			return
+		}
+	}
+}
+
 // Read reads from the caller.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.HTTPConn.Read(p)
