--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// NewTransport returns a transport whose connections scan the answers that they carry, in TLS beneath which they are HTTP/1.1. It
-// is for requests as Dial is.
+// NewTransport returns a transport whose connections scan the answers that they carry, for requests as those of Dial. Over TLS it
+// speaks HTTP/1.1.
 func NewTransport(b Bounds) *http.Transport {
 	dialer := &net.Dialer{}
 	overTLS := &tls.Dialer{
