--- a/internal/forward/claim.go
+++ b/internal/forward/claim.go
@@ -29,8 +29,6 @@
 	sealed      bool
 	// refused is why a write was refused before the first byte; "" if none was.
 	refused Kind
-	// exchange is that on the connection that the attempt got last.
-	exchange *exchange
 	// held is the memory in bytes that is reserved for the heads of the answer. released is set once the attempt
 	// holds none. broken is why the answer must not be read to its end, or "".
 	held     int64
@@ -51,10 +49,9 @@
 // another connection when it deems that safe (it does for any request with an Idempotency-Key
 // header). Only this package may decide that, so a claim that has written anything is valid for
 // its first connection only.
-func (c *claim) bind(x *exchange) {
+func (c *claim) bind() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange = x
 	c.connections++
 	if c.connections > 1 && c.written {
 		c.sealed = true
@@ -124,20 +121,19 @@
 	return c.refused
 }
 
-// fail records why the answer of an exchange must not be read to its end, unless the attempt has another exchange by now.
-func (c *claim) fail(x *exchange, k Kind) {
+// fail records why the answer must not be read to its end. Only the exchange that has begun calls it, of which there is one: a
+// claim that has written anything is valid for one connection.
+func (c *claim) fail(k Kind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.exchange == x {
-		c.broken = cmp.Or(c.broken, k)
-	}
+	c.broken = cmp.Or(c.broken, k)
 }
 
-// holdHeads reserves memory for the heads of the answer of an exchange. It returns false if there is none.
-func (c *claim) holdHeads(x *exchange, b *memory.Budget, cost int64) bool {
+// holdHeads reserves memory for the heads of the answer. It returns false if there is none.
+func (c *claim) holdHeads(b *memory.Budget, cost int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.released || c.exchange != x || c.hold(b, cost)
+	return c.released || c.hold(b, cost)
 }
 
 // hold raises the memory that is reserved to cost. It returns false if there is none. c.mu is held.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -53,7 +53,7 @@
 	}
 	inHeads := !x.scan.Final()
 	if err := x.scan.Add(p); err != nil {
-		x.claim.fail(x, KindMalformed)
+		x.claim.fail(KindMalformed)
 		return err
 	}
 	kind := Kind("")
@@ -61,13 +61,13 @@
 	case !inHeads:
 	case x.scan.Interims() > maxInterims:
 		kind = KindEndless
-	case !x.claim.holdHeads(x, b, x.scan.Cost()):
+	case !x.claim.holdHeads(b, x.scan.Cost()):
 		kind = KindMemory
 	}
 	if kind == "" {
 		return nil
 	}
-	x.claim.fail(x, kind)
+	x.claim.fail(kind)
 	return &Error{
 		kind: kind,
 	}
--- a/internal/forward/guard.go
+++ b/internal/forward/guard.go
@@ -173,7 +173,7 @@
 	g.requests.Add(1)
 	g.lastID = hash
 	x := newExchange(c, method)
-	c.bind(x)
+	c.bind()
 	g.scope.Store(uint32(scope))
 	g.exchange.Store(x)
 	g.claim.Store(c)
