internal/entry, internal/node: faults of two new tests

TestPlannedStopLeavesAnswersOnTheirWay drained before its connections were accepted: those in the queue of the port end with it. It waits for them now. TestFailedControllerCutsNoRequest ran nodes in parallel, which set the log of the HTTP library for the whole process: a data race. Its cases run one after another. The product is as it was.

--- a/internal/entry/linger_test.go
+++ b/internal/entry/linger_test.go
@@ -53,6 +53,10 @@
 		_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
 		conns = append(conns, conn)
 	}
+	// A connection that was not accepted ends with the port.
+	for s.server.OpenConnections() < callers {
+		<-time.After(time.Millisecond)
+	}
 	drained := task.Go(t.Context(), "drain", func(ctx context.Context) error { return s.server.Drain(ctx) })
 	var all sync.WaitGroup
 	for _, conn := range conns {
--- a/internal/node/run_test.go
+++ b/internal/node/run_test.go
@@ -154,7 +154,6 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
 			n := startNode(t)
 			inFlight := task.Go(t.Context(), "request", func(context.Context) error { return n.post("/quotes/1?work=600ms") })
 			n.await(t, "the request at its target", func() bool { return n.target.Requests() == 1 })
