--- a/internal/response/field.go
+++ b/internal/response/field.go
@@ -23,7 +23,7 @@
 		switch {
 		case b == '\r':
 			s.state = atHeadEnd
-		case b == '\n':
+		case b == '\n' && !s.trailer:
 			return s.endHead()
 		case !tokenByte(b):
 			return PartName
--- a/internal/response/scan.go
+++ b/internal/response/scan.go
@@ -219,13 +219,13 @@
 	return 100 <= status && status <= 599 && status != http.StatusSwitchingProtocols
 }
 
-// text scans a byte of a text that ends with its line; end is the state after a carriage return. A line feed alone also
-// ends a line (RFC 9112, section 2.2).
+// text scans a byte of a text that ends with its line; end is the state after a carriage return. In a head a line feed alone
+// also ends a line (RFC 9112, section 2.2); net/http needs both in a trailer.
 func (s *Scan) text(b byte, end state, part Part) Part {
 	switch {
 	case b == '\r':
 		s.state = end
-	case b == '\n':
+	case b == '\n' && !s.trailer:
 		return s.finishLine()
 	case !textByte(b):
 		return part
--- a/internal/response/scan_test.go
+++ b/internal/response/scan_test.go
@@ -262,6 +262,16 @@
 			text: chunks + "\r\n0\r\nX Odd: 1\r\n\r\n",
 			part: response.PartName,
 		},
+		{
+			name: "line feed alone in a trailer",
+			text: chunks + "\r\n0\r\nX: 1\n\r\n",
+			part: response.PartValue,
+		},
+		{
+			name: "line feed alone after a trailer",
+			text: chunks + "\r\n0\r\nX: 1\r\n\n",
+			part: response.PartName,
+		},
 		{
 			name: "length in a trailer",
 			text: chunks + "\r\n0\r\nContent-Length: 3\r\n\r\n",
