internal/entry: the test of connections that a planned stop closes shows the fault each time

The answer was larger than what the node can write at once, so that its connection was still being served while its caller did not read.

The caller with a small buffer is one piece of code with that of TestAnswerIsWholeIfItsCallerSendsMore, whose figures and checks are as they were.

--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -153,7 +153,22 @@
 
 // Guards against an answer of which the last part is lost because its caller has sent more than the node reads.
 func TestAnswerIsWholeIfItsCallerSendsMore(t *testing.T) {
-	const size, behind = 256 << 10, 20 << 10
+	const size = 256 << 10
+	s := largeAnswerSite(t, size)
+	for range 20 {
+		conn := dialSmall(t, s)
+		sendBehind(t, conn)
+		readLarge(t, conn, size)
+		_ = conn.Close()
+	}
+}
+
+// sentBehind is the number of bytes that callers send behind a request.
+const sentBehind = 20 << 10
+
+// largeAnswerSite returns a site whose target sends an answer of size bytes to each request.
+func largeAnswerSite(t *testing.T, size int) *testSite {
+	t.Helper()
 	list := &choices{
 		list: []*signalTarget{newSignalTarget(t, "target", func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -161,11 +176,16 @@
 		})},
 		before: func(int) {},
 	}
-	s := newSite(t, func(cfg *entry.Config) {
+	return newSite(t, func(cfg *entry.Config) {
 		cfg.Signals = &signal.Ledger{}
 		cfg.Choose = list.choose
 		cfg.Deadline = 5 * time.Second
 	})
+}
+
+// dialSmall opens a connection with a small receive buffer.
+func dialSmall(t *testing.T, s *testSite) net.Conn {
+	t.Helper()
 	dialer := net.Dialer{
 		Control: func(_, _ string, c syscall.RawConn) error {
 			return c.Control(func(fd uintptr) {
@@ -173,25 +193,34 @@
 			})
 		},
 	}
-	for range 20 {
-		conn, err := dialer.Dial("tcp", s.server.Addr())
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
-		// A request in chunks ends its connection.
-		_, err = fmt.Fprintf(conn, "POST /quotes/1 HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n%s",
-			keyBrokers, strings.Repeat("y", behind))
-		if err != nil {
-			t.Fatal(err)
-		}
-		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if n, err := io.Copy(io.Discard, res.Body); n != size || err != nil {
-			t.Errorf("%d of %d bytes of the answer, error %v", n, size, err)
-		}
-		_ = conn.Close()
+	conn, err := dialer.Dial("tcp", s.server.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
+	return conn
+}
+
+// sendBehind sends a request with bytes behind it.
+func sendBehind(t *testing.T, conn net.Conn) {
+	t.Helper()
+	// A request in chunks ends its connection.
+	_, err := fmt.Fprintf(conn, "POST /quotes/1 HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n%s",
+		keyBrokers, strings.Repeat("y", sentBehind))
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// readLarge checks that the answer of a largeAnswerSite is whole.
+func readLarge(t *testing.T, conn net.Conn, size int64) {
+	t.Helper()
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	if n, err := io.Copy(io.Discard, res.Body); n != size || err != nil {
+		t.Errorf("%d of %d bytes of the answer, error %v", n, size, err)
 	}
 }
--- a/internal/entry/linger_test.go
+++ b/internal/entry/linger_test.go
@@ -3,54 +3,26 @@
 package entry_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
-	"net/http"
-	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
-	"ploverjunction.example/ploverjunction/internal/entry"
-	"ploverjunction.example/ploverjunction/internal/signal"
 	"ploverjunction.example/ploverjunction/internal/task"
 )
 
-// Guards against a planned stop that closes a connection while its answer is on its way to a caller that has sent more: the
-// kernel resets it, and drops what the caller has not received.
+// Guards against a planned stop that closes a connection while its answer is on its way to a caller that goes on
+// sending: the kernel resets it, and drops what the caller has not received.
 func TestPlannedStopLeavesAnswersOnTheirWay(t *testing.T) {
-	const size, behind, callers = 256 << 10, 20 << 10, 20
-	list := &choices{
-		list: []*signalTarget{newSignalTarget(t, "target", func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			_, _ = w.Write(make([]byte, size))
-		})},
-		before: func(int) {},
-	}
-	s := newSite(t, func(cfg *entry.Config) {
-		cfg.Signals = &signal.Ledger{}
-		cfg.Choose = list.choose
-		cfg.Deadline = 5 * time.Second
-	})
-	dialer := net.Dialer{
-		Control: func(_, _ string, c syscall.RawConn) error {
-			return c.Control(func(fd uintptr) {
-				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
-			})
-		},
-	}
+	// The node can write an answer of size bytes at once, and the caller's end can't take it.
+	const callers, size = 20, 40 << 10
+	s := largeAnswerSite(t, size)
 	var conns []net.Conn
 	for range callers {
-		conn, err := dialer.Dial("tcp", s.server.Addr())
-		if err != nil {
-			t.Fatal(err)
-		}
+		conn := dialSmall(t, s)
 		defer func() { _ = conn.Close() }()
-		_ = conn.SetDeadline(time.Now().Add(30 * time.Second))
 		conns = append(conns, conn)
 	}
 	// A connection that was not accepted ends with the port.
@@ -61,21 +33,13 @@
 	var all sync.WaitGroup
 	for _, conn := range conns {
 		all.Go(func() {
-			// A request in chunks ends its connection.
-			_, err := fmt.Fprintf(conn, "POST /quotes/1 HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n%s",
-				keyBrokers, strings.Repeat("y", behind))
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			if n, err := io.Copy(io.Discard, res.Body); n != size || err != nil {
-				t.Errorf("%d of %d bytes of the answer, error %v", n, size, err)
+			sendBehind(t, conn)
+			for range 40 {
+				<-time.After(5 * time.Millisecond)
+				// It fails once the connection was reset.
+				_, _ = io.WriteString(conn, "y")
 			}
+			readLarge(t, conn, size)
 			_ = conn.Close()
 		})
 	}
